--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,866 @@
+// Package policy decides, for one node, what becomes of each operation: which server gets it, when it
+// gets a further hop or a second copy, and when it is denied or written off.
+//
+// New makes an instance; Handle takes one Input at a time with the time since start and appends the
+// Effects to carry out, in order. Both types stand in api.go. The module sees dense indices only, keeps
+// no clock and no goroutine, and asks to be woken by a Wake effect. The table in lifecycle is the way
+// of an operation from its arrival to its final answer; route is the ordinary path of the design.
+package policy
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// The design's open figures.
+	forecastThreshold = 5 * time.Second // the paper's; capped at intervalShare of the fitted interval
+	intervalShare     = 0.25            // of the fitted interval, so that a server is fed half the time
+	forecastWindow    = 4               // onsets in a fit; more would outlast the troubles seen
+	spikeFactor       = 4.0             // times smoothed latency; the tail of usual work stays below
+	spikeRun          = 2               // hops in a run that counts as a pause
+	crowdFactor       = 1.0             // times the mean in flight; with few hops a node, the mean is the signal
+	crowdPlus         = 0.0             // hops allowed above that
+
+	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
+	typeSmooth   = 0.02                   // weight of one sample in a type's latency, which all servers feed: fifty hops
+	slowSmooth   = 0.2                    // weight in a server's slowness; five hops tell a slow server
+	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
+	slowSkip     = 3.0                    // times the usual latency before a server is spared
+	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
+	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
+	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
+	restStrikes  = 2                      // time-outs in a row; one may be a heavy operation
+	copyAfter    = 3.0                    // times the type's latency before a second hop is thought of
+	copyShare    = 0.05                   // second hops per operation, so that trouble is not amplified
+	copyBurst    = 5.0                    // second hops saved up for a sudden failure
+	pressureAim  = 0.5                    // wanted share of the target time spent; above it work is shed
+	pressureHops = 0.05                   // weight of one hop in the pressure: twenty hops
+	shedRise     = 1.0                    // per second, of the offered work, at twice the wanted pressure
+	shedFall     = 0.3                    // per second; slower, so that the way back does not tip over
+	shedMost     = 0.95                   // some are let through to see whether it has passed
+	rateSpan     = 3 * time.Second        // over which arrival and success rates are taken
+	coldHeadroom = 1.0                    // times a warm server's hops for its present share of capacity
+	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
+	coldBurst    = 2.0                    // hops saved up for a cold server
+	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
+	askMost      = 4 * time.Second        // longest wait; well within the time a list counts as told
+	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
+)
+
+type state uint8
+
+const (
+	fresh state = iota
+	waiting
+	out
+	closed
+	states
+)
+
+type signal uint8
+
+const (
+	arrived signal = iota
+	swept
+	won
+	neverRan
+	mayHaveRun
+	departed
+	signals
+)
+
+type row struct {
+	in   state
+	on   signal
+	when func(*Policy, int) bool
+	next state
+	do   func(*Policy, int)
+}
+
+// lifecycle is read from the top: the first row whose state, signal and guard fit is taken.
+func lifecycle() []row {
+	return []row{
+		{fresh, arrived, (*Policy).tooLate, closed, (*Policy).deny},
+		{fresh, arrived, (*Policy).shedByChance, closed, (*Policy).deny},
+		{fresh, arrived, (*Policy).routed, out, (*Policy).send},
+		{fresh, arrived, (*Policy).canWait, waiting, (*Policy).hold},
+		{fresh, arrived, always, closed, (*Policy).deny},
+
+		{waiting, swept, (*Policy).routed, out, (*Policy).send},
+		{waiting, swept, (*Policy).canWait, waiting, (*Policy).hold},
+		{waiting, swept, always, closed, (*Policy).deny},
+		{waiting, departed, always, closed, (*Policy).hold},
+
+		{out, won, always, closed, (*Policy).hold},
+		{out, neverRan, (*Policy).otherHopOut, out, (*Policy).hold},
+		{out, neverRan, (*Policy).repeatable, out, (*Policy).send},
+		{out, neverRan, (*Policy).harmless, closed, (*Policy).deny},
+		{out, neverRan, always, closed, (*Policy).writeOff},
+		{out, mayHaveRun, (*Policy).otherHopOut, out, (*Policy).hold},
+		{out, mayHaveRun, (*Policy).repeatable, out, (*Policy).sendCopy},
+		{out, mayHaveRun, (*Policy).harmless, closed, (*Policy).deny},
+		{out, mayHaveRun, always, closed, (*Policy).writeOff},
+		{out, swept, (*Policy).atLimitHarmless, closed, (*Policy).deny},
+		{out, swept, (*Policy).atLimit, closed, (*Policy).writeOff},
+		{out, swept, (*Policy).secondCopyDue, out, (*Policy).sendCopy},
+		{out, departed, always, closed, (*Policy).hold},
+	}
+}
+
+type hop struct {
+	server int
+	sent   time.Duration
+	ended  bool
+}
+
+type operation struct {
+	state    state
+	kind     int
+	bucket   int
+	target   time.Duration // answers after this are worth nothing
+	limit    time.Duration // the client is gone
+	hops     []hop
+	out      int
+	mayRun   bool
+	group    int           // server whose group must be kept, once mayRun
+	firstRun time.Duration // send of the first hop that may have run
+	place    int           // in Policy.open
+}
+
+// Policy is one instance of the decision module.
+type Policy struct {
+	set     Settings
+	rows    [states][signals][]row
+	seed    uint32
+	draws   uint32
+	now     time.Duration
+	effects []Effect
+
+	ops  []operation
+	open []int
+
+	// Servers, in parallel arrays under their index.
+	ready     []bool
+	listed    []bool
+	zone      []int
+	cell      []int
+	scale     []float64
+	weight    []float64 // scale, less while cold
+	coldSince []time.Duration
+	cold      []bool
+	coldPace  []float64 // hops a cold server may have now
+	inFlight  []int
+	ghosts    []float64 // hops given up that the server may still work on
+	smoothed  []time.Duration
+	slowness  []float64 // latency over what is usual for the type
+	streak    []int
+	runStart  []time.Duration
+	lastSpike []time.Duration
+	answered  []time.Duration // last sign of life while hops were out
+	strikes   []int
+	restUntil []time.Duration
+	lostSince []time.Duration // first failed connect of a row, 0 if none
+	onsets    [][forecastWindow]float64
+	pauses    []int
+	forecast  []time.Duration // 0 if none
+	interval  []time.Duration
+
+	turn     int
+	started  bool
+	pick     int
+	weights  float64
+	flying   float64
+	usual    []time.Duration // latency by type
+	budget   []time.Duration // longest time budget seen by type: that of a first try
+	budgetEq []float64       // share of operations that come with it
+
+	copies    float64
+	pressure  float64
+	shed      float64
+	denyShare []float64 // by bucket: type, within or beyond its tenant's share
+	rates     []float64 // arrivals per second by bucket
+	tenants   []float64 // arrivals per second by tenant
+	order     []int
+	successes float64 // per second
+	lastSweep time.Duration
+	asked     bool
+	askAt     time.Duration
+	askWait   time.Duration
+}
+
+// New returns an instance that draws its chance from seed.
+func New(s Settings, seed uint32) *Policy {
+	p := &Policy{set: s, seed: seed, pressure: 0, copies: copyBurst, askWait: askFirst}
+	for _, r := range lifecycle() {
+		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
+	}
+	n := len(s.Types)
+	for _, t := range s.Types {
+		p.usual = append(p.usual, t.TargetTime/4)
+	}
+	p.budget, p.budgetEq = make([]time.Duration, n), make([]float64, n)
+	p.denyShare, p.rates = make([]float64, 2*n), make([]float64, 2*n)
+	p.tenants = make([]float64, len(s.AllowancePerS))
+	for b := range 2 * n {
+		p.order = append(p.order, b)
+	}
+	return p
+}
+
+// Handle decides on one input and appends the effects to out.
+func (p *Policy) Handle(now time.Duration, in *Input, effects []Effect) []Effect {
+	p.now, p.effects = now, effects
+	switch in.Kind {
+	case Arrival:
+		p.arrive(in)
+	case HopEnded:
+		p.hopEnded(in)
+	case Left:
+		if in.Op < len(p.ops) {
+			p.step(in.Op, departed)
+		}
+	case List:
+		p.follow(in)
+	case Woken:
+		p.sweep()
+	}
+	return p.effects
+}
+
+// step takes the first fitting row of the table.
+func (p *Policy) step(op int, on signal) {
+	for _, r := range p.rows[p.ops[op].state][on] {
+		if r.when(p, op) {
+			p.enter(op, r.next)
+			r.do(p, op)
+			return
+		}
+	}
+}
+
+// enter keeps the list of open operations in step with their states.
+func (p *Policy) enter(op int, next state) {
+	o := &p.ops[op]
+	if was := o.state; was == fresh && next != closed {
+		o.place = len(p.open)
+		p.open = append(p.open, op)
+	} else if was != fresh && next == closed {
+		last := len(p.open) - 1
+		moved := p.open[last]
+		p.open[o.place], p.ops[moved].place = moved, o.place
+		p.open = p.open[:last]
+	}
+	o.state = next
+}
+
+// chance draws a number in [0, 1).
+func (p *Policy) chance() float64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint32(b[:4], p.seed)
+	binary.LittleEndian.PutUint32(b[4:], p.draws)
+	p.draws++
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+func (p *Policy) emit(e Effect) { p.effects = append(p.effects, e) }
+
+// arrive takes an operation. A client's retry comes with less time than a first try, which tells how
+// much of its target time has gone by; that is believed only while most come with one same budget.
+func (p *Policy) arrive(in *Input) {
+	for in.Op >= len(p.ops) {
+		p.ops = append(p.ops, operation{})
+	}
+	if in.Type >= len(p.set.Types) {
+		p.emit(Effect{Kind: Deny, Op: in.Op}) // an unknown type: nothing may be assumed, nothing has run
+		return
+	}
+	t := &p.set.Types[in.Type]
+	o := &p.ops[in.Op]
+	*o = operation{kind: in.Type, hops: o.hops[:0], group: -1, limit: p.now + in.Budget}
+	o.target = min(p.now+t.TargetTime, o.limit)
+	const eps = time.Millisecond
+	if in.Budget > p.budget[in.Type]+eps {
+		p.budget[in.Type], p.budgetEq[in.Type] = in.Budget, 0
+	}
+	first := in.Budget >= p.budget[in.Type]-eps
+	p.budgetEq[in.Type] += smoothing * (share(first) - p.budgetEq[in.Type])
+	if !first && p.budgetEq[in.Type] > 0.5 {
+		o.target = min(o.target, p.now+t.TargetTime-(t.AbandonTime-in.Budget))
+	}
+	o.bucket = 2 * in.Type
+	if in.Tenant < len(p.tenants) {
+		fair := p.set.AllowancePerS[in.Tenant] / float64(p.set.Nodes)
+		p.tenants[in.Tenant] += 1 / rateSpan.Seconds()
+		if fair > 0 && p.tenants[in.Tenant] > fair && p.chance() > fair/p.tenants[in.Tenant] {
+			o.bucket++
+		}
+	}
+	p.rates[o.bucket] += 1 / rateSpan.Seconds()
+	p.copies = min(p.copies+copyShare, copyBurst)
+	p.step(in.Op, arrived)
+}
+
+func share(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Guards of the table.
+
+func always(*Policy, int) bool { return true }
+
+// tooLate: a retry whose target time has passed would cost a server its work for nothing.
+func (p *Policy) tooLate(op int) bool { return p.shed > 0 && p.ops[op].target <= p.now }
+
+func (p *Policy) shedByChance(op int) bool {
+	d := p.denyShare[p.ops[op].bucket]
+	return d > 0 && p.chance() < d
+}
+
+// canWait: without a server to go to, for a list or a cold server's next turn, while it may still do.
+func (p *Policy) canWait(op int) bool {
+	o := &p.ops[op]
+	return p.now+p.usual[o.kind] < o.target
+}
+
+func (p *Policy) otherHopOut(op int) bool { return p.ops[op].out > 0 }
+
+// harmless: a denial tells the client that trying again does no harm.
+func (p *Policy) harmless(op int) bool {
+	o := &p.ops[op]
+	t := &p.set.Types[o.kind]
+	return !o.mayRun && o.out == 0 || t.Repeat == Retriable || t.Repeat == Fingerprinted && t.Group == GroupAll
+}
+
+func (p *Policy) atLimit(op int) bool {
+	return p.now+max(p.set.Tick, 5*time.Millisecond) >= p.ops[op].limit
+}
+
+func (p *Policy) atLimitHarmless(op int) bool { return p.atLimit(op) && p.harmless(op) }
+
+// repeatable: another hop is allowed, can make the target time, and has somewhere to go.
+func (p *Policy) repeatable(op int) bool {
+	o := &p.ops[op]
+	t := &p.set.Types[o.kind]
+	if len(o.hops) >= p.set.MostHops || p.now+p.usual[o.kind]/2 > o.target {
+		return false
+	}
+	if o.mayRun && (t.Repeat == Binding || p.copies < 1) {
+		return false
+	}
+	if o.mayRun && t.Repeat == Fingerprinted && p.now >= o.firstRun+t.Window-p.set.Tick {
+		return false
+	}
+	return p.routed(op)
+}
+
+// secondCopyDue guards against a server that takes work and does not answer.
+func (p *Policy) secondCopyDue(op int) bool {
+	o := &p.ops[op]
+	if !p.set.SecondCopies || o.out != 1 || p.shed > 0 {
+		return false
+	}
+	h := o.hops[len(o.hops)-1]
+	return float64(p.now-h.sent) > copyAfter*float64(p.usual[o.kind]) && p.repeatable(op)
+}
+
+// Effects of the table.
+
+func (p *Policy) hold(int) {}
+
+func (p *Policy) deny(op int) {
+	back := time.Duration(float64(p.set.MaxRetryIn) * (0.5 + 0.5*p.chance()))
+	p.emit(Effect{Kind: Deny, Op: op, For: back})
+}
+
+func (p *Policy) writeOff(op int) { p.emit(Effect{Kind: WriteOff, Op: op}) }
+
+func (p *Policy) sendCopy(op int) {
+	p.copies--
+	p.send(op)
+}
+
+// send puts a hop out to the server that route picked.
+func (p *Policy) send(op int) {
+	o, s := &p.ops[op], p.pick
+	until := o.target
+	if until <= p.now {
+		until = o.limit
+	}
+	if t := &p.set.Types[o.kind]; !p.set.SecondCopies && t.Repeat == Retriable && p.copies >= 1 && p.shed == 0 {
+		// where two hops may not be out together, an early time-out makes room for the next one
+		early := p.now + time.Duration(copyAfter*float64(p.usual[o.kind]))
+		if early+p.usual[o.kind] < until && len(o.hops)+1 < p.set.MostHops {
+			until = early
+		}
+	}
+	o.hops = append(o.hops, hop{server: s, sent: p.now})
+	o.out++
+	if o.group < 0 {
+		o.group, o.firstRun = s, p.now
+	}
+	o.mayRun = true
+	if p.inFlight[s] == 0 {
+		p.answered[s] = p.now
+	}
+	p.inFlight[s]++
+	p.flying++
+	if p.cold[s] {
+		p.coldPace[s]--
+	}
+	p.emit(Effect{Kind: SendHop, Op: op, Server: s, For: max(until-p.now, time.Millisecond)})
+}
+
+// hopEnded books a hop's end under its server and lets the table answer for the operation.
+func (p *Policy) hopEnded(in *Input) {
+	if in.Op >= len(p.ops) || in.Hop >= len(p.ops[in.Op].hops) || p.ops[in.Op].hops[in.Hop].ended {
+		return
+	}
+	o := &p.ops[in.Op]
+	h := &o.hops[in.Hop]
+	h.ended = true
+	o.out--
+	p.inFlight[h.server]--
+	p.flying--
+	ran := in.Outcome != Overloaded && in.Outcome != Unreachable && in.Outcome != Void
+	p.learn(h.server, o, h.sent, in.Outcome)
+	if !ran {
+		// as if it had never been sent: the group is that of the first hop that may have run
+		o.mayRun, o.group = false, -1
+		for i, other := range o.hops {
+			if i != in.Hop && other.server >= 0 && o.group < 0 {
+				o.mayRun, o.group, o.firstRun = true, other.server, other.sent
+			}
+		}
+		h.server = -1
+	}
+	switch {
+	case o.state == closed:
+	case in.Outcome == Success:
+		p.step(in.Op, won)
+	case in.Final:
+		p.step(in.Op, departed)
+	case ran:
+		p.step(in.Op, mayHaveRun)
+	default:
+		p.step(in.Op, neverRan)
+	}
+}
+
+// learn keeps the figures about a server from the end of one hop.
+func (p *Policy) learn(s int, o *operation, sent time.Duration, how Outcome) {
+	spent := p.now - sent
+	usual := p.usual[o.kind]
+	switch how {
+	case Success:
+		p.spike(s, sent, float64(spent) > spikeFactor*float64(p.smoothed[s]))
+		p.smoothed[s] += time.Duration(smoothing * float64(spent-p.smoothed[s]))
+		p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
+		p.usual[o.kind] += time.Duration(typeSmooth * float64(spent-usual))
+		p.successes += 1 / rateSpan.Seconds()
+		p.alive(s)
+		p.ghosts[s] = 0
+	case TimedOut:
+		p.spike(s, sent, true)
+		p.ghosts[s]++
+		p.strike(s, restStrikes)
+	case Failure:
+		p.answered[s] = p.now
+		p.strike(s, restStrikes)
+	case Overloaded:
+		p.answered[s] = p.now
+		p.strike(s, 1)
+	case Unreachable:
+		if p.lostSince[s] == 0 {
+			p.lostSince[s] = max(p.now, 1)
+		}
+		p.strike(s, 1)
+	case Broken:
+		p.strike(s, 1)
+	case Withdrawn:
+		p.ghosts[s]++
+	}
+	if how != Void && how != Withdrawn {
+		x := 1.0
+		if how == Success {
+			x = min(float64(spent)/float64(p.set.Types[o.kind].TargetTime), 1)
+		}
+		p.pressure += pressureHops * (x - p.pressure)
+	}
+}
+
+// alive ends a server's rest. One that answers after it was out of reach may have restarted before the
+// list tells: it is held for cold, so that it is not pushed over.
+func (p *Policy) alive(s int) {
+	p.answered[s], p.strikes[s], p.restUntil[s] = p.now, 0, 0
+	if p.lostSince[s] > 0 && p.now-p.lostSince[s] > silentDeath {
+		p.chill(s, p.now)
+	}
+	p.lostSince[s] = 0
+}
+
+// strike counts a failure and sends the server to rest after enough in a row, unless half of the ready
+// ones rest already: when all look bad at once, taking servers out only loads the others.
+func (p *Policy) strike(s, enough int) {
+	p.strikes[s]++
+	if p.strikes[s] < enough || p.now < p.restUntil[s] {
+		return
+	}
+	ready, resting := 0, 0
+	for i := range p.ready {
+		if p.ready[i] {
+			ready++
+			if p.now < p.restUntil[i] {
+				resting++
+			}
+		}
+	}
+	if 2*(resting+1) > ready {
+		return
+	}
+	wait := restFirst << min(p.strikes[s]-enough, 3)
+	p.restUntil[s] = p.now + time.Duration(float64(min(wait, restMost))*(0.75+0.5*p.chance()))
+}
+
+// spike counts runs of spikes and time-outs; a run is one pause, and its line is fitted anew.
+func (p *Policy) spike(s int, sent time.Duration, is bool) {
+	if !is {
+		p.streak[s] = 0
+		return
+	}
+	if p.streak[s] == 0 {
+		p.runStart[s] = max(sent, p.answered[s])
+	}
+	p.streak[s]++
+	merged := p.pauses[s] > 0 && p.runStart[s]-p.lastSpike[s] < p.smoothed[s]
+	if p.streak[s] == spikeRun && !merged {
+		n := min(p.pauses[s], forecastWindow)
+		if n == forecastWindow {
+			copy(p.onsets[s][:], p.onsets[s][1:])
+			n--
+		}
+		p.onsets[s][n] = p.runStart[s].Seconds()
+		p.pauses[s]++
+		p.fit(s)
+	}
+	if p.streak[s] >= spikeRun {
+		p.lastSpike[s] = p.now
+	}
+}
+
+// fit draws the least-squares line of pause count over onset time and reads where it meets the next
+// count. A line that does not rise forecasts nothing.
+func (p *Policy) fit(s int) {
+	p.forecast[s] = 0
+	n := min(p.pauses[s], forecastWindow)
+	if n < 2 {
+		return
+	}
+	var mx, my, sxx, sxy float64
+	first := float64(p.pauses[s] - n + 1)
+	for i := range n {
+		mx += p.onsets[s][i] / float64(n)
+		my += (first + float64(i)) / float64(n)
+	}
+	for i := range n {
+		dx := p.onsets[s][i] - mx
+		sxx += dx * dx
+		sxy += dx * (first + float64(i) - my)
+	}
+	if sxx <= 0 || sxy <= 0 {
+		return
+	}
+	slope := sxy / sxx
+	at := mx + (float64(p.pauses[s]+1)-my)/slope
+	if at > 0 && at < math.MaxInt32 && 1/slope < math.MaxInt32 {
+		p.forecast[s] = time.Duration(at * float64(time.Second))
+		p.interval[s] = time.Duration(float64(time.Second) / slope)
+	}
+}
+
+// nearPause: the forecast pause lies within the threshold of now, or is overdue by less.
+func (p *Policy) nearPause(s int) bool {
+	if p.forecast[s] == 0 {
+		return false
+	}
+	threshold := min(forecastThreshold, time.Duration(intervalShare*float64(p.interval[s])))
+	ahead := p.forecast[s] - p.now
+	return ahead <= threshold && ahead > -threshold
+}
+
+// crowded: more in flight than the mean for a server of this scale.
+func (p *Policy) crowded(s int) bool {
+	mean := p.flying * p.weight[s] / max(p.weights, 1e-9)
+	return float64(p.inFlight[s])+p.ghosts[s] > crowdFactor*mean+crowdPlus
+}
+
+// unwell: resting after failures, on trial with a hop out, silent for longer than a pause is, or so slow
+// that the operation would miss its target time there. Binding operations go to no server on trial.
+func (p *Policy) unwell(s int, o *operation) bool {
+	if p.now < p.restUntil[s] {
+		return true
+	}
+	if p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding) {
+		return true
+	}
+	if p.inFlight[s] > 0 && float64(p.now-p.answered[s]) > spikeFactor*float64(p.smoothed[s]) {
+		return true
+	}
+	return p.slowness[s] > slowSkip ||
+		p.slowness[s] > 1.5 && p.slowness[s]*float64(p.usual[o.kind]) > float64(o.target-p.now)
+}
+
+// barred: the rules or the cold budget forbid this server for this operation.
+func (p *Policy) barred(s int, o *operation) bool {
+	if !p.ready[s] || p.cold[s] && p.coldPace[s] < 1 {
+		return true
+	}
+	t := &p.set.Types[o.kind]
+	if o.mayRun && t.Repeat == Fingerprinted {
+		switch t.Group {
+		case GroupZone:
+			return p.zone[s] != p.zone[o.group]
+		case GroupCell:
+			return p.cell[s] != p.cell[o.group]
+		}
+	}
+	return false
+}
+
+// routed walks the ready servers round robin from the last turn. Skipping goes in steps: first all
+// skips of the design and of health; if that leaves none, plain round robin over the healthy, and if
+// none is healthy, over all that are not barred.
+func (p *Policy) routed(op int) bool {
+	n := len(p.ready)
+	if n == 0 {
+		return false
+	}
+	if !p.started {
+		p.turn, p.started = int(p.chance()*float64(n)), true
+	}
+	o := &p.ops[op]
+	for care := 2; care >= 0; care-- {
+		for i := range n {
+			s := (p.turn + i) % n
+			switch {
+			case p.barred(s, o):
+			case care > 0 && (tried(o, s) || p.unwell(s, o)):
+			case care > 1 && (p.nearPause(s) || p.crowded(s)):
+			default:
+				p.turn, p.pick = (s+1)%n, s
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func tried(o *operation, s int) bool {
+	for i := range o.hops {
+		if o.hops[i].server == s {
+			return true
+		}
+	}
+	return false
+}
+
+// follow takes a server list. Where it must be asked for, a failure is answered by asking again after a
+// growing, spread-out wait, for the list service has little capacity.
+func (p *Policy) follow(in *Input) {
+	if in.Scope == Unavailable {
+		p.asked = false
+		p.askAt = p.now + time.Duration(float64(p.askWait)*(0.5+p.chance()))
+		p.askWait = min(2*p.askWait, askMost)
+		return
+	}
+	if in.Scope != Saved {
+		p.askWait = askFirst
+	}
+	known := len(p.listed) > 0
+	if in.Scope != Changes {
+		for s := range p.ready {
+			p.ready[s] = false // absent from a full list: gone
+		}
+	}
+	for _, m := range in.Members {
+		p.grow(m.Server)
+		s := m.Server
+		wasListed := p.listed[s]
+		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, m.Scale
+		if p.scale[s] <= 0 {
+			p.scale[s] = 1
+		}
+		p.ready[s] = m.Condition == Up
+		p.listed[s] = m.Condition != Gone
+		switch {
+		case m.HasStart && p.now-m.Started < p.set.ColdFor:
+			if !p.cold[s] || m.Started > p.coldSince[s] {
+				p.chill(s, m.Started)
+			}
+		case !m.HasStart && known && !wasListed && in.Scope != Saved && m.Condition == Up:
+			p.chill(s, p.now) // no start time told, but it was not there before
+		}
+	}
+	if in.Scope != Changes {
+		for s := range p.ready {
+			p.listed[s] = p.listed[s] && slices.ContainsFunc(in.Members, func(m Member) bool { return m.Server == s })
+		}
+	}
+	p.weigh()
+}
+
+// chill takes a server for cold since a moment.
+func (p *Policy) chill(s int, since time.Duration) {
+	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, 1
+	p.strikes[s], p.restUntil[s], p.lostSince[s] = 0, 0, 0
+	p.weigh()
+}
+
+// grow makes room for a server; its smoothed latency starts at the others' mean.
+func (p *Policy) grow(s int) {
+	for s >= len(p.ready) {
+		mean, n := time.Duration(0), time.Duration(0)
+		for i := range p.ready {
+			mean, n = mean+p.smoothed[i], n+1
+		}
+		if n == 0 {
+			for _, u := range p.usual {
+				mean, n = mean+u, n+1
+			}
+		}
+		p.ready, p.listed = append(p.ready, false), append(p.listed, false)
+		p.zone, p.cell = append(p.zone, 0), append(p.cell, 0)
+		p.scale, p.weight = append(p.scale, 1), append(p.weight, 1)
+		p.coldSince, p.cold = append(p.coldSince, 0), append(p.cold, false)
+		p.coldPace, p.ghosts = append(p.coldPace, 0), append(p.ghosts, 0)
+		p.inFlight, p.smoothed = append(p.inFlight, 0), append(p.smoothed, mean/max(n, 1))
+		p.slowness, p.streak = append(p.slowness, 1), append(p.streak, 0)
+		p.runStart, p.lastSpike = append(p.runStart, 0), append(p.lastSpike, 0)
+		p.answered, p.strikes = append(p.answered, p.now), append(p.strikes, 0)
+		p.restUntil, p.lostSince = append(p.restUntil, 0), append(p.lostSince, 0)
+		p.onsets = append(p.onsets, [forecastWindow]float64{})
+		p.pauses, p.forecast = append(p.pauses, 0), append(p.forecast, 0)
+		p.interval = append(p.interval, 0)
+	}
+}
+
+// capacity is the share of its full capacity that a server surely has: it warms evenly at the slowest.
+func (p *Policy) capacity(s int) float64 {
+	if !p.cold[s] {
+		return 1
+	}
+	age := float64(p.now-p.coldSince[s]) / float64(max(p.set.ColdFor, 1))
+	if age >= 1 {
+		p.cold[s] = false
+		return 1
+	}
+	return p.set.ColdStart + (1-p.set.ColdStart)*max(age, 0)
+}
+
+func (p *Policy) weigh() {
+	p.weights = 0
+	for s := range p.ready {
+		p.weight[s] = p.scale[s] * p.capacity(s)
+		if p.ready[s] {
+			p.weights += p.weight[s]
+		}
+	}
+}
+
+// sweep looks at all that time changes: rates, cold budgets, shedding, open operations, the list.
+func (p *Policy) sweep() {
+	period := max(sweepPeriod, p.set.Tick)
+	p.emit(Effect{Kind: Wake, For: period})
+	passed := p.now - p.lastSweep
+	p.lastSweep = p.now
+	fade := math.Exp(-passed.Seconds() / rateSpan.Seconds())
+	for i := range p.rates {
+		p.rates[i] *= fade
+	}
+	for i := range p.tenants {
+		p.tenants[i] *= fade
+	}
+	p.successes *= fade
+	p.weigh()
+	p.paceCold(passed)
+	forget := 1 - math.Exp(-passed.Seconds()/slowForgets.Seconds())
+	for s := range p.slowness {
+		p.slowness[s] += forget * (1 - p.slowness[s])
+		p.ghosts[s] -= forget * p.ghosts[s]
+	}
+	p.adjustShed(passed)
+	for i := len(p.open) - 1; i >= 0; i-- {
+		if i < len(p.open) {
+			p.step(p.open[i], swept)
+		}
+	}
+	if p.set.OnRequest && !p.asked && p.now >= p.askAt {
+		p.asked = true
+		p.emit(Effect{Kind: Subscribe})
+	}
+}
+
+// paceCold refills the cold budgets. The fall is counted over all nodes, so each node gives a cold
+// server what a warm one of its scale handles for this node, cut to the capacity it surely has.
+func (p *Policy) paceCold(passed time.Duration) {
+	var slowest time.Duration = 1
+	for _, u := range p.usual {
+		slowest = max(slowest, u)
+	}
+	floor := coldFloor * p.set.FallMultiple / slowest.Seconds() / float64(p.set.Nodes)
+	for s := range p.cold {
+		if p.cold[s] {
+			pace := max(coldHeadroom*p.successes*p.scale[s]/max(p.weights, 1e-9), floor) * p.capacity(s)
+			p.coldPace[s] = min(p.coldPace[s]+pace*passed.Seconds(), coldBurst)
+		}
+	}
+}
+
+// adjustShed moves the share of offered work that is denied, and spreads it: the types that earn least
+// for the time they take are denied first, operations beyond their tenant's share at its lower revenue.
+func (p *Policy) adjustShed(passed time.Duration) {
+	off := (p.pressure - pressureAim) / pressureAim
+	if off > 0 {
+		p.shed += shedRise * off * passed.Seconds()
+	} else {
+		p.shed += shedFall * off * passed.Seconds()
+	}
+	p.shed = min(max(p.shed, 0), shedMost)
+	if p.shed == 0 {
+		clear(p.denyShare)
+		return
+	}
+	slices.SortStableFunc(p.order, func(a, b int) int {
+		switch x, y := p.worth(a), p.worth(b); {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return a - b
+	})
+	total := 0.0
+	for b, r := range p.rates {
+		total += r * p.usual[b/2].Seconds()
+	}
+	cut := p.shed * total
+	for _, b := range p.order {
+		load := p.rates[b] * p.usual[b/2].Seconds()
+		p.denyShare[b] = min(cut/max(load, 1e-9), shedMost)
+		cut = max(cut-p.denyShare[b]*load, 0)
+	}
+}
+
+func (p *Policy) worth(bucket int) float64 {
+	w := p.set.Types[bucket/2].Revenue / max(p.usual[bucket/2].Seconds(), 1e-6)
+	if bucket%2 == 1 {
+		w *= p.set.OverageRevenue
+	}
+	return w
+}
