Window on hops in flight per node, cut and grown on the pressure

Cause: on the hire incident all servers jammed and turned slow in the first second, before the smoothed pressure told.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,6 +39,12 @@
 	copyBurst    = 5.0                    // second hops saved up for a sudden failure
 	pressureAim  = 0.5                    // wanted share of the target time spent; above it work is shed
 	pressureHops = 0.05                   // weight of one hop in the pressure: twenty hops
+	windowCut    = 0.85                   // of the window on hops in flight, when the pressure is above its aim
+	windowStart  = 1.0                    // hops for each server: what any server can take; it grows as answers come
+	windowLeast  = 0.25                   // hops for each server; below that nothing is learnt
+	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
+	waitFits     = 1.5                    // times the type's latency that must be left after the wait
+	blockedAim   = 0.1                    // share of arrivals that may find no room before work is shed
 	shedRise     = 1.0                    // per second, of the offered work, at twice the wanted pressure
 	shedFall     = 0.3                    // per second; slower, so that the way back does not tip over
 	shedMost     = 0.95                   // some are let through to see whether it has passed
@@ -123,6 +129,7 @@
 	bucket   int
 	target   time.Duration // answers after this are worth nothing
 	limit    time.Duration // the client is gone
+	came     time.Duration
 	hops     []hop
 	out      int
 	mayRun   bool
@@ -169,15 +176,20 @@
 	forecast  []time.Duration // 0 if none
 	interval  []time.Duration
 
-	turn     int
-	started  bool
-	pick     int
-	weights  float64
-	flying   float64
-	usual    []time.Duration // latency by type
-	budget   []time.Duration // longest time budget seen by type: that of a first try
-	budgetEq []float64       // share of operations that come with it
-
+	turn       int
+	started    bool
+	pick       int
+	weights    float64
+	readyCount int
+	flying     float64
+	usual      []time.Duration // latency by type
+	budget     []time.Duration // longest time budget seen by type: that of a first try
+	budgetEq   []float64       // share of operations that come with it
+
+	window    float64 // hops this node may have in flight
+	growing   bool    // the window has not been cut yet: it grows with every answer
+	cutAt     time.Duration
+	blocked   float64 // share of arrivals that find no room
 	copies    float64
 	pressure  float64
 	shed      float64
@@ -194,7 +206,7 @@
 
 // New returns an instance that draws its chance from seed.
 func New(s Settings, seed uint32) *Policy {
-	p := &Policy{set: s, seed: seed, pressure: 0, copies: copyBurst, askWait: askFirst}
+	p := &Policy{set: s, seed: seed, growing: true, copies: copyBurst, askWait: askFirst}
 	for _, r := range lifecycle() {
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
@@ -280,7 +292,7 @@
 	}
 	t := &p.set.Types[in.Type]
 	o := &p.ops[in.Op]
-	*o = operation{kind: in.Type, hops: o.hops[:0], group: -1, limit: p.now + in.Budget}
+	*o = operation{kind: in.Type, hops: o.hops[:0], group: -1, came: p.now, limit: p.now + in.Budget}
 	o.target = min(p.now+t.TargetTime, o.limit)
 	const eps = time.Millisecond
 	if in.Budget > p.budget[in.Type]+eps {
@@ -301,9 +313,14 @@
 	}
 	p.rates[o.bucket] += 1 / rateSpan.Seconds()
 	p.copies = min(p.copies+copyShare, copyBurst)
+	p.blocked += pressureHops * (share(p.full()) - p.blocked)
 	p.step(in.Op, arrived)
 }
 
+// full: the window leaves no room, or others wait already. The window guards against a queue that
+// builds up at the servers faster than late answers tell of it.
+func (p *Policy) full() bool { return p.flying >= p.window }
+
 func share(b bool) float64 {
 	if b {
 		return 1
@@ -323,10 +340,12 @@
 	return d > 0 && p.chance() < d
 }
 
-// canWait: without a server to go to, for a list or a cold server's next turn, while it may still do.
+// canWait: for room in the window, a list, or a cold server's next turn, while it may still do.
 func (p *Policy) canWait(op int) bool {
 	o := &p.ops[op]
-	return p.now+p.usual[o.kind] < o.target
+	t := p.set.Types[o.kind].TargetTime
+	fits := p.now+time.Duration(waitFits*float64(p.usual[o.kind])) < o.target
+	return fits && p.now-o.came <= time.Duration(waitShare*float64(t))
 }
 
 func (p *Policy) otherHopOut(op int) bool { return p.ops[op].out > 0 }
@@ -451,6 +470,7 @@
 	default:
 		p.step(in.Op, neverRan)
 	}
+	p.pump()
 }
 
 // learn keeps the figures about a server from the end of one hop.
@@ -493,6 +513,44 @@
 		}
 		p.pressure += pressureHops * (x - p.pressure)
 	}
+	p.steer(how)
+}
+
+// steer moves the window: up while it is used and answers come well in time, down at most once in the
+// time of an answer while they do not.
+func (p *Policy) steer(how Outcome) {
+	switch {
+	case p.pressure > pressureAim && p.now >= p.cutAt:
+		least := windowLeast * float64(p.readyCount)
+		p.window = max(min(p.window, p.flying+1)*windowCut, least, 1)
+		p.growing = false
+		p.cutAt = p.now + slices.Max(p.usual)
+	case how == Success && p.pressure < pressureAim && p.flying+1 > 0.7*p.window:
+		if p.growing {
+			p.window++
+		} else {
+			p.window += 1 / p.window
+		}
+	}
+}
+
+// pump gives freed room to the operations that wait here, the dearest first.
+func (p *Policy) pump() {
+	for !p.full() {
+		best := -1
+		for _, op := range p.open {
+			if o := &p.ops[op]; o.state == waiting && (best < 0 || p.worth(o.bucket) > p.worth(p.ops[best].bucket)) {
+				best = op
+			}
+		}
+		if best < 0 {
+			return
+		}
+		p.step(best, swept)
+		if p.ops[best].state == waiting {
+			return
+		}
+	}
 }
 
 // alive ends a server's rest. One that answers after it was out of reach may have restarted before the
@@ -645,6 +703,9 @@
 		p.turn, p.started = int(p.chance()*float64(n)), true
 	}
 	o := &p.ops[op]
+	if o.state != out && p.full() {
+		return false
+	}
 	for care := 2; care >= 0; care-- {
 		for i := range n {
 			s := (p.turn + i) % n
@@ -713,6 +774,10 @@
 		}
 	}
 	p.weigh()
+	if p.growing {
+		p.window = max(p.window, windowStart*float64(p.readyCount))
+	}
+	p.pump()
 }
 
 // chill takes a server for cold since a moment.
@@ -764,11 +829,12 @@
 }
 
 func (p *Policy) weigh() {
-	p.weights = 0
+	p.weights, p.readyCount = 0, 0
 	for s := range p.ready {
 		p.weight[s] = p.scale[s] * p.capacity(s)
 		if p.ready[s] {
 			p.weights += p.weight[s]
+			p.readyCount++
 		}
 	}
 }
@@ -825,7 +891,8 @@
 // adjustShed moves the share of offered work that is denied, and spreads it: the types that earn least
 // for the time they take are denied first, operations beyond their tenant's share at its lower revenue.
 func (p *Policy) adjustShed(passed time.Duration) {
-	off := (p.pressure - pressureAim) / pressureAim
+	off := (p.blocked - blockedAim) / blockedAim
+	off = min(off, 1)
 	if off > 0 {
 		p.shed += shedRise * off * passed.Seconds()
 	} else {
