--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,9 +39,10 @@
 	copyBurst    = 5.0                    // second hops saved up for a sudden failure
 	pressureAim  = 0.5                    // wanted share of the target time spent; above it work is shed
 	pressureHops = 0.05                   // weight of one hop in the pressure: twenty hops
-	windowCut    = 0.85                   // of the window on hops in flight, when the pressure is above its aim
+	windowAim    = 0.5                    // of the target time, that hops may spend at the servers
+	windowSpan   = 1 * time.Second        // over which finished hops are counted
+	windowSlack  = 2.0                    // times the root of the window: chance bunches arrivals, and must not count as load
 	windowStart  = 1.0                    // hops for each server: what any server can take; it grows as answers come
-	windowLeast  = 0.25                   // hops for each server; below that nothing is learnt
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
 	waitFits     = 1.5                    // times the type's latency that must be left after the wait
 	blockedAim   = 0.1                    // share of arrivals that may find no room before work is shed
@@ -186,9 +187,7 @@
 	budget     []time.Duration // longest time budget seen by type: that of a first try
 	budgetEq   []float64       // share of operations that come with it
 
-	window    float64 // hops this node may have in flight
-	growing   bool    // the window has not been cut yet: it grows with every answer
-	cutAt     time.Duration
+	finished  float64 // hops that would finish in the time that hops may take
 	blocked   float64 // share of arrivals that find no room
 	copies    float64
 	pressure  float64
@@ -206,7 +205,7 @@
 
 // New returns an instance that draws its chance from seed.
 func New(s Settings, seed uint32) *Policy {
-	p := &Policy{set: s, seed: seed, growing: true, copies: copyBurst, askWait: askFirst}
+	p := &Policy{set: s, seed: seed, copies: copyBurst, askWait: askFirst}
 	for _, r := range lifecycle() {
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
@@ -317,9 +316,12 @@
 	p.step(in.Op, arrived)
 }
 
-// full: the window leaves no room, or others wait already. The window guards against a queue that
-// builds up at the servers faster than late answers tell of it.
-func (p *Policy) full() bool { return p.flying >= p.window }
+// full: by the rate at which hops finish, those in flight will take longer than they may. This guards
+// against a queue that builds up at the servers faster than late answers tell of it.
+func (p *Policy) full() bool {
+	window := p.finished + windowSlack*math.Sqrt(p.finished)
+	return p.flying >= max(window, windowStart*float64(p.readyCount), 1)
+}
 
 func share(b bool) float64 {
 	if b {
@@ -484,6 +486,7 @@
 		p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
 		p.usual[o.kind] += time.Duration(typeSmooth * float64(spent-usual))
 		p.successes += 1 / rateSpan.Seconds()
+		p.finished += windowAim * p.set.Types[o.kind].TargetTime.Seconds() / windowSpan.Seconds()
 		p.alive(s)
 		p.ghosts[s] = 0
 	case TimedOut:
@@ -513,25 +516,6 @@
 		}
 		p.pressure += pressureHops * (x - p.pressure)
 	}
-	p.steer(how)
-}
-
-// steer moves the window: up while it is used and answers come well in time, down at most once in the
-// time of an answer while they do not.
-func (p *Policy) steer(how Outcome) {
-	switch {
-	case p.pressure > pressureAim && p.now >= p.cutAt:
-		least := windowLeast * float64(p.readyCount)
-		p.window = max(min(p.window, p.flying+1)*windowCut, least, 1)
-		p.growing = false
-		p.cutAt = p.now + slices.Max(p.usual)
-	case how == Success && p.pressure < pressureAim && p.flying+1 > 0.7*p.window:
-		if p.growing {
-			p.window++
-		} else {
-			p.window += 1 / p.window
-		}
-	}
 }
 
 // pump gives freed room to the operations that wait here, the dearest first.
@@ -774,9 +758,6 @@
 		}
 	}
 	p.weigh()
-	if p.growing {
-		p.window = max(p.window, windowStart*float64(p.readyCount))
-	}
 	p.pump()
 }
 
@@ -853,6 +834,7 @@
 		p.tenants[i] *= fade
 	}
 	p.successes *= fade
+	p.finished *= math.Exp(-passed.Seconds() / windowSpan.Seconds())
 	p.weigh()
 	p.paceCold(passed)
 	forget := 1 - math.Exp(-passed.Seconds()/slowForgets.Seconds())
