--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,9 +39,10 @@
 	copyBurst    = 5.0                    // second hops saved up for a sudden failure
 	pressureAim  = 0.5                    // wanted share of the target time spent; above it work is shed
 	pressureHops = 0.05                   // weight of one hop in the pressure: twenty hops
-	windowAim    = 0.5                    // of the target time, that hops may spend at the servers
+	windowAim    = 0.4                    // of the target time beyond the unloaded latency, that hops may wait at servers
+	baseSpan     = 30 * time.Second       // in which a higher latency comes to count as unloaded; longer than jams
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
-	windowSlack  = 2.0                    // times the root of the window: chance bunches arrivals, and must not count as load
+	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals, and must not count as load
 	windowStart  = 1.0                    // hops for each server: what any server can take; it grows as answers come
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
 	waitFits     = 1.5                    // times the type's latency that must be left after the wait
@@ -184,6 +185,7 @@
 	readyCount int
 	flying     float64
 	usual      []time.Duration // latency by type
+	base       []time.Duration // the least of it lately: unloaded
 	budget     []time.Duration // longest time budget seen by type: that of a first try
 	budgetEq   []float64       // share of operations that come with it
 
@@ -212,6 +214,7 @@
 	n := len(s.Types)
 	for _, t := range s.Types {
 		p.usual = append(p.usual, t.TargetTime/4)
+		p.base = append(p.base, t.TargetTime/4)
 	}
 	p.budget, p.budgetEq = make([]time.Duration, n), make([]float64, n)
 	p.denyShare, p.rates = make([]float64, 2*n), make([]float64, 2*n)
@@ -316,6 +319,13 @@
 	p.step(in.Op, arrived)
 }
 
+// allowed is how long hops of a type may take, in seconds: its unloaded latency and a share of what is
+// left of the target time.
+func (p *Policy) allowed(kind int) float64 {
+	base := min(p.base[kind], p.set.Types[kind].TargetTime)
+	return base.Seconds() + windowAim*(p.set.Types[kind].TargetTime-base).Seconds()
+}
+
 // full: by the rate at which hops finish, those in flight will take longer than they may. This guards
 // against a queue that builds up at the servers faster than late answers tell of it.
 func (p *Policy) full() bool {
@@ -485,8 +495,9 @@
 		p.smoothed[s] += time.Duration(smoothing * float64(spent-p.smoothed[s]))
 		p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
 		p.usual[o.kind] += time.Duration(typeSmooth * float64(spent-usual))
+		p.base[o.kind] = min(p.base[o.kind], p.usual[o.kind])
 		p.successes += 1 / rateSpan.Seconds()
-		p.finished += windowAim * p.set.Types[o.kind].TargetTime.Seconds() / windowSpan.Seconds()
+		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
 		p.ghosts[s] = 0
 	case TimedOut:
@@ -834,6 +845,10 @@
 		p.tenants[i] *= fade
 	}
 	p.successes *= fade
+	relax := 1 - math.Exp(-passed.Seconds()/baseSpan.Seconds())
+	for i := range p.base {
+		p.base[i] += time.Duration(relax * float64(p.usual[i]-p.base[i]))
+	}
 	p.finished *= math.Exp(-passed.Seconds() / windowSpan.Seconds())
 	p.weigh()
 	p.paceCold(passed)
