--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,12 +37,12 @@
 	copyAfter    = 3.0                    // times the type's latency before a second hop is thought of
 	copyShare    = 0.05                   // second hops per operation, so that trouble is not amplified
 	copyBurst    = 5.0                    // second hops saved up for a sudden failure
-	pressureAim  = 0.5                    // wanted share of the target time spent; above it work is shed
 	pressureHops = 0.05                   // weight of one hop in the pressure: twenty hops
 	windowAim    = 0.4                    // of the target time beyond the unloaded latency, that hops may wait at servers
 	baseSpan     = 30 * time.Second       // in which a higher latency comes to count as unloaded; longer than jams
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
 	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals, and must not count as load
+	windowCut    = 0.9                    // left of the grown window after a late answer; seven in a row halve it
 	windowStart  = 1.0                    // hops for each server: what any server can take; it grows as answers come
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
 	waitFits     = 1.5                    // times the type's latency that must be left after the wait
@@ -190,9 +190,9 @@
 	budgetEq   []float64       // share of operations that come with it
 
 	finished  float64 // hops that would finish in the time that hops may take
+	grown     float64 // hops that answers in time have made room for
 	blocked   float64 // share of arrivals that find no room
 	copies    float64
-	pressure  float64
 	shed      float64
 	denyShare []float64 // by bucket: type, within or beyond its tenant's share
 	rates     []float64 // arrivals per second by bucket
@@ -328,9 +328,20 @@
 
 // full: by the rate at which hops finish, those in flight will take longer than they may. This guards
 // against a queue that builds up at the servers faster than late answers tell of it.
-func (p *Policy) full() bool {
-	window := p.finished + windowSlack*math.Sqrt(p.finished)
-	return p.flying >= max(window, windowStart*float64(p.readyCount), 1)
+func (p *Policy) full() bool { return p.flying >= p.window() }
+
+func (p *Policy) window() float64 {
+	return max(p.finished+windowSlack*math.Sqrt(p.finished), windowStart*float64(p.readyCount), p.grown, 1)
+}
+
+// judge grows the window by each answer in time that came while it was used up, for the rate of
+// finished hops tells nothing yet after a start or a rise, and shrinks it by each that was late.
+func (p *Policy) judge(inTime bool) {
+	if !inTime {
+		p.grown *= windowCut
+	} else if w := p.window(); p.flying+1 >= w {
+		p.grown = w + 1
+	}
 }
 
 func share(b bool) float64 {
@@ -521,11 +532,7 @@
 		p.ghosts[s]++
 	}
 	if how != Void && how != Withdrawn {
-		x := 1.0
-		if how == Success {
-			x = min(float64(spent)/float64(p.set.Types[o.kind].TargetTime), 1)
-		}
-		p.pressure += pressureHops * (x - p.pressure)
+		p.judge(how == Success && spent.Seconds() <= p.allowed(o.kind))
 	}
 }
 
