--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,6 +42,7 @@
 	baseSpan     = 30 * time.Second       // in which a higher latency comes to count as unloaded; longer than jams
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
 	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals, and must not count as load
+	strainSmooth = 0.05                   // weight of one hop in the strain: twenty hops
 	windowCut    = 0.9                    // left of the grown window after a late answer; seven in a row halve it
 	windowStart  = 1.0                    // hops for each server: what any server can take; it grows as answers come
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
@@ -191,6 +192,7 @@
 
 	finished  float64 // hops that would finish in the time that hops may take
 	grown     float64 // hops that answers in time have made room for
+	strain    float64 // smoothed time of hops over the time they may take
 	blocked   float64 // share of arrivals that find no room
 	copies    float64
 	shed      float64
@@ -334,10 +336,11 @@
 	return max(p.finished+windowSlack*math.Sqrt(p.finished), windowStart*float64(p.readyCount), p.grown, 1)
 }
 
-// judge grows the window by each answer in time that came while it was used up, for the rate of
-// finished hops tells nothing yet after a start or a rise, and shrinks it by each that was late.
-func (p *Policy) judge(inTime bool) {
-	if !inTime {
+// judge grows the window by each answer that came while it was used up, for the rate of finished hops
+// tells nothing yet after a start or a rise, and shrinks it while answers take longer than they may.
+func (p *Policy) judge(spent, allowed float64) {
+	p.strain += strainSmooth * (spent/allowed - p.strain)
+	if p.strain > 1 {
 		p.grown *= windowCut
 	} else if w := p.window(); p.flying+1 >= w {
 		p.grown = w + 1
@@ -532,7 +535,7 @@
 		p.ghosts[s]++
 	}
 	if how != Void && how != Withdrawn {
-		p.judge(how == Success && spent.Seconds() <= p.allowed(o.kind))
+		p.judge(spent.Seconds(), p.allowed(o.kind))
 	}
 }
 
