--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,10 +47,11 @@
 	windowStart  = 1.0                    // hops for each server: what any server can take; it grows as answers come
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
 	waitFits     = 1.5                    // times the type's latency that must be left after the wait
-	blockedAim   = 0.1                    // share of arrivals that may find no room before work is shed
-	shedRise     = 1.0                    // per second, of the offered work, at twice the wanted pressure
-	shedFall     = 0.3                    // per second; slower, so that the way back does not tip over
-	shedMost     = 0.95                   // some are let through to see whether it has passed
+	blockedAim   = 0.5                    // share of time that the window may be full before less is admitted
+	blockedSpan  = 500 * time.Millisecond // over which that is taken
+	admitPace    = 2.0                    // per second, of the log of the admitted share; up and down alike
+	admitLeast   = 0.02                   // of the offered work, so that it is seen when it has passed
+	shedMost     = 0.95                   // of one type; some of each are let through
 	rateSpan     = 3 * time.Second        // over which arrival and success rates are taken
 	coldHeadroom = 1.0                    // times a warm server's hops for its present share of capacity
 	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
@@ -193,9 +194,10 @@
 	finished  float64 // hops that would finish in the time that hops may take
 	grown     float64 // hops that answers in time have made room for
 	strain    float64 // smoothed time of hops over the time they may take
-	blocked   float64 // share of arrivals that find no room
+	blocked   float64 // share of time that the window is full
 	copies    float64
-	shed      float64
+	admit     float64   // share of the offered work that is let in
+	shed      float64   // the rest
 	denyShare []float64 // by bucket: type, within or beyond its tenant's share
 	rates     []float64 // arrivals per second by bucket
 	tenants   []float64 // arrivals per second by tenant
@@ -209,7 +211,7 @@
 
 // New returns an instance that draws its chance from seed.
 func New(s Settings, seed uint32) *Policy {
-	p := &Policy{set: s, seed: seed, copies: copyBurst, askWait: askFirst}
+	p := &Policy{set: s, seed: seed, admit: 1, copies: copyBurst, askWait: askFirst}
 	for _, r := range lifecycle() {
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
@@ -317,7 +319,6 @@
 	}
 	p.rates[o.bucket] += 1 / rateSpan.Seconds()
 	p.copies = min(p.copies+copyShare, copyBurst)
-	p.blocked += pressureHops * (share(p.full()) - p.blocked)
 	p.step(in.Op, arrived)
 }
 
@@ -898,14 +899,10 @@
 // adjustShed moves the share of offered work that is denied, and spreads it: the types that earn least
 // for the time they take are denied first, operations beyond their tenant's share at its lower revenue.
 func (p *Policy) adjustShed(passed time.Duration) {
-	off := (p.blocked - blockedAim) / blockedAim
-	off = min(off, 1)
-	if off > 0 {
-		p.shed += shedRise * off * passed.Seconds()
-	} else {
-		p.shed += shedFall * off * passed.Seconds()
-	}
-	p.shed = min(max(p.shed, 0), shedMost)
+	p.blocked += (1 - math.Exp(-passed.Seconds()/blockedSpan.Seconds())) * (share(p.full()) - p.blocked)
+	off := max(1-p.blocked/blockedAim, -2)
+	p.admit = min(max(p.admit*math.Exp(admitPace*off*passed.Seconds()), admitLeast), 1)
+	p.shed = 1 - p.admit
 	if p.shed == 0 {
 		clear(p.denyShare)
 		return
