Given-up hops count in the window until a later one is answered

Cause: where a time-out does not stop the work, a jammed server looks idle. Told from a wide window by the forwards staying low while latency stayed high.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -165,7 +165,8 @@
 	cold      []bool
 	coldPace  []float64 // hops a cold server may have now
 	inFlight  []int
-	ghosts    []float64 // hops given up that the server may still work on
+	ghosts    []float64       // hops given up that the server may still work on
+	ghostSent []time.Duration // the last of them
 	smoothed  []time.Duration
 	slowness  []float64 // latency over what is usual for the type
 	streak    []int
@@ -185,7 +186,8 @@
 	pick       int
 	weights    float64
 	readyCount int
-	flying     float64
+	flying     float64         // hops out
+	haunted    float64         // ghosts at servers that do not rest
 	usual      []time.Duration // latency by type
 	base       []time.Duration // the least of it lately: unloaded
 	budget     []time.Duration // longest time budget seen by type: that of a first try
@@ -331,7 +333,7 @@
 
 // full: by the rate at which hops finish, those in flight will take longer than they may. This guards
 // against a queue that builds up at the servers faster than late answers tell of it.
-func (p *Policy) full() bool { return p.flying >= p.window() }
+func (p *Policy) full() bool { return p.flying+p.haunted >= p.window() }
 
 func (p *Policy) window() float64 {
 	return max(p.finished+windowSlack*math.Sqrt(p.finished), windowStart*float64(p.readyCount), p.grown, 1)
@@ -514,10 +516,12 @@
 		p.successes += 1 / rateSpan.Seconds()
 		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
-		p.ghosts[s] = 0
+		if sent >= p.ghostSent[s] {
+			p.ghosts[s] = 0 // servers work in turn: what was sent before this hop is done
+		}
 	case TimedOut:
 		p.spike(s, sent, true)
-		p.ghosts[s]++
+		p.haunt(s, sent)
 		p.strike(s, restStrikes)
 	case Failure:
 		p.answered[s] = p.now
@@ -533,7 +537,7 @@
 	case Broken:
 		p.strike(s, 1)
 	case Withdrawn:
-		p.ghosts[s]++
+		p.haunt(s, sent)
 	}
 	if how != Void && how != Withdrawn {
 		p.judge(spent.Seconds(), p.allowed(o.kind))
@@ -559,6 +563,13 @@
 	}
 }
 
+// haunt notes a hop that was given up: the server may still work on it, and looks idle if that is not
+// counted.
+func (p *Policy) haunt(s int, sent time.Duration) {
+	p.ghosts[s]++
+	p.ghostSent[s] = max(p.ghostSent[s], sent)
+}
+
 // alive ends a server's rest. One that answers after it was out of reach may have restarted before the
 // list tells: it is held for cold, so that it is not pushed over.
 func (p *Policy) alive(s int) {
@@ -807,6 +818,7 @@
 		p.scale, p.weight = append(p.scale, 1), append(p.weight, 1)
 		p.coldSince, p.cold = append(p.coldSince, 0), append(p.cold, false)
 		p.coldPace, p.ghosts = append(p.coldPace, 0), append(p.ghosts, 0)
+		p.ghostSent = append(p.ghostSent, 0)
 		p.inFlight, p.smoothed = append(p.inFlight, 0), append(p.smoothed, mean/max(n, 1))
 		p.slowness, p.streak = append(p.slowness, 1), append(p.streak, 0)
 		p.runStart, p.lastSpike = append(p.runStart, 0), append(p.lastSpike, 0)
@@ -864,9 +876,13 @@
 	p.weigh()
 	p.paceCold(passed)
 	forget := 1 - math.Exp(-passed.Seconds()/slowForgets.Seconds())
+	p.haunted = 0
 	for s := range p.slowness {
 		p.slowness[s] += forget * (1 - p.slowness[s])
-		p.ghosts[s] -= forget * p.ghosts[s]
+		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
+		if p.now >= p.restUntil[s] {
+			p.haunted += p.ghosts[s]
+		}
 	}
 	p.adjustShed(passed)
 	for i := len(p.open) - 1; i >= 0; i-- {
