--- a/policy/policy.go
+++ b/policy/policy.go
@@ -672,7 +672,7 @@
 // crowded: more in flight than the mean for a server of this scale.
 func (p *Policy) crowded(s int) bool {
 	mean := p.flying * p.weight[s] / max(p.weights, 1e-9)
-	return float64(p.inFlight[s])+p.ghosts[s] > crowdFactor*mean+crowdPlus
+	return float64(p.inFlight[s]) > crowdFactor*mean+crowdPlus
 }
 
 // unwell: resting after failures, on trial with a hop out, silent for longer than a pause is, or so slow
@@ -879,7 +879,7 @@
 	p.haunted = 0
 	for s := range p.slowness {
 		p.slowness[s] += forget * (1 - p.slowness[s])
-		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
+		p.ghosts[s] -= forget * p.ghosts[s]
 		if p.now >= p.restUntil[s] {
 			p.haunted += p.ghosts[s]
 		}
