--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,40 +25,41 @@
 	crowdFactor       = 1.0             // times the mean in flight; with few hops a node, the mean is the signal
 	crowdPlus         = 0.0             // hops allowed above that
 
-	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
-	typeSmooth   = 0.02                   // weight of one sample in a type's latency, which all servers feed: fifty hops
-	slowSmooth   = 0.2                    // weight in a server's slowness; five hops tell a slow server
-	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
-	slowSkip     = 3.0                    // times the usual latency before a server is spared
-	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
-	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
-	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
-	restStrikes  = 2                      // time-outs in a row; one may be a heavy operation
-	copyAfter    = 3.0                    // times the type's latency before a second hop is thought of
-	copyShare    = 0.05                   // second hops per operation, so that trouble is not amplified
-	copyBurst    = 5.0                    // second hops saved up for a sudden failure
-	pressureHops = 0.05                   // weight of one hop in the pressure: twenty hops
-	windowAim    = 0.2                    // of the target time beyond the unloaded latency, that hops may wait at servers
-	baseSpan     = 30 * time.Second       // in which a higher latency comes to count as unloaded; longer than jams
-	windowSpan   = 1 * time.Second        // over which finished hops are counted
-	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals, and must not count as load
-	strainSmooth = 0.05                   // weight of one hop in the strain: twenty hops
-	windowCut    = 0.9                    // left of the grown window after a late answer; seven in a row halve it
-	windowStart  = 1.0                    // hops for each server: what any server can take; it grows as answers come
-	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
-	waitFits     = 1.5                    // times the type's latency that must be left after the wait
-	blockedAim   = 0.5                    // share of time that the window may be full before less is admitted
-	blockedSpan  = 500 * time.Millisecond // over which that is taken
-	admitPace    = 2.0                    // per second, of the log of the admitted share; up and down alike
-	admitLeast   = 0.02                   // of the offered work, so that it is seen when it has passed
-	shedMost     = 0.95                   // of one type; some of each are let through
-	rateSpan     = 3 * time.Second        // over which arrival and success rates are taken
-	coldHeadroom = 1.0                    // times a warm server's hops for its present share of capacity
-	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
-	coldBurst    = 2.0                    // hops saved up for a cold server
-	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
-	askMost      = 4 * time.Second        // longest wait; well within the time a list counts as told
-	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
+	smoothing    = 0.1                     // weight of one sample in a server's smoothed latency: ten hops
+	typeSmooth   = 0.02                    // weight of one sample in a type's latency, which all servers feed: fifty hops
+	slowSmooth   = 0.2                     // weight in a server's slowness; five hops tell a slow server
+	slowForgets  = 5 * time.Second         // time for a slowness without new samples to fade
+	ghostSpan    = 1500 * time.Millisecond // in which a given-up hop stops to count, where no later one is answered
+	slowSkip     = 3.0                     // times the usual latency before a server is spared
+	sweepPeriod  = 20 * time.Millisecond   // between looks at open operations; well under any target time
+	restFirst    = 500 * time.Millisecond  // first rest of a failing server; doubles each time
+	restMost     = 4 * time.Second         // longest rest, so that a healed server is found within it
+	restStrikes  = 2                       // time-outs in a row; one may be a heavy operation
+	copyAfter    = 3.0                     // times the type's latency before a second hop is thought of
+	copyShare    = 0.05                    // second hops per operation, so that trouble is not amplified
+	copyBurst    = 5.0                     // second hops saved up for a sudden failure
+	pressureHops = 0.05                    // weight of one hop in the pressure: twenty hops
+	windowAim    = 0.2                     // of the target time beyond the unloaded latency, that hops may wait at servers
+	baseSpan     = 30 * time.Second        // in which a higher latency comes to count as unloaded; longer than jams
+	windowSpan   = 1 * time.Second         // over which finished hops are counted
+	windowSlack  = 1.0                     // times the root of the window: chance bunches arrivals, and must not count as load
+	strainSmooth = 0.05                    // weight of one hop in the strain: twenty hops
+	windowCut    = 0.9                     // left of the grown window after a late answer; seven in a row halve it
+	windowStart  = 1.0                     // hops for each server: what any server can take; it grows as answers come
+	waitShare    = 0.3                     // of the target time that an operation may wait here for its turn
+	waitFits     = 1.5                     // times the type's latency that must be left after the wait
+	blockedAim   = 0.5                     // share of time that the window may be full before less is admitted
+	blockedSpan  = 500 * time.Millisecond  // over which that is taken
+	admitPace    = 2.0                     // per second, of the log of the admitted share; up and down alike
+	admitLeast   = 0.02                    // of the offered work, so that it is seen when it has passed
+	shedMost     = 0.95                    // of one type; some of each are let through
+	rateSpan     = 3 * time.Second         // over which arrival and success rates are taken
+	coldHeadroom = 1.0                     // times a warm server's hops for its present share of capacity
+	coldFloor    = 0.5                     // of the fall budget a server of one core would have; the least pace
+	coldBurst    = 2.0                     // hops saved up for a cold server
+	askFirst     = 250 * time.Millisecond  // wait before asking for the list again; doubles
+	askMost      = 4 * time.Second         // longest wait; well within the time a list counts as told
+	silentDeath  = 1 * time.Second         // out of reach this long may mean a restart, so a cold server
 )
 
 type state uint8
@@ -672,7 +673,7 @@
 // crowded: more in flight than the mean for a server of this scale.
 func (p *Policy) crowded(s int) bool {
 	mean := p.flying * p.weight[s] / max(p.weights, 1e-9)
-	return float64(p.inFlight[s]) > crowdFactor*mean+crowdPlus
+	return float64(p.inFlight[s])+p.ghosts[s] > crowdFactor*mean+crowdPlus
 }
 
 // unwell: resting after failures, on trial with a hop out, silent for longer than a pause is, or so slow
@@ -879,7 +880,7 @@
 	p.haunted = 0
 	for s := range p.slowness {
 		p.slowness[s] += forget * (1 - p.slowness[s])
-		p.ghosts[s] -= forget * p.ghosts[s]
+		p.ghosts[s] *= math.Exp(-passed.Seconds() / ghostSpan.Seconds())
 		if p.now >= p.restUntil[s] {
 			p.haunted += p.ghosts[s]
 		}
