--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,7 @@
 	windowStart  = 1.0                     // hops for each server: what any server can take; it grows as answers come
 	waitShare    = 0.3                     // of the target time that an operation may wait here for its turn
 	waitFits     = 1.5                     // times the type's latency that must be left after the wait
-	blockedAim   = 0.5                     // share of time that the window may be full before less is admitted
+	blockedAim   = 0.8                     // share of time that the window may be full before less is admitted
 	blockedSpan  = 500 * time.Millisecond  // over which that is taken
 	admitPace    = 2.0                     // per second, of the log of the admitted share; up and down alike
 	admitLeast   = 0.02                    // of the offered work, so that it is seen when it has passed
