Hops are given up two ticks inside the target time

Cause: a time-out at the target is answered just after it, so each counts as a miss and as ended too late.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -302,7 +302,7 @@
 	t := &p.set.Types[in.Type]
 	o := &p.ops[in.Op]
 	*o = operation{kind: in.Type, hops: o.hops[:0], group: -1, came: p.now, limit: p.now + in.Budget}
-	o.target = min(p.now+t.TargetTime, o.limit)
+	o.target = min(p.now+t.TargetTime-2*p.set.Tick, o.limit)
 	const eps = time.Millisecond
 	if in.Budget > p.budget[in.Type]+eps {
 		p.budget[in.Type], p.budgetEq[in.Type] = in.Budget, 0
