--- a/policy/policy.go
+++ b/policy/policy.go
@@ -424,7 +424,7 @@
 func (p *Policy) hold(int) {}
 
 func (p *Policy) deny(op int) {
-	back := time.Duration(float64(p.set.MaxRetryIn) * (0.5 + 0.5*p.chance()))
+	back := time.Duration(float64(p.set.MaxRetryIn) * (0.9 + 0.1*p.chance()))
 	p.emit(Effect{Kind: Deny, Op: op, For: back})
 }
 
