--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,7 @@
 	windowSlack  = 1.0                     // times the root of the window: chance bunches arrivals, and must not count as load
 	strainSmooth = 0.05                    // weight of one hop in the strain: twenty hops
 	windowCut    = 0.9                     // left of the grown window after a late answer; seven in a row halve it
-	windowStart  = 1.0                     // hops for each server: what any server can take; it grows as answers come
+	windowStart  = 4.0                     // hops for each server over all nodes: what any server can take; it grows as answers come
 	waitShare    = 0.3                     // of the target time that an operation may wait here for its turn
 	waitFits     = 1.5                     // times the type's latency that must be left after the wait
 	blockedAim   = 0.8                     // share of time that the window may be full before less is admitted
@@ -337,7 +337,8 @@
 func (p *Policy) full() bool { return p.flying+p.haunted >= p.window() }
 
 func (p *Policy) window() float64 {
-	return max(p.finished+windowSlack*math.Sqrt(p.finished), windowStart*float64(p.readyCount), p.grown, 1)
+	least := windowStart * float64(p.readyCount) / float64(p.set.Nodes)
+	return max(p.finished+windowSlack*math.Sqrt(p.finished), least, p.grown, 1)
 }
 
 // judge grows the window by each answer that came while it was used up, for the rate of finished hops
