--- /dev/null
+++ b/cmd/adapter/main_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+const env = `env={"groupSize":2,"granularity":5,"later":{"x":1},"limits":{"mostHops":3,"secondCopies":true},"rules":{"cold":5000},` +
+	`"trafficTypes":[{"idempotency":"safe","targetTime":400,"abandonTime":900,"revenue":1}]}`
+
+func start(who string) string {
+	return "target_instance\twho=" + who + "\npower_on\tentropy=5\t" + env + "\n"
+}
+
+const (
+	list   = "manifest\tlist=0\tentries=1\nentry\tserver=9\tcondition=up\tscale=1\nmanifest\tlist=0\tentries=1\nentry\tserver=8\tcondition=up\n"
+	saved  = "discovery\tscope=SAVED\tindex=1\tlist=0\n"
+	arrive = "arrival\tjob=00000000000000aa\tservice=0\ttimeBudget=900\tnew=1\n"
+)
+
+func batch(lines string) string { return "batch\tnow=1000.5\n" + lines + "eof_batch\n\n" }
+
+func TestRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		in, want, wantErr, fails string
+	}{
+		"an empty batch":          {in: batch(""), want: "eor\n"},
+		"a list number reused":    {in: batch(start("3") + list + saved + arrive), want: "forward\tjob=00000000000000aa\tserver=8\tallowFor="},
+		"two instances":           {in: batch(start("3") + list + saved + start("4") + saved + "target_instance\twho=3\n" + arrive), want: "from\twho=3\nforward"},
+		"killed and back":         {in: batch(start("3") + list + saved + arrive + "killed\n" + start("3") + saved + arrive), want: "forward\tjob=00000000000000aa\tserver=8"},
+		"a broken number":         {in: batch(start("3") + "arrival\tjob=00000000000000aa\ttimeBudget=x\n" + list + saved), want: "eor\n", wantErr: "timeBudget is not a time"},
+		"an unknown message":      {in: batch(start("3") + "surprise\ta=b\n"), want: "eor\n", wantErr: "unknown message"},
+		"an unknown operation":    {in: batch(start("3") + list + saved + "verdict\tjob=00000000000000ab\tserver=8\tverdict=success\n"), want: "eor\n", wantErr: "unknown operation or server"},
+		"an instance not started": {in: batch("target_instance\twho=6\n" + arrive), want: "eor\n", wantErr: "does not run"},
+		"left and unknown":        {in: batch(start("3") + "left\tjob=00000000000000ab\n"), want: "eor\n"},
+		"an unknown type":         {in: batch(start("3") + list + saved + "arrival\tjob=00000000000000aa\tservice=7\ttimeBudget=900\n"), want: "turn_away\tjob=00000000000000aa"},
+		"settings of no use":      {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\n"), want: "broken\tmessage=settings cannot be read"},
+		"settings without types":  {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\"limits\":{\"mostHops\":1}}\n"), want: "broken\tmessage=settings name no traffic types"},
+		"end in mid-batch":        {in: "batch\tnow=1\ntarget_instance\twho=3\n", fails: "middle of a batch"},
+		"end in mid-line":         {in: "batch\tno", fails: "middle of a batch"},
+		"megabytes":               {in: batch(start("3") + list + saved + strings.Repeat("left\tjob=00000000000000ab\tpad="+strings.Repeat("x", 1000)+"\n", 3000)), want: "eor\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out, errs strings.Builder
+			err := run(strings.NewReader(c.in), &out, &errs)
+			if c.fails != "" {
+				if err == nil || !strings.Contains(err.Error(), c.fails) {
+					t.Errorf("error %v, want %q", err, c.fails)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(out.String(), c.want) || !strings.HasSuffix(out.String(), "eor\n") {
+				t.Errorf("replied %q, want %q in it", out.String(), c.want)
+			}
+			if c.wantErr == "" && errs.Len() > 0 || !strings.Contains(errs.String(), c.wantErr) {
+				t.Errorf("complained %q, want %q", errs.String(), c.wantErr)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,448 @@
+package policy
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// rig drives one instance with the clock in its hand.
+type rig struct {
+	*Policy
+	t   *testing.T
+	ops int
+}
+
+func newRig(t *testing.T, servers int, change func(*Settings)) *rig {
+	t.Helper()
+	s := Settings{Nodes: 4, Tick: 5 * ms, MostHops: 4, SecondCopies: true, ColdFor: 8 * time.Second, ColdStart: 0.3,
+		FallMultiple: 3, FallWindow: 2 * time.Second, AskWithin: 10 * time.Second, OverageRevenue: 0.1, Types: []TrafficType{
+			{Repeat: Retriable, TargetTime: 400 * ms, AbandonTime: 2 * time.Second, Revenue: 1},
+			{Repeat: Fingerprinted, Group: GroupZone, TargetTime: 400 * ms, AbandonTime: 2 * time.Second,
+				Window: time.Second, Revenue: 5},
+			{Repeat: Binding, TargetTime: 400 * ms, AbandonTime: 2 * time.Second, Revenue: 10},
+			{Repeat: Fingerprinted, Group: GroupAll, TargetTime: 400 * ms, AbandonTime: 2 * time.Second,
+				Window: time.Second, Revenue: 5}}}
+	if change != nil {
+		change(&s)
+	}
+	r := &rig{Policy: New(s, 7), t: t}
+	r.at(0, Input{Kind: Woken})
+	var list []Member
+	for i := range servers {
+		list = append(list, Member{Server: i, Zone: i % 2, Cell: i / 2, Scale: 1})
+	}
+	r.at(0, Input{Kind: List, Scope: Saved, Members: list})
+	return r
+}
+
+func (r *rig) at(now time.Duration, in Input) []Effect { return r.Handle(now, &in, nil) }
+
+func (r *rig) arriveAt(now time.Duration, kind int, budget time.Duration) (int, []Effect) {
+	r.ops++
+	return r.ops - 1, r.at(now, Input{Kind: Arrival, Op: r.ops - 1, Type: kind, Budget: budget})
+}
+
+func (r *rig) end(now time.Duration, op, hop int, how Outcome) []Effect {
+	return r.at(now, Input{Kind: HopEnded, Op: op, Hop: hop, Server: 0, Outcome: how, Final: how == Success})
+}
+
+func kinds(effects []Effect) []EffectKind {
+	var k []EffectKind
+	for _, e := range effects {
+		if e.Kind != Wake && e.Kind != Subscribe {
+			k = append(k, e.Kind)
+		}
+	}
+	return k
+}
+
+func TestForecast(t *testing.T) {
+	for name, c := range map[string]struct {
+		onsets       []float64
+		want, spaces float64 // 0: no forecast
+	}{
+		"one onset forecasts nothing":     {[]float64{3}, 0, 0},
+		"two onsets give the next":        {[]float64{3, 5}, 7, 2},
+		"a steady pauser":                 {[]float64{1, 4, 7, 10}, 13, 3},
+		"the window slides":               {[]float64{1, 2, 3, 13, 23, 33, 43}, 53, 10},
+		"onsets at one time have no line": {[]float64{5, 5}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, nil)
+			for _, at := range c.onsets {
+				r.answered[0] = 0
+				sent := time.Duration(at * float64(time.Second))
+				r.now = sent + 300*ms
+				r.spike(0, sent, false)
+				r.spike(0, sent, true)
+				r.spike(0, sent, true)
+				r.lastSpike[0] = min(r.lastSpike[0], sent)
+			}
+			if got := r.forecast[0].Seconds(); math.Abs(got-c.want) > 0.01 {
+				t.Errorf("forecast %.2f, want %.2f", got, c.want)
+			}
+			if got := r.interval[0].Seconds(); c.want > 0 && math.Abs(got-c.spaces) > 0.01 {
+				t.Errorf("interval %.2f, want %.2f", got, c.spaces)
+			}
+		})
+	}
+}
+
+func TestPauseCounting(t *testing.T) {
+	for name, c := range map[string]struct {
+		spikes []bool
+		gap    time.Duration
+		want   int
+	}{
+		"one spike is no pause":       {[]bool{true, false, true}, 500 * ms, 0},
+		"two in a row are one":        {[]bool{true, true}, 500 * ms, 1},
+		"a long run is still one":     {[]bool{true, true, true, true}, 500 * ms, 1},
+		"far runs are two":            {[]bool{true, true, false, true, true}, 500 * ms, 2},
+		"runs close together merge":   {[]bool{true, true, false, true, true}, 10 * ms, 1},
+		"three runs, the last merges": {[]bool{true, true, false, true, false, true, true}, 30 * ms, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, nil)
+			r.smoothed[0] = 100 * ms
+			for i, is := range c.spikes {
+				r.now = time.Second + time.Duration(i)*c.gap
+				r.spike(0, r.now, is)
+			}
+			if r.pauses[0] != c.want {
+				t.Errorf("%d pauses, want %d", r.pauses[0], c.want)
+			}
+		})
+	}
+}
+
+func TestWalk(t *testing.T) {
+	second := time.Second
+	for name, c := range map[string]struct {
+		forecast, interval [3]time.Duration
+		inFlight           [3]int
+		want               []int
+	}{
+		"round robin":                          {want: []int{0, 1, 2, 0}},
+		"a near pause is skipped":              {forecast: [3]time.Duration{0, 12 * second, 0}, interval: [3]time.Duration{0, 20 * second, 0}, want: []int{0, 2, 0, 2}},
+		"an overdue pause is skipped":          {forecast: [3]time.Duration{0, 8 * second, 0}, interval: [3]time.Duration{0, 20 * second, 0}, want: []int{0, 2, 0}},
+		"the threshold is capped":              {forecast: [3]time.Duration{0, 12 * second, 0}, interval: [3]time.Duration{0, 4 * second, 0}, want: []int{0, 1, 2}},
+		"long overdue is fed again":            {forecast: [3]time.Duration{0, 4 * second, 0}, interval: [3]time.Duration{0, 40 * second, 0}, want: []int{0, 1, 2}},
+		"all skipped: plain round robin":       {forecast: [3]time.Duration{10 * second, 10 * second, 10 * second}, interval: [3]time.Duration{second, second, second}, want: []int{0, 1, 2, 0}},
+		"one with more in flight is passed by": {inFlight: [3]int{0, 3, 0}, want: []int{0, 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, nil)
+			r.started, r.turn, r.grown, r.now = true, 0, 1000, 10*second
+			copy(r.Policy.forecast, c.forecast[:])
+			copy(r.Policy.interval, c.interval[:])
+			for s, n := range c.inFlight {
+				r.Policy.inFlight[s], r.answered[s] = n, r.now
+				r.flying += float64(n)
+			}
+			r.Policy.ops = append(r.Policy.ops, operation{target: 20 * second})
+			for i, want := range c.want {
+				if !r.routed(0) || r.pick != want {
+					t.Errorf("turn %d went to %d, want %d", i, r.pick, want)
+				}
+			}
+		})
+	}
+}
+
+func TestNewServerStartsAtTheOthersMean(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.smoothed[0], r.smoothed[1] = 100*ms, 300*ms
+	r.at(time.Second, Input{Kind: List, Scope: Changes, Members: []Member{{Server: 2, Scale: 1}}})
+	if r.smoothed[2] != 200*ms {
+		t.Errorf("starts at %v", r.smoothed[2])
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	const retriable, fingerZone, binding, fingerAll = 0, 1, 2, 3
+	for name, c := range map[string]struct {
+		kind    int
+		outcome Outcome
+		after   time.Duration
+		change  func(*Settings)
+		want    []EffectKind
+	}{
+		"handled":                                {retriable, Success, 50 * ms, nil, nil},
+		"retriable error goes again":             {retriable, Failure, 50 * ms, nil, []EffectKind{SendHop}},
+		"retriable time-out at target is denied": {retriable, TimedOut, 390 * ms, nil, []EffectKind{Deny}},
+		"fingerprinted error goes again":         {fingerZone, Failure, 50 * ms, nil, []EffectKind{SendHop}},
+		"fingerprinted may have run, group zone": {fingerZone, TimedOut, 390 * ms, nil, []EffectKind{WriteOff}},
+		"fingerprinted may have run, group all":  {fingerAll, TimedOut, 390 * ms, nil, []EffectKind{Deny}},
+		"fingerprinted past its window":          {fingerAll, Broken, 60 * ms, func(s *Settings) { s.Types[3].Window = 50 * ms }, []EffectKind{Deny}},
+		"binding error is written off":           {binding, Failure, 50 * ms, nil, []EffectKind{WriteOff}},
+		"binding broken is written off":          {binding, Broken, 50 * ms, nil, []EffectKind{WriteOff}},
+		"binding recalled may have run":          {binding, Withdrawn, 50 * ms, nil, []EffectKind{WriteOff}},
+		"binding refused goes again":             {binding, Overloaded, 50 * ms, nil, []EffectKind{SendHop}},
+		"binding unreachable goes again":         {binding, Unreachable, 50 * ms, nil, []EffectKind{SendHop}},
+		"binding never sent, too late: denied":   {binding, Void, 390 * ms, nil, []EffectKind{Deny}},
+		"no hop left, never ran: denied":         {binding, Overloaded, 50 * ms, func(s *Settings) { s.MostHops = 1 }, []EffectKind{Deny}},
+		"no hop left, may have run":              {fingerZone, Failure, 50 * ms, func(s *Settings) { s.MostHops = 1 }, []EffectKind{WriteOff}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 4, c.change)
+			op, sent := r.arriveAt(time.Second, c.kind, 2*time.Second)
+			if len(sent) != 1 || sent[0].Kind != SendHop {
+				t.Fatalf("not sent: %v", sent)
+			}
+			got := r.end(time.Second+c.after, op, 0, c.outcome)
+			if !reflect.DeepEqual(kinds(got), c.want) {
+				t.Fatalf("got %v, want %v", kinds(got), c.want)
+			}
+			for _, e := range got {
+				if e.Kind == SendHop && c.kind == fingerZone && r.zone[e.Server] != r.zone[sent[0].Server] {
+					t.Errorf("left the group: server %d after %d", e.Server, sent[0].Server)
+				}
+			}
+			if late := r.end(time.Second+c.after, op, 0, Success); len(kinds(late)) > 0 {
+				t.Errorf("a verdict after the end did %v", late)
+			}
+		})
+	}
+}
+
+func TestAnswersBeforeTheBudgetEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers, kind int
+		budget        time.Duration
+		want          EffectKind
+	}{
+		"no server, short budget":   {0, 0, 100 * ms, Deny},
+		"no server, long budget":    {0, 2, 2 * time.Second, Deny},
+		"never answered, binding":   {1, 2, 60 * ms, WriteOff},
+		"never answered, may rerun": {1, 0, 60 * ms, Deny},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.servers, nil)
+			_, got := r.arriveAt(0, c.kind, c.budget)
+			answers := 0
+			for now := 5 * ms; now <= c.budget; now += 5 * ms {
+				got = append(got, r.at(now, Input{Kind: Woken})...)
+			}
+			for _, e := range got {
+				if e.Kind == Deny || e.Kind == WriteOff {
+					answers++
+					if e.Kind != c.want {
+						t.Errorf("answered %v", e.Kind)
+					}
+				}
+			}
+			if answers != 1 {
+				t.Errorf("%d answers", answers)
+			}
+		})
+	}
+}
+
+func TestList(t *testing.T) {
+	up := func(s int) Member { return Member{Server: s, Scale: 1} }
+	for name, c := range map[string]struct {
+		in   Input
+		want []bool
+	}{
+		"draining":             {Input{Scope: Changes, Members: []Member{{Server: 1, Condition: Draining, Scale: 1}}}, []bool{true, false, true}},
+		"removed":              {Input{Scope: Changes, Members: []Member{{Server: 1, Condition: Gone, Scale: 1}}}, []bool{true, false, true}},
+		"absent from a whole":  {Input{Scope: Whole, Members: []Member{up(0), up(2)}}, []bool{true, false, true}},
+		"a failure keeps all":  {Input{Scope: Unavailable}, []bool{true, true, true}},
+		"an empty whole: none": {Input{Scope: Whole}, []bool{false, false, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, nil)
+			c.in.Kind = List
+			r.at(time.Second, c.in)
+			if !reflect.DeepEqual(r.ready, c.want) {
+				t.Errorf("ready %v, want %v", r.ready, c.want)
+			}
+		})
+	}
+}
+
+func TestAsksForTheListAgain(t *testing.T) {
+	r := newRig(t, 1, func(s *Settings) { s.OnRequest = true })
+	r.at(0, Input{Kind: List, Scope: Unavailable})
+	var asked []time.Duration
+	for now := time.Duration(0); now < 30*time.Second; now += 20 * ms {
+		for _, e := range r.at(now, Input{Kind: Woken}) {
+			if e.Kind == Subscribe {
+				asked = append(asked, now)
+				r.at(now, Input{Kind: List, Scope: Unavailable})
+			}
+		}
+	}
+	if len(asked) < 6 || len(asked) > 20 {
+		t.Fatalf("asked %d times", len(asked))
+	}
+	for i := 1; i < len(asked); i++ {
+		if gap := asked[i] - asked[i-1]; gap > r.set.AskWithin {
+			t.Errorf("waited %v", gap)
+		}
+	}
+	if first, last := asked[1]-asked[0], asked[len(asked)-1]-asked[len(asked)-2]; last < 2*first {
+		t.Errorf("the wait does not grow: %v to %v", first, last)
+	}
+}
+
+func TestColdServerGetsItsShareOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		member   Member
+		scope    Scope
+		most     int
+		unbarred time.Duration
+	}{
+		"told start":       {Member{Server: 2, Scale: 1, Started: 9 * time.Second, HasStart: true}, Changes, 12, 18 * time.Second},
+		"first appearance": {Member{Server: 2, Scale: 1}, Changes, 12, 19 * time.Second},
+		"started long ago": {Member{Server: 2, Scale: 1, Started: -60 * time.Second, HasStart: true}, Changes, 1000, 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, nil)
+			r.at(10*time.Second, Input{Kind: List, Scope: c.scope, Members: []Member{c.member}})
+			sent := 0
+			for now := 10 * time.Second; now < 12*time.Second; now += 10 * ms {
+				op, got := r.arriveAt(now, 0, time.Second)
+				for _, e := range append(got, r.at(now, Input{Kind: Woken})...) {
+					if e.Kind == SendHop && e.Server == 2 {
+						sent++
+					}
+				}
+				r.end(now, op, 0, Success)
+			}
+			if sent > c.most || sent == 0 {
+				t.Errorf("sent %d in two seconds, at most %d", sent, c.most)
+			}
+			r.at(c.unbarred, Input{Kind: Woken})
+			if r.cold[2] {
+				t.Error("still held for cold")
+			}
+		})
+	}
+}
+
+func TestWindow(t *testing.T) {
+	for name, c := range map[string]struct{ nodes, servers, least, most int }{
+		"few nodes":                        {4, 10, 8, 20},
+		"a large group shares the servers": {40, 10, 1, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.servers, func(s *Settings) { s.Nodes = c.nodes })
+			sent := 0
+			for range 100 {
+				_, got := r.arriveAt(0, 0, time.Second)
+				sent += len(got)
+			}
+			if sent < c.least || sent > c.most {
+				t.Errorf("%d hops out before any answer, want %d to %d", sent, c.least, c.most)
+			}
+		})
+	}
+}
+
+func TestGivenUpHopsKeepTheirRoom(t *testing.T) {
+	r := newRig(t, 2, nil)
+	op, _ := r.arriveAt(0, 2, time.Second)
+	before := r.flying
+	r.at(385*ms, Input{Kind: Woken})
+	r.end(390*ms, op, 0, TimedOut)
+	r.at(395*ms, Input{Kind: Woken})
+	if held := r.flying + r.haunted; held < 0.9*before {
+		t.Errorf("room for %.2f hops after the time-out", before-held)
+	}
+	other, _ := r.arriveAt(400*ms, 0, time.Second)
+	s := r.Policy.ops[other].hops[0].server
+	r.ghosts[s], r.ghostSent[s] = 1, 300*ms
+	r.end(450*ms, other, 0, Success)
+	if r.ghosts[s] != 0 {
+		t.Error("a later hop was answered, and the given-up one still counts")
+	}
+}
+
+func TestCheaperDeniedMoreOften(t *testing.T) {
+	r := newRig(t, 4, func(s *Settings) { s.AllowancePerS = []float64{1e6, 4} })
+	for b := range r.rates {
+		r.rates[b] = 10
+	}
+	r.admit, r.blocked = 0.5, 1
+	r.now = time.Second
+	r.adjustShed(100 * ms)
+	for i := 1; i < len(r.order); i++ {
+		a, b := r.order[i-1], r.order[i]
+		if r.denyShare[a] < r.denyShare[b] {
+			t.Errorf("bucket %d at %.2f, dearer %d at %.2f", a, r.denyShare[a], b, r.denyShare[b])
+		}
+	}
+	if r.denyShare[r.order[0]] == 0 || r.worth(1) >= r.worth(0) {
+		t.Error("nothing denied, or beyond its share worth as much")
+	}
+}
+
+func TestLateRetryIsRecognised(t *testing.T) {
+	for name, c := range map[string]struct {
+		budgets []time.Duration
+		want    time.Duration // left of the target time
+	}{
+		"a first try":                  {[]time.Duration{1500 * ms, 1500 * ms}, 390 * ms},
+		"less budget: time has passed": {[]time.Duration{1500 * ms, 1500 * ms, 1500 * ms, 1500 * ms, 1500 * ms, 1500 * ms, 1500 * ms, 1500 * ms, 1500 * ms, 1400 * ms}, -200 * ms},
+		"budgets all differ":           {[]time.Duration{1500 * ms, 1400 * ms, 1300 * ms, 1200 * ms, 1100 * ms, 1000 * ms, 900 * ms, 800 * ms, 700 * ms, 600 * ms}, 390 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 4, nil)
+			for _, b := range c.budgets {
+				r.arriveAt(0, 0, b)
+			}
+			if got := r.Policy.ops[r.ops-1].target; got != c.want {
+				t.Errorf("target in %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestFailingServerRests(t *testing.T) {
+	for name, c := range map[string]struct {
+		failing, ready, want int
+	}{
+		"one of four rests":        {1, 4, 1},
+		"never more than the half": {4, 4, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.ready, nil)
+			r.now = time.Second
+			for s := range c.failing {
+				r.strike(s, 1)
+			}
+			resting := 0
+			for _, until := range r.restUntil {
+				if until > r.now {
+					resting++
+				}
+			}
+			if resting != c.want {
+				t.Errorf("%d rest, want %d", resting, c.want)
+			}
+		})
+	}
+}
+
+func TestSameInputsSameEffects(t *testing.T) {
+	run := func() (all []Effect) {
+		r := newRig(t, 5, nil)
+		for i := range 400 {
+			now := time.Duration(i) * 7 * ms
+			op, got := r.arriveAt(now, i%4, time.Second)
+			all = append(append(all, got...), r.at(now, Input{Kind: Woken})...)
+			if i%3 > 0 {
+				all = append(all, r.end(now+5*ms, op, 0, Outcome(i%8))...)
+			}
+		}
+		return all
+	}
+	if a, b := run(), run(); !reflect.DeepEqual(a, b) {
+		t.Error("two runs differ")
+	}
+}
