--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,7 +40,8 @@
 	copyBurst    = 5.0                     // second hops saved up for a sudden failure
 	pressureHops = 0.05                    // weight of one hop in the pressure: twenty hops
 	windowAim    = 0.2                     // of the target time beyond the unloaded latency, that hops may wait at servers
-	baseSpan     = 30 * time.Second        // in which a higher latency comes to count as unloaded; longer than jams
+	baseSpan     = 5 * time.Minute         // in which a higher latency comes to count as unloaded; longer than jams
+	baseSamples  = 20.0                    // answers before a type's latency is taken for known; chance evens out
 	windowSpan   = 1 * time.Second         // over which finished hops are counted
 	windowSlack  = 1.0                     // times the root of the window: chance bunches arrivals, and must not count as load
 	strainSmooth = 0.05                    // weight of one hop in the strain: twenty hops
@@ -190,6 +191,7 @@
 	flying     float64         // hops out
 	haunted    float64         // ghosts at servers that do not rest
 	usual      []time.Duration // latency by type
+	samples    []float64       // answers by type, since the start
 	base       []time.Duration // the least of it lately: unloaded
 	budget     []time.Duration // longest time budget seen by type: that of a first try
 	budgetEq   []float64       // share of operations that come with it
@@ -223,7 +225,7 @@
 		p.usual = append(p.usual, t.TargetTime/4)
 		p.base = append(p.base, t.TargetTime/4)
 	}
-	p.budget, p.budgetEq = make([]time.Duration, n), make([]float64, n)
+	p.budget, p.budgetEq, p.samples = make([]time.Duration, n), make([]float64, n), make([]float64, n)
 	p.denyShare, p.rates = make([]float64, 2*n), make([]float64, 2*n)
 	p.tenants = make([]float64, len(s.AllowancePerS))
 	for b := range 2 * n {
@@ -513,8 +515,11 @@
 		p.spike(s, sent, float64(spent) > spikeFactor*float64(p.smoothed[s]))
 		p.smoothed[s] += time.Duration(smoothing * float64(spent-p.smoothed[s]))
 		p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
-		p.usual[o.kind] += time.Duration(typeSmooth * float64(spent-usual))
-		p.base[o.kind] = min(p.base[o.kind], p.usual[o.kind])
+		p.samples[o.kind]++
+		p.usual[o.kind] += time.Duration(max(typeSmooth, 1/p.samples[o.kind]) * float64(spent-usual))
+		if p.base[o.kind] > p.usual[o.kind] || p.samples[o.kind] < baseSamples {
+			p.base[o.kind] = p.usual[o.kind]
+		}
 		p.successes += 1 / rateSpan.Seconds()
 		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
