In-flight skip weighs a server by its scale over its slowness

Cause: machines differ by three times and the list's scale says little of it; equal counts overfilled the slow ones until they turned slower still.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,7 +40,7 @@
 	copyBurst    = 5.0                     // second hops saved up for a sudden failure
 	pressureHops = 0.05                    // weight of one hop in the pressure: twenty hops
 	windowAim    = 0.2                     // of the target time beyond the unloaded latency, that hops may wait at servers
-	baseSpan     = 30 * time.Second         // in which a higher latency comes to count as unloaded; longer than jams
+	baseSpan     = 30 * time.Second        // in which a higher latency comes to count as unloaded; longer than jams
 	baseSamples  = 20.0                    // answers before a type's latency is taken for known; chance evens out
 	windowSpan   = 1 * time.Second         // over which finished hops are counted
 	windowSlack  = 1.0                     // times the root of the window: chance bunches arrivals, and must not count as load
@@ -853,7 +853,7 @@
 func (p *Policy) weigh() {
 	p.weights, p.readyCount = 0, 0
 	for s := range p.ready {
-		p.weight[s] = p.scale[s] * p.capacity(s)
+		p.weight[s] = p.scale[s] * p.capacity(s) / max(p.slowness[s], 0.25)
 		if p.ready[s] {
 			p.weights += p.weight[s]
 			p.readyCount++
