--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	typeSmooth   = 0.02                   // weight of one sample in a type's latency, which all servers feed: fifty hops
 	slowSmooth   = 0.2                    // weight in a server's slowness; five hops tell a slow server
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
+	slowRest     = 4 * time.Second        // rest of a slow server; in it a crowd's backlog is worked off
 	slowSkip     = 3.0                    // times the usual latency before a server is spared
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
@@ -522,6 +523,11 @@
 		p.successes += 1 / rateSpan.Seconds()
 		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
+		if p.slowness[s] > slowSkip {
+			// a crowded server may turn slow until it has been idle for a while, so it is left alone
+			p.rest(s, slowRest)
+			p.slowness[s] = slowSkip / 2
+		}
 		if sent >= p.ghostSent[s] {
 			p.ghosts[s] = 0 // servers work in turn: what was sent before this hop is done
 		}
@@ -590,9 +596,12 @@
 // ones rest already: when all look bad at once, taking servers out only loads the others.
 func (p *Policy) strike(s, enough int) {
 	p.strikes[s]++
-	if p.strikes[s] < enough || p.now < p.restUntil[s] {
-		return
+	if p.strikes[s] >= enough && p.now >= p.restUntil[s] {
+		p.rest(s, min(restFirst<<min(p.strikes[s]-enough, 3), restMost))
 	}
+}
+
+func (p *Policy) rest(s int, wait time.Duration) {
 	ready, resting := 0, 0
 	for i := range p.ready {
 		if p.ready[i] {
@@ -605,8 +614,7 @@
 	if 2*(resting+1) > ready {
 		return
 	}
-	wait := restFirst << min(p.strikes[s]-enough, 3)
-	p.restUntil[s] = p.now + time.Duration(float64(min(wait, restMost))*(0.75+0.5*p.chance()))
+	p.restUntil[s] = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
 }
 
 // spike counts runs of spikes and time-outs; a run is one pause, and its line is fitted anew.
@@ -693,8 +701,7 @@
 	if p.inFlight[s] > 0 && float64(p.now-p.answered[s]) > spikeFactor*float64(p.smoothed[s]) {
 		return true
 	}
-	return p.slowness[s] > slowSkip ||
-		p.slowness[s] > 1.5 && p.slowness[s]*float64(p.usual[o.kind]) > float64(o.target-p.now)
+	return p.slowness[s] > 1.5 && p.slowness[s]*float64(p.usual[o.kind]) > float64(o.target-p.now)
 }
 
 // barred: the rules or the cold budget forbid this server for this operation.
