--- a/policy/policy.go
+++ b/policy/policy.go
@@ -514,7 +514,7 @@
 	case Success:
 		p.spike(s, sent, float64(spent) > spikeFactor*float64(p.smoothed[s]))
 		p.smoothed[s] += time.Duration(smoothing * float64(spent-p.smoothed[s]))
-		p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
+		p.feel(s, spent, usual)
 		p.samples[o.kind]++
 		p.usual[o.kind] += time.Duration(max(typeSmooth, 1/p.samples[o.kind]) * float64(spent-usual))
 		if p.base[o.kind] > p.usual[o.kind] || p.samples[o.kind] < baseSamples {
@@ -523,17 +523,13 @@
 		p.successes += 1 / rateSpan.Seconds()
 		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
-		if p.slowness[s] > slowSkip {
-			// a crowded server may turn slow until it has been idle for a while, so it is left alone
-			p.rest(s, slowRest)
-			p.slowness[s] = slowSkip / 2
-		}
 		if sent >= p.ghostSent[s] {
 			p.ghosts[s] = 0 // servers work in turn: what was sent before this hop is done
 		}
 	case TimedOut:
 		p.spike(s, sent, true)
 		p.haunt(s, sent)
+		p.feel(s, spent, usual)
 		p.strike(s, restStrikes)
 	case Failure:
 		p.answered[s] = p.now
@@ -582,6 +578,16 @@
 	p.ghostSent[s] = max(p.ghostSent[s], sent)
 }
 
+// feel keeps a server's slowness. A crowded server may turn slow until it has been idle for a while, so
+// a slow one is left alone for some time.
+func (p *Policy) feel(s int, spent, usual time.Duration) {
+	p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
+	if p.slowness[s] > slowSkip && p.now >= p.restUntil[s] {
+		p.rest(s, slowRest)
+		p.slowness[s] = slowSkip / 2
+	}
+}
+
 // alive ends a server's rest. One that answers after it was out of reach may have restarted before the
 // list tells: it is held for cold, so that it is not pushed over.
 func (p *Policy) alive(s int) {
