--- a/policy/policy.go
+++ b/policy/policy.go
@@ -177,6 +177,7 @@
 	answered  []time.Duration // last sign of life while hops were out
 	strikes   []int
 	restUntil []time.Duration
+	slowUntil []time.Duration // rest of a slow server
 	lostSince []time.Duration // first failed connect of a row, 0 if none
 	onsets    [][forecastWindow]float64
 	pauses    []int
@@ -582,8 +583,8 @@
 // a slow one is left alone for some time.
 func (p *Policy) feel(s int, spent, usual time.Duration) {
 	p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
-	if p.slowness[s] > slowSkip && p.now >= p.restUntil[s] {
-		p.rest(s, slowRest)
+	if p.slowness[s] > slowSkip && p.now >= p.restUntil[s] && p.mayRest() {
+		p.slowUntil[s] = p.now + time.Duration(float64(slowRest)*(0.75+0.5*p.chance()))
 		p.slowness[s] = slowSkip / 2
 	}
 }
@@ -602,25 +603,23 @@
 // ones rest already: when all look bad at once, taking servers out only loads the others.
 func (p *Policy) strike(s, enough int) {
 	p.strikes[s]++
-	if p.strikes[s] >= enough && p.now >= p.restUntil[s] {
-		p.rest(s, min(restFirst<<min(p.strikes[s]-enough, 3), restMost))
+	if p.strikes[s] >= enough && p.now >= p.restUntil[s] && p.mayRest() {
+		wait := min(restFirst<<min(p.strikes[s]-enough, 3), restMost)
+		p.restUntil[s] = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
 	}
 }
 
-func (p *Policy) rest(s int, wait time.Duration) {
-	ready, resting := 0, 0
+func (p *Policy) mayRest() bool {
+	ready, resting := 0, 1
 	for i := range p.ready {
 		if p.ready[i] {
 			ready++
-			if p.now < p.restUntil[i] {
+			if p.now < max(p.restUntil[i], p.slowUntil[i]) {
 				resting++
 			}
 		}
 	}
-	if 2*(resting+1) > ready {
-		return
-	}
-	p.restUntil[s] = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
+	return 2*resting <= ready
 }
 
 // spike counts runs of spikes and time-outs; a run is one pause, and its line is fitted anew.
@@ -698,7 +697,7 @@
 // unwell: resting after failures, on trial with a hop out, silent for longer than a pause is, or so slow
 // that the operation would miss its target time there. Binding operations go to no server on trial.
 func (p *Policy) unwell(s int, o *operation) bool {
-	if p.now < p.restUntil[s] {
+	if p.now < max(p.restUntil[s], p.slowUntil[s]) {
 		return true
 	}
 	if p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding) {
@@ -838,6 +837,7 @@
 		p.coldSince, p.cold = append(p.coldSince, 0), append(p.cold, false)
 		p.coldPace, p.ghosts = append(p.coldPace, 0), append(p.ghosts, 0)
 		p.ghostSent = append(p.ghostSent, 0)
+		p.slowUntil = append(p.slowUntil, 0)
 		p.inFlight, p.smoothed = append(p.inFlight, 0), append(p.smoothed, mean/max(n, 1))
 		p.slowness, p.streak = append(p.slowness, 1), append(p.streak, 0)
 		p.runStart, p.lastSpike = append(p.runStart, 0), append(p.lastSpike, 0)
@@ -899,7 +899,7 @@
 	for s := range p.slowness {
 		p.slowness[s] += forget * (1 - p.slowness[s])
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
-		if p.now >= p.restUntil[s] {
+		if p.now >= max(p.restUntil[s], p.slowUntil[s]) {
 			p.haunted += p.ghosts[s]
 		}
 	}
