--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,8 @@
 	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals, and must not count as load
 	strainSmooth = 0.05                   // weight of one hop in the strain: twenty hops
 	windowCut    = 0.9                    // left of the grown window after a late answer; seven in a row halve it
-	windowStart  = 4.0                    // hops for each server over all nodes: what any server can take; it grows as answers come
+	windowStart  = 4.0                    // hops for each server over all nodes at the start; it grows as answers come
+	windowLeast  = 2.0                    // the same under strain: enough to see it pass
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
 	waitFits     = 1.5                    // times the type's latency that must be left after the wait
 	blockedAim   = 0.8                    // share of time that the window may be full before less is admitted
@@ -340,7 +341,7 @@
 func (p *Policy) full() bool { return p.flying+p.haunted >= p.window() }
 
 func (p *Policy) window() float64 {
-	least := windowStart * float64(p.readyCount) / float64(p.set.Nodes)
+	least := windowLeast * float64(p.readyCount) / float64(p.set.Nodes)
 	return max(p.finished+windowSlack*math.Sqrt(p.finished), least, p.grown, 1)
 }
 
@@ -809,6 +810,9 @@
 		}
 	}
 	p.weigh()
+	if len(p.samples) > 0 && slices.Max(p.samples) == 0 {
+		p.grown = windowStart * float64(p.readyCount) / float64(p.set.Nodes)
+	}
 	p.pump()
 }
 
