--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,6 +8,7 @@
 package policy
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"math"
@@ -26,7 +27,7 @@
 	crowdPlus         = 0.0             // hops allowed above that
 
 	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
-	typeSmooth   = 0.02                   // weight of one sample in a type's latency, which all servers feed: fifty hops
+	typeSmooth   = 0.02                   // weight of one sample in a type's latency: fifty hops, from all servers
 	slowSmooth   = 0.2                    // weight in a server's slowness; five hops tell a slow server
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
 	slowRest     = 4 * time.Second        // rest of a slow server; in it a crowd's backlog is worked off
@@ -38,14 +39,13 @@
 	copyAfter    = 3.0                    // times the type's latency before a second hop is thought of
 	copyShare    = 0.05                   // second hops per operation, so that trouble is not amplified
 	copyBurst    = 5.0                    // second hops saved up for a sudden failure
-	pressureHops = 0.05                   // weight of one hop in the pressure: twenty hops
-	windowAim    = 0.2                    // of the target time beyond the unloaded latency, that hops may wait at servers
-	baseSpan     = 30 * time.Second       // in which a higher latency comes to count as unloaded; longer than jams
+	windowAim    = 0.2                    // of the target time left by unloaded latency, for waiting at servers
+	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
 	baseSamples  = 20.0                   // answers before a type's latency is taken for known; chance evens out
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
-	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals, and must not count as load
+	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals
 	strainSmooth = 0.05                   // weight of one hop in the strain: twenty hops
-	windowCut    = 0.9                    // left of the grown window after a late answer; seven in a row halve it
+	windowCut    = 0.9                    // left of the grown window after a hop under strain; seven halve it
 	windowStart  = 4.0                    // hops for each server over all nodes at the start; it grows as answers come
 	windowLeast  = 2.0                    // the same under strain: enough to see it pass
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
@@ -549,7 +549,7 @@
 	case Withdrawn:
 		p.haunt(s, sent)
 	}
-	if how != Void && how != Withdrawn {
+	if how == Success || how == TimedOut {
 		p.judge(spent.Seconds(), p.allowed(o.kind))
 	}
 }
@@ -818,7 +818,7 @@
 
 // chill takes a server for cold since a moment.
 func (p *Policy) chill(s int, since time.Duration) {
-	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, 1
+	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, p.chance() // not all nodes at once
 	p.strikes[s], p.restUntil[s], p.lostSince[s] = 0, 0, 0
 	p.weigh()
 }
@@ -835,21 +835,21 @@
 				mean, n = mean+u, n+1
 			}
 		}
-		p.ready, p.listed = append(p.ready, false), append(p.listed, false)
-		p.zone, p.cell = append(p.zone, 0), append(p.cell, 0)
-		p.scale, p.weight = append(p.scale, 1), append(p.weight, 1)
-		p.coldSince, p.cold = append(p.coldSince, 0), append(p.cold, false)
-		p.coldPace, p.ghosts = append(p.coldPace, 0), append(p.ghosts, 0)
-		p.ghostSent = append(p.ghostSent, 0)
-		p.slowUntil = append(p.slowUntil, 0)
-		p.inFlight, p.smoothed = append(p.inFlight, 0), append(p.smoothed, mean/max(n, 1))
-		p.slowness, p.streak = append(p.slowness, 1), append(p.streak, 0)
-		p.runStart, p.lastSpike = append(p.runStart, 0), append(p.lastSpike, 0)
-		p.answered, p.strikes = append(p.answered, p.now), append(p.strikes, 0)
-		p.restUntil, p.lostSince = append(p.restUntil, 0), append(p.lostSince, 0)
+		extend(false, &p.ready, &p.listed, &p.cold)
+		extend(0, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses)
+		extend(0.0, &p.coldPace, &p.ghosts)
+		extend(1.0, &p.scale, &p.weight, &p.slowness)
+		extend(0, &p.coldSince, &p.ghostSent, &p.slowUntil, &p.runStart, &p.lastSpike, &p.restUntil,
+			&p.lostSince, &p.forecast, &p.interval)
+		extend(mean/max(n, 1), &p.smoothed)
+		extend(p.now, &p.answered)
 		p.onsets = append(p.onsets, [forecastWindow]float64{})
-		p.pauses, p.forecast = append(p.pauses, 0), append(p.forecast, 0)
-		p.interval = append(p.interval, 0)
+	}
+}
+
+func extend[T any](v T, figures ...*[]T) {
+	for _, f := range figures {
+		*f = append(*f, v)
 	}
 }
 
@@ -908,6 +908,7 @@
 		}
 	}
 	p.adjustShed(passed)
+	p.pump()
 	for i := len(p.open) - 1; i >= 0; i-- {
 		if i < len(p.open) {
 			p.step(p.open[i], swept)
@@ -946,15 +947,7 @@
 		clear(p.denyShare)
 		return
 	}
-	slices.SortStableFunc(p.order, func(a, b int) int {
-		switch x, y := p.worth(a), p.worth(b); {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return a - b
-	})
+	slices.SortFunc(p.order, func(a, b int) int { return cmp.Or(cmp.Compare(p.worth(a), p.worth(b)), a-b) })
 	total := 0.0
 	for b, r := range p.rates {
 		total += r * p.usual[b/2].Seconds()
