--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 	crowdPlus         = 0.0             // hops allowed above that
 
 	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
-	typeSmooth   = 0.02                   // weight of one sample in a type's latency: fifty hops, from all servers
+	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
 	slowSmooth   = 0.2                    // weight in a server's slowness; five hops tell a slow server
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
 	slowRest     = 4 * time.Second        // rest of a slow server; in it a crowd's backlog is worked off
@@ -46,7 +46,7 @@
 	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals
 	strainSmooth = 0.05                   // weight of one hop in the strain: twenty hops
 	windowCut    = 0.9                    // left of the grown window after a hop under strain; seven halve it
-	windowStart  = 4.0                    // hops for each server over all nodes at the start; it grows as answers come
+	windowStart  = 4.0                    // hops a server over all nodes at the start; it grows with answers
 	windowLeast  = 2.0                    // the same under strain: enough to see it pass
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
 	waitFits     = 1.5                    // times the type's latency that must be left after the wait
