--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,7 @@
 
 	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
-	slowSmooth   = 0.2                    // weight in a server's slowness; five hops tell a slow server
+	slowSmooth   = 0.1                    // weight in a server's slowness; five hops tell a slow server
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
 	slowRest     = 5 * time.Second        // rest of a slow server; in it a crowd's backlog is worked off
 	slowSkip     = 2.0                    // times the usual latency before a server is spared
