--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,10 +28,10 @@
 
 	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
-	slowSmooth   = 0.1                    // weight in a server's slowness; five hops tell a slow server
+	slowSmooth   = 0.2                    // weight in a server's slowness; five hops tell a slow server
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
-	slowRest     = 5 * time.Second        // rest of a slow server; in it a crowd's backlog is worked off
-	slowSkip     = 2.0                    // times the usual latency before a server is spared
+	slowRest     = 4 * time.Second        // rest of a slow server; in it a crowd's backlog is worked off
+	slowSkip     = 3.0                    // times the usual latency before a server is spared
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
 	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
