--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,9 +28,10 @@
 
 	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
-	slowSmooth   = 0.2                    // weight in a server's slowness; five hops tell a slow server
+	slowSmooth   = 0.1                    // weight in a server slowness; ten hops even out heavy operations
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
 	slowRest     = 4 * time.Second        // rest of a slow server; in it a crowd's backlog is worked off
+	slowLeast    = 0.1                    // of the square, so that a fast server is not given all
 	slowSkip     = 3.0                    // times the usual latency before a server is spared
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
@@ -869,7 +870,7 @@
 func (p *Policy) weigh() {
 	p.weights, p.readyCount = 0, 0
 	for s := range p.ready {
-		p.weight[s] = p.scale[s] * p.capacity(s) / max(p.slowness[s], 0.25)
+		p.weight[s] = p.scale[s] * p.capacity(s) / max(p.slowness[s]*p.slowness[s], slowLeast)
 		if p.ready[s] {
 			p.weights += p.weight[s]
 			p.readyCount++
