--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,9 +30,7 @@
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
 	slowSmooth   = 0.1                    // weight in a server slowness; ten hops even out heavy operations
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
-	slowRest     = 4 * time.Second        // rest of a slow server; in it a crowd's backlog is worked off
 	slowLeast    = 0.1                    // of the square, so that a fast server is not given all
-	slowSkip     = 3.0                    // times the usual latency before a server is spared
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
 	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
@@ -179,7 +177,7 @@
 	answered  []time.Duration // last sign of life while hops were out
 	strikes   []int
 	restUntil []time.Duration
-	slowUntil []time.Duration // rest of a slow server
+
 	lostSince []time.Duration // first failed connect of a row, 0 if none
 	onsets    [][forecastWindow]float64
 	pauses    []int
@@ -448,13 +446,7 @@
 	if until <= p.now {
 		until = o.limit
 	}
-	if t := &p.set.Types[o.kind]; !p.set.SecondCopies && t.Repeat == Retriable && p.copies >= 1 && p.shed == 0 {
-		// where two hops may not be out together, an early time-out makes room for the next one
-		early := p.now + time.Duration(copyAfter*float64(p.usual[o.kind]))
-		if early+p.usual[o.kind] < until && len(o.hops)+1 < p.set.MostHops {
-			until = early
-		}
-	}
+
 	o.hops = append(o.hops, hop{server: s, sent: p.now})
 	o.out++
 	if o.group < 0 {
@@ -581,14 +573,10 @@
 	p.ghostSent[s] = max(p.ghostSent[s], sent)
 }
 
-// feel keeps a server's slowness. A crowded server may turn slow until it has been idle for a while, so
-// a slow one is left alone for some time.
+// feel keeps a server's slowness.
 func (p *Policy) feel(s int, spent, usual time.Duration) {
 	p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
-	if p.slowness[s] > slowSkip && p.now >= p.restUntil[s] && p.mayRest() {
-		p.slowUntil[s] = p.now + time.Duration(float64(slowRest)*(0.75+0.5*p.chance()))
-		p.slowness[s] = slowSkip / 2
-	}
+
 }
 
 // alive ends a server's rest. One that answers after it was out of reach may have restarted before the
@@ -616,7 +604,7 @@
 	for i := range p.ready {
 		if p.ready[i] {
 			ready++
-			if p.now < max(p.restUntil[i], p.slowUntil[i]) {
+			if p.now < p.restUntil[i] {
 				resting++
 			}
 		}
@@ -699,7 +687,7 @@
 // unwell: resting after failures, on trial with a hop out, silent for longer than a pause is, or so slow
 // that the operation would miss its target time there. Binding operations go to no server on trial.
 func (p *Policy) unwell(s int, o *operation) bool {
-	if p.now < max(p.restUntil[s], p.slowUntil[s]) {
+	if p.now < p.restUntil[s] {
 		return true
 	}
 	if p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding) {
@@ -840,7 +828,7 @@
 		extend(0, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses)
 		extend(0.0, &p.coldPace, &p.ghosts)
 		extend(1.0, &p.scale, &p.weight, &p.slowness)
-		extend(0, &p.coldSince, &p.ghostSent, &p.slowUntil, &p.runStart, &p.lastSpike, &p.restUntil,
+		extend(0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.restUntil,
 			&p.lostSince, &p.forecast, &p.interval)
 		extend(mean/max(n, 1), &p.smoothed)
 		extend(p.now, &p.answered)
@@ -904,7 +892,7 @@
 	for s := range p.slowness {
 		p.slowness[s] += forget * (1 - p.slowness[s])
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
-		if p.now >= max(p.restUntil[s], p.slowUntil[s]) {
+		if p.now >= p.restUntil[s] {
 			p.haunted += p.ghosts[s]
 		}
 	}
