--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -402,9 +402,9 @@
 		Discovery      string
 		OverageRevenue float64
 		Limits         struct {
-			MaxRetryAfter                    float64
-			MostHops                         int
-			Probes, RetryAfter, SecondCopies bool
+			MaxRetryAfter      float64
+			MostHops           int
+			Probes, RetryAfter bool
 		}
 		Rules struct {
 			AskWithin, Cold, Fall, FallMultiple, StartCapacity float64
@@ -420,8 +420,8 @@
 	}
 	s := policy.Settings{
 		Nodes: max(raw.GroupSize, 1), Tick: span(raw.Granularity), OverageRevenue: raw.OverageRevenue,
-		OnRequest: raw.Discovery == "on_request", SecondCopies: raw.Limits.SecondCopies,
-		Probes: raw.Limits.Probes, MostHops: raw.Limits.MostHops,
+		OnRequest: raw.Discovery == "on_request",
+		Probes:    raw.Limits.Probes, MostHops: raw.Limits.MostHops,
 		AskWithin: span(raw.Rules.AskWithin), ColdFor: span(raw.Rules.Cold),
 		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
 		FallWindow: span(raw.Rules.Fall),
--- a/policy/api.go
+++ b/policy/api.go
@@ -38,7 +38,6 @@
 	AllowancePerS  []float64 // by tenant, over all nodes
 	OverageRevenue float64
 	OnRequest      bool // the server list must be asked for
-	SecondCopies   bool
 	Probes         bool
 	MostHops       int
 	MaxRetryIn     time.Duration // 0 when clients are not told when to return
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,9 +35,8 @@
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
 	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
 	restStrikes  = 2                      // time-outs in a row; one may be a heavy operation
-	copyAfter    = 3.0                    // times the type's latency before a second hop is thought of
-	copyShare    = 0.05                   // second hops per operation, so that trouble is not amplified
-	copyBurst    = 5.0                    // second hops saved up for a sudden failure
+	copyShare    = 0.05                   // repeats per operation, so that trouble is not amplified
+	copyBurst    = 5.0                    // repeats saved up for a sudden failure
 	windowAim    = 0.2                    // of the target time left by unloaded latency, for waiting at servers
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
 	baseSamples  = 20.0                   // answers before a type's latency is taken for known; chance evens out
@@ -118,7 +117,7 @@
 		{out, mayHaveRun, always, closed, (*Policy).writeOff},
 		{out, swept, (*Policy).atLimitHarmless, closed, (*Policy).deny},
 		{out, swept, (*Policy).atLimit, closed, (*Policy).writeOff},
-		{out, swept, (*Policy).secondCopyDue, out, (*Policy).sendCopy},
+
 		{out, departed, always, closed, (*Policy).hold},
 	}
 }
@@ -413,16 +412,6 @@
 	return p.routed(op)
 }
 
-// secondCopyDue guards against a server that takes work and does not answer.
-func (p *Policy) secondCopyDue(op int) bool {
-	o := &p.ops[op]
-	if !p.set.SecondCopies || o.out != 1 || p.shed > 0 {
-		return false
-	}
-	h := o.hops[len(o.hops)-1]
-	return float64(p.now-h.sent) > copyAfter*float64(p.usual[o.kind]) && p.repeatable(op)
-}
-
 // Effects of the table.
 
 func (p *Policy) hold(int) {}
