--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -69,8 +69,6 @@
 					policy.Input{Hop: e.Hop, Outcome: e.Outcome, Spent: e.Spent, Final: e.Final}, w)
 			case wire.Left:
 				n.Left(b.Now, e.Job, w)
-			case wire.HealthResult:
-				known = n.Probed(b.Now, e.Server, policy.Input{Outcome: e.Outcome, Spent: e.Spent}, w)
 			case wire.DeadlineHit:
 				n.Woken(b.Now, w)
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,11 +10,9 @@
 // Out carries out what the module decides, in outside ids.
 type Out interface {
 	Forward(job uint64, server uint32, allow time.Duration)
-	Recall(job uint64, hop int)
 	TurnAway(job uint64, retryIn time.Duration)
 	Lose(job uint64)
 	Schedule(after time.Duration)
-	Poll(server uint32)
 	Listen()
 }
 
@@ -117,16 +115,6 @@
 	n.release(op)
 }
 
-// Probed passes on the result of a probe.
-func (n *Node) Probed(now time.Duration, server uint32, in policy.Input, out Out) bool {
-	s, ok := n.servers[server]
-	if ok {
-		in.Kind, in.Server = policy.Probed, s
-		n.apply(now, in, out)
-	}
-	return ok
-}
-
 // Woken passes on the timer.
 func (n *Node) Woken(now time.Duration, out Out) {
 	n.apply(now, policy.Input{Kind: policy.Woken}, out)
@@ -149,8 +137,6 @@
 		case policy.SendHop:
 			n.slots[e.Op].hops++
 			out.Forward(n.slots[e.Op].id, n.ids[e.Server], e.For)
-		case policy.Recall:
-			out.Recall(n.slots[e.Op].id, e.Hop)
 		case policy.Deny:
 			n.slots[e.Op].answered = true
 			out.TurnAway(n.slots[e.Op].id, e.For)
@@ -159,8 +145,6 @@
 			out.Lose(n.slots[e.Op].id)
 		case policy.Wake:
 			out.Schedule(e.For)
-		case policy.Probe:
-			out.Poll(n.ids[e.Server])
 		case policy.Subscribe:
 			out.Listen()
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -26,7 +26,6 @@
 	Verdict
 	Left
 	DeadlineHit
-	HealthResult
 	Ignored // read and valid, but of no use to the module
 )
 
@@ -257,10 +256,7 @@
 		e.Kind, e.Job = Left, p.job()
 	case "deadline_hit":
 		e.Kind = DeadlineHit
-	case "health_result":
-		e.Kind, e.Server = HealthResult, p.server()
-		e.Outcome, e.Spent = p.outcome(), p.span("spent", false)
-	case "begun", "from_peer":
+	case "begun", "health_result", "from_peer":
 	default:
 		p.fail("unknown message")
 	}
@@ -402,12 +398,12 @@
 		Discovery      string
 		OverageRevenue float64
 		Limits         struct {
-			MaxRetryAfter      float64
-			MostHops           int
-			Probes, RetryAfter bool
+			MaxRetryAfter float64
+			MostHops      int
+			RetryAfter    bool
 		}
 		Rules struct {
-			AskWithin, Cold, Fall, FallMultiple, StartCapacity float64
+			AskWithin, Cold, FallMultiple, StartCapacity float64
 		}
 		Tenants      []struct{ AllowancePerS float64 }
 		TrafficTypes []struct {
@@ -421,10 +417,9 @@
 	s := policy.Settings{
 		Nodes: max(raw.GroupSize, 1), Tick: span(raw.Granularity), OverageRevenue: raw.OverageRevenue,
 		OnRequest: raw.Discovery == "on_request",
-		Probes:    raw.Limits.Probes, MostHops: raw.Limits.MostHops,
+		MostHops:  raw.Limits.MostHops,
 		AskWithin: span(raw.Rules.AskWithin), ColdFor: span(raw.Rules.Cold),
 		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
-		FallWindow: span(raw.Rules.Fall),
 	}
 	if raw.Limits.RetryAfter {
 		s.MaxRetryIn = span(raw.Limits.MaxRetryAfter)
@@ -516,13 +511,6 @@
 	w.end()
 }
 
-// Recall stops waiting for a hop.
-func (w *Writer) Recall(job uint64, hop int) {
-	w.job("recall", job)
-	w.uint("n", uint64(hop))
-	w.end()
-}
-
 // TurnAway denies an operation.
 func (w *Writer) TurnAway(job uint64, retryIn time.Duration) {
 	w.job("turn_away", job)
@@ -545,13 +533,6 @@
 	w.buf = append(w.buf, "\tcookie=w\n"...)
 }
 
-// Poll probes a server.
-func (w *Writer) Poll(server uint32) {
-	w.buf = append(w.buf, "poll"...)
-	w.uint("server", uint64(server))
-	w.end()
-}
-
 // Listen subscribes to the server list.
 func (w *Writer) Listen() { w.buf = append(w.buf, "listen\tenable=1\n"...) }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -38,14 +38,12 @@
 	AllowancePerS  []float64 // by tenant, over all nodes
 	OverageRevenue float64
 	OnRequest      bool // the server list must be asked for
-	Probes         bool
 	MostHops       int
 	MaxRetryIn     time.Duration // 0 when clients are not told when to return
 	AskWithin      time.Duration
 	ColdFor        time.Duration
 	ColdStart      float64
 	FallMultiple   float64
-	FallWindow     time.Duration
 }
 
 // Scope says how a server list is to be taken.
@@ -78,7 +76,7 @@
 	HasStart  bool
 }
 
-// Outcome tells how a hop or a probe ended.
+// Outcome tells how a hop ended.
 type Outcome uint8
 
 const (
@@ -100,7 +98,6 @@
 	HopEnded
 	Left
 	List
-	Probed
 	Woken
 )
 
@@ -125,11 +122,9 @@
 
 const (
 	SendHop EffectKind = iota
-	Recall
 	Deny
 	WriteOff
 	Wake
-	Probe
 	Subscribe
 )
 
@@ -137,7 +132,6 @@
 type Effect struct {
 	Kind   EffectKind
 	Op     int
-	Hop    int
 	Server int
 	For    time.Duration // hop time-out, wait before a wake, or when a denied client may return
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,8 +35,8 @@
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
 	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
 	restStrikes  = 2                      // time-outs in a row; one may be a heavy operation
-	copyShare    = 0.05                   // repeats per operation, so that trouble is not amplified
-	copyBurst    = 5.0                    // repeats saved up for a sudden failure
+	repeatShare  = 0.05                   // repeats per operation, so that trouble is not amplified
+	repeatBurst  = 5.0                    // repeats saved up for a sudden failure
 	windowAim    = 0.2                    // of the target time left by unloaded latency, for waiting at servers
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
 	baseSamples  = 20.0                   // answers before a type's latency is taken for known; chance evens out
@@ -107,12 +107,10 @@
 		{waiting, departed, always, closed, (*Policy).hold},
 
 		{out, won, always, closed, (*Policy).hold},
-		{out, neverRan, (*Policy).otherHopOut, out, (*Policy).hold},
 		{out, neverRan, (*Policy).repeatable, out, (*Policy).send},
 		{out, neverRan, (*Policy).harmless, closed, (*Policy).deny},
 		{out, neverRan, always, closed, (*Policy).writeOff},
-		{out, mayHaveRun, (*Policy).otherHopOut, out, (*Policy).hold},
-		{out, mayHaveRun, (*Policy).repeatable, out, (*Policy).sendCopy},
+		{out, mayHaveRun, (*Policy).repeatable, out, (*Policy).repeat},
 		{out, mayHaveRun, (*Policy).harmless, closed, (*Policy).deny},
 		{out, mayHaveRun, always, closed, (*Policy).writeOff},
 		{out, swept, (*Policy).atLimitHarmless, closed, (*Policy).deny},
@@ -136,7 +134,6 @@
 	limit    time.Duration // the client is gone
 	came     time.Duration
 	hops     []hop
-	out      int
 	mayRun   bool
 	group    int           // server whose group must be kept, once mayRun
 	firstRun time.Duration // send of the first hop that may have run
@@ -196,11 +193,11 @@
 	budget     []time.Duration // longest time budget seen by type: that of a first try
 	budgetEq   []float64       // share of operations that come with it
 
-	finished  float64 // hops that would finish in the time that hops may take
-	grown     float64 // hops that answers in time have made room for
-	strain    float64 // smoothed time of hops over the time they may take
-	blocked   float64 // share of time that the window is full
-	copies    float64
+	finished  float64   // hops that would finish in the time that hops may take
+	grown     float64   // hops that answers in time have made room for
+	strain    float64   // smoothed time of hops over the time they may take
+	blocked   float64   // share of time that the window is full
+	repeats   float64   // that the budget allows now
 	admit     float64   // share of the offered work that is let in
 	shed      float64   // the rest
 	denyShare []float64 // by bucket: type, within or beyond its tenant's share
@@ -216,7 +213,7 @@
 
 // New returns an instance that draws its chance from seed.
 func New(s Settings, seed uint32) *Policy {
-	p := &Policy{set: s, seed: seed, admit: 1, copies: copyBurst, askWait: askFirst}
+	p := &Policy{set: s, seed: seed, admit: 1, repeats: repeatBurst, askWait: askFirst}
 	for _, r := range lifecycle() {
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
@@ -323,7 +320,7 @@
 		}
 	}
 	p.rates[o.bucket] += 1 / rateSpan.Seconds()
-	p.copies = min(p.copies+copyShare, copyBurst)
+	p.repeats = min(p.repeats+repeatShare, repeatBurst)
 	p.step(in.Op, arrived)
 }
 
@@ -381,13 +378,11 @@
 	return fits && p.now-o.came <= time.Duration(waitShare*float64(t))
 }
 
-func (p *Policy) otherHopOut(op int) bool { return p.ops[op].out > 0 }
-
 // harmless: a denial tells the client that trying again does no harm.
 func (p *Policy) harmless(op int) bool {
 	o := &p.ops[op]
 	t := &p.set.Types[o.kind]
-	return !o.mayRun && o.out == 0 || t.Repeat == Retriable || t.Repeat == Fingerprinted && t.Group == GroupAll
+	return !o.mayRun || t.Repeat == Retriable || t.Repeat == Fingerprinted && t.Group == GroupAll
 }
 
 func (p *Policy) atLimit(op int) bool {
@@ -403,7 +398,7 @@
 	if len(o.hops) >= p.set.MostHops || p.now+p.usual[o.kind]/2 > o.target {
 		return false
 	}
-	if o.mayRun && (t.Repeat == Binding || p.copies < 1) {
+	if o.mayRun && (t.Repeat == Binding || p.repeats < 1) {
 		return false
 	}
 	if o.mayRun && t.Repeat == Fingerprinted && p.now >= o.firstRun+t.Window-p.set.Tick {
@@ -423,8 +418,8 @@
 
 func (p *Policy) writeOff(op int) { p.emit(Effect{Kind: WriteOff, Op: op}) }
 
-func (p *Policy) sendCopy(op int) {
-	p.copies--
+func (p *Policy) repeat(op int) {
+	p.repeats--
 	p.send(op)
 }
 
@@ -437,7 +432,6 @@
 	}
 
 	o.hops = append(o.hops, hop{server: s, sent: p.now})
-	o.out++
 	if o.group < 0 {
 		o.group, o.firstRun = s, p.now
 	}
@@ -461,7 +455,6 @@
 	o := &p.ops[in.Op]
 	h := &o.hops[in.Hop]
 	h.ended = true
-	o.out--
 	p.inFlight[h.server]--
 	p.flying--
 	ran := in.Outcome != Overloaded && in.Outcome != Unreachable && in.Outcome != Void
@@ -528,8 +521,6 @@
 		p.strike(s, 1)
 	case Broken:
 		p.strike(s, 1)
-	case Withdrawn:
-		p.haunt(s, sent)
 	}
 	if how == Success || how == TimedOut {
 		p.judge(spent.Seconds(), p.allowed(o.kind))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -19,7 +19,7 @@
 func newRig(t *testing.T, servers int, change func(*Settings)) *rig {
 	t.Helper()
 	s := Settings{Nodes: 4, Tick: 5 * ms, MostHops: 4, ColdFor: 8 * time.Second, ColdStart: 0.3,
-		FallMultiple: 3, FallWindow: 2 * time.Second, AskWithin: 10 * time.Second, OverageRevenue: 0.1, Types: []TrafficType{
+		FallMultiple: 3, AskWithin: 10 * time.Second, OverageRevenue: 0.1, Types: []TrafficType{
 			{Repeat: Retriable, TargetTime: 400 * ms, AbandonTime: 2 * time.Second, Revenue: 1},
 			{Repeat: Fingerprinted, Group: GroupZone, TargetTime: 400 * ms, AbandonTime: 2 * time.Second,
 				Window: time.Second, Revenue: 5},
