--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,7 @@
 	restStrikes  = 2                      // time-outs in a row; one may be a heavy operation
 	repeatShare  = 0.05                   // repeats per operation, so that trouble is not amplified
 	repeatBurst  = 5.0                    // repeats saved up for a sudden failure
-	windowAim    = 0.2                    // of the target time left by unloaded latency, for waiting at servers
+	windowAim    = 0.15                    // of the target time left by unloaded latency, for waiting at servers
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
 	baseSamples  = 20.0                   // answers before a type's latency is taken for known; chance evens out
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
