The least window counts live hops only

Symptom: 80% denied while latency is low. Cause: given-up hops took half of the least window, so servers stood idle; told from too few servers by the node's own figures, 3 to 5 hops out of a least window of 6.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,7 @@
 	restStrikes  = 2                      // time-outs in a row; one may be a heavy operation
 	repeatShare  = 0.05                   // repeats per operation, so that trouble is not amplified
 	repeatBurst  = 5.0                    // repeats saved up for a sudden failure
-	windowAim    = 0.15                    // of the target time left by unloaded latency, for waiting at servers
+	windowAim    = 0.15                   // of the target time left by unloaded latency, for waiting at servers
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
 	baseSamples  = 20.0                   // answers before a type's latency is taken for known; chance evens out
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
@@ -333,11 +333,13 @@
 
 // full: by the rate at which hops finish, those in flight will take longer than they may. This guards
 // against a queue that builds up at the servers faster than late answers tell of it.
-func (p *Policy) full() bool { return p.flying+p.haunted >= p.window() }
+func (p *Policy) full() bool {
+	least := windowLeast * float64(p.readyCount) / float64(p.set.Nodes)
+	return p.flying+p.haunted >= p.window() && p.flying >= max(least, 1)
+}
 
 func (p *Policy) window() float64 {
-	least := windowLeast * float64(p.readyCount) / float64(p.set.Nodes)
-	return max(p.finished+windowSlack*math.Sqrt(p.finished), least, p.grown, 1)
+	return max(p.finished+windowSlack*math.Sqrt(p.finished), p.grown)
 }
 
 // judge grows the window by each answer that came while it was used up, for the rate of finished hops
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -363,6 +363,15 @@
 	}
 }
 
+func TestLeastWindowCountsLiveHops(t *testing.T) {
+	r := newRig(t, 8, nil)
+	r.strain, r.grown = 2, 0
+	r.haunted = 50 // all given up long ago, as after a slowness that all share
+	if _, got := r.arriveAt(0, 0, time.Second); len(got) != 1 || got[0].Kind != SendHop {
+		t.Errorf("nothing is sent any more: %v", got)
+	}
+}
+
 func TestCheaperDeniedMoreOften(t *testing.T) {
 	r := newRig(t, 4, func(s *Settings) { s.AllowancePerS = []float64{1e6, 4} })
 	for b := range r.rates {
