A server slower than 1.3 times the usual latency misses turns by chance

Symptom: a third of the hops to one kind of machine time out, half of all operations denied while the median answer takes a quarter of the target. Cause: a node has six hops out over 33 servers, so a slow one is as often idle as a fast one and the in-flight skip is blind; told from a narrow window by the time-outs standing at the same ten servers (30 to 40% there, under 10% elsewhere).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
 	slowSmooth   = 0.1                    // weight in a server slowness; ten hops even out heavy operations
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
+	passFrom     = 1.3                    // times the usual latency, from which turns are passed; machines of one kind differ by less
 	slowLeast    = 0.1                    // of the square, so that a fast server is not given all
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
@@ -681,6 +682,13 @@
 	return p.slowness[s] > 1.5 && p.slowness[s]*float64(p.usual[o.kind]) > float64(o.target-p.now)
 }
 
+// passedBy: a server slower than usual is passed by on so many turns as it is slower. Where a node has
+// few hops out, a slow server is as often idle as a fast one, and the in-flight skip does not see it.
+func (p *Policy) passedBy(s int) bool {
+	x := passFrom / p.slowness[s]
+	return x < 1 && p.chance() > x*x
+}
+
 // barred: the rules or the cold budget forbid this server for this operation.
 func (p *Policy) barred(s int, o *operation) bool {
 	if !p.ready[s] || p.cold[s] && p.coldPace[s] < 1 {
@@ -719,7 +727,7 @@
 			switch {
 			case p.barred(s, o):
 			case care > 0 && (tried(o, s) || p.unwell(s, o)):
-			case care > 1 && (p.nearPause(s) || p.crowded(s)):
+			case care > 1 && (p.nearPause(s) || p.crowded(s) || p.passedBy(s)):
 			default:
 				p.turn, p.pick = (s+1)%n, s
 				return true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -363,6 +363,36 @@
 	}
 }
 
+func TestSlowServerMissesTurns(t *testing.T) {
+	for name, c := range map[string]struct {
+		slowness   float64
+		from, till int // turns of the slow one in 300 among three
+	}{
+		"as usual: every turn":        {1.2, 100, 100},
+		"twice as slow":               {2.6, 20, 50},
+		"all slow alike: all skipped": {-2.6, 100, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, nil)
+			r.started, r.turn, r.grown, turns := true, 0, 1000, 0
+			r.slowness[1] = max(c.slowness, -c.slowness)
+			if c.slowness < 0 {
+				r.slowness[0], r.slowness[2], r.usual[0] = 1e9, 1e9, 0
+				r.slowness[1] = 1e9
+			}
+			r.Policy.ops = append(r.Policy.ops, operation{target: time.Hour})
+			for range 300 {
+				if r.routed(0) && r.pick == 1 {
+					turns++
+				}
+			}
+			if turns < c.from || turns > c.till {
+				t.Errorf("%d turns, want %d to %d", turns, c.from, c.till)
+			}
+		})
+	}
+}
+
 func TestLeastWindowCountsLiveHops(t *testing.T) {
 	r := newRig(t, 8, nil)
 	r.strain, r.grown = 2, 0
