--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
 	slowSmooth   = 0.1                    // weight in a server slowness; ten hops even out heavy operations
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
-	passFrom     = 1.3                    // times the usual latency, from which turns are passed; machines of one kind differ by less
+	passFrom     = 1.3                    // times the usual latency from where turns are missed; most lie below
 	slowLeast    = 0.1                    // of the square, so that a fast server is not given all
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -374,7 +374,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 3, nil)
-			r.started, r.turn, r.grown, turns := true, 0, 1000, 0
+			r.started, r.turn, r.grown = true, 0, 1000
+			turns := 0
 			r.slowness[1] = max(c.slowness, -c.slowness)
 			if c.slowness < 0 {
 				r.slowness[0], r.slowness[2], r.usual[0] = 1e9, 1e9, 0
