--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,7 @@
 	windowStart  = 4.0                    // hops a server over all nodes at the start; it grows with answers
 	windowLeast  = 2.0                    // the same under strain: enough to see it pass
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
+	waitTrial    = 0.1                    // of the operations wait however seldom it helps, to see when it does
 	waitFits     = 1.5                    // times the type's latency that must be left after the wait
 	blockedAim   = 0.8                    // share of time that the window may be full before less is admitted
 	blockedSpan  = 500 * time.Millisecond // over which that is taken
@@ -99,12 +100,12 @@
 		{fresh, arrived, (*Policy).tooLate, closed, (*Policy).deny},
 		{fresh, arrived, (*Policy).shedByChance, closed, (*Policy).deny},
 		{fresh, arrived, (*Policy).routed, out, (*Policy).send},
-		{fresh, arrived, (*Policy).canWait, waiting, (*Policy).hold},
+		{fresh, arrived, (*Policy).worthWaiting, waiting, (*Policy).hold},
 		{fresh, arrived, always, closed, (*Policy).deny},
 
-		{waiting, swept, (*Policy).routed, out, (*Policy).send},
+		{waiting, swept, (*Policy).routed, out, (*Policy).sendWaited},
 		{waiting, swept, (*Policy).canWait, waiting, (*Policy).hold},
-		{waiting, swept, always, closed, (*Policy).deny},
+		{waiting, swept, always, closed, (*Policy).denyWaited},
 		{waiting, departed, always, closed, (*Policy).hold},
 
 		{out, won, always, closed, (*Policy).hold},
@@ -204,6 +205,7 @@
 	denyShare []float64 // by bucket: type, within or beyond its tenant's share
 	rates     []float64 // arrivals per second by bucket
 	tenants   []float64 // arrivals per second by tenant
+	waitWon   []float64 // by bucket: share of waits that end in a hop
 	order     []int
 	successes float64 // per second
 	lastSweep time.Duration
@@ -228,6 +230,7 @@
 	p.tenants = make([]float64, len(s.AllowancePerS))
 	for b := range 2 * n {
 		p.order = append(p.order, b)
+		p.waitWon = append(p.waitWon, 1)
 	}
 	return p
 }
@@ -381,6 +384,12 @@
 	return fits && p.now-o.came <= time.Duration(waitShare*float64(t))
 }
 
+// worthWaiting: half of the operations like this one get their turn, or it waits the less often. This
+// guards against a queue in which the cheap wait behind the dear only to be denied in the end.
+func (p *Policy) worthWaiting(op int) bool {
+	return p.canWait(op) && p.chance() < max(2*p.waitWon[p.ops[op].bucket], waitTrial)
+}
+
 // harmless: a denial tells the client that trying again does no harm.
 func (p *Policy) harmless(op int) bool {
 	o := &p.ops[op]
@@ -414,6 +423,16 @@
 
 func (p *Policy) hold(int) {}
 
+func (p *Policy) sendWaited(op int) {
+	p.waitWon[p.ops[op].bucket] += strainSmooth * (1 - p.waitWon[p.ops[op].bucket])
+	p.send(op)
+}
+
+func (p *Policy) denyWaited(op int) {
+	p.waitWon[p.ops[op].bucket] -= strainSmooth * p.waitWon[p.ops[op].bucket]
+	p.deny(op)
+}
+
 func (p *Policy) deny(op int) {
 	back := time.Duration(float64(p.set.MaxRetryIn) * (0.9 + 0.1*p.chance()))
 	p.emit(Effect{Kind: Deny, Op: op, For: back})
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -363,6 +363,34 @@
 	}
 }
 
+func TestWaitsOnlyWhereWaitsHelp(t *testing.T) {
+	for name, c := range map[string]struct {
+		won        float64
+		from, till int // of 200 operations that find no room
+	}{
+		"most such waits end in a hop": {0.8, 200, 200},
+		"most end in a denial":         {0.2, 50, 110},
+		"hardly any helps: a trial":    {0, 5, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 4, nil)
+			for !r.full() {
+				r.arriveAt(0, 2, time.Second)
+			}
+			waits := 0
+			for range 200 {
+				r.waitWon[0] = c.won
+				if _, got := r.arriveAt(0, 0, time.Second); len(got) == 0 {
+					waits++
+				}
+			}
+			if waits < c.from || waits > c.till {
+				t.Errorf("%d wait, want %d to %d", waits, c.from, c.till)
+			}
+		})
+	}
+}
+
 func TestSlowServerMissesTurns(t *testing.T) {
 	for name, c := range map[string]struct {
 		slowness   float64
