--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,7 +60,7 @@
 	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
 	coldBurst    = 2.0                    // hops saved up for a cold server
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
-	askMost      = 4 * time.Second        // longest wait; well within the time a list counts as told
+	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
 	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
 )
 
@@ -771,7 +771,7 @@
 	if in.Scope == Unavailable {
 		p.asked = false
 		p.askAt = p.now + time.Duration(float64(p.askWait)*(0.5+p.chance()))
-		p.askWait = min(2*p.askWait, askMost)
+		p.askWait = min(2*p.askWait, askMost, max(p.set.AskWithin/4, askFirst))
 		return
 	}
 	if in.Scope != Saved {
