--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -209,6 +209,46 @@
 	}
 }
 
+func TestGroupAndWindowOfFingerprinted(t *testing.T) {
+	for name, c := range map[string]struct {
+		group  Group
+		first  Outcome // of the first hop, 50 ms after it is sent
+		window time.Duration
+		want   []EffectKind // after an error on the second hop, 40 ms later
+		same   bool         // second and third hop in one group
+	}{
+		"cell":                                {GroupCell, Failure, time.Second, []EffectKind{WriteOff}, true},
+		"zone":                                {GroupZone, Failure, time.Second, []EffectKind{SendHop}, true},
+		"all":                                 {GroupAll, Failure, time.Second, []EffectKind{SendHop}, false},
+		"window counts from the first send":   {GroupAll, Failure, 80 * ms, []EffectKind{Deny}, false},
+		"a hop that never ran does not count": {GroupAll, Unreachable, 80 * ms, []EffectKind{SendHop}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 8, func(s *Settings) { s.Types[1].Group, s.Types[1].Window = c.group, c.window })
+			if c.group == GroupCell { // two a cell: a third hop finds only those it has tried, resting
+				for s := range r.ready {
+					r.ready[s] = s < 2
+				}
+			}
+			op, _ := r.arriveAt(time.Second, 1, 2*time.Second)
+			second := r.end(time.Second+50*ms, op, 0, c.first)
+			if len(second) != 1 || second[0].Kind != SendHop {
+				t.Fatalf("no second hop: %v", second)
+			}
+			if c.group == GroupCell {
+				r.ready[0], r.ready[1], r.ready[4] = false, false, true
+			}
+			third := r.end(time.Second+90*ms, op, 1, Failure)
+			if got := kinds(third); !reflect.DeepEqual(got, c.want) {
+				t.Fatalf("got %v, want %v", got, c.want)
+			}
+			if c.same && third[0].Kind == SendHop && r.zone[third[0].Server] != r.zone[second[0].Server] {
+				t.Error("left the group")
+			}
+		})
+	}
+}
+
 func TestAnswersBeforeTheBudgetEnds(t *testing.T) {
 	for name, c := range map[string]struct {
 		servers, kind int
