--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -32,13 +32,15 @@
 		"an unknown message":      {in: batch(start("3") + "surprise\ta=b\n"), want: "eor\n", wantErr: "unknown message"},
 		"an unknown operation":    {in: batch(start("3") + list + saved + "verdict\tjob=00000000000000ab\tserver=8\tverdict=success\n"), want: "eor\n", wantErr: "unknown operation or server"},
 		"an instance not started": {in: batch("target_instance\twho=6\n" + arrive), want: "eor\n", wantErr: "does not run"},
-		"left and unknown":        {in: batch(start("3") + "left\tjob=00000000000000ab\n"), want: "eor\n"},
-		"an unknown type":         {in: batch(start("3") + list + saved + "arrival\tjob=00000000000000aa\tservice=7\ttimeBudget=900\n"), want: "turn_away\tjob=00000000000000aa"},
-		"settings of no use":      {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\n"), want: "broken\tmessage=settings cannot be read"},
-		"settings without types":  {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\"limits\":{\"mostHops\":1}}\n"), want: "broken\tmessage=settings name no traffic types"},
-		"end in mid-batch":        {in: "batch\tnow=1\ntarget_instance\twho=3\n", fails: "middle of a batch"},
-		"end in mid-line":         {in: "batch\tno", fails: "middle of a batch"},
-		"megabytes":               {in: batch(start("3") + list + saved + strings.Repeat("left\tjob=00000000000000ab\tpad="+strings.Repeat("x", 1000)+"\n", 3000)), want: "eor\n"},
+		"a stream begins and ends": {in: batch(start("3")+list+saved+arrive+"begun\tjob=00000000000000aa\tn=0\tserver=8\tspent=1\n") +
+			batch("target_instance\twho=3\nverdict\tjob=00000000000000aa\tn=0\tserver=8\tverdict=broken\tfinal=1\n"), want: "eor\nfrom\twho=3\neor\n"},
+		"left and unknown":       {in: batch(start("3") + "left\tjob=00000000000000ab\n"), want: "eor\n"},
+		"an unknown type":        {in: batch(start("3") + list + saved + "arrival\tjob=00000000000000aa\tservice=7\ttimeBudget=900\n"), want: "turn_away\tjob=00000000000000aa"},
+		"settings of no use":     {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\n"), want: "broken\tmessage=settings cannot be read"},
+		"settings without types": {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\"limits\":{\"mostHops\":1}}\n"), want: "broken\tmessage=settings name no traffic types"},
+		"end in mid-batch":       {in: "batch\tnow=1\ntarget_instance\twho=3\n", fails: "middle of a batch"},
+		"end in mid-line":        {in: "batch\tno", fails: "middle of a batch"},
+		"megabytes":              {in: batch(start("3") + list + saved + strings.Repeat("left\tjob=00000000000000ab\tpad="+strings.Repeat("x", 1000)+"\n", 3000)), want: "eor\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var out, errs strings.Builder
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -252,11 +252,11 @@
 		e.Outcome, e.Spent = p.outcome(), p.span("spent", false)
 		final, _ := p.find("final")
 		e.Final = string(final) == "1"
-	case "left":
+	case "left", "begun": // a stream that has begun is the client's: no answer is owed any more
 		e.Kind, e.Job = Left, p.job()
 	case "deadline_hit":
 		e.Kind = DeadlineHit
-	case "begun", "health_result", "from_peer":
+	case "health_result", "from_peer":
 	default:
 		p.fail("unknown message")
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -365,6 +365,26 @@
 	}
 }
 
+func TestReturnAfterSilenceIsCold(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost time.Duration
+		cold bool
+	}{
+		"a short loss":           {500 * ms, false},
+		"long enough to restart": {2 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1, nil)
+			op, _ := r.arriveAt(time.Second, 0, time.Second)
+			r.end(time.Second, op, 0, Unreachable)
+			r.end(time.Second+c.lost, op, 1, Success) // it had been sent there again at once
+			if r.cold[0] != c.cold {
+				t.Errorf("cold: %v", r.cold[0])
+			}
+		})
+	}
+}
+
 func TestWindow(t *testing.T) {
 	for name, c := range map[string]struct{ nodes, servers, least, most int }{
 		"few nodes":                        {4, 10, 8, 20},
