A node starts with few servers and adds the next when all of those are busy

Change: the walk goes over the servers taken in; a server with a hop of this node out is busy; all busy or skipped, the next ready one of the rotation joins, from a start drawn in the node's own part of the rotation; the slowest is let go when more are taken in than were needed in 10 s. A server that appears is taken in as often as any other.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,7 @@
 	n.members = n.members[:0]
 	for _, m := range lines {
 		line := m.Line
-		line.Server = n.server(m.Server)
+		line.Server, line.Rank = n.server(m.Server), m.Server
 		line.Started -= n.origin
 		n.members = append(n.members, line)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -393,7 +393,7 @@
 // settings decodes the parts of the start-up parameters that the module reads.
 func settings(env []byte) (policy.Settings, error) {
 	var raw struct {
-		GroupSize      int
+		GroupSize, Me  int
 		Granularity    float64
 		Discovery      string
 		OverageRevenue float64
@@ -415,7 +415,7 @@
 		return policy.Settings{}, fmt.Errorf("settings cannot be read: %v", err)
 	}
 	s := policy.Settings{
-		Nodes: max(raw.GroupSize, 1), Tick: span(raw.Granularity), OverageRevenue: raw.OverageRevenue,
+		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Tick: span(raw.Granularity), OverageRevenue: raw.OverageRevenue,
 		OnRequest: raw.Discovery == "on_request",
 		MostHops:  raw.Limits.MostHops,
 		AskWithin: span(raw.Rules.AskWithin), ColdFor: span(raw.Rules.Cold),
--- a/policy/api.go
+++ b/policy/api.go
@@ -33,6 +33,7 @@
 // Settings are the figures the module reads; they are decoded once, at start.
 type Settings struct {
 	Nodes          int
+	Me             int           // this node's number among them
 	Tick           time.Duration // shortest gap between two calls
 	Types          []TrafficType
 	AllowancePerS  []float64 // by tenant, over all nodes
@@ -68,6 +69,7 @@
 // Member is one line of a server list.
 type Member struct {
 	Server    int
+	Rank      uint32 // place in the rotation, the same at every node
 	Zone      int
 	Cell      int
 	Condition Condition
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,6 +61,9 @@
 	coldBurst    = 2.0                    // hops saved up for a cold server
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
+	poolStart    = 2.0                    // servers that a node starts with: one to use while the other is busy
+	poolSpan     = 10 * time.Second       // in which servers once needed count as needed; longer than a burst
+	homeStep     = 0.6180339887           // of the rotation between two nodes' starts; spreads any run of nodes
 	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
 )
 
@@ -157,6 +160,7 @@
 	// Servers, in parallel arrays under their index.
 	ready     []bool
 	listed    []bool
+	rank      []uint32
 	zone      []int
 	cell      []int
 	scale     []float64
@@ -182,6 +186,12 @@
 	forecast  []time.Duration // 0 if none
 	interval  []time.Duration
 
+	rotation []int // all servers in the order that all nodes share
+	next     int   // place in rotation from where the next server joins
+	pool     []int // servers taken in, in the order of joining
+	member   []bool
+	need     float64 // most hops out lately
+
 	turn       int
 	started    bool
 	pick       int
@@ -725,37 +735,90 @@
 	return false
 }
 
-// routed walks the ready servers round robin from the last turn. Skipping goes in steps: first all
-// skips of the design and of health; if that leaves none, plain round robin over the healthy, and if
-// none is healthy, over all that are not barred.
+// routed walks the servers taken in, round robin from the last turn. While others are left, a server
+// with a hop of this node out is busy; when all taken in are busy or skipped, the next ready one of the
+// rotation joins. When none is left, skipping goes in steps: all skips of the design and of health, then
+// round robin over the healthy, then over all that are not barred.
 func (p *Policy) routed(op int) bool {
-	n := len(p.ready)
-	if n == 0 {
-		return false
-	}
-	if !p.started {
-		p.turn, p.started = int(p.chance()*float64(n)), true
-	}
 	o := &p.ops[op]
 	if o.state != out && p.full() {
 		return false
 	}
+	if p.walk(o, 3) || p.join(o) {
+		return true
+	}
 	for care := 2; care >= 0; care-- {
-		for i := range n {
-			s := (p.turn + i) % n
-			switch {
-			case p.barred(s, o):
-			case care > 0 && (tried(o, s) || p.unwell(s, o)):
-			case care > 1 && (p.nearPause(s) || p.crowded(s) || p.passedBy(s)):
-			default:
-				p.turn, p.pick = (s+1)%n, s
-				return true
-			}
+		if p.walk(o, care) {
+			return true
 		}
 	}
 	return false
 }
 
+func (p *Policy) walk(o *operation, care int) bool {
+	n := len(p.pool)
+	for i := range n {
+		s := p.pool[(p.turn+i)%n]
+		switch {
+		case p.barred(s, o):
+		case care > 0 && (tried(o, s) || p.unwell(s, o)):
+		case care > 1 && (p.nearPause(s) || p.crowded(s) || p.passedBy(s)):
+		case care > 2 && p.inFlight[s] > 0:
+		default:
+			p.turn, p.pick = (p.turn+i+1)%n, s
+			return true
+		}
+	}
+	return false
+}
+
+// join takes in the next server of the rotation that the operation may use. The first place is drawn
+// from this node's own part of the rotation, so that nodes that know few come out even over all.
+func (p *Policy) join(o *operation) bool {
+	n := len(p.rotation)
+	if n == 0 || len(p.pool) >= p.readyCount {
+		return false
+	}
+	if !p.started {
+		part := (float64(p.set.Me)*homeStep + p.chance()/float64(p.set.Nodes))
+		p.next, p.started = int((part-math.Floor(part))*float64(n)), true
+	}
+	for i := range n {
+		s := p.rotation[(p.next+i)%n]
+		if !p.member[s] && !p.barred(s, o) && !tried(o, s) && !p.unwell(s, o) && !p.nearPause(s) {
+			p.next, p.pick = (p.next+i+1)%n, s
+			p.take(s)
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Policy) take(s int) {
+	p.pool, p.member[s] = append(p.pool, s), true
+	p.slowness[s], p.ghosts[s] = 1, 0
+	p.weigh()
+}
+
+// drop lets a server go; the turn stays where it was.
+func (p *Policy) drop(s int) {
+	i := slices.Index(p.pool, s)
+	p.pool, p.member[s] = slices.Delete(p.pool, i, i+1), false
+	if i < p.turn {
+		p.turn--
+	}
+}
+
+// letGo drops the slowest server when more are taken in than were needed lately.
+func (p *Policy) letGo(passed time.Duration) {
+	p.need = max(p.need*math.Exp(-passed.Seconds()/poolSpan.Seconds()), p.flying)
+	if float64(len(p.pool)) <= p.need+poolStart {
+		return
+	}
+	worst := slices.MaxFunc(p.pool, func(a, b int) int { return cmp.Compare(p.slowness[a], p.slowness[b]) })
+	p.drop(worst)
+}
+
 func tried(o *operation, s int) bool {
 	for i := range o.hops {
 		if o.hops[i].server == s {
@@ -786,12 +849,17 @@
 	for _, m := range in.Members {
 		p.grow(m.Server)
 		s := m.Server
+		if !slices.Contains(p.rotation, s) {
+			p.rotate(s, m.Rank)
+		}
 		wasListed := p.listed[s]
 		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, m.Scale
 		if p.scale[s] <= 0 {
 			p.scale[s] = 1
 		}
-		p.ready[s] = m.Condition == Up
+		if p.ready[s] = m.Condition == Up; p.ready[s] && !wasListed && known {
+			p.met(s)
+		}
 		p.listed[s] = m.Condition != Gone
 		switch {
 		case m.HasStart && p.now-m.Started < p.set.ColdFor:
@@ -807,6 +875,11 @@
 			p.listed[s] = p.listed[s] && slices.ContainsFunc(in.Members, func(m Member) bool { return m.Server == s })
 		}
 	}
+	p.pool = slices.DeleteFunc(p.pool, func(s int) bool {
+		p.member[s] = p.ready[s]
+		return !p.ready[s]
+	})
+	p.turn = min(p.turn, max(len(p.pool)-1, 0))
 	p.weigh()
 	if len(p.samples) > 0 && slices.Max(p.samples) == 0 {
 		p.grown = windowStart * float64(p.readyCount) / float64(p.set.Nodes)
@@ -814,6 +887,14 @@
 	p.pump()
 }
 
+// met takes in a server that appears as often as this node has any other, so that it is neither left
+// out by nodes that need no more nor taken in by all at once.
+func (p *Policy) met(s int) {
+	if !p.member[s] && p.chance()*float64(p.readyCount+1) < float64(len(p.pool)) {
+		p.take(s)
+	}
+}
+
 // chill takes a server for cold since a moment.
 func (p *Policy) chill(s int, since time.Duration) {
 	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, p.chance() // not all nodes at once
@@ -821,6 +902,16 @@
 	p.weigh()
 }
 
+// rotate puts a server into the rotation by its rank, which is the same at every node.
+func (p *Policy) rotate(s int, rank uint32) {
+	p.rank[s] = rank
+	i, _ := slices.BinarySearchFunc(p.rotation, rank, func(a int, r uint32) int { return cmp.Compare(p.rank[a], r) })
+	p.rotation = slices.Insert(p.rotation, i, s)
+	if i < p.next {
+		p.next++
+	}
+}
+
 // grow makes room for a server; its smoothed latency starts at the others' mean.
 func (p *Policy) grow(s int) {
 	for s >= len(p.ready) {
@@ -833,7 +924,8 @@
 				mean, n = mean+u, n+1
 			}
 		}
-		extend(false, &p.ready, &p.listed, &p.cold)
+		extend(0, &p.rank)
+		extend(false, &p.ready, &p.listed, &p.cold, &p.member)
 		extend(0, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses)
 		extend(0.0, &p.coldPace, &p.ghosts)
 		extend(1.0, &p.scale, &p.weight, &p.slowness)
@@ -867,12 +959,14 @@
 func (p *Policy) weigh() {
 	p.weights, p.readyCount = 0, 0
 	for s := range p.ready {
-		p.weight[s] = p.scale[s] * p.capacity(s) / max(p.slowness[s]*p.slowness[s], slowLeast)
 		if p.ready[s] {
-			p.weights += p.weight[s]
 			p.readyCount++
 		}
 	}
+	for _, s := range p.pool {
+		p.weight[s] = p.scale[s] * p.capacity(s) / max(p.slowness[s]*p.slowness[s], slowLeast)
+		p.weights += p.weight[s]
+	}
 }
 
 // sweep looks at all that time changes: rates, cold budgets, shedding, open operations, the list.
@@ -898,13 +992,14 @@
 	p.paceCold(passed)
 	forget := 1 - math.Exp(-passed.Seconds()/slowForgets.Seconds())
 	p.haunted = 0
-	for s := range p.slowness {
+	for _, s := range p.pool {
 		p.slowness[s] += forget * (1 - p.slowness[s])
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
 		if p.now >= p.restUntil[s] {
 			p.haunted += p.ghosts[s]
 		}
 	}
+	p.letGo(passed)
 	p.adjustShed(passed)
 	p.pump()
 	for i := len(p.open) - 1; i >= 0; i-- {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -33,12 +33,20 @@
 	r.at(0, Input{Kind: Woken})
 	var list []Member
 	for i := range servers {
-		list = append(list, Member{Server: i, Zone: i % 2, Cell: i / 2, Scale: 1})
+		list = append(list, Member{Server: i, Rank: uint32(i), Zone: i % 2, Cell: i / 2, Scale: 1})
 	}
 	r.at(0, Input{Kind: List, Scope: Saved, Members: list})
 	return r
 }
 
+// takeAll takes in every server, in the order of their indices.
+func (r *rig) takeAll() *rig {
+	for s := range r.ready {
+		r.take(s)
+	}
+	return r
+}
+
 func (r *rig) at(now time.Duration, in Input) []Effect { return r.Handle(now, &in, nil) }
 
 func (r *rig) arriveAt(now time.Duration, kind int, budget time.Duration) (int, []Effect) {
@@ -135,8 +143,8 @@
 		"one with more in flight is passed by": {inFlight: [3]int{0, 3, 0}, want: []int{0, 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, 3, nil)
-			r.started, r.turn, r.grown, r.now = true, 0, 1000, 10*second
+			r := newRig(t, 3, nil).takeAll()
+			r.grown, r.now = 1000, 10*second
 			copy(r.Policy.forecast, c.forecast[:])
 			copy(r.Policy.interval, c.interval[:])
 			for s, n := range c.inFlight {
@@ -153,6 +161,68 @@
 	}
 }
 
+func TestTakesInServersAsNeeded(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers, out int // hops held out at once
+		resting      bool
+		want         int
+	}{
+		"one at a time":         {10, 1, false, 1},
+		"all busy: one more":    {10, 4, false, 4},
+		"no more than there is": {3, 8, false, 3},
+		"one server alone":      {1, 3, false, 1},
+		"for a resting one":     {10, 1, true, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.servers, nil)
+			r.grown = 1000
+			for range c.out {
+				if _, got := r.arriveAt(time.Second, 0, time.Second); len(got) != 1 {
+					t.Fatalf("not sent: %v", got)
+				}
+				if c.resting {
+					r.end(time.Second, r.ops-1, 0, Success)
+					r.restUntil[r.pool[0]] = 2 * time.Second
+					r.arriveAt(time.Second, 0, time.Second)
+				}
+			}
+			if len(r.pool) != c.want {
+				t.Errorf("%d taken in, want %d", len(r.pool), c.want)
+			}
+		})
+	}
+}
+
+func TestLetsGoTheSlowest(t *testing.T) {
+	r := newRig(t, 6, nil).takeAll()
+	r.slowness[3] = 2
+	r.at(100*ms, Input{Kind: Woken})
+	if r.member[3] || len(r.pool) != 5 {
+		t.Errorf("kept %v", r.pool)
+	}
+	for now := 200 * ms; now < time.Second; now += 20 * ms {
+		r.at(now, Input{Kind: Woken})
+	}
+	if len(r.pool) != poolStart {
+		t.Errorf("%d taken in with nothing to do", len(r.pool))
+	}
+}
+
+func TestNodesTogetherComeOutEven(t *testing.T) {
+	const nodes, servers = 50, 20
+	met := make([]int, servers)
+	for me := range nodes {
+		r := newRig(t, servers, func(s *Settings) { s.Nodes, s.Me = nodes, me })
+		r.arriveAt(0, 0, time.Second)
+		met[r.pool[0]]++
+	}
+	for s, n := range met {
+		if n < 1 || n > 4 { // 2.5 in the mean; by chance alone some would be met by none
+			t.Errorf("server %d is met by %d nodes", s, n)
+		}
+	}
+}
+
 func TestNewServerStartsAtTheOthersMean(t *testing.T) {
 	r := newRig(t, 2, nil)
 	r.smoothed[0], r.smoothed[1] = 100*ms, 300*ms
@@ -342,7 +412,7 @@
 		"started long ago": {Member{Server: 2, Scale: 1, Started: -60 * time.Second, HasStart: true}, Changes, 1000, 10 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, 2, nil)
+			r := newRig(t, 2, nil).takeAll()
 			r.at(10*time.Second, Input{Kind: List, Scope: c.scope, Members: []Member{c.member}})
 			sent := 0
 			for now := 10 * time.Second; now < 12*time.Second; now += 10 * ms {
@@ -461,8 +531,8 @@
 		"all slow alike: all skipped": {-2.6, 100, 100},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, 3, nil)
-			r.started, r.turn, r.grown = true, 0, 1000
+			r := newRig(t, 3, nil).takeAll()
+			r.grown = 1000
 			turns := 0
 			r.slowness[1] = max(c.slowness, -c.slowness)
 			if c.slowness < 0 {
