--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,6 @@
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
 	slowSmooth   = 0.1                    // weight in a server slowness; ten hops even out heavy operations
 	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
-	passFrom     = 1.3                    // times the usual latency from where turns are missed; most lie below
 	slowLeast    = 0.1                    // of the square, so that a fast server is not given all
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
@@ -100,7 +99,6 @@
 // lifecycle is read from the top: the first row whose state, signal and guard fit is taken.
 func lifecycle() []row {
 	return []row{
-		{fresh, arrived, (*Policy).tooLate, closed, (*Policy).deny},
 		{fresh, arrived, (*Policy).shedByChance, closed, (*Policy).deny},
 		{fresh, arrived, (*Policy).routed, out, (*Policy).send},
 		{fresh, arrived, (*Policy).worthWaiting, waiting, (*Policy).hold},
@@ -202,8 +200,6 @@
 	usual      []time.Duration // latency by type
 	samples    []float64       // answers by type, since the start
 	base       []time.Duration // the least of it lately: unloaded
-	budget     []time.Duration // longest time budget seen by type: that of a first try
-	budgetEq   []float64       // share of operations that come with it
 
 	finished  float64   // hops that would finish in the time that hops may take
 	grown     float64   // hops that answers in time have made room for
@@ -235,7 +231,7 @@
 		p.usual = append(p.usual, t.TargetTime/4)
 		p.base = append(p.base, t.TargetTime/4)
 	}
-	p.budget, p.budgetEq, p.samples = make([]time.Duration, n), make([]float64, n), make([]float64, n)
+	p.samples = make([]float64, n)
 	p.denyShare, p.rates = make([]float64, 2*n), make([]float64, 2*n)
 	p.tenants = make([]float64, len(s.AllowancePerS))
 	for b := range 2 * n {
@@ -302,8 +298,6 @@
 
 func (p *Policy) emit(e Effect) { p.effects = append(p.effects, e) }
 
-// arrive takes an operation. A client's retry comes with less time than a first try, which tells how
-// much of its target time has gone by; that is believed only while most come with one same budget.
 func (p *Policy) arrive(in *Input) {
 	for in.Op >= len(p.ops) {
 		p.ops = append(p.ops, operation{})
@@ -316,15 +310,6 @@
 	o := &p.ops[in.Op]
 	*o = operation{kind: in.Type, hops: o.hops[:0], group: -1, came: p.now, limit: p.now + in.Budget}
 	o.target = min(p.now+t.TargetTime-2*p.set.Tick, o.limit)
-	const eps = time.Millisecond
-	if in.Budget > p.budget[in.Type]+eps {
-		p.budget[in.Type], p.budgetEq[in.Type] = in.Budget, 0
-	}
-	first := in.Budget >= p.budget[in.Type]-eps
-	p.budgetEq[in.Type] += smoothing * (share(first) - p.budgetEq[in.Type])
-	if !first && p.budgetEq[in.Type] > 0.5 {
-		o.target = min(o.target, p.now+t.TargetTime-(t.AbandonTime-in.Budget))
-	}
 	o.bucket = 2 * in.Type
 	if in.Tenant < len(p.tenants) {
 		fair := p.set.AllowancePerS[in.Tenant] / float64(p.set.Nodes)
@@ -378,9 +363,6 @@
 
 func always(*Policy, int) bool { return true }
 
-// tooLate: a retry whose target time has passed would cost a server its work for nothing.
-func (p *Policy) tooLate(op int) bool { return p.shed > 0 && p.ops[op].target <= p.now }
-
 func (p *Policy) shedByChance(op int) bool {
 	d := p.denyShare[p.ops[op].bucket]
 	return d > 0 && p.chance() < d
@@ -444,7 +426,7 @@
 }
 
 func (p *Policy) deny(op int) {
-	back := time.Duration(float64(p.set.MaxRetryIn) * (0.9 + 0.1*p.chance()))
+	back := time.Duration(float64(p.set.MaxRetryIn) * (0.9 + 0.1*p.chance())) // not all at once
 	p.emit(Effect{Kind: Deny, Op: op, For: back})
 }
 
@@ -696,26 +678,12 @@
 	return float64(p.inFlight[s])+p.ghosts[s] > crowdFactor*mean+crowdPlus
 }
 
-// unwell: resting after failures, on trial with a hop out, silent for longer than a pause is, or so slow
-// that the operation would miss its target time there. Binding operations go to no server on trial.
+// unwell: resting after failures, or on trial with a hop out. Binding operations go to none on trial.
 func (p *Policy) unwell(s int, o *operation) bool {
 	if p.now < p.restUntil[s] {
 		return true
 	}
-	if p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding) {
-		return true
-	}
-	if p.inFlight[s] > 0 && float64(p.now-p.answered[s]) > spikeFactor*float64(p.smoothed[s]) {
-		return true
-	}
-	return p.slowness[s] > 1.5 && p.slowness[s]*float64(p.usual[o.kind]) > float64(o.target-p.now)
-}
-
-// passedBy: a server slower than usual is passed by on so many turns as it is slower. Where a node has
-// few hops out, a slow server is as often idle as a fast one, and the in-flight skip does not see it.
-func (p *Policy) passedBy(s int) bool {
-	x := passFrom / p.slowness[s]
-	return x < 1 && p.chance() > x*x
+	return p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding)
 }
 
 // barred: the rules or the cold budget forbid this server for this operation.
@@ -762,7 +730,7 @@
 		switch {
 		case p.barred(s, o):
 		case care > 0 && (tried(o, s) || p.unwell(s, o)):
-		case care > 1 && (p.nearPause(s) || p.crowded(s) || p.passedBy(s)):
+		case care > 1 && (p.nearPause(s) || p.crowded(s)):
 		case care > 2 && p.inFlight[s] > 0:
 		default:
 			p.turn, p.pick = (p.turn+i+1)%n, s
