The window falls by the strain; given-up hops count in the in-flight skip only

Change: the window is divided by the strain of answers and no longer holds given-up hops; the cut by a tenth a hop goes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,7 +43,6 @@
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
 	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals
 	strainSmooth = 0.05                   // weight of one hop in the strain: twenty hops
-	windowCut    = 0.9                    // left of the grown window after a hop under strain; seven halve it
 	windowStart  = 4.0                    // hops a server over all nodes at the start; it grows with answers
 	windowLeast  = 2.0                    // the same under strain: enough to see it pass
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
@@ -196,7 +195,6 @@
 	weights    float64
 	readyCount int
 	flying     float64         // hops out
-	haunted    float64         // ghosts at servers that do not rest
 	usual      []time.Duration // latency by type
 	samples    []float64       // answers by type, since the start
 	base       []time.Duration // the least of it lately: unloaded
@@ -334,11 +332,11 @@
 // against a queue that builds up at the servers faster than late answers tell of it.
 func (p *Policy) full() bool {
 	least := windowLeast * float64(p.readyCount) / float64(p.set.Nodes)
-	return p.flying+p.haunted >= p.window() && p.flying >= max(least, 1)
+	return p.flying >= p.window() && p.flying >= max(least, 1)
 }
 
 func (p *Policy) window() float64 {
-	return max(p.finished+windowSlack*math.Sqrt(p.finished), p.grown)
+	return max(p.finished+windowSlack*math.Sqrt(p.finished), p.grown) / max(p.strain, 1)
 }
 
 // judge grows the window by each answer that came while it was used up, for the rate of finished hops
@@ -346,7 +344,7 @@
 func (p *Policy) judge(spent, allowed float64) {
 	p.strain += strainSmooth * (spent/allowed - p.strain)
 	if p.strain > 1 {
-		p.grown *= windowCut
+		p.grown = min(p.grown, p.window())
 	} else if w := p.window(); p.flying+1 >= w {
 		p.grown = w + 1
 	}
@@ -959,13 +957,9 @@
 	p.weigh()
 	p.paceCold(passed)
 	forget := 1 - math.Exp(-passed.Seconds()/slowForgets.Seconds())
-	p.haunted = 0
 	for _, s := range p.pool {
 		p.slowness[s] += forget * (1 - p.slowness[s])
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
-		if p.now >= p.restUntil[s] {
-			p.haunted += p.ghosts[s]
-		}
 	}
 	p.letGo(passed)
 	p.adjustShed(passed)
