--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,19 +29,15 @@
 	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
 	slowSmooth   = 0.1                    // weight in a server slowness; ten hops even out heavy operations
-	slowForgets  = 5 * time.Second        // time for a slowness without new samples to fade
 	slowLeast    = 0.1                    // of the square, so that a fast server is not given all
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
 	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
 	restStrikes  = 2                      // time-outs in a row; one may be a heavy operation
-	repeatShare  = 0.05                   // repeats per operation, so that trouble is not amplified
-	repeatBurst  = 5.0                    // repeats saved up for a sudden failure
 	windowAim    = 0.15                   // of the target time left by unloaded latency, for waiting at servers
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
 	baseSamples  = 20.0                   // answers before a type's latency is taken for known; chance evens out
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
-	windowSlack  = 1.0                    // times the root of the window: chance bunches arrivals
 	strainSmooth = 0.05                   // weight of one hop in the strain: twenty hops
 	windowStart  = 4.0                    // hops a server over all nodes at the start; it grows with answers
 	windowLeast  = 2.0                    // the same under strain: enough to see it pass
@@ -54,12 +50,11 @@
 	admitLeast   = 0.02                   // of the offered work, so that it is seen when it has passed
 	shedMost     = 0.95                   // of one type; some of each are let through
 	rateSpan     = 3 * time.Second        // over which arrival and success rates are taken
-	coldHeadroom = 1.0                    // times a warm server's hops for its present share of capacity
 	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
 	coldBurst    = 2.0                    // hops saved up for a cold server
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
-	poolStart    = 2.0                    // servers that a node starts with: one to use while the other is busy
+	poolSlack    = 2.0                    // servers kept beyond those needed: a turn each before one is used again
 	poolSpan     = 10 * time.Second       // in which servers once needed count as needed; longer than a burst
 	homeStep     = 0.6180339887           // of the rotation between two nodes' starts; spreads any run of nodes
 	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
@@ -112,7 +107,7 @@
 		{out, neverRan, (*Policy).repeatable, out, (*Policy).send},
 		{out, neverRan, (*Policy).harmless, closed, (*Policy).deny},
 		{out, neverRan, always, closed, (*Policy).writeOff},
-		{out, mayHaveRun, (*Policy).repeatable, out, (*Policy).repeat},
+		{out, mayHaveRun, (*Policy).repeatable, out, (*Policy).send},
 		{out, mayHaveRun, (*Policy).harmless, closed, (*Policy).deny},
 		{out, mayHaveRun, always, closed, (*Policy).writeOff},
 		{out, swept, (*Policy).atLimitHarmless, closed, (*Policy).deny},
@@ -203,7 +198,6 @@
 	grown     float64   // hops that answers in time have made room for
 	strain    float64   // smoothed time of hops over the time they may take
 	blocked   float64   // share of time that the window is full
-	repeats   float64   // that the budget allows now
 	admit     float64   // share of the offered work that is let in
 	shed      float64   // the rest
 	denyShare []float64 // by bucket: type, within or beyond its tenant's share
@@ -220,7 +214,7 @@
 
 // New returns an instance that draws its chance from seed.
 func New(s Settings, seed uint32) *Policy {
-	p := &Policy{set: s, seed: seed, admit: 1, repeats: repeatBurst, askWait: askFirst}
+	p := &Policy{set: s, seed: seed, admit: 1, askWait: askFirst}
 	for _, r := range lifecycle() {
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
@@ -317,7 +311,6 @@
 		}
 	}
 	p.rates[o.bucket] += 1 / rateSpan.Seconds()
-	p.repeats = min(p.repeats+repeatShare, repeatBurst)
 	p.step(in.Op, arrived)
 }
 
@@ -336,7 +329,7 @@
 }
 
 func (p *Policy) window() float64 {
-	return max(p.finished+windowSlack*math.Sqrt(p.finished), p.grown) / max(p.strain, 1)
+	return max(p.finished+math.Sqrt(p.finished), p.grown) / max(p.strain, 1)
 }
 
 // judge grows the window by each answer that came while it was used up, for the rate of finished hops
@@ -400,7 +393,7 @@
 	if len(o.hops) >= p.set.MostHops || p.now+p.usual[o.kind]/2 > o.target {
 		return false
 	}
-	if o.mayRun && (t.Repeat == Binding || p.repeats < 1) {
+	if o.mayRun && (t.Repeat == Binding || p.full()) { // repeats add no load when there is no room
 		return false
 	}
 	if o.mayRun && t.Repeat == Fingerprinted && p.now >= o.firstRun+t.Window-p.set.Tick {
@@ -430,19 +423,9 @@
 
 func (p *Policy) writeOff(op int) { p.emit(Effect{Kind: WriteOff, Op: op}) }
 
-func (p *Policy) repeat(op int) {
-	p.repeats--
-	p.send(op)
-}
-
 // send puts a hop out to the server that route picked.
 func (p *Policy) send(op int) {
 	o, s := &p.ops[op], p.pick
-	until := o.target
-	if until <= p.now {
-		until = o.limit
-	}
-
 	o.hops = append(o.hops, hop{server: s, sent: p.now})
 	if o.group < 0 {
 		o.group, o.firstRun = s, p.now
@@ -456,7 +439,7 @@
 	if p.cold[s] {
 		p.coldPace[s]--
 	}
-	p.emit(Effect{Kind: SendHop, Op: op, Server: s, For: max(until-p.now, time.Millisecond)})
+	p.emit(Effect{Kind: SendHop, Op: op, Server: s, For: max(o.target-p.now, time.Millisecond)})
 }
 
 // hopEnded books a hop's end under its server and lets the table answer for the operation.
@@ -592,16 +575,13 @@
 }
 
 func (p *Policy) mayRest() bool {
-	ready, resting := 0, 1
-	for i := range p.ready {
-		if p.ready[i] {
-			ready++
-			if p.now < p.restUntil[i] {
-				resting++
-			}
+	resting := 1
+	for _, until := range p.restUntil {
+		if p.now < until {
+			resting++
 		}
 	}
-	return 2*resting <= ready
+	return 2*resting <= p.readyCount
 }
 
 // spike counts runs of spikes and time-outs; a run is one pause, and its line is fitted anew.
@@ -766,32 +746,22 @@
 	p.weigh()
 }
 
-// drop lets a server go; the turn stays where it was.
-func (p *Policy) drop(s int) {
-	i := slices.Index(p.pool, s)
-	p.pool, p.member[s] = slices.Delete(p.pool, i, i+1), false
-	if i < p.turn {
-		p.turn--
-	}
-}
-
 // letGo drops the slowest server when more are taken in than were needed lately.
 func (p *Policy) letGo(passed time.Duration) {
 	p.need = max(p.need*math.Exp(-passed.Seconds()/poolSpan.Seconds()), p.flying)
-	if float64(len(p.pool)) <= p.need+poolStart {
+	if float64(len(p.pool)) <= p.need+poolSlack {
 		return
 	}
 	worst := slices.MaxFunc(p.pool, func(a, b int) int { return cmp.Compare(p.slowness[a], p.slowness[b]) })
-	p.drop(worst)
+	i := slices.Index(p.pool, worst)
+	p.pool, p.member[worst] = slices.Delete(p.pool, i, i+1), false
+	if i < p.turn {
+		p.turn--
+	}
 }
 
 func tried(o *operation, s int) bool {
-	for i := range o.hops {
-		if o.hops[i].server == s {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(o.hops, func(h hop) bool { return h.server == s })
 }
 
 // follow takes a server list. Where it must be asked for, a failure is answered by asking again after a
@@ -806,11 +776,10 @@
 	if in.Scope != Saved {
 		p.askWait = askFirst
 	}
-	known := len(p.listed) > 0
-	if in.Scope != Changes {
-		for s := range p.ready {
-			p.ready[s] = false // absent from a full list: gone
-		}
+	was, known := slices.Clone(p.listed), len(p.listed) > 0
+	if in.Scope != Changes { // absent from a full list: gone
+		clear(p.ready)
+		clear(p.listed)
 	}
 	for _, m := range in.Members {
 		p.grow(m.Server)
@@ -818,7 +787,7 @@
 		if !slices.Contains(p.rotation, s) {
 			p.rotate(s, m.Rank)
 		}
-		wasListed := p.listed[s]
+		wasListed := s < len(was) && was[s]
 		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, m.Scale
 		if p.scale[s] <= 0 {
 			p.scale[s] = 1
@@ -836,11 +805,6 @@
 			p.chill(s, p.now) // no start time told, but it was not there before
 		}
 	}
-	if in.Scope != Changes {
-		for s := range p.ready {
-			p.listed[s] = p.listed[s] && slices.ContainsFunc(in.Members, func(m Member) bool { return m.Server == s })
-		}
-	}
 	p.pool = slices.DeleteFunc(p.pool, func(s int) bool {
 		p.member[s] = p.ready[s]
 		return !p.ready[s]
@@ -956,9 +920,7 @@
 	p.finished *= math.Exp(-passed.Seconds() / windowSpan.Seconds())
 	p.weigh()
 	p.paceCold(passed)
-	forget := 1 - math.Exp(-passed.Seconds()/slowForgets.Seconds())
 	for _, s := range p.pool {
-		p.slowness[s] += forget * (1 - p.slowness[s])
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
 	}
 	p.letGo(passed)
@@ -978,14 +940,10 @@
 // paceCold refills the cold budgets. The fall is counted over all nodes, so each node gives a cold
 // server what a warm one of its scale handles for this node, cut to the capacity it surely has.
 func (p *Policy) paceCold(passed time.Duration) {
-	var slowest time.Duration = 1
-	for _, u := range p.usual {
-		slowest = max(slowest, u)
-	}
-	floor := coldFloor * p.set.FallMultiple / slowest.Seconds() / float64(p.set.Nodes)
+	floor := coldFloor * p.set.FallMultiple / max(slices.Max(p.usual), 1).Seconds() / float64(p.set.Nodes)
 	for s := range p.cold {
 		if p.cold[s] {
-			pace := max(coldHeadroom*p.successes*p.scale[s]/max(p.weights, 1e-9), floor) * p.capacity(s)
+			pace := max(p.successes*p.scale[s]/max(p.weights, 1e-9), floor) * p.capacity(s)
 			p.coldPace[s] = min(p.coldPace[s]+pace*passed.Seconds(), coldBurst)
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -203,7 +203,7 @@
 	for now := 200 * ms; now < time.Second; now += 20 * ms {
 		r.at(now, Input{Kind: Woken})
 	}
-	if len(r.pool) != poolStart {
+	if len(r.pool) != poolSlack {
 		t.Errorf("%d taken in with nothing to do", len(r.pool))
 	}
 }
