Connections to servers let go are closed, and idle ones too while tables are full

Symptom: from 0:10 a third of the hops find no connection, with no entry in any list. Cause: full connection tables; told from dead processes by their spread over all servers, from a cut by the answer within 2 ms in place of the connect time-out. Change: a server that is let go is released, and for 5 s after a connection refused at once idle connections are released after each answer.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	Lose(job uint64)
 	Schedule(after time.Duration)
 	Listen()
+	Release(server uint32)
 }
 
 // Member is a line of a server list in outside ids; Line.Server is filled in here.
@@ -147,6 +148,8 @@
 			out.Schedule(e.For)
 		case policy.Subscribe:
 			out.Listen()
+		case policy.Release:
+			out.Release(n.ids[e.Server])
 		}
 	}
 	for _, e := range n.effects { // an answer to an operation other than the event's own
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 func (r *record) TurnAway(uint64, time.Duration)        { r.answers++ }
 func (r *record) Lose(uint64)                           { r.answers++ }
 func (r *record) Schedule(time.Duration)                {}
+func (r *record) Release(uint32)                        {}
 func (r *record) Listen()                               {}
 
 func TestIndicesAreReleased(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -398,9 +398,10 @@
 		Discovery      string
 		OverageRevenue float64
 		Limits         struct {
-			MaxRetryAfter float64
-			MostHops      int
-			RetryAfter    bool
+			MaxRetryAfter  float64
+			ConnectTimeout float64
+			MostHops       int
+			RetryAfter     bool
 		}
 		Rules struct {
 			AskWithin, Cold, FallMultiple, StartCapacity float64
@@ -415,10 +416,12 @@
 		return policy.Settings{}, fmt.Errorf("settings cannot be read: %v", err)
 	}
 	s := policy.Settings{
-		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Tick: span(raw.Granularity), OverageRevenue: raw.OverageRevenue,
-		OnRequest: raw.Discovery == "on_request",
-		MostHops:  raw.Limits.MostHops,
-		AskWithin: span(raw.Rules.AskWithin), ColdFor: span(raw.Rules.Cold),
+		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Tick: span(raw.Granularity),
+		OverageRevenue: raw.OverageRevenue,
+		OnRequest:      raw.Discovery == "on_request",
+		MostHops:       raw.Limits.MostHops,
+		ConnectTimeout: span(raw.Limits.ConnectTimeout),
+		AskWithin:      span(raw.Rules.AskWithin), ColdFor: span(raw.Rules.Cold),
 		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
 	}
 	if raw.Limits.RetryAfter {
@@ -536,6 +539,13 @@
 // Listen subscribes to the server list.
 func (w *Writer) Listen() { w.buf = append(w.buf, "listen\tenable=1\n"...) }
 
+// Release closes idle connections to a server.
+func (w *Writer) Release(server uint32) {
+	w.buf = append(w.buf, "release"...)
+	w.uint("server", uint64(server))
+	w.end()
+}
+
 // Broken tells that the module cannot work, and why.
 func (w *Writer) Broken(why string) {
 	clean := bytes.Map(func(r rune) rune {
--- a/policy/api.go
+++ b/policy/api.go
@@ -42,6 +42,7 @@
 	MostHops       int
 	MaxRetryIn     time.Duration // 0 when clients are not told when to return
 	AskWithin      time.Duration
+	ConnectTimeout time.Duration
 	ColdFor        time.Duration
 	ColdStart      float64
 	FallMultiple   float64
@@ -128,6 +129,7 @@
 	WriteOff
 	Wake
 	Subscribe
+	Release // close idle connections to the server
 )
 
 // Effect is one thing the caller must do, in the order given.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,6 @@
 	spikeFactor       = 4.0             // times smoothed latency; the tail of usual work stays below
 	spikeRun          = 2               // hops in a run that counts as a pause
 	crowdFactor       = 1.0             // times the mean in flight; with few hops a node, the mean is the signal
-	crowdPlus         = 0.0             // hops allowed above that
 
 	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
@@ -54,9 +53,10 @@
 	coldBurst    = 2.0                    // hops saved up for a cold server
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
-	poolSlack    = 2.0                    // servers kept beyond those needed: a turn each before one is used again
+	poolSlack    = 2.0                    // servers kept beyond those needed: one rests while another works
 	poolSpan     = 10 * time.Second       // in which servers once needed count as needed; longer than a burst
 	homeStep     = 0.6180339887           // of the rotation between two nodes' starts; spreads any run of nodes
+	spareSpan    = 5 * time.Second        // after a refusal; about as long as idle connections are kept
 	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
 )
 
@@ -76,8 +76,7 @@
 	arrived signal = iota
 	swept
 	won
-	neverRan
-	mayHaveRun
+	lost
 	departed
 	signals
 )
@@ -104,12 +103,9 @@
 		{waiting, departed, always, closed, (*Policy).hold},
 
 		{out, won, always, closed, (*Policy).hold},
-		{out, neverRan, (*Policy).repeatable, out, (*Policy).send},
-		{out, neverRan, (*Policy).harmless, closed, (*Policy).deny},
-		{out, neverRan, always, closed, (*Policy).writeOff},
-		{out, mayHaveRun, (*Policy).repeatable, out, (*Policy).send},
-		{out, mayHaveRun, (*Policy).harmless, closed, (*Policy).deny},
-		{out, mayHaveRun, always, closed, (*Policy).writeOff},
+		{out, lost, (*Policy).repeatable, out, (*Policy).send},
+		{out, lost, (*Policy).harmless, closed, (*Policy).deny},
+		{out, lost, always, closed, (*Policy).writeOff},
 		{out, swept, (*Policy).atLimitHarmless, closed, (*Policy).deny},
 		{out, swept, (*Policy).atLimit, closed, (*Policy).writeOff},
 
@@ -205,7 +201,8 @@
 	tenants   []float64 // arrivals per second by tenant
 	waitWon   []float64 // by bucket: share of waits that end in a hop
 	order     []int
-	successes float64 // per second
+	successes float64       // per second
+	refusedAt time.Duration // last connection refused at once, 0 if none
 	lastSweep time.Duration
 	asked     bool
 	askAt     time.Duration
@@ -324,8 +321,7 @@
 // full: by the rate at which hops finish, those in flight will take longer than they may. This guards
 // against a queue that builds up at the servers faster than late answers tell of it.
 func (p *Policy) full() bool {
-	least := windowLeast * float64(p.readyCount) / float64(p.set.Nodes)
-	return p.flying >= p.window() && p.flying >= max(least, 1)
+	return p.flying >= max(p.window(), windowLeast*float64(p.readyCount)/float64(p.set.Nodes), 1)
 }
 
 func (p *Policy) window() float64 {
@@ -343,13 +339,6 @@
 	}
 }
 
-func share(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // Guards of the table.
 
 func always(*Policy, int) bool { return true }
@@ -454,6 +443,7 @@
 	p.flying--
 	ran := in.Outcome != Overloaded && in.Outcome != Unreachable && in.Outcome != Void
 	p.learn(h.server, o, h.sent, in.Outcome)
+	p.spare(h.server, in)
 	if !ran {
 		// as if it had never been sent: the group is that of the first hop that may have run
 		o.mayRun, o.group = false, -1
@@ -470,10 +460,8 @@
 		p.step(in.Op, won)
 	case in.Final:
 		p.step(in.Op, departed)
-	case ran:
-		p.step(in.Op, mayHaveRun)
 	default:
-		p.step(in.Op, neverRan)
+		p.step(in.Op, lost)
 	}
 	p.pump()
 }
@@ -522,6 +510,17 @@
 	}
 }
 
+// spare closes idle connections after each answer while servers refuse new ones at once. This guards
+// against connection tables filled by hundreds of nodes, each of which keeps a few for later.
+func (p *Policy) spare(s int, in *Input) {
+	if in.Outcome == Unreachable && in.Spent < p.set.ConnectTimeout/2 {
+		p.refusedAt = p.now
+	}
+	if p.refusedAt > 0 && p.now-p.refusedAt < spareSpan && p.inFlight[s] == 0 {
+		p.emit(Effect{Kind: Release, Server: s})
+	}
+}
+
 // pump gives freed room to the operations that wait here, the dearest first.
 func (p *Policy) pump() {
 	for !p.full() {
@@ -653,7 +652,7 @@
 // crowded: more in flight than the mean for a server of this scale.
 func (p *Policy) crowded(s int) bool {
 	mean := p.flying * p.weight[s] / max(p.weights, 1e-9)
-	return float64(p.inFlight[s])+p.ghosts[s] > crowdFactor*mean+crowdPlus
+	return float64(p.inFlight[s])+p.ghosts[s] > crowdFactor*mean
 }
 
 // unwell: resting after failures, or on trial with a hop out. Binding operations go to none on trial.
@@ -755,6 +754,7 @@
 	worst := slices.MaxFunc(p.pool, func(a, b int) int { return cmp.Compare(p.slowness[a], p.slowness[b]) })
 	i := slices.Index(p.pool, worst)
 	p.pool, p.member[worst] = slices.Delete(p.pool, i, i+1), false
+	p.emit(Effect{Kind: Release, Server: worst})
 	if i < p.turn {
 		p.turn--
 	}
@@ -788,10 +788,7 @@
 			p.rotate(s, m.Rank)
 		}
 		wasListed := s < len(was) && was[s]
-		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, m.Scale
-		if p.scale[s] <= 0 {
-			p.scale[s] = 1
-		}
+		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, cmp.Or(max(m.Scale, 0), 1)
 		if p.ready[s] = m.Condition == Up; p.ready[s] && !wasListed && known {
 			p.met(s)
 		}
@@ -829,13 +826,12 @@
 func (p *Policy) chill(s int, since time.Duration) {
 	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, p.chance() // not all nodes at once
 	p.strikes[s], p.restUntil[s], p.lostSince[s] = 0, 0, 0
-	p.weigh()
 }
 
 // rotate puts a server into the rotation by its rank, which is the same at every node.
-func (p *Policy) rotate(s int, rank uint32) {
-	p.rank[s] = rank
-	i, _ := slices.BinarySearchFunc(p.rotation, rank, func(a int, r uint32) int { return cmp.Compare(p.rank[a], r) })
+func (p *Policy) rotate(s int, r uint32) {
+	p.rank[s] = r
+	i, _ := slices.BinarySearchFunc(p.rotation, r, func(a int, b uint32) int { return cmp.Compare(p.rank[a], b) })
 	p.rotation = slices.Insert(p.rotation, i, s)
 	if i < p.next {
 		p.next++
@@ -952,7 +948,11 @@
 // adjustShed moves the share of offered work that is denied, and spreads it: the types that earn least
 // for the time they take are denied first, operations beyond their tenant's share at its lower revenue.
 func (p *Policy) adjustShed(passed time.Duration) {
-	p.blocked += (1 - math.Exp(-passed.Seconds()/blockedSpan.Seconds())) * (share(p.full()) - p.blocked)
+	full := 0.0
+	if p.full() {
+		full = 1
+	}
+	p.blocked += (1 - math.Exp(-passed.Seconds()/blockedSpan.Seconds())) * (full - p.blocked)
 	off := max(1-p.blocked/blockedAim, -2)
 	p.admit = min(max(p.admit*math.Exp(admitPace*off*passed.Seconds()), admitLeast), 1)
 	p.shed = 1 - p.admit
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -208,6 +208,29 @@
 	}
 }
 
+func TestClosesIdleConnectionsWhereTheyAreScarce(t *testing.T) {
+	for name, c := range map[string]struct {
+		how   Outcome
+		spent time.Duration
+		want  bool
+	}{
+		"refused at once: tables are full":  {Unreachable, 2 * ms, true},
+		"no way there: tables may be empty": {Unreachable, 250 * ms, false},
+		"an error":                          {Failure, 2 * ms, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 4, func(s *Settings) { s.ConnectTimeout = 250 * ms })
+			op, _ := r.arriveAt(time.Second, 0, time.Second)
+			r.at(time.Second, Input{Kind: HopEnded, Op: op, Outcome: c.how, Spent: c.spent})
+			got := r.end(time.Second+50*ms, op, 1, Success)
+			closed := len(got) > 0 && got[len(got)-1].Kind == Release
+			if closed != c.want {
+				t.Errorf("closed: %v", closed)
+			}
+		})
+	}
+}
+
 func TestNodesTogetherComeOutEven(t *testing.T) {
 	const nodes, servers = 50, 20
 	met := make([]int, servers)
