--- a/policy/policy.go
+++ b/policy/policy.go
@@ -831,7 +831,7 @@
 // rotate puts a server into the rotation by its rank, which is the same at every node.
 func (p *Policy) rotate(s int, r uint32) {
 	p.rank[s] = r
-	i, _ := slices.BinarySearchFunc(p.rotation, r, func(a int, b uint32) int { return cmp.Compare(p.rank[a], b) })
+	i, _ := slices.BinarySearchFunc(p.rotation, r, func(a int, b uint32) int { return int(p.rank[a]) - int(b) })
 	p.rotation = slices.Insert(p.rotation, i, s)
 	if i < p.next {
 		p.next++
