Busy counts while a server is left to add; letting go only where answers are few

Change: busy is a skip only while one is left to add, and a server is let go only under 2.5 answers a second for each held.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,6 +54,7 @@
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
 	poolSlack    = 2.0                    // servers kept beyond those needed: one rests while another works
+	poolJudged   = 2.5                    // answers a second a server; ten, which judge it, come in 4 s
 	poolSpan     = 10 * time.Second       // in which servers once needed count as needed; longer than a burst
 	homeStep     = 0.6180339887           // of the rotation between two nodes' starts; spreads any run of nodes
 	spareSpan    = 5 * time.Second        // after a refusal; about as long as idle connections are kept
@@ -689,7 +690,7 @@
 	if o.state != out && p.full() {
 		return false
 	}
-	if p.walk(o, 3) || p.join(o) {
+	if len(p.pool) < p.readyCount && (p.walk(o, 3) || p.join(o)) {
 		return true
 	}
 	for care := 2; care >= 0; care-- {
@@ -721,9 +722,6 @@
 // from this node's own part of the rotation, so that nodes that know few come out even over all.
 func (p *Policy) join(o *operation) bool {
 	n := len(p.rotation)
-	if n == 0 || len(p.pool) >= p.readyCount {
-		return false
-	}
 	if !p.started {
 		part := (float64(p.set.Me)*homeStep + p.chance()/float64(p.set.Nodes))
 		p.next, p.started = int((part-math.Floor(part))*float64(n)), true
@@ -745,10 +743,11 @@
 	p.weigh()
 }
 
-// letGo drops the slowest server when more are taken in than were needed lately.
+// letGo drops the slowest server when more are taken in than were needed lately and than can be judged:
+// where answers tell of each, turns stay even over all of them.
 func (p *Policy) letGo(passed time.Duration) {
 	p.need = max(p.need*math.Exp(-passed.Seconds()/poolSpan.Seconds()), p.flying)
-	if float64(len(p.pool)) <= p.need+poolSlack {
+	if float64(len(p.pool)) <= max(p.need+poolSlack, p.successes/poolJudged) {
 		return
 	}
 	worst := slices.MaxFunc(p.pool, func(a, b int) int { return cmp.Compare(p.slowness[a], p.slowness[b]) })
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -42,7 +42,9 @@
 // takeAll takes in every server, in the order of their indices.
 func (r *rig) takeAll() *rig {
 	for s := range r.ready {
-		r.take(s)
+		if !r.member[s] {
+			r.take(s)
+		}
 	}
 	return r
 }
@@ -135,6 +137,7 @@
 		want               []int
 	}{
 		"round robin":                          {want: []int{0, 1, 2, 0}},
+		"all taken in: busy is no skip":        {inFlight: [3]int{1, 1, 1}, want: []int{0, 1, 2, 0}},
 		"a near pause is skipped":              {forecast: [3]time.Duration{0, 12 * second, 0}, interval: [3]time.Duration{0, 20 * second, 0}, want: []int{0, 2, 0, 2}},
 		"an overdue pause is skipped":          {forecast: [3]time.Duration{0, 8 * second, 0}, interval: [3]time.Duration{0, 20 * second, 0}, want: []int{0, 2, 0}},
 		"the threshold is capped":              {forecast: [3]time.Duration{0, 12 * second, 0}, interval: [3]time.Duration{0, 4 * second, 0}, want: []int{0, 1, 2}},
@@ -206,6 +209,12 @@
 	if len(r.pool) != poolSlack {
 		t.Errorf("%d taken in with nothing to do", len(r.pool))
 	}
+	r.takeAll()
+	r.successes = 6 * poolJudged // enough to judge all six
+	r.letGo(20 * ms)
+	if len(r.pool) != 6 {
+		t.Errorf("%d left of six that are all judged", len(r.pool))
+	}
 }
 
 func TestClosesIdleConnectionsWhereTheyAreScarce(t *testing.T) {
