A tenant's share at a node goes with the others' traffic there

Cause: each node took its part of a tenant's share for the allowance over the number of nodes. Nodes do not get traffic alike (sites differ by a quarter to a half), and one among hundreds sees one or two arrivals a second, so that chance put half of a tenant's operations beyond its share, and they were denied first. Change: the share grows with the other tenants' traffic over theirs, with the root of what 3 s bring as slack.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -302,7 +302,7 @@
 	o.target = min(p.now+t.TargetTime-2*p.set.Tick, o.limit)
 	o.bucket = 2 * in.Type
 	if in.Tenant < len(p.tenants) {
-		fair := p.set.AllowancePerS[in.Tenant] / float64(p.set.Nodes)
+		fair := p.fair(in.Tenant)
 		p.tenants[in.Tenant] += 1 / rateSpan.Seconds()
 		if fair > 0 && p.tenants[in.Tenant] > fair && p.chance() > fair/p.tenants[in.Tenant] {
 			o.bucket++
@@ -312,6 +312,20 @@
 	p.step(in.Op, arrived)
 }
 
+// fair is a tenant's share at this node, per second. It goes with the others' traffic where that is above
+// their shares, for nodes do not get traffic alike and a surplus of all is nobody's; and it has slack for
+// the chance of a few arrivals, which would put half of them beyond the share of one among many nodes.
+func (p *Policy) fair(tenant int) float64 {
+	nodes, shares, others := float64(p.set.Nodes), 0.0, 0.0
+	for t, a := range p.set.AllowancePerS {
+		if t != tenant {
+			shares, others = shares+a/nodes, others+p.tenants[t]
+		}
+	}
+	fair := p.set.AllowancePerS[tenant] / nodes * max(1, others/max(shares, 1e-9))
+	return fair + math.Sqrt(fair/rateSpan.Seconds())
+}
+
 // allowed is how long hops of a type may take, in seconds: its unloaded latency and a share of what is
 // left of the target time.
 func (p *Policy) allowed(kind int) float64 {
@@ -475,7 +489,6 @@
 	case Success:
 		p.spike(s, sent, float64(spent) > spikeFactor*float64(p.smoothed[s]))
 		p.smoothed[s] += time.Duration(smoothing * float64(spent-p.smoothed[s]))
-		p.feel(s, spent, usual)
 		p.samples[o.kind]++
 		p.usual[o.kind] += time.Duration(max(typeSmooth, 1/p.samples[o.kind]) * float64(spent-usual))
 		if p.base[o.kind] > p.usual[o.kind] || p.samples[o.kind] < baseSamples {
@@ -489,8 +502,8 @@
 		}
 	case TimedOut:
 		p.spike(s, sent, true)
-		p.haunt(s, sent)
-		p.feel(s, spent, usual)
+		p.ghosts[s]++ // the server may still work on it, and looks idle if that is not counted
+		p.ghostSent[s] = max(p.ghostSent[s], sent)
 		p.strike(s, restStrikes)
 	case Failure:
 		p.answered[s] = p.now
@@ -508,6 +521,7 @@
 	}
 	if how == Success || how == TimedOut {
 		p.judge(spent.Seconds(), p.allowed(o.kind))
+		p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
 	}
 }
 
@@ -541,19 +555,6 @@
 	}
 }
 
-// haunt notes a hop that was given up: the server may still work on it, and looks idle if that is not
-// counted.
-func (p *Policy) haunt(s int, sent time.Duration) {
-	p.ghosts[s]++
-	p.ghostSent[s] = max(p.ghostSent[s], sent)
-}
-
-// feel keeps a server's slowness.
-func (p *Policy) feel(s int, spent, usual time.Duration) {
-	p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
-
-}
-
 // alive ends a server's rest. One that answers after it was out of reach may have restarted before the
 // list tells: it is held for cold, so that it is not pushed over.
 func (p *Policy) alive(s int) {
@@ -840,14 +841,12 @@
 // grow makes room for a server; its smoothed latency starts at the others' mean.
 func (p *Policy) grow(s int) {
 	for s >= len(p.ready) {
-		mean, n := time.Duration(0), time.Duration(0)
-		for i := range p.ready {
-			mean, n = mean+p.smoothed[i], n+1
+		others, mean := p.smoothed, time.Duration(0)
+		if len(others) == 0 {
+			others = p.usual
 		}
-		if n == 0 {
-			for _, u := range p.usual {
-				mean, n = mean+u, n+1
-			}
+		for _, latency := range others {
+			mean += latency / time.Duration(len(others))
 		}
 		extend(0, &p.rank)
 		extend(false, &p.ready, &p.listed, &p.cold, &p.member)
@@ -856,7 +855,7 @@
 		extend(1.0, &p.scale, &p.weight, &p.slowness)
 		extend(0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.restUntil,
 			&p.lostSince, &p.forecast, &p.interval)
-		extend(mean/max(n, 1), &p.smoothed)
+		extend(mean, &p.smoothed)
 		extend(p.now, &p.answered)
 		p.onsets = append(p.onsets, [forecastWindow]float64{})
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -588,6 +588,29 @@
 	}
 }
 
+func TestTenantsShareAtOneNode(t *testing.T) {
+	for name, c := range map[string]struct {
+		rates  []float64 // of two tenants with ten a second each over all nodes
+		nodes  int
+		beyond bool // the first
+	}{
+		"within its share":                     {[]float64{4, 5}, 2, false},
+		"beyond it":                            {[]float64{9, 5}, 2, true},
+		"beyond it, all others as far":         {[]float64{9, 10}, 2, false},
+		"far beyond, others beyond too":        {[]float64{30, 10}, 2, true},
+		"one arrival at one node among many":   {[]float64{0.33, 0.1}, 50, false},
+		"many arrivals at one node among many": {[]float64{3, 0.1}, 50, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, func(s *Settings) { s.Nodes, s.AllowancePerS = c.nodes, []float64{10, 10} })
+			copy(r.tenants, c.rates)
+			if got := r.tenants[0] > r.fair(0); got != c.beyond {
+				t.Errorf("beyond %v: %.2f of %.2f", got, r.tenants[0], r.fair(0))
+			}
+		})
+	}
+}
+
 func TestFailingServerRests(t *testing.T) {
 	for name, c := range map[string]struct {
 		failing, ready, want int
