A refusal rests the server for the refused type only

Symptom: up to 58% denied and 24% of the hops refused as full, for half a minute, with room at the servers. Cause: servers refused most hops of one traffic type; a single refusal sent the server to rest for all types. Told from full servers by the hops not answered by type: 73% of one, 9 to 17% of the others. Change: the rest after a refusal, half a second, holds for that type only.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -168,6 +168,7 @@
 	answered  []time.Duration // last sign of life while hops were out
 	strikes   []int
 	restUntil []time.Duration
+	shy       [][]time.Duration // the same by type, after refusals
 
 	lostSince []time.Duration // first failed connect of a row, 0 if none
 	onsets    [][forecastWindow]float64
@@ -508,9 +509,8 @@
 	case Failure:
 		p.answered[s] = p.now
 		p.strike(s, restStrikes)
-	case Overloaded:
-		p.answered[s] = p.now
-		p.strike(s, 1)
+	case Overloaded: // servers may refuse one type and serve the others: the rest is for that type only
+		p.answered[s], p.shy[s][o.kind] = p.now, p.now+restFirst
 	case Unreachable:
 		if p.lostSince[s] == 0 {
 			p.lostSince[s] = max(p.now, 1)
@@ -657,12 +657,11 @@
 	return float64(p.inFlight[s])+p.ghosts[s] > crowdFactor*mean
 }
 
-// unwell: resting after failures, or on trial with a hop out. Binding operations go to none on trial.
+// unwell: resting after failures or for this type, or on trial with a hop out. Binding operations go to
+// none on trial.
 func (p *Policy) unwell(s int, o *operation) bool {
-	if p.now < p.restUntil[s] {
-		return true
-	}
-	return p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding)
+	trial := p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding)
+	return trial || p.now < max(p.restUntil[s], p.shy[s][o.kind])
 }
 
 // barred: the rules or the cold budget forbid this server for this operation.
@@ -858,6 +857,7 @@
 		extend(mean, &p.smoothed)
 		extend(p.now, &p.answered)
 		p.onsets = append(p.onsets, [forecastWindow]float64{})
+		p.shy = append(p.shy, make([]time.Duration, len(p.set.Types)))
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -588,6 +588,22 @@
 	}
 }
 
+func TestRefusalRestsTheServerForThatTypeOnly(t *testing.T) {
+	r := newRig(t, 4, nil).takeAll()
+	op, _ := r.arriveAt(time.Second, 0, time.Second)
+	s := r.Policy.ops[op].hops[0].server
+	r.end(time.Second, op, 0, Overloaded)
+	for kind, want := range []bool{true, false, false, false} {
+		if got := r.unwell(s, &operation{kind: kind}); got != want {
+			t.Errorf("type %d: unwell %v", kind, got)
+		}
+	}
+	r.at(time.Second+restFirst, Input{Kind: Woken})
+	if r.unwell(s, &operation{kind: 0}) {
+		t.Error("still resting")
+	}
+}
+
 func TestTenantsShareAtOneNode(t *testing.T) {
 	for name, c := range map[string]struct {
 		rates  []float64 // of two tenants with ten a second each over all nodes
