--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,7 +4,7 @@
 // New makes an instance; Handle takes one Input at a time with the time since start and appends the
 // Effects to carry out, in order. Both types stand in api.go. The module sees dense indices only, keeps
 // no clock and no goroutine, and asks to be woken by a Wake effect. The table in lifecycle is the way
-// of an operation from its arrival to its final answer; route is the ordinary path of the design.
+// of an operation from its arrival to its final answer; routed is the ordinary path of the design.
 package policy
 
 import (
