--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,5 @@
 // Package policy decides, for one node, what becomes of each operation: which server gets it, when it
-// gets a further hop or a second copy, and when it is denied or written off.
+// gets a further hop, and when it is denied or written off.
 //
 // New makes an instance; Handle takes one Input at a time with the time since start and appends the
 // Effects to carry out, in order. Both types stand in api.go. The module sees dense indices only, keeps
