--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -22,8 +22,8 @@
 func run(in io.Reader, out, errs io.Writer) error {
 	complain := func(what string) { fmt.Fprintln(errs, "adapter:", what) }
 	r, w := wire.NewReader(in, complain), wire.NewWriter(out)
-	nodes := map[int]*node.Node{}
-	var members []node.Member
+	nodes := map[int]*node.Node[uint32]{}
+	var members []node.Member[uint32]
 	for {
 		b, err := r.Read()
 		if errors.Is(err, io.EOF) {
@@ -42,7 +42,7 @@
 					delete(nodes, e.Instance)
 					continue
 				}
-				nodes[e.Instance] = node.New(b.Now, e.Settings, e.Seed, w)
+				nodes[e.Instance] = node.New[uint32](b.Now, e.Settings, e.Seed, w)
 				continue
 			case wire.Killed:
 				delete(nodes, e.Instance)
@@ -58,7 +58,7 @@
 			case wire.Discovery:
 				members = members[:0]
 				for _, l := range e.Entries {
-					members = append(members, node.Member{Server: l.Server, Line: policy.Member{Zone: l.Zone,
+					members = append(members, node.Member[uint32]{Server: l.Server, Line: policy.Member{Rank: l.Server, Zone: l.Zone,
 						Cell: l.Cell, Condition: l.Condition, Scale: l.Scale, Started: l.Start, HasStart: l.HasStart}})
 				}
 				n.List(b.Now, e.Scope, members, w)
--- /dev/null
+++ b/internal/fleet/end.go
@@ -0,0 +1,45 @@
+package fleet
+
+import "fernvane/policy"
+
+// End is how a hop's use of its connection ended.
+type End uint8
+
+const (
+	Answered   End = iota // a whole 200
+	Erred                 // any other whole answer
+	TurnedAway            // an answer that says that nothing was begun
+	Refused               // no connection: refused at once
+	NeverUp               // no connection within the time for it
+	Unsent                // broken before the last byte was written
+	NoRoom                // no connection: this node had no descriptor left for it
+	NoTime                // the hop's time was up before the last byte was written
+	CutOff                // broken or ended after the last byte, before the whole answer
+	Garbled               // the answer cannot be read
+	Silent                // written, and no whole answer within the hop's time
+	GivenUp               // the operation was answered otherwise while the hop was out
+	ends
+)
+
+var endings = [ends]struct {
+	outcome policy.Outcome
+	name    string
+}{
+	Answered:   {policy.Success, "answered"},
+	Erred:      {policy.Failure, "erred"},
+	TurnedAway: {policy.Overloaded, "turned away"},
+	Refused:    {policy.Unreachable, "refused"},
+	NeverUp:    {policy.Unreachable, "never up"},
+	Unsent:     {policy.Unreachable, "unsent"},
+	NoRoom:     {policy.Void, "no room"},
+	NoTime:     {policy.Void, "no time"},
+	CutOff:     {policy.Broken, "cut off"},
+	Garbled:    {policy.Broken, "garbled"},
+	Silent:     {policy.TimedOut, "silent"},
+	GivenUp:    {policy.Withdrawn, "given up"},
+}
+
+// Outcome is what an end means to the module.
+func (e End) Outcome() policy.Outcome { return endings[e].outcome }
+
+func (e End) String() string { return endings[e].name }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,144 @@
+// Package fleet is what a node keeps in memory: the servers with their addresses and idle connections, the
+// operations in hand, and the one lock under which the decision module is asked.
+package fleet
+
+import (
+	"hash/crc32"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"fernvane/internal/http1"
+	"fernvane/internal/node"
+	"fernvane/internal/settings"
+	"fernvane/policy"
+)
+
+// Fleet is the memory of one node. All its methods may be called from anywhere; none waits on a socket.
+type Fleet struct {
+	mu      sync.Mutex
+	door    *node.Node[string]
+	set     settings.Settings
+	started time.Time
+	wake    *time.Timer
+	asked   chan struct{}
+
+	ops     map[uint64]*Operation
+	lastOp  uint64
+	types   map[string]int
+	tenants map[string]int
+	zones   map[string]int
+	servers map[string]*server
+	closing []net.Conn // to be closed when the lock is given back
+	room    room
+}
+
+type server struct {
+	address netip.AddrPort
+	idle    []idleConn // the latest used last
+}
+
+// New starts the module.
+func New(s settings.Settings, seed uint32, limits Limits) *Fleet {
+	f := &Fleet{set: s, started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{},
+		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
+		servers: map[string]*server{}, room: newRoom(limits)}
+	f.mu.Lock()
+	defer f.unlock()
+	f.wake = time.AfterFunc(time.Hour, f.woken)
+	f.door = node.New[string](f.now(), s.Settings, seed, (*hands)(f))
+	return f
+}
+
+// Stop ends the module's timer.
+func (f *Fleet) Stop() { f.wake.Stop() }
+
+func index(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, n := range names {
+		m[n] = i
+	}
+	return m
+}
+
+func (f *Fleet) now() time.Duration { return time.Since(f.started) }
+
+// unlock gives the lock back and then closes what was to be closed, so that no socket is waited on under it.
+func (f *Fleet) unlock() {
+	closing := f.closing
+	f.closing = nil
+	f.mu.Unlock()
+	for _, c := range closing {
+		c.Close()
+	}
+}
+
+func (f *Fleet) woken() {
+	f.mu.Lock()
+	defer f.unlock()
+	f.door.Woken(f.now(), (*hands)(f))
+	f.retire()
+}
+
+// Asked is sent to when the module wants the list of servers watched.
+func (f *Fleet) Asked() <-chan struct{} { return f.asked }
+
+// Unlisted tells that discovery has failed.
+func (f *Fleet) Unlisted() {
+	f.mu.Lock()
+	defer f.unlock()
+	f.door.List(f.now(), policy.Unavailable, nil, (*hands)(f))
+}
+
+// Listed takes a list of servers; a saved one is what this node last had before its start.
+func (f *Fleet) Listed(l http1.List, saved bool) {
+	scope := policy.Changes
+	if saved {
+		scope = policy.Saved
+	} else if l.Complete {
+		scope = policy.Whole
+	}
+	f.mu.Lock()
+	defer f.unlock()
+	now, clock := f.now(), time.Now().UnixMilli()
+	lines := make([]node.Member[string], 0, len(l.Hosts))
+	for _, h := range l.Hosts {
+		f.address(h)
+		line := policy.Member{Rank: crc32.ChecksumIEEE([]byte(h.ID)), Zone: f.zone(h.Zone), Cell: h.Cell,
+			Condition: conditions[h.Phase], Scale: h.Size, HasStart: h.UpSinceMS > 0}
+		if line.HasStart {
+			line.Started = now + time.Duration(h.UpSinceMS-clock)*time.Millisecond
+		}
+		lines = append(lines, node.Member[string]{Server: h.ID, Line: line})
+	}
+	f.door.List(now, scope, lines, (*hands)(f))
+}
+
+var conditions = [...]policy.Condition{http1.Serving: policy.Up, http1.Draining: policy.Draining,
+	http1.Deleted: policy.Gone}
+
+// address notes where a server is reached; connections to another place are of no use any more.
+func (f *Fleet) address(h http1.Host) {
+	s := f.servers[h.ID]
+	if s == nil {
+		s = &server{}
+		f.servers[h.ID] = s
+	}
+	if h.Phase != http1.Serving || h.Address != s.address {
+		f.release(s)
+	}
+	if h.Address.IsValid() {
+		s.address = h.Address
+	}
+}
+
+// zone numbers the zones of the settings first, then any other by its appearance.
+func (f *Fleet) zone(name string) int {
+	z, ok := f.zones[name]
+	if !ok {
+		z = len(f.zones)
+		f.zones[name] = z
+	}
+	return z
+}
--- /dev/null
+++ b/internal/fleet/room.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"container/list"
+	"net"
+	"time"
+
+	"fernvane/internal/http1"
+)
+
+const (
+	ownDescriptors = 24       // standard streams, listener, discovery, poller, files of the run time, and slack
+	leastSockets   = 8        // connections a node has whatever the limits say
+	baseMemory     = 32 << 20 // bytes of the run time and the module's own figures
+	perConnection  = http1.MaxHead + http1.MaxBody + 16<<10
+	// bytes at worst: a buffer filled, the one it grew out of, two stacks
+	bufferShare = 0.5 // of the memory left; the collector needs the other half
+	idleShare   = 0.6 // of the settings' idle time, after which a server's connection is not used again
+)
+
+// Limits of the machine.
+type Limits struct {
+	MemoryMB int
+	Sockets  int
+}
+
+// Connections is how many connections the limits leave room for.
+func (l Limits) Connections() int {
+	byMemory := int(bufferShare * float64(l.MemoryMB<<20-baseMemory) / perConnection)
+	return max(min(l.Sockets-ownDescriptors, byMemory), leastSockets)
+}
+
+// room counts descriptors. Clients get what they need, by the closing of idle connections; connections to
+// servers may be half of all at most, so that there is always room to accept.
+type room struct {
+	free    int
+	servers int // that connections to servers may still take
+	idle    list.List
+	freed   chan struct{}
+}
+
+func newRoom(l Limits) room {
+	n := l.Connections()
+	return room{free: n, servers: n / 2, freed: make(chan struct{}, 1)}
+}
+
+// Client is a client's connection.
+type Client struct {
+	f       *Fleet
+	conn    net.Conn
+	place   *list.Element // among the idle
+	evicted bool
+}
+
+// Admit waits until there is a descriptor to accept a connection with, closing idle ones for it.
+func (f *Fleet) Admit() {
+	for {
+		f.mu.Lock()
+		if f.room.free > 0 {
+			f.room.free--
+			f.mu.Unlock()
+			return
+		}
+		if !f.evictClient() {
+			f.evictServer()
+		}
+		f.unlock()
+		<-f.room.freed
+	}
+}
+
+// Vacate gives back the descriptor of a client's connection.
+func (f *Fleet) Vacate() {
+	f.mu.Lock()
+	defer f.unlock()
+	f.vacate()
+}
+
+func (f *Fleet) vacate() {
+	f.room.free++
+	select {
+	case f.room.freed <- struct{}{}:
+	default:
+	}
+}
+
+// evictClient closes the connection that has been idle for longest.
+func (f *Fleet) evictClient() bool {
+	e := f.room.idle.Front()
+	if e == nil {
+		return false
+	}
+	c := f.room.idle.Remove(e).(*Client)
+	c.place, c.evicted = nil, true
+	f.closing = append(f.closing, c.conn)
+	return true
+}
+
+// Client takes in an accepted connection.
+func (f *Fleet) Client(conn net.Conn) *Client { return &Client{f: f, conn: conn} }
+
+// Idle tells that the connection is between requests and may be closed at any time.
+func (c *Client) Idle() {
+	c.f.mu.Lock()
+	defer c.f.unlock()
+	c.place = c.f.room.idle.PushBack(c)
+}
+
+// Busy tells that a request has begun. It is false if the connection was closed before, and then the
+// request does not count as read.
+func (c *Client) Busy() bool {
+	c.f.mu.Lock()
+	defer c.f.unlock()
+	if c.place != nil {
+		c.f.room.idle.Remove(c.place)
+		c.place = nil
+	}
+	return !c.evicted
+}
+
+// CloseIdle closes all clients' connections that are between requests.
+func (f *Fleet) CloseIdle() {
+	f.mu.Lock()
+	defer f.unlock()
+	for f.evictClient() {
+	}
+}
+
+type idleConn struct {
+	conn  *http1.Conn
+	since time.Duration
+}
+
+// Reserve takes a descriptor for a new connection to a server.
+func (f *Fleet) Reserve() bool {
+	f.mu.Lock()
+	defer f.unlock()
+	if f.room.servers == 0 && !f.evictServer() {
+		return false
+	}
+	if f.room.free == 0 && !f.evictServer() {
+		return false
+	}
+	f.room.servers--
+	f.room.free--
+	return true
+}
+
+// Forgo gives back the descriptor of a connection to a server.
+func (f *Fleet) Forgo() {
+	f.mu.Lock()
+	defer f.unlock()
+	f.forgo()
+}
+
+func (f *Fleet) forgo() {
+	f.room.servers++
+	f.vacate()
+}
+
+// Take returns an idle connection to a server, nil if there is none. The latest used comes first, so that
+// those not needed grow old.
+func (f *Fleet) Take(id string) *http1.Conn {
+	f.mu.Lock()
+	defer f.unlock()
+	s := f.servers[id]
+	if s == nil || len(s.idle) == 0 {
+		return nil
+	}
+	last := len(s.idle) - 1
+	c := s.idle[last]
+	s.idle = s.idle[:last]
+	if f.old(c) {
+		f.shut(c)
+		return nil
+	}
+	return c.conn
+}
+
+// Keep puts a connection by for later use.
+func (f *Fleet) Keep(id string, c *http1.Conn) {
+	f.mu.Lock()
+	defer f.unlock()
+	s := f.servers[id]
+	s.idle = append(s.idle, idleConn{c, f.now()})
+}
+
+func (f *Fleet) old(c idleConn) bool {
+	return f.now()-c.since > time.Duration(idleShare*float64(f.set.ConnIdle))
+}
+
+func (f *Fleet) shut(c idleConn) {
+	f.closing = append(f.closing, c.conn)
+	f.forgo()
+}
+
+func (f *Fleet) release(s *server) {
+	for _, c := range s.idle {
+		f.shut(c)
+	}
+	s.idle = s.idle[:0]
+}
+
+// retire closes connections well before the server may, so that no request meets the server's own closing.
+func (f *Fleet) retire() {
+	for _, s := range f.servers {
+		n := 0
+		for n < len(s.idle) && f.old(s.idle[n]) {
+			f.shut(s.idle[n])
+			n++
+		}
+		s.idle = append(s.idle[:0], s.idle[n:]...)
+	}
+}
+
+// evictServer closes the connection to a server that has been idle for longest.
+func (f *Fleet) evictServer() bool {
+	var oldest *server
+	for _, s := range f.servers {
+		if len(s.idle) > 0 && (oldest == nil || s.idle[0].since < oldest.idle[0].since) {
+			oldest = s
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	f.shut(oldest.idle[0])
+	oldest.idle = append(oldest.idle[:0], oldest.idle[1:]...)
+	return true
+}
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,152 @@
+// Package http1 is what is spoken: HTTP/1.1 messages on plain connections, and the names that clients,
+// servers and discovery use in them. It decides nothing and sends nothing twice.
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+)
+
+const (
+	MaxHead     = 16 << 10 // bytes of a start line with its fields
+	MaxBody     = 64 << 10 // bytes of a body between clients, nodes and servers
+	firstBuffer = 2 << 10  // bytes a connection reads into at first; most messages fit
+	keptBuffer  = 8 << 10  // bytes a connection may hold on to while it is idle
+	maxLine     = 256      // bytes of a chunk's size line
+	maxTrailer  = 4 << 10  // bytes after the last chunk
+)
+
+var errTooLarge = errors.New("too large")
+
+// Conn is a connection with its one buffer. What is read stays in the buffer, so a message and all its
+// parts are valid until the next message is read or written on the same connection.
+type Conn struct {
+	net.Conn
+	buf     []byte
+	at, end int // read from the socket and not yet used: buf[at:end]
+}
+
+// NewConn wraps a connection that nothing was read from.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// Await returns once a message has begun to arrive.
+func (c *Conn) Await() error {
+	c.begin()
+	for c.at == c.end {
+		if err := c.fill(MaxHead); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin moves what is unread to the start of the buffer, and gives back a buffer grown by a large message.
+func (c *Conn) begin() {
+	if c.at > 0 {
+		c.end = copy(c.buf, c.buf[c.at:c.end])
+		c.at = 0
+	}
+	if len(c.buf) > keptBuffer && c.end == 0 {
+		c.buf = nil
+	}
+}
+
+// fill reads once; the buffer doubles when it is full, up to limit bytes.
+func (c *Conn) fill(limit int) error {
+	if c.end == len(c.buf) {
+		if c.end >= limit {
+			return errTooLarge
+		}
+		grown := make([]byte, min(max(2*len(c.buf), firstBuffer), limit))
+		copy(grown, c.buf[:c.end])
+		c.buf = grown
+	}
+	n, err := c.Read(c.buf[c.end:])
+	c.end += n
+	if n > 0 {
+		return nil // an error comes again with the next read
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
+
+// head reads up to the empty line and returns what lies before it.
+func (c *Conn) head() ([]byte, error) {
+	c.begin()
+	for from := 0; ; {
+		for c.end >= 2 && c.at == 0 && c.buf[0] == '\r' && c.buf[1] == '\n' { // left over by a careless sender
+			c.end = copy(c.buf, c.buf[2:c.end])
+			from = 0
+		}
+		if i := bytes.Index(c.buf[from:c.end], []byte("\r\n\r\n")); i >= 0 {
+			c.at = from + i + 4
+			return c.buf[:from+i+2], nil
+		}
+		from = max(c.end-3, 0)
+		if err := c.fill(MaxHead); err != nil {
+			if err == io.EOF && c.end > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+}
+
+// Send writes a whole message and tells whether its last byte was written.
+func (c *Conn) Send(message []byte) (whole bool, err error) {
+	n, err := c.Write(message)
+	return n == len(message), err
+}
+
+// Scratch is room to put a message together in: the connection's own buffer where nothing unread lies in
+// it. What was read before is overwritten.
+func (c *Conn) Scratch() []byte {
+	if c.at < c.end {
+		return nil
+	}
+	c.at, c.end = 0, 0
+	return c.buf[:0]
+}
+
+// peek looks at the socket without reading: ready is false where nothing has come.
+func (c *Conn) peek(wait bool) (n int, err error) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, syscall.ENOTSUP
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var one [1]byte
+	var got error
+	err = rc.Read(func(fd uintptr) bool {
+		n, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !wait || got != syscall.EAGAIN
+	})
+	if err != nil {
+		return 0, err
+	}
+	return n, got
+}
+
+// Quiet tells that an idle connection is open and that nothing has come on it.
+func (c *Conn) Quiet() bool {
+	_, err := c.peek(false)
+	return err == syscall.EAGAIN && c.at == c.end
+}
+
+// Gone waits until the other side has closed or broken the connection, and tells so. It is false when
+// more data came first or the read deadline passed.
+func (c *Conn) Gone() bool {
+	n, err := c.peek(true)
+	if err != nil {
+		return !errors.Is(err, ErrTimeout)
+	}
+	return n == 0
+}
--- /dev/null
+++ b/internal/http1/protocol.go
@@ -0,0 +1,150 @@
+package http1
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// The names that the platform gives to things on the wire.
+const (
+	RequestID      = "Request-Id"
+	RequestTimeout = "Request-Timeout"
+	tenantField    = "Tenant"
+	notStarted     = "Not-Started"
+	readyPath      = "/up"
+	listPath       = "/discovery/hosts"
+)
+
+// Operation is what a request says of itself.
+type Operation struct {
+	ID      []byte
+	Type    []byte
+	Tenant  []byte
+	Timeout time.Duration // counted from when the client sent the request
+}
+
+// IsReadiness tells whether a request asks if the node can serve.
+func (r *Request) IsReadiness() bool { return string(r.Path()) == readyPath }
+
+// Operation reads the parts of a request that decisions need.
+func (r *Request) Operation() (Operation, error) {
+	o := Operation{ID: r.Get(RequestID), Tenant: r.Get(tenantField)}
+	if len(o.ID) == 0 {
+		return o, &Malformed{400, "the request has no id"}
+	}
+	o.Type, _, _ = bytes.Cut(r.Path()[1:], []byte{'/'})
+	if v := r.Get(RequestTimeout); v != nil {
+		s, err := strconv.ParseFloat(string(v), 64)
+		if err != nil || math.IsNaN(s) || s < 0 || s > 1e6 {
+			return o, &Malformed{400, "the time-out cannot be read"}
+		}
+		o.Timeout = time.Duration(s * float64(time.Second))
+	}
+	return o, nil
+}
+
+// NeverRan tells whether a server's answer says that it has not begun the request.
+func (r *Response) NeverRan() bool {
+	return (r.Status == 503 || r.Status == 504) && string(find(r.Fields, notStarted)) == "1"
+}
+
+// Phase of a listed server.
+type Phase uint8
+
+const (
+	Serving Phase = iota
+	Draining
+	Deleted
+)
+
+// Host is a line of discovery's list.
+type Host struct {
+	ID        string
+	Address   netip.AddrPort
+	Zone      string
+	Cell      int
+	Phase     Phase
+	Size      float64
+	UpSinceMS int64 // Unix time; 0 for long ago
+}
+
+// List is an answer of discovery.
+type List struct {
+	Revision uint64
+	Complete bool // the whole list, not what has changed
+	Hosts    []Host
+	Skipped  []error // entries that cannot be read
+}
+
+// ParseList reads discovery's form; an entry that cannot be read does not spoil the others.
+func ParseList(body []byte) (List, error) {
+	var raw struct {
+		Revision *uint64
+		Complete bool
+		Members  []json.RawMessage
+	}
+	if err := json.Unmarshal(body, &raw); err != nil {
+		return List{}, fmt.Errorf("the list cannot be read: %w", err)
+	}
+	if raw.Revision == nil {
+		return List{}, errors.New("the list has no revision")
+	}
+	l := List{Revision: *raw.Revision, Complete: raw.Complete}
+	for i, m := range raw.Members {
+		h, err := parseHost(m)
+		if err != nil {
+			l.Skipped = append(l.Skipped, fmt.Errorf("entry %d: %w", i, err))
+			continue
+		}
+		l.Hosts = append(l.Hosts, h)
+	}
+	return l, nil
+}
+
+func parseHost(b []byte) (Host, error) {
+	var raw struct {
+		ID        string
+		HostPort  string `json:"host_port"`
+		Locality  string
+		Cell      int
+		Phase     string
+		Size      float64
+		UpSinceMS float64 `json:"up_since_ms"`
+	}
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return Host{}, err
+	}
+	h := Host{ID: raw.ID, Zone: raw.Locality, Cell: raw.Cell, Size: raw.Size, UpSinceMS: int64(raw.UpSinceMS)}
+	if h.ID == "" {
+		return h, errors.New("no id")
+	}
+	switch raw.Phase {
+	case "SERVING":
+	case "DRAINING":
+		h.Phase = Draining
+	case "DELETED":
+		h.Phase = Deleted
+	default:
+		return h, fmt.Errorf("server %.40q in unknown phase %.40q", h.ID, raw.Phase)
+	}
+	var err error
+	if h.Address, err = netip.ParseAddrPort(raw.HostPort); err != nil && h.Phase == Serving {
+		return h, fmt.Errorf("server %.40q has no usable address", h.ID)
+	}
+	return h, nil
+}
+
+// AppendListCall writes a call for the changes after a revision that may wait so long for them.
+func AppendListCall(b []byte, host string, after uint64, wait time.Duration) []byte {
+	b = append(b, "GET "+listPath+"?index="...)
+	b = strconv.AppendUint(b, after, 10)
+	b = strconv.AppendInt(append(b, "&wait="...), wait.Milliseconds(), 10)
+	b = append(b, " HTTP/1.1\r\n"...)
+	return append(appendField(b, "Host", host), "\r\n"...)
+}
--- /dev/null
+++ b/internal/http1/request.go
@@ -0,0 +1,95 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"io"
+)
+
+// Malformed is a request that cannot be taken, with the status to answer it with.
+type Malformed struct {
+	Status int
+	Why    string
+}
+
+func (m *Malformed) Error() string { return m.Why }
+
+// Request is a whole request; its parts lie in the connection's buffer.
+type Request struct {
+	Method, Target []byte
+	Fields         []Field
+	Body           []byte
+	Close          bool // the client wants no further one on this connection
+}
+
+// Path is the target without its query.
+func (r *Request) Path() []byte {
+	path, _, _ := bytes.Cut(r.Target, []byte{'?'})
+	return path
+}
+
+// Get returns the value of a field, nil where it is not there.
+func (r *Request) Get(name string) []byte { return find(r.Fields, name) }
+
+// ReadRequest reads a whole request. It returns io.EOF where the other side has closed between requests,
+// and a *Malformed for what deserves an answer all the same.
+func (c *Conn) ReadRequest(r *Request) error {
+	head, err := c.head()
+	if err == errTooLarge {
+		return &Malformed{431, "the head is too large"}
+	}
+	if err != nil {
+		return err
+	}
+	first, lines, _ := bytes.Cut(head, []byte("\r\n"))
+	method, rest, _ := bytes.Cut(first, []byte{' '})
+	target, version, _ := bytes.Cut(rest, []byte{' '})
+	*r = Request{Method: method, Target: target, Fields: r.Fields[:0]}
+	if !isToken(method) || !isTarget(target) {
+		return &Malformed{400, "the request line cannot be read"}
+	}
+	old := string(version) == "HTTP/1.0"
+	if !old && string(version) != "HTTP/1.1" {
+		return &Malformed{400, errVersion.Error()}
+	}
+	if r.Fields, err = parseFields(lines, r.Fields); err == errFields {
+		return &Malformed{431, err.Error()}
+	} else if err != nil {
+		return &Malformed{400, err.Error()}
+	}
+	if !old && r.Get("Host") == nil {
+		return &Malformed{400, "no host is named"}
+	}
+	r.Close = lists(r.Fields, "Connection", "close") || old && !lists(r.Fields, "Connection", "keep-alive")
+	length, err := framing(r.Fields)
+	if err != nil {
+		return &Malformed{400, err.Error()}
+	}
+	if length == unstated {
+		length = 0
+	}
+	if !old && length != 0 && c.at == c.end && lists(r.Fields, "Expect", "100-continue") {
+		if _, err := c.Send([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	r.Body, err = c.body(length, MaxBody)
+	switch {
+	case err == errTooLarge:
+		return &Malformed{413, "the body is too large"}
+	case errors.Is(err, errChunk):
+		return &Malformed{400, err.Error()}
+	case err == io.EOF:
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func isTarget(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return len(b) > 0 && b[0] == '/'
+}
--- /dev/null
+++ b/internal/http1/response.go
@@ -0,0 +1,66 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// ErrGarbled is an answer that is no HTTP, or larger than allowed.
+var ErrGarbled = errors.New("the answer cannot be read")
+
+// Response is a whole answer; its parts lie in the connection's buffer.
+type Response struct {
+	Status int
+	Fields []Field
+	Body   []byte
+	Close  bool // the connection cannot be used again
+}
+
+// ReadResponse reads a whole answer with a body of at most so many bytes.
+func (c *Conn) ReadResponse(r *Response, most int) error {
+	for {
+		head, err := c.head()
+		if err == errTooLarge {
+			return ErrGarbled
+		}
+		if err != nil {
+			return err
+		}
+		first, lines, _ := bytes.Cut(head, []byte("\r\n"))
+		version, rest, _ := bytes.Cut(first, []byte{' '})
+		code, _, _ := bytes.Cut(rest, []byte{' '})
+		status, err := strconv.ParseUint(string(code), 10, 16)
+		old := string(version) == "HTTP/1.0"
+		if err != nil || len(code) != 3 || status < 100 || !old && string(version) != "HTTP/1.1" {
+			return ErrGarbled
+		}
+		*r = Response{Status: int(status), Fields: r.Fields[:0]}
+		if r.Fields, err = parseFields(lines, r.Fields); err != nil || status == 101 {
+			return ErrGarbled
+		}
+		if status < 200 {
+			continue // a word on the way; the answer follows
+		}
+		length, err := framing(r.Fields)
+		if err != nil {
+			return ErrGarbled
+		}
+		if length == unstated {
+			length = untilClose
+		}
+		if status == 204 || status == 304 {
+			length = 0
+		}
+		r.Body, err = c.body(length, most)
+		r.Close = length == untilClose || old || lists(r.Fields, "Connection", "close") || c.at < c.end
+		switch {
+		case err == errTooLarge, err == errChunk:
+			return ErrGarbled
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	}
+}
--- /dev/null
+++ b/internal/http1/write.go
@@ -0,0 +1,78 @@
+package http1
+
+import (
+	"strconv"
+	"time"
+)
+
+var reasons = [...]struct {
+	status int
+	phrase string
+}{
+	{200, "OK"}, {400, "Bad Request"}, {404, "Not Found"}, {408, "Request Timeout"},
+	{413, "Content Too Large"}, {431, "Request Header Fields Too Large"}, {500, "Internal Server Error"},
+	{502, "Bad Gateway"}, {503, "Service Unavailable"}, {504, "Gateway Timeout"},
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(append(b, name...), ": "...)
+	return append(append(b, value...), "\r\n"...)
+}
+
+func appendSeconds(b []byte, d time.Duration) []byte {
+	return strconv.AppendFloat(b, float64(d/time.Millisecond)/1000, 'f', 3, 64)
+}
+
+// AppendRequest writes a client's request as it goes on to a server, with the time that is left for it.
+func AppendRequest(b []byte, r *Request, left time.Duration) []byte {
+	b = append(append(append(b, r.Method...), ' '), r.Target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	for _, f := range r.Fields {
+		if f.Is(RequestTimeout) || !passes(f, r.Fields) {
+			continue
+		}
+		b = append(append(append(b, f.Name...), ": "...), f.Value...)
+		b = append(b, "\r\n"...)
+	}
+	b = append(append(append(b, RequestTimeout...), ": "...), appendSeconds(nil, max(left, time.Millisecond))...)
+	b = append(b, "\r\n"...)
+	if len(r.Body) > 0 || string(r.Method) != "GET" {
+		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	return append(append(b, "\r\n"...), r.Body...)
+}
+
+// Answer is what a node says to a client.
+type Answer struct {
+	Status     int
+	Fields     []Field // of a server's answer, passed on
+	Body       []byte
+	RetryAfter time.Duration
+	Close      bool
+}
+
+// AppendAnswer writes an answer.
+func AppendAnswer(b []byte, a Answer) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = append(strconv.AppendInt(b, int64(a.Status), 10), ' ')
+	for _, r := range reasons {
+		if r.status == a.Status {
+			b = append(b, r.phrase...)
+		}
+	}
+	b = append(b, "\r\n"...)
+	for _, f := range a.Fields {
+		if passes(f, a.Fields) {
+			b = append(append(append(b, f.Name...), ": "...), f.Value...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if a.RetryAfter > 0 {
+		b = append(appendSeconds(append(b, "Retry-After: "...), a.RetryAfter), "\r\n"...)
+	}
+	b = appendField(b, "Content-Length", strconv.Itoa(len(a.Body)))
+	if a.Close {
+		b = appendField(b, "Connection", "close")
+	}
+	return append(append(b, "\r\n"...), a.Body...)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,18 +8,18 @@
 )
 
 // Out carries out what the module decides, in outside ids.
-type Out interface {
-	Forward(job uint64, server uint32, allow time.Duration)
+type Out[S comparable] interface {
+	Forward(job uint64, server S, allow time.Duration)
 	TurnAway(job uint64, retryIn time.Duration)
 	Lose(job uint64)
 	Schedule(after time.Duration)
 	Listen()
-	Release(server uint32)
+	Release(server S)
 }
 
 // Member is a line of a server list in outside ids; Line.Server is filled in here.
-type Member struct {
-	Server uint32
+type Member[S comparable] struct {
+	Server S
 	Line   policy.Member
 }
 
@@ -29,27 +29,27 @@
 	answered bool
 }
 
-// Node is one instance.
-type Node struct {
+// Node is one instance, with the servers' outside ids of type S.
+type Node[S comparable] struct {
 	module  *policy.Policy
 	origin  time.Duration
 	ops     map[uint64]int
 	slots   []slot
 	free    []int
-	servers map[uint32]int
-	ids     []uint32
+	servers map[S]int
+	ids     []S
 	effects []policy.Effect
 	members []policy.Member
 }
 
 // New starts an instance at the moment now of the outside clock.
-func New(now time.Duration, s policy.Settings, seed uint32, out Out) *Node {
-	n := &Node{module: policy.New(s, seed), origin: now, ops: map[uint64]int{}, servers: map[uint32]int{}}
+func New[S comparable](now time.Duration, s policy.Settings, seed uint32, out Out[S]) *Node[S] {
+	n := &Node[S]{module: policy.New(s, seed), origin: now, ops: map[uint64]int{}, servers: map[S]int{}}
 	n.apply(now, policy.Input{Kind: policy.Woken}, out)
 	return n
 }
 
-func (n *Node) server(id uint32) int {
+func (n *Node[S]) server(id S) int {
 	s, ok := n.servers[id]
 	if !ok {
 		s = len(n.ids)
@@ -60,11 +60,11 @@
 }
 
 // List hands over a server list.
-func (n *Node) List(now time.Duration, scope policy.Scope, lines []Member, out Out) {
+func (n *Node[S]) List(now time.Duration, scope policy.Scope, lines []Member[S], out Out[S]) {
 	n.members = n.members[:0]
 	for _, m := range lines {
 		line := m.Line
-		line.Server, line.Rank = n.server(m.Server), m.Server
+		line.Server = n.server(m.Server)
 		line.Started -= n.origin
 		n.members = append(n.members, line)
 	}
@@ -72,7 +72,7 @@
 }
 
 // Arrive takes an operation; one whose id is still in hand is not taken again.
-func (n *Node) Arrive(now time.Duration, id uint64, in policy.Input, out Out) bool {
+func (n *Node[S]) Arrive(now time.Duration, id uint64, in policy.Input, out Out[S]) bool {
 	if _, ok := n.ops[id]; ok {
 		return false
 	}
@@ -91,7 +91,7 @@
 }
 
 // HopEnded passes on how a hop ended; it tells whether the operation and server are known.
-func (n *Node) HopEnded(now time.Duration, id uint64, server uint32, in policy.Input, out Out) bool {
+func (n *Node[S]) HopEnded(now time.Duration, id uint64, server S, in policy.Input, out Out[S]) bool {
 	op, ok := n.ops[id]
 	s, listed := n.servers[server]
 	if !ok || !listed || n.slots[op].hops == 0 {
@@ -106,7 +106,7 @@
 }
 
 // Left tells that an operation needs no answer any more.
-func (n *Node) Left(now time.Duration, id uint64, out Out) {
+func (n *Node[S]) Left(now time.Duration, id uint64, out Out[S]) {
 	op, ok := n.ops[id]
 	if !ok {
 		return // already answered and dropped
@@ -117,12 +117,12 @@
 }
 
 // Woken passes on the timer.
-func (n *Node) Woken(now time.Duration, out Out) {
+func (n *Node[S]) Woken(now time.Duration, out Out[S]) {
 	n.apply(now, policy.Input{Kind: policy.Woken}, out)
 }
 
 // release frees the index of an operation that is answered and has no hop out.
-func (n *Node) release(op int) {
+func (n *Node[S]) release(op int) {
 	if s := &n.slots[op]; s.answered && s.hops == 0 {
 		if _, ok := n.ops[s.id]; ok {
 			delete(n.ops, s.id)
@@ -131,7 +131,7 @@
 	}
 }
 
-func (n *Node) apply(now time.Duration, in policy.Input, out Out) {
+func (n *Node[S]) apply(now time.Duration, in policy.Input, out Out[S]) {
 	n.effects = n.module.Handle(now-n.origin, &in, n.effects[:0])
 	for _, e := range n.effects {
 		switch e.Kind {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,23 +20,23 @@
 	settings := policy.Settings{Nodes: 1, MostHops: 1, Types: []policy.TrafficType{
 		{TargetTime: 400 * time.Millisecond, AbandonTime: time.Second, Revenue: 1}}}
 	for name, c := range map[string]struct {
-		do   func(*Node, *record)
+		do   func(*Node[uint32], *record)
 		held int
 	}{
-		"handled": {func(n *Node, r *record) {
+		"handled": {func(n *Node[uint32], r *record) {
 			n.HopEnded(0, 7, 5, policy.Input{Outcome: policy.Success, Final: true}, r)
 		}, 0},
-		"left, the hop still out": {func(n *Node, r *record) { n.Left(0, 7, r) }, 1},
-		"left, then the hop ends": {func(n *Node, r *record) {
+		"left, the hop still out": {func(n *Node[uint32], r *record) { n.Left(0, 7, r) }, 1},
+		"left, then the hop ends": {func(n *Node[uint32], r *record) {
 			n.Left(0, 7, r)
 			n.HopEnded(0, 7, 5, policy.Input{Outcome: policy.TimedOut, Final: true}, r)
 		}, 0},
-		"an unknown server's verdict is dropped": {func(n *Node, r *record) {
+		"an unknown server's verdict is dropped": {func(n *Node[uint32], r *record) {
 			if n.HopEnded(0, 7, 6, policy.Input{Outcome: policy.Success, Final: true}, r) {
 				t.Error("taken")
 			}
 		}, 1},
-		"the same id again is not taken": {func(n *Node, r *record) {
+		"the same id again is not taken": {func(n *Node[uint32], r *record) {
 			if n.Arrive(0, 7, policy.Input{Budget: time.Second}, r) {
 				t.Error("taken")
 			}
@@ -44,8 +44,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := &record{}
-			n := New(0, settings, 1, r)
-			n.List(0, policy.Saved, []Member{{Server: 5, Line: policy.Member{Scale: 1}}}, r)
+			n := New[uint32](0, settings, 1, r)
+			n.List(0, policy.Saved, []Member[uint32]{{Server: 5, Line: policy.Member{Scale: 1}}}, r)
 			n.Arrive(0, 7, policy.Input{Budget: time.Second}, r)
 			if r.forwards != 1 {
 				t.Fatal("not sent")
--- /dev/null
+++ b/internal/serve/client.go
@@ -0,0 +1,112 @@
+package serve
+
+import (
+	"errors"
+	"io"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+)
+
+const (
+	idleMost    = 2 * time.Minute        // between requests; room is made sooner where it is short
+	stallMost   = 3 * time.Second        // from a request's first byte to its last
+	answerMost  = 2 * time.Second        // for a client to take its answer
+	lingerMost  = 300 * time.Millisecond // for a client to see why it is not served, before the close
+	lingerBytes = 256 << 10              // likewise
+)
+
+var errUnsent = errors.New("the answer could not be written")
+
+// client leads one client's connection, request by request.
+func (s *Server) client(nc *net.TCPConn) {
+	defer s.busy.Done()
+	defer s.fleet.Vacate()
+	defer nc.Close()
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("connection dropped")
+		}
+	}()
+	c, place := http1.NewConn(nc), s.fleet.Client(nc)
+	var req http1.Request
+	for {
+		place.Idle()
+		nc.SetReadDeadline(time.Now().Add(idleMost))
+		err := c.Await()
+		if !place.Busy() || err != nil {
+			return
+		}
+		came := time.Now()
+		nc.SetReadDeadline(came.Add(stallMost))
+		if err = c.ReadRequest(&req); err != nil {
+			s.reject(c, err)
+			return
+		}
+		nc.SetReadDeadline(time.Time{})
+		if req.IsReadiness() {
+			err = s.answer(c, http1.Answer{Status: 200, Close: req.Close})
+		} else {
+			err = s.operation(c, &req, came)
+		}
+		if err != nil {
+			s.reject(c, err)
+			return
+		}
+		if req.Close || s.draining.Load() {
+			return
+		}
+	}
+}
+
+// answer writes a whole answer; the connection ends with it while the node stops.
+func (s *Server) answer(c *http1.Conn, a http1.Answer) error {
+	a.Close = a.Close || s.draining.Load()
+	return s.send(c, http1.AppendAnswer(c.Scratch(), a))
+}
+
+func (s *Server) send(c *http1.Conn, answer []byte) error {
+	c.SetWriteDeadline(time.Now().Add(answerMost))
+	if whole, err := c.Send(answer); !whole {
+		return errors.Join(errUnsent, err)
+	}
+	return nil
+}
+
+// reject tells the client why its request is not taken, where that is of use, and sees to it that the
+// answer is not lost in the close.
+func (s *Server) reject(c *http1.Conn, err error) {
+	var bad *http1.Malformed
+	if errors.Is(err, http1.ErrTimeout) && !errors.Is(err, errUnsent) {
+		bad = &http1.Malformed{Status: 408, Why: "the request did not come to its end"}
+	}
+	if bad == nil && !errors.As(err, &bad) {
+		return
+	}
+	s.log.Warn().Str("client", c.RemoteAddr().String()).Int("status", bad.Status).Str("why", bad.Why).Msg("request rejected")
+	s.answer(c, http1.Answer{Status: bad.Status, Body: []byte(bad.Why + "\n"), Close: true})
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+		tcp.SetReadDeadline(time.Now().Add(lingerMost))
+		io.CopyN(io.Discard, tcp, lingerBytes)
+	}
+}
+
+// watch looks for the client's leaving while its operation is open; the function it returns ends that.
+func (s *Server) watch(c *http1.Conn, op *fleet.Operation) (end func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if c.Gone() {
+			op.Left()
+		}
+	}()
+	return func() {
+		c.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		c.SetReadDeadline(time.Time{})
+	}
+}
--- /dev/null
+++ b/internal/serve/config.go
@@ -0,0 +1,87 @@
+package serve
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"net/netip"
+	"os"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/settings"
+)
+
+const (
+	memoryMost  = 192  // MB, where the configuration names no limit, and at most
+	socketsMost = 1024 // descriptors, likewise
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name      string
+	Listen    netip.AddrPort
+	Discovery netip.AddrPort
+	Seed      uint32
+	Cores     float64
+	Limits    fleet.Limits
+	Known     http1.List
+	KnownErr  error // a saved list of no use; the node starts without
+	Settings  settings.Settings
+}
+
+// Load reads a configuration; variables of the environment go before the file.
+func Load(path string, getenv func(string) string) (Config, error) {
+	var c Config
+	if path == "" {
+		return c, errors.New("no configuration is named")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return c, err
+	}
+	var raw struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64
+		}
+		Known, Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return c, fmt.Errorf("%s: %v", path, err)
+	}
+	for name, field := range map[string]*string{"PROXY_NAME": &raw.Name, "PROXY_LISTEN": &raw.Listen,
+		"PROXY_DISCOVERY": &raw.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	c.Name, c.Cores, c.Seed = raw.Name, raw.Limits.Cores, crc32.ChecksumIEEE([]byte(raw.Seed))
+	if c.Listen, err = netip.ParseAddrPort(raw.Listen); err != nil {
+		return c, fmt.Errorf("%s: listen: %v", path, err)
+	}
+	if c.Discovery, err = netip.ParseAddrPort(raw.Discovery); err != nil {
+		return c, fmt.Errorf("%s: discovery: %v", path, err)
+	}
+	c.Limits = fleet.Limits{MemoryMB: limit(raw.Limits.MemoryMB, memoryMost), Sockets: limit(raw.Limits.Sockets, socketsMost)}
+	if len(raw.Settings) == 0 {
+		return c, fmt.Errorf("%s: there are no settings", path)
+	}
+	if c.Settings, err = settings.Decode(raw.Settings); err != nil {
+		return c, fmt.Errorf("%s: %v", path, err)
+	}
+	if len(raw.Known) > 0 {
+		c.Known, c.KnownErr = http1.ParseList(raw.Known)
+	}
+	return c, nil
+}
+
+func limit(told float64, most int) int {
+	if told <= 0 || told > float64(most) {
+		return most
+	}
+	return int(told)
+}
--- /dev/null
+++ b/internal/serve/hop.go
@@ -0,0 +1,118 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+)
+
+var past = time.Unix(1, 0)
+
+// hop sends an operation to one server, once, and tells how that ended. Where the server has answered, the
+// client's answer is put together in the client's buffer, so that the server's connection is free again.
+func (s *Server) hop(ctx context.Context, d fleet.Decision, client *http1.Conn, req *http1.Request) (fleet.End, []byte) {
+	until := time.Now().Add(d.For)
+	conn, end := s.connect(ctx, d, until)
+	if conn == nil {
+		return end, nil
+	}
+	conn.SetDeadline(until)
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
+	var resp http1.Response
+	end = exchange(ctx, conn, req, &resp, time.Until(until))
+	var answer []byte
+	if end == fleet.Answered {
+		answer = http1.AppendAnswer(client.Scratch(), http1.Answer{Status: resp.Status, Fields: resp.Fields,
+			Body: resp.Body, Close: req.Close || s.draining.Load()})
+	}
+	whole := end == fleet.Answered || end == fleet.Erred || end == fleet.TurnedAway
+	if stop() && whole && !resp.Close {
+		s.fleet.Keep(d.Server, conn)
+	} else { // given up, broken or used up: closing it is what tells the server
+		conn.Close()
+		s.fleet.Forgo()
+	}
+	if !whole || end == fleet.TurnedAway {
+		s.log.Debug().Str("server", d.Server).Stringer("end", end).Msg("hop ended")
+	}
+	return end, answer
+}
+
+// connect finds a connection that stands idle, or opens one.
+func (s *Server) connect(ctx context.Context, d fleet.Decision, until time.Time) (*http1.Conn, fleet.End) {
+	for c := s.fleet.Take(d.Server); c != nil; c = s.fleet.Take(d.Server) {
+		if c.Quiet() {
+			return c, fleet.Answered
+		}
+		c.Close()
+		s.fleet.Forgo()
+	}
+	if !s.fleet.Reserve() {
+		return nil, fleet.NoRoom
+	}
+	by := time.Now().Add(s.cfg.Settings.ConnectTimeout)
+	if by.After(until) {
+		by = until
+	}
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	nc, err := s.dialer.DialContext(ctx, "tcp", d.Address.String())
+	if err == nil {
+		return http1.NewConn(nc), fleet.Answered
+	}
+	s.fleet.Forgo()
+	return nil, connectEnd(err, by.Equal(until))
+}
+
+func connectEnd(err error, timeUp bool) fleet.End {
+	for _, short := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, short) {
+			return fleet.NoRoom
+		}
+	}
+	var late interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, context.Canceled):
+		return fleet.NoTime
+	case errors.As(err, &late) && late.Timeout():
+		if timeUp {
+			return fleet.NoTime
+		}
+		return fleet.NeverUp
+	}
+	return fleet.Refused
+}
+
+// exchange writes the request and reads the answer whole. Only before the last byte is written is it sure
+// that the server has not begun.
+func exchange(ctx context.Context, conn *http1.Conn, req *http1.Request, resp *http1.Response, left time.Duration) fleet.End {
+	whole, err := conn.Send(http1.AppendRequest(conn.Scratch(), req, left))
+	if !whole {
+		if errors.Is(err, http1.ErrTimeout) {
+			return fleet.NoTime
+		}
+		return fleet.Unsent
+	}
+	switch err = conn.ReadResponse(resp, http1.MaxBody); {
+	case err == nil:
+	case errors.Is(err, http1.ErrTimeout) && ctx.Err() != nil:
+		return fleet.GivenUp
+	case errors.Is(err, http1.ErrTimeout):
+		return fleet.Silent
+	case err == http1.ErrGarbled:
+		return fleet.Garbled
+	default:
+		return fleet.CutOff
+	}
+	switch {
+	case resp.Status == 200:
+		return fleet.Answered
+	case resp.NeverRan():
+		return fleet.TurnedAway
+	}
+	return fleet.Erred
+}
--- /dev/null
+++ b/internal/serve/log.go
@@ -0,0 +1,27 @@
+package serve
+
+import (
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+)
+
+const (
+	logBurst  = 50          // lines a second at most of each level; more would hide what matters
+	logQueued = 256         // lines that wait for a slow reader; what is beyond is dropped and counted
+	logEvery  = time.Second // for which logBurst counts
+)
+
+// NewLog writes to w without ever waiting for it. The function it returns writes out what is left.
+func NewLog(w io.Writer) (zerolog.Logger, func()) {
+	var log zerolog.Logger
+	out := diode.NewWriter(w, logQueued, 0, func(missed int) {
+		log.Warn().Int("lines", missed).Msg("log lines dropped")
+	})
+	burst := func() zerolog.Sampler { return &zerolog.BurstSampler{Burst: logBurst, Period: logEvery} }
+	log = zerolog.New(out).Level(zerolog.InfoLevel).With().Timestamp().Logger().Sample(zerolog.LevelSampler{
+		InfoSampler: burst(), WarnSampler: burst(), ErrorSampler: burst()})
+	return log, func() { out.Close() }
+}
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,131 @@
+// Package serve runs a node on sockets, from its start to its stop: it listens, follows discovery, and
+// leads each operation through what the module decides.
+package serve
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+)
+
+const (
+	memoryShare  = 0.75                   // of the memory limit that the collector keeps to; the rest is its slack
+	comingFor    = 600 * time.Millisecond // new connections come for up to 0.4 s after SIGTERM
+	quietFor     = 150 * time.Millisecond // without a new connection, after that, before listening ends
+	killAfter    = 700 * time.Millisecond // SIGKILL comes the longest abandon time and this after SIGTERM
+	killSlack    = 200 * time.Millisecond // to be gone before that
+	longestAwait = 3 * time.Second        // the most that an abandon time counts there
+)
+
+// Server is a running node.
+type Server struct {
+	cfg      Config
+	log      zerolog.Logger
+	fleet    *fleet.Fleet
+	dialer   net.Dialer
+	draining atomic.Bool
+	busy     sync.WaitGroup // clients' connections
+}
+
+// Run serves until stop is closed and then finishes what has been taken.
+func Run(stop <-chan struct{}, cfg Config, log zerolog.Logger) error {
+	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Cores)), 1))
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
+	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Listen))
+	if err != nil {
+		return err
+	}
+	defer ln.Close()
+	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits)}
+	defer s.fleet.Stop()
+	s.known()
+	log.Info().Str("node", cfg.Name).Stringer("listen", cfg.Listen).Int("connections", cfg.Limits.Connections()).
+		Int("servers", len(cfg.Known.Hosts)).Msg("serving")
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.follow(ctx) })
+	g.Go(func() error {
+		defer cancel()
+		return s.accept(ln)
+	})
+	g.Go(func() error {
+		select {
+		case <-stop:
+			s.drain(ln)
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	if err := g.Wait(); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// known hands over the list that this node last had.
+func (s *Server) known() {
+	if s.cfg.KnownErr != nil {
+		s.log.Warn().Err(s.cfg.KnownErr).Msg("saved list unreadable")
+	}
+	s.skipped(s.cfg.Known)
+	s.fleet.Listed(s.cfg.Known, true)
+}
+
+func (s *Server) skipped(l http1.List) {
+	for _, err := range l.Skipped {
+		s.log.Warn().Err(err).Msg("list entry skipped")
+	}
+}
+
+// drain ends the listening once no connection comes any more. Until then all answers end their
+// connections; what is idle after that is closed.
+func (s *Server) drain(ln *net.TCPListener) {
+	s.log.Info().Msg("stopping")
+	s.draining.Store(true)
+	time.Sleep(comingFor)
+	ln.SetDeadline(time.Now().Add(quietFor))
+}
+
+// finish waits for what was taken, as long as there is time.
+func (s *Server) finish(by time.Time) {
+	done := make(chan struct{})
+	go func() {
+		s.busy.Wait()
+		close(done)
+	}()
+	again := time.NewTicker(10 * time.Millisecond)
+	defer again.Stop()
+	for time.Now().Before(by) {
+		s.fleet.CloseIdle()
+		select {
+		case <-done:
+			s.log.Info().Msg("stopped")
+			return
+		case <-again.C:
+		}
+	}
+	s.log.Warn().Msg("stopped with connections open")
+}
+
+// stopTime is how long a stop may take.
+func (s *Server) stopTime() time.Duration {
+	longest := time.Duration(0)
+	for _, t := range s.cfg.Settings.Types {
+		longest = max(longest, t.AbandonTime)
+	}
+	return min(longest, longestAwait) + killAfter - killSlack
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,112 @@
+// Package settings decodes the object of settings that an instance gets at its start, on the simulator's
+// wire and in a node's configuration alike.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"fernvane/policy"
+)
+
+// Settings are the figures that the module reads, and those that only a node on sockets needs.
+type Settings struct {
+	policy.Settings
+	TypeNames   []string
+	TenantNames []string
+	Zones       []string
+	ConnIdle    time.Duration // an unused connection is closed after this at the latest
+}
+
+// Span turns milliseconds into a duration.
+func Span(ms float64) time.Duration {
+	return time.Duration(math.Round(ms * float64(time.Millisecond)))
+}
+
+// Decode reads the settings and tells what makes them unusable.
+func Decode(object []byte) (Settings, error) {
+	var raw struct {
+		GroupSize, Me  int
+		Granularity    float64
+		Discovery      string
+		OverageRevenue float64
+		Dcs            []string
+		Limits         struct {
+			ConnIdle       float64
+			ConnectTimeout float64
+			MaxRetryAfter  float64
+			MostHops       int
+			RetryAfter     bool
+		}
+		Rules struct {
+			AskWithin, Cold, FallMultiple, StartCapacity float64
+		}
+		Tenants []struct {
+			Name          string
+			AllowancePerS float64
+		}
+		TrafficTypes []struct {
+			AbandonTime, TargetTime, Window, Revenue float64
+			Name, Idempotency, KeyScope              string
+		}
+	}
+	if err := json.Unmarshal(object, &raw); err != nil {
+		return Settings{}, fmt.Errorf("settings cannot be read: %v", err)
+	}
+	s := Settings{Zones: raw.Dcs, ConnIdle: Span(raw.Limits.ConnIdle)}
+	s.Settings = policy.Settings{
+		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Tick: Span(raw.Granularity),
+		OverageRevenue: raw.OverageRevenue,
+		OnRequest:      raw.Discovery == "on_request",
+		MostHops:       raw.Limits.MostHops,
+		ConnectTimeout: Span(raw.Limits.ConnectTimeout),
+		AskWithin:      Span(raw.Rules.AskWithin), ColdFor: Span(raw.Rules.Cold),
+		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
+	}
+	if raw.Limits.RetryAfter {
+		s.MaxRetryIn = Span(raw.Limits.MaxRetryAfter)
+	}
+	if len(raw.TrafficTypes) == 0 {
+		return s, errors.New("settings name no traffic types")
+	}
+	if s.MostHops < 1 {
+		return s, errors.New("settings allow no hop")
+	}
+	for _, t := range raw.Tenants {
+		s.TenantNames = append(s.TenantNames, t.Name)
+		s.AllowancePerS = append(s.AllowancePerS, t.AllowancePerS)
+	}
+	for i, t := range raw.TrafficTypes {
+		tt := policy.TrafficType{TargetTime: Span(t.TargetTime), AbandonTime: Span(t.AbandonTime),
+			Window: Span(t.Window), Revenue: t.Revenue}
+		if tt.TargetTime <= 0 {
+			return s, fmt.Errorf("traffic type %d has no target time", i)
+		}
+		switch t.Idempotency {
+		case "safe":
+			tt.Repeat = policy.Retriable
+		case "keyed":
+			tt.Repeat = policy.Fingerprinted
+		case "unsafe":
+			tt.Repeat = policy.Binding
+		default:
+			return s, fmt.Errorf("traffic type %d: unknown idempotency %q", i, t.Idempotency)
+		}
+		switch t.KeyScope {
+		case "all", "":
+			tt.Group = policy.GroupAll
+		case "zone":
+			tt.Group = policy.GroupZone
+		case "cell":
+			tt.Group = policy.GroupCell
+		default:
+			return s, fmt.Errorf("traffic type %d: unknown keyScope %q", i, t.KeyScope)
+		}
+		s.TypeNames = append(s.TypeNames, t.Name)
+		s.Types = append(s.Types, tt)
+	}
+	return s, nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"fernvane/internal/settings"
 	"fernvane/policy"
 )
 
@@ -218,7 +218,8 @@
 			p.fail("entropy is not a number")
 		}
 		env, _ := p.find("env")
-		e.Settings, e.Err = settings(env)
+		decoded, err := settings.Decode(env)
+		e.Settings, e.Err = decoded.Settings, err
 	case "killed":
 		e.Kind = Killed
 	case "discovery":
@@ -318,7 +319,7 @@
 		p.fail(name + " is not a time")
 		return 0
 	}
-	return span(x)
+	return settings.Span(x)
 }
 
 func (p *parser) span(name string, must bool) time.Duration {
@@ -388,85 +389,6 @@
 	return policy.Broken
 }
 
-func span(ms float64) time.Duration { return time.Duration(math.Round(ms * float64(time.Millisecond))) }
-
-// settings decodes the parts of the start-up parameters that the module reads.
-func settings(env []byte) (policy.Settings, error) {
-	var raw struct {
-		GroupSize, Me  int
-		Granularity    float64
-		Discovery      string
-		OverageRevenue float64
-		Limits         struct {
-			MaxRetryAfter  float64
-			ConnectTimeout float64
-			MostHops       int
-			RetryAfter     bool
-		}
-		Rules struct {
-			AskWithin, Cold, FallMultiple, StartCapacity float64
-		}
-		Tenants      []struct{ AllowancePerS float64 }
-		TrafficTypes []struct {
-			AbandonTime, TargetTime, Window, Revenue float64
-			Idempotency, KeyScope                    string
-		}
-	}
-	if err := json.Unmarshal(env, &raw); err != nil {
-		return policy.Settings{}, fmt.Errorf("settings cannot be read: %v", err)
-	}
-	s := policy.Settings{
-		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Tick: span(raw.Granularity),
-		OverageRevenue: raw.OverageRevenue,
-		OnRequest:      raw.Discovery == "on_request",
-		MostHops:       raw.Limits.MostHops,
-		ConnectTimeout: span(raw.Limits.ConnectTimeout),
-		AskWithin:      span(raw.Rules.AskWithin), ColdFor: span(raw.Rules.Cold),
-		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
-	}
-	if raw.Limits.RetryAfter {
-		s.MaxRetryIn = span(raw.Limits.MaxRetryAfter)
-	}
-	if len(raw.TrafficTypes) == 0 {
-		return s, errors.New("settings name no traffic types")
-	}
-	if s.MostHops < 1 {
-		return s, errors.New("settings allow no hop")
-	}
-	for _, t := range raw.Tenants {
-		s.AllowancePerS = append(s.AllowancePerS, t.AllowancePerS)
-	}
-	for i, t := range raw.TrafficTypes {
-		tt := policy.TrafficType{TargetTime: span(t.TargetTime), AbandonTime: span(t.AbandonTime),
-			Window: span(t.Window), Revenue: t.Revenue}
-		if tt.TargetTime <= 0 {
-			return s, fmt.Errorf("traffic type %d has no target time", i)
-		}
-		switch t.Idempotency {
-		case "safe":
-			tt.Repeat = policy.Retriable
-		case "keyed":
-			tt.Repeat = policy.Fingerprinted
-		case "unsafe":
-			tt.Repeat = policy.Binding
-		default:
-			return s, fmt.Errorf("traffic type %d: unknown idempotency %q", i, t.Idempotency)
-		}
-		switch t.KeyScope {
-		case "all", "":
-			tt.Group = policy.GroupAll
-		case "zone":
-			tt.Group = policy.GroupZone
-		case "cell":
-			tt.Group = policy.GroupCell
-		default:
-			return s, fmt.Errorf("traffic type %d: unknown keyScope %q", i, t.KeyScope)
-		}
-		s.Types = append(s.Types, tt)
-	}
-	return s, nil
-}
-
 // Writer collects the reply to one batch.
 type Writer struct {
 	out *bufio.Writer
