--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,295 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"fernvane/internal/http1"
+	"fernvane/internal/settings"
+	"fernvane/policy"
+)
+
+var limits = Limits{MemoryMB: 192, Sockets: 1024}
+
+func listed(hosts ...http1.Host) http1.List { return http1.List{Complete: true, Hosts: hosts} }
+
+func host(id string, port uint16) http1.Host {
+	return http1.Host{ID: id, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), Size: 1}
+}
+
+func fleet(t *testing.T, repeat policy.Repeat, l Limits, hosts ...http1.Host) *Fleet {
+	s := settings.Settings{ConnIdle: time.Hour, TypeNames: []string{"check"}, Settings: policy.Settings{Nodes: 1, MostHops: 4,
+		ConnectTimeout: time.Second, Types: []policy.TrafficType{{Repeat: repeat, TargetTime: time.Minute,
+			AbandonTime: time.Hour, Revenue: 1}}}}
+	f := New(s, 1, l)
+	t.Cleanup(f.Stop)
+	f.Listed(listed(hosts...), true)
+	return f
+}
+
+func TestEnds(t *testing.T) {
+	// What the module takes for proof that nothing has run.
+	proofs := []policy.Outcome{policy.Overloaded, policy.Unreachable, policy.Void}
+	for end, c := range map[End]struct{ proof, handled bool }{
+		Answered: {false, true}, Erred: {}, CutOff: {}, Garbled: {}, Silent: {}, GivenUp: {},
+		TurnedAway: {proof: true}, Refused: {proof: true}, NeverUp: {proof: true}, Unsent: {proof: true},
+		NoRoom: {proof: true}, NoTime: {proof: true},
+	} {
+		t.Run(end.String(), func(t *testing.T) {
+			if slices.Contains(proofs, end.Outcome()) != c.proof || (end.Outcome() == policy.Success) != c.handled {
+				t.Errorf("is outcome %d", end.Outcome())
+			}
+		})
+	}
+}
+
+// Whatever crosses, an operation gets one decision that ends it, and no hop after that.
+func TestOneAnswer(t *testing.T) {
+	const lose, deny, leave, settle = 100, 101, 102, 103
+	for name, c := range map[string]struct {
+		repeat policy.Repeat
+		steps  []int // an End, or one of the above from elsewhere
+		want   DecisionKind
+	}{
+		"handled":                          {policy.Binding, []int{int(Answered)}, Handled},
+		"left, then handled":               {policy.Binding, []int{leave, int(Answered)}, Drop},
+		"left twice":                       {policy.Binding, []int{leave, leave, int(CutOff)}, Drop},
+		"handled, then left":               {policy.Binding, []int{int(Answered), leave}, Handled},
+		"reset":                            {policy.Binding, []int{int(CutOff)}, WriteOff},
+		"reset, then left":                 {policy.Binding, []int{int(CutOff), leave}, WriteOff},
+		"garbled":                          {policy.Binding, []int{int(Garbled)}, WriteOff},
+		"denied while the hop is out":      {policy.Retriable, []int{deny, int(Answered)}, Deny},
+		"written off while the hop is out": {policy.Binding, []int{lose, int(GivenUp)}, WriteOff},
+		"denied, then left":                {policy.Retriable, []int{deny, leave, int(Silent)}, Deny},
+		"left, then denied":                {policy.Retriable, []int{leave, deny, int(Silent)}, Drop},
+		"never ran, then handled":          {policy.Binding, []int{int(TurnedAway), int(Answered)}, Handled},
+		"unsent, then reset":               {policy.Binding, []int{int(Unsent), int(CutOff)}, WriteOff},
+		"never ran, no server left":        {policy.Binding, []int{int(Refused), int(Refused), int(Refused), int(Refused)}, Deny},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(t, c.repeat, limits, host("a", 1), host("b", 2), host("c", 3), host("d", 4))
+			op := f.Arrive(0, nil, time.Hour)
+			given := false
+			d := op.Next(func() { given = true })
+			for _, s := range c.steps {
+				switch s {
+				case leave:
+					op.Left()
+				case deny, lose:
+					f.mu.Lock()
+					if h := (*hands)(f); s == deny {
+						h.TurnAway(op.id, 0)
+					} else {
+						h.Lose(op.id)
+					}
+					f.unlock()
+					if !given && !op.settled {
+						t.Error("the hop was not given up")
+					}
+				default:
+					if d.Kind != Send {
+						t.Fatalf("no hop where one was due, but %d", d.Kind)
+					}
+					op.Ended(End(s))
+					if !op.settled && op.next.Kind == Send {
+						d = op.Next(func() {})
+					}
+				}
+			}
+			if d = op.Next(func() {}); d.Kind != c.want {
+				t.Errorf("ended with %d", d.Kind)
+			}
+			if op.out || op.next.Kind != undecided || len(f.ops) != 0 {
+				t.Error("something is left of it")
+			}
+		})
+	}
+}
+
+// A hop that was decided on and overtaken by the client's leaving is never sent, and its server is free.
+func TestOvertakenHop(t *testing.T) {
+	f := fleet(t, policy.Binding, limits, host("a", 1))
+	op := f.Arrive(0, nil, time.Hour)
+	op.Left()
+	if d := op.Next(func() {}); d.Kind != Drop || op.out {
+		t.Errorf("decided %d, hop out %v", d.Kind, op.out)
+	}
+}
+
+func TestListedServers(t *testing.T) {
+	with := func(h http1.Host, change func(*http1.Host)) http1.Host {
+		change(&h)
+		return h
+	}
+	// These two ids have the same checksum.
+	one, two := host("plumless", 1), host("buckeroo", 2)
+	for name, c := range map[string]struct {
+		lists []http1.List
+		want  []uint16 // ports that hops go to
+	}{
+		"both":            {[]http1.List{listed(one, two)}, []uint16{1, 2}},
+		"one drains":      {[]http1.List{listed(one, two), {Hosts: []http1.Host{with(one, func(h *http1.Host) { h.Phase = http1.Draining })}}}, []uint16{2}},
+		"one is gone":     {[]http1.List{listed(one, two), {Hosts: []http1.Host{{ID: one.ID, Phase: http1.Deleted}}}}, []uint16{2}},
+		"one is not told": {[]http1.List{listed(one, two), listed(two)}, []uint16{2}},
+		"one has moved":   {[]http1.List{listed(one, two), {Hosts: []http1.Host{with(one, func(h *http1.Host) { h.Address = host("", 9).Address })}}}, []uint16{2, 9}},
+		"no changes":      {[]http1.List{listed(one, two), {}}, []uint16{1, 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(t, policy.Retriable, limits)
+			for _, l := range c.lists {
+				f.Listed(l, false)
+			}
+			got := map[uint16]bool{}
+			for range 4 { // at the same time, so that one server is not enough
+				op := f.Arrive(0, nil, time.Hour)
+				if d := op.Next(func() {}); d.Kind == Send {
+					got[d.Address.Port()] = true
+				}
+			}
+			for _, p := range c.want {
+				if !got[p] || len(got) != len(c.want) {
+					t.Errorf("hops went to %v", got)
+				}
+			}
+		})
+	}
+}
+
+func TestAskedAgain(t *testing.T) {
+	s := settings.Settings{TypeNames: []string{"check"}, Settings: policy.Settings{Nodes: 1, MostHops: 1, OnRequest: true,
+		Types: []policy.TrafficType{{TargetTime: time.Second}}}}
+	f := New(s, 1, limits)
+	defer f.Stop()
+	<-f.Asked() // at the start
+	f.Unlisted()
+	<-f.Asked() // and after a failure, when the module says so
+}
+
+type closer struct {
+	net.Conn
+	name   string
+	closed chan string
+}
+
+func (c *closer) Close() error {
+	c.closed <- c.name
+	return nil
+}
+
+func TestIdleConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		idle time.Duration // the settings' idle time
+		do   func(*Fleet)
+		back bool
+	}{
+		"used again":              {time.Hour, func(*Fleet) {}, true},
+		"old":                     {0, func(*Fleet) {}, false},
+		"old, and swept":          {0, (*Fleet).woken, false},
+		"released by the module":  {time.Hour, func(f *Fleet) { (*hands)(f).Release("a") }, false},
+		"its server drains":       {time.Hour, func(f *Fleet) { f.Listed(http1.List{Hosts: []http1.Host{{ID: "a", Phase: http1.Draining}}}, false) }, false},
+		"its server has moved":    {time.Hour, func(f *Fleet) { f.Listed(http1.List{Hosts: []http1.Host{host("a", 7)}}, false) }, false},
+		"the same list once more": {time.Hour, func(f *Fleet) { f.Listed(listed(host("a", 1)), false) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(t, policy.Retriable, limits, host("a", 1))
+			f.set.ConnIdle = c.idle
+			free := f.room.free
+			f.Reserve()
+			conn := &closer{closed: make(chan string, 1)}
+			f.Keep("a", http1.NewConn(conn))
+			c.do(f)
+			got := f.Take("a")
+			if f.Unlisted(); (got != nil) != c.back || (len(conn.closed) == 0) != c.back || (f.room.free == free) == c.back {
+				t.Errorf("taken %v, closed %d times, %d of %d descriptors free", got != nil, len(conn.closed), f.room.free, free)
+			}
+		})
+	}
+}
+
+func TestConnectionsByLimits(t *testing.T) {
+	for l, want := range map[Limits]int{
+		{MemoryMB: 192, Sockets: 1024}: 853, // memory binds
+		{MemoryMB: 192, Sockets: 100}:  76,
+		{MemoryMB: 64, Sockets: 1024}:  170,
+		{MemoryMB: 1, Sockets: 1}:      leastSockets,
+	} {
+		t.Run(fmt.Sprint(l), func(t *testing.T) {
+			if got := l.Connections(); got != want {
+				t.Errorf("%d", got)
+			}
+		})
+	}
+}
+
+// With all descriptors taken, room to accept is made by closing what is idle, never what is busy.
+func TestRoom(t *testing.T) {
+	l := Limits{MemoryMB: 192, Sockets: ownDescriptors + leastSockets}
+	for name, c := range map[string]struct {
+		idle, servers int // idle clients' and servers' connections, of leastSockets
+		evicted       string
+	}{
+		"clients before servers": {2, 3, "client 0"},
+		"a server's":             {0, 3, "server 0"},
+		"none idle":              {0, 0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(t, policy.Retriable, l, host("a", 1))
+			closed := make(chan string, leastSockets)
+			for i := range c.servers {
+				if !f.Reserve() {
+					t.Fatal("no room for a server")
+				}
+				f.Keep("a", http1.NewConn(&closer{name: fmt.Sprint("server ", i), closed: closed}))
+			}
+			var first *Client
+			for i := range leastSockets - c.servers {
+				f.Admit()
+				if p := f.Client(&closer{name: fmt.Sprint("client ", i), closed: closed}); i < c.idle {
+					p.Idle()
+					if i == 0 {
+						first = p
+					}
+				}
+			}
+			admitted := make(chan struct{})
+			go func() {
+				f.Admit()
+				close(admitted)
+			}()
+			if c.evicted == "" {
+				f.Vacate() // one of the busy ends
+			} else if got := <-closed; got != c.evicted {
+				t.Errorf("closed %s", got)
+			}
+			if first != nil {
+				if first.Busy() {
+					t.Error("a closed connection may be used")
+				}
+				f.Vacate() // as its goroutine does
+			}
+			<-admitted
+			if len(closed) != 0 {
+				t.Errorf("also closed %s", <-closed)
+			}
+		})
+	}
+}
+
+// Connections to servers get half of the descriptors, so that there is room to accept.
+func TestServersShare(t *testing.T) {
+	f := fleet(t, policy.Retriable, Limits{MemoryMB: 192, Sockets: ownDescriptors + 10}, host("a", 1))
+	n := 0
+	for f.Reserve() {
+		n++
+	}
+	if n != 5 {
+		t.Errorf("%d connections", n)
+	}
+	if f.Forgo(); !f.Reserve() {
+		t.Error("what was given back cannot be had")
+	}
+}
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -13,7 +13,6 @@
 
 const (
 	idleMost    = 2 * time.Minute        // between requests; room is made sooner where it is short
-	stallMost   = 3 * time.Second        // from a request's first byte to its last
 	answerMost  = 2 * time.Second        // for a client to take its answer
 	lingerMost  = 300 * time.Millisecond // for a client to see why it is not served, before the close
 	lingerBytes = 256 << 10              // likewise
@@ -32,6 +31,7 @@
 		}
 	}()
 	c, place := http1.NewConn(nc), s.fleet.Client(nc)
+	stall := s.longest() // a request that takes longer to come would find its client gone
 	var req http1.Request
 	for {
 		place.Idle()
@@ -41,7 +41,7 @@
 			return
 		}
 		came := time.Now()
-		nc.SetReadDeadline(came.Add(stallMost))
+		nc.SetReadDeadline(came.Add(stall))
 		if err = c.ReadRequest(&req); err != nil {
 			s.reject(c, err)
 			return
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -47,6 +47,10 @@
 	if err != nil {
 		return err
 	}
+	return run(stop, cfg, log, ln)
+}
+
+func run(stop <-chan struct{}, cfg Config, log zerolog.Logger, ln *net.TCPListener) error {
 	defer ln.Close()
 	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits)}
 	defer s.fleet.Stop()
@@ -121,11 +125,16 @@
 	s.log.Warn().Msg("stopped with connections open")
 }
 
-// stopTime is how long a stop may take.
-func (s *Server) stopTime() time.Duration {
+// longest is the longest abandon time.
+func (s *Server) longest() time.Duration {
 	longest := time.Duration(0)
 	for _, t := range s.cfg.Settings.Types {
 		longest = max(longest, t.AbandonTime)
 	}
-	return min(longest, longestAwait) + killAfter - killSlack
+	return longest
+}
+
+// stopTime is how long a stop may take.
+func (s *Server) stopTime() time.Duration {
+	return min(s.longest(), longestAwait) + killAfter - killSlack
 }
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,418 @@
+package serve
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/settings"
+	"fernvane/policy"
+)
+
+const (
+	hangUp = "\x00" // at the end of what a server says
+	whole  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	denied = "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// standIn listens and gives each connection to a function.
+func standIn(t *testing.T, lead func(net.Conn)) netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go lead(c)
+		}
+	}()
+	return ln.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// servers are some that together say the lines of a script, one for each request.
+func servers(t *testing.T, n int, script ...string) (hosts []http1.Host, taken *atomic.Int32) {
+	taken = new(atomic.Int32)
+	for i := range n {
+		at := standIn(t, func(nc net.Conn) {
+			defer nc.Close()
+			c := http1.NewConn(nc)
+			for c.ReadRequest(&http1.Request{}) == nil {
+				say := script[min(int(taken.Add(1)), len(script))-1]
+				io.WriteString(nc, strings.TrimSuffix(say, hangUp))
+				if strings.HasSuffix(say, hangUp) {
+					return
+				}
+			}
+		})
+		hosts = append(hosts, http1.Host{ID: fmt.Sprint("s-", i), Address: at, Size: 1})
+	}
+	return hosts, taken
+}
+
+func config(hosts ...http1.Host) Config {
+	kind := policy.TrafficType{TargetTime: 200 * time.Millisecond, AbandonTime: 400 * time.Millisecond, Revenue: 1}
+	binding := kind
+	binding.Repeat = policy.Binding
+	return Config{Name: "n", Cores: 8, Limits: fleet.Limits{MemoryMB: 192, Sockets: 1024},
+		Discovery: netip.MustParseAddrPort("127.0.0.1:1"), Known: http1.List{Complete: true, Hosts: hosts},
+		Settings: settings.Settings{ConnIdle: time.Second, TypeNames: []string{"check", "book"}, Settings: policy.Settings{
+			Nodes: 1, MostHops: 4, ConnectTimeout: 100 * time.Millisecond, Types: []policy.TrafficType{kind, binding}}}}
+}
+
+// node runs one until the test ends, or until stop.
+func node(t *testing.T, cfg Config) (at string, stop func() error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	signal, done, stopped := make(chan struct{}), make(chan error, 1), false
+	go func() { done <- run(signal, cfg, zerolog.Nop(), ln.(*net.TCPListener)) }()
+	stop = func() error {
+		if stopped {
+			return nil
+		}
+		stopped = true
+		close(signal)
+		return <-done
+	}
+	t.Cleanup(func() { stop() })
+	return ln.Addr().String(), stop
+}
+
+func dial(t *testing.T, at string) *http1.Conn {
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return http1.NewConn(c)
+}
+
+func ask1(t *testing.T, c *http1.Conn, path string) http1.Response {
+	t.Helper()
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n", path)
+	return reply(t, c)
+}
+
+func reply(t *testing.T, c *http1.Conn) (r http1.Response) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if err := c.ReadResponse(&r, http1.MaxBody); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestOneOperation(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		path   string
+		script []string
+		status int
+		hops   int32
+	}{
+		"handled":                         {"/book/1", []string{whole}, 200, 1},
+		"in chunks":                       {"/book/1", []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}, 200, 1},
+		"until the close":                 {"/book/1", []string{"HTTP/1.1 200 OK\r\n\r\nok" + hangUp}, 200, 1},
+		"the list asks for more":          {"/other/1", []string{whole}, 404, 0},
+		"binding, no answer":              {"/book/1", []string{hangUp, whole}, 502, 1},
+		"binding, cut off in the head":    {"/book/1", []string{"HTTP/1.1 2" + hangUp, whole}, 502, 1},
+		"binding, cut off in the body":    {"/book/1", []string{strings.TrimSuffix(whole, "k") + hangUp, whole}, 502, 1},
+		"binding, garbled":                {"/book/1", []string{"what\r\n\r\n", whole}, 502, 1},
+		"binding, too long":               {"/book/1", []string{"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", whole}, 502, 1},
+		"binding, an error":               {"/book/1", []string{"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", whole}, 502, 1},
+		"binding, away without a word":    {"/book/1", []string{strings.Replace(denied, "Not-Started: 1\r\n", "", 1), whole}, 502, 1},
+		"binding, silence":                {"/book/1", []string{"", whole}, 504, 1},
+		"binding, stalls in the body":     {"/book/1", []string{strings.TrimSuffix(whole, "k"), whole}, 504, 1},
+		"binding, turned away, then not":  {"/book/1", []string{denied, whole}, 200, 2},
+		"binding, turned away everywhere": {"/book/1", []string{denied}, 503, 4},
+		"retriable, cut off, then not":    {"/check/1", []string{hangUp, whole}, 200, 2},
+		"retriable, an error, then not":   {"/check/1", []string{"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", whole}, 200, 2},
+		"retriable, silence":              {"/check/1", []string{"", whole}, 503, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hosts, taken := servers(t, 4, c.script...)
+			at, _ := node(t, config(hosts...))
+			conn := dial(t, at)
+			r := ask1(t, conn, c.path)
+			if r.Status != c.status || taken.Load() != c.hops || r.Status == 200 && string(r.Body) != "ok" {
+				t.Errorf("answered %d %q after %d hops", r.Status, r.Body, taken.Load())
+			}
+			if r := ask1(t, conn, "/up"); r.Status != 200 { // the connection lives on
+				t.Errorf("then %d", r.Status)
+			}
+		})
+	}
+}
+
+func TestServerOutOfReach(t *testing.T) {
+	t.Parallel()
+	hosts, _ := servers(t, 1, whole)
+	hosts = append(hosts, http1.Host{ID: "closed", Address: netip.MustParseAddrPort("127.0.0.1:1"), Size: 1})
+	at, _ := node(t, config(hosts...))
+	for range 4 {
+		if r := ask1(t, dial(t, at), "/book/1"); r.Status != 200 {
+			t.Errorf("answered %d", r.Status)
+		}
+	}
+}
+
+// A server that closes a connection just before it is used again must not cost an operation.
+func TestStaleConnection(t *testing.T) {
+	t.Parallel()
+	closed := make(chan struct{})
+	at := standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		if http1.NewConn(nc).ReadRequest(&http1.Request{}) == nil {
+			io.WriteString(nc, whole)
+			nc.Close()
+			closed <- struct{}{}
+		}
+	})
+	node, _ := node(t, config(http1.Host{ID: "s", Address: at, Size: 1}))
+	for range 3 {
+		if r := ask1(t, dial(t, node), "/book/1"); r.Status != 200 {
+			t.Errorf("answered %d", r.Status)
+		}
+		<-closed
+	}
+}
+
+func TestRejected(t *testing.T) {
+	t.Parallel()
+	hosts, taken := servers(t, 1, whole)
+	at, _ := node(t, config(hosts...))
+	const get = "GET /check/1 HTTP/1.1\r\nHost: h\r\n"
+	for name, c := range map[string]struct {
+		in     string
+		status int
+	}{
+		"no HTTP":            {"hello\r\n\r\n", 400},
+		"no id":              {get + "\r\n", 400},
+		"a time-out of what": {get + "Request-Id: 1\r\nRequest-Timeout: x\r\n\r\n", 400},
+		"its time is up":     {get + "Request-Id: 1\r\nRequest-Timeout: 0.000000001\r\n\r\n", 408},
+		"stalls in the head": {get, 408},
+		"stalls in the body": {"POST /book/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\nx", 408},
+		"a large head":       {get + "A: " + strings.Repeat("a", http1.MaxHead), 431},
+		"a large body":       {get + "Content-Length: 99999\r\n\r\n" + strings.Repeat("a", 99999), 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := dial(t, at)
+			io.WriteString(conn, c.in)
+			if r := reply(t, conn); r.Status != c.status || !r.Close {
+				t.Errorf("answered %d, close %v", r.Status, r.Close)
+			}
+			if err := conn.ReadResponse(&http1.Response{}, 0); err != io.EOF {
+				t.Errorf("the connection ends with %v", err)
+			}
+		})
+	}
+	if taken.Load() != 0 {
+		t.Error("a server was sent something")
+	}
+}
+
+func TestLeavingIsNoticed(t *testing.T) {
+	t.Parallel()
+	gone := make(chan net.Conn, 1)
+	at := standIn(t, func(c net.Conn) { gone <- c })
+	near := dial(t, at.String())
+	s := &Server{fleet: fleet.New(config().Settings, 1, config().Limits)}
+	defer s.fleet.Stop()
+	s.fleet.Listed(http1.List{Hosts: []http1.Host{{ID: "s", Address: at, Size: 1}}}, true)
+	op := s.fleet.Arrive(1, nil, time.Minute)
+	if d := op.Next(func() {}); d.Kind != fleet.Send {
+		t.Fatalf("decided %d", d.Kind)
+	}
+	defer s.watch(near, op)()
+	(<-gone).Close() // while the hop is out
+	if d := op.Next(func() {}); d.Kind != fleet.Drop {
+		t.Errorf("decided %d", d.Kind)
+	}
+}
+
+func TestShortOfDescriptors(t *testing.T) {
+	t.Parallel()
+	hosts, _ := servers(t, 1, whole)
+	cfg := config(hosts...)
+	cfg.Limits.Sockets = 1 // leaves room for the fewest connections
+	at, _ := node(t, cfg)
+	for i := range 4 * cfg.Limits.Connections() {
+		if r := ask1(t, dial(t, at), "/check/1"); r.Status != 200 { // and stays, idle
+			t.Fatalf("the %d. client is answered %d", i, r.Status)
+		}
+	}
+}
+
+func TestStop(t *testing.T) {
+	t.Parallel()
+	begun, finish := make(chan struct{}), make(chan struct{})
+	server := standIn(t, func(nc net.Conn) {
+		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
+			begun <- struct{}{}
+			<-finish
+			io.WriteString(nc, whole)
+		}
+	})
+	cfg := config(http1.Host{ID: "s", Address: server, Size: 1})
+	cfg.Settings.Types[0].TargetTime, cfg.Settings.Types[0].AbandonTime = 9*time.Second, 9*time.Second
+	at, stop := node(t, cfg)
+	before := dial(t, at)
+	kept := dial(t, at)
+	if r := ask1(t, kept, "/up"); r.Close {
+		t.Error("closed before the stop")
+	}
+	fmt.Fprint(before, "GET /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
+	<-begun
+	done := make(chan error)
+	go func() { done <- stop() }()
+	for !ask1(t, dial(t, at), "/up").Close { // connections are taken all the while
+	}
+	if r := ask1(t, kept, "/up"); r.Status != 200 || !r.Close {
+		t.Errorf("a kept connection is answered %d, close %v", r.Status, r.Close)
+	}
+	close(finish)
+	if r := reply(t, before); r.Status != 200 || !r.Close {
+		t.Errorf("what was taken is answered %d, close %v", r.Status, r.Close)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", at); err == nil {
+		t.Error("still listening")
+	}
+}
+
+func TestDiscovery(t *testing.T) {
+	t.Parallel()
+	hosts, _ := servers(t, 1, whole)
+	line := fmt.Sprintf(`{"id":"s","host_port":"%s","phase":"SERVING","size":1}`, hosts[0].Address)
+	list := func(body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	good := list(`{"revision":9,"complete":true,"members":[` + line + `]}`)
+	for name, script := range map[string][]string{
+		"at once":                 {good},
+		"after nothing new":       {list(`{"revision":3,"members":[]}`), good},
+		"after a failed call":     {"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n", good},
+		"after a broken call":     {hangUp, good},
+		"after a bad body":        {list(`{"revision":5,"compl`), good},
+		"beside a bad entry":      {list(`{"revision":9,"complete":true,"members":[{"id":7},` + line + `]}`)},
+		"on a connection closed":  {list(`{"revision":3,"members":[]}`) + hangUp, good},
+		"as a change to the list": {list(`{"revision":9,"members":[` + line + `]}`)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			calls, next := make(chan string, 16), make(chan string, len(script))
+			for _, s := range script {
+				next <- s
+			}
+			cfg := config()
+			cfg.Settings.OnRequest, cfg.Known.Revision = true, 2
+			cfg.Discovery = standIn(t, func(nc net.Conn) {
+				defer nc.Close()
+				var r http1.Request
+				for c := http1.NewConn(nc); c.ReadRequest(&r) == nil; {
+					calls <- string(r.Target)
+					say := <-next
+					io.WriteString(nc, strings.TrimSuffix(say, hangUp))
+					if strings.HasSuffix(say, hangUp) {
+						return
+					}
+				}
+			})
+			at, _ := node(t, cfg)
+			for range script {
+				if call := <-calls; !strings.HasPrefix(call, "/discovery/hosts?index=2&") && !strings.HasPrefix(call, "/discovery/hosts?index=3&") {
+					t.Errorf("called %s", call)
+				}
+			}
+			if call := <-calls; !strings.HasPrefix(call, "/discovery/hosts?index=9&wait=") { // the watch goes on
+				t.Errorf("called %s", call)
+			}
+			close(next)
+			if r := ask1(t, dial(t, at), "/check/1"); r.Status != 200 {
+				t.Errorf("answered %d", r.Status)
+			}
+		})
+	}
+}
+
+func TestConfig(t *testing.T) {
+	t.Parallel()
+	const good = `{"name":"n","listen":"127.0.0.1:80","discovery":"127.0.0.1:81","seed":"x","limits":{"memory_mb":64,"sockets":256},
+		"known":{"revision":1,"members":[]},"settings":{"limits":{"mostHops":2},"trafficTypes":[{"name":"a","targetTime":5,"idempotency":"safe"}]}}`
+	for name, c := range map[string]struct {
+		old, new string
+		env      string
+		wrong    string // in the one line
+	}{
+		"good":                {},
+		"listen from outside": {`"127.0.0.1:80"`, `""`, "127.0.0.2:80", ""},
+		"no JSON":             {"{", "", "", "invalid"},
+		"cut off":             {`"}]}}`, "", "", "unexpected end"},
+		"no address":          {`"127.0.0.1:80"`, `"here"`, "", "listen"},
+		"no discovery":        {`"127.0.0.1:81"`, `""`, "", "discovery"},
+		"no settings":         {`"settings"`, `"settlings"`, "", "no settings"},
+		"no traffic types":    {`"trafficTypes"`, `"types"`, "", "no traffic types"},
+		"no hops":             {`"mostHops":2`, `"mostHops":0`, "", "no hop"},
+		"a list of no use":    {`"revision":1`, `"revision":"one"`, "", ""},
+		"limits of no use":    {`"sockets":256`, `"sockets":-1`, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(path, []byte(strings.Replace(good, c.old, c.new, 1)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			cfg, err := Load(path, func(name string) string {
+				if name == "PROXY_LISTEN" {
+					return c.env
+				}
+				return ""
+			})
+			if c.wrong == "" {
+				if err != nil || cfg.Limits.Sockets < 1 || cfg.Limits.Sockets > socketsMost || c.env != "" && cfg.Listen.String() != c.env {
+					t.Errorf("%+v, %v", cfg, err)
+				}
+			} else if err == nil || !strings.Contains(err.Error(), c.wrong) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+type stuck struct{ held chan struct{} }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.held
+	return len(b), nil
+}
+
+// A reader of the log that has stopped must not stop operations.
+func TestLogNeverBlocks(t *testing.T) {
+	t.Parallel()
+	w := stuck{make(chan struct{})}
+	log, flush := NewLog(w)
+	for range 10 * logQueued {
+		log.Warn().Msg("once more")
+	}
+	close(w.held)
+	flush()
+}
