A watch of discovery's list waits 3 s a call, so that silence is noticed sooner

Seen: nothing yet; read in PROTOCOL.md: what discovery has to tell counts as told 2 s after a call's wait, whether or not it arrived. At a wait of 20 s and 24 s for the answer (discovery.go, watchWait and watchSlack) a connection gone silent would be noticed 2 s after that moment, and up to 24 s late. Now a watch that goes on is given up 1.5 s after its wait, a new call 4 s after.

--- a/internal/serve/discovery.go
+++ b/internal/serve/discovery.go
@@ -10,11 +10,14 @@
 )
 
 const (
-	watchWait   = 20 * time.Second      // for a change; a call costs discovery more than waiting does
-	watchSlack  = 4 * time.Second       // for an answer beyond that, and for one that waits in discovery's queue
-	watchPace   = 25 * time.Millisecond // between two calls at least; a watch must be renewed within 200 ms
-	dialMost    = time.Second           // for a connection to discovery
-	longestList = 1 << 20               // bytes
+	// A silent connection is noticed when an answer is overdue, and what discovery had to tell counts as told
+	// 2 s after the wait: a short wait finds out sooner, and going on with a watch costs discovery no call.
+	watchWait   = 3 * time.Second
+	watchSlack  = 1500 * time.Millisecond // beyond the wait, for an answer to a watch that goes on
+	queueSlack  = 4 * time.Second         // the same for a new call, which waits in discovery's queue
+	watchPace   = 25 * time.Millisecond   // between two calls at least; a watch must be renewed within 200 ms
+	dialMost    = time.Second             // for a connection to discovery
+	longestList = 1 << 20                 // bytes
 )
 
 // follow watches discovery's list whenever the module asks for it, until a call fails.
@@ -27,9 +30,9 @@
 			return ctx.Err()
 		case <-s.fleet.Asked():
 		}
-		for {
+		for slack := queueSlack; ; slack = watchSlack {
 			began := time.Now()
-			list, err := w.call(ctx)
+			list, err := w.call(ctx, slack)
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -65,7 +68,7 @@
 	}
 }
 
-func (w *watcher) call(ctx context.Context) (http1.List, error) {
+func (w *watcher) call(ctx context.Context, slack time.Duration) (http1.List, error) {
 	if w.conn != nil && !w.conn.Quiet() {
 		w.close()
 	}
@@ -78,7 +81,7 @@
 		w.conn = http1.NewConn(nc)
 	}
 	conn := w.conn
-	conn.SetDeadline(time.Now().Add(watchWait + watchSlack))
+	conn.SetDeadline(time.Now().Add(watchWait + slack))
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
 	defer stop()
 	list, again, err := ask(conn, w.s.cfg.Discovery.String(), w.revision)
