Room is made without closing on a request that waits unread; 14 own descriptors

A fresh connection closed for room might hold a request already, which its client may not send again; such ones are passed over now. Also: the system's own limit of open files counts; a failed accept makes room; HEAD and CONNECT get 405, HTTP/1.0 is closed after its answer; a panic in one connection answers 500.

--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -2,14 +2,13 @@
 
 import (
 	"container/list"
-	"net"
 	"time"
 
 	"fernvane/internal/http1"
 )
 
 const (
-	ownDescriptors = 24       // standard streams, listener, discovery, poller, files of the run time, and slack
+	ownDescriptors = 14       // standard streams, listener, discovery, poller: 10 were seen at most, and slack
 	leastSockets   = 8        // connections a node has whatever the limits say
 	baseMemory     = 32 << 20 // bytes of the run time and the module's own figures
 	perConnection  = http1.MaxHead + http1.MaxBody + 16<<10
@@ -47,7 +46,7 @@
 // Client is a client's connection.
 type Client struct {
 	f       *Fleet
-	conn    net.Conn
+	conn    *http1.Conn
 	place   *list.Element // among the idle
 	evicted bool
 }
@@ -84,20 +83,31 @@
 	}
 }
 
-// evictClient closes the connection that has been idle for longest.
+// evictClient closes the connection that has been idle for longest. One on which a request has come that
+// is not read yet is passed over, for its client may not send it again.
 func (f *Fleet) evictClient() bool {
-	e := f.room.idle.Front()
-	if e == nil {
-		return false
+	for e := f.room.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Client); !c.conn.Waiting() {
+			f.room.idle.Remove(e)
+			c.place, c.evicted = nil, true
+			f.closing = append(f.closing, c.conn)
+			return true
+		}
+	}
+	return false
+}
+
+// MakeRoom closes a connection that is idle, where the system has less room than it was taken to have.
+func (f *Fleet) MakeRoom() {
+	f.mu.Lock()
+	defer f.unlock()
+	if !f.evictClient() {
+		f.evictServer()
 	}
-	c := f.room.idle.Remove(e).(*Client)
-	c.place, c.evicted = nil, true
-	f.closing = append(f.closing, c.conn)
-	return true
 }
 
 // Client takes in an accepted connection.
-func (f *Fleet) Client(conn net.Conn) *Client { return &Client{f: f, conn: conn} }
+func (f *Fleet) Client(conn *http1.Conn) *Client { return &Client{f: f, conn: conn} }
 
 // Idle tells that the connection is between requests and may be closed at any time.
 func (c *Client) Idle() {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -113,7 +113,7 @@
 	return c.buf[:0]
 }
 
-// peek looks at the socket without reading: ready is false where nothing has come.
+// peek looks at the socket without reading from it, and waits for something to see where it is told to.
 func (c *Conn) peek(wait bool) (n int, err error) {
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -125,10 +125,17 @@
 	}
 	var one [1]byte
 	var got error
-	err = rc.Read(func(fd uintptr) bool {
+	look := func(fd uintptr) {
 		n, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return !wait || got != syscall.EAGAIN
-	})
+	}
+	if wait {
+		err = rc.Read(func(fd uintptr) bool {
+			look(fd)
+			return got != syscall.EAGAIN
+		})
+	} else {
+		err = rc.Control(look) // also while another goroutine waits in a read
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -141,6 +148,12 @@
 	return err == syscall.EAGAIN && c.at == c.end
 }
 
+// Waiting tells that something has come that was not read yet. It may be asked from anywhere.
+func (c *Conn) Waiting() bool {
+	n, err := c.peek(false)
+	return err == nil && n > 0
+}
+
 // Gone waits until the other side has closed or broken the connection, and tells so. It is false when
 // more data came first or the read deadline passed.
 func (c *Conn) Gone() bool {
--- a/internal/http1/protocol.go
+++ b/internal/http1/protocol.go
@@ -26,7 +26,7 @@
 	ID      []byte
 	Type    []byte
 	Tenant  []byte
-	Timeout time.Duration // counted from when the client sent the request
+	Timeout time.Duration // counted from when the client sent the request; below 0 where it is not said
 }
 
 // IsReadiness tells whether a request asks if the node can serve.
@@ -34,7 +34,10 @@
 
 // Operation reads the parts of a request that decisions need.
 func (r *Request) Operation() (Operation, error) {
-	o := Operation{ID: r.Get(RequestID), Tenant: r.Get(tenantField)}
+	o := Operation{ID: r.Get(RequestID), Tenant: r.Get(tenantField), Timeout: -1}
+	if string(r.Method) == "HEAD" || string(r.Method) == "CONNECT" {
+		return o, &Malformed{405, "this method is not served"} // their answers have no body to pass on
+	}
 	if len(o.ID) == 0 {
 		return o, &Malformed{400, "the request has no id"}
 	}
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -60,7 +60,7 @@
 	if !old && r.Get("Host") == nil {
 		return &Malformed{400, "no host is named"}
 	}
-	r.Close = lists(r.Fields, "Connection", "close") || old && !lists(r.Fields, "Connection", "keep-alive")
+	r.Close = old || lists(r.Fields, "Connection", "close")
 	length, err := framing(r.Fields)
 	if err != nil {
 		return &Malformed{400, err.Error()}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -9,7 +9,7 @@
 	status int
 	phrase string
 }{
-	{200, "OK"}, {400, "Bad Request"}, {404, "Not Found"}, {408, "Request Timeout"},
+	{200, "OK"}, {400, "Bad Request"}, {404, "Not Found"}, {405, "Method Not Allowed"}, {408, "Request Timeout"},
 	{413, "Content Too Large"}, {431, "Request Header Fields Too Large"}, {500, "Internal Server Error"},
 	{502, "Bad Gateway"}, {503, "Service Unavailable"}, {504, "Gateway Timeout"},
 }
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -25,12 +25,14 @@
 	defer s.busy.Done()
 	defer s.fleet.Vacate()
 	defer nc.Close()
+	c := http1.NewConn(nc)
 	defer func() {
-		if p := recover(); p != nil {
+		if p := recover(); p != nil { // a fault of this program must not take the other clients with it
 			s.log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("connection dropped")
+			s.answer(c, http1.Answer{Status: 500, Close: true})
 		}
 	}()
-	c, place := http1.NewConn(nc), s.fleet.Client(nc)
+	place := s.fleet.Client(c)
 	stall := s.longest() // a request that takes longer to come would find its client gone
 	var req http1.Request
 	for {
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 	"net/netip"
 	"os"
+	"syscall"
 
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
@@ -66,7 +67,8 @@
 	if c.Discovery, err = netip.ParseAddrPort(raw.Discovery); err != nil {
 		return c, fmt.Errorf("%s: discovery: %v", path, err)
 	}
-	c.Limits = fleet.Limits{MemoryMB: limit(raw.Limits.MemoryMB, memoryMost), Sockets: limit(raw.Limits.Sockets, socketsMost)}
+	c.Limits = fleet.Limits{MemoryMB: limit(raw.Limits.MemoryMB, memoryMost),
+		Sockets: limit(raw.Limits.Sockets, min(socketsMost, openFiles()))}
 	if len(raw.Settings) == 0 {
 		return c, fmt.Errorf("%s: there are no settings", path)
 	}
@@ -79,6 +81,15 @@
 	return c, nil
 }
 
+// openFiles is the system's own limit, which may be lower than what the configuration names.
+func openFiles() int {
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
+		return socketsMost
+	}
+	return int(min(r.Cur, socketsMost))
+}
+
 func limit(told float64, most int) int {
 	if told <= 0 || told > float64(most) {
 		return most
--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -29,6 +29,7 @@
 			return err
 		}
 		s.log.Warn().Err(err).Msg("accept failed")
+		s.fleet.MakeRoom()
 		time.Sleep(acceptPause)
 	}
 	ln.Close()
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -22,7 +22,7 @@
 		return s.answer(c, http1.Answer{Status: 404, Body: []byte("no such traffic type\n"), Close: req.Close})
 	}
 	budget := o.Timeout
-	if budget == 0 {
+	if budget < 0 {
 		budget = s.fleet.AbandonTime(kind)
 	}
 	if budget -= time.Since(came); budget <= 0 {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -207,6 +207,8 @@
 		"no HTTP":            {"hello\r\n\r\n", 400},
 		"no id":              {get + "\r\n", 400},
 		"a time-out of what": {get + "Request-Id: 1\r\nRequest-Timeout: x\r\n\r\n", 400},
+		"no time at all":     {get + "Request-Id: 1\r\nRequest-Timeout: 0\r\n\r\n", 408},
+		"a method without":   {"HEAD /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n", 405},
 		"its time is up":     {get + "Request-Id: 1\r\nRequest-Timeout: 0.000000001\r\n\r\n", 408},
 		"stalls in the head": {get, 408},
 		"stalls in the body": {"POST /book/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\nx", 408},
