Counts in the log every 10 s; listening ends only after a wait in vain

Seen in reading: accept stopped at a fixed moment after SIGTERM (serve.go, drain), so connections that the system had taken while accept waited for a descriptor would have been reset with their requests. On-call staff had no line that tells what becomes of operations; now there is one every 10 s.

--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -11,6 +11,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/rs/zerolog"
+
 	"fernvane/internal/serve"
 )
 
@@ -41,7 +43,8 @@
 		fmt.Fprint(errs, usage)
 		flags.PrintDefaults()
 	}
-	path := flags.String("config", getenv("PROXY_CONFIG"), "the configuration, a JSON file")
+	path := flags.String("config", getenv("PROXY_CONFIG"), "the configuration, a JSON `file`")
+	verbose := flags.Bool("verbose", false, "log each hop that does not end with a whole answer")
 	if err := flags.Parse(args[1:]); errors.Is(err, flag.ErrHelp) {
 		return 0
 	} else if err != nil {
@@ -59,7 +62,11 @@
 				cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Known.Hosts), cfg.Limits.Connections())
 			return 0
 		}
-		return node(cfg, errs)
+		level := zerolog.InfoLevel
+		if *verbose {
+			level = zerolog.DebugLevel
+		}
+		return node(cfg, errs, level)
 	case "version":
 		fmt.Fprintln(out, "fernvane", version())
 		return 0
@@ -71,8 +78,8 @@
 	return exitUsage
 }
 
-func node(cfg serve.Config, errs io.Writer) int {
-	log, flush := serve.NewLog(errs)
+func node(cfg serve.Config, errs io.Writer, level zerolog.Level) int {
+	log, flush := serve.NewLog(errs, level)
 	defer flush()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,6 +32,7 @@
 	servers map[string]*server
 	closing []net.Conn // to be closed when the lock is given back
 	room    room
+	counts  Counts
 }
 
 type server struct {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -103,6 +103,9 @@
 			if d = op.Next(func() {}); d.Kind != c.want {
 				t.Errorf("ended with %d", d.Kind)
 			}
+			if n := f.Counts(); n.Handled+n.Denied+n.WrittenOff+n.Left != 1 || n.Open != 0 {
+				t.Errorf("counted %+v", n)
+			}
 			if op.out || op.next.Kind != undecided || len(f.ops) != 0 {
 				t.Error("something is left of it")
 			}
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -100,6 +100,7 @@
 		return
 	}
 	o.out, o.giveUp = false, nil
+	o.f.counts.Ends[how]++
 	won := how == Answered && !o.settled
 	if won {
 		o.settle(Decision{Kind: Handled})
@@ -123,6 +124,7 @@
 // settle sets the one final answer; whatever crosses it finds the operation settled.
 func (o *Operation) settle(d Decision) {
 	o.settled = true
+	o.f.counts.decided(d.Kind)
 	o.decide(d)
 }
 
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -32,15 +32,16 @@
 // room counts descriptors. Clients get what they need, by the closing of idle connections; connections to
 // servers may be half of all at most, so that there is always room to accept.
 type room struct {
-	free    int
-	servers int // that connections to servers may still take
-	idle    list.List
-	freed   chan struct{}
+	most, free  int
+	serversMost int
+	servers     int // that connections to servers may still take
+	idle        list.List
+	freed       chan struct{}
 }
 
 func newRoom(l Limits) room {
 	n := l.Connections()
-	return room{free: n, servers: n / 2, freed: make(chan struct{}, 1)}
+	return room{most: n, free: n, serversMost: n / 2, servers: n / 2, freed: make(chan struct{}, 1)}
 }
 
 // Client is a client's connection.
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -22,7 +22,6 @@
 
 // client leads one client's connection, request by request.
 func (s *Server) client(nc *net.TCPConn) {
-	defer s.busy.Done()
 	defer s.fleet.Vacate()
 	defer nc.Close()
 	c := http1.NewConn(nc)
--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -7,23 +7,31 @@
 	"time"
 )
 
-const (
-	acceptPause = 5 * time.Millisecond // after a failed accept, so that shortage does not spin
-)
+const acceptPause = 5 * time.Millisecond // after a failed accept, so that shortage does not spin
 
-// accept takes connections until the listener's deadline, which drain sets, and then finishes.
+// accept takes connections until the node stops and none comes any more. One that the system has taken
+// may hold a request already, so listening does not end while there are such.
 func (s *Server) accept(ln *net.TCPListener) error {
 	for {
 		s.fleet.Admit()
+		last := s.closing.Load()
+		if last {
+			ln.SetDeadline(time.Now().Add(quietFor))
+		}
 		nc, err := ln.AcceptTCP()
 		if err == nil {
-			s.busy.Add(1)
-			go s.client(nc)
+			s.clients.Go(func() error {
+				s.client(nc)
+				return nil
+			})
 			continue
 		}
 		s.fleet.Vacate()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			break
+			if last {
+				return ln.Close()
+			}
+			continue
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return err
@@ -32,7 +40,4 @@
 		s.fleet.MakeRoom()
 		time.Sleep(acceptPause)
 	}
-	ln.Close()
-	s.finish(time.Now().Add(s.stopTime() - comingFor - quietFor))
-	return nil
 }
--- a/internal/serve/log.go
+++ b/internal/serve/log.go
@@ -15,13 +15,13 @@
 )
 
 // NewLog writes to w without ever waiting for it. The function it returns writes out what is left.
-func NewLog(w io.Writer) (zerolog.Logger, func()) {
+func NewLog(w io.Writer, level zerolog.Level) (zerolog.Logger, func()) {
 	var log zerolog.Logger
 	out := diode.NewWriter(w, logQueued, 0, func(missed int) {
 		log.Warn().Int("lines", missed).Msg("log lines dropped")
 	})
 	burst := func() zerolog.Sampler { return &zerolog.BurstSampler{Burst: logBurst, Period: logEvery} }
-	log = zerolog.New(out).Level(zerolog.InfoLevel).With().Timestamp().Logger().Sample(zerolog.LevelSampler{
-		InfoSampler: burst(), WarnSampler: burst(), ErrorSampler: burst()})
+	log = zerolog.New(out).Level(level).With().Timestamp().Logger().Sample(zerolog.LevelSampler{
+		DebugSampler: burst(), InfoSampler: burst(), WarnSampler: burst(), ErrorSampler: burst()})
 	return log, func() { out.Close() }
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -9,7 +9,6 @@
 	"net"
 	"runtime"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +23,7 @@
 	memoryShare  = 0.75                   // of the memory limit that the collector keeps to; the rest is its slack
 	comingFor    = 600 * time.Millisecond // new connections come for up to 0.4 s after SIGTERM
 	quietFor     = 150 * time.Millisecond // without a new connection, after that, before listening ends
+	reportEvery  = 10 * time.Second       // between lines with counts; a glance at the log shows the last minutes
 	killAfter    = 700 * time.Millisecond // SIGKILL comes the longest abandon time and this after SIGTERM
 	killSlack    = 200 * time.Millisecond // to be gone before that
 	longestAwait = 3 * time.Second        // the most that an abandon time counts there
@@ -35,8 +35,9 @@
 	log      zerolog.Logger
 	fleet    *fleet.Fleet
 	dialer   net.Dialer
-	draining atomic.Bool
-	busy     sync.WaitGroup // clients' connections
+	draining atomic.Bool    // answers end their connections
+	closing  atomic.Bool    // listening ends as soon as no connection comes
+	clients  errgroup.Group // one for each connection
 }
 
 // Run serves until stop is closed and then finishes what has been taken.
@@ -62,9 +63,14 @@
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.follow(ctx) })
+	g.Go(func() error { return s.report(ctx) })
 	g.Go(func() error {
 		defer cancel()
-		return s.accept(ln)
+		if err := s.accept(ln); err != nil {
+			return err
+		}
+		s.finish()
+		return nil
 	})
 	g.Go(func() error {
 		select {
@@ -101,14 +107,16 @@
 	s.log.Info().Msg("stopping")
 	s.draining.Store(true)
 	time.Sleep(comingFor)
-	ln.SetDeadline(time.Now().Add(quietFor))
+	ln.SetDeadline(past) // wakes accept, which goes on until it has waited in vain
+	s.closing.Store(true)
 }
 
-// finish waits for what was taken, as long as there is time.
-func (s *Server) finish(by time.Time) {
+// finish closes what is idle and waits for what was taken, as long as there is time.
+func (s *Server) finish() {
+	by := time.Now().Add(s.stopTime())
 	done := make(chan struct{})
 	go func() {
-		s.busy.Wait()
+		s.clients.Wait()
 		close(done)
 	}()
 	again := time.NewTicker(10 * time.Millisecond)
@@ -134,7 +142,25 @@
 	return longest
 }
 
-// stopTime is how long a stop may take.
+// stopTime is how long the end of a stop may take, when listening has ended.
 func (s *Server) stopTime() time.Duration {
-	return min(s.longest(), longestAwait) + killAfter - killSlack
+	return min(s.longest(), longestAwait) + killAfter - killSlack - comingFor - quietFor
+}
+
+// report logs what became of operations and hops, while there are any.
+func (s *Server) report(ctx context.Context) error {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		c := s.fleet.Counts()
+		hops := zerolog.Dict()
+		c.Each(func(e fleet.End, n int) { hops.Int(e.String(), n) })
+		s.log.Info().Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).Int("left", c.Left).
+			Dict("hops", hops).Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).Msg("counts")
+	}
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -411,7 +411,7 @@
 func TestLogNeverBlocks(t *testing.T) {
 	t.Parallel()
 	w := stuck{make(chan struct{})}
-	log, flush := NewLog(w)
+	log, flush := NewLog(w, zerolog.InfoLevel)
 	for range 10 * logQueued {
 		log.Warn().Msg("once more")
 	}
