--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -81,6 +81,7 @@
 func node(cfg serve.Config, errs io.Writer, level zerolog.Level) int {
 	log, flush := serve.NewLog(errs, level)
 	defer flush()
+	signal.Ignore(syscall.SIGPIPE) // or the node would end with the reader of its log
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	stop := make(chan struct{})
--- a/cmd/fernvane/main_test.go
+++ b/cmd/fernvane/main_test.go
@@ -1,12 +1,73 @@
 package main
 
 import (
+	"fmt"
+	"net"
+	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
+// TestMain lets a test start this very program as a process of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("FERNVANE_TEST_COMMAND") != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// The reader of the log goes away; the node serves on, and ends with 0 when it is told to.
+func TestNodeOutlivesItsLog(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := ln.Addr().String()
+	ln.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","known":7,"settings":{"limits":{"mostHops":1},"trafficTypes":
+		[{"name":"a","targetTime":5,"abandonTime":50,"idempotency":"safe"}]}}`, at)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	read.Close()
+	cmd := exec.Command(os.Args[0], "serve", "-config", path)
+	cmd.Env = append(os.Environ(), "FERNVANE_TEST_COMMAND=1")
+	cmd.Stderr = write
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	write.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	for up := false; !up; {
+		select {
+		case err := <-ended:
+			t.Fatalf("the node has ended: %v", err)
+		default:
+		}
+		if r, err := http.Get("http://" + at + "/up"); err == nil {
+			up = r.StatusCode == http.StatusOK
+			r.Body.Close()
+		}
+	}
+	if r, err := http.Get("http://" + at + "/"); err != nil || r.StatusCode != http.StatusBadRequest { // a line for the log
+		t.Errorf("%v, %v", r, err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestRun(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(`{"listen":`), 0o600); err != nil {
--- a/internal/serve/log.go
+++ b/internal/serve/log.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	logBurst  = 50          // lines a second at most of each level; more would hide what matters
-	logQueued = 256         // lines that wait for a slow reader; what is beyond is dropped and counted
-	logEvery  = time.Second // for which logBurst counts
+	logBurst  = 50                     // lines a second at most of each level; more would hide what matters
+	logQueued = 256                    // lines that wait for a slow reader; what is beyond is dropped and counted
+	logEvery  = time.Second            // for which logBurst counts
+	logFlush  = 100 * time.Millisecond // for what is left to be written at the end, so that a stop does not hang on it
 )
 
 // NewLog writes to w without ever waiting for it. The function it returns writes out what is left.
@@ -23,5 +24,15 @@
 	burst := func() zerolog.Sampler { return &zerolog.BurstSampler{Burst: logBurst, Period: logEvery} }
 	log = zerolog.New(out).Level(level).With().Timestamp().Logger().Sample(zerolog.LevelSampler{
 		DebugSampler: burst(), InfoSampler: burst(), WarnSampler: burst(), ErrorSampler: burst()})
-	return log, func() { out.Close() }
+	return log, func() {
+		done := make(chan struct{})
+		go func() {
+			out.Close()
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(logFlush):
+		}
+	}
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -407,7 +407,7 @@
 	return len(b), nil
 }
 
-// A reader of the log that has stopped must not stop operations.
+// A reader of the log that has stopped must not hold up operations, nor the end of the node.
 func TestLogNeverBlocks(t *testing.T) {
 	t.Parallel()
 	w := stuck{make(chan struct{})}
@@ -415,6 +415,6 @@
 	for range 10 * logQueued {
 		log.Warn().Msg("once more")
 	}
-	close(w.held)
 	flush()
+	close(w.held)
 }
