Discovery is watched also where the settings say that the list is pushed

On sockets nothing is pushed, so fleet.New sets it; the module is unchanged. The test fails without it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,8 @@
 
 // New starts the module.
 func New(s settings.Settings, seed uint32, limits Limits) *Fleet {
+	// On sockets nothing is pushed: also where the settings say so, the list comes only to a node that asks.
+	s.OnRequest = true
 	f := &Fleet{set: s, started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{},
 		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
 		servers: map[string]*server{}, room: newRoom(limits)}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -163,11 +163,8 @@
 }
 
 func TestAskedAgain(t *testing.T) {
-	s := settings.Settings{TypeNames: []string{"check"}, Settings: policy.Settings{Nodes: 1, MostHops: 1, OnRequest: true,
-		Types: []policy.TrafficType{{TargetTime: time.Second}}}}
-	f := New(s, 1, limits)
-	defer f.Stop()
-	<-f.Asked() // at the start
+	f := fleet(t, policy.Retriable, limits, host("a", 1)) // its settings do not say that the list must be asked for
+	<-f.Asked()                                           // at the start
 	f.Unlisted()
 	<-f.Asked() // and after a failure, when the module says so
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -327,7 +327,7 @@
 				next <- s
 			}
 			cfg := config()
-			cfg.Settings.OnRequest, cfg.Known.Revision = true, 2
+			cfg.Known.Revision = 2
 			cfg.Discovery = standIn(t, func(nc net.Conn) {
 				defer nc.Close()
 				var r http1.Request
