Operations in hand are bounded by descriptors; what is accepted beyond is denied at once

Logs: eight connections, four of them busy. Cause: Admit (room.go) woke only when a descriptor was given back, not when a busy client became idle and could be closed for room; connections that the system had accepted waited unread beyond their time. Ruled out: the CPU limit (0.03 s used in the worst second) and discovery (no failed call). Now idling wakes Admit, operations in hand and connections to servers are bounded beside a few spare ones, a denial for room closes its connection, and a new connection has 20 ms for its request.

--- a/internal/fleet/counts.go
+++ b/internal/fleet/counts.go
@@ -3,6 +3,7 @@
 // Counts is what became of operations and hops since it was last asked for, and what is open now.
 type Counts struct {
 	Handled, Denied, WrittenOff, Left int
+	NoRoom                            int // operations denied before the module was asked
 	Ends                              [ends]int
 	Open, Clients, Servers            int
 }
@@ -35,7 +36,7 @@
 	defer f.unlock()
 	c := f.counts
 	f.counts = Counts{}
-	c.Open, c.Servers = len(f.ops), f.room.serversMost-f.room.servers
+	c.Open, c.Servers = len(f.ops), f.room.share-f.room.servers
 	c.Clients = f.room.most - f.room.free - c.Servers
 	return c
 }
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -51,10 +51,15 @@
 // AbandonTime is how long clients of a type wait where they do not say.
 func (f *Fleet) AbandonTime(kind int) time.Duration { return f.set.Types[kind].AbandonTime }
 
-// Arrive hands a new operation to the module. A tenant that the settings do not name has no share.
+// Arrive hands a new operation to the module, nil if there are as many in hand as descriptors allow: those
+// that wait to be accepted could not be answered in time. A tenant that the settings do not name has no share.
 func (f *Fleet) Arrive(kind int, tenant []byte, budget time.Duration) *Operation {
 	f.mu.Lock()
 	defer f.unlock()
+	if len(f.ops) >= f.room.share {
+		f.counts.NoRoom++
+		return nil
+	}
 	t, ok := f.tenants[string(tenant)]
 	if !ok {
 		t = len(f.tenants)
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -10,11 +10,14 @@
 const (
 	ownDescriptors = 14       // standard streams, listener, discovery, poller: 10 were seen at most, and slack
 	leastSockets   = 8        // connections a node has whatever the limits say
-	baseMemory     = 32 << 20 // bytes of the run time and the module's own figures
+	baseMemory     = 12 << 20 // bytes of the run time and the module's own figures; 6 MB were seen
 	perConnection  = http1.MaxHead + http1.MaxBody + 16<<10
 	// bytes at worst: a buffer filled, the one it grew out of, two stacks
-	bufferShare = 0.5 // of the memory left; the collector needs the other half
-	idleShare   = 0.6 // of the settings' idle time, after which a server's connection is not used again
+	bufferShare = 0.5                   // of the memory left; the collector needs the other half
+	spareShare  = 8                     // the part of all connections kept for clients that are only told to come back
+	spareLeast  = 2                     // of them
+	settled     = 20 * time.Millisecond // in which a new connection's request must come, or it may be closed for room
+	idleShare   = 0.6                   // of the settings' idle time, after which a server's connection is not used again
 )
 
 // Limits of the machine.
@@ -29,19 +32,28 @@
 	return max(min(l.Sockets-ownDescriptors, byMemory), leastSockets)
 }
 
-// room counts descriptors. Clients get what they need, by the closing of idle connections; connections to
-// servers may be half of all at most, so that there is always room to accept.
+// room counts descriptors. Operations in hand and connections to servers are bounded alike, each by half of
+// what is left beside a few spare ones. So some clients' connections are always idle, to be closed for room,
+// or hold an operation that is denied at once: what the system has accepted is answered in time.
 type room struct {
-	most, free  int
-	serversMost int
-	servers     int // that connections to servers may still take
-	idle        list.List
-	freed       chan struct{}
+	most, free int
+	share      int // of operations, and of connections to servers
+	servers    int // that connections to servers may still take
+	idle       list.List
+	changed    chan struct{} // something has become free or idle
 }
 
 func newRoom(l Limits) room {
 	n := l.Connections()
-	return room{most: n, free: n, serversMost: n / 2, servers: n / 2, freed: make(chan struct{}, 1)}
+	share := (n - max(n/spareShare, spareLeast)) / 2
+	return room{most: n, free: n, share: share, servers: share, changed: make(chan struct{}, 1)}
+}
+
+func (r *room) tell() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
 }
 
 // Client is a client's connection.
@@ -49,6 +61,8 @@
 	f       *Fleet
 	conn    *http1.Conn
 	place   *list.Element // among the idle
+	since   time.Duration // there
+	used    bool          // for a request before
 	evicted bool
 }
 
@@ -65,11 +79,14 @@
 			f.evictServer()
 		}
 		f.unlock()
-		<-f.room.freed
+		select {
+		case <-f.room.changed:
+		case <-time.After(settled):
+		}
 	}
 }
 
-// Vacate gives back the descriptor of a client's connection.
+// Vacate gives back a descriptor that no connection came for.
 func (f *Fleet) Vacate() {
 	f.mu.Lock()
 	defer f.unlock()
@@ -78,19 +95,26 @@
 
 func (f *Fleet) vacate() {
 	f.room.free++
-	select {
-	case f.room.freed <- struct{}{}:
-	default:
+	f.room.tell()
+}
+
+// Vacate gives back the connection's descriptor.
+func (c *Client) Vacate() {
+	c.f.mu.Lock()
+	defer c.f.unlock()
+	if !c.evicted {
+		c.f.vacate()
 	}
 }
 
-// evictClient closes the connection that has been idle for longest. One on which a request has come that
-// is not read yet is passed over, for its client may not send it again.
+// evictClient closes the connection that has been idle for longest. A new one, whose request is on its way,
+// or one on which a request has come that is not read yet is passed over, for its client may not send it again.
 func (f *Fleet) evictClient() bool {
 	for e := f.room.idle.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*Client); !c.conn.Waiting() {
+		if c := e.Value.(*Client); (c.used || f.now()-c.since > settled) && !c.conn.Waiting() {
 			f.room.idle.Remove(e)
 			c.place, c.evicted = nil, true
+			f.vacate() // it is closed as soon as the lock is given back
 			f.closing = append(f.closing, c.conn)
 			return true
 		}
@@ -114,7 +138,8 @@
 func (c *Client) Idle() {
 	c.f.mu.Lock()
 	defer c.f.unlock()
-	c.place = c.f.room.idle.PushBack(c)
+	c.place, c.since = c.f.room.idle.PushBack(c), c.f.now()
+	c.f.room.tell()
 }
 
 // Busy tells that a request has begun. It is false if the connection was closed before, and then the
@@ -126,6 +151,7 @@
 		c.f.room.idle.Remove(c.place)
 		c.place = nil
 	}
+	c.used = true
 	return !c.evicted
 }
 
@@ -149,7 +175,7 @@
 	if f.room.servers == 0 && !f.evictServer() {
 		return false
 	}
-	if f.room.free == 0 && !f.evictServer() {
+	if f.room.free == 0 && !f.evictServer() && !f.evictClient() {
 		return false
 	}
 	f.room.servers--
@@ -194,6 +220,7 @@
 	defer f.unlock()
 	s := f.servers[id]
 	s.idle = append(s.idle, idleConn{c, f.now()})
+	f.room.tell()
 }
 
 func (f *Fleet) old(c idleConn) bool {
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -22,16 +22,16 @@
 
 // client leads one client's connection, request by request.
 func (s *Server) client(nc *net.TCPConn) {
-	defer s.fleet.Vacate()
-	defer nc.Close()
 	c := http1.NewConn(nc)
+	place := s.fleet.Client(c)
+	defer place.Vacate()
+	defer nc.Close()
 	defer func() {
 		if p := recover(); p != nil { // a fault of this program must not take the other clients with it
 			s.log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("connection dropped")
 			s.answer(c, http1.Answer{Status: 500, Close: true})
 		}
 	}()
-	place := s.fleet.Client(c)
 	stall := s.longest() // a request that takes longer to come would find its client gone
 	var req http1.Request
 	for {
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -30,6 +30,10 @@
 	}
 
 	op := s.fleet.Arrive(kind, o.Tenant, budget)
+	if op == nil {
+		req.Close = true // makes room for the next one
+		return s.answer(c, http1.Answer{Status: 503, Close: true})
+	}
 	defer s.watch(c, op)()
 	ctx, giveUp := context.WithCancel(context.Background())
 	defer giveUp()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -160,7 +160,7 @@
 		c := s.fleet.Counts()
 		hops := zerolog.Dict()
 		c.Each(func(e fleet.End, n int) { hops.Int(e.String(), n) })
-		s.log.Info().Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).Int("left", c.Left).
+		s.log.Info().Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).Int("left", c.Left).Int("no_room", c.NoRoom).
 			Dict("hops", hops).Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).Msg("counts")
 	}
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -263,6 +263,43 @@
 	}
 }
 
+// With all descriptors busy, what comes is still accepted and told at once to come back.
+func TestAllBusy(t *testing.T) {
+	t.Parallel()
+	finish := make(chan struct{})
+	server := standIn(t, func(nc net.Conn) {
+		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
+			<-finish
+			io.WriteString(nc, whole)
+		}
+	})
+	cfg := config(http1.Host{ID: "a", Address: server, Size: 1}, http1.Host{ID: "b", Address: server, Size: 1})
+	cfg.Limits.Sockets = 1
+	cfg.Settings.Types[0].TargetTime, cfg.Settings.Types[0].AbandonTime = time.Minute, time.Minute
+	at, _ := node(t, cfg)
+	answers := make(chan int)
+	const n = 20
+	for range n {
+		conn := dial(t, at)
+		fmt.Fprint(conn, "GET /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n\r\n")
+		go func() {
+			var r http1.Response
+			conn.ReadResponse(&r, http1.MaxBody)
+			answers <- r.Status
+		}()
+	}
+	got := map[int]int{}
+	for i := range n {
+		status := <-answers
+		if got[status]++; got[503] == n-3 && i == n-4 {
+			close(finish)
+		}
+	}
+	if got[200] != 3 || got[503] != n-3 {
+		t.Errorf("answered %v", got)
+	}
+}
+
 func TestStop(t *testing.T) {
 	t.Parallel()
 	begun, finish := make(chan struct{}), make(chan struct{})
