--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -162,6 +162,24 @@
 	}
 }
 
+// Nodes that were told of the same servers in another order walk them alike.
+func TestRotationIsShared(t *testing.T) {
+	hosts := []http1.Host{host("a", 1), host("b", 2), host("c", 3), host("d", 4), host("e", 5)}
+	order := func(hosts []http1.Host) (ports []uint16) {
+		f := fleet(t, policy.Retriable, limits, hosts...)
+		for range hosts {
+			d := f.Arrive(0, nil, time.Hour).Next(func() {})
+			ports = append(ports, d.Address.Port())
+		}
+		return ports
+	}
+	one := order(hosts)
+	slices.Reverse(hosts)
+	if other := order(hosts); !slices.Equal(one, other) {
+		t.Errorf("walked %v and %v", one, other)
+	}
+}
+
 func TestAskedAgain(t *testing.T) {
 	f := fleet(t, policy.Retriable, limits, host("a", 1)) // its settings do not say that the list must be asked for
 	<-f.Asked()                                           // at the start
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -162,6 +164,88 @@
 	}
 }
 
+// part is a connection that takes so many bytes of what is written, and brings nothing but an error.
+type part struct {
+	net.Conn
+	takes int
+	write error
+	read  error
+}
+
+func (p part) Write(b []byte) (int, error) { return min(len(b), p.takes), p.write }
+func (p part) Read([]byte) (int, error)    { return 0, p.read }
+
+// Only before the last byte is written is it sure that nothing ran.
+func TestExchange(t *testing.T) {
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, c := range map[string]struct {
+		conn part
+		ctx  context.Context
+		want fleet.End
+	}{
+		"nothing written":            {part{write: syscall.EPIPE}, nil, fleet.Unsent},
+		"all but a little written":   {part{takes: 40, write: syscall.ECONNRESET}, nil, fleet.Unsent},
+		"no time to write":           {part{takes: 40, write: http1.ErrTimeout}, nil, fleet.NoTime},
+		"written, then reset":        {part{takes: 1 << 20, read: syscall.ECONNRESET}, nil, fleet.CutOff},
+		"written, then closed":       {part{takes: 1 << 20, read: io.EOF}, nil, fleet.CutOff},
+		"written, then silence":      {part{takes: 1 << 20, read: http1.ErrTimeout}, nil, fleet.Silent},
+		"written, then called off":   {part{takes: 1 << 20, read: http1.ErrTimeout}, canceled, fleet.GivenUp},
+		"written whole, and a reset": {part{takes: 1 << 20, write: syscall.ECONNRESET, read: syscall.ECONNRESET}, nil, fleet.CutOff},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if c.ctx == nil {
+				c.ctx = context.Background()
+			}
+			req := &http1.Request{Method: []byte("POST"), Target: []byte("/book/1"), Body: make([]byte, 99)}
+			if got := exchange(c.ctx, http1.NewConn(c.conn), req, &http1.Response{}, time.Second); got != c.want {
+				t.Errorf("ended %s", got)
+			}
+		})
+	}
+}
+
+func TestConnectEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		err    error
+		timeUp bool
+		want   fleet.End
+	}{
+		"refused":                    {&net.OpError{Err: syscall.ECONNREFUSED}, false, fleet.Refused},
+		"no way there":               {&net.OpError{Err: syscall.EHOSTUNREACH}, false, fleet.Refused},
+		"not in the time for it":     {&net.OpError{Err: http1.ErrTimeout}, false, fleet.NeverUp},
+		"not in the hop's time":      {&net.OpError{Err: http1.ErrTimeout}, true, fleet.NoTime},
+		"called off":                 {&net.OpError{Err: context.Canceled}, false, fleet.NoTime},
+		"no descriptor":              {&net.OpError{Err: os.NewSyscallError("socket", syscall.EMFILE)}, false, fleet.NoRoom},
+		"no port":                    {&net.OpError{Err: os.NewSyscallError("connect", syscall.EADDRNOTAVAIL)}, false, fleet.NoRoom},
+		"an address that is not one": {&net.AddrError{Err: "missing port"}, false, fleet.Refused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := connectEnd(c.err, c.timeUp); got != c.want {
+				t.Errorf("ended %s", got)
+			}
+		})
+	}
+}
+
+// A hop that is given up ends its connection, which is how its server learns of it.
+func TestGivenUpHopCloses(t *testing.T) {
+	t.Parallel()
+	gone := make(chan bool, 1)
+	server := standIn(t, func(nc net.Conn) {
+		c := http1.NewConn(nc)
+		c.ReadRequest(&http1.Request{})
+		gone <- c.Gone()
+	})
+	at, _ := node(t, config(http1.Host{ID: "s", Address: server, Size: 1}))
+	if r := ask1(t, dial(t, at), "/book/1"); r.Status != 504 {
+		t.Errorf("answered %d", r.Status)
+	}
+	if !<-gone {
+		t.Error("more came")
+	}
+}
+
 func TestServerOutOfReach(t *testing.T) {
 	t.Parallel()
 	hosts, _ := servers(t, 1, whole)
