A stop ends by one moment set at SIGTERM; a failed listener is told, not its cancelling

Seen in reading: run returned the watch's context.Canceled before accept's own error (serve.go), and the time for finishing counted from the end of listening, which late connections could shift past SIGKILL.

--- a/internal/serve/discovery.go
+++ b/internal/serve/discovery.go
@@ -27,14 +27,14 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return nil
 		case <-s.fleet.Asked():
 		}
 		for slack := queueSlack; ; slack = watchSlack {
 			began := time.Now()
 			list, err := w.call(ctx, slack)
 			if ctx.Err() != nil {
-				return ctx.Err()
+				return nil
 			}
 			if err != nil {
 				s.log.Warn().Err(err).Msg("discovery failed")
--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -16,6 +16,9 @@
 		s.fleet.Admit()
 		last := s.closing.Load()
 		if last {
+			if time.Now().After(s.gone) { // they never cease
+				return ln.Close()
+			}
 			ln.SetDeadline(time.Now().Add(quietFor))
 		}
 		nc, err := ln.AcceptTCP()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"net"
 	"runtime"
@@ -37,12 +36,15 @@
 	dialer   net.Dialer
 	draining atomic.Bool    // answers end their connections
 	closing  atomic.Bool    // listening ends as soon as no connection comes
+	gone     time.Time      // when a stop must be over; set before closing
 	clients  errgroup.Group // one for each connection
 }
 
 // Run serves until stop is closed and then finishes what has been taken.
 func Run(stop <-chan struct{}, cfg Config, log zerolog.Logger) error {
-	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Cores)), 1))
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(cfg.Cores)))
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
 	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Listen))
 	if err != nil {
@@ -80,10 +82,7 @@
 		}
 		return nil
 	})
-	if err := g.Wait(); !errors.Is(err, context.Canceled) {
-		return err
-	}
-	return nil
+	return g.Wait()
 }
 
 // known hands over the list that this node last had.
@@ -105,6 +104,7 @@
 // connections; what is idle after that is closed.
 func (s *Server) drain(ln *net.TCPListener) {
 	s.log.Info().Msg("stopping")
+	s.gone = time.Now().Add(min(s.longest(), longestAwait) + killAfter - killSlack)
 	s.draining.Store(true)
 	time.Sleep(comingFor)
 	ln.SetDeadline(past) // wakes accept, which goes on until it has waited in vain
@@ -113,7 +113,6 @@
 
 // finish closes what is idle and waits for what was taken, as long as there is time.
 func (s *Server) finish() {
-	by := time.Now().Add(s.stopTime())
 	done := make(chan struct{})
 	go func() {
 		s.clients.Wait()
@@ -121,7 +120,7 @@
 	}()
 	again := time.NewTicker(10 * time.Millisecond)
 	defer again.Stop()
-	for time.Now().Before(by) {
+	for time.Now().Before(s.gone) {
 		s.fleet.CloseIdle()
 		select {
 		case <-done:
@@ -142,11 +141,6 @@
 	return longest
 }
 
-// stopTime is how long the end of a stop may take, when listening has ended.
-func (s *Server) stopTime() time.Duration {
-	return min(s.longest(), longestAwait) + killAfter - killSlack - comingFor - quietFor
-}
-
 // report logs what became of operations and hops, while there are any.
 func (s *Server) report(ctx context.Context) error {
 	tick := time.NewTicker(reportEvery)
@@ -154,13 +148,14 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return nil
 		case <-tick.C:
 		}
 		c := s.fleet.Counts()
 		hops := zerolog.Dict()
 		c.Each(func(e fleet.End, n int) { hops.Int(e.String(), n) })
-		s.log.Info().Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).Int("left", c.Left).Int("no_room", c.NoRoom).
-			Dict("hops", hops).Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).Msg("counts")
+		s.log.Info().Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).
+			Int("left", c.Left).Int("no_room", c.NoRoom).Dict("hops", hops).
+			Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).Msg("counts")
 	}
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -71,7 +71,7 @@
 	kind := policy.TrafficType{TargetTime: 200 * time.Millisecond, AbandonTime: 400 * time.Millisecond, Revenue: 1}
 	binding := kind
 	binding.Repeat = policy.Binding
-	return Config{Name: "n", Cores: 8, Limits: fleet.Limits{MemoryMB: 192, Sockets: 1024},
+	return Config{Name: "n", Limits: fleet.Limits{MemoryMB: 192, Sockets: 1024},
 		Discovery: netip.MustParseAddrPort("127.0.0.1:1"), Known: http1.List{Complete: true, Hosts: hosts},
 		Settings: settings.Settings{ConnIdle: time.Second, TypeNames: []string{"check", "book"}, Settings: policy.Settings{
 			Nodes: 1, MostHops: 4, ConnectTimeout: 100 * time.Millisecond, Types: []policy.TrafficType{kind, binding}}}}
