--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -126,7 +126,9 @@
 	var one [1]byte
 	var got error
 	look := func(fd uintptr) {
-		n, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		for got = syscall.EINTR; got == syscall.EINTR; { // a signal is no news of the other side
+			n, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
 	}
 	if wait {
 		err = rc.Read(func(fd uintptr) bool {
@@ -155,11 +157,11 @@
 }
 
 // Gone waits until the other side has closed or broken the connection, and tells so. It is false when
-// more data came first or the read deadline passed.
+// more data came first, the read deadline passed, or the connection is of a kind that cannot be looked at.
 func (c *Conn) Gone() bool {
 	n, err := c.peek(true)
-	if err != nil {
-		return !errors.Is(err, ErrTimeout)
+	if errors.Is(err, ErrTimeout) || err == syscall.ENOTSUP {
+		return false
 	}
-	return n == 0
+	return err != nil || n == 0
 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -286,6 +286,13 @@
 	}
 }
 
+// What cannot be looked at counts as open, or each of its operations would be dropped.
+func TestOtherKindOfConnection(t *testing.T) {
+	if NewConn(&script{end: io.EOF}).Gone() {
+		t.Error("gone")
+	}
+}
+
 func FuzzMessages(f *testing.F) {
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"))
