X-Forwarded-For, targets in proxy form, and no operation left over after a fault

A fault in one connection would have left its operation in hand for good (operation.go, no Close), and share after share of the bound on operations.

--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -58,6 +58,9 @@
 			return exitUsage
 		}
 		if args[0] == "check" {
+			if cfg.KnownErr != nil {
+				fmt.Fprintf(errs, "fernvane: the saved list cannot be used: %v\n", cfg.KnownErr)
+			}
 			fmt.Fprintf(out, "%s listens on %s, follows %s, knows %d servers, has room for %d connections\n",
 				cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Known.Hosts), cfg.Limits.Connections())
 			return 0
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -123,6 +123,25 @@
 	}
 }
 
+func TestClose(t *testing.T) {
+	for name, steps := range map[string]func(*Operation){
+		"before a hop":    func(*Operation) {},
+		"during a hop":    func(op *Operation) { op.Next(func() {}) },
+		"after its end":   func(op *Operation) { op.Next(func() {}); op.Ended(Answered); op.Next(func() {}) },
+		"after the leave": func(op *Operation) { op.Next(func() {}); op.Left() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(t, policy.Binding, limits, host("a", 1))
+			op := f.Arrive(0, nil, time.Hour)
+			steps(op)
+			op.Close()
+			if n := f.Counts(); n.Open != 0 || op.out || n.Handled+n.Left != 1 {
+				t.Errorf("hop out %v, counted %+v", op.out, n)
+			}
+		})
+	}
+}
+
 func TestListedServers(t *testing.T) {
 	with := func(h http1.Host, change func(*http1.Host)) http1.Host {
 		change(&h)
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -100,6 +100,22 @@
 	o.end(how)
 }
 
+// Close lets go of the operation. It does something only where a fault of this program kept it from its end,
+// and then what it held is free for others.
+func (o *Operation) Close() {
+	o.f.mu.Lock()
+	defer o.f.unlock()
+	if o.f.ops[o.id] != o {
+		return
+	}
+	if !o.settled {
+		o.settle(Decision{Kind: Drop})
+		o.f.door.Left(o.f.now(), o.id, (*hands)(o.f))
+	}
+	o.end(GivenUp)
+	delete(o.f.ops, o.id)
+}
+
 func (o *Operation) end(how End) {
 	if !o.out {
 		return
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -159,8 +159,8 @@
 	if err := NewConn(s).ReadRequest(&r); err != nil {
 		t.Fatal(err)
 	}
-	got := string(AppendRequest(nil, &r, 250*time.Millisecond))
-	want := "POST /book/7?x=%20y HTTP/1.1\r\nHost: svc\r\nRequest-Id: 9b1f\r\nTenant: acme\r\nRequest-Timeout: 0.250\r\nContent-Length: 4\r\n\r\nbody"
+	got := string(AppendRequest(nil, &r, 250*time.Millisecond, "127.0.0.9"))
+	want := "POST /book/7?x=%20y HTTP/1.1\r\nHost: svc\r\nRequest-Id: 9b1f\r\nTenant: acme\r\nX-Forwarded-For: 127.0.0.9\r\nRequest-Timeout: 0.250\r\nContent-Length: 4\r\n\r\nbody"
 	if got != want {
 		t.Errorf("sent %q", got)
 	}
@@ -168,6 +168,12 @@
 	if err != nil || string(o.Type) != "book" || string(o.Tenant) != "acme" || o.Timeout != 480*time.Millisecond {
 		t.Errorf("read %+v, %v", o, err)
 	}
+	for in, want := range map[string]string{"http://h/a?b": "/a?b", "http://h": "/", "/a?u=x://y/z": "/a?u=x://y/z"} {
+		err := NewConn(&script{in: "GET " + in + " HTTP/1.1\r\nHost: h\r\n\r\n", step: 99}).ReadRequest(&r)
+		if err != nil || string(r.Target) != want {
+			t.Errorf("%s goes on as %s, %v", in, r.Target, err)
+		}
+	}
 	answer := string(AppendAnswer(nil, Answer{Status: 503, RetryAfter: 1500 * time.Millisecond, Close: true,
 		Fields: []Field{{[]byte("Transfer-Encoding"), []byte("chunked")}, {[]byte("Content-Type"), []byte("a/b")}}}))
 	if answer != "HTTP/1.1 503 Service Unavailable\r\nContent-Type: a/b\r\nRetry-After: 1.500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" {
--- a/internal/http1/protocol.go
+++ b/internal/http1/protocol.go
@@ -16,6 +16,7 @@
 	RequestID      = "Request-Id"
 	RequestTimeout = "Request-Timeout"
 	tenantField    = "Tenant"
+	forwardedFor   = "X-Forwarded-For" // one line a proxy passed; servers read them in turn
 	notStarted     = "Not-Started"
 	readyPath      = "/up"
 	listPath       = "/discovery/hosts"
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -44,6 +44,12 @@
 	first, lines, _ := bytes.Cut(head, []byte("\r\n"))
 	method, rest, _ := bytes.Cut(first, []byte{' '})
 	target, version, _ := bytes.Cut(rest, []byte{' '})
+	if _, after, ok := bytes.Cut(target, []byte("://")); ok && target[0] != '/' { // the form meant for proxies
+		target = []byte{'/'}
+		if i := bytes.IndexByte(after, '/'); i >= 0 {
+			target = after[i:]
+		}
+	}
 	*r = Request{Method: method, Target: target, Fields: r.Fields[:0]}
 	if !isToken(method) || !isTarget(target) {
 		return &Malformed{400, "the request line cannot be read"}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -23,8 +23,9 @@
 	return strconv.AppendFloat(b, float64(d/time.Millisecond)/1000, 'f', 3, 64)
 }
 
-// AppendRequest writes a client's request as it goes on to a server, with the time that is left for it.
-func AppendRequest(b []byte, r *Request, left time.Duration) []byte {
+// AppendRequest writes a client's request as it goes on to a server, with the time that is left for it and
+// the address that it came from.
+func AppendRequest(b []byte, r *Request, left time.Duration, from string) []byte {
 	b = append(append(append(b, r.Method...), ' '), r.Target...)
 	b = append(b, " HTTP/1.1\r\n"...)
 	for _, f := range r.Fields {
@@ -34,6 +35,7 @@
 		b = append(append(append(b, f.Name...), ": "...), f.Value...)
 		b = append(b, "\r\n"...)
 	}
+	b = appendField(b, forwardedFor, from)
 	b = append(append(append(b, RequestTimeout...), ": "...), appendSeconds(nil, max(left, time.Millisecond))...)
 	b = append(b, "\r\n"...)
 	if len(r.Body) > 0 || string(r.Method) != "GET" {
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -23,7 +24,8 @@
 	conn.SetDeadline(until)
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
 	var resp http1.Response
-	end = exchange(ctx, conn, req, &resp, time.Until(until))
+	from, _, _ := net.SplitHostPort(client.RemoteAddr().String())
+	end = exchange(ctx, conn, http1.AppendRequest(conn.Scratch(), req, time.Until(until), from), &resp)
 	var answer []byte
 	if end == fleet.Answered {
 		answer = http1.AppendAnswer(client.Scratch(), http1.Answer{Status: resp.Status, Fields: resp.Fields,
@@ -89,8 +91,8 @@
 
 // exchange writes the request and reads the answer whole. Only before the last byte is written is it sure
 // that the server has not begun.
-func exchange(ctx context.Context, conn *http1.Conn, req *http1.Request, resp *http1.Response, left time.Duration) fleet.End {
-	whole, err := conn.Send(http1.AppendRequest(conn.Scratch(), req, left))
+func exchange(ctx context.Context, conn *http1.Conn, request []byte, resp *http1.Response) fleet.End {
+	whole, err := conn.Send(request)
 	if !whole {
 		if errors.Is(err, http1.ErrTimeout) {
 			return fleet.NoTime
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -34,6 +34,7 @@
 		req.Close = true // makes room for the next one
 		return s.answer(c, http1.Answer{Status: 503, Close: true})
 	}
+	defer op.Close()
 	defer s.watch(c, op)()
 	ctx, giveUp := context.WithCancel(context.Background())
 	defer giveUp()
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -197,8 +197,7 @@
 			if c.ctx == nil {
 				c.ctx = context.Background()
 			}
-			req := &http1.Request{Method: []byte("POST"), Target: []byte("/book/1"), Body: make([]byte, 99)}
-			if got := exchange(c.ctx, http1.NewConn(c.conn), req, &http1.Response{}, time.Second); got != c.want {
+			if got := exchange(c.ctx, http1.NewConn(c.conn), make([]byte, 99), &http1.Response{}); got != c.want {
 				t.Errorf("ended %s", got)
 			}
 		})
