Nothing is sent for an operation that ended while its connection came up; empty Host

Seen in reading: a client that left during a connect (up to the connect time-out) had its operation written to the server all the same (hop.go, after connect). Now the hop ends as never sent and the connection is kept. An HTTP/1.0 request without Host goes on with an empty one, which the parser had taken for none.

--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -142,6 +142,13 @@
 	}
 }
 
+// Settled tells that nothing more may be sent for the operation.
+func (o *Operation) Settled() bool {
+	o.f.mu.Lock()
+	defer o.f.unlock()
+	return o.settled
+}
+
 // settle sets the one final answer; whatever crosses it finds the operation settled.
 func (o *Operation) settle(d Decision) {
 	o.settled = true
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -45,6 +45,7 @@
 	}{
 		"by length":             {in: post + "Content-Length: 5\r\n\r\nhello", body: "hello"},
 		"no body":               {in: "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"an empty host":         {in: "GET /a HTTP/1.1\r\nHost:\r\n\r\n"},
 		"after empty lines":     {in: "\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n"},
 		"chunked":               {in: post + "Transfer-Encoding: Chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\nA: b\r\n\r\n", body: "hello"},
 		"the last one":          {in: "GET /a HTTP/1.1\r\nHost: h\r\nConnection: x, Close\r\n\r\n", close: true},
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 )
 
 // Malformed is a request that cannot be taken, with the status to answer it with.
@@ -31,6 +32,11 @@
 // Get returns the value of a field, nil where it is not there.
 func (r *Request) Get(name string) []byte { return find(r.Fields, name) }
 
+// has tells whether a field is there, be it empty.
+func (r *Request) has(name string) bool {
+	return slices.ContainsFunc(r.Fields, func(f Field) bool { return f.Is(name) })
+}
+
 // ReadRequest reads a whole request. It returns io.EOF where the other side has closed between requests,
 // and a *Malformed for what deserves an answer all the same.
 func (c *Conn) ReadRequest(r *Request) error {
@@ -63,7 +69,7 @@
 	} else if err != nil {
 		return &Malformed{400, err.Error()}
 	}
-	if !old && r.Get("Host") == nil {
+	if !old && !r.has("Host") {
 		return &Malformed{400, "no host is named"}
 	}
 	r.Close = old || lists(r.Fields, "Connection", "close")
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -35,6 +35,9 @@
 		b = append(append(append(b, f.Name...), ": "...), f.Value...)
 		b = append(b, "\r\n"...)
 	}
+	if !r.has("Host") { // of an old client; a server may refuse a request without the field
+		b = appendField(b, "Host", "")
+	}
 	b = appendField(b, forwardedFor, from)
 	b = append(append(append(b, RequestTimeout...), ": "...), appendSeconds(nil, max(left, time.Millisecond))...)
 	b = append(b, "\r\n"...)
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -15,12 +15,17 @@
 
 // hop sends an operation to one server, once, and tells how that ended. Where the server has answered, the
 // client's answer is put together in the client's buffer, so that the server's connection is free again.
-func (s *Server) hop(ctx context.Context, d fleet.Decision, client *http1.Conn, req *http1.Request) (fleet.End, []byte) {
+func (s *Server) hop(ctx context.Context, op *fleet.Operation, d fleet.Decision, client *http1.Conn,
+	req *http1.Request) (fleet.End, []byte) {
 	until := time.Now().Add(d.For)
 	conn, end := s.connect(ctx, d, until)
 	if conn == nil {
 		return end, nil
 	}
+	if op.Settled() { // the client has left while the connection came up: nothing is sent any more
+		s.fleet.Keep(d.Server, conn)
+		return fleet.NoTime, nil
+	}
 	conn.SetDeadline(until)
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
 	var resp http1.Response
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -43,7 +43,7 @@
 	for {
 		switch d := op.Next(giveUp); d.Kind {
 		case fleet.Send:
-			last, answer = s.hop(ctx, d, c, req)
+			last, answer = s.hop(ctx, op, d, c, req)
 			op.Ended(last)
 		case fleet.Handled:
 			return s.send(c, answer)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -333,6 +333,36 @@
 	}
 }
 
+// A client that leaves while a connection comes up: its operation is not sent after that.
+func TestNothingSentAfterTheEnd(t *testing.T) {
+	t.Parallel()
+	hosts, taken := servers(t, 1, whole)
+	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits)}
+	defer s.fleet.Stop()
+	s.fleet.Listed(http1.List{Hosts: hosts}, true)
+	client := dial(t, standIn(t, func(net.Conn) {}).String())
+	req := &http1.Request{Method: []byte("GET"), Target: []byte("/book/1")}
+	for name, c := range map[string]struct {
+		leave bool
+		want  fleet.End
+	}{"left": {true, fleet.NoTime}, "still there": {false, fleet.Answered}} {
+		t.Run(name, func(t *testing.T) {
+			before := taken.Load()
+			op := s.fleet.Arrive(1, nil, time.Minute)
+			defer op.Close()
+			d := op.Next(func() {})
+			if c.leave {
+				op.Left()
+			}
+			end, _ := s.hop(context.Background(), op, d, client, req)
+			if sent := taken.Load() > before; end != c.want || sent == c.leave {
+				t.Errorf("ended %s, sent %v", end, sent)
+			}
+			op.Ended(end)
+		})
+	}
+}
+
 func TestShortOfDescriptors(t *testing.T) {
 	t.Parallel()
 	hosts, _ := servers(t, 1, whole)
