A new connection has 100 ms for its request before it may be closed for room

Seen: 64 test processes at once on 8 cores; a client was off the processor for over 20 ms between opening its connection and writing to it, and found it closed for room (room.go, settled).

--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -13,11 +13,11 @@
 	baseMemory     = 12 << 20 // bytes of the run time and the module's own figures; 6 MB were seen
 	perConnection  = http1.MaxHead + http1.MaxBody + 16<<10
 	// bytes at worst: a buffer filled, the one it grew out of, two stacks
-	bufferShare = 0.5                   // of the memory left; the collector needs the other half
-	spareShare  = 8                     // the part of all connections kept for clients that are only told to come back
-	spareLeast  = 2                     // of them
-	settled     = 20 * time.Millisecond // in which a new connection's request must come, or it may be closed for room
-	idleShare   = 0.6                   // of the settings' idle time, after which a server's connection is not used again
+	bufferShare = 0.5                    // of the memory left; the collector needs the other half
+	spareShare  = 8                      // the part of all connections kept for clients that are only told to come back
+	spareLeast  = 2                      // of them
+	settled     = 100 * time.Millisecond // in which a new connection's request must come, or it may be closed for room
+	idleShare   = 0.6                    // of the settings' idle time, after which a server's connection is not used again
 )
 
 // Limits of the machine.
