--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -139,7 +139,7 @@
 	c.f.mu.Lock()
 	defer c.f.unlock()
 	c.place, c.since = c.f.room.idle.PushBack(c), c.f.now()
-	c.f.room.tell()
+	c.f.room.tell() // or what the system has accepted would wait unread until some connection ends
 }
 
 // Busy tells that a request has begun. It is false if the connection was closed before, and then the
