Scenarios of the lab: TOML files with checks by line; the door takes any module

A rig of our own starts with what it plays. The door takes its module from outside, so that baselines can stand behind the same sockets; the life of a node's process moves to serve, for the lab's own nodes.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -42,7 +42,7 @@
 					delete(nodes, e.Instance)
 					continue
 				}
-				nodes[e.Instance] = node.New[uint32](b.Now, e.Settings, e.Seed, w)
+				nodes[e.Instance] = node.New[uint32](b.Now, policy.New(e.Settings, e.Seed), w)
 				continue
 			case wire.Killed:
 				delete(nodes, e.Instance)
--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -25,10 +23,7 @@
 serve and check read the file that -config or PROXY_CONFIG names.
 `
 
-const (
-	exitFailed = 1
-	exitUsage  = 2 // also for a configuration of no use
-)
+const exitUsage = 2 // also for a configuration of no use
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv)) }
 
@@ -69,7 +64,7 @@
 		if *verbose {
 			level = zerolog.DebugLevel
 		}
-		return node(cfg, errs, level)
+		return serve.Process(cfg, errs, level)
 	case "version":
 		fmt.Fprintln(out, "fernvane", version())
 		return 0
@@ -81,26 +76,6 @@
 	return exitUsage
 }
 
-func node(cfg serve.Config, errs io.Writer, level zerolog.Level) int {
-	log, flush := serve.NewLog(errs, level)
-	defer flush()
-	signal.Ignore(syscall.SIGPIPE)    // or the node would end with the reader of its log
-	reload := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
-	signal.Notify(reload, syscall.SIGHUP)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	stop := make(chan struct{})
-	go func() {
-		<-signals
-		close(stop)
-	}()
-	if err := serve.Run(serve.Signals{Reload: reload, Stop: stop}, cfg, log); err != nil {
-		log.Error().Err(err).Msg("cannot serve")
-		return exitFailed
-	}
-	return 0
-}
-
 func version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok || info.Main.Version == "" {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,8 +43,8 @@
 	idle    []idleConn    // the latest used last
 }
 
-// New starts the module.
-func New(s settings.Settings, seed uint32, limits Limits) *Fleet {
+// New starts the module that a maker makes.
+func New(s settings.Settings, seed uint32, limits Limits, module node.Maker) *Fleet {
 	// On sockets nothing is pushed: also where the settings say so, the list comes only to a node that asks.
 	s.OnRequest = true
 	f := &Fleet{set: s, started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
@@ -53,7 +53,7 @@
 	f.mu.Lock()
 	defer f.unlock()
 	f.wake = time.AfterFunc(time.Hour, f.woken)
-	f.door = node.New[string](f.now(), s.Settings, seed, (*hands)(f))
+	f.door = node.New[string](f.now(), module(s.Settings, seed), (*hands)(f))
 	return f
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fernvane/internal/http1"
+	"fernvane/internal/node"
 	"fernvane/internal/settings"
 	"fernvane/policy"
 )
@@ -25,7 +26,7 @@
 	s := settings.Settings{ConnIdle: time.Hour, TypeNames: []string{"check"}, Settings: policy.Settings{Nodes: 1, MostHops: 4,
 		ConnectTimeout: time.Second, Types: []policy.TrafficType{{Repeat: repeat, TargetTime: time.Minute,
 			AbandonTime: time.Hour, Revenue: 1}}}}
-	f := New(s, 1, l)
+	f := New(s, 1, l, node.Policy)
 	t.Cleanup(f.Stop)
 	f.Listed(listed(hosts...), true)
 	return f
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,17 @@
 	"fernvane/policy"
 )
 
+// Module decides for one instance: policy.Policy wherever traffic is served, another only to be compared with it.
+type Module interface {
+	Handle(now time.Duration, in *policy.Input, effects []policy.Effect) []policy.Effect
+}
+
+// Maker makes the module of an instance from its settings and its seed.
+type Maker func(policy.Settings, uint32) Module
+
+// Policy makes the project's own.
+func Policy(s policy.Settings, seed uint32) Module { return policy.New(s, seed) }
+
 // Out carries out what the module decides, in outside ids.
 type Out[S comparable] interface {
 	Forward(job uint64, server S, allow time.Duration)
@@ -33,7 +44,7 @@
 
 // Node is one instance, with the servers' outside ids of type S.
 type Node[S comparable] struct {
-	module  *policy.Policy
+	module  Module
 	origin  time.Duration
 	ops     map[uint64]int
 	slots   []slot
@@ -48,8 +59,8 @@
 }
 
 // New starts an instance at the moment now of the outside clock.
-func New[S comparable](now time.Duration, s policy.Settings, seed uint32, out Out[S]) *Node[S] {
-	n := &Node[S]{module: policy.New(s, seed), origin: now, ops: map[uint64]int{}, servers: map[S]int{}}
+func New[S comparable](now time.Duration, m Module, out Out[S]) *Node[S] {
+	n := &Node[S]{module: m, origin: now, ops: map[uint64]int{}, servers: map[S]int{}}
 	n.apply(now, policy.Input{Kind: policy.Woken}, out)
 	return n
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -48,7 +48,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := &record{}
-			n := New[uint32](0, settings, 1, r)
+			n := New[uint32](0, policy.New(settings, 1), r)
 			n.List(0, policy.Saved, []Member[uint32]{{Server: 5, Line: policy.Member{Scale: 1}}}, r)
 			n.Arrive(0, 7, policy.Input{Budget: time.Second}, r)
 			if r.forwards != 1 {
@@ -65,8 +65,8 @@
 // Servers come and go under ever new ids: their indices are used again, but none that an operation still names.
 func TestServersAreForgotten(t *testing.T) {
 	r := &record{}
-	n := New[uint32](0, policy.Settings{Nodes: 1, MostHops: 1, Types: []policy.TrafficType{
-		{TargetTime: 400 * time.Millisecond, AbandonTime: time.Second, Revenue: 1}}}, 1, r)
+	n := New[uint32](0, policy.New(policy.Settings{Nodes: 1, MostHops: 1, Types: []policy.TrafficType{
+		{TargetTime: 400 * time.Millisecond, AbandonTime: time.Second, Revenue: 1}}}, 1), r)
 	list := func(scope policy.Scope, server uint32, c policy.Condition) {
 		n.List(0, scope, []Member[uint32]{{Server: server, Line: policy.Member{Scale: 1, Condition: c, HasStart: true}}}, r)
 	}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,162 @@
+// Package scenario is what the lab plays: a deployment of stand-ins, its load, and the troubles that come to it, read
+// from a TOML file. It is data and checks only.
+package scenario
+
+import (
+	"time"
+)
+
+// Span is a duration as files write it: "250ms".
+type Span time.Duration
+
+// UnmarshalText reads the form of time.ParseDuration.
+func (s *Span) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	*s = Span(d)
+	return err
+}
+
+// MarshalText writes that form.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// D is the span as a duration.
+func (s Span) D() time.Duration { return time.Duration(s) }
+
+// Scenario is one file.
+type Scenario struct {
+	Name  string `toml:"name"`
+	About string `toml:"about"`
+	// Base is a scenario of Names that this one starts from; its faults are not taken over.
+	Base string `toml:"base"`
+	Seed uint64 `toml:"seed"`
+	// Length is how long operations arrive. What they leave open is waited for beyond it.
+	Length    Span      `toml:"length"`
+	Sites     []string  `toml:"sites"`
+	Nodes     Nodes     `toml:"nodes"`
+	Boxes     []Boxes   `toml:"boxes"`
+	Types     []Type    `toml:"types"`
+	Tenants   []Tenant  `toml:"tenants"`
+	Load      Traffic   `toml:"load"`
+	Clients   Clients   `toml:"clients"`
+	Net       Net       `toml:"net"`
+	Discovery Discovery `toml:"discovery"`
+	Rules     Rules     `toml:"rules"`
+	Faults    []Fault   `toml:"faults"`
+	// Baselines are played beside the node on the same schedule where the command does not say.
+	Baselines []string `toml:"baselines"`
+}
+
+// Nodes are the processes under test, dealt out over the sites in turn.
+type Nodes struct {
+	Count    int     `toml:"count"`
+	Cores    float64 `toml:"cores"` // each may use at a time
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+	Notice   Span    `toml:"notice"` // until the front finds out that one has died
+}
+
+// Boxes are servers of one kind, dealt out over the sites in turn.
+type Boxes struct {
+	Kind        string  `toml:"kind"`
+	Count       int     `toml:"count"`
+	Cores       int     `toml:"cores"`
+	Speed       float64 `toml:"speed"` // of a core; work is stated for speed 1
+	Queue       int     `toml:"queue"` // operations that may wait
+	Connections int     `toml:"connections"`
+	Handshake   Span    `toml:"handshake"`   // work for each new connection
+	ColdShare   float64 `toml:"cold_share"`  // of its capacity right after a start
+	ColdFor     Span    `toml:"cold_for"`    // until it is warm
+	KeyGain     float64 `toml:"key_gain"`    // share of work that is saved for a key met lately
+	KeyFor      Span    `toml:"key_for"`     // how long a key is remembered
+	Keys        int     `toml:"keys"`        // how many are
+	Drops       bool    `toml:"drops"`       // what is over before its turn is turned away
+	GroupSize   int     `toml:"group_size"`  // boxes that share what they know of fingerprints; 0: all of a kind
+	ErrorRate   float64 `toml:"error_rate"`  // share answered with 500 after their work
+	PauseEvery  Span    `toml:"pause_every"` // a pause of the process comes so often, 0: never
+	PauseFor    Span    `toml:"pause_for"`
+}
+
+// Type is a traffic type.
+type Type struct {
+	Name    string  `toml:"name"`
+	Share   float64 `toml:"share"`
+	Work    Span    `toml:"work"` // mean, on a core of speed 1
+	Dist    string  `toml:"dist"` // constant, exp or lognormal
+	CV      float64 `toml:"cv"`   // of lognormal
+	Target  Span    `toml:"target"`
+	Abandon Span    `toml:"abandon"`
+	Revenue float64 `toml:"revenue"`
+	Repeat  string  `toml:"repeat"` // retriable, fingerprinted or binding
+	Group   string  `toml:"group"`  // of a fingerprinted type: all, zone or cell
+	Window  Span    `toml:"window"` // in which repeats are dropped there
+}
+
+// Tenant is a member group.
+type Tenant struct {
+	Name      string  `toml:"name"`
+	Share     float64 `toml:"share"`     // of the traffic
+	Allowance float64 `toml:"allowance"` // operations a second; what is beyond is worth little. 0: no bound
+}
+
+// Traffic is how operations arrive.
+type Traffic struct {
+	Rate   float64 `toml:"rate"`   // a second
+	Shape  string  `toml:"shape"`  // constant, poisson, bursts, ramp or wave
+	Swing  float64 `toml:"swing"`  // share of the rate that bursts, ramp and wave add and take
+	Period Span    `toml:"period"` // of bursts and wave
+	Keys   int     `toml:"keys"`   // distinct ones; 0: operations carry none
+	Zipf   float64 `toml:"zipf"`   // exponent of their popularity
+	Skew   float64 `toml:"skew"`   // share of the traffic that the first site has beyond its part
+	Trace  string  `toml:"trace"`  // a recorded trace in place of all this
+	Over   float64 `toml:"over"`   // worth of an operation beyond its tenant's allowance, as a share
+}
+
+// Clients are the usual ones.
+type Clients struct {
+	Retries  int     `toml:"retries"`
+	Backoff  Span    `toml:"backoff"`
+	GivesUp  float64 `toml:"gives_up"` // after this share of the abandon time
+	Exponent bool    `toml:"doubling"` // each wait is twice the one before
+}
+
+// Net is the network between the sites.
+type Net struct {
+	Cross Span `toml:"cross"` // one way between two sites
+	Same  Span `toml:"same"`
+}
+
+// Discovery is the service that lists servers.
+type Discovery struct {
+	Notice       Span    `toml:"notice"`        // until it knows of a drain or an end that was told to it
+	SilentNotice Span    `toml:"silent_notice"` // of a death that nobody told
+	Add          Span    `toml:"add"`           // of a start
+	Spread       Span    `toml:"spread"`        // over which watchers hear of a change
+	LinesPerS    float64 `toml:"lines_per_s"`
+	CallLines    float64 `toml:"call_lines"`
+	Timeout      Span    `toml:"timeout"`
+}
+
+// Rules are the figures of the four rules.
+type Rules struct {
+	DrainGrace   Span    `toml:"drain_grace"`
+	FallMultiple float64 `toml:"fall_multiple"`
+	FallWindow   Span    `toml:"fall_window"`
+	MostHops     int     `toml:"most_hops"`
+	AskWithin    Span    `toml:"ask_within"`
+	Slack        Span    `toml:"slack"` // added to each time limit, for what the machine is late
+}
+
+// Fault is a trouble that comes at a stated time.
+type Fault struct {
+	Kind  string   `toml:"kind"`
+	At    Span     `toml:"at"`
+	For   Span     `toml:"for"`
+	Boxes []string `toml:"boxes"` // names: kind-number, counting from 0
+	Share float64  `toml:"share"` // of the boxes or nodes in place of names, or of connections or traffic
+	Nodes []int    `toml:"nodes"`
+	Site  string   `toml:"site"`
+	Size  float64  `toml:"size"` // how many times slower, or what share of the fleet or traffic remains
+}
+
+// End is when the fault is over.
+func (f Fault) End() time.Duration { return f.At.D() + f.For.D() }
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -11,6 +11,7 @@
 
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
+	"fernvane/internal/node"
 	"fernvane/internal/settings"
 )
 
@@ -30,6 +31,7 @@
 	Known     http1.List
 	KnownErr  error // a saved list of no use; the node starts without
 	Settings  settings.Settings
+	Module    node.Maker // nil: the project's own
 	path      string
 	getenv    func(string) string
 	told      string // discovery's address as the file names it
@@ -100,6 +102,13 @@
 	return next, nil
 }
 
+func (c Config) module() node.Maker {
+	if c.Module == nil {
+		return node.Policy
+	}
+	return c.Module
+}
+
 // openFiles is the system's own limit, which may be lower than what the configuration names.
 func openFiles() int {
 	var r syscall.Rlimit
--- /dev/null
+++ b/internal/serve/process.go
@@ -0,0 +1,32 @@
+package serve
+
+import (
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+)
+
+// Process runs a node as the life of this process, which signals lead: SIGTERM or SIGINT ends it, SIGHUP has it read
+// its configuration again. It returns the exit code.
+func Process(cfg Config, errs io.Writer, level zerolog.Level) int {
+	log, flush := NewLog(errs, level)
+	defer flush()
+	signal.Ignore(syscall.SIGPIPE)    // or the node would end with the reader of its log
+	reload := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
+	signal.Notify(reload, syscall.SIGHUP)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	if err := Run(Signals{Reload: reload, Stop: stop}, cfg, log); err != nil {
+		log.Error().Err(err).Msg("cannot serve")
+		return 1
+	}
+	return 0
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -63,7 +63,7 @@
 
 func run(tell Signals, cfg Config, log zerolog.Logger, ln *net.TCPListener) error {
 	defer ln.Close()
-	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits)}
+	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits, cfg.module())}
 	defer s.fleet.Stop()
 	s.discovery.Store(newPlace(cfg.Discovery))
 	s.known()
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -19,6 +19,7 @@
 
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
+	"fernvane/internal/node"
 	"fernvane/internal/settings"
 	"fernvane/policy"
 )
@@ -81,7 +82,7 @@
 }
 
 // node runs one until the test ends, or until stop.
-func node(t *testing.T, cfg Config) (at string, stop func() error) {
+func startNode(t *testing.T, cfg Config) (at string, stop func() error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -157,7 +158,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			hosts, taken := servers(t, 4, c.script...)
-			at, _ := node(t, config(hosts...))
+			at, _ := startNode(t, config(hosts...))
 			conn := dial(t, at)
 			r := ask1(t, conn, c.path)
 			if r.Status != c.status || taken.Load() != c.hops || r.Status == 200 && strings.TrimLeft(string(r.Body), "x") != "ok" {
@@ -242,7 +243,7 @@
 		c.ReadRequest(&http1.Request{})
 		gone <- c.Gone()
 	})
-	at, _ := node(t, config(http1.Host{ID: "s", Address: server, Size: 1}))
+	at, _ := startNode(t, config(http1.Host{ID: "s", Address: server, Size: 1}))
 	if r := ask1(t, dial(t, at), "/book/1"); r.Status != 504 {
 		t.Errorf("answered %d", r.Status)
 	}
@@ -255,7 +256,7 @@
 	t.Parallel()
 	hosts, _ := servers(t, 1, whole)
 	hosts = append(hosts, http1.Host{ID: "closed", Address: netip.MustParseAddrPort("127.0.0.1:1"), Size: 1})
-	at, _ := node(t, config(hosts...))
+	at, _ := startNode(t, config(hosts...))
 	for range 4 {
 		if r := ask1(t, dial(t, at), "/book/1"); r.Status != 200 {
 			t.Errorf("answered %d", r.Status)
@@ -275,7 +276,7 @@
 			closed <- struct{}{}
 		}
 	})
-	node, _ := node(t, config(http1.Host{ID: "s", Address: at, Size: 1}))
+	node, _ := startNode(t, config(http1.Host{ID: "s", Address: at, Size: 1}))
 	for range 3 {
 		if r := ask1(t, dial(t, node), "/book/1"); r.Status != 200 {
 			t.Errorf("answered %d", r.Status)
@@ -288,7 +289,7 @@
 func TestStaleWrite(t *testing.T) {
 	t.Parallel()
 	hosts, _ := servers(t, 1, whole)
-	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits)}
+	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
 	defer s.fleet.Stop()
 	s.fleet.Listed(http1.List{Hosts: hosts}, true)
 	held := make(chan net.Conn, 1)
@@ -308,7 +309,7 @@
 func TestRejected(t *testing.T) {
 	t.Parallel()
 	hosts, taken := servers(t, 1, whole)
-	at, _ := node(t, config(hosts...))
+	at, _ := startNode(t, config(hosts...))
 	const get = "GET /check/1 HTTP/1.1\r\nHost: h\r\n"
 	for name, c := range map[string]struct {
 		in     string
@@ -348,7 +349,7 @@
 	t.Parallel()
 	cfg := config()
 	cfg.Settings.Types[0].AbandonTime = time.Hour
-	at, _ := node(t, cfg)
+	at, _ := startNode(t, cfg)
 	for name, c := range map[string]struct{ once, again string }{
 		"says nothing": {},
 		"asks once":    {"GET /up HTTP/1.1\r\nHost: h\r\n\r\n", ""},
@@ -386,7 +387,7 @@
 	gone := make(chan net.Conn, 1)
 	at := standIn(t, func(c net.Conn) { gone <- c })
 	near := dial(t, at.String())
-	s := &Server{fleet: fleet.New(config().Settings, 1, config().Limits)}
+	s := &Server{fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
 	defer s.fleet.Stop()
 	s.fleet.Listed(http1.List{Hosts: []http1.Host{{ID: "s", Address: at, Size: 1}}}, true)
 	op := booked(s.fleet)
@@ -404,7 +405,7 @@
 func TestNothingSentAfterTheEnd(t *testing.T) {
 	t.Parallel()
 	hosts, taken := servers(t, 1, whole)
-	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits)}
+	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
 	defer s.fleet.Stop()
 	s.fleet.Listed(http1.List{Hosts: hosts}, true)
 	client := dial(t, standIn(t, func(net.Conn) {}).String())
@@ -435,7 +436,7 @@
 	hosts, _ := servers(t, 1, whole)
 	cfg := config(hosts...)
 	cfg.Limits.Sockets = 1 // leaves room for the fewest connections
-	at, _ := node(t, cfg)
+	at, _ := startNode(t, cfg)
 	for i := range 4 * cfg.Limits.Connections() {
 		if r := ask1(t, dial(t, at), "/check/1"); r.Status != 200 { // and stays, idle
 			t.Fatalf("the %d. client is answered %d", i, r.Status)
@@ -456,7 +457,7 @@
 	cfg := config(http1.Host{ID: "a", Address: server, Size: 1}, http1.Host{ID: "b", Address: server, Size: 1})
 	cfg.Limits.Sockets = 1
 	cfg.Settings.Types[0].TargetTime, cfg.Settings.Types[0].AbandonTime = time.Minute, time.Minute
-	at, _ := node(t, cfg)
+	at, _ := startNode(t, cfg)
 	answers := make(chan int)
 	const n = 20
 	for range n {
@@ -498,7 +499,7 @@
 	})
 	cfg := config(http1.Host{ID: "s", Address: server, Size: 1})
 	cfg.Settings.Types[0].TargetTime, cfg.Settings.Types[0].AbandonTime = 9*time.Second, 9*time.Second
-	at, stop := node(t, cfg)
+	at, stop := startNode(t, cfg)
 	before := dial(t, at)
 	kept := dial(t, at)
 	if r := ask1(t, kept, "/up"); r.Close {
@@ -563,7 +564,7 @@
 					}
 				}
 			})
-			at, _ := node(t, cfg)
+			at, _ := startNode(t, cfg)
 			for range script {
 				if call := <-calls; !strings.HasPrefix(call, "/discovery/hosts?index=2&") && !strings.HasPrefix(call, "/discovery/hosts?index=3&") {
 					t.Errorf("called %s", call)
--- /dev/null
+++ b/internal/tomlfile/tomlfile.go
@@ -0,0 +1,181 @@
+// Package tomlfile reads an operator's TOML file strictly and finds the line of each key, so that whatever is wrong
+// with a file can be said as file:line: reason.
+package tomlfile
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+const largest = 1 << 20 // bytes of a file; larger ones are a mistake
+
+// Fault is one thing that is wrong with a file.
+type Fault struct {
+	File string
+	Line int // 0 where it concerns the whole file
+	Why  string
+}
+
+func (f Fault) Error() string {
+	if f.Line == 0 {
+		return f.File + ": " + f.Why
+	}
+	return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Why)
+}
+
+// Faults are all that were found, in the order of their lines.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// File is one that has been read, with the places of its keys.
+type File struct {
+	Name   string
+	lines  map[string]int
+	faults Faults
+}
+
+// Read returns the text of a file that is not too large to be one of ours.
+func Read(path string) ([]byte, error) {
+	s, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if s.Size() > largest {
+		return nil, Faults{{File: path, Why: fmt.Sprintf("larger than %d bytes", largest)}}
+	}
+	return os.ReadFile(path)
+}
+
+// Parse reads a text. Keys that the struct does not have are faults, as is anything that is no TOML.
+func Parse(name string, text []byte, into any) (*File, error) {
+	f := &File{Name: name, lines: map[string]int{}}
+	if !utf8.Valid(text) {
+		return nil, Faults{{File: name, Line: badLine(text), Why: "not UTF-8"}}
+	}
+	f.find(text)
+	d := toml.NewDecoder(strings.NewReader(string(text)))
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	var strict *toml.StrictMissingError
+	var decode *toml.DecodeError
+	switch {
+	case err == nil:
+		return f, nil
+	case errors.As(err, &strict):
+		for _, e := range strict.Errors {
+			row, _ := e.Position()
+			f.faults = append(f.faults, Fault{name, row, fmt.Sprintf("unknown key %q", strings.Join(e.Key(), "."))})
+		}
+	case errors.As(err, &decode):
+		row, _ := decode.Position()
+		f.faults = append(f.faults, Fault{name, row, strings.TrimPrefix(decode.Error(), "toml: ")})
+	default:
+		f.faults = append(f.faults, Fault{File: name, Why: err.Error()})
+	}
+	return f, f.Err()
+}
+
+func badLine(text []byte) int {
+	line := 1
+	for i := 0; i < len(text); {
+		r, n := utf8.DecodeRune(text[i:])
+		if r == utf8.RuneError && n == 1 {
+			return line
+		}
+		if r == '\n' {
+			line++
+		}
+		i += n
+	}
+	return 0
+}
+
+// find notes where each table and key begins. Entries of arrays of tables count from 0: "faults.2.at".
+func (f *File) find(text []byte) {
+	var p unstable.Parser
+	p.Reset(text)
+	count := map[string]int{}
+	prefix := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var path []string
+		line := 0
+		for k := e.Key(); k.Next(); {
+			n := k.Node()
+			path = append(path, string(n.Data))
+			if line == 0 {
+				line = p.Shape(p.Range(n.Data)).Start.Line
+			}
+		}
+		key := strings.Join(path, ".")
+		switch e.Kind {
+		case unstable.Table:
+			prefix = inArray(key, count)
+			f.lines[prefix] = line
+		case unstable.ArrayTable:
+			key = inArray(key, count)
+			prefix = key + "." + strconv.Itoa(count[key])
+			count[key]++
+			f.lines[prefix] = line
+		case unstable.KeyValue:
+			f.lines[strings.TrimPrefix(prefix+"."+key, ".")] = line
+		}
+	}
+}
+
+// inArray puts the number of the latest entry behind each part of a path that is an array of tables.
+func inArray(key string, count map[string]int) string {
+	parts := strings.Split(key, ".")
+	full := parts[0]
+	for _, part := range parts[1:] {
+		if n := count[full]; n > 0 {
+			full += "." + strconv.Itoa(n-1)
+		}
+		full += "." + part
+	}
+	return full
+}
+
+// Line is where a key stands, or the table that would hold it.
+func (f *File) Line(path string) int {
+	for path != "" {
+		if line, ok := f.lines[path]; ok {
+			return line
+		}
+		i := strings.LastIndexByte(path, '.')
+		if i < 0 {
+			break
+		}
+		path = path[:i]
+	}
+	return 0
+}
+
+// Wrong notes a fault at a key.
+func (f *File) Wrong(path, format string, args ...any) {
+	f.faults = append(f.faults, Fault{f.Name, f.Line(path), fmt.Sprintf(format, args...)})
+}
+
+// Err is all that was found wrong so far, nil for nothing.
+func (f *File) Err() error {
+	if len(f.faults) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(f.faults, func(a, b Fault) int { return a.Line - b.Line })
+	return f.faults
+}
