The lab's clients say what time is left when they send; late within the slack is no loss

Change: Request-Timeout counts from the sending; hops are dated by their arrival at the socket; operations that found no node are counted apart.

--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	sweepEvery = 20 * time.Millisecond // between looks at open operations
-	askAgain   = time.Second           // after discovery failed
-	ahead      = 5 * time.Millisecond  // of the client's leaving, the last moment to answer
+	sweepEvery = 20 * time.Millisecond  // between looks at open operations
+	askAgain   = time.Second            // after discovery failed
+	tooLate    = 400 * time.Millisecond // after the client's leaving, beyond any slack
+	ahead      = 5 * time.Millisecond   // of the client's leaving, the last moment to answer
 )
 
 // Names of the baselines.
@@ -266,7 +267,7 @@
 		o := &m.ops[i]
 		limit := o.limit - ahead - sweepEvery
 		if m.is("late") && len(o.hops) == 0 {
-			limit = o.limit + sweepEvery
+			limit = o.limit + tooLate
 		}
 		if !o.open || m.now < limit || m.is("silent") {
 			continue
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -74,9 +74,10 @@
 }
 
 const (
-	idleMost  = 30 * time.Second // a client's connection that is not used for so long is closed
-	keepMost  = 512              // idle connections of a site's clients
-	resetWait = 2 * time.Millisecond
+	idleMost  = 30 * time.Second     // a client's connection that is not used for so long is closed
+	keepMost  = 512                  // idle connections of a site's clients
+	frontWait = 2 * time.Millisecond // between looks at a front that knows of no node
+	leastLeft = 5 * time.Millisecond // of a client's time for which it still sends
 	longest   = http1.MaxAnswer
 )
 
@@ -135,7 +136,7 @@
 	wait                 time.Duration // how long the client waits for its answer
 }
 
-func (r *request) append(b []byte, id uint64) []byte {
+func (r *request) append(b []byte, id uint64, left time.Duration) []byte {
 	b = append(append(append(b, r.method...), ' '), r.path...)
 	b = append(b, " HTTP/1.1\r\nHost: origin.svc\r\n"+http1.RequestID+": "...)
 	b = AppendID(b, id)
@@ -146,7 +147,7 @@
 		b = strconv.AppendInt(append(b, "\r\nAffinity-Key: "...), int64(r.key), 16)
 	}
 	b = append(b, "\r\n"+http1.RequestTimeout+": "...)
-	b = strconv.AppendFloat(b, r.wait.Seconds(), 'f', 3, 64)
+	b = strconv.AppendFloat(b, left.Seconds(), 'f', 3, 64)
 	if r.method != "GET" {
 		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(r.body)), 10)
 	}
@@ -177,9 +178,15 @@
 			}
 		}
 		t.Way = k.way
+		left := time.Until(until) // the wait for a connection is over; what is told counts from the sending
+		if left < leastLeft {
+			k.conn.Close()
+			t.End, t.Ended = Unsent, time.Since(g.start)
+			return
+		}
 		k.conn.SetDeadline(until.Add(slack))
 		g.watch.Sending(t)
-		whole, err := k.conn.Send(r.append(k.conn.Scratch(), t.ID))
+		whole, err := k.conn.Send(r.append(k.conn.Scratch(), t.ID, left))
 		if whole {
 			t.Sent = time.Since(g.start)
 			g.watch.Sent(t)
@@ -244,10 +251,10 @@
 	for {
 		way, ok := g.door.Pick(site)
 		if !ok { // nothing serves: the client waits at the front
-			if time.Until(until) < resetWait || ctx.Err() != nil {
+			if time.Until(until) < frontWait || ctx.Err() != nil {
 				return kept{}, false
 			}
-			time.Sleep(resetWait)
+			time.Sleep(frontWait)
 			continue
 		}
 		t.Way = way
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -26,6 +26,7 @@
 	Denied          // the last try was
 	WrittenOff      // the last try was, or its connection ended
 	NoAnswer        // the last try got none in time
+	Unreached       // the last try found no node to send to
 	fates
 )
 
@@ -124,7 +125,10 @@
 	case t.End == Answered && (t.Status == 429 || t.Status == 503):
 		r.Fates[Denied]++
 		p.Denied++
-	case t.End == Answered, t.End == Dropped, t.End == Unsent:
+	case t.End == Unsent:
+		r.Fates[Unreached]++
+		p.Failed++
+	case t.End == Answered, t.End == Dropped:
 		r.Fates[WrittenOff]++
 		p.Failed++
 	default:
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -33,6 +33,7 @@
 	Denied           int                `json:"denied"`
 	WrittenOff       int                `json:"written_off"`
 	Unanswered       int                `json:"unanswered"`
+	Unreached        int                `json:"unreached"` // no node to send to
 	Tries            int                `json:"tries"`
 	Rules            []audit.Rule       `json:"rules"`
 	Latency          map[string]Latency `json:"latency_ms"`
@@ -103,7 +104,7 @@
 func New(s *scenario.Scenario, policy string, ops []load.Operation, o *lab.Outcome) Report {
 	r := Report{Scenario: s.Name, Seed: s.Seed, Policy: policy, Nodes: s.Nodes.Count, Boxes: len(s.BoxNames()), Offered: len(ops),
 		Service: round(o.Service()), AnsweredInTarget: o.Fates[load.InTarget], Handled: o.Fates[load.Handled], Denied: o.Fates[load.Denied],
-		WrittenOff: o.Fates[load.WrittenOff], Unanswered: o.Fates[load.NoAnswer], Tries: o.Tries, Rules: o.Rules,
+		WrittenOff: o.Fates[load.WrittenOff], Unanswered: o.Fates[load.NoAnswer], Unreached: o.Fates[load.Unreached], Tries: o.Tries, Rules: o.Rules,
 		Latency: map[string]Latency{}, ByTenant: map[string]Part{}, BySite: map[string]Part{},
 		Generator:  Generator{millis(o.Late.Most), round(o.Late.Share), o.Late.Behind},
 		Discovery:  Discovery{o.Calls, math.Round(o.Lines), o.TurnedOff},
@@ -161,10 +162,10 @@
 	}
 	fmt.Fprintf(w, "scenario %s, seed %d: %d nodes, %d boxes, %d operations\n\n", r.Scenario, r.Seed, r.Nodes, r.Boxes, r.Offered)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "policy\tservice\tin target\thandled\tdenied\twritten off\tunanswered\ttries\trules broken\t")
+	fmt.Fprintln(t, "policy\tservice\tin target\thandled\tdenied\twritten off\tunanswered\tunreached\ttries\trules broken\t")
 	for _, x := range append([]Report{*r}, r.Baselines...) {
-		fmt.Fprintf(t, "%s\t%.4f\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t\n", x.Policy, x.Service, x.AnsweredInTarget, x.Handled, x.Denied, x.WrittenOff,
-			x.Unanswered, x.Tries, x.brokenNames())
+		fmt.Fprintf(t, "%s\t%.4f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t\n", x.Policy, x.Service, x.AnsweredInTarget, x.Handled, x.Denied, x.WrittenOff,
+			x.Unanswered, x.Unreached, x.Tries, x.brokenNames())
 	}
 	t.Flush()
 	fmt.Fprintln(w)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -161,3 +161,13 @@
 
 // End is when the fault is over.
 func (f Fault) End() time.Duration { return f.At.D() + f.For.D() }
+
+// Scale makes the scenario so many times as long, with its faults at the same parts of it.
+func (s *Scenario) Scale(by float64) {
+	scale := func(d *Span) { *d = Span(float64(*d) * by) }
+	scale(&s.Length)
+	for i := range s.Faults {
+		scale(&s.Faults[i].At)
+		scale(&s.Faults[i].For)
+	}
+}
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -225,7 +225,7 @@
 		if c.Await() != nil {
 			return
 		}
-		first := b.now()
+		first := nc.Came().Sub(b.start) // what a silence holds back was sent before it
 		if err := c.ReadRequest(&req); err != nil {
 			if bad, ok := err.(*http1.Malformed); ok {
 				c.Send(http1.AppendAnswer(nil, http1.Answer{Status: bad.Status, Close: true}))
@@ -240,7 +240,7 @@
 
 // request is the life of one request; it tells whether its connection can be used again.
 func (b *Box) request(nc *link.Conn, c *http1.Conn, req *http1.Request, first, way time.Duration, fresh, full bool) bool {
-	last := b.now()
+	last := nc.Came().Sub(b.start)
 	text := string(req.Get(http1.RequestID))
 	if text == "" {
 		return b.say(c, 404, "no id")
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -33,6 +33,7 @@
 	l     *Listener
 	ended chan struct{}
 	once  sync.Once
+	came  time.Time
 }
 
 // Listen takes connections at an address and gives each to lead, which owns and closes it.
@@ -181,12 +182,16 @@
 // Read holds back what comes in a silence.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	c.came = time.Now()
 	if !c.pass() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// Came is when what was read last reached this side, which in a silence is before it was passed on.
+func (c *Conn) Came() time.Time { return c.came }
+
 // Write waits while there is a silence.
 func (c *Conn) Write(b []byte) (int, error) {
 	if !c.pass() {
