--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -27,7 +27,7 @@
 const never = time.Duration(1<<62 - 1)
 
 func newEyes(s *scenario.Scenario, ops []load.Operation, start time.Time) *eyes {
-	f := audit.Figures{DrainGrace: s.Rules.DrainGrace.D(), Slack: s.Rules.Slack.D(), MostHops: s.Rules.MostHops}
+	f := audit.Figures{DrainGrace: s.Rules.DrainGrace.D(), Slack: s.Rules.Slack.D(), MostHops: s.Rules.MostHops, Copies: s.Rules.Copies}
 	for _, t := range s.Types {
 		f.Types = append(f.Types, audit.Type{Name: t.Name, Window: t.Window.D(),
 			Repeat: map[string]audit.Repeat{"fingerprinted": audit.Fingerprinted, "binding": audit.Binding}[t.Repeat],
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -145,6 +145,19 @@
 			w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
 		}
 	},
+	"reload": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) {
+		every := time.Duration(float64(time.Minute) / f.Size)
+		for i := 0; time.Duration(i)*every < f.For.D(); i++ {
+			w.after(time.Duration(i)*every, func() {
+				if err := w.operator(i + 1); err != nil {
+					w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
+				}
+				for _, p := range w.nodes {
+					p.reload()
+				}
+			})
+		}
+	},
 	"kill-nodes": func(w *world, ctx context.Context, f *scenario.Fault, chance *rand.Rand) {
 		for _, n := range w.chosenNodes(f, chance) {
 			w.eyes.nodeDown(n, true)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -70,6 +70,9 @@
 	defer log.Close()
 	c := exec.Command(p.command[0], p.command[1:]...)
 	c.Env = append(append(os.Environ(), p.env...), "PROXY_CONFIG="+p.config())
+	if _, err := os.Stat(p.operator()); err == nil {
+		c.Env = append(c.Env, "PROXY_OPERATOR="+p.operator())
+	}
 	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	done := make(chan struct{})
@@ -101,6 +104,9 @@
 func (p *process) log() string    { return filepath.Join(p.dir, fmt.Sprintf("node-%d.log", p.number)) }
 func (p *process) config() string { return filepath.Join(p.dir, fmt.Sprintf("node-%d.json", p.number)) }
 
+// operator is the one file of routes of all nodes.
+func (p *process) operator() string { return filepath.Join(p.dir, "operator.toml") }
+
 // tail is the end of the node's log.
 func (p *process) tail() string {
 	b, err := os.ReadFile(p.log())
@@ -166,7 +172,8 @@
 	}
 	return object{"groupSize": s.Nodes.Count, "me": me, "granularity": 2, "discovery": "on_request",
 		"overageRevenue": s.Load.Over, "dcs": s.Sites, "trafficTypes": types, "tenants": tenants,
-		"limits": object{"connIdle": 5000, "connectTimeout": 100, "maxRetryAfter": 0, "mostHops": s.Rules.MostHops, "retryAfter": false},
+		"limits": object{"connIdle": 5000, "connectTimeout": 100, "maxRetryAfter": 0, "mostHops": s.Rules.MostHops, "retryAfter": false,
+			"secondCopies": s.Rules.Copies},
 		"rules": object{"askWithin": ms(s.Rules.AskWithin), "cold": ms(coldFor), "fallMultiple": s.Rules.FallMultiple,
 			"startCapacity": coldest}}
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -125,6 +125,11 @@
 			w.announce(m, discovery.Serving, 0, time.Time{})
 		}
 	}
+	if len(s.Operators) > 0 {
+		if err := w.operator(0); err != nil {
+			return err
+		}
+	}
 	var nodes []front.Node
 	for n := range s.Nodes.Count {
 		nodes = append(nodes, front.Node{Site: n % len(s.Sites), Address: w.nodeAddress(n)})
@@ -222,7 +227,7 @@
 	m.life++
 	life := m.life
 	m.mu.Unlock()
-	e := discovery.Entry{ID: m.Name, Site: w.Scenario.Sites[m.Site], Cell: m.Cell, Phase: phase, UpSince: up}
+	e := discovery.Entry{ID: m.Name, Site: w.Scenario.Sites[m.Site], Cell: m.Cell, Flavor: m.kind.Kind, Phase: phase, UpSince: up}
 	for site := range w.Scenario.Sites {
 		e.Addresses = append(e.Addresses, m.Address(site))
 	}
@@ -252,6 +257,15 @@
 	})
 }
 
+// operator writes the operator's file whole, so that it is never read half.
+func (w *world) operator(which int) error {
+	path := (&process{dir: w.Keep}).operator()
+	if err := os.WriteFile(path+".new", []byte(w.Scenario.Operators[which%len(w.Scenario.Operators)]), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
 // configure writes a node's file, with the list as discovery has it now.
 func (w *world) configure(n int) error {
 	w.mu.Lock()
@@ -263,7 +277,10 @@
 
 // launch starts a node on its file as it is, and waits until the front has taken it in.
 func (w *world) launch(ctx context.Context, n int) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	err := w.nodes[n].start(w.keeper, func(why string) {
+		cancel(fmt.Errorf("node %d has ended: %s", n, why))
 		w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, why) })
 		w.eyes.nodeDown(n, true)
 		w.front.Ended(n, w.Scenario.Nodes.Notice.D())
--- a/internal/standin/discovery/discovery.go
+++ b/internal/standin/discovery/discovery.go
@@ -34,6 +34,7 @@
 	ID        string
 	Site      string
 	Cell      int
+	Flavor    string // kind of machine
 	Phase     string
 	UpSince   time.Time // zero: for long
 	Addresses []string  // as callers of each site reach it
@@ -175,7 +176,7 @@
 }
 
 func (e *Entry) line(site int) line {
-	l := line{ID: e.ID, HostPort: e.Addresses[site], Locality: e.Site, Flavor: "m", Cell: e.Cell, Phase: e.Phase, Size: 1}
+	l := line{ID: e.ID, HostPort: e.Addresses[site], Locality: e.Site, Flavor: e.Flavor, Cell: e.Cell, Phase: e.Phase, Size: 1}
 	if !e.UpSince.IsZero() {
 		l.UpSinceMS = e.UpSince.UnixMilli()
 	}
