--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -2,31 +2,60 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"os"
 	"runtime/debug"
+	"strings"
 
 	"github.com/rs/zerolog"
 
+	"fernvane/internal/route"
 	"fernvane/internal/serve"
+	"fernvane/internal/tomlfile"
 )
 
 const usage = `usage: fernvane COMMAND [flags]
 
-  serve     run a node until SIGTERM; SIGHUP has it read its configuration again
-  check     read the configuration and tell what a node would make of it
+  serve     run a node until SIGTERM; SIGHUP has it read its configuration and the operator's file again
+  check     read the configuration and tell what a node would make of it; with an operator's file, what each route
+            gets and from which line; with -schema, print the JSON schema of the operator's file
+  explain METHOD PATH
+            tell which route of the operator's file a request takes, and why
   version   print the version
 
-serve and check read the file that -config or PROXY_CONFIG names.
+serve, check and explain read the file that -config or PROXY_CONFIG names, and the operator's file that -operator or
+PROXY_OPERATOR names.
 `
 
 const exitUsage = 2 // also for a configuration of no use
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv)) }
 
+// headers are the fields of a request to be explained, given as name=value.
+type headers map[string]string
+
+func (h headers) String() string { return "" }
+
+func (h headers) Set(s string) error {
+	name, value, ok := strings.Cut(s, "=")
+	if !ok || name == "" {
+		return errors.New("a field is given as NAME=VALUE")
+	}
+	h[strings.ToLower(name)] = value
+	return nil
+}
+
+func (h headers) Get(name string) []byte {
+	if v, ok := h[strings.ToLower(name)]; ok {
+		return []byte(v)
+	}
+	return nil
+}
+
 func run(args []string, out, errs io.Writer, getenv func(string) string) int {
 	if len(args) == 0 {
 		fmt.Fprint(errs, usage)
@@ -39,32 +68,81 @@
 		flags.PrintDefaults()
 	}
 	path := flags.String("config", getenv("PROXY_CONFIG"), "the configuration, a JSON `file`")
+	operator := flags.String("operator", getenv("PROXY_OPERATOR"), "limits by route, a TOML `file`")
 	verbose := flags.Bool("verbose", false, "log each hop that does not end with a whole answer")
-	if err := flags.Parse(args[1:]); errors.Is(err, flag.ErrHelp) {
+	schema := flags.Bool("schema", false, "check: print the JSON schema of the operator's file")
+	tenant := flags.String("tenant", "", "explain: the request's `tenant`")
+	fields := headers{}
+	flags.Var(fields, "header", "explain: a field of the request, as `NAME=VALUE`; may be given again")
+	rest, err := parse(flags, args[1:])
+	if errors.Is(err, flag.ErrHelp) {
 		return 0
 	} else if err != nil {
 		return exitUsage
 	}
-	switch args[0] {
-	case "serve", "check":
-		cfg, err := serve.Load(*path, getenv)
-		if err != nil {
+	load := func() (serve.Config, bool) {
+		cfg, err := serve.Load(*path, func(name string) string {
+			if name == "PROXY_OPERATOR" {
+				return *operator
+			}
+			return getenv(name)
+		})
+		var faults tomlfile.Faults
+		switch {
+		case errors.As(err, &faults): // each with its own file and line
+			fmt.Fprintln(errs, faults)
+		case err != nil:
 			fmt.Fprintf(errs, "fernvane: the configuration cannot be used: %v\n", err)
-			return exitUsage
 		}
-		if args[0] == "check" {
-			if cfg.KnownErr != nil {
-				fmt.Fprintf(errs, "fernvane: the saved list cannot be used: %v\n", cfg.KnownErr)
-			}
-			fmt.Fprintf(out, "%s listens on %s, follows %s, knows %d servers, has room for %d connections\n",
-				cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Known.Hosts), cfg.Limits.Connections())
-			return 0
+		return cfg, err == nil
+	}
+	switch args[0] {
+	case "serve":
+		cfg, ok := load()
+		if !ok {
+			return exitUsage
 		}
 		level := zerolog.InfoLevel
 		if *verbose {
 			level = zerolog.DebugLevel
 		}
 		return serve.Process(cfg, errs, level)
+	case "check":
+		if *schema {
+			e := json.NewEncoder(out)
+			e.SetIndent("", "  ")
+			e.Encode(route.Schema())
+			return 0
+		}
+		cfg, ok := load()
+		if !ok {
+			return exitUsage
+		}
+		if cfg.KnownErr != nil {
+			fmt.Fprintf(errs, "fernvane: the saved list cannot be used: %v\n", cfg.KnownErr)
+		}
+		fmt.Fprintf(out, "%s listens on %s, follows %s, knows %d servers, has room for %d connections\n",
+			cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Known.Hosts), cfg.Limits.Connections())
+		if cfg.Routes != nil {
+			cfg.Routes.Table(out, &cfg.Settings)
+		}
+		return 0
+	case "explain":
+		if len(rest) != 2 || !strings.HasPrefix(rest[1], "/") {
+			fmt.Fprintln(errs, "fernvane: explain wants a METHOD and a PATH that begins with /")
+			return exitUsage
+		}
+		cfg, ok := load()
+		if !ok {
+			return exitUsage
+		}
+		if cfg.Routes == nil {
+			fmt.Fprintln(errs, "fernvane: explain wants an operator's file: -operator FILE")
+			return exitUsage
+		}
+		target, _, _ := strings.Cut(rest[1], "?")
+		cfg.Routes.Explain(out, &route.Request{Method: []byte(rest[0]), Path: []byte(target), Tenant: []byte(*tenant), Fields: fields}, &cfg.Settings)
+		return 0
 	case "version":
 		fmt.Fprintln(out, "fernvane", version())
 		return 0
@@ -76,6 +154,20 @@
 	return exitUsage
 }
 
+// parse takes flags before, between and behind the other words.
+func parse(flags *flag.FlagSet, args []string) (rest []string, err error) {
+	for {
+		if err := flags.Parse(args); err != nil {
+			return nil, err
+		}
+		if flags.NArg() == 0 {
+			return rest, nil
+		}
+		rest = append(rest, flags.Arg(0))
+		args = flags.Args()[1:]
+	}
+}
+
 func version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok || info.Main.Version == "" {
--- a/cmd/fernvane/main_test.go
+++ b/cmd/fernvane/main_test.go
@@ -75,6 +75,18 @@
 	if err := os.WriteFile(path, []byte(`{"listen":`), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	good := filepath.Join(t.TempDir(), "good.json")
+	if err := os.WriteFile(good, []byte(`{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{"limits":{"mostHops":2},"trafficTypes":
+		[{"name":"a","targetTime":5,"abandonTime":50,"idempotency":"safe"}]}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	routes := func(more string) string {
+		file := filepath.Join(t.TempDir(), "operator.toml")
+		if err := os.WriteFile(file, []byte("[[routes]]\nname = \"r\"\ntype = \"a\"\n"+more), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
 	for name, c := range map[string]struct {
 		args  []string
 		code  int
@@ -87,6 +99,13 @@
 		"no command":                    {nil, exitUsage, 0},
 		"another command":               {[]string{"dance"}, exitUsage, 0},
 		"an unknown flag":               {[]string{"serve", "-quick"}, exitUsage, 0},
+		"check, a bad operator's file":  {[]string{"check", "-config", good, "-operator", routes("hops = 9\nrate = 0")}, exitUsage, 2},
+		"serve, a bad operator's file":  {[]string{"serve", "-config", good, "-operator", routes("hops = 9")}, exitUsage, 1},
+		"check, a good one":             {[]string{"check", "-operator", routes("hops = 1"), "-config", good}, 0, 0},
+		"the schema":                    {[]string{"check", "-schema"}, 0, 0},
+		"explain":                       {[]string{"explain", "GET", "/a/b?c", "-config", good, "--operator", routes("hops = 1"), "--tenant", "t"}, 0, 0},
+		"explain, no operator's file":   {[]string{"explain", "GET", "/a/b", "-config", good}, exitUsage, 1},
+		"explain, no path":              {[]string{"explain", "GET", "-config", good}, exitUsage, 1},
 		"help":                          {[]string{"help"}, 0, 0},
 		"version":                       {[]string{"version"}, 0, 0},
 	} {
--- a/internal/fleet/counts.go
+++ b/internal/fleet/counts.go
@@ -1,9 +1,13 @@
 package fleet
 
+import "fernvane/internal/route"
+
 // Counts is what became of operations and hops since it was last asked for, and what is open now.
 type Counts struct {
 	Handled, Denied, WrittenOff, Left int
 	NoRoom                            int // operations denied before the module was asked
+	Limited                           int // operations that their route did not take
+	Copies                            int // second copies
 	Ends                              [ends]int
 	Open, Clients, Servers            int
 }
@@ -40,3 +44,10 @@
 	c.Clients = f.room.most - f.room.free - c.Servers
 	return c
 }
+
+// RouteCounts tells what became of operations at each route that has limits of its own since the last call.
+func (f *Fleet) RouteCounts(each func(route string, inHand int, c route.GateCounts)) {
+	f.mu.Lock()
+	defer f.unlock()
+	f.routes.Counts(each)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
+	"fernvane/internal/route"
 	"fernvane/internal/settings"
 	"fernvane/policy"
 )
@@ -20,6 +22,8 @@
 	mu      sync.Mutex
 	door    *node.Node[string]
 	set     settings.Settings
+	routes  *route.Live
+	routed  atomic.Pointer[route.Set] // that of routes, to be matched with outside the lock
 	started time.Time
 	wake    *time.Timer
 	asked   chan struct{}
@@ -40,14 +44,16 @@
 	address netip.AddrPort
 	serving bool
 	line    policy.Member // as discovery last told it
-	idle    []idleConn    // the latest used last
+	site    string
+	flavor  string
+	idle    []idleConn // the latest used last
 }
 
 // New starts the module that a maker makes.
 func New(s settings.Settings, seed uint32, limits Limits, module node.Maker) *Fleet {
 	// On sockets nothing is pushed: also where the settings say so, the list comes only to a node that asks.
 	s.OnRequest = true
-	f := &Fleet{set: s, started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
+	f := &Fleet{set: s, routes: route.NewLive(&s), started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
 		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
 		servers: map[string]*server{}, room: newRoom(limits)}
 	f.mu.Lock()
@@ -119,7 +125,7 @@
 			lines = f.replaced(h.Address, lines)
 		}
 		line := policy.Member{Rank: crc32.ChecksumIEEE([]byte(h.ID)), Zone: f.zone(h.Zone), Cell: h.Cell,
-			Condition: conditions[h.Phase], Scale: h.Size, HasStart: h.UpSinceMS > 0}
+			Condition: conditions[h.Phase], Scale: h.Size, HasStart: h.UpSinceMS > 0, Labels: f.routes.Labels(h.ID, h.Zone, h.Flavor)}
 		if line.HasStart {
 			line.Started = now + time.Duration(h.UpSinceMS-clock)*time.Millisecond
 		}
@@ -134,6 +140,29 @@
 	f.door.List(now, scope, lines, (*hands)(f))
 }
 
+// Routes is the set of routes that holds now, nil for none.
+func (f *Fleet) Routes() *route.Set { return f.routed.Load() }
+
+// Reroute has another set of routes hold from now on. What is in hand ends under the figures that it began with.
+func (f *Fleet) Reroute(set *route.Set) {
+	f.mu.Lock()
+	defer f.unlock()
+	now := f.now()
+	u := f.routes.Swap(now, set)
+	f.routed.Store(set)
+	f.door.Retype(now, policy.Input{Types: u.Types, Like: u.Like, Rooms: u.Rooms}, (*hands)(f))
+	var lines []node.Member[string]
+	for id, s := range f.servers {
+		if labels := f.routes.Labels(id, s.site, s.flavor); labels != s.line.Labels {
+			s.line.Labels = labels
+			lines = append(lines, node.Member[string]{Server: id, Line: s.line})
+		}
+	}
+	if len(lines) > 0 {
+		f.door.List(now, policy.Changes, lines, (*hands)(f))
+	}
+}
+
 // replaced adds that a server has gone where another is at its address, though discovery tells so later: what is
 // sent there would reach the other, for which it was not meant.
 func (f *Fleet) replaced(at netip.AddrPort, lines []node.Member[string]) []node.Member[string] {
@@ -161,7 +190,7 @@
 		s = &server{}
 		f.servers[h.ID] = s
 	}
-	s.line, s.serving = line, h.Phase == http1.Serving
+	s.line, s.serving, s.site, s.flavor = line, h.Phase == http1.Serving, h.Zone, h.Flavor
 	if h.Address != s.address {
 		f.release(s)
 	}
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
+	"fernvane/internal/route"
 	"fernvane/policy"
 )
 
@@ -23,25 +25,35 @@
 // Decision is one step of an operation's life.
 type Decision struct {
 	Kind    DecisionKind
+	Hop     int // which of the operation's, from 0
 	Server  string
 	Address netip.AddrPort
 	For     time.Duration // the hop's time, or when a denied client may return
+	Answer  []byte        // what the hop brought that is the client's answer
 }
 
 // Operation is one that a client waits for. One goroutine leads it from Next to Ended and back until a
-// decision other than Send; Left may be called from another.
+// decision other than Send; Left may be called from another, and each second copy is led by one of its own.
 type Operation struct {
 	f       *Fleet
 	id      uint64
 	name    string // the client's id
+	grant   route.Grant
 	next    Decision
 	ready   chan struct{}
-	server  string // of the hop that is out
-	sent    time.Duration
 	hops    int
-	out     bool
-	settled bool // the client has its answer, or will get it by the decision at hand, or has left
-	giveUp  func()
+	outs    []out
+	copying func(*Operation, Decision) // leads a second copy, beside the hop that is out
+	settled bool                       // the client has its answer, or will get it by the decision at hand, or has left
+}
+
+// out is a hop that has not ended.
+type out struct {
+	hop    int
+	server string
+	sent   time.Duration
+	copy   bool
+	giveUp func() // nil until it is led
 }
 
 // Type finds a traffic type by name.
@@ -57,29 +69,52 @@
 var (
 	ErrNoRoom = errors.New("as many operations as descriptors allow are in hand")
 	ErrOpen   = errors.New("an operation of this id is open")
+	ErrRoute  = errors.New("its route takes no more")
+	ErrMoved  = errors.New("the routes have changed since it was matched")
 )
 
-// Arrive hands a new operation to the module, unless there are as many in hand as descriptors allow: those
-// that wait to be accepted could not be answered in time. Nor is one taken under the id of another that is open,
+// Arrival is what is known of a new operation.
+type Arrival struct {
+	ID     []byte
+	Tenant []byte
+	Routes *route.Set // that it was matched with
+	Route  int        // -1: none
+	Kind   int
+	Budget time.Duration
+	// Copying leads a second copy of the operation; it is called under the fleet's lock and must return at once.
+	Copying func(*Operation, Decision)
+}
+
+// Arrive hands a new operation to its route and to the module, unless there are as many in hand as descriptors allow:
+// those that wait to be accepted could not be answered in time. Nor is one taken under the id of another that is open,
 // for whose client the answer is. A tenant that the settings do not name has no share.
-func (f *Fleet) Arrive(id []byte, kind int, tenant []byte, budget time.Duration) (*Operation, error) {
+func (f *Fleet) Arrive(a Arrival) (*Operation, error) {
 	f.mu.Lock()
 	defer f.unlock()
-	if f.open[string(id)] {
+	if f.open[string(a.ID)] {
 		return nil, ErrOpen
 	}
+	if a.Routes != f.routes.Set() {
+		return nil, ErrMoved
+	}
 	if len(f.ops) >= f.room.share {
 		f.counts.NoRoom++
 		return nil, ErrNoRoom
 	}
-	t, ok := f.tenants[string(tenant)]
+	t, ok := f.tenants[string(a.Tenant)]
 	if !ok {
 		t = len(f.tenants)
 	}
+	now := f.now()
+	grant, why := f.routes.Admit(now, a.Route, a.Kind, t)
+	if why != route.Taken {
+		f.counts.Limited++
+		return nil, ErrRoute
+	}
 	f.lastOp++
-	o := &Operation{f: f, id: f.lastOp, name: string(id), ready: make(chan struct{}, 1)}
+	o := &Operation{f: f, id: f.lastOp, name: string(a.ID), grant: grant, ready: make(chan struct{}, 1), copying: a.Copying}
 	f.ops[o.id], f.open[o.name] = o, true
-	f.door.Arrive(f.now(), o.id, policy.Input{Type: kind, Tenant: t, Budget: budget}, (*hands)(f))
+	f.door.Arrive(now, o.id, policy.Input{Type: grant.Kind, Room: grant.Room, Tenant: t, Budget: a.Budget}, (*hands)(f))
 	return o, nil
 }
 
@@ -92,10 +127,14 @@
 		o.next.Kind = undecided
 		if d.Kind != undecided {
 			if d.Kind == Send {
-				o.giveUp = giveUp
+				o.lead(d.Hop, giveUp)
 			} else {
-				o.end(NoTime) // a hop decided on and overtaken by the answer was never sent
-				delete(o.f.ops, o.id)
+				for _, hop := range slices.Clone(o.outs) { // one decided on and overtaken by the answer was never sent
+					if hop.giveUp == nil && !hop.copy {
+						o.end(hop.hop, NoTime, nil)
+					}
+				}
+				o.forget()
 			}
 			o.f.unlock()
 			return d
@@ -105,11 +144,38 @@
 	}
 }
 
-// Ended tells how the hop ended that Next returned.
-func (o *Operation) Ended(how End) {
+// lead notes how a hop is given up.
+func (o *Operation) lead(hop int, giveUp func()) {
+	for i := range o.outs {
+		if o.outs[i].hop == hop {
+			o.outs[i].giveUp = giveUp
+		}
+	}
+}
+
+// Copying tells how a second copy is given up, which may be before it was sent.
+func (o *Operation) Copying(d Decision, giveUp func()) {
 	o.f.mu.Lock()
 	defer o.f.unlock()
-	o.end(how)
+	if o.settled {
+		giveUp()
+	}
+	o.lead(d.Hop, giveUp)
+}
+
+// Ended tells how the hop ended that Next returned, or a copy, and what it brought for the client.
+func (o *Operation) Ended(hop int, how End, answer []byte) {
+	o.f.mu.Lock()
+	defer o.f.unlock()
+	o.end(hop, how, answer)
+	o.forget()
+}
+
+// forget lets go of an operation that has its answer and no hop out.
+func (o *Operation) forget() {
+	if o.settled && len(o.outs) == 0 && o.next.Kind == undecided {
+		delete(o.f.ops, o.id)
+	}
 }
 
 // Close lets go of the operation. It does something only where a fault of this program kept it from its end,
@@ -124,26 +190,33 @@
 		o.settle(Decision{Kind: Drop})
 		o.f.door.Left(o.f.now(), o.id, (*hands)(o.f))
 	}
-	o.end(GivenUp)
-	delete(o.f.ops, o.id)
+	o.next.Kind = undecided
+	for _, hop := range slices.Clone(o.outs) {
+		if !hop.copy { // copies end by themselves
+			o.end(hop.hop, GivenUp, nil)
+		}
+	}
+	o.forget()
 }
 
-func (o *Operation) end(how End) {
-	if !o.out {
+func (o *Operation) end(hop int, how End, answer []byte) {
+	i := slices.IndexFunc(o.outs, func(h out) bool { return h.hop == hop })
+	if i < 0 {
 		return
 	}
-	o.out, o.giveUp = false, nil
+	ended := o.outs[i]
+	o.outs = slices.Delete(o.outs, i, i+1)
 	o.f.counts.Ends[how]++
 	switch {
 	case o.settled:
 	case how == Answered:
-		o.settle(Decision{Kind: Handled})
+		o.settle(Decision{Kind: Handled, Answer: answer})
 	case how == Declined: // another server would say the same
-		o.settle(Decision{Kind: WriteOff})
+		o.settle(Decision{Kind: WriteOff, Answer: answer})
 	}
 	now := o.f.now()
-	o.f.door.HopEnded(now, o.id, o.server, policy.Input{Hop: o.hops - 1, Outcome: how.Outcome(),
-		Spent: now - o.sent, Final: o.settled}, (*hands)(o.f))
+	o.f.door.HopEnded(now, o.id, ended.server, policy.Input{Hop: hop, Outcome: how.Outcome(),
+		Spent: now - ended.sent, Final: o.settled}, (*hands)(o.f))
 }
 
 // Left tells that the client has gone. An answer that crosses this is not sent; a hop that is out goes on,
@@ -164,12 +237,19 @@
 	return o.settled
 }
 
-// settle sets the one final answer; whatever crosses it finds the operation settled.
+// settle sets the one final answer; whatever crosses it finds the operation settled. Hops that are out are given up,
+// but for a client that left: what they tell about their servers is still of use.
 func (o *Operation) settle(d Decision) {
 	o.settled = true
 	delete(o.f.open, o.name)
+	o.f.routes.Done(o.grant)
 	o.f.counts.decided(d.Kind)
 	o.decide(d)
+	for _, hop := range o.outs {
+		if d.Kind != Drop && hop.giveUp != nil {
+			hop.giveUp()
+		}
+	}
 }
 
 func (o *Operation) decide(d Decision) {
@@ -188,19 +268,22 @@
 	if o == nil {
 		return
 	}
-	o.out, o.server, o.sent = true, server, time.Since(h.started)
+	d := Decision{Kind: Send, Hop: o.hops, Server: server, Address: s.address, For: allow}
+	o.outs = append(o.outs, out{hop: o.hops, server: server, sent: time.Since(h.started), copy: len(o.outs) > 0})
 	o.hops++
-	if !o.settled {
-		o.decide(Decision{Kind: Send, Server: server, Address: s.address, For: allow})
+	switch {
+	case o.settled:
+	case len(o.outs) > 1:
+		h.counts.Copies++
+		o.copying(o, d)
+	default:
+		o.decide(d)
 	}
 }
 
 func (h *hands) answer(job uint64, d Decision) {
 	if o := h.ops[job]; o != nil && !o.settled {
 		o.settle(d)
-		if o.giveUp != nil {
-			o.giveUp()
-		}
 	}
 }
 
--- a/internal/http1/protocol.go
+++ b/internal/http1/protocol.go
@@ -78,6 +78,7 @@
 	ID        string
 	Address   netip.AddrPort
 	Zone      string
+	Flavor    string // kind of machine
 	Cell      int
 	Phase     Phase
 	Size      float64
@@ -122,6 +123,7 @@
 		ID        string
 		HostPort  string `json:"host_port"`
 		Locality  string
+		Flavor    string
 		Cell      int
 		Phase     string
 		Size      float64
@@ -130,7 +132,7 @@
 	if err := json.Unmarshal(b, &raw); err != nil {
 		return Host{}, err
 	}
-	h := Host{ID: raw.ID, Zone: raw.Locality, Cell: raw.Cell, Size: raw.Size, UpSinceMS: int64(raw.UpSinceMS)}
+	h := Host{ID: raw.ID, Zone: raw.Locality, Flavor: raw.Flavor, Cell: raw.Cell, Size: raw.Size, UpSinceMS: int64(raw.UpSinceMS)}
 	if h.ID == "" {
 		return h, errors.New("no id")
 	}
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -110,3 +110,21 @@
 	}
 	return len(b) > 0 && b[0] == '/'
 }
+
+// Clone is the request in memory of its own, which outlives what the connection reads or writes next.
+func (r *Request) Clone() *Request {
+	size := len(r.Method) + len(r.Target) + len(r.Body)
+	for _, f := range r.Fields {
+		size += len(f.Name) + len(f.Value)
+	}
+	room := make([]byte, 0, size)
+	keep := func(b []byte) []byte {
+		room = append(room, b...)
+		return room[len(room)-len(b) : len(room) : len(room)]
+	}
+	c := &Request{Method: keep(r.Method), Target: keep(r.Target), Body: keep(r.Body), Close: r.Close, Fields: make([]Field, len(r.Fields))}
+	for i, f := range r.Fields {
+		c.Fields[i] = Field{keep(f.Name), keep(f.Value)}
+	}
+	return c
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,6 +160,12 @@
 	n.release(op, out)
 }
 
+// Retype tells of other traffic types.
+func (n *Node[S]) Retype(now time.Duration, in policy.Input, out Out[S]) {
+	in.Kind = policy.Retyped
+	n.apply(now, in, out)
+}
+
 // Woken passes on the timer.
 func (n *Node[S]) Woken(now time.Duration, out Out[S]) {
 	n.apply(now, policy.Input{Kind: policy.Woken}, out)
--- /dev/null
+++ b/internal/route/match.go
@@ -0,0 +1,283 @@
+package route
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Request is what a matcher looks at.
+type Request struct {
+	Method, Path, Tenant []byte
+	Fields               Fields
+}
+
+// Fields finds the value of a header field, nil where it is not there.
+type Fields interface{ Get(name string) []byte }
+
+const (
+	one  = "*"  // a part of a path that may be anything but empty
+	rest = "**" // at the end: any parts that follow, also none
+)
+
+// parts splits a path behind its first slash.
+func parts(path string) []string {
+	if path == "/" || path == "" {
+		return nil
+	}
+	return strings.Split(strings.TrimPrefix(path, "/"), "/")
+}
+
+// who is the method and tenant that an entry is for, "" for any.
+type who struct{ method, tenant string }
+
+type header struct{ name, value string }
+
+type entry struct {
+	headers []header
+	route   int
+}
+
+// leaf is what routes of one path ask beside it, the more specific form of who first.
+type leaf struct {
+	by    map[who][]entry // those with more headers first
+	forms [4]bool         // which forms of who there are: method and tenant, method, tenant, neither
+}
+
+// tree is the compiled form: a step for each part of a path, so that the cost of a match goes with the parts of its
+// path and hardly with the number of routes.
+type tree struct {
+	literal map[string]*tree
+	any     *tree
+	end     *leaf // the path ends here
+	rest    *leaf // whatever follows
+}
+
+// add puts a route in. It returns the route that it overlaps without order, or -1.
+func (t *tree) add(path []string, r *Route, number int) (clash int) {
+	for i, part := range path {
+		switch {
+		case part == rest && i == len(path)-1:
+			if t.rest == nil {
+				t.rest = &leaf{by: map[who][]entry{}}
+			}
+			return t.rest.add(r, number)
+		case part == one:
+			if t.any == nil {
+				t.any = &tree{}
+			}
+			t = t.any
+		default:
+			if t.literal == nil {
+				t.literal = map[string]*tree{}
+			}
+			if t.literal[part] == nil {
+				t.literal[part] = &tree{}
+			}
+			t = t.literal[part]
+		}
+	}
+	if t.end == nil {
+		t.end = &leaf{by: map[who][]entry{}}
+	}
+	return t.end.add(r, number)
+}
+
+func orAny(names []string) []string {
+	if len(names) == 0 {
+		return []string{""}
+	}
+	return names
+}
+
+func (l *leaf) add(r *Route, number int) (clash int) {
+	clash = -1
+	e := entry{route: number}
+	for name, value := range r.Headers {
+		e.headers = append(e.headers, header{name, value})
+	}
+	slices.SortFunc(e.headers, func(a, b header) int { return cmp.Compare(a.name, b.name) })
+	for _, method := range orAny(r.Methods) {
+		for _, tenant := range orAny(r.Tenants) {
+			w := who{method, tenant}
+			l.forms[w.form()] = true
+			for _, other := range l.by[w] {
+				if len(other.headers) == len(e.headers) && overlap(other.headers, e.headers) {
+					clash = other.route
+				}
+			}
+			i, _ := slices.BinarySearchFunc(l.by[w], len(e.headers), func(x entry, n int) int { return n - len(x.headers) })
+			l.by[w] = slices.Insert(l.by[w], i, e)
+		}
+	}
+	return clash
+}
+
+func (w who) form() int {
+	form := 0
+	if w.method == "" {
+		form += 2
+	}
+	if w.tenant == "" {
+		form++
+	}
+	return form
+}
+
+// overlap: a request may have both sets of headers, as no field is asked for with two values.
+func overlap(a, b []header) bool {
+	for _, x := range a {
+		for _, y := range b {
+			if strings.EqualFold(x.name, y.name) && x.value != y.value {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// match finds the most specific route of a request, -1 for none. It allocates nothing.
+//
+// The order of routes, which is total over those that a set may hold together: the first part of the path in which two
+// differ decides, a literal before *, * before **, and a path that ends before one that ends in **; then a method named
+// before none; then a tenant named before none; then more headers before fewer.
+func (t *tree) match(path []byte, r *Request) int {
+	if len(path) == 0 {
+		if found := t.end.match(r); found >= 0 {
+			return found
+		}
+		return t.rest.match(r)
+	}
+	part, more := cut(path)
+	if next := t.literal[string(part)]; next != nil {
+		if found := next.match(more, r); found >= 0 {
+			return found
+		}
+	}
+	if t.any != nil && len(part) > 0 {
+		if found := t.any.match(more, r); found >= 0 {
+			return found
+		}
+	}
+	return t.rest.match(r)
+}
+
+// cut takes the first part of what is left of a path, which begins with its slash.
+func cut(path []byte) (part, more []byte) {
+	path = path[1:]
+	if i := bytes.IndexByte(path, '/'); i >= 0 {
+		return path[:i], path[i:]
+	}
+	return path, nil
+}
+
+func (l *leaf) match(r *Request) int {
+	if l == nil {
+		return -1
+	}
+	for form, there := range l.forms {
+		if !there {
+			continue
+		}
+		var all []entry
+		switch form {
+		case 0:
+			all = l.by[who{string(r.Method), string(r.Tenant)}]
+		case 1:
+			all = l.by[who{method: string(r.Method)}]
+		case 2:
+			all = l.by[who{tenant: string(r.Tenant)}]
+		case 3:
+			all = l.by[who{}]
+		}
+		for i := range all {
+			if all[i].fits(r) {
+				return all[i].route
+			}
+		}
+	}
+	return -1
+}
+
+func (e *entry) fits(r *Request) bool {
+	for _, h := range e.headers {
+		if r.Fields == nil || string(r.Fields.Get(h.name)) != h.value {
+			return false
+		}
+	}
+	return true
+}
+
+// fits looks at one route by itself, and says what does not fit. It is the plain form of the tree's matching, for
+// explanations and to test the tree against.
+func (r *Route) fits(q *Request) (why string) {
+	if !fitsPath(parts(r.Path), parts(string(q.Path))) {
+		return fmt.Sprintf("the path is not %s", r.Path)
+	}
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, string(q.Method)) {
+		return fmt.Sprintf("the method is none of %s", strings.Join(r.Methods, ", "))
+	}
+	if len(r.Tenants) > 0 && !slices.Contains(r.Tenants, string(q.Tenant)) {
+		return fmt.Sprintf("the tenant is none of %s", strings.Join(r.Tenants, ", "))
+	}
+	for name, value := range r.Headers {
+		if q.Fields == nil || string(q.Fields.Get(name)) != value {
+			return fmt.Sprintf("the field %s is not %q", name, value)
+		}
+	}
+	return ""
+}
+
+func fitsPath(pattern, path []string) bool {
+	for i, p := range pattern {
+		if p == rest && i == len(pattern)-1 {
+			return true
+		}
+		if i >= len(path) || p == one && path[i] == "" || p != one && p != path[i] {
+			return false
+		}
+	}
+	return len(path) == len(pattern)
+}
+
+// compare says which of two routes that fit the same request is more specific: below 0 for a, and by what.
+func compare(a, b *Route) (order int, by string) {
+	rank := func(p []string, i int) int {
+		switch {
+		case i == len(p):
+			return 2
+		case p[i] == rest && i == len(p)-1:
+			return 3
+		case p[i] == one:
+			return 1
+		}
+		return 0
+	}
+	x, y := parts(a.Path), parts(b.Path)
+	for i := range min(len(x), len(y)) + 1 {
+		if i > len(x) || i > len(y) {
+			break
+		}
+		if c := cmp.Compare(rank(x, i), rank(y, i)); c != 0 {
+			return c, fmt.Sprintf("part %d of the path", i+1)
+		}
+	}
+	named := func(names []string) int {
+		if len(names) > 0 {
+			return 0
+		}
+		return 1
+	}
+	if c := cmp.Compare(named(a.Methods), named(b.Methods)); c != 0 {
+		return c, "the method"
+	}
+	if c := cmp.Compare(named(a.Tenants), named(b.Tenants)); c != 0 {
+		return c, "the tenant"
+	}
+	if c := cmp.Compare(len(b.Headers), len(a.Headers)); c != 0 {
+		return c, "the number of headers"
+	}
+	return 0, ""
+}
--- /dev/null
+++ b/internal/route/set.go
@@ -0,0 +1,110 @@
+package route
+
+import (
+	"slices"
+	"strings"
+
+	"fernvane/internal/tomlfile"
+	"fernvane/policy"
+)
+
+const otherTenants = "other" // stands for those that the settings do not name
+
+// Profile is a traffic type of the module: the figures of one of the settings' types under the limits of a route, or of
+// all routes whose figures are alike. The first profiles are the settings' own types.
+type Profile struct {
+	Kind  int // traffic type of the settings
+	Type  policy.TrafficType
+	Owner string // the one route that it is for, where it has budgets of its own
+}
+
+// compiled is a route with what was worked out.
+type compiled struct {
+	Route
+	Line     int
+	byKind   []int    // profiles by traffic type; -1 where it is not for the type
+	limits   []Limits // by traffic type: what holds, with class and defaults
+	class    int      // traffic type that it sets, or -1
+	fallback int      // route, or -1
+}
+
+// Set is a file that was read whole and found sound.
+type Set struct {
+	Name     string
+	Routes   []compiled
+	Profiles []Profile
+	Pools    []Pool
+	tree     *tree
+	types    map[string]int
+	tenants  map[string]int
+
+	byFigures map[Profile]int
+	firstOf   []int // by profile: the first route that has it; -1 for the settings' own
+	byName    map[string]int
+	file      *tomlfile.File // the places of its keys
+}
+
+// profile finds a profile with these figures, or adds it.
+func (s *Set) profile(p Profile, route int) int {
+	i, ok := s.byFigures[p]
+	if !ok {
+		i = len(s.Profiles)
+		s.byFigures[p] = i
+		s.Profiles, s.firstOf = append(s.Profiles, p), append(s.firstOf, route)
+	}
+	return i
+}
+
+// Match finds the route of a request and the traffic type that it is taken for; route is -1 where none fits, and kind
+// is -1 where there is no such type.
+func (s *Set) Match(r *Request) (route, kind int) {
+	route, kind = -1, -1
+	if len(r.Path) == 0 || r.Path[0] != '/' {
+		return -1, -1
+	}
+	first, _ := cut(r.Path)
+	if k, ok := s.types[string(first)]; ok {
+		kind = k
+	}
+	if route = s.tree.match(r.Path, r); route < 0 {
+		return -1, kind
+	}
+	if c := s.Routes[route].class; c >= 0 {
+		kind = c
+	}
+	if kind >= 0 && s.Routes[route].byKind[kind] < 0 {
+		return -1, kind
+	}
+	return route, kind
+}
+
+// BodyMost is the largest body that a route takes, or most if it does not say.
+func (s *Set) BodyMost(route, kind, most int) int {
+	if route < 0 || s.Routes[route].limits[kind].Body == nil {
+		return most
+	}
+	return min(*s.Routes[route].limits[kind].Body, most)
+}
+
+// Copies tells whether operations of a route may get a second copy.
+func (s *Set) Copies(route, kind int) bool {
+	return route >= 0 && s.Routes[route].limits[kind].CopyAfter != nil
+}
+
+// labels are the pools that a server is in, a bit for each in the order of the file.
+func (s *Set) labels(id, site, flavor string) (labels uint64) {
+	for i, p := range s.Pools {
+		fits := len(p.Sites) == 0 || slices.Contains(p.Sites, site)
+		fits = fits && (len(p.Flavors) == 0 || slices.Contains(p.Flavors, flavor))
+		fits = fits && (len(p.Servers) == 0 || slices.ContainsFunc(p.Servers, func(pattern string) bool {
+			if prefix, open := strings.CutSuffix(pattern, "*"); open {
+				return strings.HasPrefix(id, prefix)
+			}
+			return id == pattern
+		}))
+		if fits {
+			labels |= 1 << i
+		}
+	}
+	return labels
+}
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -63,6 +63,7 @@
 	{"replace", "boxes drain one by one, and new ones come under new ids", boxes, true, "", ""},
 	{"discovery-down", "discovery is out of reach", noTarget, true, "", ""},
 	{"discovery-move", "discovery moves, and nodes get SIGHUP", noTarget, false, "", ""},
+	{"reload", "the operator's file is replaced by the next of operators, and nodes get SIGHUP, Size times a minute", noTarget, true, "times a minute", ""},
 	{"kill-nodes", "nodes are killed outright and come back with an old list", nodes, true, "", ""},
 	{"restart-nodes", "nodes are told to stop and started again", nodes, false, "", ""},
 	{"hot-key", "one key draws Share of the traffic", noTarget, true, "", "of traffic"},
@@ -238,6 +239,9 @@
 	if k.lasts && x.For <= 0 {
 		f.Wrong(key+".for", "a fault %q must last for some time", x.Kind)
 	}
+	if x.Kind == "reload" && len(s.Operators) < 2 {
+		f.Wrong(key, "a reload needs two operators' files at least")
+	}
 	if k.size != "" {
 		within(key+".size", x.Size, 0.01, 10_000)
 		if k.size == "share" && x.Size > 1 {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -4,23 +4,12 @@
 
 import (
 	"time"
-)
-
-// Span is a duration as files write it: "250ms".
-type Span time.Duration
 
-// UnmarshalText reads the form of time.ParseDuration.
-func (s *Span) UnmarshalText(b []byte) error {
-	d, err := time.ParseDuration(string(b))
-	*s = Span(d)
-	return err
-}
-
-// MarshalText writes that form.
-func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+	"fernvane/internal/tomlfile"
+)
 
-// D is the span as a duration.
-func (s Span) D() time.Duration { return time.Duration(s) }
+// Span is a duration as files write it.
+type Span = tomlfile.Span
 
 // Scenario is one file.
 type Scenario struct {
@@ -42,6 +31,8 @@
 	Discovery Discovery `toml:"discovery"`
 	Rules     Rules     `toml:"rules"`
 	Faults    []Fault   `toml:"faults"`
+	// Operators are texts of operator's files. The nodes start under the first; each reload takes the next.
+	Operators []string `toml:"operators"`
 	// Baselines are played beside the node on the same schedule where the command does not say.
 	Baselines []string `toml:"baselines"`
 }
@@ -144,7 +135,8 @@
 	FallWindow   Span    `toml:"fall_window"`
 	MostHops     int     `toml:"most_hops"`
 	AskWithin    Span    `toml:"ask_within"`
-	Slack        Span    `toml:"slack"` // added to each time limit, for what the machine is late
+	Copies       bool    `toml:"copies"` // a second copy may be out while the first is
+	Slack        Span    `toml:"slack"`  // added to each time limit, for what the machine is late
 }
 
 // Fault is a trouble that comes at a stated time.
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -12,6 +12,7 @@
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
+	"fernvane/internal/route"
 	"fernvane/internal/settings"
 )
 
@@ -31,15 +32,26 @@
 	Known     http1.List
 	KnownErr  error // a saved list of no use; the node starts without
 	Settings  settings.Settings
+	Operator  string     // the operator's file; "" for none
+	Routes    *route.Set // what it says; nil for none
 	Module    node.Maker // nil: the project's own
 	path      string
 	getenv    func(string) string
 	told      string // discovery's address as the file names it
 }
 
-// Load reads a configuration; variables of the environment go before the file.
+// Load reads a configuration; variables of the environment go before the file. The operator's file, which one of them
+// may name, is read with it.
 func Load(path string, getenv func(string) string) (Config, error) {
-	c := Config{path: path, getenv: getenv}
+	c, err := read(path, getenv)
+	if err == nil && c.Operator != "" {
+		c.Routes, err = route.Load(c.Operator, &c.Settings)
+	}
+	return c, err
+}
+
+func read(path string, getenv func(string) string) (Config, error) {
+	c := Config{path: path, getenv: getenv, Operator: getenv("PROXY_OPERATOR")}
 	if path == "" {
 		return c, errors.New("no configuration is named")
 	}
@@ -90,7 +102,7 @@
 // Again reads the configuration anew from where it was read. The environment is that of the start, so an address
 // of discovery that the file has come to name since then goes before it.
 func (c Config) Again() (Config, error) {
-	next, err := Load(c.path, c.getenv)
+	next, err := read(c.path, c.getenv)
 	if err != nil {
 		return c, err
 	}
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -13,31 +13,37 @@
 
 var past = time.Unix(1, 0)
 
+// exchanged is what hops of one operation have in common.
+type exchanged struct {
+	op      *fleet.Operation
+	req     *http1.Request
+	from    string        // the client's address
+	scratch func() []byte // room for the answer
+}
+
 // hop sends an operation to one server, once, and tells how that ended. Where the server has answered, the
-// client's answer is put together in the client's buffer, so that the server's connection is free again.
-func (s *Server) hop(ctx context.Context, op *fleet.Operation, d fleet.Decision, client *http1.Conn,
-	req *http1.Request) (fleet.End, []byte) {
+// client's answer is put together in room of its own, so that the server's connection is free again.
+func (s *Server) hop(ctx context.Context, d fleet.Decision, x *exchanged) (fleet.End, []byte) {
 	until := time.Now().Add(d.For)
 	conn, kept, end := s.connect(ctx, d, until)
 	if conn == nil {
 		return end, nil
 	}
-	if op.Settled() { // the client has left while the connection came up: nothing is sent any more
+	if x.op.Settled() { // the client has left while the connection came up: nothing is sent any more
 		s.fleet.Keep(d.Server, conn)
 		return fleet.NoTime, nil
 	}
 	conn.SetDeadline(until)
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
 	var resp http1.Response
-	from, _, _ := net.SplitHostPort(client.RemoteAddr().String())
-	end = exchange(ctx, conn, http1.AppendRequest(conn.Scratch(), req, time.Until(until), from), &resp)
+	end = exchange(ctx, conn, http1.AppendRequest(conn.Scratch(), x.req, time.Until(until), x.from), &resp)
 	if end == fleet.Unsent && kept {
 		end = fleet.Stale
 	}
 	var answer []byte
 	if end == fleet.Answered || end == fleet.Declined {
-		answer = http1.AppendAnswer(client.Scratch(), http1.Answer{Status: resp.Status, Fields: resp.Fields,
-			Body: resp.Body, Close: req.Close || s.draining.Load()})
+		answer = http1.AppendAnswer(x.scratch(), http1.Answer{Status: resp.Status, Fields: resp.Fields,
+			Body: resp.Body, Close: x.req.Close || s.draining.Load()})
 	}
 	conn.Trim()
 	whole := end <= fleet.TurnedAway
@@ -53,6 +59,28 @@
 	return end, answer
 }
 
+// copying leads a second copy beside the hop that is out. The client's buffer is the first one's, so the copy has the
+// request and its answer in memory of its own.
+func (s *Server) copying(req *http1.Request, from string) func(*fleet.Operation, fleet.Decision) {
+	req = req.Clone()
+	return func(op *fleet.Operation, d fleet.Decision) {
+		s.clients.Go(func() error {
+			ctx, giveUp := context.WithCancel(context.Background())
+			defer giveUp()
+			end, answer := fleet.GivenUp, []byte(nil)
+			defer func() {
+				if p := recover(); p != nil {
+					s.log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("copy dropped")
+				}
+				op.Ended(d.Hop, end, answer)
+			}()
+			op.Copying(d, giveUp)
+			end, answer = s.hop(ctx, d, &exchanged{op: op, req: req, from: from, scratch: func() []byte { return nil }})
+			return nil
+		})
+	}
+}
+
 // connect finds a connection that stands idle, or opens one.
 func (s *Server) connect(ctx context.Context, d fleet.Decision, until time.Time) (c *http1.Conn, kept bool, end fleet.End) {
 	for c := s.fleet.Take(d.Server); c != nil; c = s.fleet.Take(d.Server) {
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"reflect"
+
+	"fernvane/internal/route"
+	"fernvane/internal/tomlfile"
 )
 
 // reload reads the configuration again each time it is told to, beside the serving. One of no use is logged and
@@ -16,6 +20,7 @@
 			return nil
 		case <-told:
 		}
+		s.reroute()
 		next, err := cfg.Again()
 		if err != nil {
 			s.log.Error().Err(err).Msg("configuration not reloaded")
@@ -32,6 +37,27 @@
 	}
 }
 
+// reroute reads the operator's file again, against the settings that the node runs under. A file of no use leaves the
+// routes as they are.
+func (s *Server) reroute() {
+	if s.cfg.Operator == "" {
+		return
+	}
+	routes, err := route.Load(s.cfg.Operator, &s.cfg.Settings)
+	var faults tomlfile.Faults
+	switch {
+	case errors.As(err, &faults):
+		for _, f := range faults {
+			s.log.Error().Err(f).Msg("routes not reloaded")
+		}
+	case err != nil:
+		s.log.Error().Err(err).Msg("routes not reloaded")
+	default:
+		s.fleet.Reroute(routes)
+		s.log.Info().Int("routes", len(routes.Routes)).Msg("routes reloaded")
+	}
+}
+
 // differs names the keys whose new values a running node does not take up.
 func (c Config) differs(next Config) (keys []string) {
 	for _, k := range []struct {
--- /dev/null
+++ b/internal/serve/route_test.go
@@ -0,0 +1,237 @@
+package serve
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/node"
+	"fernvane/internal/route"
+	"fernvane/policy"
+)
+
+func routes(t *testing.T, cfg *Config, text string) *route.Set {
+	t.Helper()
+	set, err := route.Parse("f", []byte(text), &cfg.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+const checks = "[[routes]]\nname = \"checks\"\ntype = \"check\"\n"
+
+// What clients meet at a route's limits.
+func TestRoutes(t *testing.T) {
+	t.Parallel()
+	const err500 = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		file   string
+		script []string
+		asks   []string // path, and a body behind a blank
+		want   []int
+	}{
+		"no more than its rate":   {checks + "rate = 0.001\nburst = 2", []string{whole}, []string{"/check/1", "/check/1", "/check/1", "/book/1"}, []int{200, 200, 503, 200}},
+		"no larger body":          {checks + "body_bytes = 3", []string{whole}, []string{"/check/1 abc", "/check/1 abcd"}, []int{200, 413}},
+		"a further hop":           {checks + "hops = 2", []string{err500, whole}, []string{"/check/1"}, []int{200}},
+		"no further hop":          {checks + "hops = 1", []string{err500, whole}, []string{"/check/1"}, []int{503}},
+		"not after an error":      {checks + "further = [\"refused\"]", []string{err500, whole}, []string{"/check/1"}, []int{503}},
+		"a class for other paths": {"[[routes]]\nname = \"old\"\npath = \"/legacy/**\"\nclass = \"book\"\nrate = 0.001\nburst = 1", []string{whole}, []string{"/legacy/x", "/legacy/y", "/other/x"}, []int{200, 503, 404}},
+		"a fallback":              {checks + "rate = 0.001\nburst = 1\nfallback = \"rest\"\n[[routes]]\nname = \"rest\"\npath = \"/check/rest/**\"\nrate = 0.001\nburst = 1", []string{whole}, []string{"/check/1", "/check/1", "/check/1"}, []int{200, 200, 503}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hosts, _ := servers(t, 3, c.script...)
+			cfg := config(hosts...)
+			cfg.Routes = routes(t, &cfg, c.file)
+			at, _ := startNode(t, cfg)
+			for i, ask := range c.asks {
+				path, body, _ := strings.Cut(ask, " ")
+				conn := dial(t, at)
+				fmt.Fprintf(conn, "PUT %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\nContent-Length: %d\r\n\r\n%s", path, ids.Add(1), len(body), body)
+				if r := reply(t, conn); r.Status != c.want[i] {
+					t.Errorf("%s: answered %d, not %d", ask, r.Status, c.want[i])
+				}
+			}
+		})
+	}
+}
+
+// The first server is silent: the copy brings the answer at once, the first hop is given up, and its server learns it by
+// the close.
+func TestSecondCopy(t *testing.T) {
+	t.Parallel()
+	var asked atomic.Int32
+	left := make(chan bool, 1)
+	lead := func(nc net.Conn) {
+		defer nc.Close()
+		c := http1.NewConn(nc)
+		var r http1.Request
+		for c.ReadRequest(&r) == nil {
+			if asked.Add(1) == 1 {
+				left <- c.Gone()
+				return
+			}
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(r.Target)+len(r.Body), r.Target, r.Body)
+		}
+	}
+	cfg := config(http1.Host{ID: "a", Address: standIn(t, lead), Size: 1}, http1.Host{ID: "b", Address: standIn(t, lead), Size: 1})
+	cfg.Settings.Copies = true
+	cfg.Settings.Types[0].TargetTime, cfg.Settings.Types[0].AbandonTime = 20*time.Second, 30*time.Second
+	cfg.Routes = routes(t, &cfg, checks+"copy_after = \"60ms\"\ncopy_share = 1.0")
+	at, _ := startNode(t, cfg)
+	conn := dial(t, at)
+	fmt.Fprintf(conn, "PUT /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\nContent-Length: 4\r\n\r\nbody", ids.Add(1))
+	if r := reply(t, conn); r.Status != 200 || string(r.Body) != "/check/1body" {
+		t.Errorf("answered %d %q", r.Status, r.Body)
+	}
+	if !<-left {
+		t.Error("the first server was sent more")
+	}
+	if r := ask1(t, conn, "/book/1"); r.Status != 200 { // the client's connection is whole
+		t.Errorf("then %d", r.Status)
+	}
+}
+
+// SIGHUP has the routes read again; a file of no use leaves the old ones, and what waits in a route that is removed is
+// answered.
+func TestRoutesReload(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	var taken atomic.Int32
+	at := standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		c := http1.NewConn(nc)
+		for c.ReadRequest(&http1.Request{}) == nil {
+			taken.Add(1)
+			<-release
+			io.WriteString(nc, whole)
+		}
+	})
+	cfg := config(http1.Host{ID: "s", Address: at, Size: 1})
+	for i := range cfg.Settings.Types {
+		cfg.Settings.Types[i].TargetTime, cfg.Settings.Types[i].AbandonTime = 20*time.Second, 30*time.Second
+	}
+	cfg.Operator = filepath.Join(t.TempDir(), "operator.toml")
+	file := func(text string) {
+		if err := os.WriteFile(cfg.Operator, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const held = 20
+	file(checks + fmt.Sprintf("at_once = 1\nwaiting = %d\nwait = \"10s\"", held-1))
+	var err error
+	if cfg.Routes, err = route.Load(cfg.Operator, &cfg.Settings); err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{cfg: cfg, log: zerolog.Nop(), fleet: fleet.New(cfg.Settings, 1, cfg.Limits, node.Policy)}
+	defer s.fleet.Stop()
+	s.fleet.Reroute(cfg.Routes)
+	s.known()
+	statuses := make(chan int, held)
+	ask := func() int {
+		server := standIn(t, func(nc net.Conn) { s.client(nc.(*net.TCPConn)) })
+		return ask1(t, dial(t, server.String()), "/check/1").Status
+	}
+	for range held {
+		go func() { statuses <- ask() }()
+	}
+	for s.fleet.Counts().Open < held { // all are in hand: one is sent, the others wait
+		time.Sleep(time.Millisecond)
+	}
+	if got := ask(); got != 503 {
+		t.Errorf("one more than there are places for: %d", got)
+	}
+	file("[[routes]]\nname = ")
+	s.reroute()
+	if got := ask(); got != 503 {
+		t.Errorf("after a file of no use: %d", got)
+	}
+	if n := taken.Load(); n != 1 {
+		t.Errorf("%d were sent", n)
+	}
+	file("")
+	s.reroute()
+	close(release)
+	for range held {
+		if got := <-statuses; got != 200 {
+			t.Errorf("one that waited in the route that is gone: %d", got)
+		}
+	}
+	if got := ask(); got != 200 {
+		t.Errorf("under no route: %d", got)
+	}
+}
+
+// figures is a module that checks, at each arrival, that the figures are those of the file that the operation was
+// matched with: the file's hops are told to it in the budget.
+type figures struct {
+	t     *testing.T
+	types []policy.TrafficType
+}
+
+func (m *figures) Handle(_ time.Duration, in *policy.Input, e []policy.Effect) []policy.Effect {
+	switch in.Kind {
+	case policy.Retyped:
+		m.types = in.Types
+	case policy.Arrival:
+		if got := m.types[in.Type].MostHops; got != int(in.Budget/time.Hour) {
+			m.t.Errorf("an operation matched under %d hops is under %d", in.Budget/time.Hour, got)
+		}
+		return append(e, policy.Effect{Kind: policy.Deny, Op: in.Op})
+	}
+	return e
+}
+
+// Files change as fast as they can while operations come: none is matched with one and put under the figures of another.
+func TestNoMixedLimits(t *testing.T) {
+	t.Parallel()
+	cfg := config()
+	f := fleet.New(cfg.Settings, 1, cfg.Limits, func(s policy.Settings, _ uint32) node.Module { return &figures{t: t, types: s.Types} })
+	defer f.Stop()
+	var sets []*route.Set
+	hops := map[*route.Set]int{}
+	for n := 1; n <= 4; n++ {
+		set := routes(t, &cfg, checks+fmt.Sprintf("hops = %d", n))
+		sets, hops[set] = append(sets, set), n
+	}
+	f.Reroute(sets[0])
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	moved := atomic.Int64{}
+	for range 4 {
+		wg.Go(func() {
+			for n := 0; n < 3000; n++ {
+				set := f.Routes()
+				r, k := set.Match(&route.Request{Path: []byte("/check/1")})
+				op, err := f.Arrive(fleet.Arrival{ID: fmt.Append(nil, ids.Add(1)), Routes: set, Route: r, Kind: k, Budget: time.Duration(hops[set]) * time.Hour})
+				if err == fleet.ErrMoved {
+					moved.Add(1)
+				} else if err == nil {
+					op.Next(func() {})
+				}
+			}
+		})
+	}
+	go func() { wg.Wait(); close(done) }()
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			t.Logf("%d files, %d operations had to be matched again", i, moved.Load())
+			return
+		default:
+			f.Reroute(sets[i%len(sets)])
+		}
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -17,6 +17,7 @@
 
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
+	"fernvane/internal/route"
 )
 
 const (
@@ -66,6 +67,9 @@
 	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits, cfg.module())}
 	defer s.fleet.Stop()
 	s.discovery.Store(newPlace(cfg.Discovery))
+	if cfg.Routes != nil {
+		s.fleet.Reroute(cfg.Routes)
+	}
 	s.known()
 	log.Info().Str("node", cfg.Name).Stringer("listen", cfg.Listen).Int("connections", cfg.Limits.Connections()).
 		Int("servers", len(cfg.Known.Hosts)).Msg("serving")
@@ -165,7 +169,11 @@
 		hops := zerolog.Dict()
 		c.Each(func(e fleet.End, n int) { hops.Int(e.String(), n) })
 		s.log.Info().Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).
-			Int("left", c.Left).Int("no_room", c.NoRoom).Dict("hops", hops).
+			Int("left", c.Left).Int("no_room", c.NoRoom).Int("limited", c.Limited).Int("copies", c.Copies).Dict("hops", hops).
 			Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).Msg("counts")
+		s.fleet.RouteCounts(func(name string, inHand int, c route.GateCounts) {
+			s.log.Info().Str("route", name).Int("in_hand", inHand).Int("taken", c.Taken).Int("over_rate", c.OverRate).
+				Int("no_place", c.NoPlace).Int("over_tenant", c.OverTenant).Msg("route")
+		})
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 			MaxRetryAfter  float64
 			MostHops       int
 			RetryAfter     bool
+			SecondCopies   bool
 		}
 		Rules struct {
 			AskWithin, Cold, FallMultiple, StartCapacity float64
@@ -62,6 +63,7 @@
 		OverageRevenue: raw.OverageRevenue,
 		OnRequest:      raw.Discovery == "on_request",
 		MostHops:       raw.Limits.MostHops,
+		Copies:         raw.Limits.SecondCopies,
 		ConnectTimeout: Span(raw.Limits.ConnectTimeout),
 		AskWithin:      Span(raw.Rules.AskWithin), ColdFor: Span(raw.Rules.Cold),
 		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -3,19 +3,24 @@
 package tomlfile
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 	"unicode/utf8"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-const largest = 1 << 20 // bytes of a file; larger ones are a mistake
+const (
+	largest    = 1 << 20 // bytes of a file; larger ones are a mistake
+	mostFaults = 100     // that are looked for one after the other
+)
 
 // Fault is one thing that is wrong with a file.
 type Fault struct {
@@ -61,35 +66,79 @@
 	return os.ReadFile(path)
 }
 
-// Parse reads a text. Keys that the struct does not have are faults, as is anything that is no TOML.
+// Span is a duration as files write it: "250ms".
+type Span time.Duration
+
+// UnmarshalText reads the form of time.ParseDuration.
+func (s *Span) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%q is no time with a unit, such as 250ms", b)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// MarshalText writes that form.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// D is the span as a duration.
+func (s Span) D() time.Duration { return time.Duration(s) }
+
+// Parse reads a text. Keys that the struct does not have and values of the wrong type are noted, each by its line, and
+// the rest is read, for the caller to look at before it asks for Err. An error is a text that cannot be read on.
 func Parse(name string, text []byte, into any) (*File, error) {
 	f := &File{Name: name, lines: map[string]int{}}
+	if len(text) > largest {
+		return f, Faults{{File: name, Why: fmt.Sprintf("larger than %d bytes", largest)}}
+	}
 	if !utf8.Valid(text) {
-		return nil, Faults{{File: name, Line: badLine(text), Why: "not UTF-8"}}
+		return f, Faults{{File: name, Line: badLine(text), Why: "not UTF-8"}}
 	}
-	f.find(text)
-	d := toml.NewDecoder(strings.NewReader(string(text)))
-	d.DisallowUnknownFields()
-	err := d.Decode(into)
-	var strict *toml.StrictMissingError
-	var decode *toml.DecodeError
-	switch {
-	case err == nil:
-		return f, nil
-	case errors.As(err, &strict):
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			f.faults = append(f.faults, Fault{name, row, fmt.Sprintf("unknown key %q", strings.Join(e.Key(), "."))})
+	sound := f.find(text)
+	for range mostFaults {
+		d := toml.NewDecoder(bytes.NewReader(text))
+		d.DisallowUnknownFields()
+		err := d.Decode(into)
+		var strict *toml.StrictMissingError
+		var decode *toml.DecodeError
+		switch {
+		case err == nil:
+			return f, nil
+		case errors.As(err, &strict):
+			for _, e := range strict.Errors {
+				row, _ := e.Position()
+				f.faults = append(f.faults, Fault{name, row, fmt.Sprintf("unknown key %q", strings.Join(e.Key(), "."))})
+			}
+			return f, nil
+		case errors.As(err, &decode):
+			row, _ := decode.Position()
+			f.faults = append(f.faults, Fault{name, row, strings.TrimPrefix(decode.Error(), "toml: ")})
+			if !sound {
+				return f, f.Err()
+			}
+			if text = without(text, row); text == nil { // a value over several lines
+				return f, f.Err()
+			}
+		default:
+			f.faults = append(f.faults, Fault{File: name, Why: err.Error()})
+			return f, f.Err()
 		}
-	case errors.As(err, &decode):
-		row, _ := decode.Position()
-		f.faults = append(f.faults, Fault{name, row, strings.TrimPrefix(decode.Error(), "toml: ")})
-	default:
-		f.faults = append(f.faults, Fault{File: name, Why: err.Error()})
 	}
 	return f, f.Err()
 }
 
+// without is the text with a line left empty, so that what follows is read as well; nil if there is nothing to leave out.
+func without(text []byte, row int) []byte {
+	lines := bytes.Split(text, []byte{'\n'})
+	if row < 1 || row > len(lines) || len(bytes.TrimSpace(lines[row-1])) == 0 {
+		return nil
+	}
+	lines = slices.Clone(lines)
+	lines[row-1] = nil
+	return bytes.Join(lines, []byte{'\n'})
+}
+
 func badLine(text []byte) int {
 	line := 1
 	for i := 0; i < len(text); {
@@ -106,11 +155,17 @@
 }
 
 // find notes where each table and key begins. Entries of arrays of tables count from 0: "faults.2.at".
-func (f *File) find(text []byte) {
+func (f *File) find(text []byte) (sound bool) {
 	var p unstable.Parser
 	p.Reset(text)
 	count := map[string]int{}
 	prefix := ""
+	var ends []int // of lines; the parser's own look-up would go over the text for each key
+	for i, c := range text {
+		if c == '\n' {
+			ends = append(ends, i)
+		}
+	}
 	for p.NextExpression() {
 		e := p.Expression()
 		var path []string
@@ -119,7 +174,8 @@
 			n := k.Node()
 			path = append(path, string(n.Data))
 			if line == 0 {
-				line = p.Shape(p.Range(n.Data)).Start.Line
+				line, _ = slices.BinarySearch(ends, int(p.Range(n.Data).Offset))
+				line++
 			}
 		}
 		key := strings.Join(path, ".")
@@ -136,6 +192,7 @@
 			f.lines[strings.TrimPrefix(prefix+"."+key, ".")] = line
 		}
 	}
+	return p.Error() == nil
 }
 
 // inArray puts the number of the latest entry behind each part of a path that is an array of tables.
@@ -151,6 +208,12 @@
 	return full
 }
 
+// Has tells whether the file holds a key or table.
+func (f *File) Has(path string) bool {
+	_, ok := f.lines[path]
+	return ok
+}
+
 // Line is where a key stands, or the table that would hold it.
 func (f *File) Line(path string) int {
 	for path != "" {
--- a/policy/api.go
+++ b/policy/api.go
@@ -28,8 +28,26 @@
 	AbandonTime time.Duration
 	Window      time.Duration
 	Revenue     float64
+
+	// What a route may set beside. Zero leaves it to the settings and to the module.
+	HopTime    time.Duration // for one hop, so that time is left for another
+	MostHops   int
+	Further    Outcomes      // after which a further hop is allowed
+	RetryShare float64       // further hops for each first one, saved up for a while; 0: no budget
+	RetryFloor float64       // and so many a second beside
+	WaitMost   time.Duration // for an operation's turn here
+	CopyAfter  time.Duration // a second copy goes out when the first hop has taken so long; 0: none
+	CopyShare  float64       // copies for each operation, likewise saved up
+	Pool       uint64        // labels, of which a server needs one
+	ShedMost   float64       // of the type that may be denied by chance
 }
 
+// Outcomes is a set of them, a bit for each.
+type Outcomes uint16
+
+// Holds tells whether an outcome is in the set.
+func (o Outcomes) Holds(how Outcome) bool { return o&(1<<how) != 0 }
+
 // Settings are the figures the module reads; they are decoded once, at start.
 type Settings struct {
 	Nodes          int
@@ -40,6 +58,7 @@
 	OverageRevenue float64
 	OnRequest      bool // the server list must be asked for
 	MostHops       int
+	Copies         bool          // two hops of one operation may be out together
 	MaxRetryIn     time.Duration // 0 when clients are not told when to return
 	AskWithin      time.Duration
 	ConnectTimeout time.Duration
@@ -76,6 +95,7 @@
 	Cell      int
 	Condition Condition
 	Scale     float64
+	Labels    uint64        // as TrafficType.Pool names them
 	Started   time.Duration // since the instance's start, mostly negative
 	HasStart  bool
 }
@@ -104,6 +124,7 @@
 	Left
 	List
 	Woken
+	Retyped // traffic types have been added or changed
 )
 
 // Input is one event, with all ids replaced by dense indices.
@@ -114,12 +135,16 @@
 	Server  int
 	Type    int
 	Tenant  int
+	Room    int // of its route; 0: none
 	Budget  time.Duration
 	Outcome Outcome
 	Spent   time.Duration
 	Final   bool
 	Scope   Scope
 	Members []Member
+	Types   []TrafficType // all; the index of one with operations in hand keeps its figures
+	Like    []int         // by type: itself where it stays, another whose figures it learns from, or -1
+	Rooms   []int         // operations that may have a hop out at a time, by room; 0: any number
 }
 
 // EffectKind names what is to be done.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,6 +55,7 @@
 	rateSpan     = 3 * time.Second        // over which arrival and success rates are taken
 	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
 	coldBurst    = 2.0                    // hops saved up for a cold server
+	budgetSpan   = 3.0                    // seconds for which budgets of retries and copies are saved up
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
 	poolSlack    = 2.0                    // servers kept beyond those needed: one rests while another works
@@ -109,11 +110,13 @@
 		{waiting, departed, always, closed, (*Policy).hold},
 
 		{out, won, always, closed, (*Policy).hold},
+		{out, lost, (*Policy).anotherOut, out, (*Policy).hold},
 		{out, lost, (*Policy).repeatable, out, (*Policy).send},
 		{out, lost, (*Policy).harmless, closed, (*Policy).deny},
 		{out, lost, always, closed, (*Policy).writeOff},
 		{out, swept, (*Policy).atLimitHarmless, closed, (*Policy).deny},
 		{out, swept, (*Policy).atLimit, closed, (*Policy).writeOff},
+		{out, swept, (*Policy).worthCopying, out, (*Policy).sendCopy},
 
 		{out, departed, always, closed, (*Policy).hold},
 	}
@@ -128,6 +131,7 @@
 type operation struct {
 	state    state
 	kind     int
+	room     int
 	bucket   int
 	target   time.Duration // answers after this are worth nothing
 	limit    time.Duration // the client is gone
@@ -137,6 +141,8 @@
 	group    int           // server whose group must be kept, once mayRun
 	firstRun time.Duration // send of the first hop that may have run
 	place    int           // in Policy.open
+	ended    Outcome       // of its last hop
+	pumped   int           // the last pump that looked at it
 }
 
 // Policy is one instance of the decision module.
@@ -155,6 +161,7 @@
 	ready, listed, cold, member []bool // member: taken in
 	rank, zone, cell            []int
 	scale, weight               []float64 // weight: scale, less while cold
+	labels                      []uint64
 	coldPace                    []float64 // hops a cold server may have now
 	inFlight                    []int
 	ghosts                      []float64       // hops given up that the server may still work on
@@ -195,6 +202,9 @@
 	denyShare                 []float64 // by bucket: type, within or beyond its tenant's share
 	rates, tenants            []float64 // arrivals per second by bucket and by tenant
 	waitWon                   []float64 // by bucket: share of waits that end in a hop
+	retries, copies           []float64 // by type: what is left of the budgets
+	rooms, roomMost           []int     // operations with a hop out, and allowed, by room
+	pumps                     int
 	order                     []int
 	successes                 float64       // per second
 	refused                   float64       // smoothed share of hops refused at once
@@ -209,18 +219,8 @@
 	for _, r := range lifecycle() {
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
-	n := len(s.Types)
-	for _, t := range s.Types {
-		p.usual = append(p.usual, t.TargetTime/4)
-		p.base = append(p.base, t.TargetTime/4)
-	}
-	p.samples = make([]float64, n)
-	p.denyShare, p.rates = make([]float64, 2*n), make([]float64, 2*n)
 	p.tenants = make([]float64, len(s.AllowancePerS))
-	for b := range 2 * n {
-		p.order = append(p.order, b)
-		p.waitWon = append(p.waitWon, 1)
-	}
+	p.retype(&Input{Types: s.Types, Like: slices.Repeat([]int{-1}, len(s.Types)), Rooms: []int{0}})
 	return p
 }
 
@@ -240,10 +240,44 @@
 		p.follow(in)
 	case Woken:
 		p.sweep()
+	case Retyped:
+		p.retype(in)
 	}
 	return p.effects
 }
 
+// retype takes over traffic types. One that stays keeps what was learned, another starts with what was
+// learned of the one that it is like.
+func (p *Policy) retype(in *Input) {
+	types := in.Types
+	p.set.Types, p.roomMost = types, in.Rooms
+	p.rooms = append(p.rooms, make([]int, max(len(in.Rooms)-len(p.rooms), 0))...)
+	for k, from := range in.Like {
+		if from == k {
+			continue
+		}
+		usual, base, samples := types[k].TargetTime/4, types[k].TargetTime/4, 0.0
+		if from >= 0 {
+			usual, base, samples = p.usual[from], p.base[from], p.samples[from]
+		}
+		put(k, usual, &p.usual)
+		put(k, base, &p.base)
+		put(k, samples, &p.samples)
+		put(k, 0, &p.retries, &p.copies)
+		for b := 2 * k; b < 2*k+2; b++ {
+			put(b, 0, &p.denyShare, &p.rates)
+			put(b, 1, &p.waitWon)
+			if b == len(p.order) {
+				p.order = append(p.order, b)
+			}
+		}
+		for s := range p.faults {
+			put(k, 0, &p.faults[s])
+			put(k, 0, &p.faulted[s], &p.shy[s])
+		}
+	}
+}
+
 // step takes the first fitting row of the table.
 func (p *Policy) step(op int, on signal) {
 	for _, r := range p.rows[p.ops[op].state][on] {
@@ -266,6 +300,11 @@
 		p.open[o.place], p.ops[moved].place = moved, o.place
 		p.open = p.open[:len(p.open)-1]
 	}
+	if next == out && o.state != out {
+		p.rooms[o.room]++
+	} else if next != out && o.state == out {
+		p.rooms[o.room]--
+	}
 	o.state = next
 }
 
@@ -290,7 +329,7 @@
 	}
 	t := &p.set.Types[in.Type]
 	o := &p.ops[in.Op]
-	*o = operation{kind: in.Type, bucket: 2 * in.Type, hops: o.hops[:0], group: -1, came: p.now,
+	*o = operation{kind: in.Type, room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1, came: p.now,
 		limit: p.now + in.Budget, target: p.now + min(t.TargetTime-2*p.set.Tick, in.Budget)}
 	if in.Tenant < len(p.tenants) {
 		fair := p.fair(in.Tenant)
@@ -300,6 +339,7 @@
 		}
 	}
 	p.rates[o.bucket] += 1 / rateSpan.Seconds()
+	p.grant(in.Type, 1, 0)
 	p.step(in.Op, arrived)
 }
 
@@ -317,6 +357,14 @@
 	return fair + math.Sqrt(fair/rateSpan.Seconds())
 }
 
+// grant adds to the budgets of a type, by its first hops and by time, up to what comes in the span.
+func (p *Policy) grant(kind int, first, passed float64) {
+	t, rate := &p.set.Types[kind], p.rates[2*kind]+p.rates[2*kind+1]
+	most := budgetSpan * (t.RetryShare*rate + t.RetryFloor)
+	p.retries[kind] = min(p.retries[kind]+t.RetryShare*first+t.RetryFloor*passed, max(most, 1))
+	p.copies[kind] = min(p.copies[kind]+t.CopyShare*first, max(budgetSpan*t.CopyShare*rate, 1))
+}
+
 // allowed is how long hops of a type may take, in seconds: its unloaded latency and a share of what is
 // left of the target time.
 func (p *Policy) allowed(kind int) float64 {
@@ -330,6 +378,11 @@
 	return p.flying >= max(p.window(), windowLeast*float64(p.readyCount)/float64(p.set.Nodes), 1)
 }
 
+// hasRoom: fewer operations of the route have a hop out than it allows.
+func (p *Policy) hasRoom(o *operation) bool {
+	return p.roomMost[o.room] == 0 || p.rooms[o.room] < p.roomMost[o.room]
+}
+
 func (p *Policy) window() float64 {
 	return max(p.finished+math.Sqrt(p.finished), p.grown) / max(p.strain, 1)
 }
@@ -357,9 +410,9 @@
 // canWait: for room in the window, a list, or a cold server's next turn, while it may still do.
 func (p *Policy) canWait(op int) bool {
 	o := &p.ops[op]
-	t := p.set.Types[o.kind].TargetTime
+	t := &p.set.Types[o.kind]
 	fits := p.now+time.Duration(waitFits*float64(p.usual[o.kind])) < o.target
-	return fits && p.now-o.came <= time.Duration(waitShare*float64(t))
+	return fits && p.now-o.came <= cmp.Or(t.WaitMost, time.Duration(waitShare*float64(t.TargetTime)))
 }
 
 // worthWaiting: half of the operations like this one get their turn, or it waits the less often. This
@@ -385,7 +438,8 @@
 func (p *Policy) repeatable(op int) bool {
 	o := &p.ops[op]
 	t := &p.set.Types[o.kind]
-	if len(o.hops) >= p.set.MostHops || p.now+p.usual[o.kind]/2 > o.target {
+	if len(o.hops) >= p.mostHops(t) || p.now+p.usual[o.kind]/2 > o.target ||
+		t.Further != 0 && !t.Further.Holds(o.ended) || t.RetryShare > 0 && p.retries[o.kind] < 1 {
 		return false
 	}
 	expired := t.Repeat == Fingerprinted && p.now >= o.firstRun+t.Window-p.set.Tick
@@ -395,6 +449,28 @@
 	return p.routed(op)
 }
 
+func (p *Policy) mostHops(t *TrafficType) int {
+	return min(cmp.Or(t.MostHops, p.set.MostHops), p.set.MostHops)
+}
+
+// anotherOut: a second copy may still bring the answer.
+func (p *Policy) anotherOut(op int) bool {
+	return slices.ContainsFunc(p.ops[op].hops, func(h hop) bool { return !h.ended })
+}
+
+// worthCopying: the first hop takes longer than its type may, a copy is within the budget and the rules, and
+// there is room for it at a server that seems well.
+func (p *Policy) worthCopying(op int) bool {
+	o := &p.ops[op]
+	t := &p.set.Types[o.kind]
+	if t.CopyAfter == 0 || !p.set.Copies || t.Repeat == Binding || len(o.hops) != 1 || p.mostHops(t) < 2 ||
+		p.now-o.hops[0].sent < t.CopyAfter || p.copies[o.kind] < 1 || p.full() {
+		return false
+	}
+	expired := t.Repeat == Fingerprinted && p.now >= o.firstRun+t.Window-p.set.Tick
+	return !expired && p.routed(op) && !tried(o, p.pick) && !p.unwell(p.pick, o)
+}
+
 // Effects of the table.
 
 func (p *Policy) hold(int) {}
@@ -414,11 +490,24 @@
 	p.emit(Effect{Kind: Deny, Op: op, For: back})
 }
 
+func (p *Policy) sendCopy(op int) {
+	p.copies[p.ops[op].kind]--
+	p.retries[p.ops[op].kind]++ // it is no retry
+	p.send(op)
+}
+
 func (p *Policy) writeOff(op int) { p.emit(Effect{Kind: WriteOff, Op: op}) }
 
 // send puts a hop out to the server that route picked.
 func (p *Policy) send(op int) {
 	o, s := &p.ops[op], p.pick
+	if len(o.hops) > 0 {
+		p.retries[o.kind]--
+	}
+	allow := max(o.target-p.now, time.Millisecond)
+	if most := p.set.Types[o.kind].HopTime; most > 0 {
+		allow = min(allow, most)
+	}
 	o.hops = append(o.hops, hop{server: s, sent: p.now})
 	if o.group < 0 {
 		o.group, o.firstRun = s, p.now
@@ -435,7 +524,7 @@
 	if p.cold[s] {
 		p.coldPace[s]--
 	}
-	p.emit(Effect{Kind: SendHop, Op: op, Server: s, For: max(o.target-p.now, time.Millisecond)})
+	p.emit(Effect{Kind: SendHop, Op: op, Server: s, For: allow})
 }
 
 // hopEnded books a hop's end under its server and lets the table answer for the operation.
@@ -445,7 +534,7 @@
 	}
 	o := &p.ops[in.Op]
 	h := &o.hops[in.Hop]
-	h.ended = true
+	h.ended, o.ended = true, in.Outcome
 	p.inFlight[h.server]--
 	p.flying--
 	ran := in.Outcome != Overloaded && in.Outcome != Unreachable && in.Outcome != Void
@@ -538,19 +627,21 @@
 
 // pump gives freed room to the operations that wait here, the dearest first.
 func (p *Policy) pump() {
-	for !p.full() {
+	for p.pumps++; !p.full(); {
 		best := -1
 		for _, op := range p.open {
-			if o := &p.ops[op]; o.state == waiting && (best < 0 || p.worth(o.bucket) > p.worth(p.ops[best].bucket)) {
+			if o := &p.ops[op]; o.state == waiting && o.pumped != p.pumps && p.hasRoom(o) &&
+				(best < 0 || p.worth(o.bucket) > p.worth(p.ops[best].bucket)) {
 				best = op
 			}
 		}
 		if best < 0 {
 			return
 		}
+		p.ops[best].pumped = p.pumps
 		p.step(best, swept)
-		if p.ops[best].state == waiting {
-			return
+		if o := &p.ops[best]; o.state == waiting && p.set.Types[o.kind].Pool == 0 {
+			return // nor would the others find a server
 		}
 	}
 }
@@ -678,6 +769,9 @@
 		return true
 	}
 	t := &p.set.Types[o.kind]
+	if t.Pool != 0 && t.Pool&p.labels[s] == 0 {
+		return true
+	}
 	if o.mayRun && t.Repeat == Fingerprinted {
 		switch t.Group {
 		case GroupZone:
@@ -695,7 +789,7 @@
 // round robin over the healthy, then over all that are not barred.
 func (p *Policy) routed(op int) bool {
 	o := &p.ops[op]
-	if o.state != out && p.full() {
+	if o.state != out && (p.full() || !p.hasRoom(o)) {
 		return false
 	}
 	if len(p.pool) < p.readyCount && (p.walk(o, 3) || p.join(o)) {
@@ -798,6 +892,7 @@
 		}
 		wasListed := s < len(was) && was[s]
 		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, cmp.Or(max(m.Scale, 0), 1)
+		p.labels[s] = m.Labels
 		if p.ready[s] = m.Condition == Up; p.ready[s] && !wasListed && known && !p.member[s] &&
 			p.chance()*float64(p.readyCount+1) < float64(len(p.pool)) {
 			p.take(s) // as often as it has any other: not left out, and not taken in by all at once
@@ -860,6 +955,7 @@
 	put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft)
 	put(s, 0.0, &p.coldPace, &p.ghosts)
 	put(s, 1.0, &p.scale, &p.weight, &p.slowness)
+	put(s, 0, &p.labels)
 	put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.restUntil,
 		&p.lostSince, &p.forecast, &p.interval)
 	put(s, mean, &p.smoothed)
@@ -918,6 +1014,9 @@
 	}
 	p.finished *= math.Exp(-passed.Seconds() / windowSpan.Seconds())
 	p.weigh()
+	for kind := range p.set.Types {
+		p.grant(kind, 0, passed.Seconds())
+	}
 	p.paceCold(passed)
 	for _, s := range p.pool {
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
@@ -965,7 +1064,7 @@
 	cut := (1 - p.admit) * total
 	for _, b := range p.order {
 		load := p.rates[b] * p.usual[b/2].Seconds()
-		p.denyShare[b] = min(cut/max(load, 1e-9), shedMost)
+		p.denyShare[b] = min(cut/max(load, 1e-9), cmp.Or(p.set.Types[b/2].ShedMost, shedMost))
 		cut = max(cut-p.denyShare[b]*load, 0)
 	}
 }
