--- a/cmd/fernlab/run.go
+++ b/cmd/fernlab/run.go
@@ -20,10 +20,10 @@
 )
 
 type runFlags struct {
-	json, plot, node, trace, keep, policy string
-	baselines                             []string
-	seed                                  uint64
-	quiet                                 bool
+	json, plot, node, trace, keep, policy, operator string
+	baselines                                       []string
+	seed                                            uint64
+	quiet                                           bool
 }
 
 func runCommand() *cobra.Command {
@@ -40,6 +40,16 @@
 			if c.Flags().Changed("seed") {
 				s.Seed = f.seed
 			}
+			switch {
+			case f.operator == "none":
+				s.Operators = nil
+			case f.operator != "":
+				text, err := os.ReadFile(f.operator)
+				if err != nil {
+					return err
+				}
+				s.Operators = []string{string(text)}
+			}
 			if !c.Flags().Changed("baselines") {
 				f.baselines = s.Baselines
 			}
@@ -52,6 +62,7 @@
 	fl.StringVar(&f.node, "node", "", "run this `binary` with `serve` as the node, such as an earlier build")
 	fl.StringVar(&f.policy, "policy", "", "the policy of the nodes: fernvane, or a baseline by name")
 	fl.StringVar(&f.trace, "trace", "", "send a recorded trace (`file` of CSV or JSON lines) in place of the scenario's own load")
+	fl.StringVar(&f.operator, "operator", "", "run the nodes under this operator's `file`, or none, in place of the scenario's")
 	fl.StringVar(&f.keep, "keep", "", "keep the nodes' configurations and logs in this `folder`")
 	fl.StringSliceVar(&f.baselines, "baselines", nil, "policies to play beside the node: all, none, or some of "+strings.Join(baseline.Names, ","))
 	fl.Uint64Var(&f.seed, "seed", 0, "another `seed` than the scenario's")
--- a/cmd/fernlab/tools.go
+++ b/cmd/fernlab/tools.go
@@ -129,6 +129,14 @@
 				}
 			}
 			s.Nodes.Count, s.Boxes = 0, nil
+			if to == "self" {
+				address, stop, err := lab.Instant()
+				defer stop()
+				if err != nil {
+					return err
+				}
+				to = address
+			}
 			g := &load.Generator{Scenario: s, Ops: ops, Progress: progress(c.ErrOrStderr(), s.Length.D())}
 			late := g.Run(c.Context(), time.Now(), load.Fixed(to), load.Nobody{})
 			r := report.New(s, to, ops, &lab.Outcome{Result: g.Result, Late: late})
@@ -144,7 +152,7 @@
 			return nil
 		}}
 	f := c.Flags()
-	f.StringVar(&to, "to", "", "host:port to send to")
+	f.StringVar(&to, "to", "", "host:port to send to; self for a server within that answers at once")
 	c.MarkFlagRequired("to")
 	f.StringVar(&name, "scenario", "calm", "whose types, tenants, clients and load to send")
 	f.StringVar(&path, "path", "", "send requests of one type, with this path")
--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -125,6 +125,15 @@
 	return time.Duration(user+system) * 10 * time.Millisecond // a clock tick of the system
 }
 
+// Instant starts a server that answers at once, for a generator to be measured with.
+func Instant() (address string, stop func(), err error) {
+	_, addresses, stop, err := instant(1)
+	if err != nil {
+		return "", stop, err
+	}
+	return addresses[0], stop, nil
+}
+
 // instant starts servers that answer at once.
 func instant(n int) (members []object, addresses []string, closeAll func(), err error) {
 	var listeners []net.Listener
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -162,9 +162,7 @@
 			"idempotency": map[string]string{"retriable": "safe", "fingerprinted": "keyed", "binding": "unsafe"}[t.Repeat]})
 	}
 	for _, t := range s.Tenants {
-		if t.Allowance > 0 {
-			tenants = append(tenants, object{"name": t.Name, "allowancePerS": t.Allowance})
-		}
+		tenants = append(tenants, object{"name": t.Name, "allowancePerS": t.Allowance})
 	}
 	coldest, coldFor := 1.0, scenario.Span(0)
 	for _, b := range s.Boxes {
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,7 @@
 
 const (
 	behindBy    = 10 * time.Millisecond // an operation begun so late was the generator's fault
+	fewInBin    = 100                   // operations; fewer in a bin differ by chance of a single one
 	behindShare = 0.01                  // of the operations; beyond it the run does not count
 )
 
@@ -58,6 +60,32 @@
 	Most   time.Duration
 	Share  float64 // of the operations that began more than behindBy late
 	Behind bool    // too many for the run to count
+	Bin    float64 // the most by which the operations begun in 100 ms differ from the schedule, as a share of it
+}
+
+const binWidth = 100 * time.Millisecond
+
+// worstBin compares when operations began with when they should have. A bin with few operations says nothing.
+func worstBin(ops []Operation, late []time.Duration, shift time.Duration) (worst float64) {
+	begun := make([]Operation, 0, len(ops))
+	planned := make([]Operation, len(ops))
+	for i, o := range ops {
+		planned[i].At = o.At - shift
+		if late[i] > 0 {
+			begun = append(begun, Operation{At: o.At - shift + late[i]})
+		}
+	}
+	n := Bins(begun, binWidth)
+	for i, want := range Bins(planned, binWidth) {
+		got := 0
+		if i < len(n) {
+			got = n[i]
+		}
+		if want >= fewInBin {
+			worst = max(worst, math.Abs(float64(got-want))/float64(want))
+		}
+	}
+	return worst
 }
 
 // Run sends the schedule from a moment on, and returns when the last operation has ended. A cancelled context ends the
@@ -95,6 +123,7 @@
 	}
 	l.Share = float64(behind) / float64(max(begun, 1))
 	l.Behind = l.Share > behindShare
+	l.Bin = worstBin(g.Ops, late, g.Shift)
 	return l
 }
 
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -68,6 +68,7 @@
 	LateMaxMS float64 `json:"late_max_ms"`
 	LateShare float64 `json:"late_share"`
 	Behind    bool    `json:"behind"`
+	WorstBin  float64 `json:"worst_bin"` // the most by which 100 ms differed from the schedule, as a share
 }
 
 // Discovery is what the nodes asked of it.
@@ -106,7 +107,7 @@
 		Service: round(o.Service()), AnsweredInTarget: o.Fates[load.InTarget], Handled: o.Fates[load.Handled], Denied: o.Fates[load.Denied],
 		WrittenOff: o.Fates[load.WrittenOff], Unanswered: o.Fates[load.NoAnswer], Unreached: o.Fates[load.Unreached], Tries: o.Tries, Rules: o.Rules,
 		Latency: map[string]Latency{}, ByTenant: map[string]Part{}, BySite: map[string]Part{},
-		Generator:  Generator{millis(o.Late.Most), round(o.Late.Share), o.Late.Behind},
+		Generator:  Generator{millis(o.Late.Most), round(o.Late.Share), o.Late.Behind, round(o.Late.Bin)},
 		Discovery:  Discovery{o.Calls, math.Round(o.Lines), o.TurnedOff},
 		NodeUse:    Use{round(o.Use.CPU.Seconds()), math.Round(o.Use.RSSMB)},
 		BadClients: o.Rude, Faults: []Fault{}, Baselines: []Report{}}
@@ -193,6 +194,7 @@
 		}
 	}
 	fmt.Fprintf(w, "\ngenerator: at most %.1f ms late, %.2f%% of the operations late", r.Generator.LateMaxMS, 100*r.Generator.LateShare)
+	fmt.Fprintf(w, "; 100 ms differ by %.2f%% at most", 100*r.Generator.WorstBin)
 	fmt.Fprintf(w, "\ndiscovery: %d calls, %.0f lines, %d turned away", r.Discovery.Calls, r.Discovery.Lines, r.Discovery.Turned)
 	fmt.Fprintf(w, "\nnodes: %.2f s of CPU together, at most %.0f MB each", r.NodeUse.CPUSeconds, r.NodeUse.RSSMaxMB)
 	if r.BadClients > 0 {
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -154,6 +154,9 @@
 	}
 	within("length", s.Length.D().Seconds(), 0.1, mostLength.Seconds())
 	within("nodes.count", float64(s.Nodes.Count), 1, mostNodes)
+	if n := len(s.Sites); n > s.Nodes.Count {
+		f.Wrong("nodes.count", "%d sites, but %d nodes: the clients of each site need one", n, s.Nodes.Count)
+	}
 	within("load.rate", s.Load.Rate, 0.1, mostRate)
 	within("load.swing", s.Load.Swing, 0, 0.95)
 	within("load.skew", s.Load.Skew, 0, 0.9)
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -149,6 +149,15 @@
 		c.Close()
 	}
 	l.fillers = nil
+	for l.ln != nil { // what came up just as the silence began is reset: nobody could date what lies in it
+		l.ln.SetDeadline(time.Now().Add(time.Millisecond))
+		c, err := l.ln.AcceptTCP()
+		if err != nil {
+			break
+		}
+		c.SetLinger(0)
+		c.Close()
+	}
 	if l.ln != nil {
 		l.backlog(syscall.SOMAXCONN)
 		l.ln.SetDeadline(time.Time{})
