Protocols become plugs: one neutral message, a front for clients, a line to servers

Change: internal/message has requests, answers, bounds and the platform's field names; http1 speaks them. serve leads an operation through two interfaces (front, line), fleet keeps closers. Nothing on the wire changes. Result: all tests of http1, serve and fleet pass unchanged but for their calls.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,7 @@
 
 import (
 	"hash/crc32"
-	"net"
+	"io"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -35,7 +35,7 @@
 	tenants map[string]int
 	zones   map[string]int
 	servers map[string]*server
-	closing []net.Conn // to be closed when the lock is given back
+	closing []io.Closer // to be closed when the lock is given back
 	room    room
 	counts  Counts
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -465,7 +465,7 @@
 				f.Keep("a", http1.NewConn(&closer{name: fmt.Sprint(i)}))
 				f.servers["a"].idle[i].since -= age
 			}
-			if got := f.Take("a").Conn.(*closer).name; got != c.want {
+			if got := f.Take("a").(*http1.Conn).Conn.(*closer).name; got != c.want {
 				t.Errorf("took %s", got)
 			}
 		})
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -2,17 +2,19 @@
 
 import (
 	"container/list"
+	"io"
 	"slices"
 	"time"
 
-	"fernvane/internal/http1"
+	"fernvane/internal/message"
 )
 
 const (
 	ownDescriptors = 14       // standard streams, listener, discovery, poller: 10 were seen at most, and slack
 	leastSockets   = 8        // connections a node has whatever the limits say
 	baseMemory     = 12 << 20 // bytes of the run time and the module's own figures; 6 MB were seen
-	perConnection  = http1.KeptBuffer + 24<<10
+	keptBuffer     = 8 << 10  // bytes that a connection may hold on to
+	perConnection  = keptBuffer + 24<<10
 	// bytes: a buffer, two stacks, what leads it
 	connShare  = 0.25                   // of the memory left for connections
 	largeShare = 0.25                   // and for what large messages need beyond; the collector needs the other half
@@ -48,14 +50,14 @@
 	servers    int // that connections to servers may still take
 	idle       list.List
 	kept       int // of the idle, after a request
-	pool       *http1.Pool
+	pool       *message.Pool
 	changed    chan struct{} // something has become free or idle
 }
 
 func newRoom(l Limits) room {
 	n := l.Connections()
 	share := (n - max(n/spareShare, spareLeast)) / 2
-	pool := http1.NewPool(max(int(largeShare*l.left()), http1.MaxHead+http1.MaxBody))
+	pool := message.NewPool(max(int(largeShare*l.left()), message.MaxHead+message.MaxBody))
 	return room{most: n, free: n, share: share, servers: share, pool: pool, changed: make(chan struct{}, 1)}
 }
 
@@ -66,10 +68,20 @@
 	}
 }
 
+// ClientConn is a connection that clients ask on, in whichever protocol.
+type ClientConn interface {
+	io.Closer
+	// Waiting tells that something has come that was not read yet. It may be asked from anywhere.
+	Waiting() bool
+}
+
+// Line is a connection to a server, in whichever protocol.
+type Line interface{ io.Closer }
+
 // Client is a client's connection.
 type Client struct {
 	f       *Fleet
-	conn    *http1.Conn
+	conn    ClientConn
 	place   *list.Element // among those on which no whole request is open
 	since   time.Duration // there
 	used    bool          // for a request before
@@ -77,7 +89,7 @@
 }
 
 // Pool is the memory for large messages.
-func (f *Fleet) Pool() *http1.Pool { return f.room.pool }
+func (f *Fleet) Pool() *message.Pool { return f.room.pool }
 
 // Admit waits until there is a descriptor to accept a connection with, closing idle clients' for it.
 func (f *Fleet) Admit() {
@@ -144,7 +156,7 @@
 }
 
 // Client takes in an accepted connection.
-func (f *Fleet) Client(conn *http1.Conn) *Client { return &Client{f: f, conn: conn} }
+func (f *Fleet) Client(conn ClientConn) *Client { return &Client{f: f, conn: conn} }
 
 // Idle tells that the connection is between requests and may be closed at any time.
 func (c *Client) Idle() {
@@ -211,7 +223,7 @@
 }
 
 type idleConn struct {
-	conn  *http1.Conn
+	conn  Line
 	since time.Duration
 }
 
@@ -241,7 +253,7 @@
 
 // Take returns an idle connection to a server, nil if there is none. The latest used comes first, so that
 // those not needed grow old, but for those just answered on: a server may close behind its answer.
-func (f *Fleet) Take(id string) *http1.Conn {
+func (f *Fleet) Take(id string) Line {
 	f.mu.Lock()
 	defer f.unlock()
 	s := f.servers[id]
@@ -262,7 +274,7 @@
 }
 
 // Keep puts a connection by for later use, if its server is still one to be used.
-func (f *Fleet) Keep(id string, c *http1.Conn) {
+func (f *Fleet) Keep(id string, c Line) {
 	f.mu.Lock()
 	defer f.unlock()
 	if s := f.servers[id]; s != nil && s.serving {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -11,15 +11,12 @@
 )
 
 const (
-	MaxHead     = 16 << 10 // bytes of a start line with its fields
-	MaxBody     = 64 << 10 // bytes of a request's body
-	MaxAnswer   = 1 << 20  // bytes of an answer's body; on some days they go beyond the 64 KiB agreed
-	firstBuffer = 2 << 10  // bytes a connection reads into at first; most messages fit
-	KeptBuffer  = 8 << 10  // bytes of a buffer that a connection may hold on to; what is beyond is lent by the pool
-	maxEmpty    = 8        // empty lines ahead of a message
-	maxWords    = 8        // answers 1xx ahead of the answer
-	maxLine     = 256      // bytes of a chunk's size line
-	maxTrailer  = 4 << 10  // bytes after the last chunk
+	firstBuffer = 2 << 10 // bytes a connection reads into at first; most messages fit
+	KeptBuffer  = 8 << 10 // bytes of a buffer that a connection may hold on to; what is beyond is lent by the pool
+	maxEmpty    = 8       // empty lines ahead of a message
+	maxWords    = 8       // answers 1xx ahead of the answer
+	maxLine     = 256     // bytes of a chunk's size line
+	maxTrailer  = 4 << 10 // bytes after the last chunk
 )
 
 var (
@@ -48,7 +45,7 @@
 func (c *Conn) Trim() {
 	if len(c.buf) > KeptBuffer {
 		c.buf, c.at, c.end = nil, 0, 0
-		c.pool.give(c.lent)
+		c.pool.Give(c.lent)
 		c.lent = 0
 	}
 }
@@ -83,7 +80,7 @@
 		}
 		size := min(max(2*len(c.buf), firstBuffer), limit)
 		if more := size - KeptBuffer - c.lent; more > 0 {
-			if !c.pool.take(more) {
+			if !c.pool.Take(more) {
 				return errNoMemory
 			}
 			c.lent += more
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"fernvane/internal/message"
 )
 
 // script is a connection that brings given bytes, so many at a time, and then its end.
@@ -75,7 +77,7 @@
 		"a large body":          {in: fmt.Sprintf("%sContent-Length: %d\r\n\r\n", post, MaxBody+1), status: 413},
 		"large chunks":          {in: post + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("8000\r\n"+strings.Repeat("z", 0x8000)+"\r\n", 3), status: 413},
 		"a large head":          {in: "GET /a HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", MaxHead), status: 431},
-		"too many fields":       {in: "GET /a HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A: b\r\n", maxFields) + "\r\n", status: 431},
+		"too many fields":       {in: "GET /a HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A: b\r\n", message.MaxFields) + "\r\n", status: 431},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, step := range steps {
@@ -181,7 +183,7 @@
 		}
 	}
 	answer := string(AppendAnswer(nil, Answer{Status: 503, RetryAfter: 1500 * time.Millisecond, Close: true,
-		Fields: []Field{{[]byte("Transfer-Encoding"), []byte("chunked")}, {[]byte("Content-Type"), []byte("a/b")}}}))
+		Fields: []Field{{Name: []byte("Transfer-Encoding"), Value: []byte("chunked")}, {Name: []byte("Content-Type"), Value: []byte("a/b")}}}))
 	if answer != "HTTP/1.1 503 Service Unavailable\r\nContent-Type: a/b\r\nRetry-After: 1.500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" {
 		t.Errorf("answered %q", answer)
 	}
@@ -345,7 +347,7 @@
 	}
 	first.Trim()
 	second.Trim()
-	if free := p.free.Load(); free != 48<<10 {
+	if free := p.Free(); free != 48<<10 {
 		t.Errorf("%d bytes free", free)
 	}
 	if _, err := read(); err != nil {
--- a/internal/http1/protocol.go
+++ b/internal/http1/protocol.go
@@ -1,68 +1,15 @@
 package http1
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math"
 	"net/netip"
 	"strconv"
 	"time"
 )
 
-// The names that the platform gives to things on the wire.
-const (
-	RequestID      = "Request-Id"
-	RequestTimeout = "Request-Timeout"
-	tenantField    = "Tenant"
-	forwardedFor   = "X-Forwarded-For" // one line a proxy passed; servers read them in turn
-	notStarted     = "Not-Started"
-	readyPath      = "/up"
-	listPath       = "/discovery/hosts"
-)
-
-// Operation is what a request says of itself.
-type Operation struct {
-	ID      []byte
-	Type    []byte
-	Tenant  []byte
-	Timeout time.Duration // counted from when the client sent the request; below 0 where it is not said
-}
-
-// IsReadiness tells whether a request asks if the node can serve.
-func (r *Request) IsReadiness() bool { return string(r.Path()) == readyPath }
-
-// Operation reads the parts of a request that decisions need.
-func (r *Request) Operation() (Operation, error) {
-	o := Operation{ID: r.Get(RequestID), Tenant: r.Get(tenantField), Timeout: -1}
-	if string(r.Method) == "HEAD" || string(r.Method) == "CONNECT" {
-		return o, &Malformed{405, "this method is not served"} // their answers have no body to pass on
-	}
-	if len(o.ID) == 0 {
-		return o, &Malformed{400, "the request has no id"}
-	}
-	o.Type, _, _ = bytes.Cut(r.Path()[1:], []byte{'/'})
-	if v := r.Get(RequestTimeout); r.has(RequestTimeout) {
-		s, err := strconv.ParseFloat(string(v), 64)
-		if err != nil || math.IsNaN(s) || s < 0 || s > 1e6 {
-			return o, &Malformed{400, "the time-out cannot be read"}
-		}
-		o.Timeout = time.Duration(s * float64(time.Second))
-	}
-	return o, nil
-}
-
-// NeverRan tells whether a server's answer says that it has not begun the request.
-func (r *Response) NeverRan() bool {
-	return (r.Status == 503 || r.Status == 504) && string(find(r.Fields, notStarted)) == "1"
-}
-
-// Blames tells whether a server's answer finds fault with the request. Too slow (408) and too many (429) say
-// something of the server's state, and 429 would tell a client that trying again is harmless.
-func (r *Response) Blames() bool {
-	return r.Status >= 400 && r.Status < 500 && r.Status != 408 && r.Status != 429
-}
+const listPath = "/discovery/hosts"
 
 // Phase of a listed server.
 type Phase uint8
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -4,38 +4,9 @@
 	"bytes"
 	"errors"
 	"io"
-	"slices"
-)
-
-// Malformed is a request that cannot be taken, with the status to answer it with.
-type Malformed struct {
-	Status int
-	Why    string
-}
-
-func (m *Malformed) Error() string { return m.Why }
-
-// Request is a whole request; its parts lie in the connection's buffer.
-type Request struct {
-	Method, Target []byte
-	Fields         []Field
-	Body           []byte
-	Close          bool // the client wants no further one on this connection
-}
-
-// Path is the target without its query.
-func (r *Request) Path() []byte {
-	path, _, _ := bytes.Cut(r.Target, []byte{'?'})
-	return path
-}
 
-// Get returns the value of a field, nil where it is not there.
-func (r *Request) Get(name string) []byte { return find(r.Fields, name) }
-
-// has tells whether a field is there, be it empty.
-func (r *Request) has(name string) bool {
-	return slices.ContainsFunc(r.Fields, func(f Field) bool { return f.Is(name) })
-}
+	"fernvane/internal/message"
+)
 
 // ReadRequest reads a whole request. It returns io.EOF where the other side has closed between requests,
 // and a *Malformed for what deserves an answer all the same.
@@ -43,9 +14,9 @@
 	head, err := c.head("")
 	switch err {
 	case errTooLarge:
-		return &Malformed{431, "the head is too large"}
+		return message.Bad(431, "the head is too large")
 	case errNoMemory:
-		return &Malformed{503, err.Error()}
+		return message.Bad(503, err.Error())
 	}
 	if err != nil {
 		return err
@@ -60,30 +31,30 @@
 		}
 	}
 	*r = Request{Method: method, Target: target, Fields: r.Fields[:0]}
-	if !isToken(method) || !isTarget(target) {
-		return &Malformed{400, "the request line cannot be read"}
+	if !message.IsToken(method) || !isTarget(target) {
+		return message.Bad(400, "the request line cannot be read")
 	}
 	old := string(version) == "HTTP/1.0"
 	if !old && string(version) != "HTTP/1.1" {
-		return &Malformed{400, errVersion.Error()}
+		return message.Bad(400, errVersion.Error())
 	}
 	if r.Fields, err = parseFields(lines, r.Fields, false); err == errFields {
-		return &Malformed{431, err.Error()}
+		return message.Bad(431, err.Error())
 	} else if err != nil {
-		return &Malformed{400, err.Error()}
+		return message.Bad(400, err.Error())
 	}
-	if !old && !r.has("Host") {
-		return &Malformed{400, "no host is named"}
+	if !old && !r.Has("Host") {
+		return message.Bad(400, "no host is named")
 	}
-	r.Close = old || lists(r.Fields, "Connection", "close")
+	r.Close = old || message.Lists(r.Fields, "Connection", "close")
 	length, err := framing(r.Fields)
 	if err != nil {
-		return &Malformed{400, err.Error()}
+		return message.Bad(400, err.Error())
 	}
 	if length == unstated {
 		length = 0
 	}
-	if !old && length != 0 && c.at == c.end && lists(r.Fields, "Expect", "100-continue") {
+	if !old && length != 0 && c.at == c.end && message.Lists(r.Fields, "Expect", "100-continue") {
 		if _, err := c.Send([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
@@ -91,11 +62,11 @@
 	r.Body, err = c.body(length, MaxBody)
 	switch {
 	case err == errTooLarge:
-		return &Malformed{413, "the body is too large"}
+		return message.Bad(413, "the body is too large")
 	case err == errNoMemory:
-		return &Malformed{503, err.Error()}
+		return message.Bad(503, err.Error())
 	case errors.Is(err, errChunk):
-		return &Malformed{400, err.Error()}
+		return message.Bad(400, err.Error())
 	case err == io.EOF:
 		return io.ErrUnexpectedEOF
 	}
@@ -110,21 +81,3 @@
 	}
 	return len(b) > 0 && b[0] == '/'
 }
-
-// Clone is the request in memory of its own, which outlives what the connection reads or writes next.
-func (r *Request) Clone() *Request {
-	size := len(r.Method) + len(r.Target) + len(r.Body)
-	for _, f := range r.Fields {
-		size += len(f.Name) + len(f.Value)
-	}
-	room := make([]byte, 0, size)
-	keep := func(b []byte) []byte {
-		room = append(room, b...)
-		return room[len(room)-len(b) : len(room) : len(room)]
-	}
-	c := &Request{Method: keep(r.Method), Target: keep(r.Target), Body: keep(r.Body), Close: r.Close, Fields: make([]Field, len(r.Fields))}
-	for i, f := range r.Fields {
-		c.Fields[i] = Field{keep(f.Name), keep(f.Value)}
-	}
-	return c
-}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -2,21 +2,15 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"strconv"
+	"time"
+
+	"fernvane/internal/message"
 )
 
 // ErrGarbled is an answer that is no HTTP, or larger than allowed.
-var ErrGarbled = errors.New("the answer cannot be read")
-
-// Response is a whole answer; its parts lie in the connection's buffer.
-type Response struct {
-	Status int
-	Fields []Field
-	Body   []byte
-	Close  bool // the connection cannot be used again
-}
+var ErrGarbled = message.ErrGarbled
 
 // ReadResponse reads a whole answer with a body of at most so many bytes.
 func (c *Conn) ReadResponse(r *Response, most int) error {
@@ -54,7 +48,7 @@
 			length = 0
 		}
 		r.Body, err = c.body(length, most)
-		r.Close = length == untilClose || old || lists(r.Fields, "Connection", "close") || c.at < c.end
+		r.Close = length == untilClose || old || message.Lists(r.Fields, "Connection", "close") || c.at < c.end
 		switch {
 		case err == errTooLarge, err == errChunk:
 			return ErrGarbled
@@ -64,3 +58,14 @@
 		return err
 	}
 }
+
+// Ask writes a request as it goes on to a server, and tells whether its last byte was written.
+func (c *Conn) Ask(r *Request, left time.Duration, from string) (whole bool, err error) {
+	return c.Send(AppendRequest(c.Scratch(), r, left, from))
+}
+
+// Reply reads the whole answer to what was asked.
+func (c *Conn) Reply(r *Response) error { return c.ReadResponse(r, MaxAnswer) }
+
+// Reusable tells whether another request may be asked after a whole answer.
+func (c *Conn) Reusable(r *Response) bool { return !r.Close }
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"fernvane/internal/message"
 )
 
 var reasons = [...]struct {
@@ -30,16 +32,16 @@
 	b = append(append(append(b, r.Method...), ' '), r.Target...)
 	b = append(b, " HTTP/1.1\r\n"...)
 	for _, f := range r.Fields {
-		if f.Is(RequestTimeout) || !passes(f, r.Fields) {
+		if f.Is(RequestTimeout) || !message.Passes(f, r.Fields) {
 			continue
 		}
 		b = append(append(append(b, f.Name...), ": "...), f.Value...)
 		b = append(b, "\r\n"...)
 	}
-	if !r.has("Host") { // of an old client; a server may refuse a request without the field
+	if !r.Has("Host") { // of an old client; a server may refuse a request without the field
 		b = appendField(b, "Host", "")
 	}
-	b = appendField(b, forwardedFor, from)
+	b = appendField(b, message.ForwardedFor, from)
 	b = append(append(append(b, RequestTimeout...), ": "...), appendSeconds(nil, max(left, time.Millisecond))...)
 	b = append(b, "\r\n"...)
 	if len(r.Body) > 0 || string(r.Method) != "GET" {
@@ -48,15 +50,6 @@
 	return append(append(b, "\r\n"...), r.Body...)
 }
 
-// Answer is what a node says to a client.
-type Answer struct {
-	Status     int
-	Fields     []Field // of a server's answer, passed on
-	Body       []byte
-	RetryAfter time.Duration
-	Close      bool
-}
-
 // AppendAnswer writes an answer.
 func AppendAnswer(b []byte, a Answer) []byte {
 	b = append(b, "HTTP/1.1 "...)
@@ -68,7 +61,7 @@
 	}
 	b = append(b, "\r\n"...)
 	for _, f := range a.Fields {
-		if passes(f, a.Fields) {
+		if message.Passes(f, a.Fields) {
 			b = append(append(append(b, f.Name...), ": "...), f.Value...)
 			b = append(b, "\r\n"...)
 		}
--- a/internal/http1/pool.go
+++ b/internal/message/pool.go
@@ -1,4 +1,4 @@
-package http1
+package message
 
 import "sync/atomic"
 
@@ -13,17 +13,21 @@
 	return p
 }
 
-// take is false where so much is not left. No pool has no end.
-func (p *Pool) take(n int) bool {
+// Take is false where so much is not left. No pool has no end.
+func (p *Pool) Take(n int) bool {
 	if p == nil || p.free.Add(int64(-n)) >= 0 {
 		return true
 	}
-	p.give(n)
+	p.Give(n)
 	return false
 }
 
-func (p *Pool) give(n int) {
+// Give takes memory back.
+func (p *Pool) Give(n int) {
 	if p != nil {
 		p.free.Add(int64(n))
 	}
 }
+
+// Free is how many bytes are left.
+func (p *Pool) Free() int64 { return p.free.Load() }
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -9,6 +9,7 @@
 
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
+	"fernvane/internal/message"
 )
 
 const (
@@ -24,6 +25,7 @@
 // client leads one client's connection, request by request.
 func (s *Server) client(nc *net.TCPConn) {
 	c := http1.NewPooled(nc, s.fleet.Pool())
+	f := httpFront{s, c}
 	defer c.Trim()
 	place := s.fleet.Client(c)
 	defer place.Vacate()
@@ -31,7 +33,7 @@
 	defer func() {
 		if p := recover(); p != nil { // a fault of this program must not take the other clients with it
 			s.log.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("connection dropped")
-			s.answer(c, http1.Answer{Status: 500, Close: true})
+			s.answer(f, message.Answer{Status: 500, Close: true})
 		}
 	}()
 	stall := min(s.longest(), requestMost) // a request that takes longer to come would find its client gone
@@ -64,18 +66,18 @@
 			return
 		}
 		if err != nil {
-			s.reject(c, err)
+			s.reject(f, err)
 			return
 		}
 		nc.SetReadDeadline(time.Time{})
 		req.Close = req.Close || s.fleet.Crowded() && !c.More()
 		if req.IsReadiness() {
-			err = s.answer(c, http1.Answer{Status: 200, Close: req.Close})
+			err = s.answer(f, message.Answer{Status: 200, Close: req.Close})
 		} else {
-			err = s.operation(c, &req, came)
+			err = s.operation(f, &req, came)
 		}
 		if err != nil {
-			s.reject(c, err)
+			s.reject(f, err)
 			return
 		}
 		if req.Close || s.draining.Load() {
@@ -84,23 +86,32 @@
 	}
 }
 
-// answer writes a whole answer; the connection ends with it while the node stops.
-func (s *Server) answer(c *http1.Conn, a http1.Answer) error {
-	a.Close = a.Close || s.draining.Load()
-	return s.send(c, http1.AppendAnswer(c.Scratch(), a))
+// httpFront is a client's connection that speaks HTTP.
+type httpFront struct {
+	s *Server
+	c *http1.Conn
 }
 
-func (s *Server) send(c *http1.Conn, answer []byte) error {
-	c.SetWriteDeadline(time.Now().Add(answerMost))
-	if whole, err := c.Send(answer); !whole {
+func (f httpFront) Append(b []byte, a message.Answer) []byte { return http1.AppendAnswer(b, a) }
+func (f httpFront) Scratch() []byte                          { return f.c.Scratch() }
+
+func (f httpFront) Send(answer []byte) error {
+	f.c.SetWriteDeadline(time.Now().Add(answerMost))
+	if whole, err := f.c.Send(answer); !whole {
 		return errors.Join(errUnsent, err)
 	}
 	return nil
 }
 
+func (f httpFront) From() string {
+	from, _, _ := net.SplitHostPort(f.c.RemoteAddr().String())
+	return from
+}
+
 // reject tells the client why its request is not taken, where that is of use, and sees to it that the
 // answer is not lost in the close.
-func (s *Server) reject(c *http1.Conn, err error) {
+func (s *Server) reject(f httpFront, err error) {
+	c := f.c
 	var bad *http1.Malformed
 	if errors.Is(err, http1.ErrTimeout) && !errors.Is(err, errUnsent) {
 		bad = &http1.Malformed{Status: 408, Why: "the request did not come to its end"}
@@ -109,7 +120,7 @@
 		return
 	}
 	s.log.Warn().Str("client", c.RemoteAddr().String()).Int("status", bad.Status).Str("why", bad.Why).Msg("request rejected")
-	s.answer(c, http1.Answer{Status: bad.Status, Body: []byte(bad.Why + "\n"), Close: true})
+	s.answer(f, message.Answer{Status: bad.Status, Body: []byte(bad.Why + "\n"), Close: true})
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.CloseWrite()
 		tcp.SetReadDeadline(time.Now().Add(lingerMost))
@@ -117,8 +128,8 @@
 	}
 }
 
-// watch looks for the client's leaving while its operation is open; the function it returns ends that.
-func (s *Server) watch(c *http1.Conn, op *fleet.Operation) (end func()) {
+func (f httpFront) Watch(op *fleet.Operation) (end func()) {
+	c := f.c
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"os"
 	"runtime/debug"
 	"syscall"
 	"time"
 
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
+	"fernvane/internal/message"
 )
 
 var past = time.Unix(1, 0)
@@ -17,8 +20,24 @@
 type exchanged struct {
 	op      *fleet.Operation
 	req     *http1.Request
-	from    string        // the client's address
-	scratch func() []byte // room for the answer
+	from    string                      // the client's address
+	compose func(message.Answer) []byte // the client's answer, in room of its own
+}
+
+// line is a connection to a server, in the protocol that the server speaks.
+type line interface {
+	io.Closer
+	SetDeadline(time.Time) error
+	// Quiet tells that an idle connection is open and that nothing has come on it.
+	Quiet() bool
+	// Trim gives back memory that a large message took; what was read is not valid after it.
+	Trim()
+	// Ask writes a request whole, or tells that it did not.
+	Ask(r *message.Request, left time.Duration, from string) (whole bool, err error)
+	// Reply reads the whole answer; message.ErrGarbled is one that cannot be read.
+	Reply(r *message.Response) error
+	// Reusable tells whether another request may be asked after a whole answer.
+	Reusable(r *message.Response) bool
 }
 
 // hop sends an operation to one server, once, and tells how that ended. Where the server has answered, the
@@ -35,19 +54,20 @@
 	}
 	conn.SetDeadline(until)
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
-	var resp http1.Response
-	end = exchange(ctx, conn, http1.AppendRequest(conn.Scratch(), x.req, time.Until(until), x.from), &resp)
+	var resp message.Response
+	end = exchange(ctx, conn, x, time.Until(until), &resp)
 	if end == fleet.Unsent && kept {
 		end = fleet.Stale
 	}
 	var answer []byte
 	if end == fleet.Answered || end == fleet.Declined {
-		answer = http1.AppendAnswer(x.scratch(), http1.Answer{Status: resp.Status, Fields: resp.Fields,
+		answer = x.compose(message.Answer{Status: resp.Status, Fields: resp.Fields,
 			Body: resp.Body, Close: x.req.Close || s.draining.Load()})
 	}
+	again := end <= fleet.TurnedAway && conn.Reusable(&resp)
 	conn.Trim()
 	whole := end <= fleet.TurnedAway
-	if stop() && whole && !resp.Close {
+	if stop() && again {
 		s.fleet.Keep(d.Server, conn)
 	} else { // given up, broken or used up: closing it is what tells the server
 		conn.Close()
@@ -61,7 +81,7 @@
 
 // copying leads a second copy beside the hop that is out. The client's buffer is the first one's, so the copy has the
 // request and its answer in memory of its own.
-func (s *Server) copying(req *http1.Request, from string) func(*fleet.Operation, fleet.Decision) {
+func (s *Server) copying(f front, req *message.Request) func(*fleet.Operation, fleet.Decision) {
 	req = req.Clone()
 	return func(op *fleet.Operation, d fleet.Decision) {
 		s.clients.Go(func() error {
@@ -75,19 +95,19 @@
 				op.Ended(d.Hop, end, answer)
 			}()
 			op.Copying(d, giveUp)
-			end, answer = s.hop(ctx, d, &exchanged{op: op, req: req, from: from, scratch: func() []byte { return nil }})
+			end, answer = s.hop(ctx, d, &exchanged{op: op, req: req, from: f.From(), compose: func(a message.Answer) []byte { return f.Append(nil, a) }})
 			return nil
 		})
 	}
 }
 
 // connect finds a connection that stands idle, or opens one.
-func (s *Server) connect(ctx context.Context, d fleet.Decision, until time.Time) (c *http1.Conn, kept bool, end fleet.End) {
-	for c := s.fleet.Take(d.Server); c != nil; c = s.fleet.Take(d.Server) {
-		if c.Quiet() {
+func (s *Server) connect(ctx context.Context, d fleet.Decision, until time.Time) (c line, kept bool, end fleet.End) {
+	for k := s.fleet.Take(d.Server); k != nil; k = s.fleet.Take(d.Server) {
+		if c := k.(line); c.Quiet() {
 			return c, true, fleet.Answered
 		}
-		c.Close()
+		k.Close()
 		s.fleet.Forgo()
 	}
 	if !s.fleet.Reserve() {
@@ -128,21 +148,21 @@
 
 // exchange writes the request and reads the answer whole. Only before the last byte is written is it sure
 // that the server has not begun.
-func exchange(ctx context.Context, conn *http1.Conn, request []byte, resp *http1.Response) fleet.End {
-	whole, err := conn.Send(request)
+func exchange(ctx context.Context, conn line, x *exchanged, left time.Duration, resp *message.Response) fleet.End {
+	whole, err := conn.Ask(x.req, left, x.from)
 	if !whole {
-		if errors.Is(err, http1.ErrTimeout) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return fleet.NoTime
 		}
 		return fleet.Unsent
 	}
-	switch err = conn.ReadResponse(resp, http1.MaxAnswer); {
+	switch err = conn.Reply(resp); {
 	case err == nil:
-	case errors.Is(err, http1.ErrTimeout) && ctx.Err() != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil:
 		return fleet.GivenUp
-	case errors.Is(err, http1.ErrTimeout):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fleet.Silent
-	case err == http1.ErrGarbled:
+	case err == message.ErrGarbled:
 		return fleet.Garbled
 	default:
 		return fleet.CutOff
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"fernvane/internal/fleet"
-	"fernvane/internal/http1"
+	"fernvane/internal/message"
 	"fernvane/internal/route"
 )
 
@@ -16,33 +15,52 @@
 	errNoType = errors.New("no such traffic type")
 )
 
+// front is what an operation came on, in the protocol that its client speaks.
+type front interface {
+	// Append writes an answer as the client reads it.
+	Append(b []byte, a message.Answer) []byte
+	// Scratch is room for an answer; what was read of the request may be overwritten.
+	Scratch() []byte
+	// Send writes what Append has put together.
+	Send(answer []byte) error
+	// From is the client's address.
+	From() string
+	// Watch looks for the client's leaving while the operation is open; the function it returns ends that.
+	Watch(op *fleet.Operation) (end func())
+}
+
+// answer writes a whole answer; the connection ends with it while the node stops.
+func (s *Server) answer(f front, a message.Answer) error {
+	a.Close = a.Close || s.draining.Load()
+	return f.Send(f.Append(f.Scratch(), a))
+}
+
 // operation is the life of one operation, from its whole request to its one answer.
-func (s *Server) operation(c *http1.Conn, req *http1.Request, came time.Time) error {
+func (s *Server) operation(f front, req *message.Request, came time.Time) error {
 	o, err := req.Operation()
 	if err != nil {
 		return err
 	}
-	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	op, err := s.take(&o, req, came, from)
-	var bad *http1.Malformed
+	op, err := s.take(&o, req, came, f)
+	var bad *message.Malformed
 	switch {
 	case err == errNoType:
-		return s.answer(c, http1.Answer{Status: 404, Body: []byte("no such traffic type\n"), Close: req.Close})
+		return s.answer(f, message.Answer{Status: 404, Body: []byte("no such traffic type\n"), Close: req.Close})
 	case err == fleet.ErrNoRoom:
 		req.Close = true // makes room for the next one
-		return s.answer(c, http1.Answer{Status: 503, Close: true})
+		return s.answer(f, message.Answer{Status: 503, Close: true})
 	case err == fleet.ErrRoute:
-		return s.answer(c, http1.Answer{Status: 503, Close: req.Close})
+		return s.answer(f, message.Answer{Status: 503, Close: req.Close})
 	case err == fleet.ErrOpen:
-		return &http1.Malformed{Status: 409, Why: err.Error()}
+		return &message.Malformed{Status: 409, Why: err.Error()}
 	case errors.As(err, &bad):
 		return bad
 	}
 	defer op.Close()
-	defer s.watch(c, op)()
+	defer f.Watch(op)()
 	ctx, giveUp := context.WithCancel(context.Background())
 	defer giveUp()
-	x := &exchanged{op: op, req: req, from: from, scratch: c.Scratch}
+	x := &exchanged{op: op, req: req, from: f.From(), compose: func(a message.Answer) []byte { return f.Append(f.Scratch(), a) }}
 	var last fleet.End
 	for {
 		switch d := op.Next(giveUp); d.Kind {
@@ -51,14 +69,14 @@
 			last, answer = s.hop(ctx, d, x)
 			op.Ended(d.Hop, last, answer)
 		case fleet.Handled:
-			return s.send(c, d.Answer)
+			return f.Send(d.Answer)
 		case fleet.Deny:
-			return s.answer(c, http1.Answer{Status: 503, RetryAfter: d.For, Close: req.Close})
+			return s.answer(f, message.Answer{Status: 503, RetryAfter: d.For, Close: req.Close})
 		case fleet.WriteOff:
 			if d.Answer != nil { // a server finds fault with the request, and says what
-				return s.send(c, d.Answer)
+				return f.Send(d.Answer)
 			}
-			return s.answer(c, http1.Answer{Status: writeOffStatus(last), Close: req.Close})
+			return s.answer(f, message.Answer{Status: writeOffStatus(last), Close: req.Close})
 		case fleet.Drop:
 			return errLeft
 		}
@@ -67,7 +85,7 @@
 
 // take finds the operation's route and hands it over. A reload that comes between has it matched again, so that route
 // and figures are always of one file.
-func (s *Server) take(o *http1.Operation, req *http1.Request, came time.Time, from string) (*fleet.Operation, error) {
+func (s *Server) take(o *message.Operation, req *message.Request, came time.Time, f front) (*fleet.Operation, error) {
 	for {
 		a := fleet.Arrival{ID: o.ID, Tenant: o.Tenant, Routes: s.fleet.Routes(), Route: -1, Kind: -1}
 		if kind, known := s.fleet.Type(o.Type); known {
@@ -80,18 +98,18 @@
 			return nil, errNoType
 		}
 		if a.Route >= 0 {
-			if len(req.Body) > a.Routes.BodyMost(a.Route, a.Kind, http1.MaxBody) {
-				return nil, &http1.Malformed{Status: 413, Why: "the body is larger than its route takes"}
+			if len(req.Body) > a.Routes.BodyMost(a.Route, a.Kind, message.MaxBody) {
+				return nil, &message.Malformed{Status: 413, Why: "the body is larger than its route takes"}
 			}
 			if a.Routes.Copies(a.Route, a.Kind) {
-				a.Copying = s.copying(req, from)
+				a.Copying = s.copying(f, req)
 			}
 		}
 		if a.Budget = o.Timeout; a.Budget < 0 {
 			a.Budget = s.fleet.AbandonTime(a.Kind)
 		}
 		if a.Budget -= time.Since(came); a.Budget <= 0 {
-			return nil, &http1.Malformed{Status: 408, Why: "the request took all of its time to come"}
+			return nil, &message.Malformed{Status: 408, Why: "the request took all of its time to come"}
 		}
 		op, err := s.fleet.Arrive(a)
 		if err != fleet.ErrMoved {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -186,6 +186,7 @@
 func TestExchange(t *testing.T) {
 	canceled, cancel := context.WithCancel(context.Background())
 	cancel()
+	x := &exchanged{req: &http1.Request{Method: []byte("GET"), Target: []byte("/check/and/more/than/forty/bytes")}}
 	for name, c := range map[string]struct {
 		conn part
 		ctx  context.Context
@@ -204,7 +205,7 @@
 			if c.ctx == nil {
 				c.ctx = context.Background()
 			}
-			if got := exchange(c.ctx, http1.NewConn(c.conn), make([]byte, 99), &http1.Response{}); got != c.want {
+			if got := exchange(c.ctx, http1.NewConn(c.conn), x, time.Second, &http1.Response{}); got != c.want {
 				t.Errorf("ended %s", got)
 			}
 		})
@@ -300,7 +301,7 @@
 	req := &http1.Request{Method: []byte("GET"), Target: []byte("/book/1")}
 	op := booked(s.fleet)
 	defer op.Close()
-	if end, _ := s.hop(context.Background(), op.Next(func() {}), &exchanged{op: op, req: req, scratch: func() []byte { return nil }}); end != fleet.Stale {
+	if end, _ := s.hop(context.Background(), op.Next(func() {}), &exchanged{op: op, req: req, compose: func(a http1.Answer) []byte { return http1.AppendAnswer(nil, a) }}); end != fleet.Stale {
 		t.Errorf("ended %s", end)
 	}
 	(<-held).Close()
@@ -394,7 +395,7 @@
 	if d := op.Next(func() {}); d.Kind != fleet.Send {
 		t.Fatalf("decided %d", d.Kind)
 	}
-	defer s.watch(near, op)()
+	defer httpFront{s, near}.Watch(op)()
 	(<-gone).Close() // while the hop is out
 	if d := op.Next(func() {}); d.Kind != fleet.Drop {
 		t.Errorf("decided %d", d.Kind)
@@ -421,7 +422,7 @@
 			if c.leave {
 				op.Left()
 			}
-			end, _ := s.hop(context.Background(), d, &exchanged{op: op, req: req, scratch: func() []byte { return nil }})
+			end, _ := s.hop(context.Background(), d, &exchanged{op: op, req: req, compose: func(a http1.Answer) []byte { return http1.AppendAnswer(nil, a) }})
 			if sent := taken.Load() > before; end != c.want || sent == c.leave {
 				t.Errorf("ended %s, sent %v", end, sent)
 			}
