FastCGI on both sides: from clients to the node, from the node to servers

Change: internal/fastcgi has records, pairs, params and both ends, bounded in memory; clients share a connection, servers get one request at a time. Which servers speak it and where clients connect stands in the operator's file; off without. Giving up is ABORT_REQUEST and a close.

--- /dev/null
+++ b/internal/fastcgi/back.go
@@ -0,0 +1,148 @@
+package fastcgi
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"fernvane/internal/message"
+	"fernvane/internal/sock"
+)
+
+const (
+	backID     = 1                    // of the one request that is out on a connection
+	keptBuffer = 8 << 10              // bytes that a connection may hold on to
+	abortMost  = 5 * time.Millisecond // for a record of eight bytes to be written
+	mostStderr = 64 << 10             // bytes of one request's that are read; a responder that goes on is garbled
+)
+
+// Back is a connection to a responder. It carries one request at a time.
+type Back struct {
+	net.Conn
+	records reader
+	out     []byte
+	again   bool
+	pool    *message.Pool
+	lent    int
+	stderr  func(text []byte)
+}
+
+// NewBack wraps a connection that nothing was read from. What responders write to STDERR is told to stderr.
+func NewBack(c net.Conn, p *message.Pool, stderr func(text []byte)) *Back {
+	return &Back{Conn: c, records: reader{r: c}, pool: p, stderr: stderr}
+}
+
+// Quiet tells that an idle connection is open and that nothing has come on it.
+func (b *Back) Quiet() bool { return sock.Quiet(b.Conn) }
+
+// Reusable tells whether another request may be asked: only behind a whole END_REQUEST.
+func (b *Back) Reusable(*message.Response) bool { return b.again }
+
+// Trim gives back memory that a large answer took.
+func (b *Back) Trim() {
+	if cap(b.out) > keptBuffer {
+		b.out = nil
+	}
+	if cap(b.records.content) > keptBuffer {
+		b.records.content = nil
+	}
+	b.pool.Give(b.lent)
+	b.lent = 0
+}
+
+// Ask writes a request whole, and tells whether its last byte, that of the empty STDIN record, was written.
+func (b *Back) Ask(r *message.Request, left time.Duration, from string) (whole bool, err error) {
+	b.again = false
+	time := strconv.FormatFloat(float64(max(left.Milliseconds(), 1))/1000, 'f', 3, 64)
+	buf := appendBegin(b.out[:0], backID, flagKeep)
+	buf = appendStream(buf, typeParams, backID, appendParams(nil, r, time, from))
+	buf = appendStream(buf, typeStdin, backID, r.Body)
+	n, err := b.Write(buf)
+	b.out = buf[:0]
+	return n == len(buf), err
+}
+
+// Abort asks the responder to give the request up. What comes of it is not waited for.
+func (b *Back) Abort() {
+	b.SetWriteDeadline(time.Now().Add(abortMost))
+	b.Write(appendRecord(nil, typeAbort, backID, nil))
+}
+
+// Reply reads the whole answer. A responder that says in END_REQUEST that it did not take the request is answered for
+// with 503 and Not-Started, as a server of HTTP says it.
+func (b *Back) Reply(r *message.Response) error {
+	b.out = b.out[:0]
+	logged := 0
+	for {
+		rec, err := b.records.next()
+		switch {
+		case err == errRecord:
+			return message.ErrGarbled
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		case rec.kind == typeValues, rec.kind == typeUnknown:
+			continue // of the connection, and asked for by nobody; the hop's time bounds how many come
+		case rec.id != backID:
+			return message.ErrGarbled
+		}
+		switch rec.kind {
+		case typeStdout:
+			if err := b.keep(rec.content); err != nil {
+				return err
+			}
+		case typeStderr:
+			if logged += len(rec.content); logged > mostStderr {
+				return message.ErrGarbled
+			}
+			if b.stderr != nil && len(rec.content) > 0 {
+				b.stderr(rec.content)
+			}
+		case typeEnd:
+			if len(rec.content) != 8 {
+				return message.ErrGarbled
+			}
+			return b.end(r, binary.BigEndian.Uint32(rec.content), rec.content[4])
+		default:
+			return message.ErrGarbled
+		}
+	}
+}
+
+func (b *Back) keep(content []byte) error {
+	if len(b.out)+len(content) > message.MaxHead+message.MaxAnswer {
+		return message.ErrGarbled
+	}
+	if more := len(b.out) + len(content) - keptBuffer - b.lent; more > 0 {
+		if !b.pool.Take(more) {
+			return message.ErrGarbled // no memory for it now; it may have run all the same
+		}
+		b.lent += more
+	}
+	b.out = append(b.out, content...)
+	return nil
+}
+
+func (b *Back) end(r *message.Response, app uint32, status byte) error {
+	switch status {
+	case statusComplete:
+		if err := response(b.out, r); err != nil {
+			return err
+		}
+		if b.again = true; app != 0 && r.Status == 200 {
+			r.Status = 500 // the responder failed behind what it had written
+		}
+		return nil
+	case statusOverloaded, statusCantMPX, statusUnknownRole:
+		if len(b.out) > 0 { // it has begun all the same
+			return message.ErrGarbled
+		}
+		b.again = true
+		*r = message.Response{Status: 503, Fields: append(r.Fields[:0], message.Field{Name: []byte(message.NotStarted), Value: []byte("1")})}
+		return nil
+	}
+	return message.ErrGarbled
+}
--- /dev/null
+++ b/internal/fastcgi/front.go
@@ -0,0 +1,306 @@
+package fastcgi
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"fernvane/internal/message"
+	"fernvane/internal/sock"
+)
+
+const (
+	mostCalls = 100 // requests open on one connection; more are told that the node is overloaded
+	mostPairs = 1 << 10
+)
+
+// errPeer is a client that does not keep to the protocol; its connection is of no further use.
+var errPeer = errors.New("the client does not keep to the protocol")
+
+// Front is a client's connection, which many requests may share.
+type Front struct {
+	net.Conn
+	records reader
+	pool    *message.Pool
+
+	mu     sync.Mutex
+	calls  map[uint16]*Call
+	ended  bool
+	ending bool // a request without FCGI_KEEP_CONN has come: the connection ends with the last answer
+
+	writing sync.Mutex
+}
+
+// Call is one request on a connection.
+type Call struct {
+	ID      uint16
+	Request *message.Request
+	Bad     *message.Malformed // why it cannot be taken; nil for a good one
+	Came    time.Time          // its first record
+
+	left   chan struct{}
+	gone   bool
+	whole  bool
+	headed bool // its params are whole
+	params []byte
+	body   []byte
+	lent   int
+	large  *message.Malformed // it is read to its end, and kept no more
+}
+
+// Left is closed when the client has aborted the request, or its connection has ended.
+func (c *Call) Left() <-chan struct{} { return c.left }
+
+// NewFront wraps a connection that nothing was read from.
+func NewFront(c net.Conn, p *message.Pool) *Front {
+	return &Front{Conn: c, records: reader{r: c}, pool: p, calls: map[uint16]*Call{}}
+}
+
+// Waiting tells that something has come that was not read yet.
+func (f *Front) Waiting() bool { return sock.Waiting(f.Conn) }
+
+// Open tells how many requests have begun to come and are not whole, with when the oldest began, and how many wait for
+// their answer.
+func (f *Front) Open() (coming, running int, oldest time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.calls {
+		if c.whole {
+			running++
+			continue
+		}
+		if coming++; oldest.IsZero() || c.Came.Before(oldest) {
+			oldest = c.Came
+		}
+	}
+	return coming, running, oldest
+}
+
+// Next returns the next whole request. What else comes is dealt with: questions, requests that are not taken, aborts.
+// before is called ahead of each record, to set the time for it.
+func (f *Front) Next(before func()) (*Call, error) {
+	for {
+		before()
+		rec, err := f.records.next()
+		if err != nil {
+			if err == errRecord {
+				err = errPeer
+			}
+			return nil, err
+		}
+		call, err := f.take(rec)
+		if call != nil || err != nil {
+			return call, err
+		}
+	}
+}
+
+func (f *Front) take(rec record) (whole *Call, err error) {
+	if rec.id == 0 {
+		return nil, f.manage(rec)
+	}
+	f.mu.Lock()
+	c, n := f.calls[rec.id], len(f.calls)
+	f.mu.Unlock()
+	switch rec.kind {
+	case typeBegin:
+		switch {
+		case c != nil || len(rec.content) != 8:
+			return nil, errPeer // an id that is open: nobody could tell whose the answer is
+		case rec.content[0] != 0 || rec.content[1] != responder:
+			return nil, f.write(appendEnd(nil, rec.id, 0, statusUnknownRole))
+		case n >= mostCalls:
+			return nil, f.write(appendEnd(nil, rec.id, 0, statusOverloaded))
+		}
+		c = &Call{ID: rec.id, Came: time.Now(), left: make(chan struct{})}
+		f.mu.Lock()
+		f.calls[rec.id] = c
+		f.ending = f.ending || rec.content[2]&flagKeep == 0
+		f.mu.Unlock()
+		return nil, nil
+	case typeAbort:
+		if c == nil {
+			return nil, nil
+		}
+		if !c.whole {
+			return nil, f.End(c)
+		}
+		f.leave(c)
+		return nil, nil
+	case typeParams, typeStdin, typeData:
+		if c == nil || c.whole {
+			return nil, nil // of a request that has ended
+		}
+		return f.stream(c, rec)
+	}
+	return nil, f.write(appendRecord(nil, typeUnknown, 0, []byte{rec.kind, 0, 0, 0, 0, 0, 0, 0}))
+}
+
+// stream takes a part of a request; the one that ends its STDIN makes it whole.
+func (f *Front) stream(c *Call, rec record) (*Call, error) {
+	switch {
+	case rec.kind == typeData: // of another role
+	case rec.kind == typeParams && c.headed, rec.kind == typeStdin && !c.headed:
+		return nil, errPeer
+	case rec.kind == typeParams && len(rec.content) == 0:
+		c.headed = true
+	case rec.kind == typeParams:
+		c.large = f.add(c, &c.params, rec.content, message.MaxHead, 431, "the params are too large")
+	case len(rec.content) > 0:
+		c.large = f.add(c, &c.body, rec.content, message.MaxBody, 413, "the body is too large")
+	default:
+		f.mu.Lock()
+		c.whole = true
+		f.mu.Unlock()
+		if c.Bad = c.large; c.Bad == nil {
+			var err error
+			if c.Request, err = request(c.params, c.body); err != nil {
+				errors.As(err, &c.Bad)
+			}
+		}
+		return c, nil
+	}
+	return nil, nil
+}
+
+// add keeps a part of a stream, as long as it is not too large.
+func (f *Front) add(c *Call, to *[]byte, content []byte, most, status int, why string) *message.Malformed {
+	switch {
+	case c.large != nil:
+		return c.large
+	case len(*to)+len(content) > most:
+		f.free(c)
+		return message.Bad(status, why)
+	case !f.pool.Take(len(content)):
+		f.free(c)
+		return message.Bad(503, "no memory for so large a message now")
+	}
+	c.lent += len(content)
+	*to = append(*to, content...)
+	return nil
+}
+
+func (f *Front) free(c *Call) {
+	f.pool.Give(c.lent)
+	c.params, c.body, c.lent = nil, nil, 0
+}
+
+// manage answers records of the connection itself.
+func (f *Front) manage(rec record) error {
+	if rec.kind != typeGetValues {
+		return f.write(appendRecord(nil, typeUnknown, 0, []byte{rec.kind, 0, 0, 0, 0, 0, 0, 0}))
+	}
+	if len(rec.content) > mostPairs {
+		return errPeer
+	}
+	pairs, err := parsePairs(rec.content, nil)
+	if err != nil {
+		return errPeer
+	}
+	var values []byte
+	for _, p := range pairs {
+		switch string(p.name) {
+		case "FCGI_MAX_CONNS", "FCGI_MAX_REQS":
+			values = appendPair(values, string(p.name), strconv.Itoa(mostCalls))
+		case "FCGI_MPXS_CONNS":
+			values = appendPair(values, string(p.name), "1")
+		}
+	}
+	return f.write(appendRecord(nil, typeValues, 0, values))
+}
+
+func (f *Front) leave(c *Call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !c.gone {
+		c.gone = true
+		close(c.left)
+	}
+}
+
+// Hangup tells all that wait for an answer that their client has gone.
+func (f *Front) Hangup() {
+	f.mu.Lock()
+	f.ended = true
+	calls := make([]*Call, 0, len(f.calls))
+	for _, c := range f.calls {
+		calls = append(calls, c)
+	}
+	f.mu.Unlock()
+	for _, c := range calls {
+		f.leave(c)
+		if !c.whole {
+			f.done(c)
+		}
+	}
+}
+
+// done forgets a call; last tells that the connection is to end now.
+func (f *Front) done(c *Call) (last bool) {
+	f.free(c)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.calls, c.ID)
+	return f.ending && len(f.calls) == 0
+}
+
+// Append writes an answer to a call, with its END_REQUEST.
+func (c *Call) Append(b []byte, a message.Answer) []byte {
+	head := append(strconv.AppendInt([]byte("Status: "), int64(a.Status), 10), "\r\n"...)
+	for _, f := range a.Fields {
+		if message.Passes(f, a.Fields) && !f.Is("Status") {
+			head = append(append(append(head, f.Name...), ": "...), f.Value...)
+			head = append(head, "\r\n"...)
+		}
+	}
+	if a.RetryAfter > 0 {
+		head = strconv.AppendFloat(append(head, "Retry-After: "...), float64(a.RetryAfter/time.Millisecond)/1000, 'f', 3, 64)
+		head = append(head, "\r\n"...)
+	}
+	head = strconv.AppendInt(append(head, "Content-Length: "...), int64(len(a.Body)), 10)
+	head = append(head, "\r\n\r\n"...)
+	b = appendStream(b, typeStdout, c.ID, append(head, a.Body...))
+	return appendEnd(b, c.ID, 0, statusComplete)
+}
+
+// Answer writes what Append has put together, whole, and ends the call. What a client aborted gets its END alone.
+func (f *Front) Answer(c *Call, answer []byte) error {
+	f.mu.Lock()
+	aborted := c.gone
+	f.mu.Unlock()
+	if aborted {
+		return f.End(c)
+	}
+	err := f.write(answer)
+	if f.done(c) {
+		f.Close()
+	}
+	return err
+}
+
+// End ends a call that its client has aborted.
+func (f *Front) End(c *Call) error {
+	err := f.write(appendEnd(nil, c.ID, 0, statusComplete))
+	if f.done(c) {
+		f.Close()
+	}
+	return err
+}
+
+// write puts records on the connection whole, one caller at a time.
+func (f *Front) write(b []byte) error {
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	f.SetWriteDeadline(time.Now().Add(writeMost))
+	n, err := f.Write(b)
+	if n < len(b) {
+		f.Close() // what is half written leaves the others' answers unreadable
+		return errors.Join(io.ErrShortWrite, err)
+	}
+	return nil
+}
+
+const writeMost = 2 * time.Second // for a client to take what is written
--- /dev/null
+++ b/internal/fastcgi/params.go
@@ -0,0 +1,183 @@
+package fastcgi
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+
+	"fernvane/internal/message"
+)
+
+// What an HTTP request is in params, and back. A field X-Y is HTTP_X_Y. Fields whose names hold an underscore are left
+// out on the way to params, for X_Y and X-Y would be one param and a client could pass one off as the other; HTTP_PROXY
+// is left out both ways, for programs take it for a setting of theirs. Content-Type and Content-Length have params of
+// their own, and fields that belong to a connection do not go on.
+//
+//	REQUEST_METHOD    method                 REQUEST_URI     target
+//	SCRIPT_NAME       path                   QUERY_STRING    behind the question mark
+//	CONTENT_LENGTH    bytes of STDIN         CONTENT_TYPE    Content-Type
+//	REMOTE_ADDR       client's address       HTTP_*          the other fields
+const (
+	paramMethod = "REQUEST_METHOD"
+	paramURI    = "REQUEST_URI"
+	paramScript = "SCRIPT_NAME"
+	paramInfo   = "PATH_INFO"
+	paramQuery  = "QUERY_STRING"
+	paramLength = "CONTENT_LENGTH"
+	paramType   = "CONTENT_TYPE"
+	paramProxy  = "HTTP_PROXY"
+	prefix      = "HTTP_"
+)
+
+// appendParams writes the params of a request, with what is left of its time and the client's address.
+func appendParams(b []byte, r *message.Request, left, from string) []byte {
+	path, query, _ := bytes.Cut(r.Target, []byte{'?'})
+	b = appendPair(b, "GATEWAY_INTERFACE", "CGI/1.1")
+	b = appendPair(b, "SERVER_PROTOCOL", "HTTP/1.1")
+	b = appendPair(b, "SERVER_SOFTWARE", "fernvane")
+	b = appendPair(b, "SERVER_NAME", string(r.Get("Host")))
+	b = appendPair(b, "SERVER_PORT", "0")
+	b = appendPair(b, paramMethod, string(r.Method))
+	b = appendPair(b, paramURI, string(r.Target))
+	b = appendPair(b, paramScript, string(path))
+	b = appendPair(b, paramQuery, string(query))
+	b = appendPair(b, "REMOTE_ADDR", from)
+	if len(r.Body) > 0 || string(r.Method) != "GET" {
+		b = appendPair(b, paramLength, strconv.Itoa(len(r.Body)))
+	}
+	for _, f := range r.Fields {
+		switch {
+		case f.Is(message.RequestTimeout), f.Is(message.ForwardedFor), bytes.IndexByte(f.Name, '_') >= 0, !message.Passes(f, r.Fields):
+		case f.Is("Content-Type"):
+			b = appendPair(b, paramType, string(f.Value))
+		default:
+			if name := param(f.Name); name != paramProxy {
+				b = appendPair(b, name, string(f.Value))
+			}
+		}
+	}
+	b = appendPair(b, param([]byte(message.ForwardedFor)), from)
+	return appendPair(b, param([]byte(message.RequestTimeout)), left)
+}
+
+func param(field []byte) string {
+	return prefix + strings.ReplaceAll(strings.ToUpper(string(field)), "-", "_")
+}
+
+// request makes a request of params and a body. What is wrong with them is a *message.Malformed.
+func request(params []byte, body []byte) (*message.Request, error) {
+	pairs, err := parsePairs(params, nil)
+	if err != nil {
+		return nil, message.Bad(400, "the params cannot be read")
+	}
+	r := &message.Request{Method: []byte("GET"), Body: body}
+	var script, info, query []byte
+	stated := -1
+	for _, p := range pairs {
+		name, value := string(p.name), p.value
+		if !message.IsText(value) {
+			return nil, message.Bad(400, "a param cannot be read")
+		}
+		switch name {
+		case paramMethod:
+			r.Method = value
+		case paramURI:
+			r.Target = value
+		case paramScript:
+			script = value
+		case paramInfo:
+			info = value
+		case paramQuery:
+			query = value
+		case paramType:
+			if len(value) > 0 {
+				r.Fields = append(r.Fields, message.Field{Name: []byte("Content-Type"), Value: value})
+			}
+		case paramLength:
+			if len(value) == 0 {
+				break
+			}
+			n, err := strconv.ParseUint(string(value), 10, 31)
+			if err != nil || stated >= 0 && stated != int(n) {
+				return nil, message.Bad(400, "the length of the body is not clear")
+			}
+			stated = int(n)
+		case paramProxy:
+		default:
+			field, ok := strings.CutPrefix(name, prefix)
+			if !ok {
+				break
+			}
+			f := message.Field{Name: []byte(strings.ReplaceAll(field, "_", "-")), Value: value}
+			if !message.IsToken(f.Name) {
+				return nil, message.Bad(400, "a param cannot be read")
+			}
+			if message.Passes(f, nil) {
+				r.Fields = append(r.Fields, f)
+			}
+		}
+		if len(r.Fields) > message.MaxFields {
+			return nil, message.Bad(431, "too many fields")
+		}
+	}
+	if stated >= 0 && stated != len(body) { // what one side takes for the body is not what the other has sent
+		return nil, message.Bad(400, "the body is not as long as it is said to be")
+	}
+	if len(r.Target) == 0 {
+		r.Target = append(append([]byte(nil), script...), info...)
+		if len(query) > 0 {
+			r.Target = append(append(r.Target, '?'), query...)
+		}
+	}
+	if !message.IsToken(r.Method) || !message.IsTarget(r.Target) {
+		return nil, message.Bad(400, "the request line cannot be read")
+	}
+	return r, nil
+}
+
+// response makes an answer of what a responder has written: a head as CGI has it, and the body.
+func response(out []byte, r *message.Response) error {
+	*r = message.Response{Status: 200, Fields: r.Fields[:0]}
+	stated := -1
+	for lines := 0; ; lines++ {
+		i := bytes.IndexByte(out, '\n')
+		if i < 0 || i > message.MaxHead || lines > message.MaxFields {
+			return message.ErrGarbled
+		}
+		line := bytes.TrimSuffix(out[:i], []byte{'\r'})
+		out = out[i+1:]
+		if len(line) == 0 {
+			break
+		}
+		name, value, ok := bytes.Cut(line, []byte{':'})
+		value = bytes.Trim(value, " \t")
+		if !ok || !message.IsToken(name) || !message.IsText(value) {
+			return message.ErrGarbled
+		}
+		f := message.Field{Name: name, Value: value}
+		switch {
+		case f.Is("Status"):
+			code, _, _ := bytes.Cut(value, []byte{' '})
+			n, err := strconv.ParseUint(string(code), 10, 16)
+			if err != nil || len(code) != 3 || n < 200 || n > 599 {
+				return message.ErrGarbled
+			}
+			r.Status = int(n)
+		case f.Is("Location") && r.Status == 200:
+			r.Status = 302
+			r.Fields = append(r.Fields, f)
+		case f.Is("Content-Length"):
+			n, err := strconv.ParseUint(string(value), 10, 31)
+			if err != nil {
+				return message.ErrGarbled
+			}
+			stated = int(n)
+		default:
+			r.Fields = append(r.Fields, f)
+		}
+	}
+	if r.Body = out; stated >= 0 && stated != len(out) { // cut off, or more than belongs to it
+		return message.ErrGarbled
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fastcgi/record.go
@@ -0,0 +1,160 @@
+// Package fastcgi is what is spoken in FastCGI 1.0, from its published specification: records, name-value pairs, requests
+// of clients on a connection that they may share, and requests to responders, one at a time on a kept connection. It
+// decides nothing and sends nothing twice. Whatever a peer sends, its memory is bounded.
+package fastcgi
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+)
+
+// Types of records.
+const (
+	typeBegin     = 1
+	typeAbort     = 2
+	typeEnd       = 3
+	typeParams    = 4
+	typeStdin     = 5
+	typeStdout    = 6
+	typeStderr    = 7
+	typeData      = 8
+	typeGetValues = 9
+	typeValues    = 10
+	typeUnknown   = 11
+)
+
+const (
+	version    = 1
+	headerLen  = 8
+	mostChunk  = 65535 // bytes of a record's content
+	responder  = 1     // the one role that is played
+	flagKeep   = 1
+	shortName  = 127 // bytes of a name or value whose length takes one byte
+	longLength = 1 << 31
+)
+
+// Protocol statuses of END_REQUEST.
+const (
+	statusComplete    = 0
+	statusCantMPX     = 1
+	statusOverloaded  = 2
+	statusUnknownRole = 3
+)
+
+var errRecord = errors.New("a record cannot be read")
+
+// record is one; its content is valid until the next is read.
+type record struct {
+	kind    byte
+	id      uint16
+	content []byte
+}
+
+// reader takes records off a stream into one buffer.
+type reader struct {
+	r       io.Reader
+	header  [headerLen]byte
+	content []byte
+	started bool // part of a record has been read
+}
+
+// next reads a record whole, padding and all. io.EOF comes between records only.
+func (r *reader) next() (record, error) {
+	r.started = false
+	n, err := io.ReadFull(r.r, r.header[:])
+	r.started = n > 0
+	if err != nil {
+		return record{}, err
+	}
+	if r.header[0] != version {
+		return record{}, errRecord
+	}
+	length, padding := int(binary.BigEndian.Uint16(r.header[4:])), int(r.header[6])
+	if cap(r.content) < length+padding {
+		r.content = make([]byte, 0, max(length+padding, 1024))
+	}
+	all := r.content[:length+padding]
+	if _, err := io.ReadFull(r.r, all); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return record{}, err
+	}
+	return record{kind: r.header[1], id: binary.BigEndian.Uint16(r.header[2:]), content: all[:length]}, nil
+}
+
+// appendRecord writes one record; its content is padded to eight bytes, as the specification advises.
+func appendRecord(b []byte, kind byte, id uint16, content []byte) []byte {
+	padding := -len(content) & 7
+	b = append(b, version, kind, byte(id>>8), byte(id), byte(len(content)>>8), byte(len(content)), byte(padding), 0)
+	b = append(b, content...)
+	return append(b, make([]byte, padding)...)
+}
+
+// appendStream writes a stream in as many records as it takes, and its end.
+func appendStream(b []byte, kind byte, id uint16, content []byte) []byte {
+	for len(content) > 0 {
+		n := min(len(content), mostChunk)
+		b = appendRecord(b, kind, id, content[:n])
+		content = content[n:]
+	}
+	return appendRecord(b, kind, id, nil)
+}
+
+// pair is one of PARAMS or GET_VALUES.
+type pair struct{ name, value []byte }
+
+func appendLength(b []byte, n int) []byte {
+	if n <= shortName {
+		return append(b, byte(n))
+	}
+	return binary.BigEndian.AppendUint32(b, uint32(n)|longLength)
+}
+
+func appendPair(b []byte, name, value string) []byte {
+	b = appendLength(appendLength(b, len(name)), len(value))
+	return append(append(b, name...), value...)
+}
+
+// length reads one of the two forms; ok is false where it is not whole.
+func length(b []byte) (n int, rest []byte, ok bool) {
+	switch {
+	case len(b) == 0:
+		return 0, nil, false
+	case b[0] <= shortName:
+		return int(b[0]), b[1:], true
+	case len(b) < 4:
+		return 0, nil, false
+	}
+	return int(binary.BigEndian.Uint32(b) &^ longLength), b[4:], true
+}
+
+// parsePairs reads a whole stream of pairs, which may have come split over records in any way.
+func parsePairs(b []byte, into []pair) ([]pair, error) {
+	for len(b) > 0 {
+		name, rest, ok := length(b)
+		if !ok {
+			return into, errRecord
+		}
+		value, rest, ok := length(rest)
+		if !ok || name > len(rest) || value > len(rest)-name {
+			return into, errRecord
+		}
+		into = append(into, pair{rest[:name], rest[name : name+value]})
+		b = rest[name+value:]
+	}
+	return into, nil
+}
+
+// appendEnd writes the end of a request.
+func appendEnd(b []byte, id uint16, app uint32, status byte) []byte {
+	var body [8]byte
+	binary.BigEndian.PutUint32(body[:], app)
+	body[4] = status
+	return appendRecord(b, typeEnd, id, body[:])
+}
+
+func appendBegin(b []byte, id uint16, flags byte) []byte {
+	return appendRecord(b, typeBegin, id, []byte{0, responder, flags, 0, 0, 0, 0, 0})
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,6 +46,7 @@
 	line    policy.Member // as discovery last told it
 	site    string
 	flavor  string
+	cgi     bool       // speaks FastCGI
 	idle    []idleConn // the latest used last
 }
 
@@ -153,6 +154,10 @@
 	f.door.Retype(now, policy.Input{Types: u.Types, Like: u.Like, Rooms: u.Rooms}, (*hands)(f))
 	var lines []node.Member[string]
 	for id, s := range f.servers {
+		if cgi := set.SpeaksFastCGI(id, s.site, s.flavor); cgi != s.cgi {
+			f.release(s) // what stands idle speaks the other protocol
+			s.cgi = cgi
+		}
 		if labels := f.routes.Labels(id, s.site, s.flavor); labels != s.line.Labels {
 			s.line.Labels = labels
 			lines = append(lines, node.Member[string]{Server: id, Line: s.line})
@@ -191,8 +196,9 @@
 		f.servers[h.ID] = s
 	}
 	s.line, s.serving, s.site, s.flavor = line, h.Phase == http1.Serving, h.Zone, h.Flavor
-	if h.Address != s.address {
+	if cgi := f.routes.Set().SpeaksFastCGI(h.ID, h.Zone, h.Flavor); h.Address != s.address || cgi != s.cgi {
 		f.release(s)
+		s.cgi = cgi
 	}
 	if h.Address.IsValid() {
 		s.address = h.Address
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -247,7 +247,7 @@
 			free := f.room.free
 			f.Reserve()
 			conn := &closer{closed: make(chan string, 1)}
-			f.Keep("a", http1.NewConn(conn))
+			f.Keep("a", false, http1.NewConn(conn))
 			c.do(f)
 			got := f.Take("a")
 			if f.Unlisted(); (got != nil) != c.back || (len(conn.closed) == 0) != c.back || (f.room.free == free) == c.back {
@@ -292,7 +292,7 @@
 				if !f.Reserve() {
 					t.Fatal("no room for a server")
 				}
-				f.Keep("a", http1.NewConn(&closer{name: fmt.Sprint("server ", i), closed: closed}))
+				f.Keep("a", false, http1.NewConn(&closer{name: fmt.Sprint("server ", i), closed: closed}))
 			}
 			var first *Client
 			for i := range leastSockets - 3 { // the others are servers'
@@ -404,7 +404,7 @@
 			before = fmt.Sprint("next ", i-1)
 		}
 		f.Reserve()
-		f.Keep(before, http1.NewConn(&closer{name: before, closed: closed}))
+		f.Keep(before, false, http1.NewConn(&closer{name: before, closed: closed}))
 		f.Listed(http1.List{Hosts: []http1.Host{host(id, 1)}}, false)
 		if got := <-closed; got != before || f.Take(before) != nil {
 			t.Fatalf("closed %s, not %s", got, before)
@@ -462,7 +462,7 @@
 			f := fleet(t, policy.Retriable, limits, host("a", 1))
 			for i, age := range c.ages {
 				f.Reserve()
-				f.Keep("a", http1.NewConn(&closer{name: fmt.Sprint(i)}))
+				f.Keep("a", false, http1.NewConn(&closer{name: fmt.Sprint(i)}))
 				f.servers["a"].idle[i].since -= age
 			}
 			if got := f.Take("a").(*http1.Conn).Conn.(*closer).name; got != c.want {
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -28,6 +28,7 @@
 	Hop     int // which of the operation's, from 0
 	Server  string
 	Address netip.AddrPort
+	FastCGI bool          // what the server speaks; else HTTP
 	For     time.Duration // the hop's time, or when a denied client may return
 	Answer  []byte        // what the hop brought that is the client's answer
 }
@@ -268,7 +269,7 @@
 	if o == nil {
 		return
 	}
-	d := Decision{Kind: Send, Hop: o.hops, Server: server, Address: s.address, For: allow}
+	d := Decision{Kind: Send, Hop: o.hops, Server: server, Address: s.address, FastCGI: s.cgi, For: allow}
 	o.outs = append(o.outs, out{hop: o.hops, server: server, sent: time.Since(h.started), copy: len(o.outs) > 0})
 	o.hops++
 	switch {
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -162,6 +162,9 @@
 func (c *Client) Idle() {
 	c.f.mu.Lock()
 	defer c.f.unlock()
+	if c.place != nil { // requests that share a connection may end together
+		return
+	}
 	c.place, c.since = c.f.room.idle.PushBack(c), c.f.now()
 	if c.used {
 		c.f.room.kept++
@@ -274,10 +277,10 @@
 }
 
 // Keep puts a connection by for later use, if its server is still one to be used.
-func (f *Fleet) Keep(id string, c Line) {
+func (f *Fleet) Keep(id string, cgi bool, c Line) {
 	f.mu.Lock()
 	defer f.unlock()
-	if s := f.servers[id]; s != nil && s.serving {
+	if s := f.servers[id]; s != nil && s.serving && s.cgi == cgi {
 		s.idle = append(s.idle, idleConn{c, f.now()})
 		f.room.tell()
 		return
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"fernvane/internal/sock"
 )
 
 const (
@@ -144,46 +146,15 @@
 	return c.buf[:0]
 }
 
-// peek looks at the socket without reading from it, and waits for something to see where it is told to.
-func (c *Conn) peek(wait bool) (n int, err error) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, syscall.ENOTSUP
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var one [1]byte
-	var got error
-	look := func(fd uintptr) {
-		for got = syscall.EINTR; got == syscall.EINTR; { // a signal is no news of the other side
-			n, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		}
-	}
-	if wait {
-		err = rc.Read(func(fd uintptr) bool {
-			look(fd)
-			return got != syscall.EAGAIN
-		})
-	} else {
-		err = rc.Control(look) // also while another goroutine reads, and after a deadline has passed
-	}
-	if err != nil {
-		return 0, err
-	}
-	return n, got
-}
-
 // Quiet tells that an idle connection is open and that nothing has come on it.
 func (c *Conn) Quiet() bool {
-	_, err := c.peek(false)
+	_, err := sock.Peek(c.Conn, false)
 	return err == syscall.EAGAIN && c.at == c.end
 }
 
 // Waiting tells that something has come that was not read yet. It may be asked from anywhere.
 func (c *Conn) Waiting() bool {
-	n, err := c.peek(false)
+	n, err := sock.Peek(c.Conn, false)
 	return err == nil && n > 0
 }
 
@@ -193,7 +164,7 @@
 // Gone waits until the other side has closed or broken the connection, and tells so. It is false when
 // more data came first, the read deadline passed, or the connection is of a kind that cannot be looked at.
 func (c *Conn) Gone() bool {
-	n, err := c.peek(true)
+	n, err := sock.Peek(c.Conn, true)
 	if errors.Is(err, ErrTimeout) || err == syscall.ENOTSUP {
 		return false
 	}
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -31,7 +31,7 @@
 		}
 	}
 	*r = Request{Method: method, Target: target, Fields: r.Fields[:0]}
-	if !message.IsToken(method) || !isTarget(target) {
+	if !message.IsToken(method) || !message.IsTarget(target) {
 		return message.Bad(400, "the request line cannot be read")
 	}
 	old := string(version) == "HTTP/1.0"
@@ -72,12 +72,3 @@
 	}
 	return err
 }
-
-func isTarget(b []byte) bool {
-	for _, c := range b {
-		if c <= ' ' || c == 0x7f {
-			return false
-		}
-	}
-	return len(b) > 0 && b[0] == '/'
-}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -225,3 +225,13 @@
 	RetryAfter time.Duration
 	Close      bool
 }
+
+// IsTarget tells whether a request may be for it.
+func IsTarget(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return len(b) > 0 && b[0] == '/'
+}
--- a/internal/route/check.go
+++ b/internal/route/check.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -69,6 +70,18 @@
 		set.tenants[name] = i
 	}
 	c.checkPools(set)
+	set.FastCGI = c.file.FastCGI
+	if at := c.file.FastCGI.Listen; at != "" {
+		var err error
+		if set.Listen, err = netip.ParseAddrPort(at); err != nil {
+			c.Wrong("fastcgi.listen", "%q is no address with a port", at)
+		}
+	}
+	for _, site := range c.file.FastCGI.Sites {
+		if !slices.Contains(c.settings.Zones, site) {
+			c.Wrong("fastcgi.sites", "no site %q: there are %s", site, strings.Join(c.settings.Zones, ", "))
+		}
+	}
 	for name := range c.file.Class {
 		if _, ok := set.types[name]; !ok {
 			c.Wrong("class."+name, "no traffic type %q: there are %s", name, strings.Join(c.settings.TypeNames, ", "))
--- a/internal/route/check_test.go
+++ b/internal/route/check_test.go
@@ -106,6 +106,8 @@
 		"shares that add up to more":            {route("rate = 5\ntenant_shares = {dairy = 0.6, orchards = 0.6}"), []string{"f:5: route \"a\", type check: the shares add up to 1.200"}},
 		"a share of 0":                          {route("rate = 5\ntenant_shares = {dairy = 0.0}"), []string{"f:5: route \"a\", type check: the share of \"dairy\" is 0"}},
 		"shares of nothing":                     {route("tenant_shares = {dairy = 0.5}"), []string{"f:4: route \"a\", type check: shares of what?"}},
+		"no address to listen on":               {"[fastcgi]\nlisten = \"here\"", []string{"f:2: \"here\" is no address with a port"}},
+		"FastCGI on an unknown site":            {"[fastcgi]\nsites = [\"moon\"]", []string{"f:2: no site \"moon\""}},
 		"a pool without a name":                 {"[[pools]]\nsites = [\"north\"]", []string{"f:1: each pool needs a name of its own"}},
 		"two pools of one name":                 {"[[pools]]\nname = \"p\"\nsites = [\"north\"]\n[[pools]]\nname = \"p\"\nsites = [\"south\"]", []string{"f:5: each pool needs"}},
 		"a pool of nothing":                     {"[[pools]]\nname = \"p\"", []string{"f:1: pool \"p\" names neither"}},
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -155,6 +155,7 @@
 	}
 	list := func(of map[string]any) map[string]any { return map[string]any{"type": "array", "items": of} }
 	top := object(map[string]any{
+		"fastcgi":  object(properties(reflect.TypeFor[FastCGI]())),
 		"defaults": object(limits),
 		"class":    map[string]any{"type": "object", "additionalProperties": object(limits), "description": "limits by traffic type"},
 		"pools":    list(object(pool)),
--- a/internal/route/file.go
+++ b/internal/route/file.go
@@ -56,8 +56,17 @@
 	Servers []string `toml:"servers" unit:"list" doc:"ids; a * at the end stands for any rest"`
 }
 
+// FastCGI says who speaks it: clients, on a listener of their own, and the servers that fit every key that is given.
+type FastCGI struct {
+	Listen  string   `toml:"listen" unit:"address" doc:"where clients that speak FastCGI connect; read at the start only"`
+	Sites   []string `toml:"sites" unit:"list" doc:"where the servers stand that speak FastCGI"`
+	Flavors []string `toml:"flavors" unit:"list" doc:"kinds of machine, as discovery tells them"`
+	Servers []string `toml:"servers" unit:"list" doc:"ids; a * at the end stands for any rest"`
+}
+
 // File is the operator's file.
 type File struct {
+	FastCGI  FastCGI           `toml:"fastcgi"`
 	Defaults Limits            `toml:"defaults"`
 	Class    map[string]Limits `toml:"class"`
 	Pools    []Pool            `toml:"pools"`
--- a/internal/route/set.go
+++ b/internal/route/set.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -34,6 +35,8 @@
 	Routes   []compiled
 	Profiles []Profile
 	Pools    []Pool
+	FastCGI  FastCGI
+	Listen   netip.AddrPort // of clients that speak FastCGI; not valid for none
 	tree     *tree
 	types    map[string]int
 	tenants  map[string]int
@@ -91,20 +94,32 @@
 	return route >= 0 && s.Routes[route].limits[kind].CopyAfter != nil
 }
 
-// labels are the pools that a server is in, a bit for each in the order of the file.
-func (s *Set) labels(id, site, flavor string) (labels uint64) {
-	for i, p := range s.Pools {
-		fits := len(p.Sites) == 0 || slices.Contains(p.Sites, site)
-		fits = fits && (len(p.Flavors) == 0 || slices.Contains(p.Flavors, flavor))
-		fits = fits && (len(p.Servers) == 0 || slices.ContainsFunc(p.Servers, func(pattern string) bool {
+// fits tells whether a server is among those that a choice names; what is left empty chooses all.
+func fits(sites, flavors, servers []string, id, site, flavor string) bool {
+	return (len(sites) == 0 || slices.Contains(sites, site)) && (len(flavors) == 0 || slices.Contains(flavors, flavor)) &&
+		(len(servers) == 0 || slices.ContainsFunc(servers, func(pattern string) bool {
 			if prefix, open := strings.CutSuffix(pattern, "*"); open {
 				return strings.HasPrefix(id, prefix)
 			}
 			return id == pattern
 		}))
-		if fits {
+}
+
+// labels are the pools that a server is in, a bit for each in the order of the file.
+func (s *Set) labels(id, site, flavor string) (labels uint64) {
+	for i, p := range s.Pools {
+		if fits(p.Sites, p.Flavors, p.Servers, id, site, flavor) {
 			labels |= 1 << i
 		}
 	}
 	return labels
 }
+
+// SpeaksFastCGI tells whether a server does; those that the file does not name speak HTTP.
+func (s *Set) SpeaksFastCGI(id, site, flavor string) bool {
+	if s == nil {
+		return false
+	}
+	f := &s.FastCGI
+	return len(f.Sites)+len(f.Flavors)+len(f.Servers) > 0 && fits(f.Sites, f.Flavors, f.Servers, id, site, flavor)
+}
--- /dev/null
+++ b/internal/serve/cgi_test.go
@@ -0,0 +1,216 @@
+package serve
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fernvane/internal/fastcgi"
+	"fernvane/internal/http1"
+	"fernvane/internal/message"
+)
+
+// responder speaks FastCGI and answers each request with what answer makes of it; nil is silence.
+func responder(t *testing.T, answer func(*message.Request) *message.Answer) netip.AddrPort {
+	return standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		f := fastcgi.NewFront(nc, nil)
+		defer f.Hangup()
+		for {
+			call, err := f.Next(func() {})
+			if err != nil {
+				return
+			}
+			if a := answer(call.Request); a != nil {
+				f.Answer(call, call.Append(nil, *a))
+			}
+		}
+	})
+}
+
+// cgiNode runs a node that clients reach in both protocols, in front of servers in both.
+func cgiNode(t *testing.T, hosts ...http1.Host) (http, cgi string, stop func() error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cgi = ln.Addr().String()
+	ln.Close()
+	cfg := config(hosts...)
+	cfg.Routes = routes(t, &cfg, fmt.Sprintf("[fastcgi]\nlisten = %q\nflavors = [\"cgi\"]", cgi))
+	http, stop = startNode(t, cfg)
+	ask1(t, dial(t, http), "/up") // it listens on both
+	return http, cgi, stop
+}
+
+func echoed(r *message.Request) *message.Answer {
+	return &message.Answer{Status: 200, Body: fmt.Appendf(nil, "%s %s %s", r.Method, r.Target, r.Body)}
+}
+
+func post(id string) *message.Request {
+	return &message.Request{Method: []byte("POST"), Target: []byte("/book/1"), Body: []byte("body"),
+		Fields: []message.Field{{Name: []byte("Host"), Value: []byte("h")}, {Name: []byte("Request-Id"), Value: []byte(id)}}}
+}
+
+// One operation in the four pairings of protocols, and what it gets by what the server does.
+func TestPairings(t *testing.T) {
+	t.Parallel()
+	status := func(n int, never bool) func(*message.Request) *message.Answer {
+		return func(*message.Request) *message.Answer {
+			a := &message.Answer{Status: n}
+			if never {
+				a.Fields = []message.Field{{Name: []byte("Not-Started"), Value: []byte("1")}}
+			}
+			return a
+		}
+	}
+	for name, c := range map[string]struct {
+		answer func(*message.Request) *message.Answer
+		status int
+		body   string
+		hops   int
+	}{
+		"handled":          {echoed, 200, "POST /book/1 body", 1},
+		"an error":         {status(500, false), 502, "", 1},
+		"turned away":      {status(503, true), 503, "", 4},
+		"its own fault":    {status(404, false), 404, "", 1},
+		"silence, binding": {func(*message.Request) *message.Answer { return nil }, 504, "", 1},
+	} {
+		for _, pairing := range []string{"http http", "http cgi", "cgi http", "cgi cgi"} {
+			t.Run(name+", "+pairing, func(t *testing.T) {
+				t.Parallel()
+				front, back, _ := strings.Cut(pairing, " ")
+				var mu sync.Mutex
+				hops := 0
+				counted := func(r *message.Request) *message.Answer {
+					mu.Lock()
+					hops++
+					mu.Unlock()
+					return c.answer(r)
+				}
+				var hosts []http1.Host
+				for i := range 2 {
+					h := http1.Host{ID: fmt.Sprint("s", i), Size: 1, Flavor: back}
+					if back == "cgi" {
+						h.Address = responder(t, counted)
+					} else {
+						h.Address = standIn(t, func(nc net.Conn) {
+							defer nc.Close()
+							conn := http1.NewConn(nc)
+							var r http1.Request
+							for conn.ReadRequest(&r) == nil {
+								if a := counted(&r); a != nil {
+									conn.Send(http1.AppendAnswer(nil, *a))
+								}
+							}
+						})
+					}
+					hosts = append(hosts, h)
+				}
+				http, cgi, _ := cgiNode(t, hosts...)
+				var l line = http1.NewConn(dial(t, http).Conn)
+				if front == "cgi" {
+					l = fastcgi.NewBack(dial(t, cgi).Conn, nil, nil)
+				}
+				l.SetDeadline(time.Now().Add(10 * time.Second))
+				for range 2 { // the second on the connection that was kept
+					mu.Lock()
+					hops = 0
+					mu.Unlock()
+					var r message.Response
+					if whole, err := l.Ask(post(fmt.Sprint(ids.Add(1))), 5*time.Second, "1.2.3.4"); !whole {
+						t.Fatal(err)
+					}
+					if err := l.Reply(&r); err != nil {
+						t.Fatal(err)
+					}
+					mu.Lock()
+					if r.Status != c.status || c.body != "" && string(r.Body) != c.body || hops > c.hops || hops < 1 && c.status == 200 {
+						t.Errorf("%d %q after %d hops", r.Status, r.Body, hops)
+					}
+					mu.Unlock()
+					if c.status != 200 {
+						break // its servers rest now
+					}
+				}
+			})
+		}
+	}
+}
+
+// A hundred requests share a connection: one that is aborted while its hop is out and one that is malformed harm no
+// other, and nothing more comes of the aborted one than its end.
+func TestSharedConnection(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	at := responder(t, func(r *message.Request) *message.Answer {
+		if strings.HasSuffix(string(r.Target), "held") {
+			<-release
+		}
+		return echoed(r)
+	})
+	_, cgi, stop := cgiNode(t, http1.Host{ID: "s", Size: 1, Flavor: "cgi", Address: at})
+	nc := dial(t, cgi).Conn
+	nc.SetDeadline(time.Now().Add(10 * time.Second))
+	const n = 100
+	var wire []byte
+	for id := uint16(1); id <= n; id++ {
+		q := post(fmt.Sprint("shared-", id))
+		if id == 7 {
+			q.Target = []byte("/book/held")
+		}
+		if id == 8 {
+			q.Fields = nil // no id
+		}
+		wire = append(wire, fastcgi.AppendRequest(nil, id, q, "1.000", "1.2.3.4")...)
+	}
+	wire = append(wire, fastcgi.AppendAbort(nil, 7)...)
+	if _, err := nc.Write(wire); err != nil {
+		t.Fatal(err)
+	}
+	answers, err := fastcgi.ReadAnswers(nc, n)
+	close(release)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var whole []uint16
+	for id, a := range answers {
+		switch {
+		case id == 7 && len(a.Body) == 0 && a.Status == 0, id == 8 && a.Status == 400, a.Status == 200 && string(a.Body) == "POST /book/1 body", a.Status == 503:
+			whole = append(whole, id)
+		default:
+			t.Errorf("request %d: %d %q", id, a.Status, a.Body)
+		}
+	}
+	if len(whole) != n || !slices.Contains(whole, 7) {
+		t.Errorf("%d answers", len(whole))
+	}
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A client of FastCGI that says nothing, stalls or does not keep to the protocol is owed an end within 3 s.
+func TestBadCGIClientsEnd(t *testing.T) {
+	t.Parallel()
+	_, cgi, _ := cgiNode(t)
+	whole := fastcgi.AppendRequest(nil, 1, post("x"), "1.000", "1.2.3.4")
+	for name, text := range map[string][]byte{"says nothing": nil, "half a header": whole[:5], "half a request": whole[:len(whole)-8], "HTTP": []byte("GET / HTTP/1.1\r\n\r\n"),
+		"the same id twice": append(slices.Clone(whole[:16]), whole[:16]...)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			nc := dial(t, cgi).Conn
+			nc.Write(text)
+			nc.SetReadDeadline(time.Now().Add(3 * time.Second))
+			if _, err := nc.Read(make([]byte, 99)); err == nil || strings.Contains(err.Error(), "timeout") {
+				t.Errorf("still open: %v", err)
+			}
+		})
+	}
+}
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -9,11 +9,14 @@
 	"syscall"
 	"time"
 
+	"fernvane/internal/fastcgi"
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/message"
 )
 
+const logText = 300 // bytes of a server's own words in a log line
+
 var past = time.Unix(1, 0)
 
 // exchanged is what hops of one operation have in common.
@@ -49,7 +52,7 @@
 		return end, nil
 	}
 	if x.op.Settled() { // the client has left while the connection came up: nothing is sent any more
-		s.fleet.Keep(d.Server, conn)
+		s.fleet.Keep(d.Server, d.FastCGI, conn)
 		return fleet.NoTime, nil
 	}
 	conn.SetDeadline(until)
@@ -68,8 +71,11 @@
 	conn.Trim()
 	whole := end <= fleet.TurnedAway
 	if stop() && again {
-		s.fleet.Keep(d.Server, conn)
+		s.fleet.Keep(d.Server, d.FastCGI, conn)
 	} else { // given up, broken or used up: closing it is what tells the server
+		if a, ok := conn.(interface{ Abort() }); ok && !whole {
+			a.Abort()
+		}
 		conn.Close()
 		s.fleet.Forgo()
 	}
@@ -120,6 +126,11 @@
 	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
 	nc, err := s.dialer.DialContext(ctx, "tcp", d.Address.String())
+	if err == nil && d.FastCGI {
+		return fastcgi.NewBack(nc, s.fleet.Pool(), func(text []byte) {
+			s.log.Warn().Str("server", d.Server).Bytes("stderr", text[:min(len(text), logText)]).Msg("responder complains")
+		}), false, fleet.Answered
+	}
 	if err == nil {
 		return http1.NewPooled(nc, s.fleet.Pool()), false, fleet.Answered
 	}
--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -11,7 +11,7 @@
 
 // accept takes connections until the node stops and none comes any more. One that the system has taken
 // may hold a request already, so listening does not end while there are such.
-func (s *Server) accept(ln *net.TCPListener) error {
+func (s *Server) accept(ln *net.TCPListener, lead func(*net.TCPConn)) error {
 	for {
 		s.fleet.Admit()
 		last := s.closing.Load()
@@ -24,7 +24,7 @@
 		nc, err := ln.AcceptTCP()
 		if err == nil {
 			s.clients.Go(func() error {
-				s.client(nc)
+				lead(nc)
 				return nil
 			})
 			continue
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -66,6 +66,14 @@
 	defer ln.Close()
 	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits, cfg.module())}
 	defer s.fleet.Stop()
+	var cgi *net.TCPListener
+	if cfg.Routes != nil && cfg.Routes.Listen.IsValid() {
+		var err error
+		if cgi, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.Routes.Listen)); err != nil {
+			return err
+		}
+		defer cgi.Close()
+	}
 	s.discovery.Store(newPlace(cfg.Discovery))
 	if cfg.Routes != nil {
 		s.fleet.Reroute(cfg.Routes)
@@ -82,7 +90,12 @@
 	g.Go(func() error { return s.reload(ctx, tell.Reload) })
 	g.Go(func() error {
 		defer cancel()
-		if err := s.accept(ln); err != nil {
+		both := errgroup.Group{}
+		both.Go(func() error { return s.accept(ln, s.client) })
+		if cgi != nil {
+			both.Go(func() error { return s.accept(cgi, s.cgiClient) })
+		}
+		if err := both.Wait(); err != nil {
 			return err
 		}
 		s.finish()
@@ -91,7 +104,7 @@
 	g.Go(func() error {
 		select {
 		case <-tell.Stop:
-			s.drain(ln)
+			s.drain(ln, cgi)
 		case <-ctx.Done():
 		}
 		return nil
@@ -116,13 +129,17 @@
 
 // drain ends the listening once no connection comes any more. Until then all answers end their
 // connections; what is idle after that is closed.
-func (s *Server) drain(ln *net.TCPListener) {
+func (s *Server) drain(listeners ...*net.TCPListener) {
 	s.log.Info().Msg("stopping")
 	s.gone = time.Now().Add(min(s.longest(), longestAwait) + killAfter - killSlack)
 	s.draining.Store(true)
 	time.Sleep(comingFor)
-	ln.SetDeadline(past) // wakes accept, which goes on until it has waited in vain
 	s.closing.Store(true)
+	for _, ln := range listeners {
+		if ln != nil {
+			ln.SetDeadline(past) // wakes accept, which goes on until it has waited in vain
+		}
+	}
 }
 
 // finish closes what is idle and waits for what was taken, as long as there is time.
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -297,7 +297,7 @@
 	kept := dial(t, standIn(t, func(c net.Conn) { held <- c }).String())
 	kept.Conn.(*net.TCPConn).CloseWrite()
 	s.fleet.Reserve()
-	s.fleet.Keep(hosts[0].ID, kept)
+	s.fleet.Keep(hosts[0].ID, false, kept)
 	req := &http1.Request{Method: []byte("GET"), Target: []byte("/book/1")}
 	op := booked(s.fleet)
 	defer op.Close()
