--- a/cmd/fernlab/run.go
+++ b/cmd/fernlab/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -23,7 +24,7 @@
 	json, plot, node, trace, keep, policy, operator string
 	baselines                                       []string
 	seed                                            uint64
-	quiet                                           bool
+	quiet, pairings                                 bool
 }
 
 func runCommand() *cobra.Command {
@@ -53,6 +54,7 @@
 			if !c.Flags().Changed("baselines") {
 				f.baselines = s.Baselines
 			}
+			s.Pairings = s.Pairings || f.pairings
 			return play(c.Context(), c.OutOrStdout(), c.ErrOrStderr(), s, f)
 		},
 	}
@@ -66,6 +68,7 @@
 	fl.StringVar(&f.keep, "keep", "", "keep the nodes' configurations and logs in this `folder`")
 	fl.StringSliceVar(&f.baselines, "baselines", nil, "policies to play beside the node: all, none, or some of "+strings.Join(baseline.Names, ","))
 	fl.Uint64Var(&f.seed, "seed", 0, "another `seed` than the scenario's")
+	fl.BoolVar(&f.pairings, "pairings", false, "play each pairing of HTTP and FastCGI, of clients and boxes")
 	fl.BoolVar(&f.quiet, "quiet", false, "show no progress")
 	return c
 }
@@ -120,13 +123,21 @@
 	if err != nil {
 		return err
 	}
+	if s.Pairings {
+		r.Policy = "HTTP to HTTP"
+		if err := pairings(ctx, o, &r); err != nil {
+			return err
+		}
+	}
 	if len(others) > 0 {
 		if !f.quiet {
 			fmt.Fprintf(errs, "\nbaselines, side by side: %s\n", strings.Join(others, ", "))
 		}
-		if r.Baselines, err = beside(ctx, o, others); err != nil {
+		more, err := beside(ctx, o, others)
+		if err != nil {
 			return err
 		}
+		r.Baselines = append(r.Baselines, more...)
 	}
 	if !f.quiet {
 		fmt.Fprintln(errs)
@@ -148,9 +159,34 @@
 	case r.Broken() > 0:
 		return exit(exitBroken)
 	}
+	if s.Pairings {
+		for _, p := range r.Baselines {
+			if p.Broken() > 0 {
+				return exit(exitBroken)
+			}
+		}
+	}
 	return nil
 }
 
+// pairings plays the scenario in the other pairings of protocols, side by side.
+func pairings(ctx context.Context, o lab.Options, r *report.Report) error {
+	names := []string{"FastCGI to HTTP", "HTTP to FastCGI", "FastCGI to FastCGI"}
+	reports, faults := make([]report.Report, len(names)), make([]error, len(names))
+	var wg sync.WaitGroup
+	for i, name := range names {
+		o := o
+		o.Scenario, o.Progress = o.Scenario.Paired(i != 1, i != 0), nil
+		if o.Keep != "" {
+			o.Keep = fmt.Sprint(o.Keep, "-", i+1)
+		}
+		wg.Go(func() { reports[i], faults[i] = once(ctx, o, name) })
+	}
+	wg.Wait()
+	r.Baselines = append(r.Baselines, reports...)
+	return errors.Join(faults...)
+}
+
 func once(ctx context.Context, o lab.Options, name string) (report.Report, error) {
 	out, err := lab.Run(ctx, o)
 	if err != nil {
--- a/internal/fastcgi/back.go
+++ b/internal/fastcgi/back.go
@@ -37,6 +37,12 @@
 // Quiet tells that an idle connection is open and that nothing has come on it.
 func (b *Back) Quiet() bool { return sock.Quiet(b.Conn) }
 
+// Waiting tells that something has come that was not read yet; More, that it lies behind the answer just read.
+func (b *Back) Waiting() bool { return sock.Waiting(b.Conn) }
+
+// More is the same: whole records are read, and nothing behind them.
+func (b *Back) More() bool { return b.Waiting() }
+
 // Reusable tells whether another request may be asked: only behind a whole END_REQUEST.
 func (b *Back) Reusable(*message.Response) bool { return b.again }
 
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -104,8 +104,10 @@
 func (p *process) log() string    { return filepath.Join(p.dir, fmt.Sprintf("node-%d.log", p.number)) }
 func (p *process) config() string { return filepath.Join(p.dir, fmt.Sprintf("node-%d.json", p.number)) }
 
-// operator is the one file of routes of all nodes.
-func (p *process) operator() string { return filepath.Join(p.dir, "operator.toml") }
+// operator is the node's file of routes.
+func (p *process) operator() string {
+	return filepath.Join(p.dir, fmt.Sprintf("operator-%d.toml", p.number))
+}
 
 // tail is the end of the node's log.
 func (p *process) tail() string {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,9 +26,10 @@
 const (
 	firstNet, lastNet = 16, 250 // second parts of the loopback nets that labs use, one each
 	nodePort          = 8443    // below the ports that the system deals out, so that a restarted node finds its own free
-	boxPort           = 9000    // and one more for each site of callers
-	discoveryPort     = 10000   // and one more for each node
-	startAtOnce       = 16      // node processes
+	cgiPort           = 8500
+	boxPort           = 9000  // and one more for each site of callers
+	discoveryPort     = 10000 // and one more for each node
+	startAtOnce       = 16    // node processes
 	startMost         = 60 * time.Second
 	settle            = 300 * time.Millisecond // between the last node's start and the load, for watches to begin
 	lateDrain         = 1500 * time.Millisecond
@@ -125,14 +127,9 @@
 			w.announce(m, discovery.Serving, 0, time.Time{})
 		}
 	}
-	if len(s.Operators) > 0 {
-		if err := w.operator(0); err != nil {
-			return err
-		}
-	}
 	var nodes []front.Node
 	for n := range s.Nodes.Count {
-		nodes = append(nodes, front.Node{Site: n % len(s.Sites), Address: w.nodeAddress(n)})
+		nodes = append(nodes, front.Node{Site: n % len(s.Sites), Address: w.nodeAddress(n), FastCGI: w.cgiAddress(n)})
 	}
 	w.front = front.New(len(s.Sites), nodes)
 	if err := w.serveDiscovery(); err != nil {
@@ -145,6 +142,9 @@
 	for n := range s.Nodes.Count {
 		w.nodes = append(w.nodes, &process{number: n, command: w.Command, env: w.Env, dir: w.Keep})
 	}
+	if err := w.operator(0); err != nil {
+		return err
+	}
 	for n := range s.Nodes.Count {
 		g.Go(func() error {
 			if err := w.configure(n); err != nil {
@@ -173,6 +173,10 @@
 	return fmt.Sprintf("%s.%d.%d:%d", w.net, n/250, n%250+1, nodePort)
 }
 
+func (w *world) cgiAddress(n int) string {
+	return fmt.Sprintf("%s.%d.%d:%d", w.net, n/250, n%250+1, cgiPort)
+}
+
 func (w *world) discoveryAddress(n, place int) string {
 	return fmt.Sprintf("%s.%d.1:%d", w.net, 200+place, discoveryPort+n)
 }
@@ -207,7 +211,7 @@
 	id := box.Identity{Number: n, Name: name, Site: site, Cell: cell}
 	b, err := box.NewBox(id, box.Figures{Cores: k.Cores, Speed: k.Speed, Queue: k.Queue, ColdShare: k.ColdShare, ColdFor: k.ColdFor.D(),
 		KeyGain: k.KeyGain, KeyFor: k.KeyFor.D(), Keys: k.Keys, Drops: k.Drops, FallMultiple: s.Rules.FallMultiple,
-		FallWindow: s.Rules.FallWindow.D(), Handshake: k.Handshake.D(), Connections: k.Connections}, w.start, addresses, cross, w.eyes)
+		FallWindow: s.Rules.FallWindow.D(), Handshake: k.Handshake.D(), Connections: k.Connections, FastCGI: k.FastCGI}, w.start, addresses, cross, w.eyes)
 	if err != nil {
 		return nil, err
 	}
@@ -257,13 +261,38 @@
 	})
 }
 
-// operator writes the operator's file whole, so that it is never read half.
+// cgi tells whether anything of the scenario speaks FastCGI, and which kinds of boxes.
+func (w *world) cgi() (any bool, kinds []string) {
+	for _, b := range w.Scenario.Boxes {
+		if b.FastCGI {
+			kinds = append(kinds, b.Kind)
+		}
+	}
+	return w.Scenario.Clients.FastCGI || len(kinds) > 0, kinds
+}
+
+// operator writes the nodes' operator's files whole, so that none is ever read half.
 func (w *world) operator(which int) error {
-	path := (&process{dir: w.Keep}).operator()
-	if err := os.WriteFile(path+".new", []byte(w.Scenario.Operators[which%len(w.Scenario.Operators)]), 0o644); err != nil {
-		return err
+	any, kinds := w.cgi()
+	if len(w.Scenario.Operators) == 0 && !any {
+		return nil
+	}
+	for _, p := range w.nodes {
+		text := ""
+		if any {
+			text = fmt.Sprintf("[fastcgi]\nlisten = %q\nflavors = %s\n", w.cgiAddress(p.number), strings.ReplaceAll(fmt.Sprintf("%q", kinds), " ", ", "))
+		}
+		if n := len(w.Scenario.Operators); n > 0 {
+			text += w.Scenario.Operators[which%n]
+		}
+		if err := os.WriteFile(p.operator()+".new", []byte(text), 0o644); err != nil {
+			return err
+		}
+		if err := os.Rename(p.operator()+".new", p.operator()); err != nil {
+			return err
+		}
 	}
-	return os.Rename(path+".new", path)
+	return nil
 }
 
 // configure writes a node's file, with the list as discovery has it now.
@@ -301,7 +330,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	g := &load.Generator{Scenario: w.Scenario, Ops: w.Ops, Checked: true, Progress: w.Progress}
+	g := &load.Generator{Scenario: w.Scenario, Ops: w.Ops, Checked: true, FastCGI: w.Scenario.Clients.FastCGI, Progress: w.Progress}
 	shift := time.Since(w.start) // the world's clock has run since it was built
 	ops := slices.Clone(w.Ops)
 	for i := range ops {
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -10,13 +10,29 @@
 	"sync"
 	"time"
 
+	"fernvane/internal/fastcgi"
 	"fernvane/internal/http1"
+	"fernvane/internal/message"
 )
 
-// Way is where a connection of a client leads.
+// Way is where a connection of a client leads, by the protocol that it speaks.
 type Way struct {
 	Node    int
 	Address string
+	FastCGI string
+}
+
+// conn is a client's connection, in either protocol.
+type conn interface {
+	io.Closer
+	SetDeadline(time.Time) error
+	Quiet() bool
+	Waiting() bool
+	More() bool
+	Ask(r *message.Request, left time.Duration, from string) (whole bool, err error)
+	Reply(r *message.Response) error
+	Reusable(r *message.Response) bool
+	Trim()
 }
 
 // Door deals out connections, as the front before the nodes does.
@@ -78,7 +94,6 @@
 	keepMost  = 512                  // idle connections of a site's clients
 	frontWait = 2 * time.Millisecond // between looks at a front that knows of no node
 	leastLeft = 5 * time.Millisecond // of a client's time for which it still sends
-	longest   = http1.MaxAnswer
 )
 
 // pool keeps the idle connections of the clients of one site.
@@ -88,7 +103,7 @@
 }
 
 type kept struct {
-	conn  *http1.Conn
+	conn  conn
 	way   Way
 	since time.Time
 }
@@ -107,7 +122,7 @@
 
 func (p *pool) keep(k kept) {
 	p.mu.Lock()
-	var old *http1.Conn
+	var old conn
 	if len(p.idle) == keepMost || len(p.idle) > 0 && time.Since(p.idle[0].since) > idleMost {
 		old = p.idle[0].conn
 		p.idle = append(p.idle[:0], p.idle[1:]...)
@@ -136,22 +151,21 @@
 	wait                 time.Duration // how long the client waits for its answer
 }
 
-func (r *request) append(b []byte, id uint64, left time.Duration) []byte {
-	b = append(append(append(b, r.method...), ' '), r.path...)
-	b = append(b, " HTTP/1.1\r\nHost: origin.svc\r\n"+http1.RequestID+": "...)
-	b = AppendID(b, id)
+// message is the request of a try.
+func (r *request) message(id uint64) *message.Request {
+	m := &message.Request{Method: []byte(r.method), Target: []byte(r.path), Body: r.body}
+	add := func(name string, value []byte) {
+		m.Fields = append(m.Fields, message.Field{Name: []byte(name), Value: value})
+	}
+	add("Host", []byte("origin.svc"))
+	add(message.RequestID, AppendID(nil, id))
 	if r.tenant != "" {
-		b = append(append(b, "\r\nTenant: "...), r.tenant...)
+		add("Tenant", []byte(r.tenant))
 	}
 	if r.key > 0 {
-		b = strconv.AppendInt(append(b, "\r\nAffinity-Key: "...), int64(r.key), 16)
+		add("Affinity-Key", strconv.AppendInt(nil, int64(r.key), 16))
 	}
-	b = append(b, "\r\n"+http1.RequestTimeout+": "...)
-	b = strconv.AppendFloat(b, left.Seconds(), 'f', 3, 64)
-	if r.method != "GET" {
-		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(r.body)), 10)
-	}
-	return append(append(b, "\r\n\r\n"...), r.body...)
+	return m
 }
 
 // do sends a try and waits for its end. slack is how long beyond the client's own time an answer is still looked for,
@@ -186,7 +200,7 @@
 		}
 		k.conn.SetDeadline(until.Add(slack))
 		g.watch.Sending(t)
-		whole, err := k.conn.Send(r.append(k.conn.Scratch(), t.ID, left))
+		whole, err := k.conn.Ask(r.message(t.ID), left, "127.0.0.1")
 		if whole {
 			t.Sent = time.Since(g.start)
 			g.watch.Sent(t)
@@ -216,8 +230,8 @@
 
 // answer reads the answer to a try and puts the connection by.
 func (g *Generator) answer(k kept, t *Try, pool *pool) error {
-	var resp http1.Response
-	if err := k.conn.ReadResponse(&resp, longest); err != nil {
+	var resp message.Response
+	if err := k.conn.Reply(&resp); err != nil {
 		return err
 	}
 	t.Ended = time.Since(g.start)
@@ -229,7 +243,8 @@
 		t.Foreign = !bytes.HasPrefix(resp.Body, AppendID(nil, t.ID))
 	}
 	t.Extra = k.conn.More()
-	if resp.Close || t.Extra {
+	again := k.conn.Reusable(&resp)
+	if k.conn.Trim(); !again || t.Extra {
 		k.conn.Close()
 		return nil
 	}
@@ -259,10 +274,17 @@
 		}
 		t.Way = way
 		d := net.Dialer{Deadline: until}
-		nc, err := d.DialContext(ctx, "tcp", way.Address)
+		address := way.Address
+		if g.FastCGI {
+			address = way.FastCGI
+		}
+		nc, err := d.DialContext(ctx, "tcp", address)
 		if err != nil {
 			return kept{}, false
 		}
+		if g.FastCGI {
+			return kept{conn: fastcgi.NewBack(nc, nil, nil), way: way}, true
+		}
 		return kept{conn: http1.NewConn(nc), way: way}, true
 	}
 }
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -43,6 +43,7 @@
 	Scenario *scenario.Scenario
 	Ops      []Operation
 	Shift    time.Duration                           // of all moments against the schedule that the results count by
+	FastCGI  bool                                    // what the clients speak; else HTTP
 	Checked  bool                                    // answers begin with the id of their request, or are foreign
 	Stall    func(at time.Duration) time.Duration    // see pace; for tests
 	Progress func(at time.Duration, begun, open int) // called now and then
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -3,6 +3,7 @@
 package scenario
 
 import (
+	"slices"
 	"time"
 
 	"fernvane/internal/tomlfile"
@@ -33,6 +34,8 @@
 	Faults    []Fault   `toml:"faults"`
 	// Operators are texts of operator's files. The nodes start under the first; each reload takes the next.
 	Operators []string `toml:"operators"`
+	// Pairings has the scenario played in each pairing of protocols of clients and boxes, HTTP to HTTP first.
+	Pairings bool `toml:"pairings"`
 	// Baselines are played beside the node on the same schedule where the command does not say.
 	Baselines []string `toml:"baselines"`
 }
@@ -60,6 +63,7 @@
 	KeyGain     float64 `toml:"key_gain"`    // share of work that is saved for a key met lately
 	KeyFor      Span    `toml:"key_for"`     // how long a key is remembered
 	Keys        int     `toml:"keys"`        // how many are
+	FastCGI     bool    `toml:"fastcgi"`     // it speaks FastCGI; else HTTP
 	Drops       bool    `toml:"drops"`       // what is over before its turn is turned away
 	GroupSize   int     `toml:"group_size"`  // boxes that share what they know of fingerprints; 0: all of a kind
 	ErrorRate   float64 `toml:"error_rate"`  // share answered with 500 after their work
@@ -108,6 +112,7 @@
 	Retries  int     `toml:"retries"`
 	Backoff  Span    `toml:"backoff"`
 	GivesUp  float64 `toml:"gives_up"` // after this share of the abandon time
+	FastCGI  bool    `toml:"fastcgi"`  // they speak FastCGI; else HTTP
 	Exponent bool    `toml:"doubling"` // each wait is twice the one before
 }
 
@@ -163,3 +168,14 @@
 		scale(&s.Faults[i].For)
 	}
 }
+
+// Paired is the scenario with clients and boxes that speak FastCGI, or HTTP.
+func (s *Scenario) Paired(clients, boxes bool) *Scenario {
+	p := *s
+	p.Clients.FastCGI = clients
+	p.Boxes = slices.Clone(s.Boxes)
+	for i := range p.Boxes {
+		p.Boxes[i].FastCGI = boxes
+	}
+	return &p
+}
--- a/internal/standin/box/model.go
+++ b/internal/standin/box/model.go
@@ -21,6 +21,7 @@
 	FallMultiple float64 // times what a cold box can do
 	FallWindow   time.Duration
 	Handshake    time.Duration // work of a new connection, with its first request
+	FastCGI      bool          // what it speaks; else HTTP
 	Connections  int           // that it holds; 0: any number
 }
 
--- /dev/null
+++ b/internal/standin/box/peer.go
@@ -0,0 +1,109 @@
+package box
+
+import (
+	"time"
+
+	"fernvane/internal/fastcgi"
+	"fernvane/internal/http1"
+	"fernvane/internal/message"
+	"fernvane/internal/sock"
+	"fernvane/internal/standin/link"
+)
+
+// peer is one request's caller, in either protocol.
+type peer interface {
+	// answer writes an answer whole and tells whether the connection can be used again.
+	answer(message.Answer) bool
+	encode(message.Answer) []byte
+	// spoilt is one of several answers that cannot be used.
+	spoilt(id uint64, a message.Answer) []byte
+	raw([]byte)
+	// gone waits until the caller has left or given up, and tells so; look sets until when.
+	gone() bool
+	look(until time.Time)
+	reset()
+}
+
+type httpPeer struct {
+	nc *link.Conn
+	c  *http1.Conn
+}
+
+func (p httpPeer) encode(a message.Answer) []byte { return http1.AppendAnswer(nil, a) }
+func (p httpPeer) raw(b []byte)                   { p.c.Write(b) }
+func (p httpPeer) look(until time.Time)           { p.c.SetReadDeadline(until) }
+func (p httpPeer) gone() bool                     { return p.c.Gone() }
+func (p httpPeer) reset()                         { p.nc.Reset() }
+
+func (p httpPeer) answer(a message.Answer) bool {
+	whole, _ := p.c.Send(p.encode(a))
+	return whole
+}
+
+func (p httpPeer) spoilt(id uint64, a message.Answer) []byte {
+	switch id >> 8 % 4 {
+	case 0:
+		return []byte("\x00\x01 what? \xff\xfe\r\n\r\n")
+	case 1: // a head without end
+		return append([]byte("HTTP/1.1 200 OK\r\nX: "), fill...)
+	case 2: // more than the body has
+		return append([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"), a.Body...)
+	}
+	return append([]byte("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"), a.Body...)
+}
+
+type cgiPeer struct {
+	nc *link.Conn
+	f  *fastcgi.Front
+	c  *fastcgi.Call
+}
+
+func (p cgiPeer) encode(a message.Answer) []byte { return p.c.Append(nil, a) }
+func (p cgiPeer) raw(b []byte)                   { p.nc.Write(b) }
+func (p cgiPeer) look(until time.Time)           { p.nc.SetReadDeadline(until) }
+func (p cgiPeer) reset()                         { p.nc.Reset() }
+func (p cgiPeer) answer(a message.Answer) bool   { return p.f.Answer(p.c, p.encode(a)) == nil }
+
+// gone takes anything that comes for an end: an abort, or the close behind it.
+func (p cgiPeer) gone() bool {
+	_, err := sock.Peek(p.nc, true)
+	return err == nil
+}
+
+func (p cgiPeer) spoilt(id uint64, a message.Answer) []byte {
+	switch whole := p.encode(a); id >> 8 % 4 {
+	case 0:
+		return []byte("\x00\x01 what? \xff\xfe\r\n\r\n")
+	case 1: // a record of another request
+		whole[3] ^= 0x55
+		return whole
+	case 2: // the end before the answer's own length
+		a.Body = append(a.Body, "more"...)
+		long := p.encode(a)
+		return append(long[:len(long)-24-8], whole[len(whole)-16:]...)
+	default: // a record that is longer than what comes
+		whole[4] = 0xff
+		return whole
+	}
+}
+
+// leadCGI is the life of one connection that speaks FastCGI; its caller asks one request at a time.
+func (b *Box) leadCGI(nc *link.Conn, way time.Duration, full bool) {
+	f := fastcgi.NewFront(nc, nil)
+	defer f.Hangup()
+	for fresh := true; ; fresh = false {
+		call, err := f.Next(func() { nc.SetReadDeadline(time.Now().Add(idleMost)) })
+		if err != nil {
+			return
+		}
+		p := cgiPeer{nc, f, call}
+		if call.Bad != nil {
+			p.answer(message.Answer{Status: call.Bad.Status})
+			return
+		}
+		came := nc.Came().Sub(b.start)
+		if !b.request(p, call.Request, came, came, way, fresh, full) || full {
+			return
+		}
+	}
+}
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"strconv"
 	"sync"
 	"time"
 
 	"fernvane/internal/http1"
+	"fernvane/internal/message"
 	"fernvane/internal/standin/link"
 )
 
@@ -216,9 +216,13 @@
 		b.conns--
 		b.mu.Unlock()
 	}()
+	way := b.cross(site)
+	if b.f.FastCGI {
+		b.leadCGI(nc, way, full)
+		return
+	}
 	c := http1.NewConn(nc)
 	var req http1.Request
-	way := b.cross(site)
 	for fresh := true; ; fresh = false {
 		c.SetReadDeadline(time.Now().Add(idleMost))
 		if c.Await() != nil {
@@ -231,24 +235,23 @@
 			}
 			return
 		}
-		if !b.request(nc, c, &req, first, way, fresh, full) || full {
+		if !b.request(httpPeer{nc, c}, &req, first, nc.Came().Sub(b.start), way, fresh, full) || full {
 			return
 		}
 	}
 }
 
 // request is the life of one request; it tells whether its connection can be used again.
-func (b *Box) request(nc *link.Conn, c *http1.Conn, req *http1.Request, first, way time.Duration, fresh, full bool) bool {
-	last := nc.Came().Sub(b.start)
+func (b *Box) request(p peer, req *message.Request, first, last, way time.Duration, fresh, full bool) bool {
 	text := string(req.Get(http1.RequestID))
 	if text == "" {
-		return b.say(c, 404, "no id")
+		return p.answer(message.Answer{Status: 404, Body: []byte("no id")})
 	}
 	id, err := strconv.ParseUint(text, 16, 64)
 	asked, known := b.watch.Asked(id)
 	b.watch.Hop(id, b.Number, first, last)
 	if err != nil || len(text) != 16 || !known {
-		return b.say(c, 400, "nobody has sent this request")
+		return p.answer(message.Answer{Status: 400, Body: []byte("nobody has sent this request")})
 	}
 	wait(way)
 	b.mu.Lock()
@@ -256,11 +259,11 @@
 	b.mu.Unlock()
 	if meets(id, "cut-before", faults.CutBefore) {
 		b.watch.Over(id, b.Number, b.now(), false)
-		nc.Reset()
+		p.reset()
 		return false
 	}
 	if full || draining || meets(id, "refuse", faults.Refuse) {
-		return b.turnAway(c, id, 503)
+		return b.turnAway(p, id, 503)
 	}
 	left, err := strconv.ParseFloat(string(req.Get(http1.RequestTimeout)), 64)
 	if err != nil {
@@ -295,41 +298,41 @@
 	}
 	switch verdict {
 	case Full:
-		return b.turnAway(c, id, 503)
+		return b.turnAway(p, id, 503)
 	case Down:
-		nc.Reset()
+		p.reset()
 		return false
 	}
-	what, told := b.work(c, h)
+	what, told := b.work(p, h)
 	switch what {
 	case Expired:
-		return b.turnAway(c, id, 504)
+		return b.turnAway(p, id, 504)
 	case Lost:
 		if !told {
 			b.watch.Over(id, b.Number, b.now(), false)
 		}
-		nc.Reset()
+		p.reset()
 		return false
 	}
 	wait(way)
 	if !told {
 		b.watch.Over(id, b.Number, b.now(), false)
 	}
-	return b.reply(nc, c, id, text, faults)
+	return b.reply(p, id, text, faults)
 }
 
 // work waits for the end of a hop, which its caller's leaving does not change; gone tells that it has left, and that
 // the watcher was told that the hop is over.
-func (b *Box) work(c *http1.Conn, h *hop) (what What, gone bool) {
+func (b *Box) work(p peer, h *hop) (what What, gone bool) {
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
-		if gone = c.Gone(); gone {
+		if gone = p.gone(); gone {
 			b.watch.Over(h.id, b.Number, b.now(), false)
 		}
 	}()
 	what = <-h.ended
-	c.SetReadDeadline(time.Unix(1, 0))
+	p.look(time.Unix(1, 0))
 	<-watched
 	return what, gone
 }
@@ -348,49 +351,29 @@
 	return float64(crc32.ChecksumIEEE(fmt.Append(nil, id, fault)))/(1<<32) < share
 }
 
-func (b *Box) turnAway(c *http1.Conn, id uint64, status int) bool {
+func (b *Box) turnAway(p peer, id uint64, status int) bool {
 	b.watch.Over(id, b.Number, b.now(), true)
-	_, err := io.WriteString(c, fmt.Sprintf("HTTP/1.1 %d Not now\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", status))
-	return err == nil
-}
-
-func (b *Box) say(c *http1.Conn, status int, why string) bool {
-	whole, _ := c.Send(http1.AppendAnswer(nil, http1.Answer{Status: status, Body: []byte(why)}))
-	return whole
+	return p.answer(message.Answer{Status: status, Fields: []message.Field{{Name: []byte(message.NotStarted), Value: []byte("1")}}})
 }
 
 var fill = bytes.Repeat([]byte{'.'}, fillBytes)
 
 // reply answers a request whose work is over, with the id that it was made for at the beginning of the body.
-func (b *Box) reply(nc *link.Conn, c *http1.Conn, id uint64, text string, f Faults) bool {
+func (b *Box) reply(p peer, id uint64, text string, f Faults) bool {
 	if meets(id, "error", f.Err) {
-		return b.say(c, 500, "it failed")
+		return p.answer(message.Answer{Status: 500, Body: []byte("it failed")})
 	}
-	body := fmt.Appendf(nil, "%s %s\n%s\n", text, b.Name, fill)
-	answer := http1.AppendAnswer(nil, http1.Answer{Status: 200, Body: body})
+	a := message.Answer{Status: 200, Body: fmt.Appendf(nil, "%s %s\n%s\n", text, b.Name, fill)}
 	switch {
 	case meets(id, "cut-within", f.CutWithin):
-		c.Write(answer[:len(answer)/2])
+		whole := p.encode(a)
+		p.raw(whole[:len(whole)/2])
 		return false
 	case meets(id, "spoil", f.Spoil):
-		c.Write(spoilt(id, answer, body))
-		c.SetReadDeadline(time.Now().Add(idleMost)) // it stays open and is of no further use
-		io.Copy(io.Discard, struct{ io.Reader }{c})
+		p.raw(p.spoilt(id, a))
+		p.look(time.Now().Add(idleMost)) // it stays open and is of no further use
+		p.gone()
 		return false
 	}
-	whole, _ := c.Send(answer)
-	return whole && !meets(id, "cut-after", f.CutAfter)
-}
-
-// spoilt is one of several answers that cannot be used.
-func spoilt(id uint64, answer, body []byte) []byte {
-	switch id >> 8 % 4 {
-	case 0:
-		return []byte("\x00\x01 what? \xff\xfe\r\n\r\n")
-	case 1: // a head without end
-		return append([]byte("HTTP/1.1 200 OK\r\nX: "), fill...)
-	case 2: // more than the body has
-		return append([]byte("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"), body...)
-	}
-	return append([]byte("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"), body...)
+	return p.answer(a) && !meets(id, "cut-after", f.CutAfter)
 }
--- a/internal/standin/front/front.go
+++ b/internal/standin/front/front.go
@@ -22,6 +22,7 @@
 type Node struct {
 	Site    int
 	Address string
+	FastCGI string // the same for clients that speak it
 }
 
 // Front deals out connections.
@@ -46,7 +47,7 @@
 		n := f.turn[site] % len(f.nodes)
 		f.turn[site]++
 		if f.in[n] && f.nodes[n].Site == site {
-			return load.Way{Node: n, Address: f.nodes[n].Address}, true
+			return load.Way{Node: n, Address: f.nodes[n].Address, FastCGI: f.nodes[n].FastCGI}, true
 		}
 	}
 	return load.Way{}, false
