--- a/internal/fastcgi/back.go
+++ b/internal/fastcgi/back.go
@@ -31,17 +31,17 @@
 
 // NewBack wraps a connection that nothing was read from. What responders write to STDERR is told to stderr.
 func NewBack(c net.Conn, p *message.Pool, stderr func(text []byte)) *Back {
-	return &Back{Conn: c, records: reader{r: c}, pool: p, stderr: stderr}
+	return &Back{Conn: c, records: newReader(c), pool: p, stderr: stderr}
 }
 
 // Quiet tells that an idle connection is open and that nothing has come on it.
-func (b *Back) Quiet() bool { return sock.Quiet(b.Conn) }
+func (b *Back) Quiet() bool { return b.records.r.Buffered() == 0 && sock.Quiet(b.Conn) }
 
-// Waiting tells that something has come that was not read yet; More, that it lies behind the answer just read.
+// Waiting tells that something has come that was not read yet.
 func (b *Back) Waiting() bool { return sock.Waiting(b.Conn) }
 
-// More is the same: whole records are read, and nothing behind them.
-func (b *Back) More() bool { return b.Waiting() }
+// More tells that something lies behind the answer just read.
+func (b *Back) More() bool { return b.records.r.Buffered() > 0 || b.Waiting() }
 
 // Reusable tells whether another request may be asked: only behind a whole END_REQUEST.
 func (b *Back) Reusable(*message.Response) bool { return b.again }
--- a/internal/fastcgi/fastcgi_test.go
+++ b/internal/fastcgi/fastcgi_test.go
@@ -36,7 +36,7 @@
 			rest = rest[n:]
 		}
 		wire = appendRecord(wire, typeParams, 7, nil)
-		r := reader{r: iotest.OneByteReader(bytes.NewReader(wire))}
+		r := newReader(iotest.OneByteReader(bytes.NewReader(wire)))
 		var got []byte
 		for {
 			rec, err := r.next()
@@ -252,7 +252,7 @@
 				f.done(call)
 			}
 			var told []string
-			for r := (reader{r: &conn.out}); ; {
+			for r := newReader(&conn.out); ; {
 				rec, err := r.next()
 				if err != nil {
 					break
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -56,7 +56,7 @@
 
 // NewFront wraps a connection that nothing was read from.
 func NewFront(c net.Conn, p *message.Pool) *Front {
-	return &Front{Conn: c, records: reader{r: c}, pool: p, calls: map[uint16]*Call{}}
+	return &Front{Conn: c, records: newReader(c), pool: p, calls: map[uint16]*Call{}}
 }
 
 // Waiting tells that something has come that was not read yet.
--- a/internal/fastcgi/record.go
+++ b/internal/fastcgi/record.go
@@ -4,6 +4,7 @@
 package fastcgi
 
 import (
+	"bufio"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -51,20 +52,20 @@
 	content []byte
 }
 
+const readBuffer = 4 << 10 // bytes; a record has three parts, and most come with one read
+
 // reader takes records off a stream into one buffer.
 type reader struct {
-	r       io.Reader
+	r       *bufio.Reader
 	header  [headerLen]byte
 	content []byte
-	started bool // part of a record has been read
 }
 
+func newReader(r io.Reader) reader { return reader{r: bufio.NewReaderSize(r, readBuffer)} }
+
 // next reads a record whole, padding and all. io.EOF comes between records only.
 func (r *reader) next() (record, error) {
-	r.started = false
-	n, err := io.ReadFull(r.r, r.header[:])
-	r.started = n > 0
-	if err != nil {
+	if _, err := io.ReadFull(r.r, r.header[:]); err != nil {
 		return record{}, err
 	}
 	if r.header[0] != version {
--- a/internal/fastcgi/wire.go
+++ b/internal/fastcgi/wire.go
@@ -19,7 +19,7 @@
 // ReadAnswers reads so many answers of requests that share a connection, whichever comes first. One of which nothing
 // but its end came has status 0.
 func ReadAnswers(r io.Reader, n int) (map[uint16]message.Response, error) {
-	records := reader{r: r}
+	records := newReader(r)
 	out, ended := map[uint16][]byte{}, map[uint16]message.Response{}
 	for len(ended) < n {
 		rec, err := records.next()
--- a/internal/serve/route_test.go
+++ b/internal/serve/route_test.go
@@ -21,7 +21,7 @@
 	"fernvane/policy"
 )
 
-func routes(t *testing.T, cfg *Config, text string) *route.Set {
+func routes(t testing.TB, cfg *Config, text string) *route.Set {
 	t.Helper()
 	set, err := route.Parse("f", []byte(text), &cfg.Settings)
 	if err != nil {
