--- a/internal/report/compare.go
+++ b/internal/report/compare.go
@@ -40,9 +40,9 @@
 	row("nodes' CPU s", a.NodeUse.CPUSeconds, b.NodeUse.CPUSeconds, "%.2f")
 	t.Flush()
 	fmt.Fprintf(w, "\nrules broken: A %s, B %s\n", a.brokenNames(), b.brokenNames())
-	for name, r := range map[string]*Report{"A": a, "B": b} {
+	for i, r := range []*Report{a, b} {
 		if r.Generator.Behind {
-			fmt.Fprintf(w, "NOT VALID: the generator fell behind in %s\n", name)
+			fmt.Fprintf(w, "NOT VALID: the generator fell behind in %c\n", 'A'+i)
 		}
 	}
 }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -176,13 +176,16 @@
 		fmt.Fprintf(t, "%s\t%.4f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", name, l.Service, l.P50, l.P99, l.P999, l.Max)
 	}
 	t.Flush()
-	for what, parts := range map[string]map[string]Part{"tenant": r.ByTenant, "site": r.BySite} {
+	for _, by := range []struct {
+		what  string
+		parts map[string]Part
+	}{{"tenant", r.ByTenant}, {"site", r.BySite}} {
 		line := []string{}
-		for _, name := range sorted(parts) {
-			line = append(line, fmt.Sprintf("%s %.4f", name, parts[name].Service))
+		for _, name := range sorted(by.parts) {
+			line = append(line, fmt.Sprintf("%s %.4f", name, by.parts[name].Service))
 		}
 		if len(line) > 0 {
-			fmt.Fprintf(w, "\nservice by %s: %s", what, strings.Join(line, ", "))
+			fmt.Fprintf(w, "\nservice by %s: %s", by.what, strings.Join(line, ", "))
 		}
 	}
 	fmt.Fprintf(w, "\n\nrules\n")
--- a/internal/serve/cgi.go
+++ b/internal/serve/cgi.go
@@ -42,7 +42,10 @@
 		if err != nil {
 			return
 		}
-		if first = (time.Time{}); !place.Busy() {
+		if !first.IsZero() { // once, before any that reads it beside this one
+			first = time.Time{}
+		}
+		if !place.Busy() {
 			return
 		}
 		s.clients.Go(func() error {
