--- a/internal/standin/box/server_test.go
+++ b/internal/standin/box/server_test.go
@@ -123,6 +123,11 @@
 			if !c.meets(&r, err) {
 				t.Errorf("answered %d %q, %v", r.Status, r.Body, err)
 			}
+			// A process that dies resets its connections before those who led them have told of it.
+			by := time.Now().Add(5 * time.Second)
+			for told.said() != c.told && time.Now().Before(by) {
+				time.Sleep(ms)
+			}
 			if got := told.said(); got != c.told {
 				t.Errorf("told %q", got)
 			}
