--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -15,6 +15,8 @@
 	"github.com/spf13/cobra"
 
 	"fernvane/internal/baseline"
+	"fernvane/internal/plancfg"
+	"fernvane/internal/planner"
 	"fernvane/internal/serve"
 )
 
@@ -28,6 +30,7 @@
 // What the lab tells a process of itself that it runs as a node.
 const (
 	nodeCommand = "node"
+	planCommand = "planner"
 	policyVar   = "FERNLAB_POLICY"
 	profileVar  = "FERNLAB_CPUPROFILE"
 )
@@ -41,6 +44,9 @@
 	if len(os.Args) == 2 && os.Args[1] == nodeCommand {
 		os.Exit(node(os.Stderr, os.Getenv))
 	}
+	if len(os.Args) == 2 && os.Args[1] == planCommand {
+		os.Exit(plans(os.Stderr, os.Getenv))
+	}
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
@@ -72,6 +78,16 @@
 	return serve.Process(cfg, errs, zerolog.InfoLevel)
 }
 
+// plans is what `fernvane plan` is.
+func plans(errs io.Writer, getenv func(string) string) int {
+	cfg, err := plancfg.LoadPlanner(getenv("PROXY_PLAN"))
+	if err != nil {
+		fmt.Fprintf(errs, "the planner's file cannot be used: %v\n", err)
+		return exitBadInput
+	}
+	return planner.Process(cfg, errs)
+}
+
 func run(args []string, out, errs io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/cmd/fernlab/run.go
+++ b/cmd/fernlab/run.go
@@ -24,7 +24,7 @@
 	json, plot, node, trace, keep, policy, operator string
 	baselines                                       []string
 	seed                                            uint64
-	quiet, pairings                                 bool
+	quiet, pairings, alone                          bool
 }
 
 func runCommand() *cobra.Command {
@@ -69,6 +69,7 @@
 	fl.StringSliceVar(&f.baselines, "baselines", nil, "policies to play beside the node: all, none, or some of "+strings.Join(baseline.Names, ","))
 	fl.Uint64Var(&f.seed, "seed", 0, "another `seed` than the scenario's")
 	fl.BoolVar(&f.pairings, "pairings", false, "play each pairing of HTTP and FastCGI, of clients and boxes")
+	fl.BoolVar(&f.alone, "alone", false, "play a scenario with planners only, not single-level after it")
 	fl.BoolVar(&f.quiet, "quiet", false, "show no progress")
 	return c
 }
@@ -114,7 +115,11 @@
 	if f.policy != "" {
 		name = f.policy
 	}
-	o := lab.Options{Scenario: s, Ops: ops, Command: command, Keep: f.keep, Env: []string{policyVar + "=" + f.policy}}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	o := lab.Options{Scenario: s, Ops: ops, Command: command, Planner: []string{self, planCommand}, Keep: f.keep, Env: []string{policyVar + "=" + f.policy}}
 	if !f.quiet {
 		fmt.Fprintf(errs, "%s: starting %d nodes and %d boxes\n", s.Name, s.Nodes.Count, len(s.BoxNames()))
 		o.Progress = progress(errs, s.Length.D())
@@ -129,10 +134,24 @@
 			return err
 		}
 	}
+	if s.Planners.Count > 0 && !f.alone {
+		r.Policy = "with planners"
+		o := o
+		if o.Scenario = s.Single(); o.Keep != "" {
+			o.Keep += "-single"
+		}
+		one, err := once(ctx, o, "single-level")
+		if err != nil {
+			return err
+		}
+		r.Baselines = append(r.Baselines, one)
+	}
 	if len(others) > 0 {
 		if !f.quiet {
 			fmt.Fprintf(errs, "\nbaselines, side by side: %s\n", strings.Join(others, ", "))
 		}
+		o := o
+		o.Scenario = s.Single()
 		more, err := beside(ctx, o, others)
 		if err != nil {
 			return err
--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -13,6 +13,8 @@
 
 	"github.com/rs/zerolog"
 
+	"fernvane/internal/plancfg"
+	"fernvane/internal/planner"
 	"fernvane/internal/route"
 	"fernvane/internal/serve"
 	"fernvane/internal/tomlfile"
@@ -23,12 +25,13 @@
   serve     run a node until SIGTERM; SIGHUP has it read its configuration and the operator's file again
   check     read the configuration and tell what a node would make of it; with an operator's file, what each route
             gets and from which line; with -schema, print the JSON schema of the operator's file
+  plan      run a planner until SIGTERM, on the planner's file that -file or PROXY_PLAN names
   explain METHOD PATH
             tell which route of the operator's file a request takes, and why
   version   print the version
 
 serve, check and explain read the file that -config or PROXY_CONFIG names, and the operator's file that -operator or
-PROXY_OPERATOR names.
+PROXY_OPERATOR names. With -planners FILE (PROXY_PLANNERS) serve is a forwarder: it follows what planners plan.
 `
 
 const exitUsage = 2 // also for a configuration of no use
@@ -69,6 +72,8 @@
 	}
 	path := flags.String("config", getenv("PROXY_CONFIG"), "the configuration, a JSON `file`")
 	operator := flags.String("operator", getenv("PROXY_OPERATOR"), "limits by route, a TOML `file`")
+	forwarder := flags.String("planners", getenv("PROXY_PLANNERS"), "serve, check: the planners to follow, a TOML `file`")
+	planFile := flags.String("file", getenv("PROXY_PLAN"), "plan: the planner's TOML `file`")
 	verbose := flags.Bool("verbose", false, "log each hop that does not end with a whole answer")
 	schema := flags.Bool("schema", false, "check: print the JSON schema of the operator's file")
 	tenant := flags.String("tenant", "", "explain: the request's `tenant`")
@@ -82,19 +87,15 @@
 	}
 	load := func() (serve.Config, bool) {
 		cfg, err := serve.Load(*path, func(name string) string {
-			if name == "PROXY_OPERATOR" {
+			switch name {
+			case "PROXY_OPERATOR":
 				return *operator
+			case "PROXY_PLANNERS":
+				return *forwarder
 			}
 			return getenv(name)
 		})
-		var faults tomlfile.Faults
-		switch {
-		case errors.As(err, &faults): // each with its own file and line
-			fmt.Fprintln(errs, faults)
-		case err != nil:
-			fmt.Fprintf(errs, "fernvane: the configuration cannot be used: %v\n", err)
-		}
-		return cfg, err == nil
+		return cfg, sound(errs, err)
 	}
 	switch args[0] {
 	case "serve":
@@ -107,6 +108,12 @@
 			level = zerolog.DebugLevel
 		}
 		return serve.Process(cfg, errs, level)
+	case "plan":
+		cfg, err := plancfg.LoadPlanner(*planFile)
+		if !sound(errs, err) {
+			return exitUsage
+		}
+		return planner.Process(cfg, errs)
 	case "check":
 		if *schema {
 			e := json.NewEncoder(out)
@@ -123,6 +130,9 @@
 		}
 		fmt.Fprintf(out, "%s listens on %s, follows %s, knows %d servers, has room for %d connections\n",
 			cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Known.Hosts), cfg.Limits.Connections())
+		if cfg.Planners != nil {
+			fmt.Fprintf(out, "follows the planners %s, TLS %v\n", strings.Join(cfg.Planners.Planners, ", "), cfg.Planners.Keys != nil)
+		}
 		if cfg.Routes != nil {
 			cfg.Routes.Table(out, &cfg.Settings)
 		}
@@ -154,6 +164,18 @@
 	return exitUsage
 }
 
+// sound tells what is wrong with a configuration, each fault on a line of its own.
+func sound(errs io.Writer, err error) bool {
+	var faults tomlfile.Faults
+	switch {
+	case errors.As(err, &faults): // each with its own file and line
+		fmt.Fprintln(errs, faults)
+	case err != nil:
+		fmt.Fprintf(errs, "fernvane: the configuration cannot be used: %v\n", err)
+	}
+	return err == nil
+}
+
 // parse takes flags before, between and behind the other words.
 func parse(flags *flag.FlagSet, args []string) (rest []string, err error) {
 	for {
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -94,6 +94,8 @@
 type told struct {
 	at   time.Duration
 	cond Condition
+	up   int64 // when the box was said to have started; 0: not said
+	anew bool  // the node has forgotten what was before
 }
 
 type span struct{ from, to time.Duration }
@@ -178,10 +180,10 @@
 	}
 }
 
-// Told tells that a node was told of a box.
-func (a *Audit) Told(node, box int, c Condition, at time.Duration) {
+// Told tells that a node was told of a box, by discovery or by any planner, and when that box was said to have started.
+func (a *Audit) Told(node, box int, c Condition, up int64, at time.Duration) {
 	k := [2]int{node, box}
-	a.told[k] = append(a.told[k], told{at, c})
+	a.told[k] = append(a.told[k], told{at: at, cond: c, up: up})
 }
 
 // NodeDown tells that a node was ended on purpose; what it held is its clients' to retry.
@@ -196,7 +198,7 @@
 	}
 	for box := range a.boxes {
 		if k := [2]int{node, box}; len(a.told[k]) > 0 {
-			a.told[k] = append(a.told[k], told{at, Serving})
+			a.told[k] = append(a.told[k], told{at: at, anew: true})
 		}
 	}
 }
@@ -406,16 +408,21 @@
 	return ""
 }
 
-// undrained looks at what the node knew of the box when the hop began. A hop on its way is given the grace.
+// undrained looks at what the node knew of the box when the hop began. A hop on its way is given the grace. That a box
+// serves undoes a drain only if it is said of a later start: an old word of it may come from a planner that was away.
 func (a *Audit) undrained(r *request) string {
 	for _, h := range r.hops {
-		since := time.Duration(-1)
+		since, up := time.Duration(-1), int64(0)
 		for _, t := range a.told[[2]int{r.node, h.box}] {
 			switch {
 			case t.at > h.first:
-			case t.cond == Serving:
-				since = -1
-			case since < 0:
+			case t.anew:
+				since, up = -1, 0
+			case t.up > up:
+				if since, up = -1, t.up; t.cond != Serving {
+					since = t.at
+				}
+			case t.cond != Serving && since < 0 && (t.up == up || t.up == 0):
 				since = t.at
 			}
 		}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -74,26 +74,49 @@
 		"written off, and it ran":           {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 502, 20*ms, false, false) }, ""},
 		"three hops":                        {func(a *Audit) { ask(a, check); away(a, 0, 0); away(a, 1, 20*ms); away(a, 2, 40*ms) }, "hops"},
 		"a copy while the first is out":     {func(a *Audit) { ask(a, check); hop(a, 1, 20*ms); a.Hop(1, 0, 0, 0); a.Over(1, 0, 90*ms, false) }, "one-at-a-time"},
-		"sent within the grace":             {func(a *Audit) { ask(a, check); a.Told(0, 1, Draining, 0); hop(a, 1, 540*ms) }, ""},
-		"sent after it":                     {func(a *Audit) { ask(a, check); a.Told(0, 1, Draining, 0); hop(a, 1, 560*ms) }, "drains"},
+		"sent within the grace":             {func(a *Audit) { ask(a, check); a.Told(0, 1, Draining, 0, 0); hop(a, 1, 540*ms) }, ""},
+		"sent after it":                     {func(a *Audit) { ask(a, check); a.Told(0, 1, Draining, 0, 0); hop(a, 1, 560*ms) }, "drains"},
 		"a second word starts no new grace": {func(a *Audit) {
 			ask(a, check)
-			a.Told(0, 1, Draining, 0)
-			a.Told(0, 1, Gone, 400*ms)
+			a.Told(0, 1, Draining, 0, 0)
+			a.Told(0, 1, Gone, 0, 400*ms)
 			hop(a, 1, 560*ms)
 		}, "drains"},
-		"told to serve again":   {func(a *Audit) { ask(a, check); a.Told(0, 1, Gone, 0); a.Told(0, 1, Serving, 400*ms); hop(a, 1, 900*ms) }, ""},
-		"another node was told": {func(a *Audit) { ask(a, check); a.Told(1, 1, Gone, 0); hop(a, 1, 900*ms) }, ""},
+		"told to serve again": {func(a *Audit) {
+			ask(a, check)
+			a.Told(0, 1, Gone, 0, 0)
+			a.Told(0, 1, Serving, 7, 400*ms)
+			hop(a, 1, 900*ms)
+		}, ""},
+		"an old word of it": {func(a *Audit) {
+			ask(a, check)
+			a.Told(0, 1, Gone, 0, 0)
+			a.Told(0, 1, Serving, 0, 400*ms)
+			hop(a, 1, 900*ms)
+		}, "drains"},
+		"gone in its new life": {func(a *Audit) {
+			ask(a, check)
+			a.Told(0, 1, Serving, 7, 0)
+			a.Told(0, 1, Draining, 0, 100*ms)
+			hop(a, 1, 900*ms)
+		}, "drains"},
+		"the life before ended": {func(a *Audit) {
+			ask(a, check)
+			a.Told(0, 1, Serving, 7, 0)
+			a.Told(0, 1, Gone, 3, 100*ms)
+			hop(a, 1, 900*ms)
+		}, ""},
+		"another node was told": {func(a *Audit) { ask(a, check); a.Told(1, 1, Gone, 0, 0); hop(a, 1, 900*ms) }, ""},
 		"told before it was started anew": {func(a *Audit) {
 			ask(a, check)
-			a.Told(0, 1, Gone, 0)
+			a.Told(0, 1, Gone, 0, 0)
 			a.NodeDown(0, 1*ms)
 			a.NodeUp(0, 9*ms)
 			hop(a, 1, 900*ms)
 		}, ""},
 		"sent late, before it was started": {func(a *Audit) {
 			ask(a, check)
-			a.Told(0, 1, Gone, 0)
+			a.Told(0, 1, Gone, 0, 0)
 			hop(a, 1, 900*ms)
 			a.NodeDown(0, 950*ms)
 			a.NodeUp(0, 999*ms)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,6 +38,7 @@
 	closing []io.Closer // to be closed when the lock is given back
 	room    room
 	counts  Counts
+	digests digests
 }
 
 type server struct {
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -39,6 +39,7 @@
 	f       *Fleet
 	id      uint64
 	name    string // the client's id
+	base    int    // its traffic type by the settings
 	grant   route.Grant
 	next    Decision
 	ready   chan struct{}
@@ -113,8 +114,9 @@
 		return nil, ErrRoute
 	}
 	f.lastOp++
-	o := &Operation{f: f, id: f.lastOp, name: string(a.ID), grant: grant, ready: make(chan struct{}, 1), copying: a.Copying}
+	o := &Operation{f: f, id: f.lastOp, name: string(a.ID), base: a.Kind, grant: grant, ready: make(chan struct{}, 1), copying: a.Copying}
 	f.ops[o.id], f.open[o.name] = o, true
+	f.digests.arrived(a.Kind, t)
 	f.door.Arrive(now, o.id, policy.Input{Type: grant.Kind, Room: grant.Room, Tenant: t, Budget: a.Budget}, (*hands)(f))
 	return o, nil
 }
@@ -216,6 +218,7 @@
 		o.settle(Decision{Kind: WriteOff, Answer: answer})
 	}
 	now := o.f.now()
+	o.f.digests.ended(ended.server, o.base, how, now-ended.sent)
 	o.f.door.HopEnded(now, o.id, ended.server, policy.Input{Hop: hop, Outcome: how.Outcome(),
 		Spent: now - ended.sent, Final: o.settled}, (*hands)(o.f))
 }
@@ -245,6 +248,9 @@
 	delete(o.f.open, o.name)
 	o.f.routes.Done(o.grant)
 	o.f.counts.decided(d.Kind)
+	if d.Kind == Deny {
+		o.f.digests.turnedAway(o.base)
+	}
 	o.decide(d)
 	for _, hop := range o.outs {
 		if d.Kind != Drop && hop.giveUp != nil {
--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fernvane/internal/audit"
+	"fernvane/internal/life"
 	"fernvane/internal/load"
 	"fernvane/internal/scenario"
 	"fernvane/internal/standin/box"
@@ -124,10 +125,31 @@
 
 var conditions = map[string]audit.Condition{discovery.Serving: audit.Serving, discovery.Draining: audit.Draining, discovery.Deleted: audit.Gone}
 
-func (e *eyes) Told(node int, id, phase string, at time.Time) {
+// Told tells what discovery has told a node. What it tells a planner reaches nodes by that planner only.
+func (e *eyes) Told(node int, id, phase string, up int64, at time.Time) {
+	if node >= e.s.Nodes.Count {
+		return
+	}
 	e.see(func(a *audit.Audit, _ time.Duration) {
 		if b, ok := e.boxes[id]; ok {
-			a.Told(node, b, conditions[phase], at.Sub(e.start))
+			a.Told(node, b, conditions[phase], up, at.Sub(e.start))
+		}
+	})
+}
+
+var lives = [...]audit.Condition{life.Up: audit.Serving, life.Draining: audit.Draining, life.Gone: audit.Gone}
+
+// Planned tells what a planner has told a node.
+func (e *eyes) Planned(forwarder string, told []life.Entry, at time.Time) {
+	var node int
+	if _, err := fmt.Sscanf(forwarder, "n%d", &node); err != nil {
+		return
+	}
+	e.see(func(a *audit.Audit, _ time.Duration) {
+		for _, l := range told {
+			if b, ok := e.boxes[l.ID]; ok {
+				a.Told(node, b, lives[l.Condition], l.Up, at.Sub(e.start))
+			}
 		}
 	})
 }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -180,6 +180,18 @@
 			})
 		}
 	},
+	"kill-planners": eachPlanner(killPlanner, returnPlanner),
+	"stop-planners": eachPlanner(
+		func(w *world, _ *scenario.Fault, n int) { w.planners[n].signal(syscall.SIGSTOP) },
+		func(w *world, _ *scenario.Fault, n int) { w.planners[n].signal(syscall.SIGCONT) }),
+	"cut-planners": eachPlanner(
+		func(w *world, f *scenario.Fault, n int) { w.relays[n][f.Half].Cut(true) },
+		func(w *world, f *scenario.Fault, n int) { w.relays[n][f.Half].Cut(false) }),
+	"slow-planners": eachPlanner(
+		func(w *world, f *scenario.Fault, n int) {
+			delayPlanner(w, n, time.Duration(f.Size*float64(time.Second)))
+		},
+		func(w *world, _ *scenario.Fault, n int) { delayPlanner(w, n, 0) }),
 	"rude": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) { w.rudeClients(f) },
 	// The load's own: the schedule holds them.
 	"hot-key":  func(*world, context.Context, *scenario.Fault, *rand.Rand) {},
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -22,6 +22,7 @@
 
 // process is one node, over its restarts.
 type process struct {
+	kind    string // "" for a node
 	number  int
 	command []string
 	env     []string
@@ -69,9 +70,11 @@
 	}
 	defer log.Close()
 	c := exec.Command(p.command[0], p.command[1:]...)
-	c.Env = append(append(os.Environ(), p.env...), "PROXY_CONFIG="+p.config())
-	if _, err := os.Stat(p.operator()); err == nil {
-		c.Env = append(c.Env, "PROXY_OPERATOR="+p.operator())
+	c.Env = append(os.Environ(), p.env...)
+	for name, path := range map[string]string{"PROXY_CONFIG": p.config(), "PROXY_OPERATOR": p.operator(), "PROXY_PLANNERS": p.planners(), "PROXY_PLAN": p.plan()} {
+		if _, err := os.Stat(path); err == nil {
+			c.Env = append(c.Env, name+"="+path)
+		}
 	}
 	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -101,13 +104,18 @@
 	return nil
 }
 
-func (p *process) log() string    { return filepath.Join(p.dir, fmt.Sprintf("node-%d.log", p.number)) }
-func (p *process) config() string { return filepath.Join(p.dir, fmt.Sprintf("node-%d.json", p.number)) }
+// file is one of the process's own. Nodes' have the names that they had before there was another kind.
+func (p *process) file(what, ending string) string {
+	return filepath.Join(p.dir, fmt.Sprintf("%s%s-%d.%s", p.kind, what, p.number, ending))
+}
+
+func (p *process) log() string      { return p.file("node", "log") }
+func (p *process) config() string   { return p.file("node", "json") }
+func (p *process) planners() string { return p.file("planners", "toml") }
+func (p *process) plan() string     { return p.file("plan", "toml") }
 
 // operator is the node's file of routes.
-func (p *process) operator() string {
-	return filepath.Join(p.dir, fmt.Sprintf("operator-%d.toml", p.number))
-}
+func (p *process) operator() string { return p.file("operator", "toml") }
 
 // tail is the end of the node's log.
 func (p *process) tail() string {
@@ -143,11 +151,13 @@
 }
 
 // reload tells the node to read its configuration again.
-func (p *process) reload() {
+func (p *process) reload() { p.signal(syscall.SIGHUP) }
+
+func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
-		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.cmd.Process.Signal(sig)
 	}
 }
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -21,6 +21,7 @@
 	"fernvane/internal/standin/box"
 	"fernvane/internal/standin/discovery"
 	"fernvane/internal/standin/front"
+	"fernvane/internal/standin/relay"
 )
 
 const (
@@ -28,8 +29,9 @@
 	nodePort          = 8443    // below the ports that the system deals out, so that a restarted node finds its own free
 	cgiPort           = 8500
 	boxPort           = 9000  // and one more for each site of callers
-	discoveryPort     = 10000 // and one more for each node
-	startAtOnce       = 16    // node processes
+	discoveryPort     = 10000 // and one more for each node, and behind them each planner
+	plannerPort       = 12000
+	startAtOnce       = 16 // node processes
 	startMost         = 60 * time.Second
 	settle            = 300 * time.Millisecond // between the last node's start and the load, for watches to begin
 	lateDrain         = 1500 * time.Millisecond
@@ -42,6 +44,7 @@
 	Scenario *scenario.Scenario
 	Ops      []load.Operation // the schedule
 	Command  []string         // runs one node, told by PROXY_CONFIG
+	Planner  []string         // runs one planner, told by PROXY_PLAN
 	Env      []string         // of the nodes, beside this process's own
 	Keep     string           // folder for configurations and logs; "" for one that is removed
 	Progress func(at time.Duration, begun, open int)
@@ -56,6 +59,8 @@
 	Calls     int // of discovery
 	TurnedOff int // calls that it turned away
 	Lines     float64
+	Planning  usage
+	PlanBytes int // that planners sent to nodes
 	Rude      int // bad clients
 }
 
@@ -73,6 +78,8 @@
 	places    int // where discovery listens, counted by its moves
 	front     *front.Front
 	nodes     []*process
+	planners  []*process
+	relays    [][2]*relay.Relay // by planner and half of the nodes
 	rude      rude
 	turn      sync.Mutex // faults come one at a time
 	stopped   chan struct{}
@@ -145,6 +152,9 @@
 	if err := w.operator(0); err != nil {
 		return err
 	}
+	if err := w.plan(); err != nil {
+		return err
+	}
 	for n := range s.Nodes.Count {
 		g.Go(func() error {
 			if err := w.configure(n); err != nil {
@@ -182,7 +192,7 @@
 }
 
 func (w *world) serveDiscovery() error {
-	for n := range w.Scenario.Nodes.Count {
+	for n := range w.Scenario.Nodes.Count + w.Scenario.Planners.Count {
 		if err := w.discovery.Serve(n, n%len(w.Scenario.Sites), w.discoveryAddress(n, w.places)); err != nil {
 			return err
 		}
@@ -350,6 +360,7 @@
 		out.Use.RSSMB = max(out.Use.RSSMB, p.use.RSSMB)
 		p.mu.Unlock()
 	}
+	out.Planning, out.PlanBytes = w.stopPlanners()
 	out.Calls, out.Lines, out.TurnedOff = w.discovery.Use()
 	w.eyes.see(func(a *audit.Audit, _ time.Duration) { out.Rules = a.Verdict() })
 	return out, nil
@@ -373,10 +384,15 @@
 	close(w.stopped)
 	w.wg.Wait()
 	var g errgroup.Group
-	for _, p := range w.nodes {
+	for _, p := range append(w.nodes, w.planners...) {
 		g.Go(func() error { return p.end(syscall.SIGKILL) })
 	}
 	g.Wait()
+	for _, halves := range w.relays {
+		for _, r := range halves {
+			r.Close()
+		}
+	}
 	if w.discovery != nil {
 		w.discovery.Close()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,12 @@
 	Line   policy.Member
 }
 
+// Share is what a plan says of a server in outside ids; Line.Server is filled in here.
+type Share[S comparable] struct {
+	Server S
+	Line   policy.Share
+}
+
 type slot struct {
 	id       uint64
 	hops     int // still out
@@ -166,6 +172,18 @@
 	n.apply(now, in, out)
 }
 
+// Planned hands over what a plan says; servers that are not listed are left out.
+func (n *Node[S]) Planned(now time.Duration, in policy.Input, shares []Share[S], out Out[S]) {
+	in.Kind, in.Shares = policy.Planned, make([]policy.Share, 0, len(shares))
+	for _, s := range shares {
+		if at, ok := n.servers[s.Server]; ok {
+			s.Line.Server = at
+			in.Shares = append(in.Shares, s.Line)
+		}
+	}
+	n.apply(now, in, out)
+}
+
 // Woken passes on the timer.
 func (n *Node[S]) Woken(now time.Duration, out Out[S]) {
 	n.apply(now, policy.Input{Kind: policy.Woken}, out)
--- /dev/null
+++ b/internal/plan/whole.go
@@ -0,0 +1,192 @@
+package plan
+
+import (
+	"math"
+	"time"
+)
+
+const grain = 2048 // shares are told in parts of this: two bytes on the wire hold them
+
+// Whole is one plan for all forwarders.
+type Whole struct {
+	common Plan
+	names  map[string]int
+	heard  []time.Duration
+	parts  [][]Share
+	cold   []Share // paces of those outside whose part a cold server is
+	alone  Plan    // for one that has not reported
+}
+
+// Plan works out the plan that holds from now.
+func (p *Planner) Plan(now time.Duration) *Whole {
+	p.advance(now)
+	p.number++
+	w := &Whole{names: map[string]int{}}
+	w.common = Plan{Start: p.start, Number: p.number, Seen: len(p.forwarders), Nodes: max(len(p.forwarders), 1),
+		Admit: p.admit, Within: p.within(), Lives: p.lives.All()}
+	names, servers := ids(p.forwarders), ids(p.servers)
+	var coldFor time.Duration
+	coldStart, fall, counted := 1.0, math.Inf(1), len(names)
+	for _, n := range names {
+		f := p.forwarders[n].figures
+		coldFor, coldStart, counted = max(coldFor, f.ColdFor), min(coldStart, f.ColdStart), max(counted, min(f.Nodes, forwarderTop))
+		if f.FallMultiple > 0 {
+			fall = min(fall, f.FallMultiple)
+		}
+	}
+	rests := p.rests(now, servers)
+	p.weigh(servers, coldFor, coldStart)
+	g := grid{servers: servers, weight: make([]float64, len(servers))}
+	for i, id := range servers {
+		if g.weight[i] = p.servers[id].weight; rests[id] > 0 {
+			g.weight[i] = 0
+		}
+	}
+	for i, n := range names {
+		w.names[n], w.heard = i, append(w.heard, p.forwarders[n].sent)
+		g.add(p.forwarders[n])
+	}
+	g.deal()
+	g.fit()
+	w.parts = make([][]Share, len(names))
+	holders := make([]int, len(servers))
+	for i, part := range g.parts {
+		for _, c := range part {
+			holders[c.server]++
+			w.parts[i] = append(w.parts[i], Share{ID: servers[c.server], Share: math.Round(c.share*grain) / grain})
+		}
+	}
+	paces := p.paces(servers, fall, holders, float64(counted)/float64(max(len(names), 1)))
+	for i, part := range g.parts {
+		for j, c := range part {
+			w.parts[i][j].Pace, w.parts[i][j].Rest = paces[c.server], rests[servers[c.server]]
+		}
+	}
+	for i, id := range servers {
+		if paces[i] > 0 || rests[id] > 0 {
+			s := Share{ID: id, Rest: rests[id]}
+			if paces[i] > 0 {
+				s.Pace = paceNone
+			}
+			w.cold = append(w.cold, s)
+		}
+	}
+	w.alone = w.common
+	return w
+}
+
+// For is one forwarder's plan; one that has not reported yet gets no part.
+func (w *Whole) For(name string) Plan {
+	i, ok := w.names[name]
+	if !ok {
+		return w.alone
+	}
+	pl := w.common
+	pl.Heard = w.heard[i]
+	pl.Servers = append([]Share(nil), w.parts[i]...)
+	for _, c := range w.cold {
+		in := false
+		for _, s := range w.parts[i] {
+			in = in || s.ID == c.ID
+		}
+		if !in {
+			pl.Servers = append(pl.Servers, c)
+		}
+	}
+	return pl
+}
+
+// within is each tenant's share within its allowance. As in the module, it goes with the others' traffic where that is
+// above their allowances: a surplus of all is nobody's.
+func (p *Planner) within() (all []Within) {
+	allowances, rates := 0.0, 0.0
+	for _, t := range p.tenants {
+		allowances, rates = allowances+t.allowance, rates+t.rate
+	}
+	for _, name := range ids(p.tenants) {
+		t := p.tenants[name]
+		if t.allowance <= 0 {
+			continue
+		}
+		fair := t.allowance * max(1, (rates-t.rate)/max(allowances-t.allowance, 1e-9))
+		all = append(all, Within{Tenant: name, Share: min(1, fair/max(t.rate, 1e-9))})
+	}
+	return all
+}
+
+// rests sends servers to rest that several forwarders find failing, for longer each time, but never more than half.
+func (p *Planner) rests(now time.Duration, servers []string) map[string]time.Duration {
+	rests, resting := map[string]time.Duration{}, 0
+	for _, id := range servers {
+		if p.servers[id].restUntil > now {
+			resting++
+		}
+	}
+	for _, id := range servers {
+		s := p.servers[id]
+		agreed := 0
+		for _, at := range s.seen {
+			if now-at < 2*judgeSpan {
+				agreed++
+			}
+		}
+		if s.restUntil <= now && s.faults >= faultsLeast && s.faults >= faultsShare*s.hops &&
+			agreed >= min(agreeLeast, len(p.forwarders)) && float64(resting+1) <= restServers*float64(len(servers)) {
+			s.restUntil = now + min(restFirst<<min(s.strikes, 3), restMost)
+			s.strikes++
+			s.hops, s.faults = 0, 0
+			clear(s.seen)
+			resting++
+		}
+		if s.restUntil > now {
+			rests[id] = s.restUntil - now
+		}
+	}
+	return rests
+}
+
+// weigh says how much of the load each server gets beside the others.
+func (p *Planner) weigh(servers []string, coldFor time.Duration, coldStart float64) {
+	now := p.last
+	for _, id := range servers {
+		s := p.servers[id]
+		s.cold = 1
+		if age := now - time.Duration(s.life.Up-p.start)*time.Millisecond; s.life.Up > 0 && age < coldFor {
+			s.cold = coldStart + (1-coldStart)*max(age.Seconds(), 0)/max(coldFor.Seconds(), 1e-9)
+		}
+		slow := max(s.slowness(), slowLeast)
+		s.weight = max(s.life.Size, 0)
+		if s.weight == 0 {
+			s.weight = 1
+		}
+		s.weight *= s.cold * max(1/(slow*slow), weightLeast)
+	}
+}
+
+// paces are what each holder of a cold server may send it: all together what a warm one of its size is sent. Where
+// forwarders count more of their kind than this planner hears, the others are taken to be there.
+func (p *Planner) paces(servers []string, fall float64, holders []int, unheard float64) []float64 {
+	rate, sizes, usual := 0.0, 0.0, 0.0
+	for _, f := range p.forwarders {
+		rate += f.rate
+	}
+	for _, id := range servers {
+		sizes += max(p.servers[id].life.Size, 0)
+	}
+	for _, k := range p.kinds {
+		usual = max(usual, k.usual)
+	}
+	paces := make([]float64, len(servers))
+	for i, id := range servers {
+		s := p.servers[id]
+		if s.cold >= 1 {
+			continue
+		}
+		whole := rate * max(s.life.Size, 0) / max(sizes, 1e-9)
+		if !math.IsInf(fall, 1) && usual > 0 {
+			whole = max(whole, paceFloor*fall/usual)
+		}
+		paces[i] = max(whole/float64(max(holders[i], 1))/max(unheard, 1), paceNone)
+	}
+	return paces
+}
--- /dev/null
+++ b/internal/plancfg/plancfg.go
@@ -0,0 +1,130 @@
+// Package plancfg reads the files of the two levels: a forwarder's, which names its planners, and a planner's.
+package plancfg
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"fernvane/internal/mtls"
+	"fernvane/internal/tomlfile"
+)
+
+const (
+	plannersMost = 8
+	leastEvery   = 100 * time.Millisecond
+	mostEvery    = 2 * time.Second
+)
+
+// TLS is what both files say of keys.
+type TLS struct {
+	Cert      string `toml:"cert"`
+	Key       string `toml:"key"`
+	CA        string `toml:"ca"`
+	Plaintext bool   `toml:"plaintext"` // without TLS, on loopback only
+}
+
+// Forwarder is a forwarder's file.
+type Forwarder struct {
+	Planners []string `toml:"planners"` // addresses; all forwarders name them in the same order
+	Name     string   `toml:"name"`     // that the planners' certificates are for
+	TLS
+
+	Addresses []netip.AddrPort `toml:"-"`
+	Keys      *mtls.Keys       `toml:"-"` // nil: plaintext
+}
+
+// Planner is a planner's file.
+type Planner struct {
+	Name      string        `toml:"name"`
+	Listen    string        `toml:"listen"`
+	Discovery string        `toml:"discovery"`
+	Every     tomlfile.Span `toml:"every"` // between two plans
+	TLS
+
+	ListenAt    netip.AddrPort `toml:"-"`
+	DiscoveryAt netip.AddrPort `toml:"-"`
+	Keys        *mtls.Keys     `toml:"-"` // nil: plaintext
+}
+
+// LoadForwarder reads a forwarder's file; each fault is named by file and line.
+func LoadForwarder(path string) (*Forwarder, error) {
+	text, err := tomlfile.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Forwarder{}
+	f, err := tomlfile.Parse(path, text, c)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.Planners) == 0 || len(c.Planners) > plannersMost {
+		f.Wrong("planners", "%d planners: from 1 to %d", len(c.Planners), plannersMost)
+	}
+	for i, p := range c.Planners {
+		at, err := netip.ParseAddrPort(p)
+		if err != nil {
+			f.Wrong("planners."+strconv.Itoa(i), "planner %q: an address and a port are wanted", p)
+		}
+		c.Addresses = append(c.Addresses, at)
+	}
+	if !c.Plaintext && c.Name == "" {
+		f.Wrong("name", "name says what the planners' certificates are for")
+	}
+	c.Keys = c.keys(f, c.Addresses)
+	return c, f.Err()
+}
+
+// LoadPlanner reads a planner's file.
+func LoadPlanner(path string) (*Planner, error) {
+	text, err := tomlfile.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Planner{Every: tomlfile.Span(500 * time.Millisecond)}
+	f, err := tomlfile.Parse(path, text, c)
+	if err != nil {
+		return nil, err
+	}
+	if c.Name == "" {
+		f.Wrong("name", "a planner needs a name")
+	}
+	if c.ListenAt, err = netip.ParseAddrPort(c.Listen); err != nil {
+		f.Wrong("listen", "listen %q: an address and a port are wanted", c.Listen)
+	}
+	if c.DiscoveryAt, err = netip.ParseAddrPort(c.Discovery); err != nil {
+		f.Wrong("discovery", "discovery %q: an address and a port are wanted", c.Discovery)
+	}
+	if c.Every.D() < leastEvery || c.Every.D() > mostEvery {
+		f.Wrong("every", "every %s: from %s to %s", c.Every.D(), leastEvery, mostEvery)
+	}
+	c.Keys = c.keys(f, []netip.AddrPort{c.ListenAt})
+	return c, f.Err()
+}
+
+// keys loads what the file names; without TLS all addresses must stay on this machine.
+func (t TLS) keys(f *tomlfile.File, addresses []netip.AddrPort) *mtls.Keys {
+	if t.Plaintext {
+		for _, at := range addresses {
+			if err := mtls.Plain(at); at.IsValid() && err != nil {
+				f.Wrong("plaintext", "%s: %v", at, err)
+			}
+		}
+		if t.Cert != "" || t.Key != "" || t.CA != "" {
+			f.Wrong("plaintext", "either plaintext or keys")
+		}
+		return nil
+	}
+	for key, v := range map[string]string{"cert": t.Cert, "key": t.Key, "ca": t.CA} {
+		if v == "" {
+			f.Wrong(key, "%s names no file; cert, key and ca are wanted, or plaintext = true on loopback", key)
+			return nil
+		}
+	}
+	keys, err := mtls.Load(mtls.Files{Cert: t.Cert, Key: t.Key, CA: t.CA})
+	if err != nil {
+		f.Wrong("cert", "%v", err)
+		return nil
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,332 @@
+// Package planner runs one planner: it follows discovery, hears the forwarders' reports and sends each its plan.
+package planner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"fernvane/internal/life"
+	"fernvane/internal/plan"
+	"fernvane/internal/plancfg"
+	"fernvane/internal/planline"
+	"fernvane/internal/watch"
+)
+
+const (
+	greetMost   = 2 * time.Second // for a forwarder's TLS and greeting
+	silentMost  = 5 * time.Second // without a report, after which its connection is ended
+	connsMost   = 4096            // forwarders at a time, those that are not greeted yet included
+	serversMost = 4096            // in a report
+	askFirst    = 250 * time.Millisecond
+	askMost     = 4 * time.Second // between two tries to reach discovery
+	countsEvery = 10 * time.Second
+)
+
+// Server is a running planner.
+type Server struct {
+	cfg   *plancfg.Planner
+	log   zerolog.Logger
+	start time.Time
+
+	mu    sync.Mutex // never held over a socket
+	plan  *plan.Planner
+	said  map[string]life.Entry // what discovery has told, as it told it
+	heard map[string]*forwarder
+	conns int
+	ready bool // discovery has told a whole list
+	counts
+}
+
+// counts since the last line of the log.
+type counts struct {
+	Reports, Plans, Refused, Bytes int
+	Slowest                        time.Duration // plan
+}
+
+// forwarder is one connection.
+type forwarder struct {
+	conn *planline.Conn
+	told plan.Plan
+	next chan plan.Plan // the latest that it has not been sent
+}
+
+// Run serves until the context ends.
+func Run(ctx context.Context, cfg *plancfg.Planner, log zerolog.Logger) error {
+	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(cfg.ListenAt))
+	if err != nil {
+		return err
+	}
+	return run(ctx, cfg, log, ln)
+}
+
+func run(ctx context.Context, cfg *plancfg.Planner, log zerolog.Logger, ln *net.TCPListener) error {
+	now := time.Now()
+	s := &Server{cfg: cfg, log: log, start: now, plan: plan.New(now.UnixMilli()), said: map[string]life.Entry{}, heard: map[string]*forwarder{}}
+	log.Info().Str("planner", cfg.Name).Stringer("listen", cfg.ListenAt).Bool("tls", cfg.Keys != nil).Msg("planning")
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.follow(ctx) })
+	g.Go(func() error { return s.make(ctx) })
+	g.Go(func() error { return s.report(ctx) })
+	g.Go(func() error {
+		defer ln.Close()
+		<-ctx.Done()
+		return nil
+	})
+	g.Go(func() error {
+		var all sync.WaitGroup
+		defer all.Wait()
+		for {
+			nc, err := ln.AcceptTCP()
+			switch {
+			case ctx.Err() != nil:
+				return nil
+			case err != nil: // shortage passes
+				log.Warn().Err(err).Msg("accept failed")
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			all.Go(func() { s.lead(ctx, nc) })
+		}
+	})
+	return g.Wait()
+}
+
+func (s *Server) now() time.Duration { return time.Since(s.start) }
+
+// follow watches discovery, whole at first.
+func (s *Server) follow(ctx context.Context) error {
+	w := watch.Watcher{Place: watch.NewPlace(s.cfg.DiscoveryAt), Whole: true}
+	defer w.Close()
+	for wait := askFirst; ctx.Err() == nil; {
+		began := time.Now()
+		list, err := w.Call(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			s.log.Warn().Err(err).Msg("discovery failed")
+			pause(ctx, time.Duration((0.5+rand.Float64())*float64(wait)))
+			wait = min(2*wait, askMost)
+			continue
+		}
+		wait = askFirst
+		if !list.Complete && list.Revision < w.Revision { // it counts from elsewhere now
+			w.Whole = true
+			continue
+		}
+		w.Whole, w.Revision = false, list.Revision
+		for _, err := range list.Skipped {
+			s.log.Warn().Err(err).Msg("list entry skipped")
+		}
+		s.mu.Lock()
+		entries := watch.Entries(list)
+		if list.Complete {
+			clear(s.said)
+		}
+		for _, e := range entries {
+			s.said[e.ID] = e
+		}
+		s.plan.Listed(s.now(), entries, list.Complete)
+		s.ready = s.ready || list.Complete
+		s.mu.Unlock()
+		pause(ctx, watch.Pace-time.Since(began))
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(max(d, 0))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// make works out a plan again and again, and leaves each forwarder's with its connection.
+func (s *Server) make(ctx context.Context) error {
+	tick := time.NewTicker(s.cfg.Every.D())
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		s.mu.Lock()
+		if s.ready {
+			began := time.Now()
+			whole := s.plan.Plan(s.now())
+			for name, f := range s.heard {
+				select {
+				case <-f.next:
+				default:
+				}
+				f.next <- whole.For(name)
+			}
+			s.Plans++
+			s.Slowest = max(s.Slowest, time.Since(began))
+		}
+		s.mu.Unlock()
+	}
+}
+
+// errReplaced ends a forwarder's connection when another comes under its name: a forwarder has one, so the older is dead.
+var errReplaced = errors.New("another connection has come under this name")
+
+// lead is the life of a forwarder's connection.
+func (s *Server) lead(ctx context.Context, nc net.Conn) {
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	from := nc.RemoteAddr().String()
+	s.mu.Lock()
+	s.conns++
+	full := s.conns > connsMost
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.conns--
+		s.mu.Unlock()
+	}()
+	if full {
+		s.refused(from, fmt.Errorf("%d forwarders are connected", connsMost))
+		return
+	}
+	by := time.Now().Add(greetMost)
+	if s.cfg.Keys != nil {
+		t := s.cfg.Keys.Server(nc)
+		t.SetDeadline(by)
+		if err := t.HandshakeContext(ctx); err != nil {
+			s.refused(from, err)
+			return
+		}
+		if err := s.cfg.Keys.Fault(); err != nil {
+			s.log.Error().Err(err).Msg("keys not read again")
+		}
+		nc = t
+	}
+	c := planline.New(nc)
+	name, err := c.Greet(s.cfg.Name, by)
+	if err != nil {
+		s.refused(from, err)
+		return
+	}
+	f := &forwarder{conn: c, next: make(chan plan.Plan, 1)}
+	s.mu.Lock()
+	if older := s.heard[name]; older != nil {
+		older.conn.Close()
+	}
+	s.heard[name] = f
+	s.mu.Unlock()
+	ended := make(chan struct{})
+	var sending errgroup.Group
+	sending.Go(func() error { return s.send(f, ended) })
+	err = s.receive(f, name)
+	close(ended)
+	nc.Close()
+	sending.Wait()
+	s.mu.Lock()
+	if s.heard[name] == f {
+		delete(s.heard, name)
+	} else {
+		err = errReplaced
+	}
+	s.mu.Unlock()
+	s.log.Info().Str("forwarder", name).Str("from", from).Err(err).Msg("forwarder left")
+}
+
+func (s *Server) refused(from string, why error) {
+	s.log.Warn().Str("from", from).Err(why).Msg("peer refused")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Refused++
+}
+
+// send writes what of each plan is new to the forwarder.
+func (s *Server) send(f *forwarder, ended chan struct{}) error {
+	for {
+		select {
+		case <-ended:
+			return nil
+		case next := <-f.next:
+			change, told := plan.Diff(f.told, next)
+			before := f.conn.Sent
+			if err := f.conn.Send(planline.ChangeKind, change); err != nil {
+				f.conn.Close()
+				return err
+			}
+			f.told = told
+			s.mu.Lock()
+			s.Bytes += f.conn.Sent - before
+			s.mu.Unlock()
+		}
+	}
+}
+
+// receive hears a forwarder's reports until its connection ends or it says what no forwarder says.
+func (s *Server) receive(f *forwarder, name string) error {
+	for {
+		k, body, err := f.conn.Receive(time.Now().Add(silentMost))
+		if err != nil {
+			return err
+		}
+		var r plan.Report
+		switch {
+		case k == planline.RefusalKind:
+			var why planline.Refusal
+			planline.Decode(body, &why)
+			return fmt.Errorf("refused by the forwarder: %.200s", why.Reason)
+		case k != planline.ReportKind:
+			err = fmt.Errorf("a frame of kind %d from a forwarder", k)
+		default:
+			if err = planline.Decode(body, &r); err == nil && len(r.Servers) > serversMost {
+				err = fmt.Errorf("a report of %d servers", len(r.Servers))
+			}
+		}
+		if err != nil {
+			s.refused(name, err)
+			return f.conn.Refuse(err)
+		}
+		s.mu.Lock()
+		now := s.now()
+		s.plan.Reported(now, name, &r)
+		var again []life.Entry // discovery may have had a later word on what the forwarder knows of
+		for _, e := range r.Above {
+			if said, ok := s.said[e.ID]; ok {
+				again = append(again, said)
+			}
+		}
+		if len(again) > 0 {
+			s.plan.Listed(now, again, false)
+		}
+		s.Reports++
+		s.mu.Unlock()
+	}
+}
+
+// report logs what has happened, every countsEvery.
+func (s *Server) report(ctx context.Context) error {
+	tick := time.NewTicker(countsEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		s.mu.Lock()
+		c, forwarders := s.counts, len(s.heard)
+		s.counts = counts{}
+		s.mu.Unlock()
+		s.log.Info().Int("forwarders", forwarders).Int("reports", c.Reports).Int("plans", c.Plans).Int("refused", c.Refused).
+			Int("bytes", c.Bytes).Dur("slowest_plan", c.Slowest).Msg("counts")
+	}
+}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -42,6 +42,8 @@
 	Generator        Generator          `json:"generator"`
 	Discovery        Discovery          `json:"discovery"`
 	NodeUse          Use                `json:"nodes_use"`
+	PlannerUse       Use                `json:"planners_use"`
+	PlanBytes        int                `json:"plan_bytes"` // that planners sent to nodes
 	BadClients       int                `json:"bad_clients"`
 	Series           []Point            `json:"series"`
 	Faults           []Fault            `json:"faults"`
@@ -110,6 +112,7 @@
 		Generator:  Generator{millis(o.Late.Most), round(o.Late.Share), o.Late.Behind, round(o.Late.Bin)},
 		Discovery:  Discovery{o.Calls, math.Round(o.Lines), o.TurnedOff},
 		NodeUse:    Use{round(o.Use.CPU.Seconds()), math.Round(o.Use.RSSMB)},
+		PlannerUse: Use{round(o.Planning.CPU.Seconds()), math.Round(o.Planning.RSSMB)}, PlanBytes: o.PlanBytes,
 		BadClients: o.Rude, Faults: []Fault{}, Baselines: []Report{}}
 	for _, t := range o.ByType {
 		r.Latency[t.Name] = Latency{quantile(t.Latency, 50), quantile(t.Latency, 99), quantile(t.Latency, 99.9),
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -22,6 +22,7 @@
 	sharesSlack = 0.001 // by which shares may miss 1 when they are added up
 	mostBoxes   = 2000
 	mostNodes   = 1000
+	mostPlanner = 8
 	mostLength  = 10 * time.Minute
 	mostRate    = 100_000
 )
@@ -34,6 +35,7 @@
 	boxes
 	nodes
 	site
+	planners
 )
 
 // FaultKind is one kind of trouble.
@@ -66,6 +68,10 @@
 	{"reload", "the operator's file is replaced by the next of operators, and nodes get SIGHUP, Size times a minute", noTarget, true, "times a minute", ""},
 	{"kill-nodes", "nodes are killed outright and come back with an old list", nodes, true, "", ""},
 	{"restart-nodes", "nodes are told to stop and started again", nodes, false, "", ""},
+	{"kill-planners", "planners are killed outright and come back knowing nothing", planners, true, "", ""},
+	{"stop-planners", "planners stand still, and go on with what they knew", planners, true, "", ""},
+	{"cut-planners", "planners and half of the nodes hear nothing of each other", planners, true, "", ""},
+	{"slow-planners", "what planners and nodes tell each other comes Size seconds late", planners, true, "seconds", ""},
 	{"hot-key", "one key draws Share of the traffic", noTarget, true, "", "of traffic"},
 	{"overload", "traffic rises to Size times its rate", noTarget, true, "times", ""},
 	{"rude", "clients send what cannot be read, or nothing, to all nodes", noTarget, true, "connections a second", ""},
@@ -154,6 +160,7 @@
 	}
 	within("length", s.Length.D().Seconds(), 0.1, mostLength.Seconds())
 	within("nodes.count", float64(s.Nodes.Count), 1, mostNodes)
+	within("planners.count", float64(s.Planners.Count), 0, mostPlanner)
 	if n := len(s.Sites); n > s.Nodes.Count {
 		f.Wrong("nodes.count", "%d sites, but %d nodes: the clients of each site need one", n, s.Nodes.Count)
 	}
@@ -274,6 +281,18 @@
 		if len(x.Nodes) == 0 && x.Share == 0 {
 			f.Wrong(key, "the fault names neither nodes nor a share of them")
 		}
+	case planners:
+		for _, n := range x.Planners {
+			if n < 0 || n >= s.Planners.Count {
+				f.Wrong(key+".planners", "no planner %d", n)
+			}
+		}
+		if s.Planners.Count == 0 {
+			f.Wrong(key, "there are no planners for a fault %q", x.Kind)
+		}
+		if x.Half < 0 || x.Half > 1 {
+			f.Wrong(key+".half", "half is %d: 0 or 1", x.Half)
+		}
 	case site:
 		if !slices.Contains(s.Sites, x.Site) {
 			f.Wrong(key+".site", "no site %q", x.Site)
@@ -294,6 +313,7 @@
 	or(&s.Nodes.MemoryMB, 192)
 	or(&s.Nodes.Sockets, 1024)
 	or(&s.Nodes.Notice, Span(2*time.Second))
+	or(&s.Planners.Every, Span(500*time.Millisecond))
 	for i := range s.Boxes {
 		b := &s.Boxes[i]
 		or(&b.Cores, 1)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -23,6 +23,7 @@
 	Length    Span      `toml:"length"`
 	Sites     []string  `toml:"sites"`
 	Nodes     Nodes     `toml:"nodes"`
+	Planners  Planners  `toml:"planners"`
 	Boxes     []Boxes   `toml:"boxes"`
 	Types     []Type    `toml:"types"`
 	Tenants   []Tenant  `toml:"tenants"`
@@ -49,6 +50,12 @@
 	Notice   Span    `toml:"notice"` // until the front finds out that one has died
 }
 
+// Planners are the upper level; without any each node decides by itself.
+type Planners struct {
+	Count int  `toml:"count"`
+	Every Span `toml:"every"` // between two plans
+}
+
 // Boxes are servers of one kind, dealt out over the sites in turn.
 type Boxes struct {
 	Kind        string  `toml:"kind"`
@@ -152,8 +159,12 @@
 	Boxes []string `toml:"boxes"` // names: kind-number, counting from 0
 	Share float64  `toml:"share"` // of the boxes or nodes in place of names, or of connections or traffic
 	Nodes []int    `toml:"nodes"`
-	Site  string   `toml:"site"`
-	Size  float64  `toml:"size"` // how many times slower, or what share of the fleet or traffic remains
+	// Planners are named by their numbers; none: all.
+	Planners []int `toml:"planners"`
+	// Half of the nodes that a fault is for: those with even (0) or odd (1) numbers.
+	Half int     `toml:"half"`
+	Site string  `toml:"site"`
+	Size float64 `toml:"size"` // how many times slower, or what share of the fleet or traffic remains
 }
 
 // End is when the fault is over.
@@ -169,6 +180,17 @@
 	}
 }
 
+// Single is the scenario with each node deciding by itself, on the same load and with the same troubles.
+func (s *Scenario) Single() *Scenario {
+	one := *s
+	one.Planners = Planners{}
+	one.Faults = slices.DeleteFunc(slices.Clone(s.Faults), func(f Fault) bool {
+		k, _ := KindOf(f.Kind)
+		return k.on == planners
+	})
+	return &one
+}
+
 // Paired is the scenario with clients and boxes that speak FastCGI, or HTTP.
 func (s *Scenario) Paired(clients, boxes bool) *Scenario {
 	p := *s
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -12,6 +12,7 @@
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
+	"fernvane/internal/plancfg"
 	"fernvane/internal/route"
 	"fernvane/internal/settings"
 )
@@ -32,21 +33,25 @@
 	Known     http1.List
 	KnownErr  error // a saved list of no use; the node starts without
 	Settings  settings.Settings
-	Operator  string     // the operator's file; "" for none
-	Routes    *route.Set // what it says; nil for none
-	Module    node.Maker // nil: the project's own
+	Operator  string             // the operator's file; "" for none
+	Routes    *route.Set         // what it says; nil for none
+	Module    node.Maker         // nil: the project's own
+	Planners  *plancfg.Forwarder // nil: the node decides by itself
 	path      string
 	getenv    func(string) string
 	told      string // discovery's address as the file names it
 }
 
-// Load reads a configuration; variables of the environment go before the file. The operator's file, which one of them
-// may name, is read with it.
+// Load reads a configuration; variables of the environment go before the file. The operator's file and the
+// planners' file, which two of them may name, are read with it.
 func Load(path string, getenv func(string) string) (Config, error) {
 	c, err := read(path, getenv)
 	if err == nil && c.Operator != "" {
 		c.Routes, err = route.Load(c.Operator, &c.Settings)
 	}
+	if path := getenv("PROXY_PLANNERS"); err == nil && path != "" {
+		c.Planners, err = plancfg.LoadForwarder(path)
+	}
 	return c, err
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -18,6 +18,7 @@
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/route"
+	"fernvane/internal/watch"
 )
 
 const (
@@ -35,7 +36,8 @@
 	cfg       Config
 	log       zerolog.Logger
 	fleet     *fleet.Fleet
-	discovery atomic.Pointer[place]
+	discovery atomic.Pointer[watch.Place]
+	planners  *planners // nil: there are none
 	dialer    net.Dialer
 	draining  atomic.Bool    // answers end their connections
 	closing   atomic.Bool    // listening ends as soon as no connection comes
@@ -74,7 +76,10 @@
 		}
 		defer cgi.Close()
 	}
-	s.discovery.Store(newPlace(cfg.Discovery))
+	s.discovery.Store(watch.NewPlace(cfg.Discovery))
+	if cfg.Planners != nil {
+		s.planners = newPlanners(cfg.Planners, cfg.Name, s.fleet, cfg.Settings.Nodes, log)
+	}
 	if cfg.Routes != nil {
 		s.fleet.Reroute(cfg.Routes)
 	}
@@ -86,6 +91,9 @@
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.follow(ctx) })
+	if s.planners != nil {
+		g.Go(func() error { return s.planners.run(ctx) })
+	}
 	g.Go(func() error { return s.report(ctx) })
 	g.Go(func() error { return s.reload(ctx, tell.Reload) })
 	g.Go(func() error {
@@ -118,6 +126,9 @@
 		s.log.Warn().Err(s.cfg.KnownErr).Msg("saved list unreadable")
 	}
 	s.skipped(s.cfg.Known)
+	if s.planners != nil {
+		s.planners.saved(s.cfg.Known)
+	}
 	s.fleet.Listed(s.cfg.Known, true)
 }
 
--- a/internal/standin/discovery/discovery.go
+++ b/internal/standin/discovery/discovery.go
@@ -51,7 +51,7 @@
 
 // Watcher is told what a node has been told. Times are the wall clock's.
 type Watcher interface {
-	Told(node int, id, phase string, at time.Time)
+	Told(node int, id, phase string, up int64, at time.Time)
 }
 
 // Service is the stand-in.
@@ -229,7 +229,7 @@
 		}
 		answered = time.Now()
 		for _, m := range l.Members {
-			s.watch.Told(p.node, m.ID, m.Phase, answered)
+			s.watch.Told(p.node, m.ID, m.Phase, m.UpSinceMS, answered)
 		}
 	}
 }
--- a/internal/standin/discovery/discovery_test.go
+++ b/internal/standin/discovery/discovery_test.go
@@ -20,7 +20,7 @@
 	all []string
 }
 
-func (t *told) Told(node int, id, phase string, _ time.Time) {
+func (t *told) Told(node int, id, phase string, _ int64, _ time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all = append(t.all, fmt.Sprint(node, id, phase))
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,146 @@
+// Package watch follows discovery's list over its one connection, for nodes and planners alike.
+package watch
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"fernvane/internal/http1"
+	"fernvane/internal/life"
+)
+
+const (
+	// A silent connection is noticed when an answer is overdue, and what discovery had to tell counts as told
+	// 2 s after the wait: a short wait finds out sooner, and going on with a watch costs discovery no call.
+	wait        = 3 * time.Second
+	slack       = 1500 * time.Millisecond // beyond the wait, for an answer to a watch that goes on
+	queueSlack  = 4 * time.Second         // the same for a new call, which waits in discovery's queue
+	dialMost    = time.Second             // for a connection to discovery
+	longestList = 1 << 20                 // bytes
+
+	// Pace is the least time between two calls; a watch must be renewed within 200 ms.
+	Pace = 25 * time.Millisecond
+)
+
+var past = time.Unix(1, 0) // a deadline that ends what is under way
+
+// Place is an address of discovery; Left is done when another has been named.
+type Place struct {
+	At    netip.AddrPort
+	Left  context.Context
+	Leave context.CancelFunc
+}
+
+// NewPlace is one that is not left yet.
+func NewPlace(at netip.AddrPort) *Place {
+	p := &Place{At: at}
+	p.Left, p.Leave = context.WithCancel(context.Background())
+	return p
+}
+
+// Watcher holds the one connection to discovery.
+type Watcher struct {
+	Place    *Place
+	Moved    bool // and nothing heard at the new address yet
+	Whole    bool // the whole list is wanted
+	Revision uint64
+	conn     *http1.Conn
+}
+
+// Close ends the connection; the next call opens another.
+func (w *Watcher) Close() {
+	if w.conn != nil {
+		w.conn.Close()
+		w.conn = nil
+	}
+}
+
+// Call waits for changes; the first call at a new address does not, so as to learn at once whether ours is a
+// revision there.
+func (w *Watcher) Call(ctx context.Context) (http1.List, error) {
+	if w.conn != nil && !w.conn.Quiet() {
+		w.Close()
+	}
+	wait, slack := wait, slack
+	if w.Moved {
+		wait = 0
+	}
+	if w.conn == nil {
+		slack = queueSlack
+		d := net.Dialer{Timeout: dialMost}
+		dialing, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(w.Place.Left, cancel)()
+		nc, err := d.DialContext(dialing, "tcp", w.Place.At.String())
+		if err != nil {
+			return http1.List{}, err
+		}
+		w.conn = http1.NewConn(nc)
+	}
+	conn := w.conn
+	conn.SetDeadline(time.Now().Add(wait + slack))
+	defer context.AfterFunc(ctx, func() { conn.SetDeadline(past) })()
+	defer context.AfterFunc(w.Place.Left, func() { conn.SetDeadline(past) })()
+	list, again, err := ask(conn, w.Place.At.String(), http1.ListCall{Whole: w.Whole, After: w.Revision, Wait: wait})
+	if err != nil || !again {
+		w.Close()
+	}
+	return list, err
+}
+
+// ask makes one call; again tells whether the connection can be used for the next.
+func ask(conn *http1.Conn, host string, call http1.ListCall) (l http1.List, again bool, err error) {
+	if _, err = conn.Send(http1.AppendListCall(conn.Scratch(), host, call)); err != nil {
+		return l, false, err
+	}
+	var resp http1.Response
+	if err = conn.ReadResponse(&resp, longestList); err != nil {
+		return l, false, err
+	}
+	if resp.Status != 200 {
+		return l, false, fmt.Errorf("discovery answers %d", resp.Status)
+	}
+	l, err = http1.ParseList(resp.Body)
+	return l, !resp.Close, err
+}
+
+var conditions = [...]life.Condition{http1.Serving: life.Up, http1.Draining: life.Draining, http1.Deleted: life.Gone}
+var phases = [...]http1.Phase{life.Up: http1.Serving, life.Draining: http1.Draining, life.Gone: http1.Deleted}
+
+// Entries are the lives that a list of discovery tells.
+func Entries(l http1.List) []life.Entry {
+	entries := make([]life.Entry, 0, len(l.Hosts))
+	for _, h := range l.Hosts {
+		e := life.Entry{ID: h.ID, Up: h.UpSinceMS, Condition: conditions[h.Phase], Revision: l.Revision, Zone: h.Zone,
+			Flavor: h.Flavor, Cell: h.Cell, Size: h.Size}
+		if h.Address.IsValid() {
+			e.Address = h.Address.String()
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// List is what a node takes lives in as: a change to its list. An entry of no use is told of as skipped.
+func List(entries []life.Entry) http1.List {
+	l := http1.List{}
+	for _, e := range entries {
+		h := http1.Host{ID: e.ID, Zone: e.Zone, Flavor: e.Flavor, Cell: e.Cell, Size: e.Size, UpSinceMS: e.Up}
+		if e.Condition > life.Gone || e.ID == "" {
+			l.Skipped = append(l.Skipped, fmt.Errorf("server %.40q in unknown condition %d", e.ID, e.Condition))
+			continue
+		}
+		h.Phase = phases[e.Condition]
+		var err error
+		if h.Address, err = netip.ParseAddrPort(e.Address); err != nil && h.Phase == http1.Serving {
+			l.Skipped = append(l.Skipped, fmt.Errorf("server %.40q has no usable address", e.ID))
+			continue
+		}
+		l.Revision = max(l.Revision, e.Revision)
+		l.Hosts = append(l.Hosts, h)
+	}
+	return l
+}
