--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -135,7 +135,11 @@
 	}
 	shares := make([]node.Share[string], 0, len(servers))
 	for _, s := range servers {
-		shares = append(shares, node.Share[string]{Server: s.ID, Line: policy.Share{Part: s.Share / max(most, 1e-9), Pace: s.Pace, Rest: s.Rest}})
+		line := policy.Share{Part: s.Share / max(most, 1e-9), Pace: s.Pace, Rest: s.Rest}
+		if s.Avoid {
+			line.Part = -1
+		}
+		shares = append(shares, node.Share[string]{Server: s.ID, Line: line})
 	}
 	f.door.Planned(f.now(), in, shares, (*hands)(f))
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -127,6 +127,7 @@
 	for _, s := range f.held.Servers {
 		out := plan.Share{ID: s.ID, Share: f.shares[s.ID], Pace: s.Pace}
 		if f.from >= 0 {
+			out.Avoid = s.Avoid
 			out.Rest = max(s.Rest-(now-f.sources[f.from].at), 0)
 		}
 		e.Servers = append(e.Servers, out)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -35,6 +35,20 @@
 	use   usage
 }
 
+// weigh notes the memory of the running process. What the system keeps as the most counts what its parent had when it
+// was started, so it is read now.
+func (p *process) weigh() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	var whole, resident float64
+	fmt.Sscan(string(b), &whole, &resident)
+	p.use.RSSMB = max(p.use.RSSMB, resident*float64(os.Getpagesize())/(1<<20))
+}
+
 // usage of the machine by all nodes.
 type usage struct {
 	CPU   time.Duration
@@ -91,9 +105,6 @@
 		asked := p.asked
 		if s := c.ProcessState; s != nil {
 			p.use.CPU += s.UserTime() + s.SystemTime()
-			if r, ok := s.SysUsage().(*syscall.Rusage); ok {
-				p.use.RSSMB = max(p.use.RSSMB, float64(r.Maxrss)/1024)
-			}
 		}
 		p.mu.Unlock()
 		close(done)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -353,6 +353,9 @@
 		return nil, err
 	}
 	out := &Outcome{Result: g.Result, Late: late, Rude: w.rude.count()}
+	for _, p := range append(slices.Clone(w.nodes), w.planners...) {
+		p.weigh()
+	}
 	w.stopNodes()
 	for _, p := range w.nodes {
 		p.mu.Lock()
--- a/internal/plan/api.go
+++ b/internal/plan/api.go
@@ -78,7 +78,7 @@
 	_ struct{} `cbor:",toarray"`
 
 	ID    string
-	Share float64 // of its turns; all add up to 1
+	Share float64 // of its part; all add up to 1
 }
 
 // Plan is one forwarder's part of the whole.
@@ -109,7 +109,8 @@
 	_ struct{} `cbor:",toarray"`
 
 	ID    string
-	Share float64       // of the forwarder's turns; all add up to 1
+	Share float64       // of the forwarder's part; all add up to 1
+	Avoid bool          // it is much slower than its rule, as all together see it
 	Pace  float64       // hops a second while it is cold, were it warm; 0: it is not cold
 	Rest  time.Duration // from the plan's making
 }
--- a/internal/plan/change.go
+++ b/internal/plan/change.go
@@ -40,7 +40,7 @@
 	}
 	told.Servers = slices.Clone(next.Servers)
 	for i, s := range next.Servers {
-		if w, ok := was[s.ID]; ok && near(w.Share, s.Share) && near(w.Pace, s.Pace) && w.Rest == 0 && s.Rest == 0 {
+		if w, ok := was[s.ID]; ok && near(w.Share, s.Share) && near(w.Pace, s.Pace) && w.Avoid == s.Avoid && w.Rest == 0 && s.Rest == 0 {
 			told.Servers[i] = w
 		} else {
 			c.Servers = append(c.Servers, s)
--- a/internal/plan/deal.go
+++ b/internal/plan/deal.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	partLeast  = 4    // servers of a part: one rests, one is slow, and two are left
+	partLeast  = 6    // servers of a part: one rests, one is slow, and two are left
 	holdersMin = 3.0  // forwarders that hold a server, on the mean
 	flyingPart = 2.0  // servers of a part for each hop out, so that most hops find one idle
 	movesShare = 0.02 // of all places in parts may move with one plan, beside those that must
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -13,8 +13,16 @@
 	forwarderTop = 4096                   // forwarders that a planner keeps
 	serversTop   = 4096                   // servers that it judges
 	rateSpan     = 3 * time.Second        // over which rates are taken
-	judgeSpan    = 1 * time.Second        // over which answers tell how slow a server is
-	judgePrior   = 3.0                    // answers of usual speed that count beside, so that a few do not judge
+	judgeSpan    = 1 * time.Second        // over which answers tell how slow a server is now
+	judgePrior   = 3.0                    // answers of its usual speed that count beside, so that a few do not judge
+	speedSpan    = 8 * time.Second        // over which they tell how fast it is as a rule; noise of a second moves too much load
+	speedPrior   = 10.0                   // answers of usual speed that count beside
+	speedPower   = 1.5                    // of its speed in its weight: 1 has all equally busy, and the fast have less to lose
+	suddenFrom   = 1.6                    // times slower than it is as a rule: beneath, it is chance
+	suddenRule   = 0.1                    // weight of answers in the rule while it is so much slower
+	avoidFrom    = 2.0                    // times, from which it is avoided; without answers the signal fades within seconds
+	avoidServers = 0.25                   // of the servers at most
+	avoidAtOnce  = 0.05                   // and so many more with each plan, but one at least
 	usualSpan    = 5 * time.Second        // over which a type's usual latency is taken
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded, as in the module
 	windowAim    = 0.15                   // of what is left of the target time, likewise
@@ -48,6 +56,9 @@
 	life         life.Entry
 	answers      float64 // fading
 	slow         float64 // the sum of their latency over the usual
+	long, speed  float64 // the same two over the longer span
+	n, sum       float64 // the same two since the last plan
+	avoided      bool
 	hops, faults float64 // fading
 	seen         map[string]time.Duration
 	strikes      int
@@ -149,15 +160,15 @@
 		hops += a.N
 		k := p.kind(&r.Types[a.Type])
 		n, spent := float64(a.N), a.Sum.Seconds()/float64(a.N)
-		s.answers += n
-		s.slow += n * spent / max(k.usual, 1e-6)
+		s.n += n
+		s.sum += n * spent / max(k.usual, 1e-6)
 		k.answers, k.sum = k.answers+n, k.sum+a.Sum.Seconds()
 		p.strain += n * spent / k.allowed()
 		p.ended += n
 		s.strikes = 0
 	}
 	timed, failed := float64(max(told.TimedOut, 0)), float64(max(told.Failed, 0))
-	s.answers, s.slow = s.answers+timed, s.slow+timed*p.lateness()
+	s.n, s.sum = s.n+timed, s.sum+timed*p.lateness()
 	s.hops += float64(hops) + timed + failed
 	s.faults += timed + failed
 	p.ended += timed
@@ -248,7 +259,13 @@
 			delete(p.servers, id)
 			continue
 		}
-		s.answers, s.slow = s.answers*keep, s.slow*keep
+		s.answers, s.slow = s.answers*keep+s.n, s.slow*keep+s.sum
+		share := 1.0
+		if _, sudden := s.slowness(); sudden > suddenFrom {
+			share = suddenRule // or a trouble of seconds would be taken for how it is
+		}
+		s.long, s.speed = s.long*fade(speedSpan)+share*s.n, s.speed*fade(speedSpan)+share*s.sum
+		s.n, s.sum = 0, 0
 		s.hops, s.faults = s.hops*keep, s.faults*keep
 	}
 }
@@ -265,8 +282,11 @@
 	p.admit = min(max(p.admit, admitLeast), 1)
 }
 
-// slowness of a server over the usual.
-func (s *server) slowness() float64 { return (s.slow + judgePrior) / (s.answers + judgePrior) }
+// slowness of a server over the usual: as a rule, and how many times that it is now.
+func (s *server) slowness() (rule, now float64) {
+	rule = (s.speed + speedPrior) / (s.long + speedPrior)
+	return rule, (s.slow + judgePrior*rule) / (s.answers + judgePrior) / rule
+}
 
 // ids are the keys of a map in their order, so that plans come out alike.
 func ids[T any](m map[string]T) []string {
--- a/internal/plan/whole.go
+++ b/internal/plan/whole.go
@@ -1,7 +1,9 @@
 package plan
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -13,7 +15,7 @@
 	names  map[string]int
 	heard  []time.Duration
 	parts  [][]Share
-	cold   []Share // paces of those outside whose part a cold server is
+	cold   []Share // what is said of servers to those outside whose part they are
 	alone  Plan    // for one that has not reported
 }
 
@@ -60,11 +62,12 @@
 	for i, part := range g.parts {
 		for j, c := range part {
 			w.parts[i][j].Pace, w.parts[i][j].Rest = paces[c.server], rests[servers[c.server]]
+			w.parts[i][j].Avoid = p.servers[servers[c.server]].avoided
 		}
 	}
 	for i, id := range servers {
-		if paces[i] > 0 || rests[id] > 0 {
-			s := Share{ID: id, Rest: rests[id]}
+		if avoided := p.servers[id].avoided; paces[i] > 0 || rests[id] > 0 || avoided {
+			s := Share{ID: id, Rest: rests[id], Avoid: avoided}
 			if paces[i] > 0 {
 				s.Pace = paceNone
 			}
@@ -147,19 +150,36 @@
 
 // weigh says how much of the load each server gets beside the others.
 func (p *Planner) weigh(servers []string, coldFor time.Duration, coldStart float64) {
-	now := p.last
+	now, slow := p.last, make(map[string]float64, len(servers))
 	for _, id := range servers {
 		s := p.servers[id]
 		s.cold = 1
 		if age := now - time.Duration(s.life.Up-p.start)*time.Millisecond; s.life.Up > 0 && age < coldFor {
 			s.cold = coldStart + (1-coldStart)*max(age.Seconds(), 0)/max(coldFor.Seconds(), 1e-9)
 		}
-		slow := max(s.slowness(), slowLeast)
+		rule, sudden := s.slowness()
 		s.weight = max(s.life.Size, 0)
 		if s.weight == 0 {
 			s.weight = 1
 		}
-		s.weight *= s.cold * max(1/(slow*slow), weightLeast)
+		s.weight *= s.cold * max(math.Pow(max(rule, slowLeast), -speedPower), weightLeast)
+		slow[id] = sudden
+	}
+	p.avoid(servers, slow)
+}
+
+// avoid has the slowest left alone, as compared with what each is as a rule; never many, nor many more at once.
+func (p *Planner) avoid(servers []string, slow map[string]float64) {
+	order := slices.Clone(servers)
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(slow[b], slow[a]) })
+	most, more := int(avoidServers*float64(len(servers))), max(int(avoidAtOnce*float64(len(servers))), 1)
+	for i, id := range order {
+		s := p.servers[id]
+		is := slow[id] > avoidFrom && i < most && (s.avoided || more > 0)
+		if is && !s.avoided {
+			more--
+		}
+		s.avoided = is
 	}
 }
 
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -3,6 +3,7 @@
 package relay
 
 import (
+	"bufio"
 	"net"
 	"sync"
 	"time"
@@ -170,11 +171,13 @@
 
 // pass hands frames on in one direction, each at its time; written is called behind each.
 func (r *Relay) pass(from, to net.Conn, written func(planline.Kind, []byte)) {
-	frames := make(chan frame, queued)
+	frames, in := make(chan frame, queued), bufio.NewReader(from)
 	var writing sync.WaitGroup
 	writing.Go(func() {
 		for f := range frames {
-			time.Sleep(time.Until(f.due))
+			if wait := time.Until(f.due); wait > 0 {
+				time.Sleep(wait)
+			}
 			r.mu.Lock()
 			cut := r.cut
 			r.mu.Unlock()
@@ -190,7 +193,7 @@
 		}
 	})
 	for {
-		k, body, err := planline.Read(from, nil)
+		k, body, err := planline.Read(in, nil)
 		if err != nil {
 			break
 		}
--- a/policy/api.go
+++ b/policy/api.go
@@ -155,7 +155,7 @@
 // Share is what a plan says of one server for this node. Those with a part are the node's part of the servers.
 type Share struct {
 	Server int
-	Part   float64       // of the turns, over the largest of the node's; 0: not in its part
+	Part   float64       // how soon it joins, over the largest; 0: not in its part; below: to be avoided
 	Pace   float64       // hops a second while it is cold, were it warm; 0: as the node knows itself
 	Rest   time.Duration // for which several nodes agree that it be left alone
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -114,29 +114,27 @@
 }
 
 type operation struct {
-	state        state
-	kind         int
-	room, bucket int
-	target       time.Duration // answers after this are worth nothing
-	limit        time.Duration // the client is gone
-	came         time.Duration
-	hops         []hop
-	mayRun       bool
-	group        int           // server whose group must be kept, once mayRun
-	firstRun     time.Duration // send of the first hop that may have run
-	place        int           // in Policy.open
-	ended        Outcome       // of its last hop
-	pumped       int           // the last pump that looked at it
+	state              state
+	kind, room, bucket int
+	target             time.Duration // answers after this are worth nothing
+	limit              time.Duration // the client is gone
+	came               time.Duration
+	hops               []hop
+	mayRun             bool
+	group              int           // server whose group must be kept, once mayRun
+	firstRun           time.Duration // send of the first hop that may have run
+	place              int           // in Policy.open
+	ended              Outcome       // of its last hop
+	pumped             int           // the last pump that looked at it
 }
 
 // Policy is one instance of the decision module.
 type Policy struct {
-	set     Settings
-	rows    [states][signals][]row
-	seed    uint32
-	draws   uint32
-	now     time.Duration
-	effects []Effect
+	set         Settings
+	rows        [states][signals][]row
+	seed, draws uint32
+	now         time.Duration
+	effects     []Effect
 
 	ops  []operation
 	open []int
@@ -193,7 +191,6 @@
 	refusedAt                 time.Duration // last connection refused at once, 0 if none
 	within                    []float64     // by tenant, as a plan gives it
 	admitMost                 float64       // likewise, 0 for none
-	parted                    bool          // this node has a part of the servers by a plan
 	started, asked            bool
 	lastSweep, askAt, askWait time.Duration
 }
@@ -233,29 +230,25 @@
 	return p.effects
 }
 
-// planned takes over what only the whole can know. A server outside the part is let go once no hop of this
-// node is out there; one that joins while those of the part are busy stays until the next plan.
+// planned takes over what only the whole can know. A server that leaves the part or is to be avoided is let
+// go while no hop is out there; how many are taken in is left to the node's habit.
 func (p *Policy) planned(in *Input) {
-	p.set.Nodes, p.within, p.admitMost, p.parted = in.Nodes, in.Within, in.Admit, false
+	p.set.Nodes, p.within, p.admitMost = in.Nodes, in.Within, in.Admit
+	was := slices.Clone(p.part)
 	clear(p.part)
 	clear(p.pace)
 	for _, s := range in.Shares {
 		p.part[s.Server], p.pace[s.Server] = s.Part, s.Pace
-		p.parted = p.parted || s.Part > 0
 		if s.Rest > 0 { // then one hop on trial, as after a rest of its own
 			p.restUntil[s.Server] = max(p.restUntil[s.Server], p.now+s.Rest)
 			p.strikes[s.Server] = max(p.strikes[s.Server], 1)
 		}
-		if s.Part > 0 && p.ready[s.Server] && !p.member[s.Server] {
-			p.take(s.Server)
-		}
 	}
-	for i := len(p.pool) - 1; i >= 0 && p.parted; i-- {
-		if s := p.pool[i]; p.part[s] == 0 && p.inFlight[s] == 0 {
+	for i := len(p.pool) - 1; i >= 0 && len(p.pool) > 1; i-- {
+		if s := p.pool[i]; (p.part[s] < 0 || p.part[s] == 0 && was[s] > 0) && p.inFlight[s] == 0 {
 			p.drop(i)
 		}
 	}
-	p.weigh()
 }
 
 // retype takes over traffic types. One that stays keeps what was learned, another starts with what was
@@ -786,14 +779,14 @@
 
 // routed walks the servers taken in, round robin from the last turn. While others are left, a server
 // with a hop of this node out is busy; when all taken in are busy or skipped, the next ready one of the
-// rotation joins; in a part of a plan only when its own are skipped. When none is left, skipping goes in
-// steps: all skips of the design and of health, then none but health, then only those barred.
+// rotation joins, those of a plan's part first. When none is left, skipping goes in steps: all skips of the
+// design and of health, then none but health, then only those barred.
 func (p *Policy) routed(op int) bool {
 	o := &p.ops[op]
 	if o.state != out && (p.full() || !p.hasRoom(o)) {
 		return false
 	}
-	if len(p.pool) < p.readyCount && (p.walk(o, 3) || p.parted && p.walk(o, 2) || p.join(o)) {
+	if len(p.pool) < p.readyCount && (p.walk(o, 3) || p.join(o)) {
 		return true
 	}
 	for care := 2; care >= 0; care-- {
@@ -811,8 +804,8 @@
 		switch {
 		case p.barred(s, o):
 		case care > 0 && (tried(o, s) || p.unwell(s, o)):
-		case care > 1 && (p.nearPause(s) || p.crowded(s)):
-		case care > 2 && (p.inFlight[s] > 0 || p.parted && p.part[s] < 1 && p.chance() >= p.part[s]):
+		case care > 1 && (p.nearPause(s) || p.crowded(s) || p.part[s] < 0):
+		case care > 2 && p.inFlight[s] > 0:
 		default:
 			p.turn, p.pick = (p.turn+i+1)%n, s
 			return true
@@ -829,15 +822,26 @@
 		part := (float64(p.set.Me)*homeStep + p.chance()/float64(p.set.Nodes))
 		p.next, p.started = int((part-math.Floor(part))*float64(n)), true
 	}
-	for i := range n {
-		s := p.rotation[(p.next+i)%n]
-		if !p.member[s] && !p.barred(s, o) && !tried(o, s) && !p.unwell(s, o) && !p.nearPause(s) {
-			p.next, p.pick = (p.next+i+1)%n, s
-			p.take(s)
-			return true
+	free := func(s int) bool {
+		return !p.member[s] && !p.barred(s, o) && !tried(o, s) && !p.unwell(s, o) && !p.nearPause(s)
+	}
+	best := 0.0
+	for s, part := range p.part {
+		if part > 0 && free(s) {
+			if drawn := part * p.chance(); drawn > best {
+				best, p.pick = drawn, s
+			}
 		}
 	}
-	return false
+	for i := 0; i < n && best == 0; i++ {
+		if s := p.rotation[(p.next+i)%n]; p.part[s] >= 0 && free(s) {
+			p.next, p.pick, best = (p.next+i+1)%n, s, 1
+		}
+	}
+	if best > 0 {
+		p.take(p.pick)
+	}
+	return best > 0
 }
 
 func (p *Policy) take(s int) {
@@ -850,7 +854,7 @@
 // where answers tell of each, turns stay even over all of them.
 func (p *Policy) letGo(passed time.Duration) {
 	p.need = max(p.need*math.Exp(-passed.Seconds()/poolSpan.Seconds()), p.flying)
-	if p.parted || float64(len(p.pool)) <= max(p.need+poolSlack, p.successes/poolJudged) {
+	if float64(len(p.pool)) <= max(p.need+poolSlack, p.successes/poolJudged) {
 		return
 	}
 	worst := slices.MaxFunc(p.pool, func(a, b int) int { return cmp.Compare(p.slowness[a], p.slowness[b]) })
@@ -898,7 +902,7 @@
 		wasListed := s < len(was) && was[s]
 		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, cmp.Or(max(m.Scale, 0), 1)
 		p.labels[s] = m.Labels
-		if p.ready[s] = m.Condition == Up; p.ready[s] && !wasListed && known && !p.member[s] && !p.parted &&
+		if p.ready[s] = m.Condition == Up; p.ready[s] && !wasListed && known && !p.member[s] &&
 			p.chance()*float64(p.readyCount+1) < float64(len(p.pool)) {
 			p.take(s) // as often as it has any other: not left out, and not taken in by all at once
 		}
@@ -996,9 +1000,6 @@
 	}
 	for _, s := range p.pool {
 		p.weight[s] = p.scale[s] * p.capacity(s) / max(p.slowness[s]*p.slowness[s], slowLeast)
-		if p.parted { // the plan has weighed what it is given for
-			p.weight[s] *= p.part[s]
-		}
 		p.weights += p.weight[s]
 	}
 }
