--- /dev/null
+++ b/internal/life/life_test.go
@@ -0,0 +1,159 @@
+package life
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func entry(t *rapid.T, id string) Entry {
+	n := func(most int, what string) int { return rapid.IntRange(0, most).Draw(t, what) }
+	return Entry{ID: id, Up: int64(n(2, "up")), Turn: uint32(n(1, "turn")), Condition: Condition(n(2, "condition")),
+		Revision: uint64(n(3, "revision")), Address: fmt.Sprint("127.0.0.1:", n(1, "port")+1)}
+}
+
+// In whatever order and however often entries are joined, the same comes out.
+func TestJoinIsALattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := entry(t, "s"), entry(t, "s"), entry(t, "s")
+		if Join(a, b) != Join(b, a) || Join(a, Join(b, c)) != Join(Join(a, b), c) || Join(a, a) != a {
+			t.Fatalf("%+v %+v %+v", a, b, c)
+		}
+		told := []Entry{a, b, c}
+		x, y := NewTable(), NewTable()
+		x.Join(0, told)
+		y.Join(0, append(slices.Clone(told), rapid.Permutation(told).Draw(t, "order")...))
+		if fmt.Sprint(x.All()) != fmt.Sprint(y.All()) {
+			t.Fatalf("%v, %v", x.All(), y.All())
+		}
+	})
+}
+
+// What discovery and others tell one after the other, and what holds.
+func TestTold(t *testing.T) {
+	type word struct {
+		revision uint64
+		cond     Condition
+		up       int64
+		by       string // discovery, whole (a list without s) or peer
+	}
+	for name, c := range map[string]struct {
+		words []word
+		want  string
+	}{
+		"drains, and an old word":           {[]word{{5, Up, 0, ""}, {6, Draining, 0, ""}, {4, Up, 0, ""}}, "draining 0"},
+		"drains, and is called back":        {[]word{{5, Up, 0, ""}, {6, Draining, 0, ""}, {7, Up, 0, ""}}, "up 1"},
+		"called back, and drains again":     {[]word{{6, Draining, 0, ""}, {7, Up, 0, ""}, {8, Draining, 0, ""}}, "draining 1"},
+		"a stale peer after a drain":        {[]word{{6, Draining, 0, ""}, {9, Up, 0, "peer"}}, "draining 0"},
+		"a peer knows of the drain first":   {[]word{{5, Up, 0, ""}, {6, Draining, 0, "peer"}}, "draining 0"},
+		"gone, and started anew":            {[]word{{6, Gone, 0, ""}, {7, Up, 9, ""}}, "up 0"},
+		"a peer tells of the new start":     {[]word{{6, Gone, 0, ""}, {2, Up, 9, "peer"}}, "up 0"},
+		"an end without a start":            {[]word{{5, Up, 9, ""}, {6, Gone, 0, ""}}, "gone 0"},
+		"not in a whole list":               {[]word{{5, Up, 0, ""}, {6, Up, 0, "whole"}}, "gone 0"},
+		"not in a whole list that is older": {[]word{{5, Up, 0, ""}, {4, Up, 0, "whole"}}, "up 0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			for _, w := range c.words {
+				e := Entry{ID: "s", Condition: w.cond, Up: w.up, Revision: w.revision}
+				switch w.by {
+				case "peer":
+					table.Join(0, []Entry{e})
+				case "whole":
+					table.Told(0, []Entry{{ID: "other", Revision: w.revision}}, true)
+				default:
+					table.Told(0, []Entry{e}, false)
+				}
+			}
+			e, _ := table.Get("s")
+			if got := fmt.Sprint([]string{"up", "draining", "gone"}[e.Condition], " ", e.Turn); got != c.want {
+				t.Errorf("%s", got)
+			}
+		})
+	}
+}
+
+// A peer that says endless ids fills no memory, and what has gone is forgotten in time.
+func TestBounds(t *testing.T) {
+	table := NewTable()
+	for i := range 2 * entriesMost {
+		table.Join(0, []Entry{{ID: fmt.Sprint(i), Condition: Gone}})
+	}
+	if table.Len() != entriesMost {
+		t.Errorf("%d entries", table.Len())
+	}
+	if table.Forget(tombstoneFor + time.Second); table.Len() != 0 {
+		t.Errorf("%d are remembered", table.Len())
+	}
+}
+
+// Planners read one discovery, late by any time each; they stall, return and start anew, and forwarders hear them in any
+// order. No forwarder takes a drain back before discovery itself has told a later life to some planner.
+func TestStalePlannersUndoNoDrain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []Entry // of discovery, by revision
+		planners := []*Table{NewTable(), NewTable(), NewTable()}
+		read := make([]int, len(planners)) // of the history
+		forwarders := []*Table{NewTable(), NewTable()}
+		newest := func() Entry {
+			e := Entry{ID: "s"}
+			truth := NewTable()
+			for _, h := range history {
+				truth.Told(0, []Entry{h}, false)
+			}
+			if len(history) > 0 {
+				e, _ = truth.Get("s")
+			}
+			return e
+		}
+		say := func(c Condition, up int64) {
+			history = append(history, Entry{ID: "s", Condition: c, Up: up, Revision: uint64(len(history) + 1)})
+		}
+		say(Up, 0)
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			p := rapid.IntRange(0, len(planners)-1).Draw(t, "planner")
+			f := rapid.IntRange(0, len(forwarders)-1).Draw(t, "forwarder")
+			was, _ := forwarders[f].Get("s")
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0: // discovery goes on
+				switch last := history[len(history)-1]; {
+				case last.Condition == Up:
+					say(Draining, 0)
+				case last.Condition == Draining && rapid.Bool().Draw(t, "called back"):
+					say(Up, last.Up)
+				case last.Condition == Draining:
+					say(Gone, 0)
+				default:
+					say(Up, int64(len(history))) // a later start
+				}
+			case 1: // a planner reads on
+				if read[p] < len(history) {
+					planners[p].Told(0, history[read[p]:read[p]+1], false)
+					read[p]++
+				}
+			case 2: // it starts anew, from a whole list that may lag
+				planners[p], read[p] = NewTable(), rapid.IntRange(1, len(history)).Draw(t, "lag")
+				planners[p].Told(0, history[read[p]-1:read[p]], true)
+			case 3, 4: // a forwarder hears it
+				forwarders[f].Join(0, planners[p].All())
+			case 5: // and it the forwarder
+				planners[p].Join(0, forwarders[f].Above(map[string]Entry{}, 9))
+			case 6: // the forwarder asks discovery itself
+				forwarders[f].Told(0, history[len(history)-1:], false)
+			}
+			now, _ := forwarders[f].Get("s")
+			if Compare(now, was) < 0 {
+				t.Fatalf("went back from %+v to %+v", was, now)
+			}
+			if was.Condition != Up && now.Condition == Up && now.Up == was.Up && now.Turn == was.Turn {
+				t.Fatalf("a drain was undone: %+v to %+v", was, now)
+			}
+			if truth := newest(); now.ID != "" && now.Up > truth.Up {
+				t.Fatalf("holds %+v, which discovery has not told: %+v", now, truth)
+			}
+		}
+	})
+}
--- a/internal/plan/whole.go
+++ b/internal/plan/whole.go
@@ -172,10 +172,14 @@
 func (p *Planner) avoid(servers []string, slow map[string]float64) {
 	order := slices.Clone(servers)
 	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(slow[b], slow[a]) })
+	shared := 1.0 // what slows half of them is nothing to flee from
+	if len(order) > 0 {
+		shared = max(slow[order[len(order)/2]], 1)
+	}
 	most, more := int(avoidServers*float64(len(servers))), max(int(avoidAtOnce*float64(len(servers))), 1)
 	for i, id := range order {
 		s := p.servers[id]
-		is := slow[id] > avoidFrom && i < most && (s.avoided || more > 0)
+		is := slow[id] > avoidFrom*shared && i < most && (s.avoided || more > 0)
 		if is && !s.avoided {
 			more--
 		}
