Tests of planners and forwarders on sockets, with TLS, refusals and stale words

A forwarder that knows nothing is served by its planner without asking discovery, follows none that tells an older life, goes on when all planners are gone, and asks discovery only for what is newer than they told. A new node now waits a second for planners before it asks discovery, for their first word comes with their next plan.

--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"fernvane/internal/life"
+	"fernvane/internal/planline"
 )
 
 const ms = time.Millisecond
@@ -366,3 +368,50 @@
 		w.p.Plan(w.now)
 	}
 }
+
+// The first plan of a planner that finds all forwarders without a part.
+func BenchmarkFirstPlan(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		w := newWorld(557, 192)
+		w.step(well)
+		for _, f := range w.p.forwarders {
+			f.held = nil
+		}
+		b.StartTimer()
+		w.p.Plan(w.now)
+	}
+}
+
+// What a planner sends to 557 forwarders in a second when figures wander by chance, as changes and as whole plans.
+func BenchmarkBytes(b *testing.B) {
+	w := newWorld(557, 192)
+	chance := rand.New(rand.NewPCG(1, 1))
+	meet := func(f, s int) digest {
+		d := well(f, s)
+		d.took = time.Duration(float64(d.took) * (0.5 + chance.Float64()))
+		return d
+	}
+	told := map[string]Plan{}
+	changes, wholes, steps := 0, 0, 0
+	for range 4 {
+		w.step(meet)
+	}
+	for b.Loop() {
+		whole := w.step(meet)
+		for _, n := range w.names {
+			next := whole.For(n)
+			var c Change
+			c, told[n] = Diff(told[n], next)
+			text, _ := planline.Append(nil, planline.ChangeKind, c)
+			all, _ := planline.Append(nil, planline.ChangeKind, next)
+			if steps > 0 { // the first is whole
+				changes += len(text)
+			}
+			wholes += len(all)
+		}
+		steps++
+	}
+	b.ReportMetric(2*float64(changes)/float64(max(steps-1, 1)), "changed-B/s")
+	b.ReportMetric(2*float64(wholes)/float64(steps), "whole-B/s")
+}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,246 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"fernvane/internal/life"
+	"fernvane/internal/mtls"
+	"fernvane/internal/plan"
+	"fernvane/internal/plancfg"
+	"fernvane/internal/planline"
+	"fernvane/internal/standin/discovery"
+	"fernvane/internal/standin/keys"
+	"fernvane/internal/tomlfile"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type deaf struct{}
+
+func (deaf) Told(int, string, string, int64, time.Time) {}
+
+// start runs a planner beside a discovery of its own.
+func start(t *testing.T, k *mtls.Keys) (at string, list *discovery.Service) {
+	t.Helper()
+	list = discovery.New(discovery.Figures{LinesPerS: 1e6, Timeout: time.Second}, 1, deaf{})
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	free.Close()
+	if err := list.Serve(0, 0, free.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := &plancfg.Planner{Name: "p", Every: tomlfile.Span(50 * time.Millisecond), DiscoveryAt: netip.MustParseAddrPort(free.Addr().String()), Keys: k}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- run(ctx, cfg, zerolog.Nop(), ln.(*net.TCPListener)) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		list.Close()
+	})
+	return ln.Addr().String(), list
+}
+
+func entry(id, phase string) discovery.Entry {
+	return discovery.Entry{ID: id, Phase: phase, Addresses: []string{"127.0.0.1:9"}}
+}
+
+// peer is a forwarder by hand.
+type peer struct {
+	t *testing.T
+	*planline.Conn
+	held  plan.Plan
+	lives *life.Table
+}
+
+func join(t *testing.T, at, name string) *peer {
+	t.Helper()
+	nc, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	p := &peer{t: t, Conn: planline.New(nc), lives: life.NewTable()}
+	if _, err := p.Greet(name, time.Now().Add(5*time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func (p *peer) report(r plan.Report) {
+	p.t.Helper()
+	if err := p.Send(planline.ReportKind, r); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// until takes in plans until one is as wanted.
+func (p *peer) until(what string, is func() bool) {
+	p.t.Helper()
+	for by := time.Now().Add(5 * time.Second); !is(); {
+		k, body, err := p.Receive(by)
+		if err != nil {
+			p.t.Fatalf("%s: %v", what, err)
+		}
+		var c plan.Change
+		if k == planline.ChangeKind && planline.Decode(body, &c) == nil {
+			p.held = plan.Apply(p.held, c)
+			p.lives.Join(0, c.Lives)
+		}
+	}
+}
+
+func (p *peer) condition(id string) life.Condition {
+	e, ok := p.lives.Get(id)
+	if !ok {
+		return 99
+	}
+	return e.Condition
+}
+
+// Two forwarders report; both get their parts, each hears of a drain, and what one knows the planner comes to know.
+func TestTwoForwarders(t *testing.T) {
+	t.Parallel()
+	at, list := start(t, nil)
+	for i := range 8 {
+		list.Set(entry(fmt.Sprint("s", i), discovery.Serving))
+	}
+	a, b := join(t, at, "a"), join(t, at, "b")
+	report := plan.Report{Sent: 7 * time.Second, Span: 500 * time.Millisecond}
+	a.report(report)
+	b.report(report)
+	for _, p := range []*peer{a, b} {
+		p.until("a part of its own", func() bool { return p.held.Seen == 2 && len(p.held.Servers) >= 6 && p.held.Heard == 7*time.Second })
+	}
+	list.Set(entry("s3", discovery.Draining))
+	a.until("the drain", func() bool { return a.condition("s3") == life.Draining })
+	a.until("no part of it", func() bool {
+		for _, s := range a.held.Servers {
+			if s.ID == "s3" {
+				return false
+			}
+		}
+		return true
+	})
+	// a knows of an end that discovery has not told this planner yet; b comes to hear of it.
+	report.Above = []life.Entry{{ID: "s4", Condition: life.Gone, Revision: 100}}
+	a.report(report)
+	b.until("what a knows", func() bool { return b.condition("s4") == life.Gone })
+	list.Set(entry("s3", discovery.Serving))
+	b.until("the drain called off", func() bool { e, _ := b.lives.Get("s3"); return e.Condition == life.Up && e.Turn == 1 })
+}
+
+// What no forwarder says ends its connection with a reason, and no other's.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	at, list := start(t, nil)
+	list.Set(entry("s", discovery.Serving))
+	well := join(t, at, "well")
+	for name, c := range map[string]struct {
+		send func(p *peer)
+		why  string
+	}{
+		"a plan":             {func(p *peer) { p.Send(planline.ChangeKind, plan.Change{}) }, "a frame of kind 4"},
+		"no report":          {func(p *peer) { p.Send(planline.ReportKind, "report") }, "cannot unmarshal"},
+		"an oversized frame": {func(p *peer) { p.Write([]byte{0xff, 0xff, 0xff, 0xff, 3}) }, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := join(t, at, "bad")
+			c.send(p)
+			for {
+				k, body, err := p.Receive(time.Now().Add(5 * time.Second))
+				if k == planline.RefusalKind {
+					var r planline.Refusal
+					if planline.Decode(body, &r); !strings.Contains(r.Reason, c.why) {
+						t.Errorf("%q", r.Reason)
+					}
+					return
+				}
+				if err != nil {
+					if c.why != "" || strings.Contains(err.Error(), "timeout") {
+						t.Errorf("ended with %v", err)
+					}
+					return
+				}
+			}
+		})
+	}
+	well.report(plan.Report{Sent: 1, Span: time.Second})
+	well.until("a plan all the same", func() bool { return len(well.held.Servers) == 1 })
+}
+
+// One name is one forwarder: an older connection under it ends.
+func TestReplaced(t *testing.T) {
+	t.Parallel()
+	at, list := start(t, nil)
+	list.Set(entry("s", discovery.Serving))
+	older := join(t, at, "a")
+	newer := join(t, at, "a")
+	newer.report(plan.Report{Sent: 1, Span: time.Second})
+	newer.until("a plan", func() bool { return newer.held.Seen == 1 && len(newer.held.Servers) == 1 })
+	for {
+		if _, _, err := older.Receive(time.Now().Add(5 * time.Second)); err != nil {
+			if strings.Contains(err.Error(), "timeout") {
+				t.Error("the older connection is open")
+			}
+			return
+		}
+	}
+}
+
+// Over TLS only forwarders of the same authority are let in.
+func TestTLS(t *testing.T) {
+	t.Parallel()
+	load := func(a *keys.Authority, name string) *mtls.Keys {
+		cert, key, ca, err := a.Write(t.TempDir(), name, time.Now().Add(time.Hour))
+		if err != nil {
+			t.Fatal(err)
+		}
+		k, err := mtls.Load(mtls.Files{Cert: cert, Key: key, CA: ca})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k
+	}
+	ours, _ := keys.New("ours")
+	theirs, _ := keys.New("theirs")
+	at, list := start(t, load(ours, "planner"))
+	list.Set(entry("s", discovery.Serving))
+	for name, c := range map[string]struct {
+		keys *mtls.Keys
+		well bool
+	}{"ours": {load(ours, "node"), true}, "theirs": {load(theirs, "node"), false}, "plaintext": {nil, false}} {
+		t.Run(name, func(t *testing.T) {
+			nc, err := net.Dial("tcp", at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			if c.keys != nil {
+				nc = c.keys.Client(nc, "planner")
+			}
+			nc.SetDeadline(time.Now().Add(5 * time.Second))
+			peer, err := planline.New(nc).Greet("n", time.Now().Add(5*time.Second))
+			if (err == nil && peer == "p") != c.well {
+				t.Errorf("%q, %v", peer, err)
+			}
+		})
+	}
+}
--- a/internal/serve/planners.go
+++ b/internal/serve/planners.go
@@ -31,8 +31,8 @@
 	plannerSilent = 3 * time.Second        // without a frame, after which a planner's connection is ended
 	redialFirst   = 200 * time.Millisecond // doubles, and is spread by half
 	redialMost    = 3 * time.Second
-	aboveMost     = 64                     // lives in a report of which the planner has told less
-	startAlone    = 300 * time.Millisecond // a node that knows no server waits so long for planners, then asks discovery
+	aboveMost     = 64              // lives in a report of which the planner has told less
+	startAlone    = 1 * time.Second // a node that knows no server waits so long for planners, then asks discovery
 )
 
 // planners is the forwarder's side of the two levels. Nothing of it is asked on the way of an operation.
--- /dev/null
+++ b/internal/serve/planners_test.go
@@ -0,0 +1,194 @@
+package serve
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"fernvane/internal/http1"
+	"fernvane/internal/life"
+	"fernvane/internal/plan"
+	"fernvane/internal/plancfg"
+	"fernvane/internal/planline"
+)
+
+// upper is a planner by hand: it sends what it is told to, and can be gone.
+type upper struct {
+	t  *testing.T
+	ln net.Listener
+
+	mu      sync.Mutex
+	conn    *planline.Conn
+	met     chan struct{}
+	reports chan plan.Report
+}
+
+func newUpper(t *testing.T) *upper {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upper{t: t, ln: ln, met: make(chan struct{}, 99), reports: make(chan plan.Report, 999)}
+	t.Cleanup(u.die)
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c := planline.New(nc)
+			if _, err := c.Greet("p", time.Now().Add(5*time.Second)); err != nil {
+				continue
+			}
+			u.mu.Lock()
+			u.conn = c
+			u.mu.Unlock()
+			u.met <- struct{}{}
+			go func() {
+				for {
+					k, body, err := c.Receive(time.Now().Add(time.Minute))
+					if err != nil {
+						return
+					}
+					var r plan.Report
+					if k == planline.ReportKind && planline.Decode(body, &r) == nil {
+						u.reports <- r
+					}
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+func (u *upper) die() {
+	u.ln.Close()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conn != nil {
+		u.conn.Close()
+	}
+}
+
+// say sends a plan that rests on the latest report.
+func (u *upper) say(c plan.Change) {
+	u.t.Helper()
+	r := <-u.reports
+	c.Number, c.Heard, c.Seen, c.Nodes, c.Admit = 1, r.Sent, 1, 1, 1
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err := u.conn.Send(planline.ChangeKind, c); err != nil {
+		u.t.Error(err)
+	}
+}
+
+func (u *upper) at() netip.AddrPort { return netip.MustParseAddrPort(u.ln.Addr().String()) }
+
+func serving(id string, at netip.AddrPort) life.Entry {
+	return life.Entry{ID: id, Address: at.String(), Size: 1, Revision: 5}
+}
+
+// A forwarder that knows nothing gets its servers from a planner, without a word to discovery; a stale planner undoes no
+// drain; with all planners gone it goes on, asks discovery for what is newer, and takes up planners that return.
+func TestForwarder(t *testing.T) {
+	t.Parallel()
+	hosts, taken := servers(t, 2, whole)
+	calls := make(chan string, 99)
+	answers := make(chan string, 9)
+	cfg := config()
+	cfg.Discovery = standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		var r http1.Request
+		for c := http1.NewConn(nc); c.ReadRequest(&r) == nil; {
+			calls <- string(r.Target)
+			body, ok := <-answers
+			if !ok {
+				return
+			}
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	first, second := newUpper(t), newUpper(t)
+	cfg.Planners = &plancfg.Forwarder{Addresses: []netip.AddrPort{first.at(), second.at()}}
+	at, _ := startNode(t, cfg)
+	<-first.met
+	<-second.met
+	a, b := serving(hosts[0].ID, hosts[0].Address), serving(hosts[1].ID, hosts[1].Address)
+	first.say(plan.Change{Lives: []life.Entry{a, b}, Servers: []plan.Share{{ID: a.ID, Share: 0.5}, {ID: b.ID, Share: 0.5}}})
+	await(t, "an answer", func() bool { return ask1(t, dial(t, at), "/check/1").Status == 200 })
+	if len(calls) > 0 {
+		t.Errorf("discovery was asked: %s", <-calls)
+	}
+	drained := a
+	drained.Condition, drained.Revision = life.Draining, 6
+	first.say(plan.Change{Lives: []life.Entry{drained}})
+	second.say(plan.Change{Lives: []life.Entry{b}})
+	// The second one has not heard of the drain; what it says of it is old, whatever its plan is.
+	await(t, "word of the drain to the second planner", func() bool { return slices.Contains((<-second.reports).Above, drained) })
+	second.say(plan.Change{Lives: []life.Entry{a}, Servers: []plan.Share{{ID: a.ID, Share: 1}}})
+	first.die()
+	second.say(plan.Change{Lives: []life.Entry{a}})
+	before := taken.Load()
+	for range 20 {
+		if r := ask1(t, dial(t, at), "/check/1"); r.Status != 200 {
+			t.Errorf("answered %d", r.Status)
+		}
+	}
+	if got := taken.Load() - before; got != 20 {
+		t.Errorf("%d hops", got)
+	}
+	second.die()
+	call := <-calls // after a while, from what planners have told
+	if want := "/discovery/hosts?index=6&wait=3000"; call != want {
+		t.Errorf("called %s, not %s", call, want)
+	}
+	answers <- fmt.Sprintf(`{"revision":7,"members":[{"id":%q,"host_port":"%s","phase":"SERVING","size":1}]}`, a.ID, hosts[0].Address)
+	if call := <-calls; call != "/discovery/hosts?index=7&wait=3000" {
+		t.Errorf("called %s", call)
+	}
+	close(answers)
+	if r := ask1(t, dial(t, at), "/check/1"); r.Status != 200 {
+		t.Errorf("answered %d", r.Status)
+	}
+}
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for by := time.Now().Add(5 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("no %s", what)
+		}
+	}
+}
+
+// A drained server gets nothing new though a planner that was away says that it serves.
+func TestStalePlannerAtTheNode(t *testing.T) {
+	t.Parallel()
+	one, onTaken := servers(t, 1, whole)
+	two, _ := servers(t, 1, whole)
+	u := newUpper(t)
+	cfg := config()
+	cfg.Planners = &plancfg.Forwarder{Addresses: []netip.AddrPort{u.at()}}
+	at, _ := startNode(t, cfg)
+	<-u.met
+	a, b := serving("a", one[0].Address), serving("b", two[0].Address)
+	drained := a
+	drained.Condition = life.Draining
+	u.say(plan.Change{Lives: []life.Entry{drained, b}})
+	await(t, "an answer", func() bool { return ask1(t, dial(t, at), "/check/1").Status == 200 })
+	u.say(plan.Change{Lives: []life.Entry{a}, Servers: []plan.Share{{ID: "a", Share: 1}}})
+	for range 3 { // reports: the plan is followed by now
+		<-u.reports
+	}
+	for range 10 {
+		ask1(t, dial(t, at), "/check/1")
+	}
+	if n := onTaken.Load(); n > 0 {
+		t.Errorf("%d hops to a server that drains", n)
+	}
+}
