--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -26,6 +26,7 @@
   check     read the configuration and tell what a node would make of it; with an operator's file, what each route
             gets and from which line; with -schema, print the JSON schema of the operator's file
   plan      run a planner until SIGTERM, on the planner's file that -file or PROXY_PLAN names
+  bindings  find, show, verify, export and reconcile entries of the journal of bindings
   explain METHOD PATH
             tell which route of the operator's file a request takes, and why
   version   print the version
@@ -64,6 +65,19 @@
 		fmt.Fprint(errs, usage)
 		return exitUsage
 	}
+	if args[0] == "bindings" {
+		c := bindingsCommand(out, errs, getenv)
+		c.SetArgs(args[1:])
+		switch err := c.Execute(); {
+		case errors.Is(err, errDamaged):
+			fmt.Fprintf(errs, "fernvane: %v\n", err)
+			return 1
+		case err != nil:
+			fmt.Fprintf(errs, "fernvane: %v\n", err)
+			return exitUsage
+		}
+		return 0
+	}
 	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	flags.SetOutput(errs)
 	flags.Usage = func() {
@@ -73,6 +87,7 @@
 	path := flags.String("config", getenv("PROXY_CONFIG"), "the configuration, a JSON `file`")
 	operator := flags.String("operator", getenv("PROXY_OPERATOR"), "limits by route, a TOML `file`")
 	forwarder := flags.String("planners", getenv("PROXY_PLANNERS"), "serve, check: the planners to follow, a TOML `file`")
+	journal := flags.String("bindings", getenv("PROXY_BINDINGS"), "serve, check: keep a journal of bindings, by this TOML `file`")
 	planFile := flags.String("file", getenv("PROXY_PLAN"), "plan: the planner's TOML `file`")
 	verbose := flags.Bool("verbose", false, "log each hop that does not end with a whole answer")
 	schema := flags.Bool("schema", false, "check: print the JSON schema of the operator's file")
@@ -92,6 +107,8 @@
 				return *operator
 			case "PROXY_PLANNERS":
 				return *forwarder
+			case "PROXY_BINDINGS":
+				return *journal
 			}
 			return getenv(name)
 		})
@@ -133,6 +150,10 @@
 		if cfg.Planners != nil {
 			fmt.Fprintf(out, "follows the planners %s, TLS %v\n", strings.Join(cfg.Planners.Planners, ", "), cfg.Planners.Keys != nil)
 		}
+		if cfg.Bindings != nil {
+			fmt.Fprintf(out, "keeps bindings in %s against the %s's death; while it cannot they are: %s\n", cfg.Bindings.Dir, cfg.Bindings.Promise,
+				map[bool]string{true: "denied", false: "served"}[cfg.Bindings.Deny()])
+		}
 		if cfg.Routes != nil {
 			cfg.Routes.Table(out, &cfg.Settings)
 		}
--- /dev/null
+++ b/internal/bindlog/config.go
@@ -0,0 +1,57 @@
+package bindlog
+
+import (
+	"os"
+	"time"
+
+	"fernvane/internal/tomlfile"
+)
+
+// Config is an operator's file of the journal.
+type Config struct {
+	Dir           string        `toml:"dir"`
+	Promise       string        `toml:"promise"`      // process or machine
+	WhenFailing   string        `toml:"when_failing"` // deny or serve
+	WaitMost      tomlfile.Span `toml:"wait_most"`    // for an intent to last
+	Fingerprinted bool          `toml:"fingerprinted"`
+	RepeatsField  string        `toml:"repeats_field"` // of a request, with the id that it repeats
+	SegmentBytes  int64         `toml:"segment_bytes"`
+	KeepFor       tomlfile.Span `toml:"keep_for"`
+	KeepBytes     int64         `toml:"keep_bytes"`
+}
+
+// Deny tells what becomes of operations that the journal cannot keep: they are denied, or served and counted as a gap.
+func (c *Config) Deny() bool { return c.WhenFailing == "deny" }
+
+// Load reads the file; each fault is named by file and line.
+func Load(path string) (*Config, error) {
+	text, err := tomlfile.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Promise: "process", WaitMost: tomlfile.Span(200 * time.Millisecond), SegmentBytes: 16 << 20,
+		KeepFor: tomlfile.Span(30 * 24 * time.Hour), KeepBytes: 4 << 30}
+	f, err := tomlfile.Parse(path, text, c)
+	if err != nil {
+		return nil, err
+	}
+	if st, err := os.Stat(c.Dir); c.Dir == "" || err != nil || !st.IsDir() {
+		f.Wrong("dir", "dir %q is no folder that is there", c.Dir)
+	}
+	if c.Promise != "process" && c.Promise != "machine" {
+		f.Wrong("promise", "promise %q is neither process nor machine", c.Promise)
+	}
+	if c.WhenFailing != "deny" && c.WhenFailing != "serve" {
+		f.Wrong("when_failing", "when_failing %q: deny has bindings denied while the disk takes nothing, serve marks a gap; one must be chosen", c.WhenFailing)
+	}
+	if c.WaitMost.D() < time.Millisecond || c.WaitMost.D() > 10*time.Second {
+		f.Wrong("wait_most", "wait_most %s: from 1ms to 10s", c.WaitMost.D())
+	}
+	if c.SegmentBytes < 4<<10 || c.SegmentBytes > 1<<30 {
+		f.Wrong("segment_bytes", "segment_bytes %d: from 4096 to 1073741824", c.SegmentBytes)
+	}
+	if c.KeepBytes > 0 && c.KeepBytes < 2*c.SegmentBytes {
+		f.Wrong("keep_bytes", "keep_bytes %d holds no two segments", c.KeepBytes)
+	}
+	return c, f.Err()
+}
--- /dev/null
+++ b/internal/bindlog/files.go
@@ -0,0 +1,68 @@
+package bindlog
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Files is the disk beneath a journal. OS is the real one; tests put one in its place that fails as told.
+type Files interface {
+	// Create makes a file that was not there before; os.ErrExist where it was.
+	Create(path string) (File, error)
+	Open(path string) (io.ReadCloser, error)
+	List(dir string) ([]Info, error)
+	Remove(path string) error
+	// SyncDir makes the folder's own entries last.
+	SyncDir(dir string) error
+}
+
+// File is one that is written.
+type File interface {
+	io.WriteCloser
+	Sync() error
+}
+
+// Info is what a folder tells of a file.
+type Info struct {
+	Name    string
+	Size    int64
+	Changed time.Time
+}
+
+// OS is the system's disk.
+type OS struct{}
+
+// Create makes a file.
+func (OS) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+// Open reads one.
+func (OS) Open(path string) (io.ReadCloser, error) { return os.Open(path) }
+
+// List tells of the files in a folder, by name.
+func (OS) List(dir string) ([]Info, error) {
+	entries, err := os.ReadDir(dir)
+	var all []Info
+	for _, e := range entries {
+		if i, err := e.Info(); err == nil && i.Mode().IsRegular() { // one that has gone meanwhile is none
+			all = append(all, Info{i.Name(), i.Size(), i.ModTime()})
+		}
+	}
+	return all, err
+}
+
+// Remove removes a file.
+func (OS) Remove(path string) error { return os.Remove(path) }
+
+// SyncDir makes the folder's own entries last.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(filepath.Clean(dir))
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
--- a/internal/fleet/end.go
+++ b/internal/fleet/end.go
@@ -19,6 +19,7 @@
 	CutOff                // broken or ended after the last byte, before the whole answer
 	Garbled               // the answer cannot be read
 	Silent                // written, and no whole answer within the hop's time
+	Unkept                // the journal has not kept that it was about to be sent, so it was not
 	GivenUp               // the operation was answered otherwise while the hop was out
 	ends
 )
@@ -37,6 +38,7 @@
 	Stale:      {policy.Void, "stale"},
 	NoRoom:     {policy.Void, "no room"},
 	NoTime:     {policy.Void, "no time"},
+	Unkept:     {policy.Void, "not kept"},
 	CutOff:     {policy.Broken, "cut off"},
 	Garbled:    {policy.Broken, "garbled"},
 	Silent:     {policy.TimedOut, "silent"},
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -147,6 +147,9 @@
 	}
 }
 
+// Kind is the operation's traffic type by the settings, whatever its route made of it.
+func (o *Operation) Kind() int { return o.base }
+
 // lead notes how a hop is given up.
 func (o *Operation) lead(hop int, giveUp func()) {
 	for i := range o.outs {
--- /dev/null
+++ b/internal/serve/bindings.go
@@ -0,0 +1,236 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/bindings"
+	"fernvane/internal/bindlog"
+	"fernvane/internal/fleet"
+	"fernvane/internal/message"
+	"fernvane/policy"
+)
+
+// clientRetry is the field by which clients mark a retry, where they do.
+const clientRetry = "Client-Retry"
+
+// journal keeps what becomes of operations that must not run twice. No lock of the node is held while it waits.
+type journal struct {
+	cfg   *bindlog.Config
+	files bindlog.Files
+	log   zerolog.Logger
+	run   uint64
+	kept  *bindlog.Log
+	types []string // by traffic type; "" for those that are not kept
+	ops   atomic.Uint64
+
+	reading sync.WaitGroup
+	ended   atomic.Bool
+}
+
+var errUnkept = errors.New("the journal has not kept the intent in time")
+
+// newJournal begins a segment and looks through the others beside the serving.
+func newJournal(cfg Config, log zerolog.Logger) (*journal, error) {
+	j := &journal{cfg: cfg.Bindings, files: cfg.Disk, log: log, run: uint64(time.Now().UnixNano())}
+	if j.files == nil {
+		j.files = bindlog.OS{}
+	}
+	for k, name := range cfg.Settings.TypeNames {
+		repeat := cfg.Settings.Types[k].Repeat
+		if repeat != policy.Binding && !(cfg.Bindings.Fingerprinted && repeat == policy.Fingerprinted) {
+			name = ""
+		}
+		j.types = append(j.types, name)
+	}
+	began := time.Now()
+	segments, err := bindlog.Segments(j.files, cfg.Bindings.Dir)
+	if err != nil {
+		return nil, err
+	}
+	j.kept, err = bindlog.Open(bindlog.Options{Dir: cfg.Bindings.Dir, Files: j.files, Machine: cfg.Bindings.Promise == "machine",
+		SegmentBytes: cfg.Bindings.SegmentBytes, KeepFor: cfg.Bindings.KeepFor.D(), KeepBytes: cfg.Bindings.KeepBytes, Run: j.run, Note: j.note})
+	if err != nil {
+		return nil, err
+	}
+	if len(segments) > 0 {
+		j.reading.Go(func() { j.recover(began) })
+	}
+	return j, nil
+}
+
+func (j *journal) note(err error) {
+	if err != nil {
+		j.log.Error().Err(err).Str("bindings_are", map[bool]string{true: "denied", false: "served, and a gap marked"}[j.cfg.Deny()]).Msg("journal fails")
+		return
+	}
+	j.log.Info().Msg("journal goes on")
+}
+
+// recover tells what earlier runs have left open, by server.
+func (j *journal) recover(began time.Time) {
+	fold := bindings.NewFold()
+	report, err := bindlog.Scan(j.files, j.cfg.Dir, time.Time{}, func(r *bindings.Record) error {
+		if j.ended.Load() {
+			return bindlog.ErrClosed
+		}
+		if r.Run != j.run {
+			fold.Add(r)
+		}
+		return nil
+	}, nil)
+	if err != nil {
+		if !j.ended.Load() {
+			j.log.Error().Err(err).Msg("journal not read")
+		}
+		return
+	}
+	for _, f := range report.Faults {
+		j.log.Warn().Str("file", f.Path).Int64("offset", f.Offset).Int64("bytes", f.Bytes).Bool("torn", f.Torn).Msg("journal damaged")
+	}
+	fold.Damaged = report.Corrupt() > 0
+	servers, open := map[string]int{}, 0
+	for _, e := range fold.Rest() {
+		if e.State() != bindings.PossiblySent {
+			continue
+		}
+		open++
+		for _, h := range e.Hops {
+			if h.Proof() == bindings.Possibly {
+				servers[h.Server]++
+			}
+		}
+	}
+	by := zerolog.Dict()
+	for s, n := range servers {
+		by.Int(s, n)
+	}
+	j.log.Info().Int("records", report.Records).Int("possibly_sent", open).Dict("by_server", by).Dur("took", time.Since(began)).Msg("journal read")
+}
+
+// takes tells whether an operation of a type may be taken now: while nothing can be kept, that is the operator's choice.
+func (j *journal) takes(kind int) bool {
+	return j == nil || kind >= len(j.types) || j.types[kind] == "" || !j.cfg.Deny() ||
+		j.kept.Failing() == nil && j.kept.Stalled() < j.cfg.WaitMost.D()
+}
+
+// kept is one operation in the journal; nil is one that is not kept.
+type kept struct {
+	j      *journal
+	op     uint64
+	record bindings.Record // what each of its records names
+
+	mu   sync.Mutex
+	hops int
+	told bool
+}
+
+// begin has an operation kept, if its type is.
+func (j *journal) begin(kind int, o *message.Operation, req *message.Request) *kept {
+	if j == nil || kind >= len(j.types) || j.types[kind] == "" {
+		return nil
+	}
+	k := &kept{j: j, op: j.ops.Add(1)}
+	k.record = bindings.Record{Run: j.run, Op: k.op, ID: string(o.ID), Tenant: string(o.Tenant), Type: j.types[kind], Retry: len(req.Get(clientRetry)) > 0}
+	if f := j.cfg.RepeatsField; f != "" {
+		k.record.Repeats = string(req.Get(f))
+	}
+	return k
+}
+
+func (k *kept) line(kind bindings.Kind, hop int) bindings.Record {
+	r := k.record
+	r.Kind, r.Hop, r.At = kind, hop, time.Now().UnixNano()
+	return r
+}
+
+// intend has the intent of a hop last before its first byte goes out, and returns the hop's number in the journal. An
+// error is a hop that must not be sent.
+func (k *kept) intend(ctx context.Context, server string, until time.Time) (hop int, err error) {
+	if k == nil {
+		return 0, nil
+	}
+	k.mu.Lock()
+	hop = k.hops
+	k.hops++
+	k.mu.Unlock()
+	r := k.line(bindings.Intent, hop)
+	r.Server = server
+	w, err := k.j.kept.Append(true, r)
+	if err == nil {
+		by := time.NewTimer(min(k.j.cfg.WaitMost.D(), time.Until(until)))
+		defer by.Stop()
+		select {
+		case <-w.Done():
+			err = w.Err()
+		case <-by.C:
+			err = errUnkept
+		case <-ctx.Done():
+			err = errUnkept
+		}
+	}
+	if err == nil || ctx.Err() == nil && !k.j.cfg.Deny() {
+		if err != nil && w != nil { // one that was refused at once is counted already
+			k.j.kept.Missed()
+		}
+		return hop, nil
+	}
+	k.ended(hop, fleet.Unkept) // if the intent comes to last after all, this stands behind it
+	return hop, err
+}
+
+// proof is what the end of a hop proves.
+func proof(how fleet.End) bindings.Proof {
+	switch how.Outcome() {
+	case policy.Success:
+		return bindings.Ran
+	case policy.Overloaded, policy.Unreachable, policy.Void:
+		return bindings.Never
+	}
+	return bindings.Possibly
+}
+
+// ended tells how a hop went. Nobody waits for it: without it the hop counts as possibly sent.
+func (k *kept) ended(hop int, how fleet.End) {
+	if k == nil {
+		return
+	}
+	r := k.line(bindings.Ended, hop)
+	r.ID, r.Tenant, r.Type, r.Repeats = "", "", "", "" // its intent names them
+	r.How, r.Proof = how.String(), proof(how)
+	k.j.kept.Append(false, r)
+}
+
+// tell keeps what the client was told; only the first word counts.
+func (k *kept) tell(what string) {
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	hops, again := k.hops, k.told
+	k.told = true
+	k.mu.Unlock()
+	if again {
+		return
+	}
+	told := k.line(bindings.Told, 0)
+	told.How, told.N = what, hops
+	if hops == 0 {
+		k.j.kept.Append(false, k.line(bindings.Unsent, 0), told)
+		return
+	}
+	k.j.kept.Append(false, told)
+}
+
+func (j *journal) close() {
+	if j != nil {
+		j.ended.Store(true)
+		j.reading.Wait()
+		j.kept.Close()
+	}
+}
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -9,6 +9,7 @@
 	"os"
 	"syscall"
 
+	"fernvane/internal/bindlog"
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
@@ -37,6 +38,8 @@
 	Routes    *route.Set         // what it says; nil for none
 	Module    node.Maker         // nil: the project's own
 	Planners  *plancfg.Forwarder // nil: the node decides by itself
+	Bindings  *bindlog.Config    // nil: no journal of bindings is kept
+	Disk      bindlog.Files      // beneath it; nil: the system's
 	path      string
 	getenv    func(string) string
 	told      string // discovery's address as the file names it
@@ -52,6 +55,9 @@
 	if path := getenv("PROXY_PLANNERS"); err == nil && path != "" {
 		c.Planners, err = plancfg.LoadForwarder(path)
 	}
+	if path := getenv("PROXY_BINDINGS"); err == nil && path != "" {
+		c.Bindings, err = bindlog.Load(path)
+	}
 	return c, err
 }
 
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -24,6 +24,7 @@
 	op      *fleet.Operation
 	req     *http1.Request
 	from    string                      // the client's address
+	kept    *kept                       // in the journal; nil: it is not kept
 	compose func(message.Answer) []byte // the client's answer, in room of its own
 }
 
@@ -55,6 +56,14 @@
 		s.fleet.Keep(d.Server, d.FastCGI, conn)
 		return fleet.NoTime, nil
 	}
+	hop, err := x.kept.intend(ctx, d.Server, until)
+	if err != nil || x.kept != nil && x.op.Settled() {
+		if err == nil { // the client has left meanwhile
+			x.kept.ended(hop, fleet.NoTime)
+		}
+		s.fleet.Keep(d.Server, d.FastCGI, conn)
+		return fleet.Unkept, nil
+	}
 	conn.SetDeadline(until)
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
 	var resp message.Response
@@ -62,6 +71,7 @@
 	if end == fleet.Unsent && kept {
 		end = fleet.Stale
 	}
+	x.kept.ended(hop, end)
 	var answer []byte
 	if end == fleet.Answered || end == fleet.Declined {
 		answer = x.compose(message.Answer{Status: resp.Status, Fields: resp.Fields,
@@ -87,7 +97,7 @@
 
 // copying leads a second copy beside the hop that is out. The client's buffer is the first one's, so the copy has the
 // request and its answer in memory of its own.
-func (s *Server) copying(f front, req *message.Request) func(*fleet.Operation, fleet.Decision) {
+func (s *Server) copying(f front, req *message.Request, k *kept) func(*fleet.Operation, fleet.Decision) {
 	req = req.Clone()
 	return func(op *fleet.Operation, d fleet.Decision) {
 		s.clients.Go(func() error {
@@ -101,7 +111,7 @@
 				op.Ended(d.Hop, end, answer)
 			}()
 			op.Copying(d, giveUp)
-			end, answer = s.hop(ctx, d, &exchanged{op: op, req: req, from: f.From(), compose: func(a message.Answer) []byte { return f.Append(nil, a) }})
+			end, answer = s.hop(ctx, d, &exchanged{op: op, req: req, from: f.From(), kept: k, compose: func(a message.Answer) []byte { return f.Append(nil, a) }})
 			return nil
 		})
 	}
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -13,6 +13,7 @@
 var (
 	errLeft   = errors.New("the client has left")
 	errNoType = errors.New("no such traffic type")
+	errNoDisk = errors.New("the journal keeps nothing now")
 )
 
 // front is what an operation came on, in the protocol that its client speaks.
@@ -41,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	op, err := s.take(&o, req, came, f)
+	op, k, err := s.take(&o, req, came, f)
 	var bad *message.Malformed
 	switch {
 	case err == errNoType:
@@ -49,6 +50,8 @@
 	case err == fleet.ErrNoRoom:
 		req.Close = true // makes room for the next one
 		return s.answer(f, message.Answer{Status: 503, Close: true})
+	case err == errNoDisk:
+		return s.answer(f, message.Answer{Status: 503, Close: req.Close})
 	case err == fleet.ErrRoute:
 		return s.answer(f, message.Answer{Status: 503, Close: req.Close})
 	case err == fleet.ErrOpen:
@@ -60,7 +63,7 @@
 	defer f.Watch(op)()
 	ctx, giveUp := context.WithCancel(context.Background())
 	defer giveUp()
-	x := &exchanged{op: op, req: req, from: f.From(), compose: func(a message.Answer) []byte { return f.Append(f.Scratch(), a) }}
+	x := &exchanged{op: op, req: req, from: f.From(), kept: k, compose: func(a message.Answer) []byte { return f.Append(f.Scratch(), a) }}
 	var last fleet.End
 	for {
 		switch d := op.Next(giveUp); d.Kind {
@@ -69,15 +72,21 @@
 			last, answer = s.hop(ctx, d, x)
 			op.Ended(d.Hop, last, answer)
 		case fleet.Handled:
-			return f.Send(d.Answer)
+			err := f.Send(d.Answer)
+			x.kept.tell("handled")
+			return err
 		case fleet.Deny:
-			return s.answer(f, message.Answer{Status: 503, RetryAfter: d.For, Close: req.Close})
+			err := s.answer(f, message.Answer{Status: 503, RetryAfter: d.For, Close: req.Close})
+			x.kept.tell("denied")
+			return err
 		case fleet.WriteOff:
+			defer x.kept.tell("written off")
 			if d.Answer != nil { // a server finds fault with the request, and says what
 				return f.Send(d.Answer)
 			}
 			return s.answer(f, message.Answer{Status: writeOffStatus(last), Close: req.Close})
 		case fleet.Drop:
+			x.kept.tell("nothing: it had left")
 			return errLeft
 		}
 	}
@@ -85,7 +94,7 @@
 
 // take finds the operation's route and hands it over. A reload that comes between has it matched again, so that route
 // and figures are always of one file.
-func (s *Server) take(o *message.Operation, req *message.Request, came time.Time, f front) (*fleet.Operation, error) {
+func (s *Server) take(o *message.Operation, req *message.Request, came time.Time, f front) (*fleet.Operation, *kept, error) {
 	for {
 		a := fleet.Arrival{ID: o.ID, Tenant: o.Tenant, Routes: s.fleet.Routes(), Route: -1, Kind: -1}
 		if kind, known := s.fleet.Type(o.Type); known {
@@ -95,25 +104,29 @@
 			a.Route, a.Kind = a.Routes.Match(&route.Request{Method: req.Method, Path: req.Path(), Tenant: o.Tenant, Fields: req})
 		}
 		if a.Kind < 0 {
-			return nil, errNoType
+			return nil, nil, errNoType
+		}
+		if !s.journal.takes(a.Kind) {
+			return nil, nil, errNoDisk
 		}
+		k := s.journal.begin(a.Kind, o, req)
 		if a.Route >= 0 {
 			if len(req.Body) > a.Routes.BodyMost(a.Route, a.Kind, message.MaxBody) {
-				return nil, &message.Malformed{Status: 413, Why: "the body is larger than its route takes"}
+				return nil, nil, &message.Malformed{Status: 413, Why: "the body is larger than its route takes"}
 			}
 			if a.Routes.Copies(a.Route, a.Kind) {
-				a.Copying = s.copying(f, req)
+				a.Copying = s.copying(f, req, k)
 			}
 		}
 		if a.Budget = o.Timeout; a.Budget < 0 {
 			a.Budget = s.fleet.AbandonTime(a.Kind)
 		}
 		if a.Budget -= time.Since(came); a.Budget <= 0 {
-			return nil, &message.Malformed{Status: 408, Why: "the request took all of its time to come"}
+			return nil, nil, &message.Malformed{Status: 408, Why: "the request took all of its time to come"}
 		}
 		op, err := s.fleet.Arrive(a)
 		if err != fleet.ErrMoved {
-			return op, err
+			return op, k, err
 		}
 	}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -38,6 +38,7 @@
 	fleet     *fleet.Fleet
 	discovery atomic.Pointer[watch.Place]
 	planners  *planners // nil: there are none
+	journal   *journal  // nil: none is kept
 	dialer    net.Dialer
 	draining  atomic.Bool    // answers end their connections
 	closing   atomic.Bool    // listening ends as soon as no connection comes
@@ -68,6 +69,13 @@
 	defer ln.Close()
 	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits, cfg.module())}
 	defer s.fleet.Stop()
+	if cfg.Bindings != nil {
+		var err error
+		if s.journal, err = newJournal(cfg, log); err != nil {
+			return err
+		}
+		defer s.journal.close()
+	}
 	var cgi *net.TCPListener
 	if cfg.Routes != nil && cfg.Routes.Listen.IsValid() {
 		var err error
--- /dev/null
+++ b/internal/standin/disk/disk.go
@@ -0,0 +1,215 @@
+// Package disk is a disk in memory beneath a journal. It fails as it is told: short writes, errors, a death of the
+// machine that loses what was not synced, bits that flip.
+package disk
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"fernvane/internal/bindlog"
+)
+
+// Trouble of one operation on the disk.
+type Trouble uint8
+
+const (
+	None  Trouble = iota
+	Short         // half of a write comes through, and it says so
+	Full          // an error, and nothing is written
+	Lying         // a write's whole text comes through, and an error is told
+	Dead          // the machine dies here, and nothing comes through any more
+)
+
+// ErrDisk is what a failing disk says.
+var ErrDisk = errors.New("no space left on device")
+
+// Disk is a bindlog.Files.
+type Disk struct {
+	mu    sync.Mutex
+	files map[string]*file
+	ops   int // writes, syncs and creations so far
+	dead  bool
+	// Meet tells what the n-th of them meets.
+	Meet func(n int) Trouble
+}
+
+type file struct {
+	disk   *Disk
+	text   []byte
+	synced int
+	entry  bool // the folder's own entry lasts
+}
+
+// New is an empty disk without trouble.
+func New() *Disk {
+	return &Disk{files: map[string]*file{}, Meet: func(int) Trouble { return None }}
+}
+
+// Ops counts writes, syncs and creations.
+func (d *Disk) Ops() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ops
+}
+
+func (d *Disk) meet() Trouble {
+	d.ops++
+	t := d.Meet(d.ops)
+	if d.dead = d.dead || t == Dead; d.dead {
+		return Dead
+	}
+	return t
+}
+
+// Create makes a file.
+func (d *Disk) Create(path string) (bindlog.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.files[path] != nil {
+		return nil, os.ErrExist
+	}
+	if d.meet() != None {
+		return nil, ErrDisk
+	}
+	f := &file{disk: d}
+	d.files[path] = f
+	return f, nil
+}
+
+// Open reads a file as it is now.
+func (d *Disk) Open(path string) (io.ReadCloser, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[path]
+	if f == nil {
+		return nil, os.ErrNotExist
+	}
+	return io.NopCloser(bytes.NewReader(slices.Clone(f.text))), nil
+}
+
+// List tells of all files.
+func (d *Disk) List(dir string) (all []bindlog.Info, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for path, f := range d.files {
+		if strings.HasPrefix(path, dir) {
+			all = append(all, bindlog.Info{Name: filepath.Base(path), Size: int64(len(f.text)), Changed: time.Now()})
+		}
+	}
+	return all, nil
+}
+
+// Remove removes a file.
+func (d *Disk) Remove(path string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.files, path)
+	return nil
+}
+
+// SyncDir makes the entries last.
+func (d *Disk) SyncDir(string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.meet() != None {
+		return ErrDisk
+	}
+	for _, f := range d.files {
+		f.entry = true
+	}
+	return nil
+}
+
+func (f *file) Write(b []byte) (int, error) {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	switch f.disk.meet() {
+	case Short:
+		f.text = append(f.text, b[:len(b)/2]...)
+		return len(b) / 2, ErrDisk
+	case Lying:
+		f.text = append(f.text, b...)
+		return 0, ErrDisk
+	case Full, Dead:
+		return 0, ErrDisk
+	}
+	f.text = append(f.text, b...)
+	return len(b), nil
+}
+
+func (f *file) Sync() error {
+	f.disk.mu.Lock()
+	defer f.disk.mu.Unlock()
+	if f.disk.meet() != None {
+		return ErrDisk
+	}
+	f.synced = len(f.text)
+	return nil
+}
+
+func (f *file) Close() error { return nil }
+
+// Crash is the machine's death and return: of what was not synced a part is lost by chance, and files whose entry did
+// not last altogether.
+func (d *Disk) Crash(chance *rand.Rand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dead = false
+	for path, f := range d.files {
+		if !f.entry {
+			delete(d.files, path)
+			continue
+		}
+		f.text = f.text[:f.synced+chance.IntN(len(f.text)-f.synced+1)]
+		f.synced = len(f.text)
+	}
+}
+
+// Flip turns bits over, by chance.
+func (d *Disk) Flip(chance *rand.Rand, n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []*file
+	for _, f := range d.files {
+		if len(f.text) > 0 {
+			all = append(all, f)
+		}
+	}
+	slices.SortFunc(all, func(a, b *file) int { return len(a.text) - len(b.text) })
+	for range n {
+		if len(all) > 0 {
+			f := all[chance.IntN(len(all))]
+			f.text[chance.IntN(len(f.text))] ^= 1 << chance.IntN(8)
+		}
+	}
+}
+
+// Slowed is the system's disk, on which each write and sync takes as long as told when it begins.
+type Slowed struct {
+	bindlog.OS
+	Takes func() time.Duration
+}
+
+// Create makes a file that is slow.
+func (s Slowed) Create(path string) (bindlog.File, error) {
+	f, err := s.OS.Create(path)
+	return slow{f, s.Takes}, err
+}
+
+type slow struct {
+	bindlog.File
+	takes func() time.Duration
+}
+
+func (s slow) Write(b []byte) (int, error) {
+	time.Sleep(s.takes())
+	return s.File.Write(b)
+}
