--- /dev/null
+++ b/cmd/fernlab/journal.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fernvane/internal/lab"
+	"fernvane/internal/load"
+	"fernvane/internal/scenario"
+)
+
+func self() ([]string, error) {
+	path, err := os.Executable()
+	return []string{path, nodeCommand}, err
+}
+
+// killsCommand kills nodes at moments of chance and sets their journals beside what the boxes have run.
+func killsCommand() *cobra.Command {
+	var n int
+	var seed uint64
+	var promise string
+	c := &cobra.Command{Use: "kills", Short: "Kill nodes again and again, and set their journals of bindings beside the boxes' dockets", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			command, err := self()
+			if err != nil {
+				return err
+			}
+			s, err := scenario.Load("journal-kills")
+			if err != nil {
+				return err
+			}
+			s.Seed, s.Journal.Promise, s.Faults = seed, promise, nil
+			chance := rand.New(rand.NewPCG(seed, 3))
+			const down, up = 200 * time.Millisecond, 250 * time.Millisecond // and a life of chance between
+			at := make([]time.Duration, s.Nodes.Count)
+			for i := range n {
+				node := i % len(at)
+				at[node] += down + up + time.Duration(chance.Int64N(int64(900*time.Millisecond)))
+				s.Faults = append(s.Faults, scenario.Fault{Kind: "kill-nodes", At: scenario.Span(at[node]), For: scenario.Span(down), Nodes: []int{node}})
+				s.Length = max(s.Length, scenario.Span(at[node]+time.Second))
+			}
+			out, err := lab.Run(c.Context(), lab.Options{Scenario: s, Ops: load.Plan(s), Command: command})
+			if err != nil {
+				return err
+			}
+			j := out.Journal
+			fmt.Fprintf(c.OutOrStdout(), "%d kills in %s, promise %s: %d entries, %d dockets, %d possibly sent, %d of them not settled by dockets, %d words in gaps\n",
+				n, s.Length.D(), promise, j.Entries, j.Ran, j.Possibly, j.Open, j.Gaps)
+			for _, r := range out.Rules {
+				if r.Broken > 0 {
+					fmt.Fprintf(c.OutOrStdout(), "broken %d times: %s: %s\n", r.Broken, r.Name, r.Worst)
+					err = exit(exitBroken)
+				}
+			}
+			if j.Open > 0 {
+				err = exit(exitBroken)
+			}
+			return err
+		}}
+	c.Flags().IntVarP(&n, "kills", "n", 500, "how many kills")
+	c.Flags().Uint64Var(&seed, "seed", 53, "of their moments and of the load")
+	c.Flags().StringVar(&promise, "promise", "process", "process or machine")
+	return c
+}
+
+// promisesCommand measures what the journal's promises cost a binding.
+func promisesCommand() *cobra.Command {
+	return &cobra.Command{Use: "promises", Short: "What the journal's two promises add to a binding, beside none", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			command, err := self()
+			if err != nil {
+				return err
+			}
+			s, err := scenario.Load("journal")
+			if err != nil {
+				return err
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
+			fmt.Fprintln(t, "promise\tservice\tbook p50 ms\tp99\tp99.9\tcheck p50 ms\tp99\tCPU s\tbytes an entry\t")
+			for _, promise := range []string{"", "process", "machine"} {
+				one := *s
+				one.Journal.Promise = promise
+				out, err := lab.Run(c.Context(), lab.Options{Scenario: &one, Ops: load.Plan(&one), Command: command})
+				if err != nil {
+					return err
+				}
+				if out.Late.Behind {
+					return errors.Join(errors.New("the generator fell behind"), exit(exitInvalid))
+				}
+				var cells [2][3]float64
+				for _, k := range out.ByType {
+					i := 0
+					if k.Name == "hire-book" {
+						i = 1
+					}
+					for q, v := range []float64{50, 99, 99.9} {
+						cells[i][q] = float64(k.Latency.ValueAtQuantile(v)) / 1000
+					}
+				}
+				each := 0.0
+				if out.Journal.Entries > 0 {
+					each = float64(out.Journal.Bytes) / float64(out.Journal.Entries)
+				} else {
+					promise = "none"
+				}
+				fmt.Fprintf(t, "%s\t%.4f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.0f\t\n", promise, out.Service(), cells[1][0], cells[1][1], cells[1][2], cells[0][0],
+					cells[0][1], out.Use.CPU.Seconds(), each)
+			}
+			return t.Flush()
+		}}
+}
--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"fernvane/internal/baseline"
+	"fernvane/internal/lab"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/planner"
 	"fernvane/internal/serve"
@@ -63,6 +64,7 @@
 		return exitBadInput
 	}
 	cfg.Module = maker
+	cfg.Disk = lab.Disk(getenv)
 	if path := getenv(profileVar); path != "" {
 		f, err := os.Create(path)
 		if err == nil {
@@ -105,7 +107,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.AddCommand(runCommand(), listCommand(), checkCommand(), faultsCommand(), scheduleCommand(), compareCommand(), loadCommand(),
-		benchCommand(), proveCommand())
+		benchCommand(), proveCommand(), killsCommand(), promisesCommand())
 	err := root.ExecuteContext(ctx)
 	var code exit
 	switch {
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -112,6 +112,7 @@
 	crashed  []string
 	invented []string
 	owed     []string
+	unkept   []string
 }
 
 // New gathers from nothing.
@@ -211,6 +212,9 @@
 // Owed tells that a client which sent what cannot be read got neither an error nor a close in time.
 func (a *Audit) Owed(what string) { a.owed = append(a.owed, what) }
 
+// Unkept tells that a journal of bindings lacks what a box has run, or claims what is not so.
+func (a *Audit) Unkept(what string) { a.unkept = append(a.unkept, what) }
+
 // Fell tells that a cold box was sent too much.
 func (a *Audit) Fell(box int, at time.Duration) {
 	a.fallen = append(a.fallen, fmt.Sprintf("%s at %s", a.boxes[box].Name, at.Round(time.Millisecond)))
@@ -240,6 +244,17 @@
 	{"drains", "nothing new to a server that this node knows to drain or be gone", (*Audit).undrained},
 }
 
+// EachRan calls f for each work that a box has begun, of types that ask says yes to.
+func (a *Audit) EachRan(ask func(kind int) bool, f func(id uint64, node, box int)) {
+	for id, r := range a.requests {
+		for _, h := range r.hops {
+			if r.known && h.ran >= 0 && ask(r.kind) {
+				f(id, r.node, h.box)
+			}
+		}
+	}
+}
+
 // Verdict says of each rule how often it was broken, and gives the first case.
 func (a *Audit) Verdict() []Rule {
 	ids := make([]uint64, 0, len(a.requests))
@@ -270,6 +285,7 @@
 		{"cold", "no cold server is pushed over", a.fallen},
 		{"bad-clients", "what cannot be read is ended with an error or a close", a.owed},
 		{"lives", "no node ends by itself", a.crashed},
+		{"journal", "what bindings' servers have run stands in the journal, and none of it as not sent", a.unkept},
 	} {
 		v := Rule{Name: whole.name, About: whole.about}
 		v.add(whole.all)
--- a/internal/bindlog/log.go
+++ b/internal/bindlog/log.go
@@ -15,6 +15,7 @@
 const (
 	queueMost  = 8192                   // records that wait to be written
 	againEvery = 500 * time.Millisecond // between two tries to go on after a fault
+	lately     = time.Second            // in which a slow write tells of the next one
 	numberTry  = 100                    // numbers taken by other processes before it is a fault
 )
 
@@ -49,7 +50,9 @@
 	failing error
 	closed  bool
 	busy    time.Time // since when a write has been under way; zero: none
-	lost    int       // records that were not kept
+	wrote   time.Time // when the last one was over
+	took    time.Duration
+	lost    int // records that were not kept
 	lostAt  time.Time
 	done    chan struct{}
 
@@ -124,14 +127,19 @@
 	return w, nil
 }
 
-// Stalled tells for how long the write that is under way has been so.
+// Stalled tells for how long the write that is under way has been so, or how long the last one took, if that was lately:
+// a disk that was slow a moment ago is not trusted with the next ones all at once.
 func (l *Log) Stalled() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	took := time.Duration(0)
+	if time.Since(l.wrote) < lately {
+		took = l.took
+	}
 	if l.busy.IsZero() {
-		return 0
+		return took
 	}
-	return time.Since(l.busy)
+	return max(took, time.Since(l.busy))
 }
 
 // Failing is why nothing is kept now, nil where it is.
@@ -201,7 +209,8 @@
 		}
 	}
 	l.mu.Lock()
-	l.busy = time.Time{}
+	l.wrote = time.Now()
+	l.took, l.busy = l.wrote.Sub(l.busy), time.Time{}
 	l.mu.Unlock()
 	for _, p := range batch {
 		if p.wait != nil {
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -192,6 +192,10 @@
 			delayPlanner(w, n, time.Duration(f.Size*float64(time.Second)))
 		},
 		func(w *world, _ *scenario.Fault, n int) { delayPlanner(w, n, 0) }),
+	"slow-disk": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) {
+		w.slowDisk(time.Duration(f.Size * float64(time.Second)))
+		w.after(f.For.D(), func() { w.slowDisk(0) })
+	},
 	"rude": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) { w.rudeClients(f) },
 	// The load's own: the schedule holds them.
 	"hot-key":  func(*world, context.Context, *scenario.Fault, *rand.Rand) {},
--- /dev/null
+++ b/internal/lab/journal.go
@@ -0,0 +1,163 @@
+package lab
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"fernvane/internal/audit"
+	"fernvane/internal/bindings"
+	"fernvane/internal/bindlog"
+	"fernvane/internal/load"
+	"fernvane/internal/standin/disk"
+)
+
+// diskVar names the file that says how long each write of a node's journal takes.
+const diskVar = "FERNLAB_DISK"
+
+const diskLook = 20 * time.Millisecond // between two looks at that file
+
+// Disk is the disk beneath a node's journal in the lab, slow when a fault says so; nil without one.
+func Disk(getenv func(string) string) bindlog.Files {
+	path := getenv(diskVar)
+	if path == "" {
+		return nil
+	}
+	var looked, takes atomic.Int64
+	return disk.Slowed{Takes: func() time.Duration {
+		if now := time.Now().UnixNano(); now-looked.Load() > int64(diskLook) {
+			looked.Store(now)
+			text, _ := os.ReadFile(path)
+			d, _ := time.ParseDuration(strings.TrimSpace(string(text)))
+			takes.Store(int64(d))
+		}
+		return time.Duration(takes.Load())
+	}}
+}
+
+func (w *world) diskFile() string { return filepath.Join(w.Keep, "disk") }
+
+func (w *world) slowDisk(d time.Duration) {
+	if err := os.WriteFile(w.diskFile()+".new", []byte(d.String()), 0o644); err == nil {
+		os.Rename(w.diskFile()+".new", w.diskFile())
+	}
+}
+
+// journals has each node keep one, where the scenario says so.
+func (w *world) journals() error {
+	j := w.Scenario.Journal
+	if j.Promise == "" {
+		return nil
+	}
+	for _, p := range w.nodes {
+		p.env = append(append([]string{}, p.env...), diskVar+"="+w.diskFile())
+		if err := os.MkdirAll(p.journal(), 0o755); err != nil {
+			return err
+		}
+		text := fmt.Sprintf("dir = %q\npromise = %q\nwhen_failing = %q\nwait_most = %q\n", p.journal(), j.Promise, j.WhenFailing, j.WaitMost.D())
+		if err := os.WriteFile(p.bindings(), []byte(text), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Journal is what the nodes' journals held in the end, beside the boxes' dockets.
+type Journal struct {
+	Entries  int // operations in them
+	Ran      int // dockets of bindings
+	Possibly int // entries that were possibly sent when the nodes had ended
+	Open     int // of those that dockets did not settle
+	Gaps     int // words that were not kept, by the journals' own count
+	Bytes    int64
+}
+
+// readJournals sets the journals beside what the boxes have run, and settles by their dockets what was left open.
+func (w *world) readJournals() (sum Journal, err error) {
+	if w.Scenario.Journal.Promise == "" {
+		return sum, nil
+	}
+	type key struct {
+		node int
+		id   uint64
+	}
+	all := map[key]*bindings.Entry{}
+	gaps := map[int]bool{}
+	for n, p := range w.nodes {
+		fold := bindings.NewFold()
+		keep := func(e *bindings.Entry) {
+			id, _ := strconv.ParseUint(e.ID, 16, 64)
+			all[key{n, id}] = e
+		}
+		r, err := bindlog.Scan(bindlog.OS{}, p.journal(), time.Time{}, func(rec *bindings.Record) error {
+			if e := fold.Add(rec); e != nil {
+				keep(e)
+			}
+			return nil
+		}, nil)
+		if err != nil {
+			return sum, err
+		}
+		fold.Damaged = r.Corrupt() > 0
+		for _, e := range fold.Rest() {
+			keep(e)
+		}
+		for _, g := range fold.Gaps {
+			sum.Gaps += g.N
+			gaps[n] = true
+		}
+		sum.Bytes += r.Bytes
+	}
+	sum.Entries = len(all)
+	dockets := map[string]*bindings.Dockets{}
+	for _, b := range w.boxes {
+		dockets[b.Name] = &bindings.Dockets{Server: b.Name, From: 0, To: time.Now().Add(time.Hour).UnixNano(), IDs: map[string]bool{}}
+	}
+	w.eyes.see(func(a *audit.Audit, _ time.Duration) {
+		ran := map[key]bool{}
+		a.EachRan(func(kind int) bool { return w.Scenario.Types[kind].Repeat == "binding" }, func(id uint64, node, box int) {
+			sum.Ran++
+			k := key{node, id}
+			ran[k] = true
+			name := string(load.AppendID(nil, id))
+			dockets[w.boxes[box].Name].IDs[name] = true
+			switch e := all[k]; {
+			case e == nil && !gaps[node]:
+				a.Unkept(fmt.Sprintf("%s ran at %s, and node %d's journal has no entry of it", name, w.boxes[box].Name, node))
+			case e != nil && e.State() == bindings.NotSent:
+				a.Unkept(fmt.Sprintf("%s ran at %s, and node %d's journal says that it was not sent", name, w.boxes[box].Name, node))
+			}
+		})
+		for k, e := range all {
+			if e.State() == bindings.HasRun && !ran[k] {
+				a.Unkept(fmt.Sprintf("node %d's journal says that %s ran, and no box has run it", k.node, e.ID))
+			}
+			if e.State() != bindings.PossiblySent {
+				continue
+			}
+			sum.Possibly++
+			fold := 0
+			for _, r := range bindings.Reconcile(e, dockets, 0, time.Now().UnixNano()) {
+				if r.Proof == bindings.Ran {
+					fold = len(e.Hops)
+				} else {
+					fold++
+				}
+			}
+			open := 0
+			for _, h := range e.Hops {
+				if h.Proof() == bindings.Possibly {
+					open++
+				}
+			}
+			if fold < max(open, 1) {
+				sum.Open++
+			}
+		}
+	})
+	return sum, nil
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -36,6 +36,7 @@
 		if err != nil {
 			os.Exit(2)
 		}
+		cfg.Disk = Disk(os.Getenv)
 		cfg.Module, _ = baseline.Find(os.Getenv(policyVar))
 		os.Exit(serve.Process(cfg, os.Stderr, zerolog.InfoLevel))
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -60,6 +60,7 @@
 	TurnedOff int // calls that it turned away
 	Lines     float64
 	Planning  usage
+	Journal   Journal
 	PlanBytes int // that planners sent to nodes
 	Rude      int // bad clients
 }
@@ -155,6 +156,9 @@
 	if err := w.plan(); err != nil {
 		return err
 	}
+	if err := w.journals(); err != nil {
+		return err
+	}
 	for n := range s.Nodes.Count {
 		g.Go(func() error {
 			if err := w.configure(n); err != nil {
@@ -349,7 +353,8 @@
 	g.Ops, g.Shift = ops, shift
 	w.schedule(ctx, shift)
 	late := g.Run(ctx, w.start, w.front, w.eyes)
-	if err := ctx.Err(); err != nil {
+	err := ctx.Err()
+	if err != nil {
 		return nil, err
 	}
 	out := &Outcome{Result: g.Result, Late: late, Rude: w.rude.count()}
@@ -363,6 +368,9 @@
 		out.Use.RSSMB = max(out.Use.RSSMB, p.use.RSSMB)
 		p.mu.Unlock()
 	}
+	if out.Journal, err = w.readJournals(); err != nil {
+		return nil, err
+	}
 	out.Planning, out.PlanBytes = w.stopPlanners()
 	out.Calls, out.Lines, out.TurnedOff = w.discovery.Use()
 	w.eyes.see(func(a *audit.Audit, _ time.Duration) { out.Rules = a.Verdict() })
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -44,6 +44,7 @@
 	NodeUse          Use                `json:"nodes_use"`
 	PlannerUse       Use                `json:"planners_use"`
 	PlanBytes        int                `json:"plan_bytes"` // that planners sent to nodes
+	Journal          *lab.Journal       `json:"journal,omitempty"`
 	BadClients       int                `json:"bad_clients"`
 	Series           []Point            `json:"series"`
 	Faults           []Fault            `json:"faults"`
@@ -130,6 +131,9 @@
 	for _, f := range s.Faults {
 		r.Faults = append(r.Faults, Fault{f.Kind, f.At.D().Seconds(), f.End().Seconds()})
 	}
+	if s.Journal.Promise != "" {
+		r.Journal = &o.Journal
+	}
 	return r
 }
 
@@ -203,6 +207,13 @@
 	fmt.Fprintf(w, "; 100 ms differ by %.2f%% at most", 100*r.Generator.WorstBin)
 	fmt.Fprintf(w, "\ndiscovery: %d calls, %.0f lines, %d turned away", r.Discovery.Calls, r.Discovery.Lines, r.Discovery.Turned)
 	fmt.Fprintf(w, "\nnodes: %.2f s of CPU together, at most %.0f MB each", r.NodeUse.CPUSeconds, r.NodeUse.RSSMaxMB)
+	if r.PlannerUse.CPUSeconds > 0 {
+		fmt.Fprintf(w, "\nplanners: %.2f s of CPU together, at most %.0f MB each, %d bytes sent to nodes", r.PlannerUse.CPUSeconds, r.PlannerUse.RSSMaxMB, r.PlanBytes)
+	}
+	if j := r.Journal; j != nil {
+		fmt.Fprintf(w, "\njournals: %d entries, %d dockets, %d possibly sent, %d of them not settled by dockets, %d words in gaps", j.Entries, j.Ran,
+			j.Possibly, j.Open, j.Gaps)
+	}
 	if r.BadClients > 0 {
 		fmt.Fprintf(w, "\nbad clients: %d", r.BadClients)
 	}
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -72,6 +72,7 @@
 	{"stop-planners", "planners stand still, and go on with what they knew", planners, true, "", ""},
 	{"cut-planners", "planners and half of the nodes hear nothing of each other", planners, true, "", ""},
 	{"slow-planners", "what planners and nodes tell each other comes Size seconds late", planners, true, "seconds", ""},
+	{"slow-disk", "each write of the nodes' journals takes Size seconds", noTarget, true, "seconds", ""},
 	{"hot-key", "one key draws Share of the traffic", noTarget, true, "", "of traffic"},
 	{"overload", "traffic rises to Size times its rate", noTarget, true, "times", ""},
 	{"rude", "clients send what cannot be read, or nothing, to all nodes", noTarget, true, "connections a second", ""},
@@ -160,6 +161,8 @@
 	}
 	within("length", s.Length.D().Seconds(), 0.1, mostLength.Seconds())
 	within("nodes.count", float64(s.Nodes.Count), 1, mostNodes)
+	oneOf("journal.promise", s.Journal.Promise, "", "process", "machine")
+	oneOf("journal.when_failing", s.Journal.WhenFailing, "deny", "serve")
 	within("planners.count", float64(s.Planners.Count), 0, mostPlanner)
 	if n := len(s.Sites); n > s.Nodes.Count {
 		f.Wrong("nodes.count", "%d sites, but %d nodes: the clients of each site need one", n, s.Nodes.Count)
@@ -313,6 +316,8 @@
 	or(&s.Nodes.MemoryMB, 192)
 	or(&s.Nodes.Sockets, 1024)
 	or(&s.Nodes.Notice, Span(2*time.Second))
+	or(&s.Journal.WhenFailing, "deny")
+	or(&s.Journal.WaitMost, Span(200*time.Millisecond))
 	or(&s.Planners.Every, Span(500*time.Millisecond))
 	for i := range s.Boxes {
 		b := &s.Boxes[i]
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -24,6 +24,7 @@
 	Sites     []string  `toml:"sites"`
 	Nodes     Nodes     `toml:"nodes"`
 	Planners  Planners  `toml:"planners"`
+	Journal   Journal   `toml:"journal"`
 	Boxes     []Boxes   `toml:"boxes"`
 	Types     []Type    `toml:"types"`
 	Tenants   []Tenant  `toml:"tenants"`
@@ -56,6 +57,13 @@
 	Every Span `toml:"every"` // between two plans
 }
 
+// Journal of bindings that each node keeps; without a promise it keeps none.
+type Journal struct {
+	Promise     string `toml:"promise"`      // process or machine
+	WhenFailing string `toml:"when_failing"` // deny or serve
+	WaitMost    Span   `toml:"wait_most"`
+}
+
 // Boxes are servers of one kind, dealt out over the sites in turn.
 type Boxes struct {
 	Kind        string  `toml:"kind"`
--- a/internal/serve/bindings.go
+++ b/internal/serve/bindings.go
@@ -33,6 +33,8 @@
 	ended   atomic.Bool
 }
 
+const stallShare = 0.25 // of the longest wait: a write that takes longer has what comes denied, or served at once
+
 var errUnkept = errors.New("the journal has not kept the intent in time")
 
 // newJournal begins a segment and looks through the others beside the serving.
@@ -116,7 +118,12 @@
 // takes tells whether an operation of a type may be taken now: while nothing can be kept, that is the operator's choice.
 func (j *journal) takes(kind int) bool {
 	return j == nil || kind >= len(j.types) || j.types[kind] == "" || !j.cfg.Deny() ||
-		j.kept.Failing() == nil && j.kept.Stalled() < j.cfg.WaitMost.D()
+		j.kept.Failing() == nil && !j.slow()
+}
+
+// slow: the disk takes so long that waits would fill the node's window, which other operations need.
+func (j *journal) slow() bool {
+	return j.kept.Stalled() > time.Duration(stallShare*float64(j.cfg.WaitMost.D()))
 }
 
 // kept is one operation in the journal; nil is one that is not kept.
@@ -161,7 +168,12 @@
 	k.mu.Unlock()
 	r := k.line(bindings.Intent, hop)
 	r.Server = server
-	w, err := k.j.kept.Append(true, r)
+	serve, slow := !k.j.cfg.Deny(), k.j.slow()
+	w, err := k.j.kept.Append(!serve || !slow, r)
+	if err == nil && w == nil { // it is served without a wait
+		k.j.kept.Missed()
+		return hop, nil
+	}
 	if err == nil {
 		by := time.NewTimer(min(k.j.cfg.WaitMost.D(), time.Until(until)))
 		defer by.Stop()
