--- /dev/null
+++ b/internal/serve/bindings_test.go
@@ -0,0 +1,162 @@
+package serve
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fernvane/internal/bindings"
+	"fernvane/internal/bindlog"
+	"fernvane/internal/http1"
+	"fernvane/internal/standin/disk"
+	"fernvane/internal/tomlfile"
+)
+
+// kept is what a journal holds of all operations.
+func entries(t *testing.T, d bindlog.Files) (all []*bindings.Entry, gaps int) {
+	t.Helper()
+	fold := bindings.NewFold()
+	if _, err := bindlog.Scan(d, "j", time.Time{}, func(r *bindings.Record) error {
+		if e := fold.Add(r); e != nil {
+			all = append(all, e)
+		}
+		return nil
+	}, nil); err != nil {
+		t.Fatal(err)
+	}
+	return append(all, fold.Rest()...), len(fold.Gaps)
+}
+
+func book(t *testing.T, at string, fields string) int {
+	t.Helper()
+	c := dial(t, at)
+	fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n%sContent-Length: 0\r\n\r\n", ids.Add(1), fields)
+	return reply(t, c).Status
+}
+
+// What servers do to a binding, and what the journal says of it when the node has stopped.
+func TestJournal(t *testing.T) {
+	t.Parallel()
+	const never = "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, c := range map[string]struct {
+		script []string
+		state  bindings.State
+		told   string
+		hops   int
+	}{
+		"answered":                 {[]string{whole}, bindings.HasRun, "handled", 1},
+		"turned away, then taken":  {[]string{never, whole}, bindings.HasRun, "handled", 2},
+		"turned away by all":       {[]string{never}, bindings.NotSent, "denied", 4},
+		"an error":                 {[]string{"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"}, bindings.PossiblySent, "written off", 1},
+		"the connection breaks":    {[]string{hangUp}, bindings.PossiblySent, "written off", 1},
+		"it finds fault with it":   {[]string{"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"}, bindings.PossiblySent, "written off", 1},
+		"it answers what is noise": {[]string{"noise\r\n\r\n" + hangUp}, bindings.PossiblySent, "written off", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hosts, _ := servers(t, 3, c.script...)
+			cfg := config(hosts...)
+			d := disk.New()
+			cfg.Disk, cfg.Bindings = d, &bindlog.Config{Dir: "j", Promise: "machine", WhenFailing: "deny", WaitMost: tomlfile.Span(time.Second), SegmentBytes: 1 << 20, RepeatsField: "Repeats"}
+			at, stop := startNode(t, cfg)
+			book(t, at, "Client-Retry: 1\r\nRepeats: 77\r\n")
+			ask1(t, dial(t, at), "/check/1") // is not kept
+			if err := stop(); err != nil {
+				t.Fatal(err)
+			}
+			all, _ := entries(t, d)
+			if len(all) != 1 {
+				t.Fatalf("%d entries", len(all))
+			}
+			if e := all[0]; e.State() != c.state || e.Told != c.told || len(e.Hops) != c.hops || e.Type != "book" || !e.Retry || e.Repeats != "77" {
+				t.Errorf("%v: %+v", e.State(), e)
+			}
+		})
+	}
+}
+
+// At the moment when a server gets a binding's first byte its intent lasts past the machine's death.
+func TestIntentComesFirst(t *testing.T) {
+	t.Parallel()
+	d := disk.New()
+	var late atomic.Int32
+	at := standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
+			if all, _ := entries(t, d); len(all) != 1 || len(all[0].Hops) != 1 || all[0].Told != "" {
+				late.Add(1)
+			}
+			io.WriteString(nc, whole)
+		}
+	})
+	cfg := config(http1.Host{ID: "s", Address: at, Size: 1})
+	cfg.Disk, cfg.Bindings = d, &bindlog.Config{Dir: "j", Promise: "machine", WhenFailing: "deny", WaitMost: tomlfile.Span(time.Second), SegmentBytes: 1 << 20}
+	node, _ := startNode(t, cfg)
+	if got := book(t, node, ""); got != 200 || late.Load() > 0 {
+		t.Errorf("answered %d, %d hops came before their intent", got, late.Load())
+	}
+}
+
+// A disk that takes nothing: bindings are denied, or served with a gap, as the operator chose; others notice nothing,
+// and when the disk comes back the journal goes on.
+func TestDiskFull(t *testing.T) {
+	t.Parallel()
+	for _, choice := range []string{"deny", "serve"} {
+		t.Run(choice, func(t *testing.T) {
+			t.Parallel()
+			d := disk.New()
+			var mu sync.Mutex
+			full := false
+			d.Meet = func(int) disk.Trouble {
+				mu.Lock()
+				defer mu.Unlock()
+				if full {
+					return disk.Full
+				}
+				return disk.None
+			}
+			set := func(to bool) { mu.Lock(); full = to; mu.Unlock() }
+			hosts, taken := servers(t, 3, whole)
+			cfg := config(hosts...)
+			cfg.Disk, cfg.Bindings = d, &bindlog.Config{Dir: "j", Promise: "machine", WhenFailing: choice, WaitMost: tomlfile.Span(100 * time.Millisecond), SegmentBytes: 1 << 20}
+			at, stop := startNode(t, cfg)
+			if got := book(t, at, ""); got != 200 {
+				t.Fatalf("answered %d", got)
+			}
+			await(t, "end of the first", func() bool { all, _ := entries(t, d); return len(all) == 1 && all[0].Told != "" })
+			set(true)
+			before := taken.Load()
+			want := map[string]int{"deny": 503, "serve": 200}[choice]
+			for range 3 {
+				if got := book(t, at, ""); got != want {
+					t.Errorf("answered %d, not %d", got, want)
+				}
+				if r := ask1(t, dial(t, at), "/check/1"); r.Status != 200 {
+					t.Errorf("a check is answered %d", r.Status)
+				}
+			}
+			if got := int(taken.Load() - before); got != map[string]int{"deny": 3, "serve": 6}[choice] {
+				t.Errorf("%d hops", got)
+			}
+			set(false)
+			await(t, "binding kept again", func() bool { return book(t, at, "") == 200 && gaps(t, d) > 0 })
+			if err := stop(); err != nil {
+				t.Fatal(err)
+			}
+			for all, _ := entries(t, d); len(all) > 0; all = all[1:] {
+				if all[0].State() == bindings.PossiblySent {
+					t.Errorf("%+v", all[0])
+				}
+			}
+		})
+	}
+}
+
+func gaps(t *testing.T, d bindlog.Files) int {
+	_, n := entries(t, d)
+	return n
+}
