Registry of ephemeral nodes as the list of servers: reader, roster, a stand-in ensemble, scenarios

Installations register servers as ephemeral nodes. The roster, free of I/O, makes a list of what is registered and of how hops end: who vanishes gets nothing new, a flap keeps its place, and where most vanish together the last list holds.

--- a/cmd/fernlab/run.go
+++ b/cmd/fernlab/run.go
@@ -134,13 +134,17 @@
 			return err
 		}
 	}
-	if s.Planners.Count > 0 && !f.alone {
-		r.Policy = "with planners"
+	other, name := s.Single(), "single-level"
+	if s.Registry.Addresses > 0 {
+		other, name = s.Discovered(), "discovery"
+	}
+	if (s.Planners.Count > 0 || s.Registry.Addresses > 0) && !f.alone {
+		r.Policy = map[string]string{"single-level": "with planners", "discovery": "registry"}[name]
 		o := o
-		if o.Scenario = s.Single(); o.Keep != "" {
-			o.Keep += "-single"
+		if o.Scenario = other; o.Keep != "" {
+			o.Keep += "-" + name
 		}
-		one, err := once(ctx, o, "single-level")
+		one, err := once(ctx, o, name)
 		if err != nil {
 			return err
 		}
--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -88,6 +88,7 @@
 	operator := flags.String("operator", getenv("PROXY_OPERATOR"), "limits by route, a TOML `file`")
 	forwarder := flags.String("planners", getenv("PROXY_PLANNERS"), "serve, check: the planners to follow, a TOML `file`")
 	journal := flags.String("bindings", getenv("PROXY_BINDINGS"), "serve, check: keep a journal of bindings, by this TOML `file`")
+	list := flags.String("registry", getenv("PROXY_REGISTRY"), "serve, check: read servers from a registry of ephemeral nodes, by this TOML `file`")
 	planFile := flags.String("file", getenv("PROXY_PLAN"), "plan: the planner's TOML `file`")
 	verbose := flags.Bool("verbose", false, "log each hop that does not end with a whole answer")
 	schema := flags.Bool("schema", false, "check: print the JSON schema of the operator's file")
@@ -109,6 +110,8 @@
 				return *forwarder
 			case "PROXY_BINDINGS":
 				return *journal
+			case "PROXY_REGISTRY":
+				return *list
 			}
 			return getenv(name)
 		})
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -187,6 +187,12 @@
 	a.told[k] = append(a.told[k], told{at: at, cond: c, up: up})
 }
 
+// Excused tells that what a node was told of a box's end is not to be believed.
+func (a *Audit) Excused(node, box int, at time.Duration) {
+	k := [2]int{node, box}
+	a.told[k] = append(a.told[k], told{at: at, anew: true})
+}
+
 // NodeDown tells that a node was ended on purpose; what it held is its clients' to retry.
 func (a *Audit) NodeDown(node int, at time.Duration) {
 	a.down[node] = append(a.down[node], span{at, 1 << 62})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,17 +28,18 @@
 	wake    *time.Timer
 	asked   chan struct{}
 
-	ops     map[uint64]*Operation
-	open    map[string]bool // the clients' ids of those that are not settled
-	lastOp  uint64
-	types   map[string]int
-	tenants map[string]int
-	zones   map[string]int
-	servers map[string]*server
-	closing []io.Closer // to be closed when the lock is given back
-	room    room
-	counts  Counts
-	digests digests
+	ops      map[uint64]*Operation
+	open     map[string]bool // the clients' ids of those that are not settled
+	lastOp   uint64
+	types    map[string]int
+	tenants  map[string]int
+	zones    map[string]int
+	servers  map[string]*server
+	closing  []io.Closer // to be closed when the lock is given back
+	room     room
+	counts   Counts
+	digests  digests
+	evidence chan Evidence // nil: nobody asks for it
 }
 
 type server struct {
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -221,6 +221,7 @@
 		o.settle(Decision{Kind: WriteOff, Answer: answer})
 	}
 	now := o.f.now()
+	o.f.tell(ended.server, how)
 	o.f.digests.ended(ended.server, o.base, how, now-ended.sent)
 	o.f.door.HopEnded(now, o.id, ended.server, policy.Input{Hop: hop, Outcome: how.Outcome(),
 		Spent: now - ended.sent, Final: o.settled}, (*hands)(o.f))
--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -19,10 +19,13 @@
 	s     *scenario.Scenario
 	ops   []load.Operation
 
-	mu    sync.Mutex
-	audit *audit.Audit
-	boxes map[string]int  // numbers by id
-	since []time.Duration // by node: when it was started; while it is down, never
+	mu      sync.Mutex
+	audit   *audit.Audit
+	boxes   map[string]int       // numbers by id
+	listed  map[int]map[int]bool // by reader of the registry: boxes that it was told of last
+	missing map[int]map[int]time.Duration
+	drained map[[2]int]bool
+	since   []time.Duration // by node: when it was started; while it is down, never
 }
 
 const never = time.Duration(1<<62 - 1)
@@ -34,7 +37,7 @@
 			Repeat: map[string]audit.Repeat{"fingerprinted": audit.Fingerprinted, "binding": audit.Binding}[t.Repeat],
 			Group:  map[string]audit.Group{"zone": audit.Zone, "cell": audit.Cell}[t.Group]})
 	}
-	return &eyes{start: start, s: s, ops: ops, audit: audit.New(f), boxes: map[string]int{}, since: make([]time.Duration, s.Nodes.Count)}
+	return &eyes{start: start, s: s, ops: ops, audit: audit.New(f), boxes: map[string]int{}, listed: map[int]map[int]bool{}, missing: map[int]map[int]time.Duration{}, drained: map[[2]int]bool{}, since: make([]time.Duration, s.Nodes.Count)}
 }
 
 // see tells the audit something.
@@ -126,7 +129,7 @@
 var conditions = map[string]audit.Condition{discovery.Serving: audit.Serving, discovery.Draining: audit.Draining, discovery.Deleted: audit.Gone}
 
 // Told tells what discovery has told a node. What it tells a planner reaches nodes by that planner only.
-func (e *eyes) Told(node int, id, phase string, up int64, at time.Time) {
+func (e discovered) Told(node int, id, phase string, up int64, at time.Time) {
 	if node >= e.s.Nodes.Count {
 		return
 	}
@@ -137,6 +140,9 @@
 	})
 }
 
+// discovered is what discovery tells.
+type discovered struct{ *eyes }
+
 var lives = [...]audit.Condition{life.Up: audit.Serving, life.Draining: audit.Draining, life.Gone: audit.Gone}
 
 // Planned tells what a planner has told a node.
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -13,6 +13,7 @@
 	"fernvane/internal/scenario"
 	"fernvane/internal/standin/box"
 	"fernvane/internal/standin/discovery"
+	"fernvane/internal/standin/registry"
 )
 
 // schedule has every fault come at its moment. Which boxes and nodes a share means follows from the seed.
@@ -196,6 +197,27 @@
 		w.slowDisk(time.Duration(f.Size * float64(time.Second)))
 		w.after(f.For.D(), func() { w.slowDisk(0) })
 	},
+	"registry-flap": func(w *world, _ context.Context, f *scenario.Fault, chance *rand.Rand) {
+		share := *f
+		share.Share = f.Size
+		w.flap(&share, chance)
+	},
+	"registry-lag": ensembleFault(
+		func(_ *world, f *scenario.Fault, s *registry.Server) { s.Set(seconds(f), 0, false) },
+		func(_ *world, _ *scenario.Fault, s *registry.Server) { s.Set(0, 0, false) }),
+	"registry-slow-events": ensembleFault(
+		func(_ *world, f *scenario.Fault, s *registry.Server) { s.Set(0, seconds(f), false) },
+		func(_ *world, _ *scenario.Fault, s *registry.Server) { s.Set(0, 0, false) }),
+	"registry-break": ensembleFault(
+		func(w *world, _ *scenario.Fault, s *registry.Server) { w.registry.Refuse(true); s.Break() },
+		func(w *world, _ *scenario.Fault, _ *registry.Server) { w.registry.Refuse(false) }),
+	"registry-silent": ensembleFault(
+		func(_ *world, _ *scenario.Fault, s *registry.Server) { s.Set(0, 0, true) },
+		func(_ *world, _ *scenario.Fault, s *registry.Server) { s.Set(0, 0, false) }),
+	"registry-late": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) {
+		w.registry.Late(seconds(f))
+		w.after(f.For.D(), func() { w.registry.Late(0) })
+	},
 	"rude": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) { w.rudeClients(f) },
 	// The load's own: the schedule holds them.
 	"hot-key":  func(*world, context.Context, *scenario.Fault, *rand.Rand) {},
@@ -255,6 +277,11 @@
 
 // dies has discovery learn of a death that nobody told, and the box come back cold after a while.
 func (w *world) dies(m *machine, back time.Duration) {
+	if w.registry != nil { // its session expires when nothing was heard of it for long enough
+		m.mu.Lock()
+		m.owned.Silence()
+		m.mu.Unlock()
+	}
 	w.announce(m, discovery.Deleted, w.Scenario.Discovery.SilentNotice.D(), time.Time{})
 	w.after(back, func() { w.starts(m) })
 }
@@ -272,6 +299,9 @@
 // drain has a box leave in good order: discovery tells so, it turns away what is new a while later, and ends.
 func (w *world) drain(m *machine) {
 	notice := w.Scenario.Discovery.Notice.D()
+	m.mu.Lock()
+	m.gone = true
+	m.mu.Unlock()
 	w.announce(m, discovery.Draining, notice, time.Time{})
 	w.after(notice+lateDrain, func() { m.Drain(true) })
 	w.after(notice+lateDrain+leaveAfter, func() {
--- /dev/null
+++ b/internal/lab/registry.go
@@ -0,0 +1,182 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path"
+	"strings"
+	"time"
+
+	"fernvane/internal/audit"
+	"fernvane/internal/scenario"
+	"fernvane/internal/standin/discovery"
+	"fernvane/internal/standin/registry"
+)
+
+const longUp = time.Hour // how long boxes have run that are there from the start
+
+const registryPort = 13000 // and one more for each node; addresses of the ensemble differ by host
+
+func (w *world) registryAddress(n, which int) string {
+	return fmt.Sprintf("%s.222.%d:%d", w.net, which+1, registryPort+n)
+}
+
+// registryPath is where boxes stand for nodes of a site: each site reaches them elsewhere.
+func (w *world) registryPath(site int) string { return "/services/" + w.Scenario.Sites[site] }
+
+// enrols starts the registry, with addresses of its own for each node, so that it is known who was told what.
+func (w *world) enrols() error {
+	s := w.Scenario
+	if s.Registry.Addresses == 0 {
+		return nil
+	}
+	w.registry = registry.New(w.eyes)
+	for n, p := range w.nodes {
+		var addresses []string
+		for which := range s.Registry.Addresses {
+			server, err := w.registry.Listen(w.registryAddress(n, which), n)
+			if err != nil {
+				return err
+			}
+			w.ensemble = append(w.ensemble, server)
+			addresses = append(addresses, fmt.Sprintf("%q", server.Address()))
+		}
+		text := fmt.Sprintf("servers = [%s]\npath = %q\nsession = %q\n", strings.Join(addresses, ", "), w.registryPath(n%len(s.Sites)), s.Registry.Session.D())
+		if err := os.WriteFile(p.registry(), []byte(text), 0o644); err != nil {
+			return err
+		}
+	}
+	for _, m := range w.boxes {
+		w.enrol(m, time.Time{})
+	}
+	return nil
+}
+
+// data is what a box says of itself at its place for a site.
+func (w *world) data(m *machine, site int, status string) []byte {
+	host, port, _ := strings.Cut(m.Address(site), ":")
+	n := 0
+	fmt.Sscan(port, &n)
+	up := m.up
+	if up.IsZero() {
+		up = w.start.Add(-longUp)
+	}
+	started := up.UnixMilli()
+	b, _ := json.Marshal(object{"serviceEndpoint": object{"host": host, "port": n}, "status": status, "zone": w.Scenario.Sites[m.Site], "cell": m.Cell,
+		"flavor": m.kind.Kind, "size": 1, "started_ms": started})
+	return b
+}
+
+// enrol has a box register itself by a session of its own.
+func (w *world) enrol(m *machine, up time.Time) {
+	nodes := map[string][]byte{}
+	m.up = up
+	for site := range w.Scenario.Sites {
+		nodes[path.Join(w.registryPath(site), m.Name)] = w.data(m, site, "ALIVE")
+	}
+	m.owned = w.registry.Own(w.Scenario.Registry.Session.D(), nodes)
+}
+
+// register has the registry learn of what befalls a box, as announce has discovery.
+func (w *world) register(m *machine, phase string, up time.Time) {
+	switch phase {
+	case discovery.Serving:
+		w.enrol(m, up)
+	case discovery.Draining:
+		for site := range w.Scenario.Sites {
+			m.owned.Set(path.Join(w.registryPath(site), m.Name), w.data(m, site, "DRAINING"))
+		}
+	case discovery.Deleted:
+		m.owned.End()
+	}
+}
+
+// Told tells what the registry has told a node of who is there.
+func (e *eyes) Told(reader int, at string, children []registry.Child, when time.Time) {
+	e.see(func(a *audit.Audit, _ time.Duration) {
+		there := map[int]bool{}
+		for _, c := range children {
+			if b, ok := e.boxes[c.Name]; ok {
+				there[b] = true
+				a.Told(reader, b, audit.Serving, c.Czxid, when.Sub(e.start))
+			}
+		}
+		// What vanishes with most others within two seconds is the registry's fault, not the fleet's: the last list is to
+		// hold then, but for boxes that were told to drain.
+		at := when.Sub(e.start)
+		missing := e.missing[reader]
+		if missing == nil {
+			missing = map[int]time.Duration{}
+			e.missing[reader] = missing
+		}
+		for b := range e.listed[reader] {
+			if !there[b] {
+				missing[b] = at
+				a.Told(reader, b, audit.Gone, 0, at)
+			}
+		}
+		lately := 0
+		for b, since := range missing {
+			if there[b] {
+				delete(missing, b)
+			} else if at-since <= 2*time.Second {
+				lately++
+			}
+		}
+		if lately >= 3 && 2*lately > lately+len(there) {
+			for b := range missing {
+				if !e.drained[[2]int{reader, b}] {
+					a.Excused(reader, b, at)
+				}
+			}
+		}
+		e.listed[reader] = there
+	})
+}
+
+// Data tells what it has told of a box.
+func (e *eyes) Data(reader int, at string, data []byte, when time.Time) {
+	if !strings.Contains(string(data), `"DRAINING"`) {
+		return
+	}
+	e.see(func(a *audit.Audit, _ time.Duration) {
+		if b, ok := e.boxes[path.Base(at)]; ok {
+			a.Told(reader, b, audit.Draining, 0, when.Sub(e.start))
+			e.drained[[2]int{reader, b}] = true
+		}
+	})
+}
+
+// ensembleFault has all addresses of the registry behave in some way for a while.
+func ensembleFault(begin, end func(w *world, f *scenario.Fault, s *registry.Server)) func(*world, context.Context, *scenario.Fault, *rand.Rand) {
+	return func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) {
+		for _, s := range w.ensemble {
+			begin(w, f, s)
+		}
+		w.after(f.For.D(), func() {
+			for _, s := range w.ensemble {
+				end(w, f, s)
+			}
+		})
+	}
+}
+
+func seconds(f *scenario.Fault) time.Duration { return time.Duration(f.Size * float64(time.Second)) }
+
+// flap ends the sessions of a share of the boxes and has them register anew after a while, alive all along.
+func (w *world) flap(f *scenario.Fault, chance *rand.Rand) {
+	for _, m := range w.chosen(f, chance) {
+		again := func(do func()) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if !m.gone {
+				do()
+			}
+		}
+		again(func() { m.owned.End() })
+		w.after(f.For.D(), func() { again(func() { w.enrol(m, m.up) }) })
+	}
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -21,6 +21,7 @@
 	"fernvane/internal/standin/box"
 	"fernvane/internal/standin/discovery"
 	"fernvane/internal/standin/front"
+	"fernvane/internal/standin/registry"
 	"fernvane/internal/standin/relay"
 )
 
@@ -80,6 +81,8 @@
 	front     *front.Front
 	nodes     []*process
 	planners  []*process
+	registry  *registry.Registry // nil: discovery tells
+	ensemble  []*registry.Server
 	relays    [][2]*relay.Relay // by planner and half of the nodes
 	rude      rude
 	turn      sync.Mutex // faults come one at a time
@@ -90,9 +93,12 @@
 // machine is a box as the world keeps it.
 type machine struct {
 	*box.Box
-	kind *scenario.Boxes
-	mu   sync.Mutex
-	life int // counts what befalls it, so that news overtaken by others are not told
+	kind  *scenario.Boxes
+	mu    sync.Mutex
+	owned *registry.Owned // its session at the registry
+	up    time.Time       // when it started, for the registry; zero: for long
+	gone  bool            // for good
+	life  int             // counts what befalls it, so that news overtaken by others are not told
 }
 
 // Run plays a scenario once.
@@ -125,7 +131,7 @@
 	s := w.Scenario
 	w.eyes = newEyes(s, w.Ops, w.start)
 	w.discovery = discovery.New(discovery.Figures{LinesPerS: s.Discovery.LinesPerS, CallLines: s.Discovery.CallLines,
-		Timeout: s.Discovery.Timeout.D(), Spread: s.Discovery.Spread.D()}, s.Seed, w.eyes)
+		Timeout: s.Discovery.Timeout.D(), Spread: s.Discovery.Spread.D()}, s.Seed, discovered{w.eyes})
 	for i := range s.Boxes {
 		for n := range s.Boxes[i].Count {
 			m, err := w.add(&s.Boxes[i], fmt.Sprintf("%s-%d", s.Boxes[i].Kind, n))
@@ -159,6 +165,9 @@
 	if err := w.journals(); err != nil {
 		return err
 	}
+	if err := w.enrols(); err != nil {
+		return err
+	}
 	for n := range s.Nodes.Count {
 		g.Go(func() error {
 			if err := w.configure(n); err != nil {
@@ -254,6 +263,9 @@
 		defer m.mu.Unlock()
 		if m.life == life {
 			w.discovery.Set(e)
+			if w.registry != nil {
+				w.register(m, phase, up)
+			}
 		}
 	})
 }
@@ -407,6 +419,9 @@
 	if w.discovery != nil {
 		w.discovery.Close()
 	}
+	if w.registry != nil {
+		w.registry.Close()
+	}
 	for _, m := range w.boxes {
 		g.Go(func() error { m.Close(); return nil })
 	}
--- /dev/null
+++ b/internal/registry/config.go
@@ -0,0 +1,69 @@
+package registry
+
+import (
+	"net/netip"
+	"os"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernvane/internal/tomlfile"
+)
+
+// Config is an operator's file of the registry.
+type Config struct {
+	Servers  []string      `toml:"servers"` // the ensemble's addresses
+	Chroot   string        `toml:"chroot"`
+	Path     string        `toml:"path"` // under which servers stand
+	Session  tomlfile.Span `toml:"session"`
+	AuthFile string        `toml:"auth_file"` // with user:password, for digest
+	Auth     string        `toml:"-"`
+}
+
+// Load reads the file; each fault is named by file and line.
+func Load(file string) (*Config, error) {
+	text, err := tomlfile.Read(file)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Session: tomlfile.Span(6 * time.Second)}
+	f, err := tomlfile.Parse(file, text, c)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.Servers) == 0 || len(c.Servers) > 16 {
+		f.Wrong("servers", "%d servers of the registry: from 1 to 16", len(c.Servers))
+	}
+	for i, s := range c.Servers {
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			f.Wrong("servers."+strconv.Itoa(i), "server %q: an address and a port are wanted", s)
+		}
+	}
+	for key, p := range map[string]string{"path": c.Path, "chroot": c.Chroot} {
+		if p == "" && key == "chroot" {
+			continue
+		}
+		if !strings.HasPrefix(p, "/") || path.Clean(p) != p {
+			f.Wrong(key, "%s %q: a whole path such as /services/hire", key, p)
+		}
+	}
+	if c.Session.D() < 500*time.Millisecond || c.Session.D() > 40*time.Second {
+		f.Wrong("session", "session %s: from 500ms to 40s", c.Session.D())
+	}
+	if c.AuthFile != "" {
+		secret, err := os.ReadFile(c.AuthFile)
+		if c.Auth = strings.TrimSpace(string(secret)); err != nil || !strings.Contains(c.Auth, ":") {
+			f.Wrong("auth_file", "%s holds no user:password", c.AuthFile)
+		}
+	}
+	return c, f.Err()
+}
+
+// full is the path with its root.
+func (c *Config) full() string {
+	if c.Chroot == "" || c.Chroot == "/" {
+		return c.Path
+	}
+	return c.Chroot + c.Path
+}
--- /dev/null
+++ b/internal/registry/reader.go
@@ -0,0 +1,214 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-zookeeper/zk"
+
+	"fernvane/internal/roster"
+)
+
+const (
+	lookLeast = 50 * time.Millisecond  // between two looks at the children: a storm of events is one look
+	lookMore  = 50 * time.Millisecond  // spread over which readers of one change come
+	againMost = 2 * time.Second        // between two tries while the registry is out of reach
+	againMin  = 100 * time.Millisecond // the first of them; doubles
+	atOnce    = 16                     // entries asked for at a time
+)
+
+// Conn is the part of a client that a reader needs.
+type Conn interface {
+	ChildrenW(path string) ([]string, *zk.Stat, <-chan zk.Event, error)
+	GetW(path string) ([]byte, *zk.Stat, <-chan zk.Event, error)
+	Close()
+}
+
+// Dial connects to the ensemble of a configuration.
+func Dial(c *Config) (Conn, error) {
+	conn, _, err := zk.Connect(c.Servers, c.Session.D(), zk.WithLogInfo(false), zk.WithLogger(silent{}), zk.WithMaxBufferSize(1<<20))
+	if err == nil && c.Auth != "" {
+		go conn.AddAuth("digest", []byte(c.Auth)) // waits for the first connection; the client repeats it on others
+	}
+	return conn, err
+}
+
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+// Reader follows the children of one path.
+type Reader struct {
+	conn Conn
+	path string
+	held map[string]roster.Listed
+	// watched are the entries on which a data watch stands; its goroutine ends with the one event that it gets.
+	watched map[string]bool
+	events  chan string // names of entries whose watch has fired; "" for the children's
+	out     func([]roster.Listed)
+	fault   func(error)
+}
+
+// New makes a reader that tells out of all that is listed, whenever that changes, and fault of what cannot be read.
+func New(conn Conn, c *Config, out func([]roster.Listed), fault func(error)) *Reader {
+	return &Reader{conn: conn, path: c.full(), held: map[string]roster.Listed{}, watched: map[string]bool{}, events: make(chan string, 64), out: out, fault: fault}
+}
+
+// Run follows until the context ends. Watches are set before what they watch is read, so none is missed: the client sets
+// the watch and reads with one call.
+func (r *Reader) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer r.conn.Close()
+	defer context.AfterFunc(ctx, r.conn.Close)()
+	wait := againMin
+	childrenWatched := false
+	for ctx.Err() == nil {
+		changed, err := r.look(ctx, &childrenWatched)
+		if err != nil && ctx.Err() == nil {
+			r.fault(err)
+			if !r.pause(ctx, time.Duration((0.5+rand.Float64())*float64(wait))) {
+				return nil
+			}
+			wait = min(2*wait, againMost)
+			continue
+		}
+		wait = againMin
+		if changed {
+			all := make([]roster.Listed, 0, len(r.held))
+			for _, l := range r.held {
+				all = append(all, l)
+			}
+			r.out(all)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case name := <-r.events:
+			r.fired(name, &childrenWatched)
+		}
+		if !r.pause(ctx, lookLeast+time.Duration(rand.Int64N(int64(lookMore)))) {
+			return nil
+		}
+		for more := true; more; {
+			select {
+			case name := <-r.events:
+				r.fired(name, &childrenWatched)
+			default:
+				more = false
+			}
+		}
+	}
+	return nil
+}
+
+func (r *Reader) fired(name string, children *bool) {
+	if name == "" {
+		*children = false
+		return
+	}
+	delete(r.watched, name)
+}
+
+func (r *Reader) pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// follow waits for the one event of a watch.
+func (r *Reader) follow(ctx context.Context, name string, events <-chan zk.Event) {
+	go func() {
+		select {
+		case <-events:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case r.events <- name:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// look reads what is not watched: the children if their watch has fired, and each entry whose watch has.
+func (r *Reader) look(ctx context.Context, childrenWatched *bool) (changed bool, err error) {
+	if !*childrenWatched {
+		names, _, events, err := r.conn.ChildrenW(r.path)
+		if err != nil {
+			return false, fmt.Errorf("%s: %w", r.path, err)
+		}
+		*childrenWatched = true
+		r.follow(ctx, "", events)
+		there := make(map[string]bool, len(names))
+		for _, n := range names {
+			there[n] = true
+			if _, ok := r.held[n]; !ok {
+				r.held[n] = roster.Listed{ID: n}
+				delete(r.watched, n)
+			}
+		}
+		for n := range r.held {
+			if !there[n] {
+				delete(r.held, n)
+				changed = true
+			}
+		}
+		changed = true
+	}
+	type got struct {
+		name   string
+		data   []byte
+		stat   *zk.Stat
+		events <-chan zk.Event
+		err    error
+	}
+	var ask []string
+	for n := range r.held {
+		if !r.watched[n] {
+			ask = append(ask, n)
+		}
+	}
+	answers, places := make(chan got, len(ask)), make(chan struct{}, atOnce)
+	for _, n := range ask {
+		places <- struct{}{}
+		go func() {
+			defer func() { <-places }()
+			data, stat, events, err := r.conn.GetW(r.path + "/" + n)
+			answers <- got{n, data, stat, events, err}
+		}()
+	}
+	var fault error
+	for range ask {
+		a := <-answers
+		changed = true
+		if errors.Is(a.err, zk.ErrNoNode) { // it went between the two calls; the children's watch tells
+			delete(r.held, a.name)
+			continue
+		}
+		if a.err != nil {
+			fault = fmt.Errorf("%s/%s: %w", r.path, a.name, a.err)
+			continue
+		}
+		r.watched[a.name] = true
+		r.follow(ctx, a.name, a.events)
+		l, err := Parse(a.name, a.data)
+		if err != nil {
+			r.fault(fmt.Errorf("%s/%s: %w", r.path, a.name, err))
+			delete(r.held, a.name) // skipped, until its data changes
+			delete(r.watched, a.name)
+			continue
+		}
+		l.Owner, l.Czxid, l.Ctime = a.stat.EphemeralOwner, a.stat.Czxid, a.stat.Ctime
+		r.held[a.name] = l
+	}
+	return changed, fault
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,217 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fernvane/internal/life"
+)
+
+const ms = time.Millisecond
+
+func box(id string, owner int64) Listed {
+	return Listed{ID: id, Address: "127.0.0.1:9", Owner: owner, Czxid: owner, Ctime: owner, Size: 1}
+}
+
+// view is what a node makes of the entries that it is told, by the lattice.
+type view struct{ table *life.Table }
+
+func (v view) take(changed []life.Entry) { v.table.Join(0, changed) }
+func (v view) condition(id string) string {
+	e, ok := v.table.Get(id)
+	if !ok {
+		return "-"
+	}
+	return []string{"up", "draining", "gone"}[e.Condition]
+}
+
+// What happens to one server among five, and what a node holds of it at the end, by its condition and whether it is
+// still the life that it was.
+func TestLives(t *testing.T) {
+	type happening struct {
+		at   time.Duration
+		what string
+	}
+	const s = time.Second
+	for name, c := range map[string]struct {
+		all  []happening
+		want string
+		same bool
+	}{
+		"listed":                        {nil, "up", true},
+		"vanishes":                      {[]happening{{2 * s, "gone"}}, "draining", true},
+		"vanishes for long":             {[]happening{{2 * s, "gone"}, {9 * s, "wait"}}, "gone", true},
+		"a flap, alive":                 {[]happening{{1900 * ms, "answer"}, {2 * s, "gone"}, {3 * s, "back"}}, "up", true},
+		"a flap, not seen alive":        {[]happening{{2 * s, "gone"}, {3 * s, "back"}}, "up", false},
+		"a flap, and nobody there":      {[]happening{{1900 * ms, "answer"}, {2 * s, "gone"}, {2100 * ms, "fail"}, {3 * s, "back"}}, "up", false},
+		"back too late":                 {[]happening{{1900 * ms, "answer"}, {2 * s, "gone"}, {9 * s, "wait"}, {10 * s, "back"}}, "up", false},
+		"drains":                        {[]happening{{2 * s, "drain"}}, "draining", true},
+		"a drain is called off":         {[]happening{{2 * s, "drain"}, {3 * s, "undrain"}}, "up", true},
+		"drains and vanishes":           {[]happening{{2 * s, "drain"}, {3 * s, "gone"}}, "gone", true},
+		"dead before the registry says": {[]happening{{2 * s, "fail"}, {2 * s, "fail"}, {2 * s, "fail"}}, "draining", true},
+		"two failures are chance":       {[]happening{{2 * s, "fail"}, {2 * s, "fail"}}, "up", true},
+		"doubted, and tried again":      {[]happening{{2 * s, "fail"}, {2 * s, "fail"}, {2 * s, "fail"}, {3100 * ms, "wait"}}, "up", true},
+		"doubted, and it answers":       {[]happening{{2 * s, "fail"}, {2 * s, "fail"}, {2 * s, "fail"}, {2100 * ms, "answer"}}, "up", true},
+		"all vanish":                    {[]happening{{2 * s, "all gone"}}, "up", true},
+		"all vanish, and it is dead":    {[]happening{{2 * s, "all gone"}, {3 * s, "fail"}, {3 * s, "fail"}, {3 * s, "fail"}}, "draining", true},
+		"all vanish, it had drained":    {[]happening{{1 * s, "drain"}, {2 * s, "all gone"}}, "gone", true},
+		"all vanish one by one":         {[]happening{{2 * s, "gone"}, {2100 * ms, "all gone"}}, "up", true},
+		"all but it come back":          {[]happening{{2 * s, "all gone"}, {4 * s, "others back"}}, "draining", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, v := New(), view{life.NewTable()}
+			list := func(which ...Listed) []Listed { return which }
+			others := list(box("b", 2), box("c", 3), box("d", 4), box("e", 5))
+			it := box("a", 1)
+			v.take(r.Seen(0, append(list(it), others...)))
+			first, _ := v.table.Get("a")
+			for at, i := 50*ms, 0; i < len(c.all); at += 50 * ms {
+				v.take(r.Passed(at))
+				for ; i < len(c.all) && c.all[i].at <= at; i++ {
+					switch c.all[i].what {
+					case "gone":
+						v.take(r.Seen(at, others))
+					case "all gone":
+						v.take(r.Seen(at, nil))
+					case "others back":
+						v.take(r.Seen(at, others))
+					case "back":
+						it.Owner, it.Czxid, it.Ctime = 99, 99, 99
+						v.take(r.Seen(at, append(list(it), others...)))
+					case "drain", "undrain":
+						it.Draining = c.all[i].what == "drain"
+						v.take(r.Seen(at, append(list(it), others...)))
+					case "fail":
+						v.take(r.Failed(at, "a"))
+					case "answer":
+						v.take(r.Answered(at, "a"))
+					}
+				}
+			}
+			last, _ := v.table.Get("a")
+			if v.condition("a") != c.want || (last.Up == first.Up) != c.same {
+				t.Errorf("%s, up %d, %d at first", v.condition("a"), last.Up, first.Up)
+			}
+		})
+	}
+}
+
+// model is what a list must keep to, told without the roster's own states.
+func check(t interface{ Fatalf(string, ...any) }, r *Roster, v view, listedNow map[string]bool, draining map[string]bool, history string) {
+	for _, id := range []string{"a", "b", "c"} {
+		c := v.condition(id)
+		switch {
+		case draining[id] && c == "up":
+			t.Fatalf("%s: %s was told to drain, and is up", history, id)
+		case !listedNow[id] && c == "up" && r.State(id) != Held:
+			t.Fatalf("%s: %s is not listed, and is up", history, id)
+		case !listedNow[id] && c == "up" && !r.Suspicious():
+			t.Fatalf("%s: %s is held without suspicion", history, id)
+		case r.State(id) == Present && c != "up", r.State(id) == Leaving && c == "up":
+			t.Fatalf("%s: %s is %s in state %d", history, id, c, r.State(id))
+		}
+	}
+}
+
+// All interleavings of six events of three servers: none that is not listed is used but under suspicion, no drain is
+// undone without a word, and entries never go back.
+func TestAllInterleavings(t *testing.T) {
+	ids, events := []string{"a", "b", "c"}, []string{"gone", "back", "drain", "fails", "answer", "wait"}
+	const depth = 4 // of 18 moves each: 104,976 ways
+	var moves [][2]string
+	for _, id := range ids {
+		for _, e := range events {
+			moves = append(moves, [2]string{id, e})
+		}
+	}
+	n := 0
+	pick := make([]int, depth)
+	for {
+		n++
+		play(t, func(i int) ([2]string, bool) { return moves[pick[min(i, depth-1)]], i < depth })
+		i := 0
+		for ; i < depth; i++ {
+			if pick[i]++; pick[i] < len(moves) {
+				break
+			}
+			pick[i] = 0
+		}
+		if i == depth {
+			break
+		}
+	}
+	t.Logf("%d ways", n)
+}
+
+// Longer ones, by chance.
+func TestLongInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(5, 60).Draw(t, "length")
+		play(t, func(i int) ([2]string, bool) {
+			return [2]string{rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"),
+				rapid.SampledFrom([]string{"gone", "back", "drain", "fails", "answer", "wait"}).Draw(t, "event")}, i < n
+		})
+	})
+}
+
+func play(t interface{ Fatalf(string, ...any) }, next func(i int) ([2]string, bool)) {
+	r, v := New(), view{life.NewTable()}
+	now, owner := time.Duration(0), int64(10)
+	state := map[string]Listed{}
+	there, draining := map[string]bool{}, map[string]bool{}
+	list := func() []Listed {
+		var all []Listed
+		for _, id := range []string{"a", "b", "c"} {
+			if there[id] {
+				all = append(all, state[id])
+			}
+		}
+		return all
+	}
+	for i, id := range []string{"a", "b", "c"} {
+		state[id], there[id] = box(id, int64(i+1)), true
+	}
+	v.take(r.Seen(now, list()))
+	history := ""
+	for i := 0; ; i++ {
+		m, more := next(i)
+		if !more {
+			return
+		}
+		id := m[0]
+		history += fmt.Sprint(" ", id, " ", m[1])
+		now += 300 * ms
+		v.take(r.Passed(now))
+		switch m[1] {
+		case "gone":
+			there[id] = false
+		case "back":
+			if !there[id] {
+				owner++
+				state[id], there[id], draining[id] = box(id, owner), true, false
+			}
+		case "drain":
+			if there[id] {
+				l := state[id]
+				l.Draining = true
+				state[id], draining[id] = l, true
+			}
+		case "fails":
+			for range failsLeast {
+				v.take(r.Failed(now, id))
+			}
+		case "answer":
+			v.take(r.Answered(now, id))
+		case "wait":
+			now += 6 * time.Second
+			v.take(r.Passed(now))
+		}
+		if m[1] == "gone" || m[1] == "back" || m[1] == "drain" {
+			v.take(r.Seen(now, list()))
+		}
+		check(t, r, v, there, draining, history)
+	}
+}
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -36,6 +36,7 @@
 	nodes
 	site
 	planners
+	registry
 )
 
 // FaultKind is one kind of trouble.
@@ -73,6 +74,12 @@
 	{"cut-planners", "planners and half of the nodes hear nothing of each other", planners, true, "", ""},
 	{"slow-planners", "what planners and nodes tell each other comes Size seconds late", planners, true, "seconds", ""},
 	{"slow-disk", "each write of the nodes' journals takes Size seconds", noTarget, true, "seconds", ""},
+	{"registry-flap", "sessions of Size of the boxes end, and they register anew after the fault's time, alive all along", registry, true, "share", ""},
+	{"registry-lag", "the registry's addresses see changes Size seconds late", registry, true, "seconds", ""},
+	{"registry-slow-events", "watch events come Size seconds late", registry, true, "seconds", ""},
+	{"registry-break", "connections to the registry break, and are refused", registry, true, "", ""},
+	{"registry-silent", "the registry takes requests and says nothing", registry, true, "", ""},
+	{"registry-late", "sessions expire Size seconds late", registry, true, "seconds", ""},
 	{"hot-key", "one key draws Share of the traffic", noTarget, true, "", "of traffic"},
 	{"overload", "traffic rises to Size times its rate", noTarget, true, "times", ""},
 	{"rude", "clients send what cannot be read, or nothing, to all nodes", noTarget, true, "connections a second", ""},
@@ -163,6 +170,7 @@
 	within("nodes.count", float64(s.Nodes.Count), 1, mostNodes)
 	oneOf("journal.promise", s.Journal.Promise, "", "process", "machine")
 	oneOf("journal.when_failing", s.Journal.WhenFailing, "deny", "serve")
+	within("registry.addresses", float64(s.Registry.Addresses), 0, 5)
 	within("planners.count", float64(s.Planners.Count), 0, mostPlanner)
 	if n := len(s.Sites); n > s.Nodes.Count {
 		f.Wrong("nodes.count", "%d sites, but %d nodes: the clients of each site need one", n, s.Nodes.Count)
@@ -296,6 +304,10 @@
 		if x.Half < 0 || x.Half > 1 {
 			f.Wrong(key+".half", "half is %d: 0 or 1", x.Half)
 		}
+	case registry:
+		if s.Registry.Addresses == 0 {
+			f.Wrong(key, "there is no registry for a fault %q", x.Kind)
+		}
 	case site:
 		if !slices.Contains(s.Sites, x.Site) {
 			f.Wrong(key+".site", "no site %q", x.Site)
@@ -316,6 +328,7 @@
 	or(&s.Nodes.MemoryMB, 192)
 	or(&s.Nodes.Sockets, 1024)
 	or(&s.Nodes.Notice, Span(2*time.Second))
+	or(&s.Registry.Session, Span(time.Second))
 	or(&s.Journal.WhenFailing, "deny")
 	or(&s.Journal.WaitMost, Span(200*time.Millisecond))
 	or(&s.Planners.Every, Span(500*time.Millisecond))
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -25,6 +25,7 @@
 	Nodes     Nodes     `toml:"nodes"`
 	Planners  Planners  `toml:"planners"`
 	Journal   Journal   `toml:"journal"`
+	Registry  Registry  `toml:"registry"`
 	Boxes     []Boxes   `toml:"boxes"`
 	Types     []Type    `toml:"types"`
 	Tenants   []Tenant  `toml:"tenants"`
@@ -64,6 +65,12 @@
 	WaitMost    Span   `toml:"wait_most"`
 }
 
+// Registry of ephemeral nodes in place of discovery, if it has addresses.
+type Registry struct {
+	Addresses int  `toml:"addresses"`
+	Session   Span `toml:"session"` // of boxes and nodes
+}
+
 // Boxes are servers of one kind, dealt out over the sites in turn.
 type Boxes struct {
 	Kind        string  `toml:"kind"`
@@ -188,6 +195,17 @@
 	}
 }
 
+// Discovered is the scenario with discovery in place of the registry, on the same load and with the same troubles.
+func (s *Scenario) Discovered() *Scenario {
+	one := *s
+	one.Registry = Registry{}
+	one.Faults = slices.DeleteFunc(slices.Clone(s.Faults), func(f Fault) bool {
+		k, _ := KindOf(f.Kind)
+		return k.on == registry
+	})
+	return &one
+}
+
 // Single is the scenario with each node deciding by itself, on the same load and with the same troubles.
 func (s *Scenario) Single() *Scenario {
 	one := *s
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -14,6 +14,7 @@
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
 	"fernvane/internal/plancfg"
+	"fernvane/internal/registry"
 	"fernvane/internal/route"
 	"fernvane/internal/settings"
 )
@@ -39,6 +40,7 @@
 	Module    node.Maker         // nil: the project's own
 	Planners  *plancfg.Forwarder // nil: the node decides by itself
 	Bindings  *bindlog.Config    // nil: no journal of bindings is kept
+	Registry  *registry.Config   // nil: discovery tells of servers
 	Disk      bindlog.Files      // beneath it; nil: the system's
 	path      string
 	getenv    func(string) string
@@ -55,6 +57,9 @@
 	if path := getenv("PROXY_PLANNERS"); err == nil && path != "" {
 		c.Planners, err = plancfg.LoadForwarder(path)
 	}
+	if path := getenv("PROXY_REGISTRY"); err == nil && path != "" {
+		c.Registry, err = registry.Load(path)
+	}
 	if path := getenv("PROXY_BINDINGS"); err == nil && path != "" {
 		c.Bindings, err = bindlog.Load(path)
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -98,7 +98,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return s.follow(ctx) })
+	if cfg.Registry != nil {
+		g.Go(func() error { return s.registered(ctx) })
+	} else {
+		g.Go(func() error { return s.follow(ctx) })
+	}
 	if s.planners != nil {
 		g.Go(func() error { return s.planners.run(ctx) })
 	}
--- /dev/null
+++ b/internal/standin/registry/jute_test.go
@@ -0,0 +1,66 @@
+package registry
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Whatever a client sends, the ensemble answers or ends the connection, and goes on.
+func FuzzRequests(f *testing.F) {
+	var w writer
+	w.int(1)
+	w.int(opCreate)
+	w.string("/a")
+	w.buffer([]byte("x"))
+	w.int(0)
+	w.int(flagEphem)
+	f.Add([]byte(w))
+	var g writer
+	g.int(2)
+	g.int(opWatches)
+	g.long(0)
+	g.strings([]string{"/a"})
+	g.strings(nil)
+	g.strings([]string{"/"})
+	f.Add([]byte(g))
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 0, 1, 0x7f, 0xff, 0xff, 0xff})
+	r := New(nil)
+	f.Cleanup(r.Close)
+	s, err := r.Listen("127.0.0.1:0", 0)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, peer := net.Pipe()
+		defer peer.Close()
+		go func() {
+			buffer := make([]byte, 4096)
+			for {
+				if _, err := peer.Read(buffer); err != nil {
+					return
+				}
+			}
+		}()
+		c := &conn{Conn: a, s: s, data: map[string]bool{}, child: map[string]bool{}, exist: map[string]bool{}}
+		var hello writer
+		hello.int(0)
+		hello.long(0)
+		hello.int(1000)
+		hello.long(0)
+		hello.buffer(make([]byte, 16))
+		if !s.connect(c, hello) {
+			t.Fatal("no session")
+		}
+		s.request(c, b)
+		r.mu.Lock()
+		if r.sessions[c.session.id] == c.session {
+			r.end(c.session, time.Now())
+		}
+		r.mu.Unlock()
+	})
+}
--- /dev/null
+++ b/internal/standin/registry/tree.go
@@ -0,0 +1,125 @@
+package registry
+
+import (
+	"fmt"
+	"maps"
+	"path"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Errors as on the wire.
+const (
+	ok          = 0
+	unknownOp   = -6
+	badArgs     = -8
+	noNode      = -101
+	badVersion  = -103
+	ephemeral   = -108
+	nodeExists  = -110
+	notEmpty    = -111
+	expired     = -112
+	authFailed  = -115
+	flagEphem   = 1
+	flagSequent = 2
+)
+
+// Watch events as on the wire.
+const (
+	created  = 1
+	deleted  = 2
+	changed  = 3
+	children = 4
+)
+
+type node struct {
+	data                       []byte
+	children                   map[string]bool
+	czxid, mzxid, pzxid        int64
+	ctime, mtime, owner        int64
+	version, cversion, counter int32
+}
+
+// change is one step of the tree, by which addresses that lag catch up.
+type change struct {
+	zxid int64
+	at   time.Time
+	op   int
+	path string
+	data []byte
+	own  int64
+}
+
+// tree is what one address of the ensemble sees.
+type tree struct {
+	nodes map[string]*node
+	zxid  int64
+}
+
+func newTree() *tree { return &tree{nodes: map[string]*node{"/": {children: map[string]bool{}}}} }
+
+// event is what watchers are told.
+type event struct {
+	kind int32
+	path string
+}
+
+func valid(p string) bool {
+	return strings.HasPrefix(p, "/") && path.Clean(p) == p && len(p) < 1024
+}
+
+func parent(p string) string { return path.Dir(p) }
+
+// apply carries out a change that was found sound and returns what watchers hear of it.
+func (t *tree) apply(c change) []event {
+	t.zxid = c.zxid
+	ms := c.at.UnixMilli()
+	switch c.op {
+	case created:
+		p := t.nodes[parent(c.path)]
+		if p == nil {
+			return nil
+		}
+		p.children[path.Base(c.path)] = true
+		p.cversion, p.pzxid, p.counter = p.cversion+1, c.zxid, p.counter+1
+		t.nodes[c.path] = &node{data: c.data, children: map[string]bool{}, czxid: c.zxid, mzxid: c.zxid, pzxid: c.zxid, ctime: ms, mtime: ms, owner: c.own}
+		return []event{{created, c.path}, {children, parent(c.path)}}
+	case deleted:
+		if t.nodes[c.path] == nil {
+			return nil
+		}
+		delete(t.nodes, c.path)
+		if p := t.nodes[parent(c.path)]; p != nil {
+			delete(p.children, path.Base(c.path))
+			p.cversion, p.pzxid = p.cversion+1, c.zxid
+		}
+		return []event{{deleted, c.path}, {children, parent(c.path)}}
+	case changed:
+		n := t.nodes[c.path]
+		if n == nil {
+			return nil
+		}
+		n.data, n.mzxid, n.mtime, n.version = c.data, c.zxid, ms, n.version+1
+		return []event{{changed, c.path}}
+	}
+	return nil
+}
+
+func join(p, name string) string { return path.Join(p, name) }
+
+func (t *tree) names(p string) []string {
+	if n := t.nodes[p]; n != nil {
+		return slices.Sorted(maps.Keys(n.children))
+	}
+	return nil
+}
+
+// sequenced is the path that a sequential node gets.
+func (t *tree) sequenced(p string) string {
+	n := int32(0)
+	if up := t.nodes[parent(p)]; up != nil {
+		n = up.counter
+	}
+	return fmt.Sprintf("%s%010d", p, n)
+}
