Planners read a registry too; one follower of registries for nodes and planners

What lists, hops' ends and time come to is followed in one place now, and a planner's file may name a registry in place of discovery. The roster's ways run on all cores, to six events by ROSTER_DEPTH, and 500 readers are measured by HERD=1.

--- a/internal/fleet/evidence.go
+++ b/internal/fleet/evidence.go
@@ -1,21 +1,18 @@
 package fleet
 
-import "fernvane/policy"
+import (
+	"fernvane/internal/roster"
+	"fernvane/policy"
+)
 
 const evidenceMost = 1024 // pieces that wait to be looked at; more say nothing new
 
-// Evidence of a server: it answered, or an operation found no connection to it.
-type Evidence struct {
-	Server   string
-	Answered bool
-}
-
 // Evidence has hops' ends told from now on. A reader that is slow costs some of them, never an operation.
-func (f *Fleet) Evidence() <-chan Evidence {
+func (f *Fleet) Evidence() <-chan roster.Evidence {
 	f.mu.Lock()
 	defer f.unlock()
 	if f.evidence == nil {
-		f.evidence = make(chan Evidence, evidenceMost)
+		f.evidence = make(chan roster.Evidence, evidenceMost)
 	}
 	return f.evidence
 }
@@ -24,7 +21,7 @@
 	if f.evidence == nil {
 		return
 	}
-	e := Evidence{Server: server}
+	e := roster.Evidence{Server: server}
 	switch how.Outcome() {
 	case policy.Success, policy.Failure, policy.Declined, policy.Overloaded:
 		e.Answered = true
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
+	"fernvane/internal/roster"
 	"fernvane/internal/route"
 	"fernvane/internal/settings"
 	"fernvane/policy"
@@ -39,7 +40,7 @@
 	room     room
 	counts   Counts
 	digests  digests
-	evidence chan Evidence // nil: nobody asks for it
+	evidence chan roster.Evidence // nil: nobody asks for it
 }
 
 type server struct {
--- a/internal/plancfg/plancfg.go
+++ b/internal/plancfg/plancfg.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fernvane/internal/mtls"
+	"fernvane/internal/registry"
 	"fernvane/internal/tomlfile"
 )
 
@@ -39,12 +40,14 @@
 	Name      string        `toml:"name"`
 	Listen    string        `toml:"listen"`
 	Discovery string        `toml:"discovery"`
-	Every     tomlfile.Span `toml:"every"` // between two plans
+	Registry  string        `toml:"registry"` // a registry's file, in place of discovery
+	Every     tomlfile.Span `toml:"every"`    // between two plans
 	TLS
 
-	ListenAt    netip.AddrPort `toml:"-"`
-	DiscoveryAt netip.AddrPort `toml:"-"`
-	Keys        *mtls.Keys     `toml:"-"` // nil: plaintext
+	ListenAt    netip.AddrPort   `toml:"-"`
+	DiscoveryAt netip.AddrPort   `toml:"-"`
+	Ensemble    *registry.Config `toml:"-"` // nil: discovery tells of servers
+	Keys        *mtls.Keys       `toml:"-"` // nil: plaintext
 }
 
 // LoadForwarder reads a forwarder's file; each fault is named by file and line.
@@ -92,7 +95,13 @@
 	if c.ListenAt, err = netip.ParseAddrPort(c.Listen); err != nil {
 		f.Wrong("listen", "listen %q: an address and a port are wanted", c.Listen)
 	}
-	if c.DiscoveryAt, err = netip.ParseAddrPort(c.Discovery); err != nil {
+	if c.Registry != "" && c.Discovery != "" {
+		f.Wrong("registry", "either discovery or a registry")
+	} else if c.Registry != "" {
+		if c.Ensemble, err = registry.Load(c.Registry); err != nil {
+			f.Wrong("registry", "%v", err)
+		}
+	} else if c.DiscoveryAt, err = netip.ParseAddrPort(c.Discovery); err != nil {
 		f.Wrong("discovery", "discovery %q: an address and a port are wanted", c.Discovery)
 	}
 	if c.Every.D() < leastEvery || c.Every.D() > mostEvery {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,6 +17,7 @@
 	"fernvane/internal/plan"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/planline"
+	"fernvane/internal/registry"
 	"fernvane/internal/watch"
 )
 
@@ -72,7 +73,11 @@
 	s := &Server{cfg: cfg, log: log, start: now, plan: plan.New(now.UnixMilli()), said: map[string]life.Entry{}, heard: map[string]*forwarder{}}
 	log.Info().Str("planner", cfg.Name).Stringer("listen", cfg.ListenAt).Bool("tls", cfg.Keys != nil).Msg("planning")
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return s.follow(ctx) })
+	if cfg.Ensemble != nil {
+		g.Go(func() error { return s.registered(ctx) })
+	} else {
+		g.Go(func() error { return s.follow(ctx) })
+	}
 	g.Go(func() error { return s.make(ctx) })
 	g.Go(func() error { return s.report(ctx) })
 	g.Go(func() error {
@@ -142,6 +147,27 @@
 	return nil
 }
 
+// registered follows a registry in place of discovery. Planners send no hops: what forwarders find out about a server
+// comes by their reports.
+func (s *Server) registered(ctx context.Context) error {
+	return registry.Follow(ctx, s.cfg.Ensemble, registry.Listener{
+		Now: s.now,
+		Changed: func(changed []life.Entry, _ bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, e := range changed {
+				s.said[e.ID] = e
+			}
+			s.plan.Listed(s.now(), changed, false)
+			s.ready = true
+		},
+		Fault: func(err error) { s.log.Warn().Err(err).Msg("registry") },
+		Doubted: func(is bool) {
+			s.log.Error().Bool("doubted", is).Msg("most servers have vanished from the registry together, or are back")
+		},
+	})
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(max(d, 0))
 	defer t.Stop()
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -17,8 +17,10 @@
 	"fernvane/internal/plan"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/planline"
+	"fernvane/internal/registry"
 	"fernvane/internal/standin/discovery"
 	"fernvane/internal/standin/keys"
+	standin "fernvane/internal/standin/registry"
 	"fernvane/internal/tomlfile"
 )
 
@@ -147,6 +149,38 @@
 	b.until("the drain called off", func() bool { e, _ := b.lives.Get("s3"); return e.Condition == life.Up && e.Turn == 1 })
 }
 
+// A planner on a registry tells of boxes as they register, drain and vanish.
+func TestOnRegistry(t *testing.T) {
+	t.Parallel()
+	r := standin.New(nil)
+	server, err := r.Listen("127.0.0.1:0", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := r.Own(time.Hour, map[string][]byte{"/hire/a": []byte("127.0.0.1:1")})
+	r.Own(time.Hour, map[string][]byte{"/hire/b": []byte("127.0.0.1:2")})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := &plancfg.Planner{Name: "p", Every: tomlfile.Span(50 * time.Millisecond),
+		Ensemble: &registry.Config{Servers: []string{server.Address()}, Path: "/hire", Session: tomlfile.Span(time.Second)}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- run(ctx, cfg, zerolog.Nop(), ln.(*net.TCPListener)) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		r.Close()
+	})
+	p := join(t, ln.Addr().String(), "f")
+	p.until("both", func() bool { return p.condition("a") == life.Up && p.condition("b") == life.Up })
+	own.Set("/hire/a", []byte(`{"address":"127.0.0.1","port":1,"status":"DRAINING"}`))
+	p.until("the drain", func() bool { return p.condition("a") == life.Draining })
+	own.End()
+	p.until("the end", func() bool { return p.condition("a") == life.Gone })
+}
+
 // What no forwarder says ends its connection with a reason, and no other's.
 func TestRefusals(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/internal/registry/herd_test.go
@@ -0,0 +1,70 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"fernvane/internal/roster"
+	standin "fernvane/internal/standin/registry"
+	"fernvane/internal/tomlfile"
+)
+
+// TestHerd measures what 500 readers ask of an ensemble of three while 50 boxes come and go, ten times a second. It is
+// long, and runs by HERD=1 only.
+func TestHerd(t *testing.T) {
+	if os.Getenv("HERD") == "" {
+		t.Skip("HERD=1 has it run")
+	}
+	r := standin.New(nil)
+	var at []string
+	for range 3 {
+		s, err := r.Listen("127.0.0.1:0", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		at = append(at, s.Address())
+	}
+	var own []*standin.Owned
+	put := func(i int) *standin.Owned {
+		return r.Own(time.Hour, map[string][]byte{fmt.Sprintf("/hire/b%d", i): data(i + 1)})
+	}
+	for i := range 50 {
+		own = append(own, put(i))
+	}
+	cfg := &Config{Servers: at, Path: "/hire", Session: tomlfile.Span(6 * time.Second)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	var told atomic.Int64
+	for range 500 {
+		conn, err := Dial(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader := New(conn, cfg, func([]roster.Listed) { told.Add(1) }, func(error) {})
+		all.Go(func() { reader.Run(ctx) })
+	}
+	for told.Load() < 500 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	began, calls := time.Now(), r.Calls()
+	for i := range 100 {
+		own[i%50].End()
+		time.Sleep(50 * time.Millisecond)
+		own[i%50] = put(i % 50)
+		time.Sleep(50 * time.Millisecond)
+	}
+	took := time.Since(began).Seconds()
+	asked := float64(r.Calls()-calls) / took
+	t.Logf("%.0f calls a second by 500 readers at %.0f changes a second: %.1f each", asked, 200/took, asked/500)
+	if most := 500 * (1 / lookLeast.Seconds()) * 2; asked > most { // a look at the children and an entry, at the pace of looks
+		t.Errorf("more than %.0f", most)
+	}
+	cancel()
+	all.Wait()
+	r.Close()
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -39,6 +39,12 @@
 	Started  int64 // the process's own word of its start, Unix time in ms; 0: none
 }
 
+// Evidence of a server: it answered, or an operation found no connection to it.
+type Evidence struct {
+	Server   string
+	Answered bool
+}
+
 // State of a server.
 type State uint8
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -117,33 +119,34 @@
 }
 
 // All interleavings of six events of three servers: none that is not listed is used but under suspicion, no drain is
-// undone without a word, and entries never go back.
+// undone without a word, and entries never go back. CI plays ways of four steps (104,976); ROSTER_DEPTH=6 all of six.
 func TestAllInterleavings(t *testing.T) {
-	ids, events := []string{"a", "b", "c"}, []string{"gone", "back", "drain", "fails", "answer", "wait"}
-	const depth = 4 // of 18 moves each: 104,976 ways
+	depth := 4
+	if n, err := strconv.Atoi(os.Getenv("ROSTER_DEPTH")); err == nil {
+		depth = n
+	}
 	var moves [][2]string
-	for _, id := range ids {
-		for _, e := range events {
+	for _, id := range []string{"a", "b", "c"} {
+		for _, e := range []string{"gone", "back", "drain", "fails", "answer", "wait"} {
 			moves = append(moves, [2]string{id, e})
 		}
 	}
-	n := 0
-	pick := make([]int, depth)
-	for {
-		n++
-		play(t, func(i int) ([2]string, bool) { return moves[pick[min(i, depth-1)]], i < depth })
-		i := 0
-		for ; i < depth; i++ {
-			if pick[i]++; pick[i] < len(moves) {
-				break
+	for first := range moves {
+		t.Run(moves[first][0]+" "+moves[first][1], func(t *testing.T) {
+			t.Parallel()
+			pick := make([]int, depth)
+			pick[0] = first
+			for i := 0; i < depth; {
+				play(t, func(i int) ([2]string, bool) { return moves[pick[min(i, depth-1)]], i < depth })
+				for i = 1; i < depth; i++ {
+					if pick[i]++; pick[i] < len(moves) {
+						break
+					}
+					pick[i] = 0
+				}
 			}
-			pick[i] = 0
-		}
-		if i == depth {
-			break
-		}
+		})
 	}
-	t.Logf("%d ways", n)
 }
 
 // Longer ones, by chance.
