Repeats taken out: scenarios without a level, a disk that fills up, an unused word of followers

A look at the change as a newcomer found two scenario copies, two tests with one disk switch and a method without effect; one piece serves both now.

--- a/internal/bindlog/log_test.go
+++ b/internal/bindlog/log_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -197,24 +196,13 @@
 // A disk that takes nothing for a while: what comes is refused at once, and a gap tells of it afterwards.
 func TestGap(t *testing.T) {
 	d := disk.New()
-	var mu sync.Mutex
-	full := false
-	d.Meet = func(int) disk.Trouble {
-		mu.Lock()
-		defer mu.Unlock()
-		if full {
-			return disk.Full
-		}
-		return disk.None
-	}
-	set := func(to bool) { mu.Lock(); full = to; mu.Unlock() }
 	notes := make(chan error, 9)
 	l, err := Open(Options{Dir: "j", Files: d, SegmentBytes: 1 << 20, Again: time.Millisecond, Note: func(err error) { notes <- err }})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	set(true)
+	d.Fill(true)
 	w, err := l.Append(true, bindings.Record{Kind: bindings.Intent, Op: 1})
 	if err != nil {
 		t.Fatal(err)
@@ -225,7 +213,7 @@
 	if _, err := l.Append(true, bindings.Record{Kind: bindings.Intent, Op: 2}); !errors.Is(err, ErrFailing) || l.Failing() == nil {
 		t.Errorf("%v", err)
 	}
-	set(false)
+	d.Fill(false)
 	if err := <-notes; err != nil || l.Failing() != nil {
 		t.Errorf("%v, %v", err, l.Failing())
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -67,9 +67,6 @@
 	f.sources[planner] = source{plan: p, told: true, at: now}
 }
 
-// Lost tells that a planner's connection has ended; what it said holds for as long as it is fresh.
-func (f *Follower) Lost(int) {}
-
 // age of a planner's plan: since the forwarder sent the report that it rests on, so that neither clocks nor a slow way
 // make it look newer.
 func (s *source) age(now time.Duration) time.Duration {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -197,22 +197,24 @@
 
 // Discovered is the scenario with discovery in place of the registry, on the same load and with the same troubles.
 func (s *Scenario) Discovered() *Scenario {
-	one := *s
+	one := s.without(registry)
 	one.Registry = Registry{}
-	one.Faults = slices.DeleteFunc(slices.Clone(s.Faults), func(f Fault) bool {
-		k, _ := KindOf(f.Kind)
-		return k.on == registry
-	})
-	return &one
+	return one
 }
 
 // Single is the scenario with each node deciding by itself, on the same load and with the same troubles.
 func (s *Scenario) Single() *Scenario {
-	one := *s
+	one := s.without(planners)
 	one.Planners = Planners{}
+	return one
+}
+
+// without leaves out the troubles of what the scenario is to be played without.
+func (s *Scenario) without(on target) *Scenario {
+	one := *s
 	one.Faults = slices.DeleteFunc(slices.Clone(s.Faults), func(f Fault) bool {
 		k, _ := KindOf(f.Kind)
-		return k.on == planners
+		return k.on == on
 	})
 	return &one
 }
--- a/internal/serve/bindings_test.go
+++ b/internal/serve/bindings_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,17 +108,6 @@
 		t.Run(choice, func(t *testing.T) {
 			t.Parallel()
 			d := disk.New()
-			var mu sync.Mutex
-			full := false
-			d.Meet = func(int) disk.Trouble {
-				mu.Lock()
-				defer mu.Unlock()
-				if full {
-					return disk.Full
-				}
-				return disk.None
-			}
-			set := func(to bool) { mu.Lock(); full = to; mu.Unlock() }
 			hosts, taken := servers(t, 3, whole)
 			cfg := config(hosts...)
 			cfg.Disk, cfg.Bindings = d, &bindlog.Config{Dir: "j", Promise: "machine", WhenFailing: choice, WaitMost: tomlfile.Span(100 * time.Millisecond), SegmentBytes: 1 << 20}
@@ -128,7 +116,7 @@
 				t.Fatalf("answered %d", got)
 			}
 			await(t, "end of the first", func() bool { all, _ := entries(t, d); return len(all) == 1 && all[0].Told != "" })
-			set(true)
+			d.Fill(true)
 			before := taken.Load()
 			want := map[string]int{"deny": 503, "serve": 200}[choice]
 			for range 3 {
@@ -142,7 +130,7 @@
 			if got := int(taken.Load() - before); got != map[string]int{"deny": 3, "serve": 6}[choice] {
 				t.Errorf("%d hops", got)
 			}
-			set(false)
+			d.Fill(false)
 			await(t, "binding kept again", func() bool { return book(t, at, "") == 200 && gaps(t, d) > 0 })
 			if err := stop(); err != nil {
 				t.Fatal(err)
--- a/internal/standin/disk/disk.go
+++ b/internal/standin/disk/disk.go
@@ -60,6 +60,18 @@
 	return d.ops
 }
 
+// Fill has the disk take nothing from now on, or again.
+func (d *Disk) Fill(full bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Meet = func(int) Trouble {
+		if full {
+			return Full
+		}
+		return None
+	}
+}
+
 func (d *Disk) meet() Trouble {
 	d.ops++
 	t := d.Meet(d.ops)
