Commands of fernvane on cobra: help by example, completion, files checked by themselves

Other files are checked by themselves too, all faults at once. TestCommandsOfPages runs each command that README, docs/operators, docs/on-call and deploy show, on the built program; it found that the example's tenant (dairy) was none of its file's.

--- a/cmd/fernvane/bindings.go
+++ b/cmd/fernvane/bindings.go
@@ -171,12 +171,10 @@
 	return strings.Join(all, ", ")
 }
 
-func bindingsCommand(out, errs io.Writer, getenv func(string) string) *cobra.Command {
+func bindingsCommand(getenv func(string) string) *cobra.Command {
 	var dir string
-	root := &cobra.Command{Use: "fernvane bindings", Short: "Read and settle the journal of bindings, also while a node writes it",
-		SilenceUsage: true, SilenceErrors: true}
-	root.SetOut(out)
-	root.SetErr(errs)
+	root := &cobra.Command{Use: "bindings", Short: "Read and settle the journal of bindings, also while a node writes it",
+		Example: "  fernvane bindings --dir DIR find --state possibly-sent --since 2h\n  fernvane bindings --dir DIR reconcile --against dockets.jsonl"}
 	root.PersistentFlags().StringVar(&dir, "dir", "", "the journal's `folder`; by default that of the file in PROXY_BINDINGS")
 	where := func() error {
 		if dir != "" {
--- /dev/null
+++ b/cmd/fernvane/check.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/plancfg"
+	"fernvane/internal/registry"
+	"fernvane/internal/route"
+	"fernvane/internal/serve"
+	"fernvane/internal/settings"
+)
+
+// example is settings of this project's own, as a configuration holds them, to try files against.
+//
+//go:embed example.json
+var example []byte
+
+const exampleName = "example" // of the settings that this program brings
+
+func checkCommand(errs io.Writer, getenv func(string) string) *cobra.Command {
+	f := files{getenv: getenv}
+	var schema bool
+	var set, planFile string
+	c := &cobra.Command{Use: "check", Short: "Read files and tell what a node would make of them",
+		Long: `check reads the configuration and tells what a node would make of it; with an operator's file, what each route gets and from
+which line. Every fault is told, by file and line, with exit 2.
+
+Without a configuration each file that is named is checked by itself; what needs settings is said to be left unchecked, or
+is checked against those of a JSON file, or of an example that this program brings.`,
+		Example: `  fernvane check --config config.json --operator operator.toml
+  fernvane check --operator deploy/operator.example.toml
+  fernvane check --operator deploy/operator.example.toml --settings example
+  fernvane check --schema`,
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			out := c.OutOrStdout()
+			switch {
+			case schema:
+				e := json.NewEncoder(out)
+				e.SetIndent("", "  ")
+				return e.Encode(route.Schema())
+			case f.config != "":
+				return checkAll(out, errs, &f)
+			case f.operator+f.planners+f.bindings+f.registries+planFile == "":
+				return unusable{errors.New("no configuration is named: --config FILE; or name a file to check by itself")}
+			}
+			return checkEach(out, &f, planFile, set)
+		}}
+	f.flags(c.Flags())
+	c.Flags().BoolVar(&schema, "schema", false, "print the JSON schema of the operator's file")
+	c.Flags().StringVar(&planFile, "file", "", "a planner's TOML `file`, checked by itself")
+	settingsFlag(c, &set)
+	return c
+}
+
+func settingsFlag(c *cobra.Command, set *string) {
+	c.Flags().StringVar(set, "settings", "", "without a configuration: the settings to check against, a JSON `file` or the word example")
+}
+
+// checkAll is a node's whole view of its files.
+func checkAll(out, errs io.Writer, f *files) error {
+	cfg, err := f.load()
+	if err != nil {
+		return err
+	}
+	if cfg.KnownErr != nil {
+		fmt.Fprintf(errs, "fernvane: the saved list cannot be used: %v\n", cfg.KnownErr)
+	}
+	fmt.Fprintf(out, "%s listens on %s, follows %s, knows %d servers, has room for %d connections\n",
+		cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Known.Hosts), cfg.Limits.Connections())
+	tellPlanners(out, cfg.Planners)
+	tellBindings(out, cfg.Bindings)
+	tellRegistry(out, cfg.Registry)
+	if cfg.Routes != nil {
+		cfg.Routes.Table(out, &cfg.Settings)
+	}
+	return nil
+}
+
+// checkEach reads each file for itself, and tells the faults of all.
+func checkEach(out io.Writer, f *files, planFile, set string) error {
+	var all error
+	if f.operator != "" {
+		all = errors.Join(all, checkOperator(out, f.operator, set))
+	}
+	if f.planners != "" {
+		p, err := plancfg.LoadForwarder(f.planners)
+		if all = errors.Join(all, err); err == nil {
+			tellPlanners(out, p)
+		}
+	}
+	if f.bindings != "" {
+		b, err := bindlog.Load(f.bindings)
+		if all = errors.Join(all, err); err == nil {
+			tellBindings(out, b)
+		}
+	}
+	if f.registries != "" {
+		r, err := registry.Load(f.registries)
+		if all = errors.Join(all, err); err == nil {
+			tellRegistry(out, r)
+		}
+	}
+	if planFile != "" {
+		p, err := plancfg.LoadPlanner(planFile)
+		if all = errors.Join(all, err); err == nil {
+			fmt.Fprintf(out, "%s listens on %s and plans every %s\n", p.Name, p.ListenAt, p.Every.D())
+		}
+	}
+	if all != nil {
+		return unusable{all}
+	}
+	return nil
+}
+
+func checkOperator(out io.Writer, path, set string) error {
+	s, note, err := settingsFor(path, set)
+	if err != nil {
+		return err
+	}
+	routes, err := route.Load(path, s)
+	if err != nil {
+		return err
+	}
+	routes.Table(out, s)
+	if note != "" {
+		fmt.Fprintln(out, note)
+	}
+	return nil
+}
+
+// settingsFor are those to check an operator's file against, with what is to be said of them.
+func settingsFor(operator, set string) (s *settings.Settings, note string, err error) {
+	switch set {
+	case "":
+		s, err = route.Alone(operator)
+		return s, "Without settings: " + route.Unchecked + ". Name --config FILE, --settings FILE or --settings " + exampleName + ".", err
+	case exampleName:
+		known, err := settings.Decode(example)
+		return &known, "Against the settings that this program brings as an example.", err
+	}
+	known, err := serve.ReadSettings(set)
+	return &known, "", err
+}
+
+func explainCommand(getenv func(string) string) *cobra.Command {
+	f := files{getenv: getenv}
+	var tenant, set string
+	fields := headers{}
+	c := &cobra.Command{Use: "explain METHOD PATH", Short: "Tell which route of the operator's file a request takes, and why",
+		Example: "  fernvane explain --operator deploy/operator.example.toml POST /hire-book/baler --tenant dorset-dairy --header X-Counter=1",
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) != 2 || !strings.HasPrefix(args[1], "/") {
+				return errors.New("explain wants a METHOD and a PATH that begins with /")
+			}
+			return nil
+		}, RunE: func(c *cobra.Command, args []string) error {
+			out := c.OutOrStdout()
+			if f.operator == "" {
+				return errors.New("explain wants an operator's file: --operator FILE")
+			}
+			routes, s, note, err := (*route.Set)(nil), (*settings.Settings)(nil), "", error(nil)
+			if f.config != "" {
+				var cfg serve.Config
+				cfg, err = f.load()
+				routes, s = cfg.Routes, &cfg.Settings
+			} else if s, note, err = settingsFor(f.operator, set); err == nil {
+				routes, err = route.Load(f.operator, s)
+			}
+			if err != nil {
+				return unusable{err}
+			}
+			target, _, _ := strings.Cut(args[1], "?")
+			routes.Explain(out, &route.Request{Method: []byte(args[0]), Path: []byte(target), Tenant: []byte(tenant), Fields: fields}, s)
+			if note != "" {
+				fmt.Fprintln(out, note)
+			}
+			return nil
+		}}
+	f.flags(c.Flags())
+	c.Flags().StringVar(&tenant, "tenant", "", "the request's `tenant`")
+	c.Flags().Var(fields, "header", "a field of the request, as NAME=VALUE; may be given again")
+	settingsFlag(c, &set)
+	return c
+}
+
+func tellPlanners(out io.Writer, p *plancfg.Forwarder) {
+	if p != nil {
+		fmt.Fprintf(out, "follows the planners %s, TLS %v\n", strings.Join(p.Planners, ", "), p.Keys != nil)
+	}
+}
+
+func tellBindings(out io.Writer, b *bindlog.Config) {
+	if b != nil {
+		fmt.Fprintf(out, "keeps bindings in %s against the %s's death; while it cannot they are: %s\n", b.Dir, b.Promise,
+			map[bool]string{true: "denied", false: "served"}[b.Deny()])
+	}
+}
+
+func tellRegistry(out io.Writer, r *registry.Config) {
+	if r != nil {
+		fmt.Fprintf(out, "reads servers under %s%s of the registry at %s\n", strings.TrimSuffix(r.Chroot, "/"), r.Path, strings.Join(r.Servers, ", "))
+	}
+}
--- /dev/null
+++ b/cmd/fernvane/pages_test.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// written finds commands in pages: a line of a block of code, a comment of an example file, or a span of code.
+var written = regexp.MustCompile("(?m)(?:^ {4}|^# +(?:Try it: +)?|`)((?:PROXY_CONFIG=config\\.json )?(?:bin/)?fernvane [^`#\n]+)")
+
+// free is an address on which nothing listens.
+func free(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// Each command that a page for operators or an example file shows does what it says, on the built program. Names of
+// files stand for files that are there.
+func TestCommandsOfPages(t *testing.T) {
+	root := filepath.Join("..", "..")
+	built := filepath.Join(t.TempDir(), "fernvane")
+	if out, err := exec.Command("go", "build", "-o", built, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	journal := kept(t)
+	dir := t.TempDir()
+	put := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	operator := filepath.Join(root, "deploy", "operator.example.toml")
+	dockets := put("dockets.jsonl", "")
+	config := func() string { // a listener of its own for each node
+		return put(fmt.Sprintf("config-%d.json", time.Now().UnixNano()), fmt.Sprintf(`{"name":"n","listen":%q,"discovery":"127.0.0.1:1","settings":%s}`, free(t), example))
+	}
+	stands := map[string]string{
+		"config.json": "", "FILE": operator, "operator.toml": operator, "deploy/operator.example.toml": operator, "DIR": journal, "ID": "id-1", "COMMAND": "check",
+		"/var/lib/fernvane/bindings": journal, "dockets.jsonl": dockets,
+		"bindings.toml": put("bindings.toml", fmt.Sprintf("dir = %q\nwhen_failing = \"deny\"\n", t.TempDir())),
+		"registry.toml": put("registry.toml", "servers = [\"127.0.0.1:1\"]\npath = \"/s\"\nsession = \"6s\"\n"),
+		"planners.toml": put("planners.toml", "planners = [\"127.0.0.1:1\"]\nplaintext = true\n"),
+		"planner.toml":  put("planner.toml", fmt.Sprintf("name = \"p\"\nlisten = %q\ndiscovery = \"127.0.0.1:1\"\nplaintext = true\n", free(t))),
+	}
+	var pages []string
+	for _, glob := range []string{"README.md", "docs/operators/*.md", "docs/on-call.md", "deploy/*.toml"} {
+		found, _ := filepath.Glob(filepath.Join(root, glob))
+		pages = append(pages, found...)
+	}
+	seen := 0
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range written.FindAllStringSubmatch(string(text), -1) {
+			words := strings.Fields(strings.SplitN(m[1], "fernvane ", 2)[1])
+			command := strings.Join(words, " ")
+			seen++
+			t.Run(filepath.Base(page)+": "+command, func(t *testing.T) {
+				var args []string
+				for _, w := range words {
+					if as, ok := stands[w]; ok && as != "" {
+						w = as
+					} else if w == "config.json" {
+						w = config()
+					}
+					if strings.HasPrefix(w, "(") { // a word to the reader
+						break
+					}
+					args = append(args, w)
+				}
+				if args[0] == "serve" && strings.Contains(command, "--planners FILE") { // where FILE is not an operator's
+					args[2] = stands["planners.toml"]
+				}
+				cmd := exec.Command(built, args...)
+				cmd.Env = os.Environ()
+				switch {
+				case args[0] == "plan":
+					cmd.Env = append(cmd.Env, "PROXY_PLAN="+stands["planner.toml"])
+				case args[0] == "serve", len(args) == 1: // the others as a newcomer has them, without a configuration
+					cmd.Env = append(cmd.Env, "PROXY_CONFIG="+config())
+				}
+				out, errs := &bytes.Buffer{}, &watched{word: map[string]string{"serve": `"serving"`, "plan": `"planning"`}[args[0]], found: make(chan struct{})}
+				cmd.Stdout, cmd.Stderr = out, errs
+				if err := cmd.Start(); err != nil {
+					t.Fatal(err)
+				}
+				ended := make(chan error, 1)
+				go func() { ended <- cmd.Wait() }()
+				if errs.word != "" {
+					select {
+					case <-errs.found:
+						cmd.Process.Signal(syscall.SIGTERM)
+					case err := <-ended:
+						t.Fatalf("%v: %s", err, errs.text.String())
+					}
+				}
+				if err := <-ended; err != nil || errs.word == "" && out.Len() == 0 {
+					t.Errorf("%v: %s%s", err, out, errs.text.String())
+				}
+			})
+		}
+	}
+	if seen < 15 {
+		t.Errorf("only %d commands are found", seen)
+	}
+}
+
+// watched is a log that tells when a word comes.
+type watched struct {
+	text  bytes.Buffer
+	word  string
+	found chan struct{}
+	told  bool
+}
+
+func (w *watched) Write(b []byte) (int, error) {
+	w.text.Write(b)
+	if !w.told && w.word != "" && bytes.Contains(w.text.Bytes(), []byte(w.word)) {
+		w.told = true
+		close(w.found)
+	}
+	return len(b), nil
+}
--- /dev/null
+++ b/cmd/fernvane/serve.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"fernvane/internal/plancfg"
+	"fernvane/internal/planner"
+	"fernvane/internal/serve"
+)
+
+// files are what a node is told by, each by its flag or its variable.
+type files struct {
+	getenv                                           func(string) string
+	config, operator, planners, bindings, registries string
+}
+
+func (f *files) flags(set *pflag.FlagSet) {
+	for _, v := range []struct {
+		to              *string
+		name, env, help string
+	}{
+		{&f.config, "config", "PROXY_CONFIG", "the platform's configuration, a JSON `file`"},
+		{&f.operator, "operator", "PROXY_OPERATOR", "limits by route, a TOML `file`"},
+		{&f.planners, "planners", "PROXY_PLANNERS", "the planners to follow, a TOML `file`"},
+		{&f.bindings, "bindings", "PROXY_BINDINGS", "keep a journal of bindings, by this TOML `file`"},
+		{&f.registries, "registry", "PROXY_REGISTRY", "read servers from a registry of ephemeral nodes, by this TOML `file`"},
+	} {
+		set.StringVar(v.to, v.name, f.getenv(v.env), v.help+"; or "+v.env)
+	}
+}
+
+func (f *files) load() (serve.Config, error) {
+	cfg, err := serve.Load(f.config, func(name string) string {
+		switch name {
+		case "PROXY_OPERATOR":
+			return f.operator
+		case "PROXY_PLANNERS":
+			return f.planners
+		case "PROXY_BINDINGS":
+			return f.bindings
+		case "PROXY_REGISTRY":
+			return f.registries
+		}
+		return f.getenv(name)
+	})
+	if err != nil {
+		return cfg, unusable{err}
+	}
+	return cfg, nil
+}
+
+func ended(code int) error {
+	if code == 0 {
+		return nil
+	}
+	return exit(code)
+}
+
+func serveCommand(errs io.Writer, getenv func(string) string) *cobra.Command {
+	f := files{getenv: getenv}
+	var verbose bool
+	c := &cobra.Command{Use: "serve", Short: "Run a node until SIGTERM; SIGHUP has it read its files again",
+		Example: "  PROXY_CONFIG=config.json fernvane serve\n  fernvane serve --config config.json --operator operator.toml --bindings bindings.toml",
+		Args:    cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			cfg, err := f.load()
+			if err != nil {
+				return err
+			}
+			level := zerolog.InfoLevel
+			if verbose {
+				level = zerolog.DebugLevel
+			}
+			return ended(serve.Process(cfg, errs, level))
+		}}
+	f.flags(c.Flags())
+	c.Flags().BoolVar(&verbose, "verbose", false, "log each hop that does not end with a whole answer")
+	return c
+}
+
+func planCommand(errs io.Writer, getenv func(string) string) *cobra.Command {
+	var path string
+	c := &cobra.Command{Use: "plan", Short: "Run a planner until SIGTERM", Example: "  fernvane plan --file planner.toml",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			cfg, err := plancfg.LoadPlanner(path)
+			if err != nil {
+				return unusable{err}
+			}
+			return ended(planner.Process(cfg, errs))
+		}}
+	c.Flags().StringVar(&path, "file", getenv("PROXY_PLAN"), "the planner's TOML `file`; or PROXY_PLAN")
+	return c
+}
--- /dev/null
+++ b/internal/route/alone.go
@@ -0,0 +1,81 @@
+package route
+
+import (
+	"time"
+
+	"fernvane/internal/settings"
+	"fernvane/internal/tomlfile"
+	"fernvane/policy"
+)
+
+const (
+	anyTime = 24 * time.Hour // longer than whatever a file may state
+	anyHops = 1000
+)
+
+// Unchecked is what Alone cannot look at, for who is told of it.
+const Unchecked = "traffic types, tenants and sites are taken as the file names them; whether the settings have them, allow its times, hops " +
+	"and copies, and which types may run again is left unchecked"
+
+// Alone is the loosest settings that an operator's file fits: all types, tenants and sites that it names, of which each
+// may run again, and limits above any. A file that is refused under these is wrong under all.
+func Alone(path string) (*settings.Settings, error) {
+	text, err := tomlfile.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	var file File
+	if _, err := tomlfile.Parse(path, text, &file); err != nil {
+		return nil, err
+	}
+	s := &settings.Settings{Settings: policy.Settings{Nodes: 1, MostHops: anyHops, Copies: true}}
+	seen := map[string]bool{}
+	kind := func(name string) {
+		if name != "" && name != "*" && name != "**" && !seen["type "+name] {
+			seen["type "+name] = true
+			s.TypeNames = append(s.TypeNames, name)
+			s.Types = append(s.Types, policy.TrafficType{TargetTime: anyTime, AbandonTime: anyTime, Revenue: 1})
+		}
+	}
+	each := func(what string, into *[]string, names []string) {
+		for _, n := range names {
+			if !seen[what+n] {
+				seen[what+n] = true
+				*into = append(*into, n)
+			}
+		}
+	}
+	for name := range file.Class {
+		kind(name)
+	}
+	shares := func(l *Limits) {
+		for name := range l.Tenants {
+			if name != otherTenants {
+				each("tenant ", &s.TenantNames, []string{name})
+			}
+		}
+	}
+	shares(&file.Defaults)
+	for _, l := range file.Class {
+		shares(&l)
+	}
+	each("site ", &s.Zones, file.FastCGI.Sites)
+	for _, p := range file.Pools {
+		each("site ", &s.Zones, p.Sites)
+	}
+	for i := range file.Routes {
+		r := &file.Routes[i]
+		kind(r.Type)
+		kind(r.Class)
+		if p := parts(r.Path); r.Class == "" && len(r.Path) > 0 && r.Path[0] == '/' && len(p) > 0 {
+			kind(p[0])
+		}
+		each("tenant ", &s.TenantNames, r.Tenants)
+		shares(&r.Limits)
+	}
+	s.AllowancePerS = make([]float64, len(s.TenantNames))
+	if len(s.Types) == 0 { // only limits for all
+		kind("any")
+	}
+	return s, nil
+}
