One book of servers for every source: what lists decide moves from the fleet into the roster

The fleet decided by itself what a list changes: who has gone because a whole list lacks it, whom a new server at its address takes out, which idle connections lead nowhere. That is now roster.Book, free of I/O, through which the saved list, discovery, the registry and planners go alike; each line has its source and when it was told of, for the start from disk to come. All ways of four words about three servers at two addresses are played against a model (50,625). counts lines say who told last and how long ago.

--- a/internal/fleet/copy_test.go
+++ b/internal/fleet/copy_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fernvane/internal/node"
+	"fernvane/internal/roster"
 	"fernvane/internal/settings"
 	"fernvane/policy"
 )
@@ -64,7 +65,7 @@
 			s := settings.Settings{TypeNames: []string{"check"}, Settings: policy.Settings{Types: []policy.TrafficType{{AbandonTime: time.Hour}}}}
 			f := New(s, 1, Limits{MemoryMB: 64, Sockets: 64}, func(policy.Settings, uint32) node.Module { return &copier{} })
 			t.Cleanup(f.Stop)
-			f.Listed(listed(host("a", 1), host("b", 2)), true)
+			f.Listed(listed(host("a", 1), host("b", 2)), roster.Saved)
 			var copyHop Decision
 			var gaveUp [2]bool
 			op, err := f.Arrive(Arrival{ID: []byte("x"), Route: -1, Budget: time.Hour, Copying: func(_ *Operation, d Decision) { copyHop = d }})
@@ -104,7 +105,7 @@
 	f := New(settings.Settings{TypeNames: []string{"check"}, Settings: policy.Settings{Types: []policy.TrafficType{{}}}}, 1,
 		Limits{MemoryMB: 64, Sockets: 64}, func(policy.Settings, uint32) node.Module { return &copier{} })
 	t.Cleanup(f.Stop)
-	f.Listed(listed(host("a", 1), host("b", 2)), true)
+	f.Listed(listed(host("a", 1), host("b", 2)), roster.Saved)
 	var copyHop Decision
 	op, _ := f.Arrive(Arrival{ID: []byte("x"), Route: -1, Budget: time.Hour, Copying: func(_ *Operation, d Decision) { copyHop = d }})
 	d := op.Next(func() {})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,12 +5,12 @@
 import (
 	"hash/crc32"
 	"io"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"fernvane/internal/http1"
+	"fernvane/internal/life"
 	"fernvane/internal/node"
 	"fernvane/internal/roster"
 	"fernvane/internal/route"
@@ -36,7 +36,8 @@
 	tenants  map[string]int
 	zones    map[string]int
 	servers  map[string]*server
-	closing  []io.Closer // to be closed when the lock is given back
+	book     *roster.Book // what is known of them
+	closing  []io.Closer  // to be closed when the lock is given back
 	room     room
 	counts   Counts
 	digests  digests
@@ -44,13 +45,9 @@
 }
 
 type server struct {
-	address netip.AddrPort
-	serving bool
-	line    policy.Member // as discovery last told it
-	site    string
-	flavor  string
-	cgi     bool       // speaks FastCGI
-	idle    []idleConn // the latest used last
+	line policy.Member // as the module was last told
+	cgi  bool          // speaks FastCGI
+	idle []idleConn    // the latest used last
 }
 
 // New starts the module that a maker makes.
@@ -59,7 +56,7 @@
 	s.OnRequest = true
 	f := &Fleet{set: s, routes: route.NewLive(&s), started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
 		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
-		servers: map[string]*server{}, room: newRoom(limits)}
+		servers: map[string]*server{}, book: roster.NewBook(), room: newRoom(limits)}
 	f.mu.Lock()
 	defer f.unlock()
 	f.wake = time.AfterFunc(time.Hour, f.woken)
@@ -107,43 +104,47 @@
 	f.door.List(f.now(), policy.Unavailable, nil, (*hands)(f))
 }
 
-// Listed takes a list of servers; a saved one is what this node last had before its start.
-func (f *Fleet) Listed(l http1.List, saved bool) {
+// Listed takes a list of servers from a source.
+func (f *Fleet) Listed(l http1.List, from roster.Source) {
 	scope := policy.Changes
-	if saved {
+	if from == roster.Saved {
 		scope = policy.Saved
 	} else if l.Complete {
 		scope = policy.Whole
 	}
+	words := make([]roster.Word, 0, len(l.Hosts))
+	for _, h := range l.Hosts {
+		words = append(words, roster.Word{ID: h.ID, Address: h.Address, Zone: h.Zone, Flavor: h.Flavor, Cell: h.Cell, Size: h.Size,
+			Up: h.UpSinceMS, Condition: lives[h.Phase]})
+	}
 	f.mu.Lock()
 	defer f.unlock()
 	now, clock := f.now(), time.Now().UnixMilli()
-	lines := make([]node.Member[string], 0, len(l.Hosts))
-	if scope != policy.Changes { // absent: gone
-		for _, s := range f.servers {
-			s.serving = false
-		}
-	}
-	for _, h := range l.Hosts {
-		if f.servers[h.ID] == nil && h.Phase == http1.Serving {
-			lines = f.replaced(h.Address, lines)
-		}
-		line := policy.Member{Rank: crc32.ChecksumIEEE([]byte(h.ID)), Zone: f.zone(h.Zone), Cell: h.Cell,
-			Condition: conditions[h.Phase], Scale: h.Size, HasStart: h.UpSinceMS > 0, Labels: f.routes.Labels(h.ID, h.Zone, h.Flavor)}
+	u := f.book.Told(now, from, words, scope != policy.Changes)
+	lines := make([]node.Member[string], 0, len(u.Lines))
+	for _, w := range u.Lines {
+		line := policy.Member{Rank: crc32.ChecksumIEEE([]byte(w.ID)), Zone: f.zone(w.Zone), Cell: w.Cell,
+			Condition: conditions[w.Condition], Scale: w.Size, HasStart: w.Up > 0, Labels: f.routes.Labels(w.ID, w.Zone, w.Flavor)}
 		if line.HasStart {
-			line.Started = now + time.Duration(h.UpSinceMS-clock)*time.Millisecond
+			line.Started = now + time.Duration(w.Up-clock)*time.Millisecond
 		}
-		f.note(h, line)
-		lines = append(lines, node.Member[string]{Server: h.ID, Line: line})
+		f.note(w.Word, line)
+		lines = append(lines, node.Member[string]{Server: w.ID, Line: line})
 	}
-	for _, s := range f.servers {
-		if !s.serving {
-			f.release(s)
-		}
+	for _, id := range u.Idle {
+		f.release(f.servers[id])
 	}
 	f.door.List(now, scope, lines, (*hands)(f))
 }
 
+// List is who told of servers last, and how long ago.
+func (f *Fleet) List() (from roster.Source, age time.Duration) {
+	f.mu.Lock()
+	defer f.unlock()
+	from, heard := f.book.Heard()
+	return from, f.now() - heard
+}
+
 // Routes is the set of routes that holds now, nil for none.
 func (f *Fleet) Routes() *route.Set { return f.routed.Load() }
 
@@ -157,11 +158,12 @@
 	f.door.Retype(now, policy.Input{Types: u.Types, Like: u.Like, Rooms: u.Rooms}, (*hands)(f))
 	var lines []node.Member[string]
 	for id, s := range f.servers {
-		if cgi := set.SpeaksFastCGI(id, s.site, s.flavor); cgi != s.cgi {
+		l, _ := f.book.Line(id)
+		if cgi := set.SpeaksFastCGI(id, l.Zone, l.Flavor); cgi != s.cgi {
 			f.release(s) // what stands idle speaks the other protocol
 			s.cgi = cgi
 		}
-		if labels := f.routes.Labels(id, s.site, s.flavor); labels != s.line.Labels {
+		if labels := f.routes.Labels(id, l.Zone, l.Flavor); labels != s.line.Labels {
 			s.line.Labels = labels
 			lines = append(lines, node.Member[string]{Server: id, Line: s.line})
 		}
@@ -171,41 +173,24 @@
 	}
 }
 
-// replaced adds that a server has gone where another is at its address, though discovery tells so later: what is
-// sent there would reach the other, for which it was not meant.
-func (f *Fleet) replaced(at netip.AddrPort, lines []node.Member[string]) []node.Member[string] {
-	for id, s := range f.servers {
-		if s.serving && s.address == at {
-			line := s.line
-			s.serving, line.Condition = false, policy.Gone
-			lines = append(lines, node.Member[string]{Server: id, Line: line})
-		}
-	}
-	return lines
-}
-
-var conditions = [...]policy.Condition{http1.Serving: policy.Up, http1.Draining: policy.Draining,
-	http1.Deleted: policy.Gone}
+var conditions = [...]policy.Condition{life.Up: policy.Up, life.Draining: policy.Draining, life.Gone: policy.Gone}
+var lives = [...]life.Condition{http1.Serving: life.Up, http1.Draining: life.Draining, http1.Deleted: life.Gone}
 
-// note keeps where a server is reached; connections to another place are of no use any more. One that has gone and
-// is not known is not worth keeping.
-func (f *Fleet) note(h http1.Host, line policy.Member) {
-	s := f.servers[h.ID]
+// note keeps what the module is told of a server that is worth keeping.
+func (f *Fleet) note(w roster.Word, line policy.Member) {
+	s := f.servers[w.ID]
 	if s == nil {
-		if h.Phase == http1.Deleted {
+		if w.Condition == life.Gone {
 			return
 		}
 		s = &server{}
-		f.servers[h.ID] = s
+		f.servers[w.ID] = s
 	}
-	s.line, s.serving, s.site, s.flavor = line, h.Phase == http1.Serving, h.Zone, h.Flavor
-	if cgi := f.routes.Set().SpeaksFastCGI(h.ID, h.Zone, h.Flavor); h.Address != s.address || cgi != s.cgi {
+	s.line = line
+	if cgi := f.routes.Set().SpeaksFastCGI(w.ID, w.Zone, w.Flavor); cgi != s.cgi {
 		f.release(s)
 		s.cgi = cgi
 	}
-	if h.Address.IsValid() {
-		s.address = h.Address
-	}
 }
 
 // zone numbers the zones of the settings first, then any other by its appearance.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
+	"fernvane/internal/roster"
 	"fernvane/internal/settings"
 	"fernvane/policy"
 )
@@ -28,7 +29,7 @@
 			AbandonTime: time.Hour, Revenue: 1}}}}
 	f := New(s, 1, l, node.Policy)
 	t.Cleanup(f.Stop)
-	f.Listed(listed(hosts...), true)
+	f.Listed(listed(hosts...), roster.Saved)
 	return f
 }
 
@@ -173,7 +174,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := fleet(t, policy.Retriable, limits)
 			for _, l := range c.lists {
-				f.Listed(l, false)
+				f.Listed(l, roster.Discovery)
 			}
 			got := map[uint16]bool{}
 			for range 4 { // at the same time, so that one server is not enough
@@ -233,13 +234,15 @@
 		do   func(*Fleet)
 		back bool
 	}{
-		"used again":              {time.Hour, func(*Fleet) {}, true},
-		"old":                     {0, func(*Fleet) {}, false},
-		"old, and swept":          {0, (*Fleet).woken, false},
-		"released by the module":  {time.Hour, func(f *Fleet) { (*hands)(f).Release("a") }, false},
-		"its server drains":       {time.Hour, func(f *Fleet) { f.Listed(http1.List{Hosts: []http1.Host{{ID: "a", Phase: http1.Draining}}}, false) }, false},
-		"its server has moved":    {time.Hour, func(f *Fleet) { f.Listed(http1.List{Hosts: []http1.Host{host("a", 7)}}, false) }, false},
-		"the same list once more": {time.Hour, func(f *Fleet) { f.Listed(listed(host("a", 1)), false) }, true},
+		"used again":             {time.Hour, func(*Fleet) {}, true},
+		"old":                    {0, func(*Fleet) {}, false},
+		"old, and swept":         {0, (*Fleet).woken, false},
+		"released by the module": {time.Hour, func(f *Fleet) { (*hands)(f).Release("a") }, false},
+		"its server drains": {time.Hour, func(f *Fleet) {
+			f.Listed(http1.List{Hosts: []http1.Host{{ID: "a", Phase: http1.Draining}}}, roster.Discovery)
+		}, false},
+		"its server has moved":    {time.Hour, func(f *Fleet) { f.Listed(http1.List{Hosts: []http1.Host{host("a", 7)}}, roster.Discovery) }, false},
+		"the same list once more": {time.Hour, func(f *Fleet) { f.Listed(listed(host("a", 1)), roster.Discovery) }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := fleet(t, policy.Retriable, limits, host("a", 1))
@@ -466,7 +469,7 @@
 		}
 		f.Reserve()
 		f.Keep(before, false, http1.NewConn(&closer{name: before, closed: closed}))
-		f.Listed(http1.List{Hosts: []http1.Host{host(id, 1)}}, false)
+		f.Listed(http1.List{Hosts: []http1.Host{host(id, 1)}}, roster.Discovery)
 		if got := <-closed; got != before || f.Take(before) != nil {
 			t.Fatalf("closed %s, not %s", got, before)
 		}
@@ -478,7 +481,7 @@
 		op.Next(nil)
 		gone := host(before, 1)
 		gone.Phase = http1.Deleted
-		f.Listed(http1.List{Hosts: []http1.Host{gone}}, false)
+		f.Listed(http1.List{Hosts: []http1.Host{gone}}, roster.Discovery)
 	}
 	if len(f.servers) != 1 {
 		t.Errorf("%d servers are known", len(f.servers))
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -279,7 +279,8 @@
 	if o == nil {
 		return
 	}
-	d := Decision{Kind: Send, Hop: o.hops, Server: server, Address: s.address, FastCGI: s.cgi, For: allow}
+	line, _ := h.book.Line(server)
+	d := Decision{Kind: Send, Hop: o.hops, Server: server, Address: line.Address, FastCGI: s.cgi, For: allow}
 	o.outs = append(o.outs, out{hop: o.hops, server: server, sent: time.Since(h.started), copy: len(o.outs) > 0})
 	o.hops++
 	switch {
@@ -318,4 +319,5 @@
 func (h *hands) Forget(server string) {
 	h.Release(server)
 	delete(h.servers, server)
+	h.book.Forget(server)
 }
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -341,7 +341,8 @@
 func (f *Fleet) Keep(id string, cgi bool, c Line) {
 	f.mu.Lock()
 	defer f.unlock()
-	if s := f.servers[id]; s != nil && s.serving && s.cgi == cgi {
+	if l, _ := f.book.Line(id); l.Used && f.servers[id].cgi == cgi {
+		s := f.servers[id]
 		s.idle = append(s.idle, idleConn{c, f.now()})
 		f.room.tell()
 		return
--- /dev/null
+++ b/internal/roster/book.go
@@ -0,0 +1,130 @@
+package roster
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"fernvane/internal/life"
+)
+
+// Source is who tells of servers.
+type Source uint8
+
+const (
+	Saved     Source = iota // the list that the node last had before its start
+	Discovery               // asked by this node
+	Registry                // read by this node
+	Planners                // they have asked
+)
+
+func (s Source) String() string {
+	return [...]string{"the saved list", "discovery", "a registry", "planners"}[s]
+}
+
+// Word is what a source says of a server.
+type Word struct {
+	ID, Zone, Flavor string
+	Address          netip.AddrPort // not valid: none is told
+	Cell             int
+	Size             float64
+	Up               int64 // when it started, Unix time in ms; 0: not told
+	Condition        life.Condition
+}
+
+// Line is what a node goes by for one server.
+type Line struct {
+	Word
+	From  Source
+	Heard time.Duration // when it was told of last
+	Used  bool          // it may get something new: the last word of it is Up, and nothing else has taken it out
+}
+
+// Update is what a list changes.
+type Update struct {
+	Lines []Line   // in the order in which they are to be taken in
+	Idle  []string // servers at which connections that stand idle are of no use any more
+}
+
+// Book is the list of servers of one node, from whichever source it comes.
+type Book struct {
+	lines map[string]*Line
+	from  Source
+	heard time.Duration
+}
+
+// NewBook knows of no server.
+func NewBook() *Book { return &Book{lines: map[string]*Line{}} }
+
+// Told takes in what a source says: changes, or the whole list, of which those that it does not name have gone. A server
+// that is new at another's address takes that one out, though its source may tell so only later: what is sent there
+// would reach the new one, for which it was not meant.
+func (b *Book) Told(now time.Duration, from Source, words []Word, whole bool) Update {
+	var u Update
+	b.from, b.heard = from, now
+	if whole {
+		for _, l := range b.lines {
+			l.Used = false
+		}
+	}
+	idle := map[string]bool{}
+	for _, w := range words {
+		l := b.lines[w.ID]
+		if l == nil && w.Condition == life.Up {
+			u.Lines = b.displaced(w.Address, u.Lines)
+		}
+		if l == nil {
+			l = &Line{}
+			if w.Condition != life.Gone { // one that has gone and is not known is not worth keeping
+				b.lines[w.ID] = l
+			}
+		}
+		if idle[w.ID] = idle[w.ID] || w.Address != l.Address; !w.Address.IsValid() {
+			w.Address = l.Address
+		}
+		*l = Line{Word: w, From: from, Heard: now, Used: w.Condition == life.Up}
+		u.Lines = append(u.Lines, *l)
+	}
+	for id, l := range b.lines {
+		if !l.Used || idle[id] {
+			u.Idle = append(u.Idle, id)
+		}
+	}
+	slices.Sort(u.Idle)
+	return u
+}
+
+func (b *Book) displaced(at netip.AddrPort, lines []Line) []Line {
+	for _, id := range b.ids() {
+		if l := b.lines[id]; l.Used && l.Address == at {
+			l.Used = false
+			gone := *l
+			gone.Condition = life.Gone
+			lines = append(lines, gone)
+		}
+	}
+	return lines
+}
+
+// Line is what is known of a server.
+func (b *Book) Line(id string) (Line, bool) {
+	if l := b.lines[id]; l != nil {
+		return *l, true
+	}
+	return Line{}, false
+}
+
+// Forget lets go of a server that nothing names any more.
+func (b *Book) Forget(id string) { delete(b.lines, id) }
+
+// Heard is who told of servers last, and when.
+func (b *Book) Heard() (Source, time.Duration) { return b.from, b.heard }
+
+func (b *Book) ids() []string {
+	ids := make([]string, 0, len(b.lines))
+	for id := range b.lines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/roster/book_test.go
@@ -0,0 +1,132 @@
+package roster
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"fernvane/internal/life"
+)
+
+func word(id string, port uint16, c life.Condition) Word {
+	w := Word{ID: id, Condition: c}
+	if port > 0 {
+		w.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+	}
+	return w
+}
+
+// What lists change, step by step.
+func TestBook(t *testing.T) {
+	type step struct {
+		words []Word
+		whole bool
+	}
+	up := func(id string, port uint16) Word { return word(id, port, life.Up) }
+	for name, c := range map[string]struct {
+		steps []step
+		lines string // of the last step
+		idle  []string
+		used  []string
+	}{
+		"two":                    {[]step{{[]Word{up("a", 1), up("b", 2)}, true}}, "a0 b0", []string{"a", "b"}, []string{"a", "b"}},
+		"the same again":         {[]step{{[]Word{up("a", 1)}, true}, {[]Word{up("a", 1)}, true}}, "a0", nil, []string{"a"}},
+		"not named":              {[]step{{[]Word{up("a", 1), up("b", 2)}, true}, {[]Word{up("b", 2)}, true}}, "b0", []string{"a"}, []string{"b"}},
+		"not changed":            {[]step{{[]Word{up("a", 1), up("b", 2)}, true}, {[]Word{up("b", 2)}, false}}, "b0", nil, []string{"a", "b"}},
+		"drains":                 {[]step{{[]Word{up("a", 1)}, true}, {[]Word{word("a", 0, life.Draining)}, false}}, "a1", []string{"a"}, nil},
+		"gone, and never known":  {[]step{{[]Word{word("a", 1, life.Gone)}, false}}, "a2", nil, nil},
+		"moved":                  {[]step{{[]Word{up("a", 1)}, true}, {[]Word{up("a", 2)}, false}}, "a0", []string{"a"}, []string{"a"}},
+		"at another's address":   {[]step{{[]Word{up("a", 1)}, true}, {[]Word{up("b", 1)}, false}}, "a2 b0", []string{"a", "b"}, []string{"b"}},
+		"and the other is told":  {[]step{{[]Word{up("a", 1)}, true}, {[]Word{up("b", 1)}, false}, {[]Word{word("a", 1, life.Gone)}, false}}, "a2", []string{"a"}, []string{"b"}},
+		"at a drained address":   {[]step{{[]Word{up("a", 1)}, true}, {[]Word{word("a", 1, life.Draining)}, false}, {[]Word{up("b", 1)}, false}}, "b0", []string{"a", "b"}, []string{"b"}},
+		"in a whole list itself": {[]step{{[]Word{up("a", 1)}, true}, {[]Word{up("b", 1)}, true}}, "b0", []string{"a", "b"}, []string{"b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBook()
+			var u Update
+			for i, s := range c.steps {
+				u = b.Told(time.Duration(i), Discovery, s.words, s.whole)
+			}
+			lines := ""
+			for i, l := range u.Lines {
+				if i > 0 {
+					lines += " "
+				}
+				lines += fmt.Sprint(l.ID, l.Condition)
+			}
+			var used []string
+			for _, id := range b.ids() {
+				if l, _ := b.Line(id); l.Used {
+					used = append(used, id)
+				}
+			}
+			if lines != c.lines || !slices.Equal(u.Idle, c.idle) || !slices.Equal(used, c.used) {
+				t.Errorf("lines %q, idle %v, used %v", lines, u.Idle, used)
+			}
+		})
+	}
+}
+
+// All ways of four words about three servers at two addresses: what is used was said to be up last, by a list that has not
+// been followed by a whole one without it, and no other has come new to its address since.
+func TestBookAllWays(t *testing.T) {
+	type event struct {
+		word  Word
+		whole bool
+	}
+	var events []event
+	for _, id := range []string{"a", "b", "c"} {
+		events = append(events, event{word(id, 1, life.Up), false}, event{word(id, 2, life.Up), false}, event{word(id, 0, life.Draining), false},
+			event{word(id, 0, life.Gone), false}, event{word(id, 1, life.Up), true})
+	}
+	type believed struct {
+		up   bool
+		port uint16
+		seen bool
+	}
+	var play func(path []event, depth int)
+	played := 0
+	play = func(path []event, depth int) {
+		if depth > 0 {
+			for _, e := range events {
+				play(append(path, e), depth-1)
+			}
+			return
+		}
+		played++
+		b, model := NewBook(), map[string]*believed{}
+		for i, e := range path {
+			b.Told(time.Duration(i), Registry, []Word{e.word}, e.whole)
+			m := model[e.word.ID]
+			if e.whole {
+				for _, o := range model {
+					o.up = false
+				}
+			}
+			if m == nil {
+				m = &believed{}
+				model[e.word.ID] = m
+			}
+			if e.word.Condition == life.Up && !m.seen {
+				for _, o := range model {
+					if o != m && o.up && o.port == e.word.Address.Port() {
+						o.up = false
+					}
+				}
+			}
+			if m.up = e.word.Condition == life.Up; e.word.Address.IsValid() {
+				m.port = e.word.Address.Port()
+			}
+			m.seen = m.seen || e.word.Condition != life.Gone
+			for id, m := range model {
+				if l, _ := b.Line(id); l.Used != m.up || m.seen && l.Address.Port() != m.port {
+					t.Fatalf("after %v: %s is %+v, not %+v", path[:i+1], id, l, *m)
+				}
+			}
+		}
+	}
+	play(nil, 4)
+	t.Logf("%d ways", played)
+}
--- a/internal/serve/discovery.go
+++ b/internal/serve/discovery.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fernvane/internal/http1"
+	"fernvane/internal/roster"
 	"fernvane/internal/watch"
 )
 
@@ -73,5 +74,5 @@
 		s.planners.discovered(list)
 		return
 	}
-	s.fleet.Listed(list, false)
+	s.fleet.Listed(list, roster.Discovery)
 }
--- a/internal/serve/planners.go
+++ b/internal/serve/planners.go
@@ -21,6 +21,7 @@
 	"fernvane/internal/plan"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/planline"
+	"fernvane/internal/roster"
 	"fernvane/internal/watch"
 )
 
@@ -264,7 +265,7 @@
 	for _, err := range l.Skipped {
 		p.log.Warn().Err(err).Msg("list entry skipped")
 	}
-	p.fleet.Listed(l, false)
+	p.fleet.Listed(l, roster.Planners)
 }
 
 // discovered takes in what discovery itself has told.
--- a/internal/serve/registry.go
+++ b/internal/serve/registry.go
@@ -5,6 +5,7 @@
 
 	"fernvane/internal/life"
 	"fernvane/internal/registry"
+	"fernvane/internal/roster"
 	"fernvane/internal/watch"
 )
 
@@ -16,7 +17,7 @@
 			l := watch.List(changed)
 			l.Complete = first // what the saved list has beside has gone meanwhile
 			s.skipped(l)
-			s.fleet.Listed(l, false)
+			s.fleet.Listed(l, roster.Registry)
 			s.log.Info().Int("entries", len(changed)).Msg("list told")
 		},
 		Fault: func(err error) { s.log.Warn().Err(err).Msg("registry") },
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -17,6 +17,7 @@
 
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
+	"fernvane/internal/roster"
 	"fernvane/internal/route"
 	"fernvane/internal/watch"
 )
@@ -142,7 +143,7 @@
 	if s.planners != nil {
 		s.planners.saved(s.cfg.Known)
 	}
-	s.fleet.Listed(s.cfg.Known, true)
+	s.fleet.Listed(s.cfg.Known, roster.Saved)
 }
 
 func (s *Server) skipped(l http1.List) {
@@ -212,11 +213,13 @@
 		case <-tick.C:
 		}
 		c := s.fleet.Counts()
+		from, age := s.fleet.List()
 		hops := zerolog.Dict()
 		c.Each(func(e fleet.End, n int) { hops.Int(e.String(), n) })
 		s.log.Info().Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).
 			Int("left", c.Left).Int("no_room", c.NoRoom).Int("limited", c.Limited).Int("copies", c.Copies).Dict("hops", hops).
-			Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).Msg("counts")
+			Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).
+			Stringer("list_from", from).Float64("list_age_s", age.Round(time.Second/10).Seconds()).Msg("counts")
 		s.fleet.RouteCounts(func(name string, inHand int, c route.GateCounts) {
 			s.log.Info().Str("route", name).Int("in_hand", inHand).Int("taken", c.Taken).Int("over_rate", c.OverRate).
 				Int("no_place", c.NoPlace).Int("over_tenant", c.OverTenant).Msg("route")
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -20,6 +20,7 @@
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
+	"fernvane/internal/roster"
 	"fernvane/internal/settings"
 	"fernvane/policy"
 )
@@ -292,7 +293,7 @@
 	hosts, _ := servers(t, 1, whole)
 	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
 	defer s.fleet.Stop()
-	s.fleet.Listed(http1.List{Hosts: hosts}, true)
+	s.fleet.Listed(http1.List{Hosts: hosts}, roster.Saved)
 	held := make(chan net.Conn, 1)
 	kept := dial(t, standIn(t, func(c net.Conn) { held <- c }).String())
 	kept.Conn.(*net.TCPConn).CloseWrite()
@@ -390,7 +391,7 @@
 	near := dial(t, at.String())
 	s := &Server{fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
 	defer s.fleet.Stop()
-	s.fleet.Listed(http1.List{Hosts: []http1.Host{{ID: "s", Address: at, Size: 1}}}, true)
+	s.fleet.Listed(http1.List{Hosts: []http1.Host{{ID: "s", Address: at, Size: 1}}}, roster.Saved)
 	op := booked(s.fleet)
 	if d := op.Next(func() {}); d.Kind != fleet.Send {
 		t.Fatalf("decided %d", d.Kind)
@@ -408,7 +409,7 @@
 	hosts, taken := servers(t, 1, whole)
 	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
 	defer s.fleet.Stop()
-	s.fleet.Listed(http1.List{Hosts: hosts}, true)
+	s.fleet.Listed(http1.List{Hosts: hosts}, roster.Saved)
 	req := &http1.Request{Method: []byte("GET"), Target: []byte("/book/1")}
 	for name, c := range map[string]struct {
 		leave bool
