--- a/internal/fleet/copy_test.go
+++ b/internal/fleet/copy_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"fernvane/internal/http1"
 	"fernvane/internal/node"
 	"fernvane/internal/roster"
 	"fernvane/internal/settings"
@@ -121,3 +122,81 @@
 		t.Errorf("counted %+v", n)
 	}
 }
+
+// A server that has left gets nothing new by any path: kept connections, operations that wait, further hops, second copies.
+func TestNothingNewToWhoLeft(t *testing.T) {
+	gone, drains := host("a", 1), host("a", 1)
+	gone.Phase, drains.Phase = http1.Deleted, http1.Draining
+	for name, l := range map[string]http1.List{
+		"gone": {Hosts: []http1.Host{gone}}, "drains": {Hosts: []http1.Host{drains}}, "not named": listed(host("b", 2)),
+		"another at its address": {Hosts: []http1.Host{host("c", 1)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settings.Settings{ConnIdle: time.Hour, TypeNames: []string{"check"}, Settings: policy.Settings{Nodes: 1, MostHops: 4, Copies: true,
+				ConnectTimeout: time.Second, Types: []policy.TrafficType{{TargetTime: time.Minute, AbandonTime: time.Hour, Revenue: 1,
+					CopyAfter: time.Nanosecond, CopyShare: 1}}}}
+			f := New(s, 1, limits, node.Policy)
+			t.Cleanup(f.Stop)
+			f.Listed(listed(host("a", 1), host("b", 2)), roster.Saved)
+			f.Reserve()
+			f.Keep("a", false, http1.NewConn(&closer{closed: make(chan string, 1)}))
+			var waiting []*Operation
+			for range 40 { // more than are sent at once
+				if op := arrive(f); op != nil {
+					waiting = append(waiting, op)
+				}
+			}
+			f.Listed(l, roster.Discovery)
+			if f.Take("a") != nil {
+				t.Error("a kept connection is used")
+			}
+			to := func(d Decision) {
+				if d.Kind == Send && d.Server == "a" {
+					t.Errorf("hop %d is sent there", d.Hop)
+				}
+			}
+			first := 0
+			for _, op := range waiting {
+				select { // what was decided before is on its way
+				case <-op.ready:
+					if op.next.Server == "a" {
+						first++
+					}
+					op.ready <- struct{}{}
+					d := op.Next(func() {})
+					f.woken() // a copy, if any
+					op.Ended(d.Hop, Refused, nil)
+				default:
+				}
+			}
+			if first == 0 {
+				t.Fatal("nothing was sent there before")
+			}
+			for _, op := range waiting { // further hops, and those that waited
+				for range 4 {
+					select {
+					case <-op.ready:
+						op.ready <- struct{}{}
+						d := op.Next(func() {})
+						if to(d); d.Kind != Send {
+							break
+						}
+						f.woken()
+						op.Ended(d.Hop, Refused, nil)
+					default:
+					}
+				}
+				for _, h := range op.outs {
+					if h.server == "a" && h.copy {
+						t.Error("a copy is sent there")
+					}
+				}
+			}
+			for range 10 {
+				if op := arrive(f); op != nil {
+					to(op.next)
+				}
+			}
+		})
+	}
+}
--- a/internal/roster/book.go
+++ b/internal/roster/book.go
@@ -38,6 +38,7 @@
 	From  Source
 	Heard time.Duration // when it was told of last
 	Used  bool          // it may get something new: the last word of it is Up, and nothing else has taken it out
+	Left  time.Duration // since when it is not
 }
 
 // Update is what a list changes.
@@ -64,14 +65,14 @@
 	b.from, b.heard = from, now
 	if whole {
 		for _, l := range b.lines {
-			l.Used = false
+			l.leave(now)
 		}
 	}
 	idle := map[string]bool{}
 	for _, w := range words {
 		l := b.lines[w.ID]
 		if l == nil && w.Condition == life.Up {
-			u.Lines = b.displaced(w.Address, u.Lines)
+			u.Lines = b.displaced(now, w.Address, u.Lines)
 		}
 		if l == nil {
 			l = &Line{}
@@ -82,7 +83,12 @@
 		if idle[w.ID] = idle[w.ID] || w.Address != l.Address; !w.Address.IsValid() {
 			w.Address = l.Address
 		}
-		*l = Line{Word: w, From: from, Heard: now, Used: w.Condition == life.Up}
+		l.Word, l.From, l.Heard = w, from, now
+		if w.Condition == life.Up {
+			l.Used = true
+		} else {
+			l.leave(now)
+		}
 		u.Lines = append(u.Lines, *l)
 	}
 	for id, l := range b.lines {
@@ -94,10 +100,23 @@
 	return u
 }
 
-func (b *Book) displaced(at netip.AddrPort, lines []Line) []Line {
+func (l *Line) leave(now time.Duration) {
+	if l.Used {
+		l.Used, l.Left = false, now
+	}
+}
+
+// Parted tells that a server has not been used for a while, or is not known any more: what was decided before may not be
+// sent to it now.
+func (b *Book) Parted(now time.Duration, id string, since time.Duration) bool {
+	l := b.lines[id]
+	return l == nil || !l.Used && now-l.Left > since
+}
+
+func (b *Book) displaced(now time.Duration, at netip.AddrPort, lines []Line) []Line {
 	for _, id := range b.ids() {
 		if l := b.lines[id]; l.Used && l.Address == at {
-			l.Used = false
+			l.leave(now)
 			gone := *l
 			gone.Condition = life.Gone
 			lines = append(lines, gone)
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -52,13 +52,13 @@
 	if conn == nil {
 		return end, nil
 	}
-	if x.op.Settled() { // the client has left while the connection came up: nothing is sent any more
+	if x.op.Settled() || s.fleet.Parted(d.Server) { // the client has left while the connection came up, or the server: nothing is sent any more
 		s.fleet.Keep(d.Server, d.FastCGI, conn)
 		return fleet.NoTime, nil
 	}
 	hop, err := x.kept.intend(ctx, d.Server, until)
-	if err != nil || x.kept != nil && x.op.Settled() {
-		if err == nil { // the client has left meanwhile
+	if err != nil || x.kept != nil && (x.op.Settled() || s.fleet.Parted(d.Server)) {
+		if err == nil { // the client or the server has left meanwhile
 			x.kept.ended(hop, fleet.NoTime)
 		}
 		s.fleet.Keep(d.Server, d.FastCGI, conn)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -287,6 +287,35 @@
 	}
 }
 
+// A hop that was decided on before its server left is not written to it long after: the connection took its time.
+func TestNothingToAServerThatLeft(t *testing.T) {
+	t.Parallel()
+	hosts, taken := servers(t, 1, whole)
+	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
+	t.Cleanup(s.fleet.Stop)
+	s.fleet.Listed(http1.List{Hosts: hosts}, roster.Saved)
+	for _, phase := range []http1.Phase{http1.Draining, http1.Deleted} {
+		op := booked(s.fleet)
+		d := op.Next(func() {})
+		if d.Kind != fleet.Send {
+			t.Fatalf("decided %d", d.Kind)
+		}
+		left := hosts[0]
+		left.Phase = phase
+		s.fleet.Listed(http1.List{Hosts: []http1.Host{left}}, roster.Discovery)
+		for !s.fleet.Parted(left.ID) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		req := &http1.Request{Method: []byte("POST"), Target: []byte("/book/1")}
+		end, _ := s.hop(context.Background(), d, &exchanged{op: op, req: req, compose: func(a http1.Answer) []byte { return http1.AppendAnswer(nil, a) }})
+		if end != fleet.NoTime || taken.Load() > 0 {
+			t.Errorf("ended %v; %d were sent", end, taken.Load())
+		}
+		op.Ended(d.Hop, end, nil)
+		s.fleet.Listed(http1.List{Hosts: hosts}, roster.Discovery)
+	}
+}
+
 // A kept connection that breaks before the request is written tells nothing of its server, a new one does.
 func TestStaleWrite(t *testing.T) {
 	t.Parallel()
