--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -64,6 +64,7 @@
 		return exitBadInput
 	}
 	cfg.Module = maker
+	_, cfg.Unguarded = baseline.Broken[getenv(policyVar)]
 	cfg.Disk = lab.Disk(getenv)
 	if path := getenv(profileVar); path != "" {
 		f, err := os.Create(path)
--- a/cmd/fernlab/run.go
+++ b/cmd/fernlab/run.go
@@ -150,6 +150,20 @@
 		}
 		r.Baselines = append(r.Baselines, one)
 	}
+	if s.Lists.Start == "kept" && !f.alone {
+		r.Policy = "kept list"
+		for _, with := range []string{"known", "none"} {
+			o, name := o, map[string]string{"known": "fresh list", "none": "no list"}[with]
+			if o.Scenario = s.Started(with); o.Keep != "" {
+				o.Keep += "-" + with
+			}
+			one, err := once(ctx, o, name)
+			if err != nil {
+				return err
+			}
+			r.Baselines = append(r.Baselines, one)
+		}
+	}
 	if len(others) > 0 {
 		if !f.quiet {
 			fmt.Fprintf(errs, "\nbaselines, side by side: %s\n", strings.Join(others, ", "))
--- a/cmd/fernvane/check.go
+++ b/cmd/fernvane/check.go
@@ -16,6 +16,7 @@
 	"fernvane/internal/route"
 	"fernvane/internal/serve"
 	"fernvane/internal/settings"
+	"fernvane/internal/snapshot"
 )
 
 // example is settings of this project's own, as a configuration holds them, to try files against.
@@ -48,7 +49,7 @@
 				return e.Encode(route.Schema())
 			case f.config != "":
 				return checkAll(out, errs, &f)
-			case f.operator+f.planners+f.bindings+f.registries+planFile == "":
+			case f.operator+f.planners+f.bindings+f.registries+f.snapshot+planFile == "":
 				return unusable{errors.New("no configuration is named: --config FILE; or name a file to check by itself")}
 			}
 			return checkEach(out, &f, planFile, set)
@@ -78,6 +79,7 @@
 	tellPlanners(out, cfg.Planners)
 	tellBindings(out, cfg.Bindings)
 	tellRegistry(out, cfg.Registry)
+	tellSnapshot(out, cfg.Snapshot)
 	if cfg.Routes != nil {
 		cfg.Routes.Table(out, &cfg.Settings)
 	}
@@ -108,6 +110,12 @@
 			tellRegistry(out, r)
 		}
 	}
+	if f.snapshot != "" {
+		s, err := snapshot.Load(f.snapshot)
+		if all = errors.Join(all, err); err == nil {
+			tellSnapshot(out, s)
+		}
+	}
 	if planFile != "" {
 		p, err := plancfg.LoadPlanner(planFile)
 		if all = errors.Join(all, err); err == nil {
@@ -204,6 +212,12 @@
 	}
 }
 
+func tellSnapshot(out io.Writer, s *snapshot.Config) {
+	if s != nil {
+		fmt.Fprintf(out, "keeps its list of servers in %s for %s, %d generations, one each %s at most\n", s.Dir, s.Deployment, s.Keep, s.Every.D())
+	}
+}
+
 func tellRegistry(out io.Writer, r *registry.Config) {
 	if r != nil {
 		fmt.Fprintf(out, "reads servers under %s%s of the registry at %s\n", strings.TrimSuffix(r.Chroot, "/"), r.Path, strings.Join(r.Servers, ", "))
--- a/cmd/fernvane/pages_test.go
+++ b/cmd/fernvane/pages_test.go
@@ -12,6 +12,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/snapshot"
 )
 
 // written finds commands in pages: a line of a block of code, a comment of an example file, or a span of code.
@@ -45,6 +48,17 @@
 		return path
 	}
 	operator := filepath.Join(root, "deploy", "operator.example.toml")
+	lists := t.TempDir()
+	store, err := snapshot.Open(lists, 3, bindlog.OS{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(2) {
+		if err := store.Write(&snapshot.Snapshot{Node: "n", Deployment: "d", Revision: i, Confirmed: time.Now().UnixMilli(), Clean: true,
+			Servers: []snapshot.Server{{ID: fmt.Sprint("s", i), Address: "127.0.0.1:1"}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
 	dockets := put("dockets.jsonl", "")
 	config := func() string { // a listener of its own for each node
 		return put(fmt.Sprintf("config-%d.json", time.Now().UnixNano()), fmt.Sprintf(`{"name":"n","listen":%q,"discovery":"127.0.0.1:1","settings":%s}`, free(t), example))
@@ -54,6 +68,7 @@
 		"/var/lib/fernvane/bindings": journal, "dockets.jsonl": dockets,
 		"bindings.toml": put("bindings.toml", fmt.Sprintf("dir = %q\nwhen_failing = \"deny\"\n", t.TempDir())),
 		"registry.toml": put("registry.toml", "servers = [\"127.0.0.1:1\"]\npath = \"/s\"\nsession = \"6s\"\n"),
+		"snapshot.toml": put("snapshot.toml", fmt.Sprintf("dir = %q\ndeployment = \"d\"\n", lists)), "LISTS": lists,
 		"planners.toml": put("planners.toml", "planners = [\"127.0.0.1:1\"]\nplaintext = true\n"),
 		"planner.toml":  put("planner.toml", fmt.Sprintf("name = \"p\"\nlisten = %q\ndiscovery = \"127.0.0.1:1\"\nplaintext = true\n", free(t))),
 	}
--- /dev/null
+++ b/cmd/fernvane/snapshot.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/life"
+	"fernvane/internal/snapshot"
+	"fernvane/internal/trust"
+)
+
+var errSpoilt = errors.New("a generation cannot be gone by")
+
+func snapshotCommand(getenv func(string) string) *cobra.Command {
+	var dir string
+	root := &cobra.Command{Use: "snapshot", Short: "Look at the lists of servers that a node keeps on disk, also while it writes them",
+		Example: "  fernvane snapshot show --dir DIR\n  fernvane snapshot verify --dir DIR"}
+	root.PersistentFlags().StringVar(&dir, "dir", "", "the node's `folder`; by default that of the file in PROXY_SNAPSHOT")
+	all := func() (*snapshot.Store, []snapshot.Generation, error) {
+		if dir == "" {
+			path := getenv("PROXY_SNAPSHOT")
+			if path == "" {
+				return nil, nil, errors.New("which lists? --dir FOLDER")
+			}
+			cfg, err := snapshot.Load(path)
+			if err != nil {
+				return nil, nil, err
+			}
+			dir = cfg.Dir
+		}
+		store, err := snapshot.Open(dir, 1, bindlog.OS{})
+		if err != nil {
+			return nil, nil, err
+		}
+		generations, err := store.All()
+		if err == nil && len(generations) == 0 {
+			err = fmt.Errorf("%s holds no list", dir)
+		}
+		return store, generations, err
+	}
+	var lines bool
+	show := &cobra.Command{Use: "show", Short: "Tell what the newest whole generation holds, and how far a start would believe it", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, generations, err := all()
+			if err != nil {
+				return err
+			}
+			i := slices.IndexFunc(generations, func(g snapshot.Generation) bool { return g.Snap != nil })
+			if i < 0 {
+				return fmt.Errorf("%s: %w", generations[0].Path, generations[0].Err)
+			}
+			if lines {
+				return json.NewEncoder(c.OutOrStdout()).Encode(shownList(generations[i].Snap))
+			}
+			tellList(c.OutOrStdout(), generations[i].Snap, time.Now())
+			return nil
+		}}
+	show.Flags().BoolVar(&lines, "json", false, "for programs")
+	verify := &cobra.Command{Use: "verify", Short: "Read every generation and name what is wrong", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, generations, err := all()
+			if err != nil {
+				return err
+			}
+			bad := 0
+			for _, g := range generations {
+				if g.Err != nil {
+					bad++
+					fmt.Fprintf(c.ErrOrStderr(), "%s: %v\n", g.Path, g.Err)
+				}
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d generations, %d whole\n", len(generations), len(generations)-bad)
+			if bad > 0 {
+				return errSpoilt
+			}
+			return nil
+		}}
+	diff := &cobra.Command{Use: "diff", Short: "Tell what changed between the two newest whole generations", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, generations, err := all()
+			if err != nil {
+				return err
+			}
+			var whole []*snapshot.Snapshot
+			for _, g := range generations {
+				if g.Snap != nil && len(whole) < 2 {
+					whole = append(whole, g.Snap)
+				}
+			}
+			if len(whole) < 2 {
+				return errors.New("there are no two whole generations")
+			}
+			tellChanges(c.OutOrStdout(), whole[1], whole[0])
+			return nil
+		}}
+	var keep int
+	prune := &cobra.Command{Use: "prune", Short: "Remove all but the newest generations; only while no node writes there", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			store, generations, err := all()
+			if err != nil {
+				return err
+			}
+			if keep < 1 {
+				return fmt.Errorf("--keep %d: one at least", keep)
+			}
+			err = store.Prune(keep)
+			fmt.Fprintf(c.OutOrStdout(), "%d generations removed\n", max(len(generations)-keep, 0))
+			return err
+		}}
+	prune.Flags().IntVar(&keep, "keep", 3, "how many stay")
+	root.AddCommand(show, verify, diff, prune)
+	return root
+}
+
+var conditionNames = [...]string{life.Up: "up", life.Draining: "draining", life.Gone: "gone"}
+
+func conditionName(c uint8) string {
+	if int(c) < len(conditionNames) {
+		return conditionNames[c]
+	}
+	return fmt.Sprintf("unknown (%d)", c)
+}
+
+func tellList(out io.Writer, s *snapshot.Snapshot, now time.Time) {
+	k := trust.Known{Age: now.Sub(time.UnixMilli(s.Confirmed)), Clean: s.Clean}
+	fmt.Fprintf(out, "node %s of %s, revision %d, %d servers, written %s, confirmed %s ago, ended in good order: %v\n", s.Node, s.Deployment, s.Revision,
+		len(s.Servers), clock(s.Written*1e6), k.Age.Round(time.Second), s.Clean)
+	fmt.Fprintf(out, "a start now would take it with suspicion %d of %d\n", k.Grade(), trust.Grades-1)
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "server\taddress\tzone\tcondition\theard\tran")
+	for _, one := range s.Servers {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", one.ID, one.Address, one.Zone, conditionName(one.Condition), clock(one.Heard*1e6), clock(one.Ran*1e6))
+	}
+	t.Flush()
+}
+
+func tellChanges(out io.Writer, before, after *snapshot.Snapshot) {
+	was := map[string]snapshot.Server{}
+	for _, s := range before.Servers {
+		was[s.ID] = s
+	}
+	var lines []string
+	for _, s := range after.Servers {
+		b, known := was[s.ID]
+		delete(was, s.ID)
+		switch {
+		case !known:
+			lines = append(lines, fmt.Sprintf("+ %s %s %s", s.ID, s.Address, conditionName(s.Condition)))
+		case b.Condition != s.Condition || b.Address != s.Address || b.Up != s.Up:
+			lines = append(lines, fmt.Sprintf("~ %s %s %s, was %s %s", s.ID, s.Address, conditionName(s.Condition), b.Address, conditionName(b.Condition)))
+		}
+	}
+	for id, b := range was {
+		lines = append(lines, fmt.Sprintf("- %s %s %s", id, b.Address, conditionName(b.Condition)))
+	}
+	slices.SortFunc(lines, func(a, b string) int { return cmp.Compare(a[2:], b[2:]) })
+	for _, l := range lines {
+		fmt.Fprintln(out, l)
+	}
+	fmt.Fprintf(out, "%d changes from revision %d to %d\n", len(lines), before.Revision, after.Revision)
+}
+
+// listJSON is a list for programs.
+type listJSON struct {
+	Node       string       `json:"node"`
+	Deployment string       `json:"deployment"`
+	Revision   uint64       `json:"revision"`
+	Written    string       `json:"written"`
+	Confirmed  string       `json:"confirmed"`
+	Clean      bool         `json:"clean"`
+	Servers    []serverJSON `json:"servers"`
+}
+
+type serverJSON struct {
+	ID        string `json:"id"`
+	Address   string `json:"address"`
+	Zone      string `json:"zone"`
+	Condition string `json:"condition"`
+	Heard     string `json:"heard"`
+	Ran       string `json:"ran"`
+}
+
+func shownList(s *snapshot.Snapshot) listJSON {
+	l := listJSON{s.Node, s.Deployment, s.Revision, clock(s.Written * 1e6), clock(s.Confirmed * 1e6), s.Clean, []serverJSON{}}
+	for _, one := range s.Servers {
+		l.Servers = append(l.Servers, serverJSON{one.ID, one.Address, one.Zone, conditionName(one.Condition), clock(one.Heard * 1e6), clock(one.Ran * 1e6)})
+	}
+	return l
+}
--- /dev/null
+++ b/cmd/fernvane/snapshot_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/snapshot"
+)
+
+// What each command on kept lists says, and its exit code.
+func TestSnapshotCommands(t *testing.T) {
+	dir, spoilt := t.TempDir(), t.TempDir()
+	for _, d := range []string{dir, spoilt} {
+		store, err := snapshot.Open(d, 9, bindlog.OS{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range uint64(3) {
+			s := &snapshot.Snapshot{Node: "n3", Deployment: "hire", Revision: 40 + i, Servers: []snapshot.Server{{ID: "stays", Address: "127.0.0.1:1"},
+				{ID: "drains", Address: "127.0.0.1:2", Condition: uint8(i / 2)}}}
+			if i == 2 {
+				s.Servers = append(s.Servers, snapshot.Server{ID: "comes", Address: "127.0.0.1:3"})
+			}
+			if err := store.Write(s); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	files, _ := filepath.Glob(filepath.Join(spoilt, "*"))
+	os.WriteFile(files[2], []byte("noise"), 0o600)
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		has  string
+	}{
+		"show":             {[]string{"show", "--dir", dir}, 0, "suspicion 4 of 4"},
+		"show, as JSON":    {[]string{"show", "--dir", dir, "--json"}, 0, `"condition":"draining"`},
+		"show, one spoilt": {[]string{"show", "--dir", spoilt}, 0, "revision 41"},
+		"verify":           {[]string{"verify", "--dir", dir}, 0, "3 generations, 3 whole"},
+		"verify, spoilt":   {[]string{"verify", "--dir", spoilt}, 1, files[2] + ": it is not whole"},
+		"diff":             {[]string{"diff", "--dir", dir}, 0, "+ comes 127.0.0.1:3 up\n~ drains 127.0.0.1:2 draining, was 127.0.0.1:2 up\n2 changes from revision 41 to 42"},
+		"no folder":        {[]string{"show"}, 2, "--dir"},
+		"an empty folder":  {[]string{"show", "--dir", t.TempDir()}, 2, "holds no list"},
+		"prune to none":    {[]string{"prune", "--dir", dir, "--keep", "0"}, 2, "one at least"},
+		"prune":            {[]string{"prune", "--dir", spoilt, "--keep", "3"}, 0, "0 generations removed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out, errs bytes.Buffer
+			code := run(append([]string{"snapshot"}, c.args...), &out, &errs, func(string) string { return "" })
+			if all := out.String() + errs.String(); code != c.code || !strings.Contains(all, c.has) {
+				t.Errorf("exit %d: %s", code, all)
+			}
+		})
+	}
+}
--- a/internal/bindlog/files.go
+++ b/internal/bindlog/files.go
@@ -14,6 +14,8 @@
 	Open(path string) (io.ReadCloser, error)
 	List(dir string) ([]Info, error)
 	Remove(path string) error
+	// Rename gives a file another name in its folder, in place of one that has it.
+	Rename(path, to string) error
 	// SyncDir makes the folder's own entries last.
 	SyncDir(dir string) error
 }
@@ -57,6 +59,9 @@
 // Remove removes a file.
 func (OS) Remove(path string) error { return os.Remove(path) }
 
+// Rename gives a file another name.
+func (OS) Rename(path, to string) error { return os.Rename(path, to) }
+
 // SyncDir makes the folder's own entries last.
 func (OS) SyncDir(dir string) error {
 	d, err := os.Open(filepath.Clean(dir))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,7 +41,9 @@
 	room     room
 	counts   Counts
 	digests  digests
-	evidence chan roster.Evidence // nil: nobody asks for it
+	evidence []chan roster.Evidence // of those who ask for it
+	wary     bool                   // what must not run twice goes to servers that are proved only
+	proved   map[string]bool
 }
 
 type server struct {
@@ -106,12 +108,6 @@
 
 // Listed takes a list of servers from a source.
 func (f *Fleet) Listed(l http1.List, from roster.Source) {
-	scope := policy.Changes
-	if from == roster.Saved {
-		scope = policy.Saved
-	} else if l.Complete {
-		scope = policy.Whole
-	}
 	words := make([]roster.Word, 0, len(l.Hosts))
 	for _, h := range l.Hosts {
 		words = append(words, roster.Word{ID: h.ID, Address: h.Address, Zone: h.Zone, Flavor: h.Flavor, Cell: h.Cell, Size: h.Size,
@@ -119,12 +115,23 @@
 	}
 	f.mu.Lock()
 	defer f.unlock()
+	f.take(words, from, l.Complete)
+}
+
+// take has the book and the module take in what a source says.
+func (f *Fleet) take(words []roster.Word, from roster.Source, whole bool) {
+	scope := policy.Changes
+	if from == roster.Saved || from == roster.Disk {
+		scope = policy.Saved
+	} else if whole {
+		scope = policy.Whole
+	}
 	now, clock := f.now(), time.Now().UnixMilli()
 	u := f.book.Told(now, from, words, scope != policy.Changes)
 	lines := make([]node.Member[string], 0, len(u.Lines))
 	for _, w := range u.Lines {
 		line := policy.Member{Rank: crc32.ChecksumIEEE([]byte(w.ID)), Zone: f.zone(w.Zone), Cell: w.Cell,
-			Condition: conditions[w.Condition], Scale: w.Size, HasStart: w.Up > 0, Labels: f.routes.Labels(w.ID, w.Zone, w.Flavor)}
+			Condition: conditions[w.Condition], Scale: w.Size, HasStart: w.Up > 0, Labels: f.labels(w.ID, w.Zone, w.Flavor)}
 		if line.HasStart {
 			line.Started = now + time.Duration(w.Up-clock)*time.Millisecond
 		}
@@ -137,6 +144,16 @@
 	f.door.List(now, scope, lines, (*hands)(f))
 }
 
+// Lines are all that is known of servers, by whom and when it was told last, and a count that changes with every list.
+// Times are the fleet's.
+func (f *Fleet) Lines() (all []roster.Line, from roster.Source, heard time.Duration, lists int) {
+	f.mu.Lock()
+	defer f.unlock()
+	all, lists = f.book.Lines()
+	from, heard = f.book.Heard()
+	return all, from, heard, lists
+}
+
 // List is who told of servers last, and how long ago.
 func (f *Fleet) List() (from roster.Source, age time.Duration) {
 	f.mu.Lock()
@@ -164,10 +181,14 @@
 func (f *Fleet) Reroute(set *route.Set) {
 	f.mu.Lock()
 	defer f.unlock()
+	f.retype(set)
+}
+
+func (f *Fleet) retype(set *route.Set) {
 	now := f.now()
 	u := f.routes.Swap(now, set)
 	f.routed.Store(set)
-	f.door.Retype(now, policy.Input{Types: u.Types, Like: u.Like, Rooms: u.Rooms}, (*hands)(f))
+	f.door.Retype(now, policy.Input{Types: f.wariness(u.Types), Like: u.Like, Rooms: u.Rooms}, (*hands)(f))
 	var lines []node.Member[string]
 	for id, s := range f.servers {
 		l, _ := f.book.Line(id)
@@ -175,7 +196,7 @@
 			f.release(s) // what stands idle speaks the other protocol
 			s.cgi = cgi
 		}
-		if labels := f.routes.Labels(id, l.Zone, l.Flavor); labels != s.line.Labels {
+		if labels := f.labels(id, l.Zone, l.Flavor); labels != s.line.Labels {
 			s.line.Labels = labels
 			lines = append(lines, node.Member[string]{Server: id, Line: s.line})
 		}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -168,6 +169,9 @@
 	if err := w.enrols(); err != nil {
 		return err
 	}
+	if err := w.keepLists(); err != nil {
+		return err
+	}
 	for n := range s.Nodes.Count {
 		g.Go(func() error {
 			if err := w.configure(n); err != nil {
@@ -326,14 +330,20 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	seed := fmt.Sprintf("%d-%d-%d", w.Scenario.Seed, n, time.Since(w.start)/time.Second)
-	return w.nodes[n].configure(w.Scenario, w.nodeAddress(n), w.discoveryAddress(n, w.places), seed,
-		w.discovery.List(n%len(w.Scenario.Sites)))
+	var known json.RawMessage
+	if w.Scenario.Lists.Start == "known" {
+		known = w.discovery.List(n % len(w.Scenario.Sites))
+	}
+	return w.nodes[n].configure(w.Scenario, w.nodeAddress(n), w.discoveryAddress(n, w.places), seed, known)
 }
 
 // launch starts a node on its file as it is, and waits until the front has taken it in.
 func (w *world) launch(ctx context.Context, n int) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if err := w.age(n); err != nil {
+		return err
+	}
 	err := w.nodes[n].start(w.keeper, func(why string) {
 		cancel(fmt.Errorf("node %d has ended: %s", n, why))
 		w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, why) })
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -161,6 +161,7 @@
 	tenantField    = "Tenant"
 	ForwardedFor   = "X-Forwarded-For" // one line a proxy passed; servers read them in turn
 	NotStarted     = "Not-Started"
+	ServerID       = "Server-Id" // of who answers; optional, beside what the platform has
 	readyPath      = "/up"
 )
 
--- a/internal/roster/book.go
+++ b/internal/roster/book.go
@@ -13,13 +13,14 @@
 
 const (
 	Saved     Source = iota // the list that the node last had before its start
+	Disk                    // the same, kept by the node itself; as far as it is believed
 	Discovery               // asked by this node
 	Registry                // read by this node
 	Planners                // they have asked
 )
 
 func (s Source) String() string {
-	return [...]string{"the saved list", "discovery", "a registry", "planners"}[s]
+	return [...]string{"the saved list", "the disk", "discovery", "a registry", "planners"}[s]
 }
 
 // Word is what a source says of a server.
@@ -35,10 +36,12 @@
 // Line is what a node goes by for one server.
 type Line struct {
 	Word
-	From  Source
-	Heard time.Duration // when it was told of last
-	Used  bool          // it may get something new: the last word of it is Up, and nothing else has taken it out
-	Left  time.Duration // since when it is not
+	From   Source
+	Heard  time.Duration // when it was told of last
+	Used   bool          // it may get something new: the last word of it is Up, and nothing else has taken it out
+	Left   time.Duration // since when it is not
+	Ran    time.Duration // when it last answered with what it had run
+	HasRun bool
 }
 
 // Update is what a list changes.
@@ -52,6 +55,7 @@
 	lines map[string]*Line
 	from  Source
 	heard time.Duration
+	lists int
 }
 
 // NewBook knows of no server.
@@ -63,6 +67,9 @@
 func (b *Book) Told(now time.Duration, from Source, words []Word, whole bool) Update {
 	var u Update
 	b.from, b.heard = from, now
+	if len(words) > 0 || whole {
+		b.lists++
+	}
 	if whole {
 		for _, l := range b.lines {
 			l.leave(now)
@@ -136,6 +143,21 @@
 // Forget lets go of a server that nothing names any more.
 func (b *Book) Forget(id string) { delete(b.lines, id) }
 
+// Ran tells that a server has answered with what it had run.
+func (b *Book) Ran(now time.Duration, id string) {
+	if l := b.lines[id]; l != nil {
+		l.Ran, l.HasRun = now, true
+	}
+}
+
+// Lines are all that is known, in the order of ids, with a count that changes with every list.
+func (b *Book) Lines() (all []Line, lists int) {
+	for _, id := range b.ids() {
+		all = append(all, *b.lines[id])
+	}
+	return all, b.lists
+}
+
 // Heard is who told of servers last, and when.
 func (b *Book) Heard() (Source, time.Duration) { return b.from, b.heard }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -43,6 +43,8 @@
 type Evidence struct {
 	Server   string
 	Answered bool
+	Ran      bool // and it has run what it answered to
+	Another  bool // and says that it is another server
 }
 
 // State of a server.
--- a/internal/route/file.go
+++ b/internal/route/file.go
@@ -73,12 +73,15 @@
 	Routes   []Route           `toml:"routes"`
 }
 
+// PoolsBeside is how many pools there may be: as many bits again tell of the same servers which are proved.
+const PoolsBeside = 31
+
 const (
 	mostRoutes   = 10_000
 	mostProfiles = 250 // routes times traffic types with limits of their own; each costs the module some bytes a server
-	mostPools    = 64  // bits of a set
-	mostParts    = 32  // of a path
-	mostHeaders  = 8   // of a route
+	mostPools    = PoolsBeside
+	mostParts    = 32 // of a path
+	mostHeaders  = 8  // of a route
 	defaultCopy  = 0.05
 	burstPart    = 10 // of the rate, for a burst that is not stated
 )
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -172,6 +172,7 @@
 	within("nodes.count", float64(s.Nodes.Count), 1, mostNodes)
 	oneOf("journal.promise", s.Journal.Promise, "", "process", "machine")
 	oneOf("journal.when_failing", s.Journal.WhenFailing, "deny", "serve")
+	oneOf("lists.start", s.Lists.Start, "known", "kept", "none")
 	within("registry.addresses", float64(s.Registry.Addresses), 0, 5)
 	within("planners.count", float64(s.Planners.Count), 0, mostPlanner)
 	if n := len(s.Sites); n > s.Nodes.Count {
@@ -332,6 +333,7 @@
 	or(&s.Nodes.Notice, Span(2*time.Second))
 	or(&s.Registry.Session, Span(time.Second))
 	or(&s.Journal.WhenFailing, "deny")
+	or(&s.Lists.Start, "known")
 	or(&s.Journal.WaitMost, Span(200*time.Millisecond))
 	or(&s.Planners.Every, Span(500*time.Millisecond))
 	for i := range s.Boxes {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -26,6 +26,7 @@
 	Planners  Planners  `toml:"planners"`
 	Journal   Journal   `toml:"journal"`
 	Registry  Registry  `toml:"registry"`
+	Lists     Lists     `toml:"lists"`
 	Boxes     []Boxes   `toml:"boxes"`
 	Types     []Type    `toml:"types"`
 	Tenants   []Tenant  `toml:"tenants"`
@@ -71,6 +72,12 @@
 	Session   Span `toml:"session"` // of boxes and nodes
 }
 
+// Lists are what nodes that start again know of the boxes.
+type Lists struct {
+	Start string `toml:"start"` // known: the list as discovery has it, handed to them; kept: their own, from disk; none
+	Age   Span   `toml:"age"`   // by which a kept list looks older than it is
+}
+
 // Boxes are servers of one kind, dealt out over the sites in turn.
 type Boxes struct {
 	Kind        string  `toml:"kind"`
@@ -202,6 +209,13 @@
 	return one
 }
 
+// Started is the scenario with nodes that start with other lists.
+func (s *Scenario) Started(with string) *Scenario {
+	one := *s
+	one.Lists = Lists{Start: with}
+	return &one
+}
+
 // Single is the scenario with each node deciding by itself, on the same load and with the same troubles.
 func (s *Scenario) Single() *Scenario {
 	one := s.without(planners)
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -18,6 +18,7 @@
 	"fernvane/internal/registry"
 	"fernvane/internal/route"
 	"fernvane/internal/settings"
+	"fernvane/internal/snapshot"
 )
 
 const (
@@ -39,9 +40,11 @@
 	Operator  string             // the operator's file; "" for none
 	Routes    *route.Set         // what it says; nil for none
 	Module    node.Maker         // nil: the project's own
+	Unguarded bool               // what the module decides is sent as it is: for modules that are broken on purpose
 	Planners  *plancfg.Forwarder // nil: the node decides by itself
 	Bindings  *bindlog.Config    // nil: no journal of bindings is kept
 	Registry  *registry.Config   // nil: discovery tells of servers
+	Snapshot  *snapshot.Config   // nil: no list is kept on disk
 	Disk      bindlog.Files      // beneath it; nil: the system's
 	path      string
 	getenv    func(string) string
@@ -68,6 +71,9 @@
 	if path := getenv("PROXY_REGISTRY"); err == nil && path != "" {
 		c.Registry, err = registry.Load(path)
 	}
+	if path := getenv("PROXY_SNAPSHOT"); err == nil && path != "" {
+		c.Snapshot, err = snapshot.Load(path)
+	}
 	if path := getenv("PROXY_BINDINGS"); err == nil && path != "" {
 		c.Bindings, err = bindlog.Load(path)
 	}
--- a/internal/serve/discovery.go
+++ b/internal/serve/discovery.go
@@ -56,7 +56,14 @@
 				continue
 			}
 			w.Moved, w.Whole, w.Revision = false, false, list.Revision
-			s.listed(list)
+			if !s.listed(list) { // what was told is not believed yet
+				w.Whole = true
+				select {
+				case <-ctx.Done():
+				case <-time.After(askAgain):
+				}
+				continue
+			}
 			if len(list.Hosts) > 0 {
 				s.log.Info().Uint64("revision", list.Revision).Bool("whole", list.Complete).Int("entries", len(list.Hosts)).Msg("list told")
 			}
@@ -67,12 +74,19 @@
 	}
 }
 
-// listed hands over what discovery has told, joined with what planners have.
-func (s *Server) listed(list http1.List) {
+// listed hands over what discovery has told, joined with what planners have. It is false for a list that is not believed.
+func (s *Server) listed(list http1.List) bool {
 	s.skipped(list)
+	if s.kept != nil {
+		var ok bool
+		if list, ok = s.kept.believe(list, roster.Discovery); !ok {
+			return false
+		}
+	}
 	if s.planners != nil {
 		s.planners.discovered(list)
-		return
+	} else {
+		s.fleet.Listed(list, roster.Discovery)
 	}
-	s.fleet.Listed(list, roster.Discovery)
+	return true
 }
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -52,12 +52,12 @@
 	if conn == nil {
 		return end, nil
 	}
-	if x.op.Settled() || s.fleet.Parted(d.Server) { // the client has left while the connection came up, or the server: nothing is sent any more
+	if x.op.Settled() || s.parted(d.Server) { // the client has left while the connection came up, or the server: nothing is sent any more
 		s.fleet.Keep(d.Server, d.FastCGI, conn)
 		return fleet.NoTime, nil
 	}
 	hop, err := x.kept.intend(ctx, d.Server, until)
-	if err != nil || x.kept != nil && (x.op.Settled() || s.fleet.Parted(d.Server)) {
+	if err != nil || x.kept != nil && (x.op.Settled() || s.parted(d.Server)) {
 		if err == nil { // the client or the server has left meanwhile
 			x.kept.ended(hop, fleet.NoTime)
 		}
@@ -72,6 +72,9 @@
 		end = fleet.Stale
 	}
 	x.kept.ended(hop, end)
+	if id := message.Find(resp.Fields, message.ServerID); s.kept != nil && len(id) > 0 && string(id) != d.Server {
+		s.fleet.Mistaken(d.Server)
+	}
 	var answer []byte
 	if end == fleet.Answered || end == fleet.Declined {
 		answer = x.compose(message.Answer{Status: resp.Status, Fields: resp.Fields,
@@ -95,6 +98,9 @@
 	return end, answer
 }
 
+// parted tells that a server left too long ago for anything to be written to it.
+func (s *Server) parted(server string) bool { return !s.cfg.Unguarded && s.fleet.Parted(server) }
+
 // copying leads a second copy beside the hop that is out. The client's buffer is the first one's, so the copy has the
 // request and its answer in memory of its own.
 func (s *Server) copying(f front, req *message.Request, k *kept) func(*fleet.Operation, fleet.Decision) {
--- /dev/null
+++ b/internal/serve/kept.go
@@ -0,0 +1,293 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/life"
+	"fernvane/internal/roster"
+	"fernvane/internal/snapshot"
+	"fernvane/internal/trust"
+)
+
+const (
+	trustLook  = 50 * time.Millisecond // between two looks at what time changes
+	renewAfter = 30 * time.Second      // a list without changes is written anew so often: its age is what it is believed by
+	doubtShort = 30 * time.Second      // a list that lacks most servers which answer is not believed for so long
+	doubtShare = 0.5                   // of them
+	doubtLeast = 2                     // servers
+	askAgain   = time.Second           // until a source whose list was not believed is asked once more
+)
+
+// listKeeper is the list of servers that a node keeps on its disk, and what it makes of the one before its start.
+type listKeeper struct {
+	cfg   *snapshot.Config
+	name  string
+	fleet *fleet.Fleet
+	log   zerolog.Logger
+	store *snapshot.Store
+	begun time.Time
+
+	writing sync.Mutex // one generation at a time
+
+	mu      sync.Mutex // never held over a file or a socket
+	trust   *trust.Trust
+	words   map[string]roster.Word
+	doubted time.Time // since when a list is not believed; zero: none was
+	listed  uint64    // revision of what was told last
+}
+
+func newKept(cfg Config, f *fleet.Fleet, log zerolog.Logger) (*listKeeper, error) {
+	files := cfg.Disk
+	if files == nil {
+		files = bindlog.OS{}
+	}
+	store, err := snapshot.Open(cfg.Snapshot.Dir, cfg.Snapshot.Keep, files)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", cfg.Snapshot.Dir, err)
+	}
+	return &listKeeper{cfg: cfg.Snapshot, name: cfg.Name, fleet: f, log: log, store: store, begun: time.Now()}, nil
+}
+
+// start goes by the newest list on disk, if that is of use and no older than the one that the configuration brings, which
+// says nothing of its age. It returns the list to go on from.
+func (k *listKeeper) start(known http1.List) (l http1.List, use bool) {
+	snap, faults, err := k.store.Newest()
+	for _, f := range append(faults, err) {
+		if f != nil {
+			k.log.Warn().Err(f).Msg("kept list passed over")
+		}
+	}
+	if snap == nil {
+		return known, false
+	}
+	now := time.Now()
+	age := now.Sub(time.UnixMilli(snap.Confirmed))
+	switch {
+	case snap.Deployment != k.cfg.Deployment:
+		err = fmt.Errorf("it is of deployment %.60q, not %q", snap.Deployment, k.cfg.Deployment)
+	case snap.Node != k.name:
+		err = fmt.Errorf("it is of node %.60q, not %q", snap.Node, k.name)
+	case age > k.cfg.Oldest.D():
+		err = fmt.Errorf("it was confirmed %s ago", age.Round(time.Minute))
+	case len(known.Hosts) > 0 && known.Revision >= snap.Revision:
+		err = errors.New("the configuration brings one that is as new")
+	}
+	if err != nil {
+		k.log.Warn().Err(err).Msg("kept list not used")
+		return known, false
+	}
+	k.listed = snap.Revision
+	k.words = map[string]roster.Word{}
+	var servers []trust.Server
+	l = http1.List{Revision: snap.Revision}
+	for _, s := range snap.Servers {
+		w := roster.Word{ID: s.ID, Zone: s.Zone, Flavor: s.Flavor, Cell: s.Cell, Size: s.Size, Up: s.Up, Condition: life.Condition(s.Condition)}
+		w.Address, err = netip.ParseAddrPort(s.Address)
+		if w.Condition > life.Gone || err != nil && w.Condition == life.Up {
+			l.Skipped = append(l.Skipped, fmt.Errorf("kept server %.40q cannot be used", s.ID))
+			continue
+		}
+		k.words[s.ID] = w
+		servers = append(servers, trust.Server{ID: s.ID, Up: w.Condition == life.Up, Served: s.Ran > 0})
+		l.Hosts = append(l.Hosts, hostOf(w))
+	}
+	k.trust = trust.New(trust.Known{Age: age, Clean: snap.Clean}, k.name, servers)
+	k.log.Info().Float64("age_s", age.Round(time.Second/10).Seconds()).Bool("clean", snap.Clean).Int("grade", k.trust.Grade()).
+		Int("servers", len(servers)).Msg("kept list used")
+	k.offer()
+	return l, true
+}
+
+var phaseOf = [...]http1.Phase{life.Up: http1.Serving, life.Draining: http1.Draining, life.Gone: http1.Deleted}
+
+func hostOf(w roster.Word) http1.Host {
+	return http1.Host{ID: w.ID, Address: w.Address, Zone: w.Zone, Flavor: w.Flavor, Cell: w.Cell, Size: w.Size, UpSinceMS: w.Up, Phase: phaseOf[w.Condition]}
+}
+
+// offer hands to the fleet what may be used now.
+func (k *listKeeper) offer() {
+	usable, changed := k.trust.Usable()
+	if !changed {
+		return
+	}
+	words, proved := make([]roster.Word, 0, len(usable)), map[string]bool{}
+	for _, u := range usable {
+		words = append(words, k.words[u.ID])
+		proved[u.ID] = u.Proved
+	}
+	k.fleet.Suspected(words, proved)
+}
+
+// believe ends the suspicion, for a source has told. What it tells as changes is told of the list that was kept, which
+// holds with it.
+func (k *listKeeper) believe(l http1.List, from roster.Source) (out http1.List, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listed = max(k.listed, l.Revision)
+	if k.trust == nil {
+		return l, true
+	}
+	if l.Complete && k.short(l) {
+		return l, false
+	}
+	if !l.Complete && from == roster.Discovery {
+		hosts := make([]http1.Host, 0, len(k.words)+len(l.Hosts))
+		for _, w := range k.words {
+			hosts = append(hosts, hostOf(w))
+		}
+		l.Hosts = append(hosts, l.Hosts...)
+	}
+	k.trust, k.words = nil, nil
+	k.fleet.Believed()
+	k.log.Info().Stringer("from", from).Dur("after", time.Since(k.begun)).Msg("kept list over: servers are told of")
+	return l, true
+}
+
+// short tells whether a whole list lacks most of the servers that have shown since the start that they serve: a source
+// that has started anew may tell of none at first.
+func (k *listKeeper) short(l http1.List) bool {
+	named, proved, missing := map[string]bool{}, 0, 0
+	for _, h := range l.Hosts {
+		named[h.ID] = true // also one that is told to drain
+	}
+	for id := range k.words {
+		if k.trust.Standing(id) == trust.Proved {
+			if proved++; !named[id] {
+				missing++
+			}
+		}
+	}
+	if missing < doubtLeast || float64(missing) <= doubtShare*float64(proved) {
+		return false
+	}
+	now := time.Now()
+	if k.doubted.IsZero() {
+		k.doubted = now
+		k.log.Error().Int("missing", missing).Int("serving", proved).Msg("a list lacks most servers that answer: it is not believed yet")
+	}
+	return now.Sub(k.doubted) < doubtShort
+}
+
+// run follows what hops find out while the list is suspect, and writes it while it is not.
+func (k *listKeeper) run(ctx context.Context) error {
+	evidence := k.fleet.Evidence()
+	tick := time.NewTicker(trustLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-evidence:
+			k.mu.Lock()
+			if now := k.fleet.Now(); k.trust != nil {
+				switch {
+				case e.Another:
+					k.trust.Another(now, e.Server)
+				case e.Ran:
+					k.trust.Served(now, e.Server)
+				case e.Answered:
+					k.trust.TurnedAway(now, e.Server)
+				default:
+					k.trust.Away(now, e.Server)
+				}
+				k.offer()
+			}
+			k.mu.Unlock()
+		case <-tick.C:
+			k.mu.Lock()
+			over := k.trust == nil
+			if !over {
+				k.trust.Passed(k.fleet.Now())
+				k.offer()
+			}
+			k.mu.Unlock()
+			if over {
+				return nil
+			}
+		}
+	}
+}
+
+// keep writes the list whenever it has changed, and now and then, for its age. A disk that takes nothing costs the list
+// only.
+func (k *listKeeper) keep(ctx context.Context) error {
+	tick := time.NewTicker(k.cfg.Every.D())
+	defer tick.Stop()
+	lists, wrote, failing := -1, time.Time{}, false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		snap, now := k.snap(false)
+		if snap == nil || now == lists && time.Since(wrote) < renewAfter {
+			continue
+		}
+		err := k.write(snap)
+		if (err != nil) != failing {
+			if failing = err != nil; failing {
+				k.log.Error().Err(err).Msg("list not kept")
+			} else {
+				k.log.Info().Msg("list kept again")
+			}
+		}
+		if err == nil {
+			lists, wrote = now, time.Now()
+		}
+	}
+}
+
+func (k *listKeeper) write(snap *snapshot.Snapshot) error {
+	k.writing.Lock()
+	defer k.writing.Unlock()
+	return k.store.Write(snap)
+}
+
+// final writes the list as the node ends in good order.
+func (k *listKeeper) final() {
+	if snap, _ := k.snap(true); snap != nil {
+		if err := k.write(snap); err != nil {
+			k.log.Error().Err(err).Msg("list not kept")
+		}
+	}
+}
+
+// snap is the list as it stands; nil while it is suspect, for writing it would make it look confirmed, or empty.
+func (k *listKeeper) snap(clean bool) (s *snapshot.Snapshot, lists int) {
+	k.mu.Lock()
+	suspect, revision := k.trust != nil, k.listed
+	k.mu.Unlock()
+	lines, from, heard, lists := k.fleet.Lines()
+	if suspect || len(lines) == 0 || from == roster.Saved {
+		return nil, lists
+	}
+	now, clock := time.Now(), k.fleet.Now()
+	wall := func(at time.Duration) int64 { return now.Add(at - clock).UnixMilli() }
+	s = &snapshot.Snapshot{Node: k.name, Deployment: k.cfg.Deployment, Written: now.UnixMilli(), Confirmed: wall(heard), Clean: clean, Revision: revision}
+	for _, l := range lines {
+		one := snapshot.Server{ID: l.ID, Up: l.Up, Condition: uint8(l.Condition), Zone: l.Zone, Flavor: l.Flavor, Cell: l.Cell, Size: l.Size,
+			From: uint8(l.From), Heard: wall(l.Heard)}
+		if !l.Used && l.Condition == life.Up { // taken out by a whole list, or by another at its address
+			one.Condition = uint8(life.Gone)
+		}
+		if l.Address.IsValid() {
+			one.Address = l.Address.String()
+		}
+		if l.HasRun {
+			one.Ran = wall(l.Ran)
+		}
+		s.Servers = append(s.Servers, one)
+	}
+	return s, lists
+}
--- /dev/null
+++ b/internal/serve/kept_test.go
@@ -0,0 +1,246 @@
+package serve
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/http1"
+	"fernvane/internal/life"
+	"fernvane/internal/snapshot"
+	"fernvane/internal/tomlfile"
+)
+
+// keptIn writes a list of servers as a node that has died kept it.
+func keptIn(t *testing.T, change func(*snapshot.Snapshot), servers ...snapshot.Server) *snapshot.Config {
+	t.Helper()
+	dir := t.TempDir()
+	store, err := snapshot.Open(dir, 3, bindlog.OS{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now().UnixMilli()
+	s := &snapshot.Snapshot{Node: "n", Deployment: "d", Written: now, Confirmed: now, Revision: 7, Servers: servers}
+	if change != nil {
+		change(s)
+	}
+	if err := store.Write(s); err != nil {
+		t.Fatal(err)
+	}
+	return &snapshot.Config{Dir: dir, Deployment: "d", Every: tomlfile.Span(20 * time.Millisecond), Keep: 3, Oldest: tomlfile.Span(time.Hour)}
+}
+
+// asked is a stand-in server that counts what comes, by the first part of the path.
+type asked struct {
+	mu sync.Mutex
+	n  map[string]int
+	at netip.AddrPort
+}
+
+func (a *asked) count(kind string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.n[kind]
+}
+
+func counting(t *testing.T, fields string) *asked {
+	a := &asked{n: map[string]int{}}
+	a.at = standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		var r http1.Request
+		for c := http1.NewConn(nc); c.ReadRequest(&r) == nil; {
+			a.mu.Lock()
+			a.n[strings.Split(string(r.Target), "/")[1]]++
+			a.mu.Unlock()
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", fields)
+		}
+	})
+	return a
+}
+
+func (a *asked) server(id string, c life.Condition) snapshot.Server {
+	return snapshot.Server{ID: id, Condition: uint8(c), Address: a.at.String(), Size: 1}
+}
+
+// crowd asks several times at once, so that one server is not enough.
+func crowd(t *testing.T, at string) {
+	t.Helper()
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			nc, err := net.Dial("tcp", at)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			fmt.Fprintf(nc, "GET /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n", ids.Add(1))
+			http1.NewConn(nc).ReadResponse(&http1.Response{}, http1.MaxAnswer)
+		})
+	}
+	all.Wait()
+}
+
+func booking(t *testing.T, at string) int {
+	c := dial(t, at)
+	defer c.Close()
+	fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nRequest-Id: %d\r\n\r\n", ids.Add(1))
+	r := reply(t, c)
+	return r.Status
+}
+
+// A node starts on its own old list, with its source out of reach: what was told to drain gets nothing, what must not run
+// twice goes only to a server that has shown that it serves, and a server that says that it is another gets nothing more.
+func TestStartFromDisk(t *testing.T) {
+	t.Parallel()
+	up, drained, other := counting(t, ""), counting(t, ""), counting(t, "Server-Id: else\r\n")
+	cfg := config()
+	cfg.Snapshot = keptIn(t, func(s *snapshot.Snapshot) { s.Confirmed -= (10 * time.Minute).Milliseconds() },
+		up.server("up", life.Up), drained.server("drained", life.Draining), drained.server("gone", life.Gone), other.server("other", life.Up))
+	at, stop := startNode(t, cfg)
+	if status := booking(t, at); status != 503 || up.count("book")+other.count("book") > 0 {
+		t.Errorf("a booking before any server is proved is answered %d", status)
+	}
+	for up.count("check") == 0 || other.count("check") == 0 {
+		crowd(t, at)
+	}
+	for booking(t, at) != 200 { // until the node has looked at the answer
+	}
+	seen := other.count("check")
+	for range 8 {
+		crowd(t, at)
+		booking(t, at)
+	}
+	if other.count("check") > seen+8 || other.count("book") > 0 || drained.count("check")+drained.count("book") > 0 {
+		t.Errorf("another server got %d checks and %d bookings, drained ones %d and %d", other.count("check")-seen, other.count("book"),
+			drained.count("check"), drained.count("book"))
+	}
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+	store, _ := snapshot.Open(cfg.Snapshot.Dir, 3, bindlog.OS{})
+	if all, _ := store.All(); len(all) != 1 { // it was never confirmed, so writing it would make it look new
+		t.Errorf("%d generations", len(all))
+	}
+}
+
+// Which kept lists are not used, and that the node starts all the same.
+func TestKeptListNotUsed(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		change func(*snapshot.Snapshot)
+		known  uint64 // revision of a list that the configuration brings; 0: none
+		used   bool
+	}{
+		"good":               {nil, 0, true},
+		"another deployment": {func(s *snapshot.Snapshot) { s.Deployment = "e" }, 0, false},
+		"another node":       {func(s *snapshot.Snapshot) { s.Node = "m" }, 0, false},
+		"too old":            {func(s *snapshot.Snapshot) { s.Confirmed -= (2 * time.Hour).Milliseconds() }, 0, false},
+		"from ahead":         {func(s *snapshot.Snapshot) { s.Confirmed += (2 * time.Hour).Milliseconds() }, 0, true},
+		"a newer one known":  {nil, 8, false},
+		"an older one known": {nil, 6, true},
+		"no address":         {func(s *snapshot.Snapshot) { s.Servers[0].Address = "" }, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := counting(t, "")
+			cfg := config()
+			cfg.Snapshot = keptIn(t, c.change, server.server("s", life.Up))
+			if c.known > 0 {
+				cfg.Known = http1.List{Revision: c.known, Hosts: []http1.Host{{ID: "gone", Phase: http1.Deleted}}}
+			}
+			at, _ := startNode(t, cfg)
+			if status := ask1(t, dial(t, at), "/check/1").Status; (status == 200) != c.used {
+				t.Errorf("answered %d", status)
+			}
+		})
+	}
+}
+
+// What discovery tells first: changes hold for the kept list, which is over with them; a whole list that lacks those who
+// answer is not believed at once. What was confirmed is written, the last time in good order.
+func TestKeptListConfirmed(t *testing.T) {
+	t.Parallel()
+	one, two := counting(t, ""), counting(t, "")
+	lists := make(chan string, 4)
+	line := func(id string, a *asked, phase string) string {
+		return fmt.Sprintf(`{"id":%q,"host_port":%q,"phase":%q,"size":1}`, id, a.at, phase)
+	}
+	cfg := config()
+	cfg.Snapshot = keptIn(t, func(s *snapshot.Snapshot) { s.Confirmed -= (10 * time.Minute).Milliseconds() },
+		one.server("one", life.Up), two.server("two", life.Up), one.server("old", life.Draining))
+	cfg.Discovery = standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		var r http1.Request
+		for c := http1.NewConn(nc); c.ReadRequest(&r) == nil; {
+			body, ok := <-lists
+			if !ok {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	t.Cleanup(func() { close(lists) })
+	at, stop := startNode(t, cfg)
+	for one.count("check") == 0 || two.count("check") == 0 {
+		crowd(t, at)
+	}
+	for booking(t, at) != 200 {
+	}
+	lists <- `{"revision":9,"complete":true,"members":[]}` // a source that has lost its mind
+	lists <- `{"revision":9,"complete":false,"members":[` + line("two", two, "DRAINING") + `]}`
+	store, _ := snapshot.Open(cfg.Snapshot.Dir, 3, bindlog.OS{})
+	var got *snapshot.Snapshot
+	for got == nil || got.Revision != 9 { // until what was told is on disk
+		time.Sleep(5 * time.Millisecond)
+		got, _, _ = store.Newest()
+	}
+	before := two.count("check")
+	for range 20 {
+		if status := ask1(t, dial(t, at), "/check/1").Status; status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	if two.count("check") > before {
+		t.Error("one that was told to drain is used")
+	}
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+	got, _, _ = store.Newest()
+	states := map[string]uint8{}
+	for _, s := range got.Servers {
+		states[s.ID] = s.Condition
+	}
+	if !got.Clean || got.Node != "n" || fmt.Sprint(states) != "map[old:1 one:0 two:1]" || got.Servers[1].Ran == 0 || time.Since(time.UnixMilli(got.Confirmed)) > time.Minute {
+		t.Errorf("kept in the end: %+v", got)
+	}
+}
+
+// A disk that takes nothing costs the list only.
+func TestListNotKept(t *testing.T) {
+	t.Parallel()
+	hosts, _ := servers(t, 1, whole)
+	cfg := config(hosts...)
+	cfg.Snapshot = &snapshot.Config{Dir: t.TempDir(), Deployment: "d", Every: tomlfile.Span(time.Millisecond), Keep: 2, Oldest: tomlfile.Span(time.Hour)}
+	cfg.Disk = noDisk{}
+	at, stop := startNode(t, cfg)
+	for range 20 {
+		if status := ask1(t, dial(t, at), "/check/1").Status; status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+type noDisk struct{ bindlog.OS }
+
+func (noDisk) Create(string) (bindlog.File, error) { return nil, io.ErrShortWrite }
--- a/internal/serve/planners.go
+++ b/internal/serve/planners.go
@@ -41,6 +41,7 @@
 	cfg   *plancfg.Forwarder
 	name  string
 	fleet *fleet.Fleet
+	kept  *listKeeper // nil: no list is kept on disk
 	log   zerolog.Logger
 
 	mu      sync.Mutex // never held over a socket; may be held while the fleet's lock is taken
@@ -265,6 +266,9 @@
 	for _, err := range l.Skipped {
 		p.log.Warn().Err(err).Msg("list entry skipped")
 	}
+	if p.kept != nil {
+		l, _ = p.kept.believe(l, roster.Planners)
+	}
 	p.fleet.Listed(l, roster.Planners)
 }
 
--- a/internal/serve/registry.go
+++ b/internal/serve/registry.go
@@ -17,6 +17,9 @@
 			l := watch.List(changed)
 			l.Complete = first // what the saved list has beside has gone meanwhile
 			s.skipped(l)
+			if s.kept != nil {
+				l, _ = s.kept.believe(l, roster.Registry) // the registry's own roster doubts what it must
+			}
 			s.fleet.Listed(l, roster.Registry)
 			s.log.Info().Int("entries", len(changed)).Msg("list told")
 		},
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -38,8 +38,9 @@
 	log       zerolog.Logger
 	fleet     *fleet.Fleet
 	discovery atomic.Pointer[watch.Place]
-	planners  *planners // nil: there are none
-	journal   *journal  // nil: none is kept
+	planners  *planners   // nil: there are none
+	journal   *journal    // nil: none is kept
+	kept      *listKeeper // nil: no list of servers is kept on disk
 	dialer    net.Dialer
 	draining  atomic.Bool    // answers end their connections
 	closing   atomic.Bool    // listening ends as soon as no connection comes
@@ -93,6 +94,15 @@
 	if cfg.Routes != nil {
 		s.fleet.Reroute(cfg.Routes)
 	}
+	if cfg.Snapshot != nil {
+		var err error
+		if s.kept, err = newKept(cfg, s.fleet, log); err != nil {
+			return err
+		}
+	}
+	if s.planners != nil {
+		s.planners.kept = s.kept
+	}
 	s.known()
 	log.Info().Str("node", cfg.Name).Stringer("listen", cfg.Listen).Int("connections", cfg.Limits.Connections()).
 		Int("servers", len(cfg.Known.Hosts)).Msg("serving")
@@ -108,6 +118,10 @@
 	if s.planners != nil {
 		g.Go(func() error { return s.planners.run(ctx) })
 	}
+	if s.kept != nil {
+		g.Go(func() error { return s.kept.run(ctx) })
+		g.Go(func() error { return s.kept.keep(ctx) })
+	}
 	g.Go(func() error { return s.report(ctx) })
 	g.Go(func() error { return s.reload(ctx, tell.Reload) })
 	g.Go(func() error {
@@ -121,6 +135,9 @@
 			return err
 		}
 		s.finish()
+		if s.kept != nil {
+			s.kept.final()
+		}
 		return nil
 	})
 	g.Go(func() error {
@@ -139,11 +156,17 @@
 	if s.cfg.KnownErr != nil {
 		s.log.Warn().Err(s.cfg.KnownErr).Msg("saved list unreadable")
 	}
+	suspect := false
+	if s.kept != nil {
+		s.cfg.Known, suspect = s.kept.start(s.cfg.Known)
+	}
 	s.skipped(s.cfg.Known)
 	if s.planners != nil {
 		s.planners.saved(s.cfg.Known)
 	}
-	s.fleet.Listed(s.cfg.Known, roster.Saved)
+	if !suspect {
+		s.fleet.Listed(s.cfg.Known, roster.Saved)
+	}
 }
 
 func (s *Server) skipped(l http1.List) {
--- /dev/null
+++ b/internal/snapshot/config.go
@@ -0,0 +1,48 @@
+// Package snapshot keeps a node's list of servers on disk over its death: generations of one file, each whole or not
+// there, of which the newest whole one is read. How far it is to be believed is decided in trust.
+package snapshot
+
+import (
+	"os"
+	"time"
+
+	"fernvane/internal/tomlfile"
+)
+
+// Config is an operator's file of the snapshot.
+type Config struct {
+	Dir        string        `toml:"dir"`
+	Deployment string        `toml:"deployment"` // a list of another one is refused
+	Every      tomlfile.Span `toml:"every"`      // least time between two generations
+	Keep       int           `toml:"keep"`       // generations
+	Oldest     tomlfile.Span `toml:"oldest"`     // a list that was confirmed so long ago is not used at all
+}
+
+// Load reads the file; each fault is named by file and line.
+func Load(path string) (*Config, error) {
+	text, err := tomlfile.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Every: tomlfile.Span(2 * time.Second), Keep: 3, Oldest: tomlfile.Span(7 * 24 * time.Hour)}
+	f, err := tomlfile.Parse(path, text, c)
+	if err != nil {
+		return nil, err
+	}
+	if st, err := os.Stat(c.Dir); c.Dir == "" || err != nil || !st.IsDir() {
+		f.Wrong("dir", "dir %q is no folder that is there", c.Dir)
+	}
+	if c.Deployment == "" {
+		f.Wrong("deployment", "deployment is not named: a list of another one must not be taken for this one's")
+	}
+	if c.Every.D() < 100*time.Millisecond || c.Every.D() > time.Hour {
+		f.Wrong("every", "every %s: from 100ms to 1h", c.Every.D())
+	}
+	if c.Keep < 2 || c.Keep > 100 {
+		f.Wrong("keep", "keep %d: from 2 to 100 generations, so that one that is spoilt leaves another", c.Keep)
+	}
+	if c.Oldest.D() < time.Minute {
+		f.Wrong("oldest", "oldest %s: a minute at least", c.Oldest.D())
+	}
+	return c, f.Err()
+}
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,113 @@
+package snapshot
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	magic       = "FVLIST"
+	version     = 1
+	headLen     = len(magic) + 2 + 4 + 4
+	bodyMost    = 16 << 20 // bytes
+	serversMost = 10_000
+)
+
+// Snapshot is a list of servers with what is known of its age. Times are Unix time in ms by the node's clock.
+type Snapshot struct {
+	_ struct{} `cbor:",toarray"`
+
+	Node       string // whose it is
+	Deployment string
+	Written    int64
+	Confirmed  int64  // when a source last told of servers, or that there is nothing new
+	Clean      bool   // written as the node ended in good order
+	Revision   uint64 // of the source, for going on from there
+	Servers    []Server
+}
+
+// Server is one of them.
+type Server struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID        string
+	Up        int64 // when it started; 0: not told
+	Condition uint8 // as life.Condition
+	Address   string
+	Zone      string
+	Flavor    string
+	Cell      int
+	Size      float64
+	From      uint8 // as roster.Source
+	Heard     int64
+	Ran       int64 // when it last answered this node with something that it had run; 0: never
+}
+
+// Reasons for which a file is no snapshot to go by.
+var (
+	ErrSpoilt = errors.New("it is not whole")
+	ErrNewer  = errors.New("it is of a newer version of this program")
+)
+
+// Encode writes one.
+func Encode(s *Snapshot) ([]byte, error) {
+	if len(s.Servers) > serversMost {
+		return nil, fmt.Errorf("%d servers: %d at most", len(s.Servers), serversMost)
+	}
+	body, err := cbor.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	b := append([]byte(magic), 0, version)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(body)))
+	b = binary.LittleEndian.AppendUint32(b, checksum(b, body))
+	return append(b, body...), nil
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// checksum is over the head before it and the body.
+func checksum(head, body []byte) uint32 {
+	return crc32.Update(crc32.Update(0, castagnoli, head), castagnoli, body)
+}
+
+var modes = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: serversMost, MaxNestedLevels: 4, MaxMapPairs: 16}.DecMode()
+	if err != nil {
+		panic(err) // options of this file
+	}
+	return m
+}()
+
+// Decode reads one.
+func Decode(b []byte) (*Snapshot, error) {
+	if len(b) < headLen || string(b[:len(magic)]) != magic {
+		return nil, ErrSpoilt
+	}
+	if v := binary.BigEndian.Uint16(b[len(magic):]); v > version {
+		return nil, ErrNewer
+	} else if v == 0 {
+		return nil, ErrSpoilt
+	}
+	head, body := b[:headLen-4], b[headLen:]
+	if n := binary.LittleEndian.Uint32(head[len(head)-4:]); n > bodyMost || int(n) != len(body) ||
+		checksum(head, body) != binary.LittleEndian.Uint32(b[headLen-4:]) {
+		return nil, ErrSpoilt
+	}
+	s := &Snapshot{}
+	if err := modes.Unmarshal(body, s); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrSpoilt, err)
+	}
+	seen := make(map[string]bool, len(s.Servers))
+	for _, one := range s.Servers {
+		if one.ID == "" || seen[one.ID] {
+			return nil, fmt.Errorf("%w: server %.40q is named twice, or not at all", ErrSpoilt, one.ID)
+		}
+		seen[one.ID] = true
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,157 @@
+package snapshot
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/standin/disk"
+)
+
+func of(n int64) *Snapshot {
+	return &Snapshot{Node: "n", Deployment: "d", Written: n, Confirmed: n - 1, Revision: uint64(n),
+		Servers: []Server{{ID: "a", Up: n, Address: "127.0.0.1:1", Zone: "north", Size: 1, Heard: n, Ran: n}, {ID: "b", Condition: 1}}}
+}
+
+// What is written is read again; what is spoilt, of a newer version or not a list at all is told.
+func TestDecode(t *testing.T) {
+	good, err := Encode(of(7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Decode(good)
+	if err != nil || s.Written != 7 || len(s.Servers) != 2 || s.Servers[0] != of(7).Servers[0] {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	twice, _ := Encode(&Snapshot{Servers: []Server{{ID: "a"}, {ID: "a"}}})
+	newer := bytes.Clone(good)
+	newer[len(magic)+1]++
+	flipped := bytes.Clone(good)
+	flipped[len(flipped)-3] ^= 1
+	for name, c := range map[string]struct {
+		text []byte
+		want error
+	}{
+		"nothing": {nil, ErrSpoilt}, "noise": {[]byte(strings.Repeat("x", 99)), ErrSpoilt}, "cut off": {good[:len(good)-1], ErrSpoilt},
+		"longer": {append(bytes.Clone(good), 0), ErrSpoilt}, "a bit": {flipped, ErrSpoilt}, "newer": {newer, ErrNewer}, "named twice": {twice, ErrSpoilt},
+	} {
+		if _, err := Decode(c.text); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := Encode(&Snapshot{Servers: make([]Server, serversMost+1)}); err == nil {
+		t.Error("too many servers are taken")
+	}
+}
+
+// Whatever a file holds, reading it neither fails the program nor gives a list that was not written.
+func FuzzDecode(f *testing.F) {
+	good, _ := Encode(of(7))
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Decode(b)
+		if (s == nil) != (err != nil) {
+			t.Fatal(s, err)
+		}
+		if s != nil {
+			if again, err := Encode(s); err != nil || len(again) > len(b)+64 {
+				t.Fatalf("%d bytes make %d, %v", len(b), len(again), err)
+			}
+		}
+	})
+}
+
+// The machine dies at each step of writing, or the disk fails there: what is read afterwards is the newest whole
+// generation, this one or the one before, and writing goes on.
+func TestDeathAtEachStep(t *testing.T) {
+	chance := rand.New(rand.NewPCG(1, 2))
+	for _, trouble := range []disk.Trouble{disk.Dead, disk.Short, disk.Full, disk.Lying} {
+		for step := 1; step <= 12; step++ {
+			name := fmt.Sprintf("trouble %d at step %d", trouble, step)
+			d := disk.New()
+			s, err := Open("dir", 2, d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := int64(1); i <= 3; i++ {
+				if err := s.Write(of(i)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			from := d.Ops()
+			d.Meet = func(n int) disk.Trouble {
+				if n == from+step {
+					return trouble
+				}
+				return disk.None
+			}
+			last := int64(3)
+			for i := int64(4); i <= 6; i++ { // two whole writes are more than twelve steps
+				if s.Write(of(i)) == nil {
+					last = i
+				} else if trouble == disk.Dead {
+					break
+				}
+			}
+			d.Meet = func(int) disk.Trouble { return disk.None }
+			if trouble == disk.Dead {
+				d.Crash(chance)
+			}
+			again, err := Open("dir", 2, d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, _, err := again.Newest()
+			if err != nil || got == nil || got.Written < last || got.Written > last+1 {
+				t.Fatalf("%s: %+v after %d, %v", name, got, last, err)
+			}
+			if err := again.Write(of(9)); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if got, _, _ := again.Newest(); got == nil || got.Written != 9 {
+				t.Fatalf("%s: not written on: %+v", name, got)
+			}
+			if files, _ := d.List("dir"); len(files) != 2 {
+				t.Errorf("%s: %v are left", name, files)
+			}
+		}
+	}
+}
+
+// A spoilt generation is passed over and named; one of a newer version ends the search.
+func TestNewest(t *testing.T) {
+	dir := t.TempDir()
+	s, err := Open(dir, 3, bindlog.OS{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range int64(5) {
+		if err := s.Write(of(i + 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	files, _ := filepath.Glob(filepath.Join(dir, "*"))
+	if len(files) != 3 {
+		t.Fatalf("%v", files)
+	}
+	spoil := func(path string, do func(b []byte)) {
+		b, _ := os.ReadFile(path)
+		do(b)
+		os.WriteFile(path, b, 0o600)
+	}
+	spoil(files[2], func(b []byte) { b[len(b)-1] ^= 1 })
+	got, faults, err := s.Newest()
+	if err != nil || got == nil || got.Written != 4 || len(faults) != 1 || !strings.Contains(faults[0].Error(), files[2]) {
+		t.Errorf("%+v, %v, %v", got, faults, err)
+	}
+	spoil(files[1], func(b []byte) { b[len(magic)+1] = version + 1 })
+	if got, faults, _ := s.Newest(); got != nil || len(faults) != 2 {
+		t.Errorf("what lies behind a newer version is used: %+v, %v", got, faults)
+	}
+}
--- a/internal/standin/disk/disk.go
+++ b/internal/standin/disk/disk.go
@@ -45,7 +45,8 @@
 	disk   *Disk
 	text   []byte
 	synced int
-	entry  bool // the folder's own entry lasts
+	entry  bool   // the folder's own entry lasts
+	was    string // the name that lasts, of one that has got another since
 }
 
 // New is an empty disk without trouble.
@@ -127,6 +128,25 @@
 	return nil
 }
 
+// Rename gives a file another name, which lasts with the folder's next sync; until then the one before may come back.
+func (d *Disk) Rename(path, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[path]
+	if f == nil {
+		return os.ErrNotExist
+	}
+	if d.meet() != None {
+		return ErrDisk
+	}
+	if f.entry {
+		f.was, f.entry = path, false
+	}
+	delete(d.files, path)
+	d.files[to] = f
+	return nil
+}
+
 // SyncDir makes the entries last.
 func (d *Disk) SyncDir(string) error {
 	d.mu.Lock()
@@ -135,7 +155,7 @@
 		return ErrDisk
 	}
 	for _, f := range d.files {
-		f.entry = true
+		f.entry, f.was = true, ""
 	}
 	return nil
 }
@@ -177,8 +197,10 @@
 	d.dead = false
 	for path, f := range d.files {
 		if !f.entry {
-			delete(d.files, path)
-			continue
+			if delete(d.files, path); f.was == "" {
+				continue
+			}
+			d.files[f.was], f.entry, f.was = f, true, ""
 		}
 		f.text = f.text[:f.synced+chance.IntN(len(f.text)-f.synced+1)]
 		f.synced = len(f.text)
--- /dev/null
+++ b/internal/trust/trust_test.go
@@ -0,0 +1,173 @@
+package trust
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func many(n int) (all []Server) {
+	for i := range n {
+		all = append(all, Server{ID: fmt.Sprint("s", i), Up: true})
+	}
+	return all
+}
+
+// How suspicious a list is, and how many of 40 servers it has tried at first.
+func TestGrades(t *testing.T) {
+	for name, c := range map[string]struct {
+		known  Known
+		grade  int
+		trials int
+	}{
+		"just now":             {Known{time.Second, true}, 0, 40},
+		"just now, a crash":    {Known{time.Second, false}, 1, 20},
+		"a minute":             {Known{time.Minute, true}, 1, 20},
+		"ten minutes":          {Known{10 * time.Minute, true}, 2, 10},
+		"ten minutes, a crash": {Known{10 * time.Minute, false}, 3, 4},
+		"hours":                {Known{3 * time.Hour, true}, 3, 4},
+		"a week":               {Known{7 * 24 * time.Hour, true}, 4, 2},
+		"a week, a crash":      {Known{7 * 24 * time.Hour, false}, 4, 2},
+		"clocks differ":        {Known{-time.Second, true}, 0, 40},
+		"from ahead":           {Known{-time.Hour, true}, 4, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := New(c.known, "n", many(40))
+			if all, changed := tr.Usable(); tr.Grade() != c.grade || len(all) != c.trials || !changed {
+				t.Errorf("grade %d, %d are tried", tr.Grade(), len(all))
+			}
+		})
+	}
+}
+
+// What happens at one server of a list of ten minutes, and how it stands then.
+func TestStandings(t *testing.T) {
+	const serve, turn, gone, other, wait = "serve", "turn", "gone", "other", "wait"
+	for name, c := range map[string]struct {
+		up    bool
+		steps []string
+		want  Standing
+	}{
+		"tried":                        {true, nil, Trial},
+		"told to drain before":         {false, nil, Barred},
+		"and answers all the same":     {false, []string{serve, wait}, Barred},
+		"serves":                       {true, []string{serve}, Proved},
+		"turns away":                   {true, []string{turn, turn}, Trial},
+		"serves, then turns away":      {true, []string{serve, turn}, Proved},
+		"nobody there":                 {true, []string{gone}, Doubted},
+		"and tried again":              {true, []string{gone, wait}, Trial},
+		"serves, one hop fails":        {true, []string{serve, gone}, Proved},
+		"serves, two fail":             {true, []string{serve, gone, gone}, Doubted},
+		"two, with an answer between":  {true, []string{serve, gone, serve, gone}, Proved},
+		"another is there":             {true, []string{other}, Barred},
+		"served, and now another does": {true, []string{serve, other, wait, serve}, Barred},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr, now := New(Known{10 * time.Minute, true}, "n", []Server{{ID: "a", Up: c.up}}), time.Duration(0)
+			for _, s := range c.steps {
+				switch s {
+				case serve:
+					tr.Served(now, "a")
+				case turn:
+					tr.TurnedAway(now, "a")
+				case gone:
+					tr.Away(now, "a")
+				case other:
+					tr.Another(now, "a")
+				case wait:
+					now += time.Minute
+					tr.Passed(now)
+				}
+			}
+			if got := tr.Standing("a"); got != c.want {
+				t.Errorf("it stands %d, not %d", got, c.want)
+			}
+		})
+	}
+}
+
+// A tier that starts together on one list does not fall on the same servers first.
+func TestNodesBeginApart(t *testing.T) {
+	first := map[string]int{}
+	for n := range 100 {
+		all, _ := New(Known{time.Hour, true}, fmt.Sprint("n", n), many(50)).Usable()
+		for _, u := range all {
+			first[u.ID]++
+		}
+	}
+	for id, n := range first { // 500 trials over 50 servers: 10 each
+		if n > 30 {
+			t.Errorf("%s is tried by %d of 100 nodes at first", id, n)
+		}
+	}
+	if len(first) < 45 {
+		t.Errorf("only %d of 50 are tried by anybody", len(first))
+	}
+}
+
+// Whatever happens: what was barred is never used, nothing is proved that has not served since the start, no more are on
+// trial than have been won, and in the end of a fleet that serves all are proved.
+func TestTrustHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Server
+		for i := range rapid.IntRange(1, 12).Draw(t, "servers") {
+			all = append(all, Server{ID: fmt.Sprint("s", i), Up: rapid.Bool().Draw(t, "up"), Served: rapid.Bool().Draw(t, "served")})
+		}
+		age := time.Duration(rapid.Int64Range(-1e12, 1e15).Draw(t, "age"))
+		tr, now := New(Known{age, rapid.Bool().Draw(t, "clean")}, "n", all), time.Duration(0)
+		ran, barred := map[string]bool{}, map[string]bool{}
+		most := tr.trials // that were ever allowed
+		for _, s := range all {
+			barred[s.ID] = !s.Up
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			id := all[rapid.IntRange(0, len(all)-1).Draw(t, "which")].ID
+			now += time.Duration(rapid.Int64Range(0, 3e9).Draw(t, "later"))
+			usable, _ := tr.Usable()
+			used := slices.ContainsFunc(usable, func(u Use) bool { return u.ID == id })
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				tr.Served(now, id)
+				ran[id] = ran[id] || used
+			case 1:
+				tr.TurnedAway(now, id)
+			case 2:
+				tr.Away(now, id)
+			case 3:
+				tr.Another(now, id)
+				barred[id] = true
+			default:
+				tr.Passed(now)
+			}
+			usable, _ = tr.Usable()
+			on := 0
+			for _, u := range usable {
+				if barred[u.ID] || u.Proved && !ran[u.ID] {
+					t.Fatalf("%s is used, barred %v, has run %v", u.ID, barred[u.ID], ran[u.ID])
+				}
+				if !u.Proved {
+					on++
+				}
+			}
+			if most = max(most, tr.trials); on > most || tr.trials < trialsFirst {
+				t.Fatalf("%d on trial, %d are allowed", on, tr.trials)
+			}
+		}
+		for range 200 {
+			now += time.Minute
+			tr.Passed(now)
+			usable, _ := tr.Usable()
+			for _, u := range usable {
+				tr.Served(now, u.ID)
+			}
+		}
+		for _, s := range all {
+			if want := map[bool]Standing{true: Barred, false: Proved}[barred[s.ID]]; tr.Standing(s.ID) != want {
+				t.Fatalf("%s ends as %d, not %d", s.ID, tr.Standing(s.ID), want)
+			}
+		}
+	})
+}
