--- a/cmd/fernvane/main_test.go
+++ b/cmd/fernvane/main_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"net"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -32,31 +32,41 @@
 // The reader of the log goes away and the configuration is to be read again; the node serves on, and ends with 0
 // when it is told to.
 func TestNodeOutlivesItsLogAndAReload(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	read, write, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	at := ln.Addr().String()
-	ln.Close()
+	read.Close()
+	at, cmd, ended := begin(t, write, "7")
+	write.Close()
+	cmd.Process.Signal(syscall.SIGHUP)
+	if r, err := http.Get("http://" + at + "/"); err != nil || r.StatusCode != http.StatusBadRequest { // a line for the log
+		t.Errorf("%v, %v", r, err)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// begin starts a node as a process of its own, with a list that it knows, and returns when it is up.
+func begin(t *testing.T, log io.Writer, known string, env ...string) (at string, cmd *exec.Cmd, ended chan error) {
+	t.Helper()
+	at = free(t)
 	path := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","known":7,"settings":{"limits":{"mostHops":1},"trafficTypes":
-		[{"name":"a","targetTime":5,"abandonTime":50,"idempotency":"safe"}]}}`, at)
+	text := fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","known":%s,"settings":{"granularity":1,
+		"limits":{"mostHops":1,"connectTimeout":2000,"connIdle":20000},
+		"trafficTypes":[{"name":"a","targetTime":5000,"abandonTime":9000,"idempotency":"safe"}]}}`, at, known)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	read, write, err := os.Pipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	read.Close()
-	cmd := exec.Command(os.Args[0], "serve", "-config", path)
-	cmd.Env = append(os.Environ(), "FERNVANE_TEST_COMMAND=1")
-	cmd.Stderr = write
+	cmd = exec.Command(os.Args[0], "serve", "-config", path)
+	cmd.Env = append(append(os.Environ(), "FERNVANE_TEST_COMMAND=1"), env...)
+	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	write.Close()
-	ended := make(chan error, 1)
+	ended = make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	for up := false; !up; {
 		select {
@@ -69,14 +79,7 @@
 			r.Body.Close()
 		}
 	}
-	cmd.Process.Signal(syscall.SIGHUP)
-	if r, err := http.Get("http://" + at + "/"); err != nil || r.StatusCode != http.StatusBadRequest { // a line for the log
-		t.Errorf("%v, %v", r, err)
-	}
-	cmd.Process.Signal(syscall.SIGTERM)
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	return at, cmd, ended
 }
 
 func TestRun(t *testing.T) {
--- a/cmd/fernvane/refused_test.go
+++ b/cmd/fernvane/refused_test.go
@@ -9,11 +9,9 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"runtime"
 	"syscall"
 	"testing"
-	"time"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -62,28 +60,9 @@
 		w.Write(large)
 	}))
 	defer server.Close()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	at := ln.Addr().String()
-	ln.Close()
-	path := filepath.Join(t.TempDir(), "config.json")
-	config := fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","known":{"revision":1,"complete":true,"members":[
-		{"id":"s","host_port":%q,"phase":"SERVING","size":1}]},"settings":{"granularity":1,"limits":{"mostHops":1,"connectTimeout":2000,"connIdle":20000},
-		"trafficTypes":[{"name":"a","targetTime":5000,"abandonTime":9000,"idempotency":"safe"}]}}`, at, server.Listener.Addr())
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	cmd := exec.Command(os.Args[0], "serve", "-config", path)
-	cmd.Env = append(os.Environ(), "FERNVANE_TEST_COMMAND=1", "FERNVANE_TEST_FORBID=1")
 	var log bytes.Buffer
-	cmd.Stderr = &log
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- cmd.Wait() }()
+	at, cmd, ended := begin(t, &log, fmt.Sprintf(`{"revision":1,"complete":true,"members":[{"id":"s","host_port":%q,"phase":"SERVING","size":1}]}`,
+		server.Listener.Addr()), "FERNVANE_TEST_FORBID=1")
 	ask := func(method, path string, id int) (status, n int) {
 		q, _ := http.NewRequest(method, "http://"+at+path, bytes.NewReader(large))
 		q.Header.Set("Request-Id", fmt.Sprint("forbid-", id))
@@ -95,17 +74,6 @@
 		b, _ := io.ReadAll(r.Body)
 		return r.StatusCode, len(b)
 	}
-	for by, up := time.Now().Add(time.Minute), false; !up; {
-		select {
-		case err := <-ended:
-			t.Fatalf("the node has ended: %v\n%s", err, log.String())
-		default:
-			status, _ := ask("GET", "/up", 0)
-			if up = status == 200; !up && time.Now().After(by) {
-				t.Fatal("the node does not come up")
-			}
-		}
-	}
 	for i := range 50 {
 		if status, n := ask("POST", "/a/b", 2*i+1); status != 200 || n != len(large) {
 			t.Fatalf("answered %d with %d bytes", status, n)
