--- a/internal/fleet/end.go
+++ b/internal/fleet/end.go
@@ -15,7 +15,7 @@
 	Unsent                // a new connection broke before the last byte was written
 	Stale                 // a kept one did; that says nothing of its server now
 	NoRoom                // no connection: this node had no descriptor left for it
-	NoTime                // the hop's time was up before the last byte was written
+	NoTime                // the hop's time was up before the last byte was written, or its server had left
 	CutOff                // broken or ended after the last byte, before the whole answer
 	Garbled               // the answer cannot be read
 	Silent                // written, and no whole answer within the hop's time
