--- a/cmd/fernvane/pages_test.go
+++ b/cmd/fernvane/pages_test.go
@@ -20,9 +20,11 @@
 // written finds commands in pages: a line of a block of code, a comment of an example file, or a span of code.
 var written = regexp.MustCompile("(?m)(?:^ {4}|^# +(?:Try it: +)?|`)((?:PROXY_CONFIG=config\\.json )?(?:bin/)?fernvane [^`#\n]+)")
 
-// free is an address on which nothing listens.
+// free is an address on which nothing listens, of the loopback range where no other process looks for one: between its
+// choice and its use a port of 127.0.0.1 may be dealt out to anybody's connection.
 func free(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.253.%d.%d:0", pid/250%250, pid%250+1))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/serve/cgi_test.go
+++ b/internal/serve/cgi_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -43,7 +44,9 @@
 
 func cgiNodeWith(t *testing.T, u unhurried, hosts ...http1.Host) (http, cgi string, stop func() error) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own: between its choice and its use a port of 127.0.0.1 may be dealt out to anybody's connection.
+	pid := os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.252.%d.%d:0", pid/250%250, pid%250+1))
 	if err != nil {
 		t.Fatal(err)
 	}
