Hops run on past the target time where a late answer still earns revenue

Lines: send, 'allow := max(o.target-p.now, ...)'. An operation whose hop is still out is not given up; nothing is parked.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,8 +50,9 @@
 			AllowancePerS float64
 		}
 		TrafficTypes []struct {
-			AbandonTime, TargetTime, Window, Revenue float64
-			Name, Idempotency, KeyScope              string
+			AbandonTime, TargetTime, Window float64
+			Revenue, TardyRevenue           float64
+			Name, Idempotency, KeyScope     string
 		}
 	}
 	if err := json.Unmarshal(object, &raw); err != nil {
@@ -83,7 +84,7 @@
 	}
 	for i, t := range raw.TrafficTypes {
 		tt := policy.TrafficType{TargetTime: Span(t.TargetTime), AbandonTime: Span(t.AbandonTime),
-			Window: Span(t.Window), Revenue: t.Revenue}
+			Window: Span(t.Window), Revenue: t.Revenue, LateRevenue: t.TardyRevenue}
 		if tt.TargetTime <= 0 {
 			return s, fmt.Errorf("traffic type %d has no target time", i)
 		}
--- a/policy/api.go
+++ b/policy/api.go
@@ -28,6 +28,7 @@
 	AbandonTime time.Duration
 	Window      time.Duration
 	Revenue     float64
+	LateRevenue float64 // the share of it that an answer after the target time still earns
 
 	// What a route may set beside. Zero leaves it to the settings and to the module.
 	HopTime    time.Duration // for one hop, so that time is left for another
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -507,7 +507,11 @@
 	if len(o.hops) > 0 {
 		p.retries[o.kind]--
 	}
-	allow := max(o.target-p.now, time.Millisecond)
+	until := o.target
+	if p.set.Types[o.kind].LateRevenue > 0 {
+		until = o.limit
+	}
+	allow := max(until-p.now, time.Millisecond)
 	if most := p.set.Types[o.kind].HopTime; most > 0 {
 		allow = min(allow, most)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -784,3 +784,23 @@
 		t.Error("two runs differ")
 	}
 }
+
+// A late answer that still earns something is waited for: a hop ends at the target time only where nothing is left to earn.
+func TestHopsRunOnForLateRevenue(t *testing.T) {
+	for name, c := range map[string]struct{ late, want float64 }{
+		"late answers earn nothing": {0, 0.39}, "late answers earn a share": {0.5, 1.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, func(s *Settings) { s.Types[2].LateRevenue = c.late })
+			op, got := r.arriveAt(time.Second, 2, 1500*ms)
+			if len(got) != 1 || math.Abs(got[0].For.Seconds()-c.want) > 0.001 {
+				t.Fatalf("sent %+v, want %.2f s", got, c.want)
+			}
+			if c.late > 0 {
+				if late := kinds(r.end(2*time.Second, op, 0, Success)); len(late) > 0 {
+					t.Errorf("a late answer did %v", late)
+				}
+			}
+		})
+	}
+}
