--- a/policy/policy.go
+++ b/policy/policy.go
@@ -488,8 +488,13 @@
 	p.deny(op)
 }
 
+// deny tells the client when to come back: within the time in which it can still be served, for one that has this
+// node only does not try elsewhere, and after the longest wait it would come too late; spread, not all at once.
 func (p *Policy) deny(op int) {
-	back := time.Duration(float64(p.set.MaxRetryIn) * (0.9 + 0.1*p.chance())) // not all at once
+	o, back := &p.ops[op], time.Duration(float64(p.set.MaxRetryIn)*(0.9+0.1*p.chance()))
+	if left := o.target - p.now - 2*p.usual[o.kind]; left > 0 && back > 0 {
+		back = min(back, time.Duration(float64(left)*(0.3+0.7*p.chance())))
+	}
 	p.emit(Effect{Kind: Deny, Op: op, For: back})
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -804,3 +804,26 @@
 		})
 	}
 }
+
+// A denied client that can only come back here is told a time within which it can still be served; else the longest.
+func TestDeniedClientsReturnInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		past, usual time.Duration // of the operation's target time, and the type's latency
+		least, most time.Duration
+	}{
+		"time is left":   {0, 50 * ms, 80 * ms, 290 * ms},
+		"none is left":   {350 * ms, 50 * ms, 900 * ms, time.Second},
+		"it takes long":  {0, 300 * ms, 900 * ms, time.Second},
+		"little is left": {250 * ms, 50 * ms, 10 * ms, 40 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, func(s *Settings) { s.MaxRetryIn = time.Second })
+			r.usual[0], r.now, r.effects = c.usual, time.Second+c.past, nil
+			r.Policy.ops = append(r.Policy.ops, operation{target: 1390 * ms, limit: 2 * time.Second})
+			r.deny(0)
+			if back := r.effects[0].For; back < c.least || back > c.most {
+				t.Errorf("told to come back in %s", back)
+			}
+		})
+	}
+}
