Turns go by what the list says of a server and by how slow its answers are

Lines: walk took each server that was not skipped, whatever its weight. Now each server earns a share of a turn, the root of its weight (list size, cold share, slowness); equal shares are the plain round robin.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -142,7 +142,7 @@
 	// Servers, in parallel arrays under their index.
 	ready, listed, cold, member []bool // member: taken in
 	rank, zone, cell            []int
-	scale, weight               []float64 // weight: scale, less while cold
+	scale, weight, due          []float64 // weight: scale, less while cold or slow; due: turns earned
 	labels                      []uint64
 	coldPace                    []float64 // hops a cold server may have now
 	inFlight                    []int
@@ -806,8 +806,10 @@
 	return false
 }
 
+// walk goes round the servers taken in and picks the one whose turn is due: each that is not skipped earns its
+// share of a turn, the most earned is next, in the order of the round. Equal shares are plain round robin.
 func (p *Policy) walk(o *operation, care int) bool {
-	n := len(p.pool)
+	n, best, earned := len(p.pool), -1, 0.0
 	for i := range n {
 		s := p.pool[(p.turn+i)%n]
 		switch {
@@ -816,11 +818,18 @@
 		case care > 1 && (p.nearPause(s) || p.crowded(s) || p.part[s] < 0):
 		case care > 2 && p.inFlight[s] > 0:
 		default:
-			p.turn, p.pick = (p.turn+i+1)%n, s
-			return true
+			share := math.Sqrt(p.weight[s])
+			earned += share
+			if p.due[s] += share; best < 0 || p.due[s] > p.due[p.pool[(p.turn+best)%n]]+1e-9 {
+				best = i
+			}
 		}
 	}
-	return false
+	if best >= 0 {
+		p.pick = p.pool[(p.turn+best)%n]
+		p.turn, p.due[p.pick] = (p.turn+best+1)%n, p.due[p.pick]-earned
+	}
+	return best >= 0
 }
 
 // join takes in the next server of the rotation that the operation may use. The first place is drawn
@@ -855,7 +864,7 @@
 
 func (p *Policy) take(s int) {
 	p.pool, p.member[s] = append(p.pool, s), true
-	p.slowness[s], p.ghosts[s] = 1, 0
+	p.slowness[s], p.ghosts[s], p.due[s] = 1, 0, 0
 	p.weigh()
 }
 
@@ -971,7 +980,7 @@
 	}
 	put(s, false, &p.ready, &p.listed, &p.cold, &p.member)
 	put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft)
-	put(s, 0.0, &p.coldPace, &p.ghosts, &p.part, &p.pace)
+	put(s, 0.0, &p.due, &p.coldPace, &p.ghosts, &p.part, &p.pace)
 	put(s, 1.0, &p.scale, &p.weight, &p.slowness)
 	put(s, 0, &p.labels)
 	put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.restUntil,
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -827,3 +827,36 @@
 		})
 	}
 }
+
+// Turns go by what the list says of a server and by how slow its answers are; equal servers take even turns.
+func TestTurnsFollowWhatServersCanDo(t *testing.T) {
+	for name, c := range map[string]struct {
+		scale, slowness [3]float64
+		want            [3]int // of 60 turns
+	}{
+		"equal":          {[3]float64{1, 1, 1}, [3]float64{1, 1, 1}, [3]int{20, 20, 20}},
+		"sizes":          {[3]float64{4, 1, 1}, [3]float64{1, 1, 1}, [3]int{30, 15, 15}},
+		"one is slow":    {[3]float64{1, 1, 1}, [3]float64{1, 1, 2}, [3]int{24, 24, 12}},
+		"all are slow":   {[3]float64{1, 1, 1}, [3]float64{3, 3, 3}, [3]int{20, 20, 20}},
+		"large but slow": {[3]float64{4, 1, 1}, [3]float64{2, 1, 1}, [3]int{20, 20, 20}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, nil).takeAll()
+			copy(r.scale, c.scale[:])
+			copy(r.slowness, c.slowness[:])
+			r.weigh()
+			var got [3]int
+			for range 60 {
+				if !r.walk(&operation{}, 2) {
+					t.Fatal("nobody's turn")
+				}
+				got[r.pick]++
+			}
+			for s := range got {
+				if d := got[s] - c.want[s]; d < -1 || d > 1 {
+					t.Errorf("turns %v, want %v", got, c.want)
+				}
+			}
+		})
+	}
+}
