--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	restServers  = 0.5                    // of the ready servers may rest: more would only load the others
 	restTypes    = 0.75                   // of the servers may rest for one type; the others still use them
 	softRun      = 5                      // hops declined or broken in a row; fewer may be chance
-	windowAim    = 0.15                   // of the target time left by unloaded latency, for waiting at servers
+	windowAim    = 0.1                    // of the target time left by unloaded latency, for waiting at servers; more lets them choke
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
 	baseSamples  = 20.0                   // answers before a type's latency is taken for known; chance evens out
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
