Of the servers whose turn is near, the one that all nodes rank first for the key takes it

Line: walk had no place for keys. Each node ranks servers for a key by a checksum alone, so nodes agree without a word; a server takes at most two turns more than its share, so turns stay even (test). Read from extra.warmKeys and, on sockets, from the field Affinity-Key; off by default.

--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -79,6 +79,7 @@
 type Arrival struct {
 	ID     []byte
 	Tenant []byte
+	Key    []byte     // of what it is about
 	Routes *route.Set // that it was matched with
 	Route  int        // -1: none
 	Kind   int
@@ -117,7 +118,8 @@
 	o := &Operation{f: f, id: f.lastOp, name: string(a.ID), base: a.Kind, grant: grant, ready: make(chan struct{}, 1), copying: a.Copying}
 	f.ops[o.id], f.open[o.name] = o, true
 	f.digests.arrived(a.Kind, t)
-	f.door.Arrive(now, o.id, policy.Input{Type: grant.Kind, Room: grant.Room, Tenant: t, Budget: a.Budget}, (*hands)(f))
+	f.door.Arrive(now, o.id, policy.Input{Type: grant.Kind, Room: grant.Room, Tenant: t,
+		Key: policy.KeyOf(a.Key), Budget: a.Budget}, (*hands)(f))
 	return o, nil
 }
 
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -92,11 +92,14 @@
 	}
 }
 
+// affinityKey is the field that tells what an operation is about.
+const affinityKey = "Affinity-Key"
+
 // take finds the operation's route and hands it over. A reload that comes between has it matched again, so that route
 // and figures are always of one file.
 func (s *Server) take(o *message.Operation, req *message.Request, came time.Time, f front) (*fleet.Operation, *kept, error) {
 	for {
-		a := fleet.Arrival{ID: o.ID, Tenant: o.Tenant, Routes: s.fleet.Routes(), Route: -1, Kind: -1}
+		a := fleet.Arrival{ID: o.ID, Tenant: o.Tenant, Key: req.Get(affinityKey), Routes: s.fleet.Routes(), Route: -1, Kind: -1}
 		if kind, known := s.fleet.Type(o.Type); known {
 			a.Kind = kind
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,7 @@
 		Granularity    float64
 		Discovery      string
 		OverageRevenue float64
+		Extra          struct{ WarmKeys bool }
 		Dcs            []string
 		Limits         struct {
 			ConnIdle       float64
@@ -65,6 +66,7 @@
 		OnRequest:      raw.Discovery == "on_request",
 		MostHops:       raw.Limits.MostHops,
 		Copies:         raw.Limits.SecondCopies,
+		WarmKeys:       raw.Extra.WarmKeys,
 		ConnectTimeout: Span(raw.Limits.ConnectTimeout),
 		AskWithin:      Span(raw.Rules.AskWithin), ColdFor: Span(raw.Rules.Cold),
 		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -48,6 +48,7 @@
 	Hop      int
 	Type     int
 	Tenant   int
+	Key      uint32
 	Budget   time.Duration
 	Spent    time.Duration
 	Outcome  policy.Outcome
@@ -248,6 +249,8 @@
 		e.Kind, e.Job = Arrival, p.job()
 		e.Type, e.Tenant = p.int("service", false), p.int("project", false)
 		e.Budget = p.span("timeBudget", true)
+		subject, _ := p.find("subject")
+		e.Key = policy.KeyOf(subject)
 	case "verdict":
 		e.Kind, e.Job, e.Server, e.Hop = Verdict, p.job(), p.server(), p.int("n", false)
 		e.Outcome, e.Spent = p.outcome(), p.span("spent", false)
--- a/policy/api.go
+++ b/policy/api.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"hash/crc32"
+	"time"
+)
 
 // Repeat says what may be done with an operation that may already have run.
 type Repeat uint8
@@ -43,6 +46,14 @@
 	ShedMost   float64       // of the type that may be denied by chance
 }
 
+// KeyOf makes the number of a key, the same at every node; 0 is none.
+func KeyOf(key []byte) uint32 {
+	if len(key) == 0 {
+		return 0
+	}
+	return max(crc32.ChecksumIEEE(key), 1)
+}
+
 // Outcomes is a set of them, a bit for each.
 type Outcomes uint16
 
@@ -59,6 +70,7 @@
 	OverageRevenue float64
 	OnRequest      bool // the server list must be asked for
 	MostHops       int
+	WarmKeys       bool          // servers that met a key lately do less work for it
 	Copies         bool          // two hops of one operation may be out together
 	MaxRetryIn     time.Duration // 0 when clients are not told when to return
 	AskWithin      time.Duration
@@ -137,7 +149,8 @@
 	Server  int
 	Type    int
 	Tenant  int
-	Room    int // of its route; 0: none
+	Room    int    // of its route; 0: none
+	Key     uint32 // of what it is about, see KeyOf; 0: none
 	Budget  time.Duration
 	Outcome Outcome
 	Spent   time.Duration
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,6 +21,7 @@
 	forecastWindow    = 4               // onsets in a fit; more would outlast the troubles seen
 	spikeFactor       = 4.0             // times smoothed latency; the tail of usual work stays below
 	spikeRun          = 2               // hops in a run that counts as a pause
+	turnsAhead        = 2.0             // that a server may take to meet a key again; turns stay even over all
 	crowdFactor       = 1.0             // times the mean in flight; with few hops a node, the mean is the signal
 
 	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
@@ -116,6 +117,7 @@
 type operation struct {
 	state              state
 	kind, room, bucket int
+	key                uint32
 	target             time.Duration // answers after this are worth nothing
 	limit              time.Duration // the client is gone
 	came               time.Duration
@@ -315,9 +317,13 @@
 
 // chance draws a number in [0, 1).
 func (p *Policy) chance() float64 {
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], uint64(p.draws)<<32|uint64(p.seed))
 	p.draws++
+	return hashed(p.seed, p.draws-1)
+}
+
+func hashed(low, high uint32) float64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(high)<<32|uint64(low))
 	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
 }
 
@@ -333,8 +339,11 @@
 	}
 	t := &p.set.Types[in.Type]
 	o := &p.ops[in.Op]
-	*o = operation{kind: in.Type, room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1, came: p.now,
+	*o = operation{kind: in.Type, key: in.Key, room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1, came: p.now,
 		limit: p.now + in.Budget, target: p.now + min(t.TargetTime-2*p.set.Tick, in.Budget)}
+	if !p.set.WarmKeys {
+		o.key = 0
+	}
 	if in.Tenant < len(p.tenants) {
 		p.tenants[in.Tenant] += 1 / rateSpan.Seconds()
 		within := p.fair(in.Tenant) / p.tenants[in.Tenant]
@@ -806,10 +815,11 @@
 	return false
 }
 
-// walk goes round the servers taken in and picks the one whose turn is due: each that is not skipped earns its
-// share of a turn, the most earned is next, in the order of the round. Equal shares are plain round robin.
+// walk goes round the servers taken in. Each that is not skipped earns its share of a turn, and the most due is
+// next, in the order of the round: equal shares are plain round robin. Where servers remember keys, of those whose
+// turn is near the one that every node ranks first for the key takes it, so that nodes agree without a word.
 func (p *Policy) walk(o *operation, care int) bool {
-	n, best, earned := len(p.pool), -1, 0.0
+	n, best, most, earned := len(p.pool), -1, 0.0, 0.0
 	for i := range n {
 		s := p.pool[(p.turn+i)%n]
 		switch {
@@ -820,8 +830,13 @@
 		default:
 			share := math.Sqrt(p.weight[s])
 			earned += share
-			if p.due[s] += share; best < 0 || p.due[s] > p.due[p.pool[(p.turn+best)%n]]+1e-9 {
-				best = i
+			p.due[s] += share
+			first := p.due[s]
+			if o.key != 0 && first >= -turnsAhead*share {
+				first = math.MaxInt16 + hashed(o.key*uint32(p.rank[s]|1), 0)
+			}
+			if best < 0 || first > most+1e-9 { // what differs by less is rounding
+				best, most = i, first
 			}
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -860,3 +860,48 @@
 		})
 	}
 }
+
+// Nodes agree on who takes a key, without a word, and turns stay even; where servers remember no keys nothing changes.
+func TestKeysMeetTheSameServer(t *testing.T) {
+	const servers, each = 5, 40
+	for name, c := range map[string]struct {
+		warm bool
+		keys uint32
+		same float64 // at least, or else at most, of the operations with a key go where the other node sends it
+	}{
+		"remembered":     {true, 200, 0.45},
+		"one key alone":  {true, 1, 0},
+		"not remembered": {false, 200, 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var met [2][]int
+			for me := range met {
+				r := newRig(t, servers, func(s *Settings) { s.WarmKeys, s.Me = c.warm, me }).takeAll()
+				r.turn, r.need, r.grown = 2*me, servers, 1000
+				turns := make([]int, servers)
+				for i := range uint32(servers * each) {
+					r.ops++
+					r.at(r.now, Input{Kind: Arrival, Op: r.ops - 1, Key: 1 + i%c.keys*7919, Budget: time.Second})
+					s := r.operation(r.ops - 1).hops[0].server
+					met[me] = append(met[me], s)
+					turns[s]++
+					r.end(r.now, r.ops-1, 0, Success)
+				}
+				for s, n := range turns {
+					if n < each-servers*turnsAhead || n > each+servers*turnsAhead {
+						t.Errorf("server %d had %d turns of %d: %v", s, n, each, turns)
+					}
+				}
+			}
+			same := 0.0
+			for i := range met[0] {
+				if met[0][i] == met[1][i] {
+					same += 1 / float64(len(met[0]))
+				}
+			}
+			if c.warm && same < c.same || !c.warm && same > c.same {
+				t.Errorf("%.2f alike", same)
+			}
+		})
+	}
+}
