--- a/cmd/fernvane/check.go
+++ b/cmd/fernvane/check.go
@@ -80,6 +80,9 @@
 	tellBindings(out, cfg.Bindings)
 	tellRegistry(out, cfg.Registry)
 	tellSnapshot(out, cfg.Snapshot)
+	if cfg.Watch != nil {
+		fmt.Fprintln(out, "watches other settings beside its own; decides by its own")
+	}
 	if cfg.Routes != nil {
 		cfg.Routes.Table(out, &cfg.Settings)
 	}
--- a/cmd/fernvane/main_test.go
+++ b/cmd/fernvane/main_test.go
@@ -99,6 +99,14 @@
 		}
 		return file
 	}
+	watched := func(settings string) string {
+		file := filepath.Join(t.TempDir(), "watch.json")
+		if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	const kind = `{"limits":{"mostHops":2},"extra":{"warmKeys":%s},"trafficTypes":[{"name":"%s","targetTime":5,"idempotency":"safe","tardyRevenue":%s}]}`
 	for name, c := range map[string]struct {
 		args  []string
 		code  int
@@ -126,6 +134,11 @@
 		"check, nothing named":               {[]string{"check"}, exitUsage, 1},
 		"explain, alone":                     {[]string{"explain", "GET", "/a/b", "--operator", routes("hops = 1")}, 0, 0},
 		"a field without a value":            {[]string{"explain", "GET", "/a/b", "--header", "X"}, exitUsage, 1},
+		"check, settings to watch":           {[]string{"check", "-config", good, "--watch", watched(fmt.Sprintf(kind, "true", "a", "0.5"))}, 0, 0},
+		"serve, watched: out of range":       {[]string{"serve", "-config", good, "--watch", watched(fmt.Sprintf(kind, "true", "a", "1.5"))}, exitUsage, 1},
+		"serve, watched: no bool":            {[]string{"serve", "-config", good, "--watch", watched(fmt.Sprintf(kind, "2", "a", "0.5"))}, exitUsage, 1},
+		"serve, watched: other types":        {[]string{"serve", "-config", good, "--watch", watched(fmt.Sprintf(kind, "true", "b", "0.5"))}, exitUsage, 1},
+		"serve, watched: no such file":       {[]string{"serve", "-config", good, "--watch", path + "x"}, exitUsage, 1},
 		"completion":                         {[]string{"completion", "bash"}, 0, 0},
 		"explain, no path":                   {[]string{"explain", "GET", "-config", good}, exitUsage, 1},
 		"help":                               {[]string{"help"}, 0, 0},
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -18,7 +18,9 @@
 	"fernvane/internal/registry"
 	"fernvane/internal/route"
 	"fernvane/internal/settings"
+	"fernvane/internal/shadow"
 	"fernvane/internal/snapshot"
+	"fernvane/policy"
 )
 
 const (
@@ -45,6 +47,7 @@
 	Bindings  *bindlog.Config    // nil: no journal of bindings is kept
 	Registry  *registry.Config   // nil: discovery tells of servers
 	Snapshot  *snapshot.Config   // nil: no list is kept on disk
+	Watch     *shadow.Watch      // nil: no other settings are watched beside the node's own
 	Disk      bindlog.Files      // beneath it; nil: the system's
 	path      string
 	getenv    func(string) string
@@ -77,9 +80,27 @@
 	if path := getenv("PROXY_BINDINGS"); err == nil && path != "" {
 		c.Bindings, err = bindlog.Load(path)
 	}
+	if path := getenv("PROXY_WATCH"); err == nil && path != "" {
+		var s *settings.Settings
+		if s, err = readWatch(path, &c.Settings); err == nil {
+			c.Watch = shadow.NewWatch(s)
+		}
+	}
 	return c, err
 }
 
+// readWatch reads the settings that are to be watched beside a node's own.
+func readWatch(path string, own *settings.Settings) (*settings.Settings, error) {
+	s, err := ReadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := own.Fits(&s); err != nil {
+		return nil, fmt.Errorf("%s: %v", path, err)
+	}
+	return &s, nil
+}
+
 func read(path string, getenv func(string) string) (Config, error) {
 	c := Config{path: path, getenv: getenv, Operator: getenv("PROXY_OPERATOR")}
 	if path == "" {
@@ -165,10 +186,13 @@
 }
 
 func (c Config) module() node.Maker {
-	if c.Module == nil {
-		return node.Policy
+	switch {
+	case c.Module != nil:
+		return c.Module
+	case c.Watch != nil:
+		return func(s policy.Settings, seed uint32) node.Module { return shadow.New(policy.New(s, seed), c.Watch) }
 	}
-	return c.Module
+	return node.Policy
 }
 
 // openFiles is the system's own limit, which may be lower than what the configuration names.
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -21,6 +21,7 @@
 		case <-told:
 		}
 		s.reroute()
+		s.rewatch()
 		next, err := cfg.Again()
 		if err != nil {
 			s.log.Error().Err(err).Msg("configuration not reloaded")
@@ -37,6 +38,19 @@
 	}
 }
 
+// rewatch reads the watched settings again; those of no use leave the old ones watched.
+func (s *Server) rewatch() {
+	if s.cfg.Watch == nil {
+		return
+	}
+	if next, err := readWatch(s.cfg.getenv("PROXY_WATCH"), &s.cfg.Settings); err != nil {
+		s.log.Error().Err(err).Msg("watched settings not reloaded")
+	} else {
+		s.cfg.Watch.Set(next)
+		s.log.Info().Msg("watched settings reloaded")
+	}
+}
+
 // reroute reads the operator's file again, against the settings that the node runs under. A file of no use leaves the
 // routes as they are.
 func (s *Server) reroute() {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -19,6 +19,7 @@
 	"fernvane/internal/http1"
 	"fernvane/internal/roster"
 	"fernvane/internal/route"
+	"fernvane/internal/shadow"
 	"fernvane/internal/watch"
 )
 
@@ -239,7 +240,14 @@
 		from, age := s.fleet.List()
 		hops := zerolog.Dict()
 		c.Each(func(e fleet.End, n int) { hops.Int(e.String(), n) })
-		s.log.Info().Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).
+		line := s.log.Info()
+		if s.cfg.Watch != nil {
+			seen := s.cfg.Watch.Take()
+			watched := zerolog.Dict().Int("compared", seen.Compared).Bool("failed", seen.Failed)
+			seen.Each(func(k shadow.Kind, n int) { watched.Int(k.String(), n) })
+			line.Dict("watch", watched)
+		}
+		line.Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).
 			Int("left", c.Left).Int("no_room", c.NoRoom).Int("limited", c.Limited).Int("copies", c.Copies).Dict("hops", hops).
 			Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).
 			Stringer("list_from", from).Float64("list_age_s", age.Round(time.Second/10).Seconds()).Msg("counts")
--- /dev/null
+++ b/internal/serve/watch_test.go
@@ -0,0 +1,86 @@
+package serve
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/shadow"
+	"fernvane/policy"
+)
+
+// A node that watches other settings answers as one that does not, over errors, refusals and broken connections, and counts
+// what the others would have had otherwise; its own settings are never otherwise.
+func TestWatch(t *testing.T) {
+	t.Parallel()
+	const failed = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+	script := []string{whole, failed, whole, denied, whole, hangUp, whole, failed, failed, whole}
+	run := func(t *testing.T, watch *shadow.Watch) (got []int) {
+		hosts, _ := servers(t, 1, slices.Concat(script, script, script)...)
+		cfg := config(hosts...)
+		cfg.Watch = watch
+		at, _ := startNode(t, cfg)
+		for i := range 12 {
+			conn := dial(t, at)
+			fmt.Fprintf(conn, "PUT /%s/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\nContent-Length: 0\r\n\r\n", []string{"check", "book"}[i%2], ids.Add(1))
+			got = append(got, reply(t, conn).Status)
+		}
+		return got
+	}
+	alone := run(t, nil)
+	for name, c := range map[string]struct {
+		change func(*policy.TrafficType)
+		want   shadow.Kind
+		none   bool
+	}{
+		"its own settings":    {func(*policy.TrafficType) {}, 0, true},
+		"late answers earn":   {func(k *policy.TrafficType) { k.LateRevenue = 0.5 }, shadow.HopTime, false},
+		"what was binding":    {func(k *policy.TrafficType) { k.Repeat = policy.Retriable }, shadow.FurtherHop, false},
+		"what could be rerun": {func(k *policy.TrafficType) { k.Repeat = policy.Binding }, shadow.WrittenOff, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := config().Settings
+			for i := range s.Types {
+				c.change(&s.Types[i])
+			}
+			watch := shadow.NewWatch(&s)
+			if got := run(t, watch); !slices.Equal(got, alone) {
+				t.Errorf("answered %v, alone %v", got, alone)
+			}
+			seen := watch.Take()
+			if seen.Compared == 0 || seen.Failed {
+				t.Errorf("compared %d, failed %v", seen.Compared, seen.Failed)
+			}
+			if c.none && seen.By != (shadow.Counts{}).By || !c.none && seen.By[c.want] == 0 {
+				t.Errorf("counted %v", seen.By)
+			}
+		})
+	}
+}
+
+// SIGHUP has the watched settings read again; those of no use leave the old ones watched.
+func TestWatchReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "watch.json")
+	cfg := config()
+	cfg.getenv = func(string) string { return path }
+	cfg.Watch = shadow.NewWatch(&cfg.Settings)
+	s := &Server{cfg: cfg, log: zerolog.Nop()}
+	const text = `{"limits":{"mostHops":%d},"trafficTypes":[{"name":"check","targetTime":5,"idempotency":"safe"},{"name":"%s","targetTime":5,"idempotency":"safe"}]}`
+	for _, c := range []struct {
+		text string
+		hops int
+	}{{fmt.Sprintf(text, 3, "book"), 3}, {fmt.Sprintf(text, 2, "other"), 3}, {"{", 3}, {fmt.Sprintf(text, 2, "book"), 2}} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s.rewatch()
+		if got := cfg.Watch.Watched(); got.MostHops != c.hops {
+			t.Errorf("after %s: %d hops", c.text, got.MostHops)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"fernvane/policy"
@@ -21,6 +22,17 @@
 	ConnIdle    time.Duration // an unused connection is closed after this at the latest
 }
 
+// Fits tells why settings cannot be watched beside these: they must name the same traffic types and tenants.
+func (s *Settings) Fits(other *Settings) error {
+	if !slices.Equal(s.TypeNames, other.TypeNames) {
+		return fmt.Errorf("settings name the traffic types %q, the node's own %q: both must name the same", other.TypeNames, s.TypeNames)
+	}
+	if !slices.Equal(s.TenantNames, other.TenantNames) {
+		return fmt.Errorf("settings name the tenants %q, the node's own %q: both must name the same", other.TenantNames, s.TenantNames)
+	}
+	return nil
+}
+
 // Span turns milliseconds into a duration.
 func Span(ms float64) time.Duration {
 	return time.Duration(math.Round(ms * float64(time.Millisecond)))
@@ -90,6 +102,9 @@
 		if tt.TargetTime <= 0 {
 			return s, fmt.Errorf("traffic type %d has no target time", i)
 		}
+		if t.TardyRevenue < 0 || t.TardyRevenue > 1 {
+			return s, fmt.Errorf("traffic type %d: tardyRevenue is %g, a share of the revenue from 0 to 1 is wanted", i, t.TardyRevenue)
+		}
 		switch t.Idempotency {
 		case "safe":
 			tt.Repeat = policy.Retriable
--- /dev/null
+++ b/policy/whatif_test.go
@@ -0,0 +1,100 @@
+package policy
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// played runs a day with failures in it; ask is called before each input.
+func played(t *testing.T, ask func(r *rig, now time.Duration, in *Input) []Effect) (all []Effect, differ int) {
+	r := newRig(t, 5, func(s *Settings) { s.MaxRetryIn, s.Copies, s.AllowancePerS = time.Second, true, []float64{40, 4} })
+	give := func(now time.Duration, in Input) []Effect {
+		want := ask(r, now, &in)
+		got := r.at(now, in)
+		if !reflect.DeepEqual(want, got) {
+			differ++
+		}
+		return got
+	}
+	for i := range 400 {
+		now := time.Duration(i) * 7 * ms
+		op := r.ops
+		r.ops++
+		all = append(all, give(now, Input{Kind: Arrival, Op: op, Type: i % 4, Tenant: i % 2, Key: uint32(i % 9), Budget: time.Second})...)
+		all = append(all, give(now, Input{Kind: Woken})...)
+		if i%3 > 0 {
+			how := Outcome(i % 8)
+			all = append(all, give(now+5*ms, Input{Kind: HopEnded, Op: op, Outcome: how, Final: how == Success})...)
+		}
+	}
+	return all, differ
+}
+
+// What is asked beside leaves no trace, and is what the module itself would decide where the settings are the same.
+func TestWhatIfLeavesNoTrace(t *testing.T) {
+	alone, _ := played(t, func(*rig, time.Duration, *Input) []Effect { return nil })
+	for name, c := range map[string]struct {
+		change func(*Settings)
+		same   bool
+	}{
+		"the same settings": {func(*Settings) {}, true},
+		"others":            {func(s *Settings) { s.WarmKeys, s.MaxRetryIn, s.Types[2].LateRevenue, s.Nodes = true, 0, 0.5, 40 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			watched, differ := played(t, func(r *rig, now time.Duration, in *Input) []Effect {
+				s := r.set
+				s.Types = slices.Clone(s.Types)
+				c.change(&s)
+				return r.WhatIf(&s, now, in, nil)
+			})
+			if !reflect.DeepEqual(alone, watched) {
+				t.Error("the module decided otherwise for being watched")
+			}
+			if (differ == 0) != c.same {
+				t.Errorf("%d inputs with a difference", differ)
+			}
+		})
+	}
+}
+
+// A copy shares no memory that may be written to, whatever fields are added: a field forgotten in copied is found here.
+func TestCopiedSharesNothing(t *testing.T) {
+	r := newRig(t, 3, func(s *Settings) { s.AllowancePerS = []float64{1} }).takeAll()
+	r.within, r.labels[0] = []float64{1}, 1
+	op, _ := r.arriveAt(0, 0, time.Second)
+	c := r.copied(op)
+	var look func(name string, a, b reflect.Value)
+	look = func(name string, a, b reflect.Value) {
+		switch a.Kind() {
+		case reflect.Slice:
+			if a.Len() > 0 && a.Pointer() == b.Pointer() {
+				t.Errorf("%s is shared", name)
+			}
+			for i := range a.Len() {
+				look(fmt.Sprintf("%s[%d]", name, i), a.Index(i), b.Index(i))
+			}
+		case reflect.Struct:
+			for i := range a.NumField() {
+				if f := a.Type().Field(i).Name; f != "set" && f != "rows" && f != "effects" { // read only, or set anew
+					look(name+"."+f, a.Field(i), b.Field(i))
+				}
+			}
+		case reflect.Map, reflect.Pointer, reflect.Chan:
+			t.Errorf("%s: copied does not know of it", name)
+		}
+	}
+	look("p", reflect.ValueOf(r.Policy).Elem(), reflect.ValueOf(c).Elem())
+}
+
+func BenchmarkWhatIf(b *testing.B) {
+	r := newRig(&testing.T{}, 100, nil).takeAll()
+	for range 100 {
+		r.arriveAt(0, 0, time.Hour)
+	}
+	for b.Loop() {
+		r.WhatIf(&r.set, time.Second, &Input{Kind: HopEnded, Outcome: Success, Final: true}, nil)
+	}
+}
