--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,9 +24,8 @@
 	turnsAhead        = 2.0             // that a server may take to meet a key again; turns stay even over all
 	crowdFactor       = 1.0             // times the mean in flight; with few hops a node, the mean is the signal
 
-	smoothing    = 0.1                    // weight of one sample in a server's smoothed latency: ten hops
+	smoothing    = 0.1                    // weight of one sample in a server's latency and slowness: ten hops
 	typeSmooth   = 0.02                   // weight of one sample in a type latency: fifty hops
-	slowSmooth   = 0.1                    // weight in a server slowness; ten hops even out heavy operations
 	slowLeast    = 0.1                    // of the square, so that a fast server is not given all
 	sweepPeriod  = 20 * time.Millisecond  // between looks at open operations; well under any target time
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
@@ -36,7 +35,7 @@
 	restServers  = 0.5                    // of the ready servers may rest: more would only load the others
 	restTypes    = 0.75                   // of the servers may rest for one type; the others still use them
 	softRun      = 5                      // hops declined or broken in a row; fewer may be chance
-	windowAim    = 0.1                    // of the target time left by unloaded latency, for waiting at servers; more lets them choke
+	windowAim    = 0.1                    // of the target time left by unloaded latency; servers choke on more
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
 	baseSamples  = 20.0                   // answers before a type's latency is taken for known; chance evens out
 	windowSpan   = 1 * time.Second        // over which finished hops are counted
@@ -61,8 +60,6 @@
 	poolJudged   = 2.5                    // answers a second a server; ten, which judge it, come in 4 s
 	poolSpan     = 10 * time.Second       // in which servers once needed count as needed; longer than a burst
 	homeStep     = 0.6180339887           // of the rotation between two nodes' starts; spreads any run of nodes
-	spareShare   = 0.2                    // of hops refused at once; single connections fail on any day
-	spareSpan    = 5 * time.Second        // after a refusal; about as long as idle connections are kept
 	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
 )
 
@@ -125,9 +122,8 @@
 	mayRun             bool
 	group              int           // server whose group must be kept, once mayRun
 	firstRun           time.Duration // send of the first hop that may have run
-	place              int           // in Policy.open
 	ended              Outcome       // of its last hop
-	pumped             int           // the last pump that looked at it
+	place, pumped      int           // in Policy.open; the last pump that looked at it
 }
 
 // Policy is one instance of the decision module.
@@ -138,33 +134,31 @@
 	now         time.Duration
 	effects     []Effect
 
-	ops  []operation
-	open []int
+	ops         []operation
+	open, order []int // operations in hand; buckets, the cheapest first
 
 	// Servers, in parallel arrays under their index.
-	ready, listed, cold, member []bool // member: taken in
-	rank, zone, cell            []int
-	scale, weight, due          []float64 // weight: scale, less while cold or slow; due: turns earned
-	labels                      []uint64
-	coldPace                    []float64 // hops a cold server may have now
-	inFlight                    []int
-	ghosts                      []float64       // hops given up that the server may still work on
-	ghostSent                   []time.Duration // the last of them
-	smoothed                    []time.Duration
-	slowness                    []float64 // latency over what is usual for the type
-	streak, pauses              []int
-	runStart, lastSpike         []time.Duration
-	answered                    []time.Duration   // last sign of life while hops were out
-	faults                      [][]int           // the same by type
-	faulted                     [][]time.Duration // the last of them
-	strikes, soft               []int             // failures in a row, and what softRun counts
-	restUntil                   []time.Duration
-	shy                         [][]time.Duration // the same by type, also after refusals
-	lostSince                   []time.Duration   // first failed connect of a row, 0 if none
-	onsets                      [][forecastWindow]float64
-	forecast                    []time.Duration // 0 if none
-	coldSince, interval         []time.Duration
-	part, pace                  []float64 // as a plan gives them, see Share
+	ready, listed, cold, member   []bool // member: taken in
+	rank, zone, cell              []int
+	scale, weight, due            []float64 // weight: scale, less while cold or slow; due: turns earned
+	labels                        []uint64
+	coldPace                      []float64       // hops a cold server may have now
+	ghosts                        []float64       // hops given up that the server may still work on
+	ghostSent                     []time.Duration // the last of them
+	smoothed                      []time.Duration
+	slowness                      []float64 // latency over what is usual for the type
+	inFlight, streak, pauses      []int
+	runStart, lastSpike           []time.Duration
+	answered                      []time.Duration   // last sign of life while hops were out
+	faults                        [][]int           // the same by type
+	faulted                       [][]time.Duration // the last of them
+	strikes, soft                 []int             // failures in a row, and what softRun counts
+	restUntil                     []time.Duration
+	shy                           [][]time.Duration // the same by type, also after refusals
+	lostSince                     []time.Duration   // first failed connect of a row, 0 if none
+	onsets                        [][forecastWindow]float64
+	coldSince, interval, forecast []time.Duration // forecast: 0 if none
+	part, pace                    []float64       // as a plan gives them, see Share
 
 	rotation []int   // all servers in the order that all nodes share
 	next     int     // place in rotation from where the next server joins
@@ -187,12 +181,9 @@
 	waitWon                   []float64 // by bucket: share of waits that end in a hop
 	retries, copies           []float64 // by type: what is left of the budgets
 	rooms, roomMost           []int     // operations with a hop out, and allowed, by room
-	order                     []int
-	successes                 float64       // per second
-	refused                   float64       // smoothed share of hops refused at once
-	refusedAt                 time.Duration // last connection refused at once, 0 if none
-	within                    []float64     // by tenant, as a plan gives it
-	admitMost                 float64       // likewise, 0 for none
+	successes                 float64   // per second
+	within                    []float64 // by tenant, as a plan gives it
+	admitMost                 float64   // likewise, 0 for none
 	started, asked            bool
 	lastSweep, askAt, askWait time.Duration
 }
@@ -256,14 +247,13 @@
 // retype takes over traffic types. One that stays keeps what was learned, another starts with what was
 // learned of the one that it is like.
 func (p *Policy) retype(in *Input) {
-	types := in.Types
-	p.set.Types, p.roomMost = types, in.Rooms
+	p.set.Types, p.roomMost = in.Types, in.Rooms
 	p.rooms = append(p.rooms, make([]int, max(len(in.Rooms)-len(p.rooms), 0))...)
 	for k, from := range in.Like {
 		if from == k {
 			continue
 		}
-		usual, base, samples := types[k].TargetTime/4, types[k].TargetTime/4, 0.0
+		usual, base, samples := in.Types[k].TargetTime/4, in.Types[k].TargetTime/4, 0.0
 		if from >= 0 {
 			usual, base, samples = p.usual[from], p.base[from], p.samples[from]
 		}
@@ -339,11 +329,8 @@
 	}
 	t := &p.set.Types[in.Type]
 	o := &p.ops[in.Op]
-	*o = operation{kind: in.Type, key: in.Key, room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1, came: p.now,
-		limit: p.now + in.Budget, target: p.now + min(t.TargetTime-2*p.set.Tick, in.Budget)}
-	if !p.set.WarmKeys {
-		o.key = 0
-	}
+	*o = operation{kind: in.Type, key: in.Key, room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1,
+		came: p.now, limit: p.now + in.Budget, target: p.now + min(t.TargetTime-2*p.set.Tick, in.Budget)}
 	if in.Tenant < len(p.tenants) {
 		p.tenants[in.Tenant] += 1 / rateSpan.Seconds()
 		within := p.fair(in.Tenant) / p.tenants[in.Tenant]
@@ -497,8 +484,8 @@
 	p.deny(op)
 }
 
-// deny tells the client when to come back: within the time in which it can still be served, for one that has this
-// node only does not try elsewhere, and after the longest wait it would come too late; spread, not all at once.
+// deny tells the client when to come back: while it can still be served, for one that has this node only does
+// not try elsewhere, and after the longest wait it would come too late; spread, not all at once.
 func (p *Policy) deny(op int) {
 	o, back := &p.ops[op], time.Duration(float64(p.set.MaxRetryIn)*(0.9+0.1*p.chance()))
 	if left := o.target - p.now - 2*p.usual[o.kind]; left > 0 && back > 0 {
@@ -521,14 +508,11 @@
 	if len(o.hops) > 0 {
 		p.retries[o.kind]--
 	}
-	until := o.target
-	if p.set.Types[o.kind].LateRevenue > 0 {
-		until = o.limit
-	}
-	allow := max(until-p.now, time.Millisecond)
-	if most := p.set.Types[o.kind].HopTime; most > 0 {
-		allow = min(allow, most)
+	t, allow := &p.set.Types[o.kind], max(o.target-p.now, time.Millisecond)
+	if t.LateRevenue > 0 { // else what is given up at the target time would have earned a share
+		allow = o.limit - p.now
 	}
+	allow = min(allow, cmp.Or(t.HopTime, allow))
 	o.hops = append(o.hops, hop{server: s, sent: p.now})
 	if o.group < 0 {
 		o.group, o.firstRun = s, p.now
@@ -560,7 +544,6 @@
 	p.flying--
 	ran := in.Outcome != Overloaded && in.Outcome != Unreachable && in.Outcome != Void
 	p.learn(h.server, o, h.sent, in.Outcome)
-	p.spare(h.server)
 	if !ran {
 		// as if it had never been sent: the group is that of the first hop that may have run
 		o.mayRun, o.group = false, -1
@@ -617,9 +600,7 @@
 	case Unreachable:
 		enough := 1
 		if spent < p.set.ConnectTimeout/2 { // refused at once: costs nothing, and may be the one connection
-			if enough = restStrikes; p.lostSince[s] == 0 { // it answered since: not dead
-				p.refused += strainSmooth
-			}
+			enough = restStrikes
 		}
 		if p.strike(s, enough); p.lostSince[s] == 0 && p.strikes[s] >= enough {
 			p.lostSince[s] = max(p.now, 1)
@@ -631,18 +612,7 @@
 	}
 	if how == Success || how == TimedOut {
 		p.judge(spent.Seconds(), p.allowed(o.kind))
-		p.slowness[s] += slowSmooth * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
-	}
-}
-
-// spare closes idle connections after each answer while servers refuse many new ones at once. This guards
-// against connection tables filled by hundreds of nodes, each of which keeps a few for later.
-func (p *Policy) spare(s int) {
-	if p.refused *= 1 - strainSmooth; p.refused > spareShare {
-		p.refusedAt = p.now
-	}
-	if p.refusedAt > 0 && p.now-p.refusedAt < spareSpan && p.inFlight[s] == 0 {
-		p.emit(Effect{Kind: Release, Server: s})
+		p.slowness[s] += smoothing * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
 	}
 }
 
@@ -741,9 +711,6 @@
 func (p *Policy) fit(s int) {
 	p.forecast[s] = 0
 	n := min(p.pauses[s], forecastWindow)
-	if n < 2 {
-		return
-	}
 	var mx, sxx, sxy float64
 	first := float64(p.pauses[s] - n + 1)
 	my := first + float64(n-1)/2
@@ -815,9 +782,9 @@
 	return false
 }
 
-// walk goes round the servers taken in. Each that is not skipped earns its share of a turn, and the most due is
-// next, in the order of the round: equal shares are plain round robin. Where servers remember keys, of those whose
-// turn is near the one that every node ranks first for the key takes it, so that nodes agree without a word.
+// walk goes round the servers taken in. Each that is not skipped earns its share of a turn, the most due is
+// next, in the order of the round: equal shares are plain round robin. Where servers remember keys, the one that
+// every node ranks first for the key goes before the others whose turn is near: nodes agree without a word.
 func (p *Policy) walk(o *operation, care int) bool {
 	n, best, most, earned := len(p.pool), -1, 0.0, 0.0
 	for i := range n {
@@ -832,7 +799,7 @@
 			earned += share
 			p.due[s] += share
 			first := p.due[s]
-			if o.key != 0 && first >= -turnsAhead*share {
+			if p.set.WarmKeys && o.key != 0 && first >= -turnsAhead*share {
 				first = math.MaxInt16 + hashed(o.key*uint32(p.rank[s]|1), 0)
 			}
 			if best < 0 || first > most+1e-9 { // what differs by less is rounding
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -217,55 +217,6 @@
 	}
 }
 
-func TestClosesIdleConnectionsWhereTheyAreScarce(t *testing.T) {
-	for name, c := range map[string]struct {
-		how   Outcome
-		spent time.Duration
-		times int
-		want  bool
-	}{
-		"refused at once: tables are full":  {Unreachable, 2 * ms, 5, true},
-		"one of many connections failed":    {Unreachable, 2 * ms, 1, false},
-		"no way there: tables may be empty": {Unreachable, 250 * ms, 5, false},
-		"errors":                            {Failure, 2 * ms, 5, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			r := newRig(t, 4, func(s *Settings) { s.ConnectTimeout = 250 * ms })
-			for range c.times {
-				op, _ := r.arriveAt(time.Second, 2, time.Second)
-				r.at(time.Second+c.spent, Input{Kind: HopEnded, Op: op, Outcome: c.how, Final: true})
-			}
-			op, _ := r.arriveAt(time.Second, 0, time.Second)
-			got := r.end(2*time.Second, op, 0, Success)
-			closed := len(got) > 0 && got[len(got)-1].Kind == Release
-			if closed != c.want {
-				t.Errorf("closed: %v", closed)
-			}
-		})
-	}
-}
-
-// A server that refuses all is dead; one that refuses some and answers others has a full table.
-func TestDeadServersHaveNoFullTables(t *testing.T) {
-	for name, c := range map[string]struct{ answers, full bool }{"dead": {false, false}, "full": {true, true}} {
-		t.Run(name, func(t *testing.T) {
-			r := newRig(t, 4, func(s *Settings) { s.ConnectTimeout = 250 * ms }).takeAll()
-			r.now = time.Second
-			for range 20 {
-				r.learn(1, &operation{}, r.now, Unreachable)
-				r.spare(1)
-				if c.answers {
-					r.learn(1, &operation{}, r.now, Success)
-					r.spare(1)
-				}
-			}
-			if got := r.refusedAt > 0; got != c.full {
-				t.Errorf("taken for full: %v", got)
-			}
-		})
-	}
-}
-
 func TestNodesTogetherComeOutEven(t *testing.T) {
 	const nodes, servers = 50, 20
 	met := make([]int, servers)
