--- a/policy/policy.go
+++ b/policy/policy.go
@@ -783,8 +783,8 @@
 }
 
 // walk goes round the servers taken in. Each that is not skipped earns its share of a turn, the most due is
-// next, in the order of the round: equal shares are plain round robin. Where servers remember keys, the one that
-// every node ranks first for the key goes before the others whose turn is near: nodes agree without a word.
+// next, in the order of the round: equal shares are plain round robin. Where servers remember keys, the one
+// that every node ranks first for the key goes before others whose turn is near: nodes agree without a word.
 func (p *Policy) walk(o *operation, care int) bool {
 	n, best, most, earned := len(p.pool), -1, 0.0, 0.0
 	for i := range n {
