Hops that run on past the target time leave the window

Hops on links that are cut hang until the client gives up, 1.5 to 6 s, and count in the window (full: flying) all the while; before late revenue they ended at the target time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,8 +1,7 @@
-// Package policy decides, for one node, what becomes of each operation: which server gets it, when it
-// gets a further hop, and when it is denied or written off. Handle takes one Input at a time with the time
-// since start and appends the Effects to carry out, in order (api.go). The module sees dense indices only,
-// keeps no clock and no goroutine, and asks to be woken. The table in lifecycle is the way of an operation
-// from its arrival to its final answer; routed is the ordinary path of the design.
+// Package policy decides, for one node, which server gets an operation, when it gets a further hop, and when
+// it is denied or written off. Handle takes one Input at a time with the time since start and appends Effects
+// to carry out (api.go). The module keeps no clock and asks to be woken. The table in lifecycle is the way of
+// an operation from its arrival to its final answer; routed is the design's ordinary path.
 package policy
 
 import (
@@ -99,6 +98,7 @@
 		{out, lost, always, closed, (*Policy).writeOff},
 		{out, swept, (*Policy).atLimitHarmless, closed, (*Policy).deny},
 		{out, swept, (*Policy).atLimit, closed, (*Policy).writeOff},
+		{out, swept, (*Policy).overdue, out, (*Policy).outlast},
 		{out, swept, (*Policy).worthCopying, out, (*Policy).sendCopy},
 
 		{out, departed, always, closed, (*Policy).hold},
@@ -106,9 +106,9 @@
 }
 
 type hop struct {
-	server int
-	sent   time.Duration
-	ended  bool
+	server      int
+	sent        time.Duration
+	ended, late bool // late: not in the window any more
 }
 
 type operation struct {
@@ -138,27 +138,26 @@
 	open, order []int // operations in hand; buckets, the cheapest first
 
 	// Servers, in parallel arrays under their index.
-	ready, listed, cold, member   []bool // member: taken in
-	rank, zone, cell              []int
-	scale, weight, due            []float64 // weight: scale, less while cold or slow; due: turns earned
-	labels                        []uint64
-	coldPace                      []float64       // hops a cold server may have now
-	ghosts                        []float64       // hops given up that the server may still work on
-	ghostSent                     []time.Duration // the last of them
-	smoothed                      []time.Duration
-	slowness                      []float64 // latency over what is usual for the type
-	inFlight, streak, pauses      []int
-	runStart, lastSpike           []time.Duration
-	answered                      []time.Duration   // last sign of life while hops were out
-	faults                        [][]int           // the same by type
-	faulted                       [][]time.Duration // the last of them
-	strikes, soft                 []int             // failures in a row, and what softRun counts
-	restUntil                     []time.Duration
-	shy                           [][]time.Duration // the same by type, also after refusals
-	lostSince                     []time.Duration   // first failed connect of a row, 0 if none
-	onsets                        [][forecastWindow]float64
-	coldSince, interval, forecast []time.Duration // forecast: 0 if none
-	part, pace                    []float64       // as a plan gives them, see Share
+	ready, listed, cold, member    []bool // member: taken in
+	rank, zone, cell               []int
+	scale, weight, due             []float64 // weight: scale, less while cold or slow; due: turns earned
+	labels                         []uint64
+	coldPace                       []float64       // hops a cold server may have now
+	ghosts                         []float64       // hops given up that the server may still work on
+	ghostSent                      []time.Duration // the last of them
+	smoothed                       []time.Duration
+	slowness                       []float64 // latency over what is usual for the type
+	inFlight, streak, pauses       []int
+	runStart, lastSpike, restUntil []time.Duration
+	answered                       []time.Duration   // last sign of life while hops were out
+	faults                         [][]int           // the same by type
+	faulted                        [][]time.Duration // the last of them
+	strikes, soft                  []int             // failures in a row, and what softRun counts
+	shy                            [][]time.Duration // the same by type, also after refusals
+	lostSince                      []time.Duration   // first failed connect of a row, 0 if none
+	onsets                         [][forecastWindow]float64
+	coldSince, interval, forecast  []time.Duration // forecast: 0 if none
+	part, pace                     []float64       // as a plan gives them, see Share
 
 	rotation []int   // all servers in the order that all nodes share
 	next     int     // place in rotation from where the next server joins
@@ -223,8 +222,7 @@
 	return p.effects
 }
 
-// planned takes over what only the whole can know. A server that leaves the part or is to be avoided is let
-// go while no hop is out there; how many are taken in is left to the node's habit.
+// planned takes over a plan. A server that left the part or is to be avoided is let go while no hop is out.
 func (p *Policy) planned(in *Input) {
 	p.set.Nodes, p.within, p.admitMost = in.Nodes, in.Within, in.Admit
 	was := slices.Clone(p.part)
@@ -244,8 +242,7 @@
 	}
 }
 
-// retype takes over traffic types. One that stays keeps what was learned, another starts with what was
-// learned of the one that it is like.
+// retype takes over traffic types; a new one starts with what was learned of the one that it is like.
 func (p *Policy) retype(in *Input) {
 	p.set.Types, p.roomMost = in.Types, in.Rooms
 	p.rooms = append(p.rooms, make([]int, max(len(in.Rooms)-len(p.rooms), 0))...)
@@ -347,8 +344,7 @@
 }
 
 // fair is a tenant's share at this node, per second. It goes with the others' traffic where that is above
-// their shares, for nodes do not get traffic alike and a surplus of all is nobody's; and it has slack for
-// the chance of a few arrivals, which would put half of them beyond the share of one among many nodes.
+// their shares, for nodes do not get traffic alike, and has slack for the chance of a few arrivals.
 func (p *Policy) fair(tenant int) float64 {
 	nodes, shares, others := float64(p.set.Nodes), 0.0, 0.0
 	for t, a := range p.set.AllowancePerS {
@@ -406,8 +402,7 @@
 func always(*Policy, int) bool { return true }
 
 func (p *Policy) shedByChance(op int) bool {
-	d := p.denyShare[p.ops[op].bucket]
-	return d > 0 && p.chance() < d
+	return p.denyShare[p.ops[op].bucket] > 0 && p.chance() < p.denyShare[p.ops[op].bucket]
 }
 
 // canWait: for room in the window, a list, or a cold server's next turn, while it may still do.
@@ -433,6 +428,12 @@
 	return p.now+max(p.set.Tick, 5*time.Millisecond) >= p.ops[op].limit
 }
 
+// overdue: the hop runs on for a late answer, and leaves the window. This guards against silent servers or
+// links, which would fill the window for seconds and have all else denied.
+func (p *Policy) overdue(op int) bool {
+	return p.now >= p.ops[op].target && p.set.Types[p.ops[op].kind].LateRevenue > 0
+}
+
 func (p *Policy) atLimitHarmless(op int) bool { return p.atLimit(op) && p.harmless(op) }
 
 // repeatable: another hop is allowed, can make the target time, and has somewhere to go.
@@ -494,6 +495,15 @@
 	p.emit(Effect{Kind: Deny, Op: op, For: back})
 }
 
+func (p *Policy) outlast(op int) {
+	for i := range p.ops[op].hops {
+		if h := &p.ops[op].hops[i]; !h.ended && !h.late {
+			h.late = true
+			p.flying--
+		}
+	}
+}
+
 func (p *Policy) sendCopy(op int) {
 	p.copies[p.ops[op].kind]--
 	p.retries[p.ops[op].kind]++ // it is no retry
@@ -541,7 +551,9 @@
 	h := &o.hops[in.Hop]
 	h.ended, o.ended = true, in.Outcome
 	p.inFlight[h.server]--
-	p.flying--
+	if !h.late {
+		p.flying--
+	}
 	ran := in.Outcome != Overloaded && in.Outcome != Unreachable && in.Outcome != Void
 	p.learn(h.server, o, h.sent, in.Outcome)
 	if !ran {
@@ -711,25 +723,20 @@
 func (p *Policy) fit(s int) {
 	p.forecast[s] = 0
 	n := min(p.pauses[s], forecastWindow)
-	var mx, sxx, sxy float64
-	first := float64(p.pauses[s] - n + 1)
-	my := first + float64(n-1)/2
+	var sx, sy, sxx, sxy float64 // of onsets and counts since the first of the window
 	for i := range n {
-		mx += p.onsets[s][i] / float64(n)
+		x, y := p.onsets[s][i]-p.onsets[s][0], float64(i)
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
 	}
-	for i := range n {
-		dx := p.onsets[s][i] - mx
-		sxx += dx * dx
-		sxy += dx * (first + float64(i) - my)
-	}
-	if sxx <= 0 || sxy <= 0 {
+	k := float64(n)
+	run, rise := k*sxx-sx*sx, k*sxy-sx*sy
+	if run <= 0 || rise <= 0 {
 		return
 	}
-	slope := sxy / sxx
-	at := mx + (float64(p.pauses[s]+1)-my)/slope
-	if at > 0 && at < math.MaxInt32 && 1/slope < math.MaxInt32 {
+	at := p.onsets[s][0] + sx/k + (k-sy/k)*run/rise
+	if at > 0 && at < math.MaxInt32 && run/rise < math.MaxInt32 {
 		p.forecast[s] = time.Duration(at * float64(time.Second))
-		p.interval[s] = time.Duration(float64(time.Second) / slope)
+		p.interval[s] = time.Duration(run / rise * float64(time.Second))
 	}
 }
 
@@ -762,10 +769,9 @@
 		p.zone[s] != p.zone[o.group] || t.Group == GroupCell && p.cell[s] != p.cell[o.group])
 }
 
-// routed walks the servers taken in, round robin from the last turn. While others are left, a server
-// with a hop of this node out is busy; when all taken in are busy or skipped, the next ready one of the
-// rotation joins, those of a plan's part first. When none is left, skipping goes in steps: all skips of the
-// design and of health, then none but health, then only those barred.
+// routed walks the servers taken in. While others are left, one with a hop of this node out is busy; when all
+// are busy or skipped the next of the rotation joins, a plan's part first. When none is left, skipping goes
+// in steps: all skips of the design and of health, then none but health, then only those barred.
 func (p *Policy) routed(op int) bool {
 	o := &p.ops[op]
 	if o.state != out && (p.full() || !p.hasRoom(o)) {
@@ -1079,9 +1085,6 @@
 }
 
 func (p *Policy) worth(bucket int) float64 {
-	w := p.set.Types[bucket/2].Revenue / max(p.usual[bucket/2].Seconds(), 1e-6)
-	if bucket%2 == 1 {
-		w *= p.set.OverageRevenue
-	}
-	return w
+	share := [2]float64{1, p.set.OverageRevenue}[bucket%2]
+	return share * p.set.Types[bucket/2].Revenue / max(p.usual[bucket/2].Seconds(), 1e-6)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -856,3 +856,32 @@
 		})
 	}
 }
+
+// Hops that run on for late answers to silent servers must not have all else denied: they leave the window, once each.
+func TestOverdueHopsLeaveTheWindow(t *testing.T) {
+	for name, c := range map[string]struct {
+		late float64
+		want float64 // hops in the window once all are overdue
+	}{"late answers earn": {0.5, 0}, "they do not": {0, 3}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 8, func(s *Settings) { s.Types[2].LateRevenue = c.late })
+			r.grown = 1000
+			for range 3 {
+				r.arriveAt(time.Second, 2, 2*time.Second)
+			}
+			r.grown = 0
+			for now := 1400 * ms; now < 1500*ms; now += 20 * ms {
+				r.at(now, Input{Kind: Woken})
+			}
+			if r.flying != c.want {
+				t.Errorf("%g hops in the window", r.flying)
+			}
+			for op := range 3 {
+				r.end(1600*ms, op, 0, Success)
+			}
+			if r.flying != 0 || r.inFlight[0] != 0 {
+				t.Errorf("%g hops in the window when none is out", r.flying)
+			}
+		})
+	}
+}
