TestReplaced lets the older connection in before the newer comes

The two connections of one name are greeted by goroutines of their own, and the older could be let in last and replace the newer. Lines: the test joined both without waiting.

--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -226,6 +226,8 @@
 	at, list := start(t, nil)
 	list.Set(entry("s", discovery.Serving))
 	older := join(t, at, "a")
+	older.report(plan.Report{Sent: 1, Span: time.Second})
+	older.until("a plan", func() bool { return len(older.held.Servers) == 1 }) // it is let in: connections may overtake each other
 	newer := join(t, at, "a")
 	newer.report(plan.Report{Sent: 1, Span: time.Second})
 	newer.until("a plan", func() bool { return newer.held.Seen == 1 && len(newer.held.Servers) == 1 })
