Servers that only the list has dropped are kept; whose fault a failure is; refusals as load

Changes: onlyDrainingBinds passes through decoder, adapter and node. A dropped server keeps half of its turns, a step more or less for each answer or failure. Records of how often hops fail by server, type and repeat, tenant and key: a failure whose sort fails more often than the server is the operation's own, has no server rest and no further hop; a sort that nearly always fails is denied by chance as it comes. Refusals count as slowness, rest a server after two in a row and shrink what is admitted. An answer after a failed connect chills a server by its last answer, not by the first failed connect.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -63,7 +63,7 @@
 				}
 				n.List(b.Now, e.Scope, members, w)
 			case wire.Arrival:
-				known = n.Arrive(b.Now, e.Job, policy.Input{Type: e.Type, Tenant: e.Tenant, Key: e.Key, Budget: e.Budget}, w)
+				known = n.Arrive(b.Now, e.Job, policy.Input{Type: e.Type, Tenant: e.Tenant, Key: e.Key, Again: e.Again, Budget: e.Budget}, w)
 			case wire.Verdict:
 				known = n.HopEnded(b.Now, e.Job, e.Server,
 					policy.Input{Hop: e.Hop, Outcome: e.Outcome, Spent: e.Spent, Final: e.Final}, w)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,6 +59,7 @@
 	f := &Fleet{set: s, routes: route.NewLive(&s), started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
 		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
 		servers: map[string]*server{}, book: roster.NewBook(), room: newRoom(limits)}
+	f.book.OnlyDraining = s.OnlyDraining
 	f.mu.Lock()
 	defer f.unlock()
 	f.wake = time.AfterFunc(time.Hour, f.woken)
@@ -132,6 +133,7 @@
 	for _, w := range u.Lines {
 		line := policy.Member{Rank: crc32.ChecksumIEEE([]byte(w.ID)), Zone: f.zone(w.Zone), Cell: w.Cell,
 			Condition: conditions[w.Condition], Scale: w.Size, HasStart: w.Up > 0, Labels: f.labels(w.ID, w.Zone, w.Flavor)}
+		line.Replaced = w.Lost
 		if line.HasStart {
 			line.Started = now + time.Duration(w.Up-clock)*time.Millisecond
 		}
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -80,6 +80,7 @@
 	ID     []byte
 	Tenant []byte
 	Key    []byte     // of what it is about
+	Again  bool       // the client says that it repeats it
 	Routes *route.Set // that it was matched with
 	Route  int        // -1: none
 	Kind   int
@@ -119,7 +120,7 @@
 	f.ops[o.id], f.open[o.name] = o, true
 	f.digests.arrived(a.Kind, t)
 	f.door.Arrive(now, o.id, policy.Input{Type: grant.Kind, Room: grant.Room, Tenant: t,
-		Key: policy.KeyOf(a.Key), Budget: a.Budget}, (*hands)(f))
+		Key: policy.KeyOf(a.Key), Again: a.Again, Budget: a.Budget}, (*hands)(f))
 	return o, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -224,11 +224,15 @@
 			out.Listen()
 		case policy.Release:
 			out.Release(n.ids[e.Server])
+		case policy.Keep, policy.Forget:
+			n.gone[e.Server] = e.Kind == policy.Forget
 		}
 	}
 	for _, e := range n.effects { // an answer to an operation other than the event's own
 		if e.Kind == policy.Deny || e.Kind == policy.WriteOff {
 			n.release(e.Op, out)
+		} else if e.Kind == policy.Forget {
+			n.forget(e.Server, out)
 		}
 	}
 }
--- a/internal/roster/book.go
+++ b/internal/roster/book.go
@@ -40,6 +40,7 @@
 	Heard  time.Duration // when it was told of last
 	Used   bool          // it may get something new: the last word of it is Up, and nothing else has taken it out
 	Left   time.Duration // since when it is not
+	Lost   bool          // another is at its address now: whatever binds, nothing may be sent there
 	Ran    time.Duration // when it last answered with what it had run
 	HasRun bool
 }
@@ -56,6 +57,9 @@
 	from  Source
 	heard time.Duration
 	lists int
+	// OnlyDraining: a server that is told gone or left out, without having been told draining, stays in use until it is
+	// forgotten.
+	OnlyDraining bool
 }
 
 // NewBook knows of no server.
@@ -70,7 +74,7 @@
 	if len(words) > 0 || whole {
 		b.lists++
 	}
-	if whole {
+	if whole && !b.OnlyDraining {
 		for _, l := range b.lines {
 			l.leave(now)
 		}
@@ -92,8 +96,8 @@
 		}
 		l.Word, l.From, l.Heard = w, from, now
 		if w.Condition == life.Up {
-			l.Used = true
-		} else {
+			l.Used, l.Lost = true, false
+		} else if w.Condition == life.Draining || !b.OnlyDraining {
 			l.leave(now)
 		}
 		u.Lines = append(u.Lines, *l)
@@ -124,6 +128,7 @@
 	for _, id := range b.ids() {
 		if l := b.lines[id]; l.Used && l.Address == at {
 			l.leave(now)
+			l.Lost = true
 			gone := *l
 			gone.Condition = life.Gone
 			lines = append(lines, gone)
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -100,6 +100,7 @@
 func (s *Server) take(o *message.Operation, req *message.Request, came time.Time, f front) (*fleet.Operation, *kept, error) {
 	for {
 		a := fleet.Arrival{ID: o.ID, Tenant: o.Tenant, Key: req.Get(affinityKey), Routes: s.fleet.Routes(), Route: -1, Kind: -1}
+		a.Again = len(req.Get(clientRetry)) > 0
 		if kind, known := s.fleet.Type(o.Type); known {
 			a.Kind = kind
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,7 @@
 		}
 		Rules struct {
 			AskWithin, Cold, FallMultiple, StartCapacity float64
+			OnlyDrainingBinds                            bool
 		}
 		Tenants []struct {
 			Name          string
@@ -82,6 +83,7 @@
 		ConnectTimeout: Span(raw.Limits.ConnectTimeout),
 		AskWithin:      Span(raw.Rules.AskWithin), ColdFor: Span(raw.Rules.Cold),
 		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
+		OnlyDraining: raw.Rules.OnlyDrainingBinds,
 	}
 	if raw.Limits.RetryAfter {
 		s.MaxRetryIn = Span(raw.Limits.MaxRetryAfter)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -14,6 +14,7 @@
 	for name, text := range map[string]string{
 		"late revenue": strings.Replace(plain, `"revenue":2`, `"revenue":2,"tardyRevenue":0`, 1),
 		"warm keys":    strings.Replace(plain, `"groupSize"`, `"extra":{"warmKeys":false},"groupSize"`, 1),
+		"all bind":     strings.Replace(plain, `"groupSize"`, `"rules":{"onlyDrainingBinds":false},"groupSize"`, 1),
 		"no extras":    strings.Replace(plain, `"groupSize"`, `"extra":{},"groupSize"`, 1),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -35,6 +36,7 @@
 		"late revenue in words":  {`"revenue":2`, `"tardyRevenue":"half"`, "TardyRevenue"},
 		"warm keys as a number":  {`"groupSize"`, `"extra":{"warmKeys":1},"groupSize"`, "WarmKeys"},
 		"extras as a list":       {`"groupSize"`, `"extra":[],"groupSize"`, "Extra"},
+		"what binds, as a word":  {`"groupSize"`, `"rules":{"onlyDrainingBinds":"yes"},"groupSize"`, "OnlyDrainingBinds"},
 		"no hop":                 {`"mostHops":2`, `"mostHops":0`, "no hop"},
 		"no target time":         {`200`, `0`, "target time"},
 		"another repeat":         {`"safe"`, `"odd"`, `"odd"`},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -48,6 +48,7 @@
 	Hop      int
 	Type     int
 	Tenant   int
+	Again    bool
 	Key      uint32
 	Budget   time.Duration
 	Spent    time.Duration
@@ -251,6 +252,8 @@
 		e.Budget = p.span("timeBudget", true)
 		subject, _ := p.find("subject")
 		e.Key = policy.KeyOf(subject)
+		again, _ := p.find("againByClient")
+		e.Again = string(again) == "1"
 	case "verdict":
 		e.Kind, e.Job, e.Server, e.Hop = Verdict, p.job(), p.server(), p.int("n", false)
 		e.Outcome, e.Spent = p.outcome(), p.span("spent", false)
--- a/policy/api.go
+++ b/policy/api.go
@@ -78,6 +78,7 @@
 	ColdFor        time.Duration
 	ColdStart      float64
 	FallMultiple   float64
+	OnlyDraining   bool // a server that the list drops without a word of draining may still be sent to
 }
 
 // Scope says how a server list is to be taken.
@@ -111,6 +112,7 @@
 	Labels    uint64        // as TrafficType.Pool names them
 	Started   time.Duration // since the instance's start, mostly negative
 	HasStart  bool
+	Replaced  bool // another is at its address now: gone for certain
 }
 
 // Outcome tells how a hop ended.
@@ -151,6 +153,7 @@
 	Tenant  int
 	Room    int    // of its route; 0: none
 	Key     uint32 // of what it is about, see KeyOf; 0: none
+	Again   bool   // the client says that it repeats it
 	Budget  time.Duration
 	Outcome Outcome
 	Spent   time.Duration
@@ -184,6 +187,8 @@
 	Wake
 	Subscribe
 	Release // close idle connections to the server
+	Keep    // the server may still be sent to, though the list has dropped it
+	Forget  // it has gone for good, unless it is listed again
 )
 
 // Effect is one thing the caller must do, in the order given.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,9 +30,7 @@
 	restFirst    = 500 * time.Millisecond // first rest of a failing server; doubles each time
 	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
 	restStrikes  = 2                      // failures in a row; one may be a heavy operation
-	typeStrikes  = 3                      // the same of one type, each sent after the last; overload brings two
 	restServers  = 0.5                    // of the ready servers may rest: more would only load the others
-	restTypes    = 0.75                   // of the servers may rest for one type; the others still use them
 	softRun      = 5                      // hops declined or broken in a row; fewer may be chance
 	windowAim    = 0.1                    // of the target time left by unloaded latency; servers choke on more
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
@@ -42,7 +40,6 @@
 	windowStart  = 4.0                    // hops a server over all nodes at the start; it grows with answers
 	windowLeast  = 2.0                    // the same under strain: enough to see it pass
 	waitShare    = 0.3                    // of the target time that an operation may wait here for its turn
-	waitTrial    = 0.1                    // of the operations wait however seldom it helps, to see when it does
 	waitFits     = 1.5                    // times the type's latency that must be left after the wait
 	blockedAim   = 0.8                    // share of time that the window may be full before less is admitted
 	blockedSpan  = 500 * time.Millisecond // over which that is taken
@@ -60,6 +57,16 @@
 	poolSpan     = 10 * time.Second       // in which servers once needed count as needed; longer than a burst
 	homeStep     = 0.6180339887           // of the rotation between two nodes' starts; spreads any run of nodes
 	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
+	causeServer  = 0.1                    // by which a sort must fail more often than a server to clear it
+	causeLeast   = 3.0                    // ends without failure in a new record, so that one tells little
+	causeMemory  = 10.0                   // ends that count of a server's record; of sorts' three times as many
+	causeFade    = 10 * time.Second       // after which a record counts for a third
+	causeKeys    = 256                    // records of keys, shared by checksum
+	doomDoor     = 0.6                    // failing more often, a sort is denied by chance as it comes
+	doomAll      = 0.9                    // failing so often, all but a few of it
+	refusedAim   = 0.2                    // share of hops turned away as full before less is admitted
+	doubtMost    = 3                      // steps down for a dropped server, each halves its turns
+	dropKept     = 60 * time.Second       // without an answer, then a dropped server has gone; lists heal sooner
 )
 
 type state uint8
@@ -83,12 +90,12 @@
 	return []row{
 		{fresh, arrived, (*Policy).shedByChance, closed, (*Policy).deny},
 		{fresh, arrived, (*Policy).routed, out, (*Policy).send},
-		{fresh, arrived, (*Policy).worthWaiting, waiting, (*Policy).hold},
+		{fresh, arrived, (*Policy).canWait, waiting, (*Policy).hold},
 		{fresh, arrived, always, closed, (*Policy).deny},
 
-		{waiting, swept, (*Policy).routed, out, (*Policy).sendWaited},
+		{waiting, swept, (*Policy).routed, out, (*Policy).send},
 		{waiting, swept, (*Policy).canWait, waiting, (*Policy).hold},
-		{waiting, swept, always, closed, (*Policy).denyWaited},
+		{waiting, swept, always, closed, (*Policy).deny},
 		{waiting, departed, always, closed, (*Policy).hold},
 
 		{out, won, always, closed, (*Policy).hold},
@@ -114,12 +121,14 @@
 type operation struct {
 	state              state
 	kind, room, bucket int
+	tenant             int
 	key                uint32
 	target             time.Duration // answers after this are worth nothing
 	limit              time.Duration // the client is gone
 	came               time.Duration
 	hops               []hop
 	mayRun             bool
+	again, doomed      bool          // the client repeats it; it failed by its own fault
 	group              int           // server whose group must be kept, once mayRun
 	firstRun           time.Duration // send of the first hop that may have run
 	ended              Outcome       // of its last hop
@@ -150,14 +159,16 @@
 	inFlight, streak, pauses       []int
 	runStart, lastSpike, restUntil []time.Duration
 	answered                       []time.Duration   // last sign of life while hops were out
-	faults                         [][]int           // the same by type
-	faulted                        [][]time.Duration // the last of them
 	strikes, soft                  []int             // failures in a row, and what softRun counts
-	shy                            [][]time.Duration // the same by type, also after refusals
+	shy                            [][]time.Duration // refused this type, until then
 	lostSince                      []time.Duration   // first failed connect of a row, 0 if none
 	onsets                         [][forecastWindow]float64
 	coldSince, interval, forecast  []time.Duration // forecast: 0 if none
 	part, pace                     []float64       // as a plan gives them, see Share
+	doubt, refused                 []int           // steps down since the list dropped it; refusals in a row
+	causes                         [3]*record      // room for sorts
+	records                        []record        // how often hops to it failed by its fault
+	droppedAt                      []time.Duration // or its last answer since
 
 	rotation []int   // all servers in the order that all nodes share
 	next     int     // place in rotation from where the next server joins
@@ -165,9 +176,14 @@
 	need     float64 // most hops out lately
 
 	turn, pick, readyCount, pumps int
-	weights, flying               float64         // flying: hops out
+	weights, scales, flying       float64         // of the pool; scales: cut to capacity only; flying: hops out
 	usual                         []time.Duration // latency by type
 	samples                       []float64       // answers by type, since the start
+	listedMost                    int             // servers listed at a time
+	byType, byTenant, byKey       []record        // how often hops failed by their fault; by type and repeat
+	overall                       record          // the same of all
+	turned                        record          // how many hops were turned away as full
+	dearest                       float64         // revenue of the dearest type
 	base                          []time.Duration // the least of it lately: unloaded
 
 	finished                  float64   // hops that would finish in the time that hops may take
@@ -177,7 +193,6 @@
 	admit                     float64   // share of the offered work that is let in
 	denyShare                 []float64 // by bucket: type, within or beyond its tenant's share
 	rates, tenants            []float64 // arrivals per second by bucket and by tenant
-	waitWon                   []float64 // by bucket: share of waits that end in a hop
 	retries, copies           []float64 // by type: what is left of the budgets
 	rooms, roomMost           []int     // operations with a hop out, and allowed, by room
 	successes                 float64   // per second
@@ -187,6 +202,18 @@
 	lastSweep, askAt, askWait time.Duration
 }
 
+// record is how many hops ended lately, and failed.
+type record struct {
+	failed, all float64
+	at          int // server of the last failure, and one
+}
+
+func (r *record) rate() float64 { return r.failed / (r.all + causeLeast) }
+
+func (r *record) add(failed, memory float64) {
+	r.failed, r.all = r.failed*(1-1/memory)+failed, r.all*(1-1/memory)+1
+}
+
 // New returns an instance that draws its chance from seed.
 func New(s Settings, seed uint32) *Policy {
 	p := &Policy{set: s, seed: seed, admit: 1, askWait: askFirst}
@@ -194,6 +221,7 @@
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
 	p.tenants = make([]float64, len(s.AllowancePerS))
+	p.byTenant, p.byKey = make([]record, len(s.AllowancePerS)+1), make([]record, causeKeys)
 	p.retype(&Input{Types: s.Types, Like: slices.Repeat([]int{-1}, len(s.Types)), Rooms: []int{0}})
 	return p
 }
@@ -258,16 +286,17 @@
 		put(k, base, &p.base)
 		put(k, samples, &p.samples)
 		put(k, 0, &p.retries, &p.copies)
+		put(2*k, record{}, &p.byType)
+		put(2*k+1, record{}, &p.byType)
+		p.dearest = max(p.dearest, in.Types[k].Revenue)
 		for b := 2 * k; b < 2*k+2; b++ {
 			put(b, 0, &p.denyShare, &p.rates)
-			put(b, 1, &p.waitWon)
 			if b == len(p.order) {
 				p.order = append(p.order, b)
 			}
 		}
-		for s := range p.faults {
-			put(k, 0, &p.faults[s])
-			put(k, 0, &p.faulted[s], &p.shy[s])
+		for s := range p.shy {
+			put(k, 0, &p.shy[s])
 		}
 	}
 }
@@ -326,7 +355,8 @@
 	}
 	t := &p.set.Types[in.Type]
 	o := &p.ops[in.Op]
-	*o = operation{kind: in.Type, key: in.Key, room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1,
+	*o = operation{kind: in.Type, key: in.Key, tenant: min(in.Tenant, len(p.tenants)), again: in.Again,
+		room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1,
 		came: p.now, limit: p.now + in.Budget, target: p.now + min(t.TargetTime-2*p.set.Tick, in.Budget)}
 	if in.Tenant < len(p.tenants) {
 		p.tenants[in.Tenant] += 1 / rateSpan.Seconds()
@@ -402,7 +432,18 @@
 func always(*Policy, int) bool { return true }
 
 func (p *Policy) shedByChance(op int) bool {
-	return p.denyShare[p.ops[op].bucket] > 0 && p.chance() < p.denyShare[p.ops[op].bucket]
+	share := max(p.denyShare[p.ops[op].bucket], min(p.doom(&p.ops[op]), shedMost))
+	return share > 0 && p.chance() < share
+}
+
+// doom is how surely an operation fails by its sort, where others do not.
+func (p *Policy) doom(o *operation) float64 {
+	most := 0.0
+	for _, c := range p.sorts(o) {
+		most = max(most, c.rate())
+	}
+	least := min(max(doomDoor, p.overall.rate()), doomAll-causeServer)
+	return (most - least) / (doomAll - least)
 }
 
 // canWait: for room in the window, a list, or a cold server's next turn, while it may still do.
@@ -412,12 +453,6 @@
 	return fits && p.now-o.came <= cmp.Or(t.WaitMost, time.Duration(waitShare*float64(t.TargetTime)))
 }
 
-// worthWaiting: half of the operations like this one get their turn, or it waits the less often. This
-// guards against a queue in which the cheap wait behind the dear only to be denied in the end.
-func (p *Policy) worthWaiting(op int) bool {
-	return p.canWait(op) && p.chance() < max(2*p.waitWon[p.ops[op].bucket], waitTrial)
-}
-
 // harmless: a denial tells the client that trying again does no harm.
 func (p *Policy) harmless(op int) bool {
 	o, t := &p.ops[op], &p.set.Types[p.ops[op].kind]
@@ -439,12 +474,16 @@
 // repeatable: another hop is allowed, can make the target time, and has somewhere to go.
 func (p *Policy) repeatable(op int) bool {
 	o, t := &p.ops[op], &p.set.Types[p.ops[op].kind]
-	if len(o.hops) >= p.mostHops(t) || p.now+p.usual[o.kind]/2 > o.target ||
+	if o.doomed || len(o.hops) >= p.mostHops(t) || p.now+p.usual[o.kind]/2 > o.target ||
 		t.Further != 0 && !t.Further.Holds(o.ended) || t.RetryShare > 0 && p.retries[o.kind] < 1 {
 		return false
 	}
 	expired := t.Repeat == Fingerprinted && p.now >= o.firstRun+t.Window-p.set.Tick
-	if o.mayRun && (t.Repeat == Binding || expired || p.full()) { // repeats add no load when there is no room
+	if o.mayRun && (t.Repeat == Binding || expired) {
+		return false
+	}
+	if first := len(o.hops) == 1 && t.Revenue >= p.dearest; !first && (o.mayRun && p.full() ||
+		o.ended == Overloaded && p.chance() < p.turned.rate()) { // repeats add no load when there is no room
 		return false
 	}
 	return p.routed(op)
@@ -475,16 +514,6 @@
 
 func (p *Policy) hold(int) {}
 
-func (p *Policy) sendWaited(op int) {
-	p.waitWon[p.ops[op].bucket] += strainSmooth * (1 - p.waitWon[p.ops[op].bucket])
-	p.send(op)
-}
-
-func (p *Policy) denyWaited(op int) {
-	p.waitWon[p.ops[op].bucket] -= strainSmooth * p.waitWon[p.ops[op].bucket]
-	p.deny(op)
-}
-
 // deny tells the client when to come back: while it can still be served, for one that has this node only does
 // not try elsewhere, and after the longest wait it would come too late; spread, not all at once.
 func (p *Policy) deny(op int) {
@@ -531,11 +560,10 @@
 	if p.inFlight[s] == 0 {
 		p.answered[s] = p.now
 	}
-	if p.faults[s][o.kind] > 0 {
-		p.shy[s][o.kind] = o.target // on trial, alone
-	}
 	p.inFlight[s]++
-	p.flying++
+	if p.flying++; p.doom(o) > 0 { // takes none of the window from those that can be handled
+		p.outlast(op)
+	}
 	if p.cold[s] {
 		p.coldPace[s]--
 	}
@@ -581,6 +609,16 @@
 // learn keeps the figures about a server from the end of one hop.
 func (p *Policy) learn(s int, o *operation, sent time.Duration, how Outcome) {
 	spent, usual := p.now-sent, p.usual[o.kind]
+	p.turned.add(0, 2*causeMemory)
+	if how == Success || how == Failure || how == TimedOut || how == Broken {
+		short := how == TimedOut && o.target-sent < 2*p.base[o.kind] // tells of the client only
+		if o.doomed = !short && p.blamed(s, o, how); o.doomed || short {
+			if how == TimedOut {
+				p.ghosts[s], p.ghostSent[s] = p.ghosts[s]+1, max(p.ghostSent[s], sent)
+			}
+			return
+		}
+	}
 	switch how {
 	case Success:
 		p.spike(s, sent, float64(spent) > spikeFactor*float64(p.smoothed[s]))
@@ -593,7 +631,7 @@
 		p.successes += 1 / rateSpan.Seconds()
 		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
-		p.faults[s][o.kind], p.shy[s][o.kind] = 0, 0
+		p.shy[s][o.kind], p.refused[s] = 0, 0
 		if sent >= p.ghostSent[s] {
 			p.ghosts[s] = 0 // servers work in turn: what was sent before this hop is done
 		}
@@ -609,6 +647,11 @@
 		}
 	case Overloaded: // servers may refuse one type and serve the others: the rest is for that type only
 		p.answered[s], p.shy[s][o.kind] = p.now, p.now+restFirst
+		p.turned.failed++
+		p.slowness[s] += smoothing * (spikeFactor - p.slowness[s])
+		if p.refused[s]++; p.refused[s] >= restStrikes && p.now >= p.restUntil[s] {
+			p.rest(s, p.refused[s]-restStrikes)
+		}
 	case Unreachable:
 		enough := 1
 		if spent < p.set.ConnectTimeout/2 { // refused at once: costs nothing, and may be the one connection
@@ -620,7 +663,6 @@
 	}
 	if how == TimedOut || how == Failure {
 		p.strike(s, restStrikes)
-		p.fault(s, o.kind, sent)
 	}
 	if how == Success || how == TimedOut {
 		p.judge(spent.Seconds(), p.allowed(o.kind))
@@ -628,6 +670,41 @@
 	}
 }
 
+// sorts are the records of what an operation shares with others: type and repeat, tenant, key.
+func (p *Policy) sorts(o *operation) []*record {
+	kind := 2 * o.kind
+	if o.again {
+		kind++
+	}
+	all := append(p.causes[:0], &p.byType[kind], &p.byTenant[o.tenant])
+	if o.key != 0 {
+		all = append(all, &p.byKey[o.key%causeKeys])
+	}
+	return all
+}
+
+// blamed books an end and tells if a failure is the operation's own: what it shares with others fails more
+// often, over all servers, than this server does over all that it is sent. This guards against operations
+// that fail, drag or do harm wherever they go, which would have all servers rest and the window shut.
+func (p *Policy) blamed(s int, o *operation, how Outcome) bool {
+	failed, worst := 1.0, 0.0
+	if how == Success {
+		failed = 0
+	}
+	for _, c := range p.sorts(o) {
+		if failed == 0 || c.at != s+1 { // of a row at one server one counts: it tells of the server
+			c.add(failed, 3*causeMemory)
+		}
+		if failed > 0 {
+			c.at = s + 1
+		}
+		worst = max(worst, c.rate())
+	}
+	p.records[s].add(failed, causeMemory)
+	p.overall.add(failed, 3*causeMemory)
+	return failed > 0 && worst > max(p.records[s].rate()+causeServer, p.overall.rate())
+}
+
 // pump gives freed room to the operations that wait here, the dearest first.
 func (p *Policy) pump() {
 	for p.pumps++; !p.full(); {
@@ -652,43 +729,35 @@
 // alive ends a server's rest. One that answers after it was out of reach may have restarted before the
 // list tells: it is held for cold, so that it is not pushed over.
 func (p *Policy) alive(s int) {
-	if p.lostSince[s] > 0 && p.now-p.lostSince[s] > silentDeath {
+	if p.lostSince[s] > 0 && p.now-p.answered[s] > silentDeath {
 		p.chill(s, p.now)
 	}
 	p.answered[s], p.strikes[s], p.restUntil[s], p.soft[s], p.lostSince[s] = p.now, 0, 0, 0, 0
+	p.doubt[s], p.droppedAt[s] = max(p.doubt[s]-1, 0), p.now
 }
 
 // strike counts a failure and sends the server to rest after enough in a row.
 func (p *Policy) strike(s, enough int) {
 	p.strikes[s]++
-	if p.strikes[s] >= enough && p.now >= p.restUntil[s] {
-		p.rest(func(s int) *time.Duration { return &p.restUntil[s] }, s, p.strikes[s]-enough, restServers)
-	}
-}
-
-// fault counts the failures of one type; answers to others take a server's strikes back. One hop at a time
-// then tries it, and after a row it rests for that type. Of a queue that fails whole one counts.
-func (p *Policy) fault(s, kind int, sent time.Duration) {
-	if sent < p.faulted[s][kind] {
-		return
+	if !p.listed[s] {
+		p.doubt[s] = min(p.doubt[s]+1, doubtMost)
 	}
-	p.faulted[s][kind] = p.now
-	if p.faults[s][kind]++; p.faults[s][kind] >= typeStrikes {
-		p.rest(func(s int) *time.Duration { return &p.shy[s][kind] }, s, p.faults[s][kind]-typeStrikes, restTypes)
+	if p.strikes[s] >= enough && p.now >= p.restUntil[s] {
+		p.rest(s, p.strikes[s]-enough)
 	}
 }
 
 // rest sets the end of a rest that doubles, unless too large a share of the ready servers would be resting.
-func (p *Policy) rest(until func(int) *time.Duration, s, doubled int, share float64) {
+func (p *Policy) rest(s, doubled int) {
 	n := 1.0
 	for other, ready := range p.ready {
-		if ready && p.now < *until(other) {
+		if ready && p.listed[other] && p.now < p.restUntil[other] {
 			n++
 		}
 	}
-	if n <= share*float64(p.readyCount) {
+	if n <= restServers*float64(p.readyCount) || !p.listed[s] { // for those dropped the list bears it out
 		wait := min(restFirst<<min(doubled, 3), restMost)
-		*until(s) = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
+		p.restUntil[s] = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
 	}
 }
 
@@ -894,12 +963,12 @@
 	}
 	was, known := slices.Clone(p.listed), len(p.listed) > 0
 	if in.Scope != Changes { // absent from a full list: gone
-		clear(p.ready)
 		clear(p.listed)
 	}
 	for _, m := range in.Members {
 		s := m.Server
-		if m.Other || s == len(p.ready) {
+		isNew := m.Other || s == len(p.ready)
+		if isNew {
 			p.enrol(s)
 		}
 		if !slices.Contains(p.rotation, s) {
@@ -908,7 +977,8 @@
 		wasListed := s < len(was) && was[s]
 		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, cmp.Or(max(m.Scale, 0), 1)
 		p.labels[s] = m.Labels
-		if p.ready[s] = m.Condition == Up; p.ready[s] && !wasListed && known && !p.member[s] &&
+		p.ready[s] = m.Condition == Up || m.Condition == Gone && p.ready[s] && !m.Replaced
+		if m.Condition == Up && !wasListed && known && !p.member[s] &&
 			p.chance()*float64(p.readyCount+1) < float64(len(p.pool)) {
 			p.take(s) // as often as it has any other: not left out, and not taken in by all at once
 		}
@@ -918,10 +988,20 @@
 			if !p.cold[s] || m.Started > p.coldSince[s] {
 				p.chill(s, m.Started)
 			}
-		case !m.HasStart && known && !wasListed && in.Scope != Saved && m.Condition == Up:
+		case !m.HasStart && known && !wasListed && in.Scope != Saved && p.ready[s] &&
+			(isNew || !p.set.OnlyDraining):
 			p.chill(s, p.now) // no start time told, but it was not there before
 		}
 	}
+	named := 0
+	for s, listed := range p.listed {
+		if listed {
+			named++
+		} else if p.ready[s] {
+			p.unlist(s, s < len(was) && was[s])
+		}
+	}
+	p.listedMost = max(p.listedMost, named)
 	p.pool = slices.DeleteFunc(p.pool, func(s int) bool {
 		p.member[s] = p.ready[s]
 		return !p.ready[s]
@@ -934,11 +1014,43 @@
 	p.pump()
 }
 
+// unlist answers that the list dropped a server without a word of draining. Where only draining binds that
+// proves nothing: its turns go down by a step, and from then on by what its hops find. This guards against
+// lists that are wrong, old or cut short; where all that vanish are dead, each costs a few failed connects.
+func (p *Policy) unlist(s int, now bool) {
+	if p.ready[s] = p.set.OnlyDraining; !p.ready[s] {
+		return
+	}
+	if now {
+		p.doubt[s], p.droppedAt[s] = min(p.doubt[s]+1, doubtMost), p.now
+	}
+	p.emit(Effect{Kind: Keep, Server: s})
+}
+
+// giveUpDropped lets go of servers that the list dropped and that have not answered for long, the longest
+// silent also when more are kept than are listed at most, so that what is kept stays bounded.
+func (p *Policy) giveUpDropped() {
+	kept, oldest := 0, -1
+	for s, ready := range p.ready {
+		if ready && !p.listed[s] {
+			if kept++; oldest < 0 || p.droppedAt[s] < p.droppedAt[oldest] {
+				oldest = s
+			}
+		}
+	}
+	if kept > 0 && (kept > p.listedMost || p.now-p.droppedAt[oldest] > dropKept) && p.inFlight[oldest] == 0 {
+		p.ready[oldest] = false
+		if i := slices.Index(p.pool, oldest); i >= 0 {
+			p.drop(i)
+		}
+		p.emit(Effect{Kind: Forget, Server: oldest})
+	}
+}
+
 // chill takes a server for cold since a moment.
 func (p *Policy) chill(s int, since time.Duration) {
 	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, p.chance() // not all nodes at once
 	p.strikes[s], p.restUntil[s], p.lostSince[s], p.soft[s] = 0, 0, 0, 0
-	clear(p.faults[s])
 }
 
 // rotate puts a server into the rotation by its rank, which is the same at every node.
@@ -967,18 +1079,18 @@
 		}
 	}
 	put(s, false, &p.ready, &p.listed, &p.cold, &p.member)
-	put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft)
+	put(s, record{}, &p.records)
+	put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft, &p.doubt,
+		&p.refused)
 	put(s, 0.0, &p.due, &p.coldPace, &p.ghosts, &p.part, &p.pace)
 	put(s, 1.0, &p.scale, &p.weight, &p.slowness)
 	put(s, 0, &p.labels)
 	put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.restUntil,
-		&p.lostSince, &p.forecast, &p.interval)
+		&p.lostSince, &p.forecast, &p.interval, &p.droppedAt)
 	put(s, mean, &p.smoothed)
 	put(s, p.now, &p.answered)
 	put(s, [forecastWindow]float64{}, &p.onsets)
 	put(s, make([]time.Duration, len(p.set.Types)), &p.shy)
-	put(s, make([]time.Duration, len(p.set.Types)), &p.faulted)
-	put(s, make([]int, len(p.set.Types)), &p.faults)
 }
 
 func put[T any](s int, v T, figures ...*[]T) {
@@ -998,14 +1110,16 @@
 }
 
 func (p *Policy) weigh() {
-	p.weights, p.readyCount = 0, 0
+	p.weights, p.scales, p.readyCount = 0, 0, 0
 	for s := range p.ready {
 		if p.ready[s] {
 			p.readyCount++
 		}
 	}
 	for _, s := range p.pool {
-		p.weight[s] = p.scale[s] * p.capacity(s) / max(p.slowness[s]*p.slowness[s], slowLeast)
+		able := p.scale[s] * p.capacity(s)
+		p.weight[s] = able / max(p.slowness[s]*p.slowness[s], slowLeast) / float64(int(1)<<(2*p.doubt[s]))
+		p.scales += able
 		p.weights += p.weight[s]
 	}
 }
@@ -1018,11 +1132,18 @@
 	p.lastSweep = p.now
 	fade := math.Exp(-passed.Seconds() / rateSpan.Seconds())
 	p.successes *= fade
+	p.turned.failed, p.turned.all = p.turned.failed*fade, p.turned.all*fade
 	for _, rates := range [][]float64{p.rates, p.tenants} {
 		for i := range rates {
 			rates[i] *= fade
 		}
 	}
+	gone := math.Exp(-passed.Seconds() / causeFade.Seconds())
+	for _, records := range [][]record{p.records, p.byType, p.byTenant, p.byKey} {
+		for i := range records {
+			records[i].failed, records[i].all = records[i].failed*gone, records[i].all*gone
+		}
+	}
 	relax := 1 - math.Exp(-passed.Seconds()/baseSpan.Seconds())
 	for i := range p.base {
 		p.base[i] += time.Duration(relax * float64(p.usual[i]-p.base[i]))
@@ -1037,6 +1158,7 @@
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
 	}
 	p.letGo(passed)
+	p.giveUpDropped()
 	p.adjustShed(passed)
 	p.pump()
 	for i := len(p.open) - 1; i >= 0; i-- {
@@ -1056,7 +1178,7 @@
 	floor := coldFloor * p.set.FallMultiple / max(slices.Max(p.usual), 1).Seconds() / float64(p.set.Nodes)
 	for s := range p.cold {
 		if p.cold[s] {
-			pace := cmp.Or(p.pace[s], max(p.successes*p.scale[s]/max(p.weights, 1e-9), floor)) * p.capacity(s)
+			pace := cmp.Or(p.pace[s], max(p.successes*p.scale[s]/max(p.scales, 1e-9), floor)) * p.capacity(s)
 			p.coldPace[s] = min(p.coldPace[s]+pace*passed.Seconds(), coldBurst)
 		}
 	}
@@ -1069,7 +1191,7 @@
 	if p.blocked *= kept; p.full() {
 		p.blocked += 1 - kept
 	}
-	off := max(1-p.blocked/blockedAim, -2)
+	off := max(1-max(p.blocked/blockedAim, p.turned.rate()/refusedAim), -2)
 	p.admit = min(max(p.admit*math.Exp(admitPace*off*passed.Seconds()), admitLeast), cmp.Or(p.admitMost, 1))
 	slices.SortFunc(p.order, func(a, b int) int { return cmp.Or(cmp.Compare(p.worth(a), p.worth(b)), a-b) })
 	total := 0.0
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -33,20 +33,19 @@
 	c := *p
 	c.effects = nil
 	dup(&c.ready, &c.listed, &c.cold, &c.member)
-	dup(&c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses, &c.strikes, &c.soft, &c.rotation, &c.pool,
+	dup(&c.doubt, &c.refused, &c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses, &c.strikes, &c.soft, &c.rotation, &c.pool,
 		&c.open, &c.order, &c.rooms, &c.roomMost)
 	dup(&c.scale, &c.weight, &c.due, &c.coldPace, &c.ghosts, &c.slowness, &c.part, &c.pace, &c.samples, &c.denyShare,
-		&c.rates, &c.tenants, &c.waitWon, &c.retries, &c.copies, &c.within)
+		&c.rates, &c.tenants, &c.retries, &c.copies, &c.within)
 	dup(&c.ghostSent, &c.smoothed, &c.runStart, &c.lastSpike, &c.answered, &c.restUntil, &c.lostSince, &c.forecast,
-		&c.coldSince, &c.interval, &c.usual, &c.base)
+		&c.coldSince, &c.interval, &c.usual, &c.base, &c.droppedAt)
 	dup(&c.labels)
+	dup(&c.records, &c.byType, &c.byTenant, &c.byKey)
 	dup(&c.onsets)
 	dup(&c.ops)
-	dup(&c.faults)
-	dup(&c.faulted, &c.shy)
+	dup(&c.shy)
 	for s := range c.ready {
-		dup(&c.faults[s])
-		dup(&c.faulted[s], &c.shy[s])
+		dup(&c.shy[s])
 	}
 	for _, open := range c.open {
 		dup(&c.ops[open].hops)
