Hops for cold servers are granted by chance and lost after a second

The lines: chill gave each node up to one hop at once and paceCold let it save two for as long as it liked; 90 nodes held some 100 hops, and when errors had other servers rest, many spent theirs within 2 s. Not the pace (summed over nodes it is the server's own share) and not an untold restart (all nodes were told 9 s before). Now a hop is granted by chance at the pace and lost by chance after a second, so what all nodes hold is what they would send within one. A test plays 90 nodes for 14 s.

Should guard against any burst that many nodes save up; harms where a cold server is the only one left and few operations come.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,9 @@
 	shedMost     = 0.95                   // of one type; some of each are let through
 	rateSpan     = 3 * time.Second        // over which arrival and success rates are taken
 	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
+	coldShare    = 0.5                    // of the fall budget, as usual load leaves about as much room again
 	coldBurst    = 2.0                    // hops saved up for a cold server
+	coldLasts    = 1 * time.Second        // for which one is; so all nodes together save up little, however many
 	budgetSpan   = 3.0                    // seconds for which budgets of retries and copies are saved up
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
@@ -1049,7 +1051,7 @@
 
 // chill takes a server for cold since a moment.
 func (p *Policy) chill(s int, since time.Duration) {
-	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, p.chance() // not all nodes at once
+	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, 0
 	p.strikes[s], p.restUntil[s], p.lostSince[s], p.soft[s] = 0, 0, 0, 0
 }
 
@@ -1178,8 +1180,14 @@
 	floor := coldFloor * p.set.FallMultiple / max(slices.Max(p.usual), 1).Seconds() / float64(p.set.Nodes)
 	for s := range p.cold {
 		if p.cold[s] {
-			pace := cmp.Or(p.pace[s], max(p.successes*p.scale[s]/max(p.scales, 1e-9), floor)) * p.capacity(s)
-			p.coldPace[s] = min(p.coldPace[s]+pace*passed.Seconds(), coldBurst)
+			own := coldShare * p.set.FallMultiple * p.successes * p.scale[s] / max(p.scales, 1e-9)
+			pace := cmp.Or(p.pace[s], max(own, floor)) * p.capacity(s)
+			if p.chance() < pace*passed.Seconds() {
+				p.coldPace[s] = min(p.coldPace[s]+1, coldBurst)
+			}
+			if p.chance() < passed.Seconds()/coldLasts.Seconds() {
+				p.coldPace[s] = max(p.coldPace[s]-1, 0)
+			}
 		}
 	}
 }
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -202,3 +202,26 @@
 		t.Error("taken for warm")
 	}
 }
+
+// Many nodes that each feed a cold server little must not have saved up much together: in the old code 90 nodes held a hop
+// or two each, and a burst of errors elsewhere sent a server 14 s old 4.4 times its part within 2 s.
+func TestManyNodesSaveUpLittle(t *testing.T) {
+	const nodes = 90
+	saved, pace := 0.0, 0.0
+	for me := range nodes {
+		r := newRig(t, 18, func(s *Settings) { s.Nodes, s.Me, s.ColdFor = nodes, me, 24*time.Second }).takeAll()
+		r.Policy.seed = uint32(1000 + me)
+		r.now = time.Second
+		r.chill(0, r.now)
+		for range 700 { // 14 s
+			r.now += 20 * ms
+			r.successes = 3
+			r.paceCold(20 * ms)
+		}
+		saved += r.coldPace[0]
+		pace += r.successes / 18 * r.capacity(0)
+	}
+	if most := 2 * pace * coldLasts.Seconds(); saved > most {
+		t.Errorf("%.0f hops saved up, more than the %.0f of two seconds", saved, most)
+	}
+}
