Servers of the own location are taken in first while hops are quick

A server that joins is one of the own location first, by chance as the strain is low; under strain the rotation decides as before, for traffic and servers are spread unevenly.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,7 @@
 func Decode(object []byte) (Settings, error) {
 	var raw struct {
 		GroupSize, Me  int
+		Zone           int
 		Granularity    float64
 		Discovery      string
 		OverageRevenue float64
@@ -74,7 +75,7 @@
 	}
 	s := Settings{Zones: raw.Dcs, ConnIdle: Span(raw.Limits.ConnIdle)}
 	s.Settings = policy.Settings{
-		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Tick: Span(raw.Granularity),
+		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Zone: raw.Zone, Tick: Span(raw.Granularity),
 		OverageRevenue: raw.OverageRevenue,
 		OnRequest:      raw.Discovery == "on_request",
 		MostHops:       raw.Limits.MostHops,
--- a/policy/api.go
+++ b/policy/api.go
@@ -64,6 +64,7 @@
 type Settings struct {
 	Nodes          int
 	Me             int           // this node's number among them
+	Zone           int           // where it stands
 	Tick           time.Duration // shortest gap between two calls
 	Types          []TrafficType
 	AllowancePerS  []float64 // by tenant, over all nodes
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -910,8 +910,10 @@
 			}
 		}
 	}
-	for i := 0; i < n && best == 0; i++ {
-		if s := p.rotation[(p.next+i)%n]; p.part[s] >= 0 && free(s) {
+	home := p.chance() > p.strain
+	for i := 0; i < 2*n && best == 0; i++ {
+		s := p.rotation[(p.next+i)%n]
+		if p.part[s] >= 0 && free(s) && (i >= n || !home || p.zone[s] == p.set.Zone) {
 			p.next, p.pick, best = (p.next+i+1)%n, s, 1
 		}
 	}
