--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,7 @@
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
 	poolSlack    = 2.0                    // servers kept beyond those needed: one rests while another works
-	poolJudged   = 2.5                    // answers a second a server; ten, which judge it, come in 4 s
+	poolJudged   = 1.0                    // answers a second a server; ten, which judge it, come in 10 s
 	poolSpan     = 10 * time.Second       // in which servers once needed count as needed; longer than a burst
 	homeStep     = 0.6180339887           // of the rotation between two nodes' starts; spreads any run of nodes
 	silentDeath  = 1 * time.Second        // out of reach this long may mean a restart, so a cold server
