--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
 // Package policy decides, for one node, which server gets an operation, when it gets a further hop, and when
 // it is denied or written off. Handle takes one Input at a time with the time since start and appends Effects
-// to carry out (api.go). The module keeps no clock and asks to be woken. The table in lifecycle is the way of
-// an operation from its arrival to its final answer; routed is the design's ordinary path.
+// to carry out (api.go); what it keeps is in state.go. It has no clock and asks to be woken. The table in
+// lifecycle is the way of an operation to its final answer; routed is the design's ordinary path.
 package policy
 
 import (
@@ -114,96 +114,6 @@
 	}
 }
 
-type hop struct {
-	server      int
-	sent        time.Duration
-	ended, late bool // late: not in the window any more
-}
-
-type operation struct {
-	state              state
-	kind, room, bucket int
-	tenant             int
-	key                uint32
-	target             time.Duration // answers after this are worth nothing
-	limit              time.Duration // the client is gone
-	came               time.Duration
-	hops               []hop
-	mayRun             bool
-	again, doomed      bool          // the client repeats it; it failed by its own fault
-	group              int           // server whose group must be kept, once mayRun
-	firstRun           time.Duration // send of the first hop that may have run
-	ended              Outcome       // of its last hop
-	place, pumped      int           // in Policy.open; the last pump that looked at it
-}
-
-// Policy is one instance of the decision module.
-type Policy struct {
-	set         Settings
-	rows        [states][signals][]row
-	seed, draws uint32
-	now         time.Duration
-	effects     []Effect
-
-	ops         []operation
-	open, order []int // operations in hand; buckets, the cheapest first
-
-	// Servers, in parallel arrays under their index.
-	ready, listed, cold, member    []bool // member: taken in
-	rank, zone, cell               []int
-	scale, weight, due             []float64 // weight: scale, less while cold or slow; due: turns earned
-	labels                         []uint64
-	coldPace                       []float64       // hops a cold server may have now
-	ghosts                         []float64       // hops given up that the server may still work on
-	ghostSent                      []time.Duration // the last of them
-	smoothed                       []time.Duration
-	slowness                       []float64 // latency over what is usual for the type
-	inFlight, streak, pauses       []int
-	runStart, lastSpike, restUntil []time.Duration
-	answered                       []time.Duration   // last sign of life while hops were out
-	strikes, soft                  []int             // failures in a row, and what softRun counts
-	shy                            [][]time.Duration // refused this type, until then
-	lostSince                      []time.Duration   // first failed connect of a row, 0 if none
-	onsets                         [][forecastWindow]float64
-	coldSince, interval, forecast  []time.Duration // forecast: 0 if none
-	part, pace                     []float64       // as a plan gives them, see Share
-	doubt, refused                 []int           // steps down since the list dropped it; refusals in a row
-	causes                         [3]*record      // room for sorts
-	records                        []record        // how often hops to it failed by its fault
-	droppedAt                      []time.Duration // or its last answer since
-
-	rotation []int   // all servers in the order that all nodes share
-	next     int     // place in rotation from where the next server joins
-	pool     []int   // servers taken in, in the order of joining
-	need     float64 // most hops out lately
-
-	turn, pick, readyCount, pumps int
-	weights, scales, flying       float64         // of the pool; scales: cut to capacity only; flying: hops out
-	usual                         []time.Duration // latency by type
-	samples                       []float64       // answers by type, since the start
-	listedMost                    int             // servers listed at a time
-	byType, byTenant, byKey       []record        // how often hops failed by their fault; by type and repeat
-	overall                       record          // the same of all
-	turned                        record          // how many hops were turned away as full
-	dearest                       float64         // revenue of the dearest type
-	base                          []time.Duration // the least of it lately: unloaded
-
-	finished                  float64   // hops that would finish in the time that hops may take
-	grown                     float64   // hops that answers in time have made room for
-	strain                    float64   // smoothed time of hops over the time they may take
-	blocked                   float64   // share of time that the window is full
-	admit                     float64   // share of the offered work that is let in
-	denyShare                 []float64 // by bucket: type, within or beyond its tenant's share
-	rates, tenants            []float64 // arrivals per second by bucket and by tenant
-	retries, copies           []float64 // by type: what is left of the budgets
-	rooms, roomMost           []int     // operations with a hop out, and allowed, by room
-	successes                 float64   // per second
-	within                    []float64 // by tenant, as a plan gives it
-	admitMost                 float64   // likewise, 0 for none
-	started, asked            bool
-	lastSweep, askAt, askWait time.Duration
-}
-
 // record is how many hops ended lately, and failed.
 type record struct {
 	failed, all float64
@@ -212,6 +122,8 @@
 
 func (r *record) rate() float64 { return r.failed / (r.all + causeLeast) }
 
+func (r *record) fade(kept float64) { r.failed, r.all = r.failed*kept, r.all*kept }
+
 func (r *record) add(failed, memory float64) {
 	r.failed, r.all = r.failed*(1-1/memory)+failed, r.all*(1-1/memory)+1
 }
@@ -612,12 +524,12 @@
 func (p *Policy) learn(s int, o *operation, sent time.Duration, how Outcome) {
 	spent, usual := p.now-sent, p.usual[o.kind]
 	p.turned.add(0, 2*causeMemory)
+	if how == TimedOut { // the server may still work on it, and looks idle if that is not counted
+		p.ghosts[s], p.ghostSent[s] = p.ghosts[s]+1, max(p.ghostSent[s], sent)
+	}
 	if how == Success || how == Failure || how == TimedOut || how == Broken {
 		short := how == TimedOut && o.target-sent < 2*p.base[o.kind] // tells of the client only
 		if o.doomed = !short && p.blamed(s, o, how); o.doomed || short {
-			if how == TimedOut {
-				p.ghosts[s], p.ghostSent[s] = p.ghosts[s]+1, max(p.ghostSent[s], sent)
-			}
 			return
 		}
 	}
@@ -639,10 +551,10 @@
 		}
 	case TimedOut:
 		p.spike(s, sent, true)
-		p.ghosts[s]++ // the server may still work on it, and looks idle if that is not counted
-		p.ghostSent[s] = max(p.ghostSent[s], sent)
+		p.strike(s, restStrikes)
 	case Failure:
 		p.answered[s] = p.now
+		p.strike(s, restStrikes)
 	case Declined, Broken: // neither nonsense from clients nor single connections must take servers out
 		if p.soft[s]++; p.soft[s] >= softRun {
 			p.strike(s, 1)
@@ -663,9 +575,6 @@
 			p.lostSince[s] = max(p.now, 1)
 		}
 	}
-	if how == TimedOut || how == Failure {
-		p.strike(s, restStrikes)
-	}
 	if how == Success || how == TimedOut {
 		p.judge(spent.Seconds(), p.allowed(o.kind))
 		p.slowness[s] += smoothing * (float64(spent)/float64(max(usual, 1)) - p.slowness[s])
@@ -1136,16 +1045,16 @@
 	p.lastSweep = p.now
 	fade := math.Exp(-passed.Seconds() / rateSpan.Seconds())
 	p.successes *= fade
-	p.turned.failed, p.turned.all = p.turned.failed*fade, p.turned.all*fade
 	for _, rates := range [][]float64{p.rates, p.tenants} {
 		for i := range rates {
 			rates[i] *= fade
 		}
 	}
-	gone := math.Exp(-passed.Seconds() / causeFade.Seconds())
+	p.turned.fade(fade)
+	fade = math.Exp(-passed.Seconds() / causeFade.Seconds())
 	for _, records := range [][]record{p.records, p.byType, p.byTenant, p.byKey} {
 		for i := range records {
-			records[i].failed, records[i].all = records[i].failed*gone, records[i].all*gone
+			records[i].fade(fade)
 		}
 	}
 	relax := 1 - math.Exp(-passed.Seconds()/baseSpan.Seconds())
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -225,3 +225,27 @@
 		t.Errorf("%.0f hops saved up, more than the %.0f of two seconds", saved, most)
 	}
 }
+
+// Servers of the own location are taken in first while hops are quick; under strain the rotation decides alone.
+func TestOwnLocationFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		strain     float64
+		from, till int // of 60 nodes of location 1 whose first server is there too; half of the servers are
+	}{
+		"quick":        {0, 60, 60},
+		"under strain": {1.5, 18, 42},
+	} {
+		t.Run(name, func(t *testing.T) {
+			home := 0
+			for me := range 60 {
+				r := newRig(t, 20, func(s *Settings) { s.Nodes, s.Me, s.Zone = 60, me, 1 })
+				r.Policy.seed, r.strain = uint32(me), c.strain
+				r.arriveAt(0, 0, time.Second)
+				home += r.pool[0] % 2
+			}
+			if home < c.from || home > c.till {
+				t.Errorf("%d at home", home)
+			}
+		})
+	}
+}
