--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,8 @@
 	restMost     = 4 * time.Second        // longest rest, so that a healed server is found within it
 	restStrikes  = 2                      // failures in a row; one may be a heavy operation
 	restServers  = 0.5                    // of the ready servers may rest: more would only load the others
+	typeStrikes  = 3                      // the same of one type, each sent after the last; overload brings two
+	restTypes    = 0.75                   // of the servers may rest for one type; the others still use them
 	softRun      = 5                      // hops declined or broken in a row; fewer may be chance
 	windowAim    = 0.1                    // of the target time left by unloaded latency; servers choke on more
 	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded; longer than jams
@@ -210,7 +212,8 @@
 			}
 		}
 		for s := range p.shy {
-			put(k, 0, &p.shy[s])
+			put(k, 0, &p.faults[s])
+			put(k, 0, &p.faulted[s], &p.shy[s])
 		}
 	}
 }
@@ -474,6 +477,9 @@
 	if p.inFlight[s] == 0 {
 		p.answered[s] = p.now
 	}
+	if p.faults[s][o.kind] > 0 {
+		p.shy[s][o.kind] = o.target // on trial, alone
+	}
 	p.inFlight[s]++
 	if p.flying++; p.doom(o) > 0 { // takes none of the window from those that can be handled
 		p.outlast(op)
@@ -545,16 +551,18 @@
 		p.successes += 1 / rateSpan.Seconds()
 		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
-		p.shy[s][o.kind], p.refused[s] = 0, 0
+		p.faults[s][o.kind], p.shy[s][o.kind], p.refused[s] = 0, 0, 0
 		if sent >= p.ghostSent[s] {
 			p.ghosts[s] = 0 // servers work in turn: what was sent before this hop is done
 		}
 	case TimedOut:
 		p.spike(s, sent, true)
 		p.strike(s, restStrikes)
+		p.fault(s, o.kind, sent)
 	case Failure:
 		p.answered[s] = p.now
 		p.strike(s, restStrikes)
+		p.fault(s, o.kind, sent)
 	case Declined, Broken: // neither nonsense from clients nor single connections must take servers out
 		if p.soft[s]++; p.soft[s] >= softRun {
 			p.strike(s, 1)
@@ -564,7 +572,7 @@
 		p.turned.failed++
 		p.slowness[s] += smoothing * (spikeFactor - p.slowness[s])
 		if p.refused[s]++; p.refused[s] >= restStrikes && p.now >= p.restUntil[s] {
-			p.rest(s, p.refused[s]-restStrikes)
+			p.rest(func(s int) *time.Duration { return &p.restUntil[s] }, s, p.refused[s]-restStrikes, restServers)
 		}
 	case Unreachable:
 		enough := 1
@@ -654,21 +662,33 @@
 		p.doubt[s] = min(p.doubt[s]+1, doubtMost)
 	}
 	if p.strikes[s] >= enough && p.now >= p.restUntil[s] {
-		p.rest(s, p.strikes[s]-enough)
+		p.rest(func(s int) *time.Duration { return &p.restUntil[s] }, s, p.strikes[s]-enough, restServers)
+	}
+}
+
+// fault counts the failures of one type; answers to others take a server's strikes back. One hop at a time
+// then tries it, and after a row it rests for that type. Of a queue that fails whole one counts.
+func (p *Policy) fault(s, kind int, sent time.Duration) {
+	if sent < p.faulted[s][kind] {
+		return
+	}
+	p.faulted[s][kind] = p.now
+	if p.faults[s][kind]++; p.faults[s][kind] >= typeStrikes {
+		p.rest(func(s int) *time.Duration { return &p.shy[s][kind] }, s, p.faults[s][kind]-typeStrikes, restTypes)
 	}
 }
 
 // rest sets the end of a rest that doubles, unless too large a share of the ready servers would be resting.
-func (p *Policy) rest(s, doubled int) {
+func (p *Policy) rest(until func(int) *time.Duration, s, doubled int, share float64) {
 	n := 1.0
 	for other, ready := range p.ready {
-		if ready && p.listed[other] && p.now < p.restUntil[other] {
+		if ready && p.listed[other] && p.now < *until(other) {
 			n++
 		}
 	}
-	if n <= restServers*float64(p.readyCount) || !p.listed[s] { // for those dropped the list bears it out
+	if n <= share*float64(p.readyCount) || !p.listed[s] { // for those dropped the list bears it out
 		wait := min(restFirst<<min(doubled, 3), restMost)
-		p.restUntil[s] = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
+		*until(s) = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
 	}
 }
 
@@ -964,6 +984,7 @@
 func (p *Policy) chill(s int, since time.Duration) {
 	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, 0
 	p.strikes[s], p.restUntil[s], p.lostSince[s], p.soft[s] = 0, 0, 0, 0
+	clear(p.faults[s])
 }
 
 // rotate puts a server into the rotation by its rank, which is the same at every node.
@@ -1004,6 +1025,8 @@
 	put(s, p.now, &p.answered)
 	put(s, [forecastWindow]float64{}, &p.onsets)
 	put(s, make([]time.Duration, len(p.set.Types)), &p.shy)
+	put(s, make([]time.Duration, len(p.set.Types)), &p.faulted)
+	put(s, make([]int, len(p.set.Types)), &p.faults)
 }
 
 func put[T any](s int, v T, figures ...*[]T) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -554,7 +554,8 @@
 }
 
 // A server may fail one type and answer the others; one that answers neither, and one whose single connection broke.
-// A server rests after a row of failures of any type, and answers to others end the row.
+// A server rests after a row of failures; answers to other types end the row, but not that of its type. Without the latter the
+// peak of a rolling release on sockets denied 13% in place of 3%.
 func TestFailuresInARow(t *testing.T) {
 	type end struct {
 		kind int
@@ -572,6 +573,8 @@
 		want []bool // unwell, by type
 	}{
 		"twice":                          {[]end{a, b, a, b}, []bool{false, false, false, false}},
+		"again, the others answered":     {[]end{a, b, a, b, a, b}, []bool{false, false, true, false}},
+		"and then answered":              {[]end{a, b, a, b, a, b, {kind: 2, how: Success}}, []bool{false, false, false, false}},
 		"all types":                      {[]end{a, {kind: 0, how: TimedOut}}, []bool{true, true, true, true}},
 		"one connection refused":         {no(1, Unreachable), []bool{false, false, true, false}},
 		"two refused":                    {no(2, Unreachable), []bool{true, true, true, true}},
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,8 @@
 	answered                         []time.Duration   // last sign of life while hops were out
 	lostSince, droppedAt             []time.Duration   // failed connect, 0: answered since; or last answer
 	shy                              [][]time.Duration // refused this type, until then
+	faults                           [][]int           // failures in a row by type
+	faulted                          [][]time.Duration // the last of them
 	onsets                           [][forecastWindow]float64
 	records, byType, byTenant, byKey []record   // how often hops to it failed, or of a sort
 	overall, turned                  record     // how often all failed; were turned away as full
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -43,9 +43,11 @@
 	dup(&c.records, &c.byType, &c.byTenant, &c.byKey)
 	dup(&c.onsets)
 	dup(&c.ops)
-	dup(&c.shy)
+	dup(&c.faults)
+	dup(&c.faulted, &c.shy)
 	for s := range c.ready {
-		dup(&c.shy[s])
+		dup(&c.faults[s])
+		dup(&c.faulted[s], &c.shy[s])
 	}
 	for _, open := range c.open {
 		dup(&c.ops[open].hops)
