--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,9 +50,9 @@
 	shedMost     = 0.95                   // of one type; some of each are let through
 	rateSpan     = 3 * time.Second        // over which arrival and success rates are taken
 	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
-	coldShare    = 0.5                    // of the fall budget, as usual load leaves about as much room again
+	coldShare    = 0.6                    // of the fall budget; the rest is for chance, and for nodes that know no better
 	coldBurst    = 2.0                    // hops saved up for a cold server
-	coldLasts    = 1 * time.Second        // for which one is; so all nodes together save up little, however many
+	coldLasts    = 2 * time.Second        // for which one is; so all nodes together save up little, however many
 	budgetSpan   = 3.0                    // seconds for which budgets of retries and copies are saved up
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
