What breaks servers is not sent on: no repeat after breaks of a type at two servers

A node sees two or three such breaks in ten seconds, so neither the type's record (under 2% of its hops) nor the server's (one break each) tells. What tells is that breaks of one type come from different servers. Where two have broken off hops of a type, with ten seconds' fading, a hop of it that breaks is the operation's own fault, but for the dearest type, whose first failure is always followed by another hop where it may be. Guards too against machines dying one after another, where a repeat would only meet the next; harms the broken hops of cheaper types while servers die for other reasons.

A test with the old behaviour fails.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -66,6 +66,7 @@
 	causeMemory  = 10.0                   // ends that count of a server's record; of sorts' three times as many
 	causeFade    = 10 * time.Second       // after which a record counts for a third
 	causeKeys    = 256                    // records of keys, shared by checksum
+	breaksMost   = 1.5                    // servers that broke off hops of a type lately: a repeat may break another
 	doomDoor     = 0.6                    // failing more often, a sort is denied by chance as it comes
 	doomAll      = 0.9                    // failing so often, all but a few of it
 	refusedAim   = 0.2                    // share of hops turned away as full before less is admitted
@@ -202,6 +203,7 @@
 		put(k, base, &p.base)
 		put(k, samples, &p.samples)
 		put(k, 0, &p.retries, &p.copies)
+		put(k, record{}, &p.breaks)
 		put(2*k, record{}, &p.byType)
 		put(2*k+1, record{}, &p.byType)
 		p.dearest = max(p.dearest, in.Types[k].Revenue)
@@ -619,6 +621,14 @@
 		}
 		worst = max(worst, c.rate())
 	}
+	if b := &p.breaks[o.kind]; how == Broken {
+		if b.at != s+1 {
+			b.failed, b.at = b.failed+1, s+1
+		}
+		if b.failed >= breaksMost && p.set.Types[o.kind].Revenue < p.dearest {
+			return true
+		}
+	}
 	p.records[s].add(failed, causeMemory)
 	p.overall.add(failed, 3*causeMemory)
 	return failed > 0 && worst > max(p.records[s].rate()+causeServer, p.overall.rate())
@@ -1075,7 +1085,7 @@
 	}
 	p.turned.fade(fade)
 	fade = math.Exp(-passed.Seconds() / causeFade.Seconds())
-	for _, records := range [][]record{p.records, p.byType, p.byTenant, p.byKey} {
+	for _, records := range [][]record{p.records, p.breaks, p.byType, p.byTenant, p.byKey} {
 		for i := range records {
 			records[i].fade(fade)
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -56,6 +56,7 @@
 	faulted                          [][]time.Duration // the last of them
 	onsets                           [][forecastWindow]float64
 	records, byType, byTenant, byKey []record   // how often hops to it failed, or of a sort
+	breaks                           []record   // by type: servers that broke off a hop
 	overall, turned                  record     // how often all failed; were turned away as full
 	causes                           [3]*record // room for sorts
 
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -249,3 +249,41 @@
 		})
 	}
 }
+
+// Operations that bring down the server that begins them look like well ones: where hops of a type broke off at two servers
+// lately, what breaks is not sent on to a third. The old code sent it on, and each hop cost a server some seconds.
+func TestWhatBreaksServersIsNotSentOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers []int // that broke off hops of the type before
+		ago     time.Duration
+		kind    int
+		again   bool
+	}{
+		"one break":             {nil, 0, 0, true},
+		"the same server twice": {[]int{1, 1}, time.Second, 0, true},
+		"another server before": {[]int{1}, time.Second, 0, false},
+		"long ago":              {[]int{1}, 20 * time.Second, 0, true},
+		"the dearest type":      {[]int{1}, time.Second, 3, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 4, func(s *Settings) { s.Types[3].Revenue = 20 }).takeAll()
+			for _, s := range c.servers {
+				r.learn(s, &operation{kind: c.kind, target: time.Minute}, r.now, Broken)
+			}
+			for range int(c.ago/time.Second) * 10 {
+				r.at(r.now+100*ms, Input{Kind: Woken})
+			}
+			op, _ := r.arriveAt(r.now, c.kind, time.Second)
+			for r.Policy.ops[op].hops[0].server == 1 {
+				op, _ = r.arriveAt(r.now, c.kind, time.Second)
+			}
+			if name == "the same server twice" {
+				r.Policy.ops[op].hops[0].server = 1
+			}
+			got := kinds(r.end(r.now+20*ms, op, 0, Broken))
+			if again := len(got) > 0 && got[0] == SendHop; again != c.again {
+				t.Errorf("then %v", got)
+			}
+		})
+	}
+}
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -40,7 +40,7 @@
 	dup(&c.ghostSent, &c.smoothed, &c.runStart, &c.lastSpike, &c.answered, &c.restUntil, &c.lostSince, &c.forecast,
 		&c.coldSince, &c.interval, &c.usual, &c.base, &c.droppedAt)
 	dup(&c.labels)
-	dup(&c.records, &c.byType, &c.byTenant, &c.byKey)
+	dup(&c.breaks, &c.records, &c.byType, &c.byTenant, &c.byKey)
 	dup(&c.onsets)
 	dup(&c.ops)
 	dup(&c.faults)
