--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -123,6 +123,18 @@
 			if rested != c.rests || doomed != c.dies {
 				t.Errorf("rests %v, operations to blame %v", rested, doomed)
 			}
+			if !c.dies {
+				return
+			}
+			for op := range 200 { // once known, one hop each at most, and the final answer at once
+				sent := r.at(r.now, Input{Kind: Arrival, Op: op, Type: 0, Tenant: 1, Key: 9, Budget: time.Second})
+				if sent[0].Kind != SendHop {
+					continue
+				}
+				if got := kinds(r.end(r.now+20*ms, op, 0, c.how)); len(got) != 1 || got[0] != Deny {
+					t.Errorf("then %v", got)
+				}
+			}
 		})
 	}
 }
