--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,9 +50,9 @@
 	shedMost     = 0.95                   // of one type; some of each are let through
 	rateSpan     = 3 * time.Second        // over which arrival and success rates are taken
 	coldFloor    = 0.5                    // of the fall budget a server of one core would have; the least pace
-	coldShare    = 0.6                    // of the fall budget; the rest is for chance, and for nodes that know no better
+	coldShare    = 0.6                    // of the fall budget; the rest is for chance and for nodes not told
 	coldBurst    = 2.0                    // hops saved up for a cold server
-	coldLasts    = 2 * time.Second        // for which one is; so all nodes together save up little, however many
+	coldLasts    = 2 * time.Second        // for which one is, so that all nodes together save up little
 	budgetSpan   = 3.0                    // seconds for which budgets of retries and copies are saved up
 	askFirst     = 250 * time.Millisecond // wait before asking for the list again; doubles
 	askMost      = 4 * time.Second        // longest wait, and at most a quarter of askWithin
@@ -66,7 +66,7 @@
 	causeMemory  = 10.0                   // ends that count of a server's record; of sorts' three times as many
 	causeFade    = 10 * time.Second       // after which a record counts for a third
 	causeKeys    = 256                    // records of keys, shared by checksum
-	breaksMost   = 1.5                    // servers that broke off hops of a type lately: a repeat may break another
+	breaksMost   = 1.5                    // servers that broke off hops of a type lately: another may follow
 	doomDoor     = 0.6                    // failing more often, a sort is denied by chance as it comes
 	doomAll      = 0.9                    // failing so often, all but a few of it
 	refusedAim   = 0.2                    // share of hops turned away as full before less is admitted
@@ -597,11 +597,11 @@
 	if o.again {
 		kind++
 	}
-	all := append(p.causes[:0], &p.byType[kind], &p.byTenant[o.tenant])
-	if o.key != 0 {
-		all = append(all, &p.byKey[o.key%causeKeys])
+	all := [...]*record{&p.byType[kind], &p.byTenant[o.tenant], &p.byKey[o.key%causeKeys]}
+	if o.key == 0 {
+		return all[:2]
 	}
-	return all
+	return all[:]
 }
 
 // blamed books an end and tells if a failure is the operation's own: what it shares with others fails more
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,10 +55,9 @@
 	faults                           [][]int           // failures in a row by type
 	faulted                          [][]time.Duration // the last of them
 	onsets                           [][forecastWindow]float64
-	records, byType, byTenant, byKey []record   // how often hops to it failed, or of a sort
-	breaks                           []record   // by type: servers that broke off a hop
-	overall, turned                  record     // how often all failed; were turned away as full
-	causes                           [3]*record // room for sorts
+	records, byType, byTenant, byKey []record // how often hops to it failed, or of a sort
+	breaks                           []record // by type: servers that broke off a hop
+	overall, turned                  record   // how often all failed; were turned away as full
 
 	rotation, pool                []int   // all servers in the order that all nodes share; those taken in
 	next, listedMost              int     // place in rotation where the next joins; servers listed at a time
