--- a/policy/policy.go
+++ b/policy/policy.go
@@ -581,9 +581,8 @@
 		if spent < p.set.ConnectTimeout/2 { // refused at once: costs nothing, and may be the one connection
 			enough = restStrikes
 		}
-		if p.strike(s, enough); p.lostSince[s] == 0 && p.strikes[s] >= enough {
-			p.lostSince[s] = max(p.now, 1)
-		}
+		p.strike(s, enough)
+		p.lost[s] = p.lost[s] || p.strikes[s] >= enough
 	}
 	if how == Success || how == TimedOut {
 		p.judge(spent.Seconds(), p.allowed(o.kind))
@@ -658,10 +657,10 @@
 // alive ends a server's rest. One that answers after it was out of reach may have restarted before the
 // list tells: it is held for cold, so that it is not pushed over.
 func (p *Policy) alive(s int) {
-	if p.lostSince[s] > 0 && p.now-p.answered[s] > silentDeath {
+	if p.lost[s] && p.now-p.answered[s] > silentDeath {
 		p.chill(s, p.now)
 	}
-	p.answered[s], p.strikes[s], p.restUntil[s], p.soft[s], p.lostSince[s] = p.now, 0, 0, 0, 0
+	p.answered[s], p.strikes[s], p.restUntil[s], p.soft[s], p.lost[s] = p.now, 0, 0, 0, false
 	p.doubt[s], p.droppedAt[s] = max(p.doubt[s]-1, 0), p.now
 }
 
@@ -993,7 +992,7 @@
 // chill takes a server for cold since a moment.
 func (p *Policy) chill(s int, since time.Duration) {
 	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, 0
-	p.strikes[s], p.restUntil[s], p.lostSince[s], p.soft[s] = 0, 0, 0, 0
+	p.strikes[s], p.restUntil[s], p.lost[s], p.soft[s] = 0, 0, false, 0
 	clear(p.faults[s])
 }
 
@@ -1022,7 +1021,7 @@
 			p.next--
 		}
 	}
-	put(s, false, &p.ready, &p.listed, &p.cold, &p.member)
+	put(s, false, &p.ready, &p.listed, &p.cold, &p.member, &p.lost)
 	put(s, record{}, &p.records)
 	put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft, &p.doubt,
 		&p.refused)
@@ -1030,7 +1029,7 @@
 	put(s, 1.0, &p.scale, &p.weight, &p.slowness)
 	put(s, 0, &p.labels)
 	put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.restUntil,
-		&p.lostSince, &p.forecast, &p.interval, &p.droppedAt)
+		&p.forecast, &p.interval, &p.droppedAt)
 	put(s, mean, &p.smoothed)
 	put(s, p.now, &p.answered)
 	put(s, [forecastWindow]float64{}, &p.onsets)
--- a/policy/state.go
+++ b/policy/state.go
@@ -36,28 +36,28 @@
 	open, order []int // operations in hand; buckets, the cheapest first
 
 	// Servers, in parallel arrays under their index.
-	ready, listed, cold, member      []bool // ready: may be sent to; member: taken in
-	labels                           []uint64
-	rank, zone, cell                 []int
-	inFlight, streak, pauses         []int
-	strikes, soft, refused           []int     // failures in a row; what softRun counts; refusals in a row
-	doubt                            []int     // steps down since the list dropped it
-	scale, weight, due               []float64 // weight: scale, less while cold or slow; due: turns earned
-	slowness                         []float64 // latency over what is usual for the type
-	coldPace, part, pace             []float64 // hops a cold server may have; by a plan, see Share
-	ghosts                           []float64 // hops given up that the server may still work on
-	smoothed, runStart, lastSpike    []time.Duration
-	coldSince, interval, forecast    []time.Duration   // forecast: 0 if none
-	ghostSent, restUntil             []time.Duration   // the last ghost
-	answered                         []time.Duration   // last sign of life while hops were out
-	lostSince, droppedAt             []time.Duration   // failed connect, 0: answered since; or last answer
-	shy                              [][]time.Duration // refused this type, until then
-	faults                           [][]int           // failures in a row by type
-	faulted                          [][]time.Duration // the last of them
-	onsets                           [][forecastWindow]float64
-	records, byType, byTenant, byKey []record // how often hops to it failed, or of a sort
-	breaks                           []record // by type: servers that broke off a hop
-	overall, turned                  record   // how often all failed; were turned away as full
+	ready, listed, cold, member, lost []bool // ready: may be sent to; member: taken in; lost: a connect failed
+	labels                            []uint64
+	rank, zone, cell                  []int
+	inFlight, streak, pauses          []int
+	strikes, soft, refused            []int     // failures in a row; what softRun counts; refusals in a row
+	doubt                             []int     // steps down since the list dropped it
+	scale, weight, due                []float64 // weight: scale, less while cold or slow; due: turns earned
+	slowness                          []float64 // latency over what is usual for the type
+	coldPace, part, pace              []float64 // hops a cold server may have; by a plan, see Share
+	ghosts                            []float64 // hops given up that the server may still work on
+	smoothed, runStart, lastSpike     []time.Duration
+	coldSince, interval, forecast     []time.Duration   // forecast: 0 if none
+	ghostSent, restUntil              []time.Duration   // the last ghost
+	answered                          []time.Duration   // last sign of life while hops were out
+	droppedAt                         []time.Duration   // or its last answer since
+	shy                               [][]time.Duration // refused this type, until then
+	faults                            [][]int           // failures in a row by type
+	faulted                           [][]time.Duration // the last of them
+	onsets                            [][forecastWindow]float64
+	records, byType, byTenant, byKey  []record // how often hops to it failed, or of a sort
+	breaks                            []record // by type: servers that broke off a hop
+	overall, turned                   record   // how often all failed; were turned away as full
 
 	rotation, pool                []int   // all servers in the order that all nodes share; those taken in
 	next, listedMost              int     // place in rotation where the next joins; servers listed at a time
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -32,12 +32,12 @@
 func (p *Policy) copied(op int) *Policy {
 	c := *p
 	c.effects = nil
-	dup(&c.ready, &c.listed, &c.cold, &c.member)
+	dup(&c.ready, &c.listed, &c.cold, &c.member, &c.lost)
 	dup(&c.doubt, &c.refused, &c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses, &c.strikes, &c.soft, &c.rotation, &c.pool,
 		&c.open, &c.order, &c.rooms, &c.roomMost)
 	dup(&c.scale, &c.weight, &c.due, &c.coldPace, &c.ghosts, &c.slowness, &c.part, &c.pace, &c.samples, &c.denyShare,
 		&c.rates, &c.tenants, &c.retries, &c.copies, &c.within)
-	dup(&c.ghostSent, &c.smoothed, &c.runStart, &c.lastSpike, &c.answered, &c.restUntil, &c.lostSince, &c.forecast,
+	dup(&c.ghostSent, &c.smoothed, &c.runStart, &c.lastSpike, &c.answered, &c.restUntil, &c.forecast,
 		&c.coldSince, &c.interval, &c.usual, &c.base, &c.droppedAt)
 	dup(&c.labels)
 	dup(&c.breaks, &c.records, &c.byType, &c.byTenant, &c.byKey)
