--- a/cmd/fernvane/check.go
+++ b/cmd/fernvane/check.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"fernvane/internal/bindlog"
+	"fernvane/internal/peers"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/registry"
 	"fernvane/internal/route"
@@ -49,7 +50,7 @@
 				return e.Encode(route.Schema())
 			case f.config != "":
 				return checkAll(out, errs, &f)
-			case f.operator+f.planners+f.bindings+f.registries+f.snapshot+planFile == "":
+			case f.operator+f.planners+f.bindings+f.registries+f.snapshot+f.peers+planFile == "":
 				return unusable{errors.New("no configuration is named: --config FILE; or name a file to check by itself")}
 			}
 			return checkEach(out, &f, planFile, set)
@@ -80,6 +81,7 @@
 	tellBindings(out, cfg.Bindings)
 	tellRegistry(out, cfg.Registry)
 	tellSnapshot(out, cfg.Snapshot)
+	tellPeers(out, cfg.Peers)
 	if cfg.Watch != nil {
 		fmt.Fprintln(out, "watches other settings beside its own; decides by its own")
 	}
@@ -119,6 +121,12 @@
 			tellSnapshot(out, s)
 		}
 	}
+	if f.peers != "" {
+		p, err := peers.Load(f.peers)
+		if all = errors.Join(all, err); err == nil {
+			tellPeers(out, p)
+		}
+	}
 	if planFile != "" {
 		p, err := plancfg.LoadPlanner(planFile)
 		if all = errors.Join(all, err); err == nil {
@@ -221,6 +229,12 @@
 	}
 }
 
+func tellPeers(out io.Writer, p *peers.Config) {
+	if p != nil {
+		fmt.Fprintf(out, "meets other nodes of %s on %s, TLS %v; holds replicas in %s, %d of each record on other machines\n", p.Deployment, p.Listen, p.Keys != nil, p.Held, p.Replicas)
+	}
+}
+
 func tellRegistry(out io.Writer, r *registry.Config) {
 	if r != nil {
 		fmt.Fprintf(out, "reads servers under %s%s of the registry at %s\n", strings.TrimSuffix(r.Chroot, "/"), r.Path, strings.Join(r.Servers, ", "))
--- a/cmd/fernvane/serve.go
+++ b/cmd/fernvane/serve.go
@@ -14,8 +14,8 @@
 
 // files are what a node is told by, each by its flag or its variable.
 type files struct {
-	getenv                                                            func(string) string
-	config, operator, planners, bindings, registries, snapshot, watch string
+	getenv                                                                   func(string) string
+	config, operator, planners, bindings, registries, snapshot, peers, watch string
 }
 
 func (f *files) flags(set *pflag.FlagSet) {
@@ -29,6 +29,7 @@
 		{&f.bindings, "bindings", "PROXY_BINDINGS", "keep a journal of bindings, by this TOML `file`"},
 		{&f.registries, "registry", "PROXY_REGISTRY", "read servers from a registry of ephemeral nodes, by this TOML `file`"},
 		{&f.snapshot, "snapshot", "PROXY_SNAPSHOT", "keep the list of servers on disk for the next start, by this TOML `file`"},
+		{&f.peers, "peers", "PROXY_PEERS", "know the other nodes of the tier and hold replicas for them, by this TOML `file`"},
 		{&f.watch, "watch", "PROXY_WATCH", "count where these settings would decide otherwise, a JSON `file`"},
 	} {
 		set.StringVar(v.to, v.name, f.getenv(v.env), v.help+"; or "+v.env)
@@ -48,6 +49,8 @@
 			return f.registries
 		case "PROXY_SNAPSHOT":
 			return f.snapshot
+		case "PROXY_PEERS":
+			return f.peers
 		case "PROXY_WATCH":
 			return f.watch
 		}
--- a/internal/bindings/entry.go
+++ b/internal/bindings/entry.go
@@ -9,12 +9,13 @@
 type Kind uint8
 
 const (
-	Unsent  Kind = 1 + iota // an operation came to its end and no hop of it was ever about to be sent
-	Intent                  // a hop is about to be sent; it names the operation anew, so that no record needs another
-	Ended                   // how that went, and what it proves
-	Told                    // what the client was told, and after how many hops
-	Settled                 // what the server's dockets say of a hop
-	Gap                     // so many operations went on without the journal
+	Unsent   Kind = 1 + iota // an operation came to its end and no hop of it was ever about to be sent
+	Intent                   // a hop is about to be sent; it names the operation anew, so that no record needs another
+	Ended                    // how that went, and what it proves
+	Told                     // what the client was told, and after how many hops
+	Settled                  // what the server's dockets say of a hop
+	Gap                      // so many operations went on without the journal
+	Numbered                 // the N records behind it are those from number From on of their run's stream
 	kinds
 )
 
@@ -44,8 +45,8 @@
 	Retry   bool   // the client marks it as a retry
 	How     string // the hop's end, or what the client was told
 	Proof   Proof
-	From    int64 // of a gap
-	N       int   // operations of a gap; hops before Told
+	From    int64 // of a gap; number of a stream's record
+	N       int   // operations of a gap; hops before Told; records of a stream
 }
 
 // State of an entry.
--- a/internal/bindings/fold.go
+++ b/internal/bindings/fold.go
@@ -19,7 +19,7 @@
 // Add takes in a record and returns the entry that is whole with it, if any.
 func (f *Fold) Add(r *Record) *Entry {
 	switch {
-	case r.Kind == 0 || r.Kind >= kinds:
+	case r.Kind == 0 || r.Kind >= Numbered:
 		return nil
 	case r.Kind == Gap:
 		f.Gaps = append(f.Gaps, *r)
@@ -39,6 +39,37 @@
 	return nil
 }
 
+// Union puts together what several places hold of the same operations: what comes again changes nothing.
+type Union struct {
+	Fold
+	done map[[2]uint64]struct{}
+	gaps map[Record]bool
+}
+
+// NewUnion begins with none.
+func NewUnion() *Union {
+	return &Union{Fold: *NewFold(), done: map[[2]uint64]struct{}{}, gaps: map[Record]bool{}}
+}
+
+// Add takes in a record and returns the entry that is whole with it, if any; each comes once.
+func (u *Union) Add(r *Record) *Entry {
+	if r.Kind == Gap {
+		if u.gaps[*r] {
+			return nil
+		}
+		u.gaps[*r] = true
+	}
+	key := [2]uint64{r.Run, r.Op}
+	if _, done := u.done[key]; done && r.Kind != Gap {
+		return nil
+	}
+	e := u.Fold.Add(r)
+	if e != nil {
+		u.done[key] = struct{}{}
+	}
+	return e
+}
+
 // Rest are the entries that are not whole, by their time.
 func (f *Fold) Rest() []*Entry {
 	rest := make([]*Entry, 0, len(f.open))
--- a/internal/bindlog/config.go
+++ b/internal/bindlog/config.go
@@ -7,10 +7,14 @@
 	"fernvane/internal/tomlfile"
 )
 
+// Machines is the promise that an intent lasts past the loss of as many machines with their disks as there are replicas. It
+// needs other nodes to hold them.
+const Machines = "machines"
+
 // Config is an operator's file of the journal.
 type Config struct {
 	Dir           string        `toml:"dir"`
-	Promise       string        `toml:"promise"`      // process or machine
+	Promise       string        `toml:"promise"`      // process, machine or machines
 	WhenFailing   string        `toml:"when_failing"` // deny or serve
 	WaitMost      tomlfile.Span `toml:"wait_most"`    // for an intent to last
 	Fingerprinted bool          `toml:"fingerprinted"`
@@ -38,8 +42,8 @@
 	if st, err := os.Stat(c.Dir); c.Dir == "" || err != nil || !st.IsDir() {
 		f.Wrong("dir", "dir %q is no folder that is there", c.Dir)
 	}
-	if c.Promise != "process" && c.Promise != "machine" {
-		f.Wrong("promise", "promise %q is neither process nor machine", c.Promise)
+	if c.Promise != "process" && c.Promise != "machine" && c.Promise != Machines {
+		f.Wrong("promise", "promise %q is none of process, machine and machines", c.Promise)
 	}
 	if c.WhenFailing != "deny" && c.WhenFailing != "serve" {
 		f.Wrong("when_failing", "when_failing %q: deny has bindings denied while the disk takes nothing, serve marks a gap; one must be chosen", c.WhenFailing)
--- a/internal/bindlog/log.go
+++ b/internal/bindlog/log.go
@@ -1,6 +1,7 @@
 package bindlog
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -17,6 +18,8 @@
 	againEvery = 500 * time.Millisecond // between two tries to go on after a fault
 	lately     = time.Second            // in which a slow write tells of the next one
 	numberTry  = 100                    // numbers taken by other processes before it is a fault
+	// PartMost is how many numbered records are handed on as one: 250 kB.
+	PartMost = 1024
 )
 
 // Why a record is not kept.
@@ -36,6 +39,10 @@
 	KeepBytes    int64
 	Run          uint64
 	Again        time.Duration // between two tries to go on after a fault; 0: half a second
+	// Copy has records numbered and handed on, in frames as they are written, before they are; Stored then tells that they
+	// last. Without it records have no numbers. Both are called by the journal's writer and must wait for nothing.
+	Copy   func(first uint64, n int, frames []byte)
+	Stored func(first uint64, n int)
 	// Note is told when the journal begins to fail, and with nil when it goes on.
 	Note func(error)
 }
@@ -61,19 +68,33 @@
 	size   int64
 	number uint64
 	frames []byte
+	seq    uint64 // of the last record of the stream
+	parts  []part // of the batch, where records are numbered
 }
 
 type pending struct {
 	record bindings.Record
 	wait   *Wait
+	seq    uint64 // 0: it has no number yet
+}
+
+// part is a run of numbered records that are handed on as one.
+type part struct {
+	first    uint64
+	n        int
+	from, to int // in the frames
 }
 
 // Wait is for a record to last.
 type Wait struct {
 	done chan struct{}
 	err  error
+	seq  uint64
 }
 
+// Number is the record's own in the stream, once Done is closed; 0 where records have none.
+func (w *Wait) Number() uint64 { return w.seq }
+
 // Done is closed when the record lasts, or never will.
 func (w *Wait) Done() <-chan struct{} { return w.done }
 
@@ -257,7 +278,8 @@
 		l.mu.Lock()
 		gap := bindings.Record{Kind: bindings.Gap, Run: l.o.Run, At: time.Now().UnixNano(), From: l.lostAt.UnixNano(), N: l.lost}
 		l.mu.Unlock()
-		if l.batch([]pending{{record: gap, wait: &Wait{}}}) == nil {
+		again := []pending{{record: gap, wait: &Wait{}}}
+		if l.batch(again) == nil {
 			l.mu.Lock()
 			l.failing, l.lost = nil, 0
 			l.mu.Unlock()
@@ -281,14 +303,13 @@
 	if l.file == nil {
 		return os.ErrClosed
 	}
-	l.frames = l.frames[:0]
 	waited := false
 	for i := range batch {
-		if l.frames, err = appendFrame(l.frames, &batch[i].record); err != nil {
-			return err
-		}
 		waited = waited || batch[i].wait != nil
 	}
+	if err := l.frame(batch); err != nil {
+		return err
+	}
 	if l.size > 0 && l.size+int64(len(l.frames)) > l.o.SegmentBytes {
 		if err := l.rotate(); err != nil {
 			return err
@@ -303,7 +324,56 @@
 		return fmt.Errorf("%d of %d bytes were written", n, len(l.frames))
 	}
 	if waited && l.o.Machine {
-		return l.file.Sync()
+		if err := l.file.Sync(); err != nil {
+			return err
+		}
+	}
+	for _, p := range l.parts {
+		l.o.Stored(p.first, p.n)
+	}
+	return nil
+}
+
+// frame puts a batch into frames. Numbered records get their numbers once and are handed on with them; what is written
+// anew after a fault keeps them.
+func (l *Log) frame(batch []pending) (err error) {
+	l.frames, l.parts = l.frames[:0], l.parts[:0]
+	if l.o.Copy == nil {
+		for i := range batch {
+			if l.frames, err = appendFrame(l.frames, &batch[i].record); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	for len(batch) > 0 {
+		these := batch[:min(len(batch), PartMost)]
+		batch = batch[len(these):]
+		fresh := these[0].seq == 0
+		for i := range these {
+			if fresh {
+				l.seq++
+				these[i].seq = l.seq
+			}
+			if w := these[i].wait; w != nil {
+				w.seq = these[i].seq
+			}
+		}
+		p := part{first: these[0].seq, n: len(these), from: len(l.frames)}
+		mark := bindings.Record{Kind: bindings.Numbered, Run: l.o.Run, At: time.Now().UnixNano(), From: int64(p.first), N: p.n}
+		if l.frames, err = appendFrame(l.frames, &mark); err != nil {
+			return err
+		}
+		for i := range these {
+			if l.frames, err = appendFrame(l.frames, &these[i].record); err != nil {
+				return err
+			}
+		}
+		p.to = len(l.frames)
+		l.parts = append(l.parts, p)
+		if fresh {
+			l.o.Copy(p.first, p.n, bytes.Clone(l.frames[p.from:p.to]))
+		}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/holdings/holdings.go
@@ -0,0 +1,185 @@
+// Package holdings keeps replicas of other nodes' streams on disk: a folder for each stream, in it segments as a journal of
+// bindings has them, so that whoever reads a journal reads a replica.
+package holdings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"fernvane/internal/bindings"
+	"fernvane/internal/bindlog"
+	"fernvane/internal/replicas"
+)
+
+const idleFor = 30 * time.Second // until a stream that gets nothing is closed
+
+// Store is a folder of replicas.
+type Store struct {
+	dir     string
+	files   bindlog.Files
+	segment int64
+
+	mu     sync.Mutex
+	open   map[replicas.Stream]*stream
+	closed bool
+}
+
+type stream struct {
+	ready chan struct{} // closed when log or err is there
+	log   *bindlog.Log
+	err   error
+	used  time.Time
+}
+
+// Open is a store in a folder that is there.
+func Open(dir string, files bindlog.Files, segmentBytes int64) *Store {
+	return &Store{dir: dir, files: files, segment: segmentBytes, open: map[replicas.Stream]*stream{}}
+}
+
+// Dir is the folder of one stream.
+func (s *Store) Dir(of replicas.Stream) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%s@%d", of.Name, of.Up))
+}
+
+// Streams are those that have a folder.
+func (s *Store) Streams() (all []replicas.Stream, err error) {
+	entries, err := os.ReadDir(s.dir)
+	for _, e := range entries {
+		name, up, ok := strings.Cut(e.Name(), "@")
+		n, bad := strconv.ParseInt(up, 10, 64)
+		if of := (replicas.Stream{Name: name, Up: n}); ok && bad == nil && e.IsDir() && s.Dir(of) == filepath.Join(s.dir, e.Name()) {
+			all = append(all, of)
+		}
+	}
+	return all, err
+}
+
+// Read reads the whole parts of a stream, with what they take on disk.
+func (s *Store) Read(of replicas.Stream, each func(bindlog.Part) error) (bindlog.Report, error) {
+	return ReadDir(s.files, s.Dir(of), each)
+}
+
+// ReadDir reads the whole parts in a folder of segments.
+func ReadDir(files bindlog.Files, dir string, each func(bindlog.Part) error) (all bindlog.Report, err error) {
+	segments, err := bindlog.Segments(files, dir)
+	if err != nil {
+		return all, err
+	}
+	for _, segment := range segments {
+		r, err := bindlog.Parts(files, segment, each)
+		all.Segments, all.Records, all.Bytes, all.Faults = all.Segments+1, all.Records+r.Records, all.Bytes+r.Bytes, append(all.Faults, r.Faults...)
+		if err != nil && !errors.Is(err, os.ErrNotExist) { // one that was removed meanwhile is none
+			return all, err
+		}
+	}
+	return all, nil
+}
+
+// Put has records last; they are to be waited for.
+func (s *Store) Put(of replicas.Stream, records []bindings.Record) (*bindlog.Wait, error) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil, bindlog.ErrClosed
+	}
+	x := s.open[of]
+	mine := x == nil
+	if mine {
+		x = &stream{ready: make(chan struct{})}
+		s.open[of] = x
+	}
+	x.used = time.Now()
+	s.mu.Unlock()
+	if mine {
+		x.log, x.err = s.begin(of)
+		close(x.ready)
+		if x.err != nil {
+			s.mu.Lock()
+			delete(s.open, of)
+			s.mu.Unlock()
+		}
+	}
+	if <-x.ready; x.err != nil {
+		return nil, x.err
+	}
+	return x.log.Append(true, records...)
+}
+
+func (s *Store) begin(of replicas.Stream) (*bindlog.Log, error) {
+	if err := os.Mkdir(s.Dir(of), 0o700); err == nil {
+		if err := s.files.SyncDir(s.dir); err != nil {
+			return nil, err
+		}
+	} else if !errors.Is(err, os.ErrExist) {
+		return nil, err
+	}
+	return bindlog.Open(bindlog.Options{Dir: s.Dir(of), Files: s.files, Machine: true, SegmentBytes: s.segment, Run: uint64(of.Up)})
+}
+
+// Idle closes streams that got nothing for a while; what comes later begins a segment.
+func (s *Store) Idle() { s.end(time.Now().Add(-idleFor), func(replicas.Stream) bool { return true }) }
+
+// Close ends all.
+func (s *Store) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.end(time.Now(), func(replicas.Stream) bool { return true })
+}
+
+func (s *Store) end(before time.Time, which func(replicas.Stream) bool) {
+	s.mu.Lock()
+	var logs []*bindlog.Log
+	for of, x := range s.open {
+		select {
+		case <-x.ready:
+			if which(of) && !x.used.After(before) {
+				delete(s.open, of)
+				if x.log != nil {
+					logs = append(logs, x.log)
+				}
+			}
+		default:
+		}
+	}
+	s.mu.Unlock()
+	for _, l := range logs {
+		l.Close()
+	}
+}
+
+// Remove removes a stream.
+func (s *Store) Remove(of replicas.Stream) error {
+	s.end(time.Now(), func(o replicas.Stream) bool { return o == of })
+	return os.RemoveAll(s.Dir(of))
+}
+
+// Trim removes segments that hold nothing from a record on.
+func (s *Store) Trim(of replicas.Stream, from uint64) error {
+	segments, err := bindlog.Segments(s.files, s.Dir(of))
+	if err != nil || len(segments) < 2 {
+		return err
+	}
+	for _, segment := range segments[:len(segments)-1] { // the last may be written to
+		needed := false
+		if _, err := bindlog.Parts(s.files, segment, func(p bindlog.Part) error {
+			needed = needed || p.First+uint64(p.N) > from
+			return nil
+		}); err != nil {
+			return err
+		}
+		if needed {
+			continue
+		}
+		if err := s.files.Remove(segment.Path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/neighbours/table.go
@@ -0,0 +1,451 @@
+package neighbours
+
+import (
+	"cmp"
+	"encoding/binary"
+	"hash/crc64"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Times and bounds. Silence is a few beats, so that one that is late or lost blames nobody; all others follow from it.
+const (
+	BeatEvery    = 250 * time.Millisecond
+	silentAfter  = time.Second            // four beats
+	askFor       = 500 * time.Millisecond // for the other watchers to answer
+	deadAfter    = 2 * time.Second        // for a suspected node to hear of it and refute it
+	cutAgain     = 2 * time.Second        // between two rounds of asking about a node that others hear
+	knockEvery   = time.Second            // between two tries to reach one that was given up, as after a cut
+	differsFor   = 2 * time.Second        // until one whose table differs is told all of it
+	tombstoneFor = 10 * time.Minute       // how long one that is gone is remembered
+	rings        = 5                      // so many watch a node, and it watches so many
+	askMost      = 3                      // others that are asked about one
+	membersMost  = 8192                   // of a table; more are not taken in, whatever a peer says
+	newsMost     = 512                    // members in one word: 60 kB
+)
+
+// Out is something to send. It is sent to one that is connected, or for which a connection is wanted.
+type Out = struct {
+	To   string
+	What any
+}
+
+// sight is how a watched node is seen.
+type sight uint8
+
+const (
+	hearing sight = iota
+	asking        // it is silent, and its other watchers are asked
+	cut           // they hear it: the way between is cut, or passes one way only
+	blamed        // nobody hears it: it is suspected
+	sights
+)
+
+type event uint8
+
+const (
+	heard   event = iota
+	silence       // nothing came for silentAfter
+	vouched       // another watcher hears it
+	nobody        // the time to answer is over, and none does
+	refuted       // it lives by its own word, though this node does not hear it
+	again         // it is time to ask anew
+	events
+)
+
+type deed uint8
+
+const (
+	nothing deed = iota
+	askOthers
+	suspect
+)
+
+// watching is the way of a watched node: what follows from each event in each sight.
+var watching = [sights][events]struct {
+	next sight
+	do   deed
+}{
+	hearing: {heard: {hearing, nothing}, silence: {asking, askOthers}, vouched: {hearing, nothing}, nobody: {hearing, nothing}, refuted: {hearing, nothing}, again: {hearing, nothing}},
+	asking:  {heard: {hearing, nothing}, silence: {asking, nothing}, vouched: {cut, nothing}, nobody: {blamed, suspect}, refuted: {asking, nothing}, again: {asking, nothing}},
+	cut:     {heard: {hearing, nothing}, silence: {cut, nothing}, vouched: {cut, nothing}, nobody: {cut, nothing}, refuted: {cut, nothing}, again: {asking, askOthers}},
+	blamed:  {heard: {hearing, nothing}, silence: {blamed, nothing}, vouched: {cut, nothing}, nobody: {blamed, nothing}, refuted: {cut, nothing}, again: {asking, askOthers}},
+}
+
+// peer is what this node sees of another by itself.
+type peer struct {
+	heard     time.Duration // last
+	sight     sight
+	since     time.Duration // of the sight
+	linked    bool
+	pending   map[string]bool // members of which it has to be told
+	differs   time.Duration   // since when its digest has been another; 0: it is not
+	digest    uint64
+	whole     bool // it is to be told all
+	mentioned time.Duration
+}
+
+// Table is what one node knows of its tier.
+type Table struct {
+	self    Member
+	members map[string]Member
+	since   map[string]time.Duration // of the present condition, here
+	peers   map[string]*peer
+	rings   [rings]ring
+	ticked  time.Duration
+	beat    time.Duration
+	knocked time.Duration
+	turn    uint32 // of knocks
+	sum     uint64 // of digests of all members
+	alone   bool
+	later   int64 // the latest life of this node's own name that was heard of
+}
+
+// New knows of nobody but the node itself.
+func New(self Member) *Table {
+	t := &Table{self: self, members: map[string]Member{}, since: map[string]time.Duration{}, peers: map[string]*peer{}}
+	for i := range t.rings {
+		t.rings[i].number = byte(i)
+	}
+	t.set(self, 0)
+	return t
+}
+
+// Self is the node's own word of itself.
+func (t *Table) Self() Member { return t.self }
+
+// Get finds a member.
+func (t *Table) Get(name string) (Member, bool) {
+	m, ok := t.members[name]
+	return m, ok
+}
+
+// Since is when a member's present condition came to be known here.
+func (t *Table) Since(name string) time.Duration { return t.since[name] }
+
+// All are the members in the order of their names.
+func (t *Table) All() []Member {
+	return slices.SortedFunc(maps.Values(t.members), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Alone tells that this node hears none of those with which it should be in touch, so that it is most likely itself cut
+// off: it blames nobody.
+func (t *Table) Alone() bool { return t.alone }
+
+var table64 = crc64.MakeTable(crc64.ECMA)
+
+func digest(m Member) uint64 {
+	b := append([]byte(m.Name), 0)
+	b = binary.LittleEndian.AppendUint64(b, uint64(m.Up))
+	b = binary.LittleEndian.AppendUint32(b, m.Turn)
+	return crc64.Checksum(append(b, byte(m.Condition)), table64)
+}
+
+// Digest of all that is known.
+func (t *Table) Digest() uint64 { return t.sum }
+
+func (t *Table) set(m Member, now time.Duration) {
+	was, known := t.members[m.Name]
+	if known {
+		t.sum -= digest(was)
+	}
+	t.sum += digest(m)
+	t.members[m.Name] = m
+	if !known || was.Condition != m.Condition || was.Up != m.Up {
+		t.since[m.Name] = now
+	}
+	for i := range t.rings {
+		if m.Condition.Lives() {
+			t.rings[i].put(m.Name)
+		} else {
+			t.rings[i].take(m.Name)
+		}
+	}
+	if p := t.peers[m.Name]; p != nil && known && (was.Up != m.Up || was.Turn < m.Turn) {
+		t.sees(p, m.Name, refuted, now)
+		if was.Up != m.Up {
+			p.sight, p.heard = hearing, now
+		}
+	}
+}
+
+// Connected tells that a connection to or from a node stands; it is told all there is.
+func (t *Table) Connected(now time.Duration, name string) {
+	p := t.at(name)
+	p.linked, p.heard, p.whole, p.sight = true, now, true, hearing
+}
+
+// Closed tells that no connection to or from a node is left.
+func (t *Table) Closed(name string) {
+	if p := t.peers[name]; p != nil {
+		p.linked = false
+		clear(p.pending)
+	}
+}
+
+func (t *Table) at(name string) *peer {
+	p := t.peers[name]
+	if p == nil {
+		p = &peer{pending: map[string]bool{}}
+		t.peers[name] = p
+	}
+	return p
+}
+
+// Heard tells that something came from a node.
+func (t *Table) Heard(now time.Duration, name string) {
+	if p := t.peers[name]; p != nil {
+		p.heard = now
+		t.sees(p, name, heard, now)
+	}
+}
+
+// Hears tells whether this node hears another now.
+func (t *Table) Hears(now time.Duration, name string) bool {
+	p := t.peers[name]
+	return p != nil && p.linked && now-p.heard < silentAfter
+}
+
+// Got takes in a word of another node and returns what is to be answered.
+func (t *Table) Got(now time.Duration, from string, what any) (out []Out) {
+	t.Heard(now, from)
+	p := t.at(from)
+	switch w := what.(type) {
+	case *Beat:
+		if p.digest = w.Digest; w.Digest == t.sum {
+			p.differs = 0
+		} else if p.differs == 0 {
+			p.differs = now
+		}
+	case *News:
+		t.Joined(now, from, w.Members)
+	case *Ask:
+		return []Out{{from, &Tell{Of: w.Of, Heard: t.Hears(now, w.Of)}}}
+	case *Tell:
+		if q := t.peers[w.Of]; q != nil && w.Heard {
+			t.sees(q, w.Of, vouched, now)
+		}
+	}
+	return nil
+}
+
+// Joined takes in words of members, from a peer or, with from "", from elsewhere.
+func (t *Table) Joined(now time.Duration, from string, members []Member) {
+	for _, m := range members {
+		if m.Condition >= conditions || m.Name == "" {
+			continue
+		}
+		if m.Name == t.self.Name {
+			t.own(now, m)
+			continue
+		}
+		was, known := t.members[m.Name]
+		if !known && len(t.members) >= membersMost || known && Compare(was, m) >= 0 {
+			continue
+		}
+		t.set(m, now)
+		t.spread(m.Name, from)
+	}
+}
+
+// own takes in what others say of this node.
+func (t *Table) own(now time.Duration, m Member) {
+	switch {
+	case m.Up > t.self.Up:
+		t.later = max(t.later, m.Up)
+	case m.Up == t.self.Up && t.self.Condition != Left && Compare(m, t.self) > 0: // refute it
+		t.self.Turn = m.Turn + 1
+		t.set(t.self, now)
+		t.spread(t.self.Name, "")
+	case m.Up < t.self.Up || Compare(m, t.self) < 0:
+		t.spread(t.self.Name, "") // who said so has an older word
+	}
+}
+
+// Replaced tells whether a later life of this node's own name was heard of.
+func (t *Table) Replaced() bool { return t.later > t.self.Up }
+
+// Outlive begins a life behind all that were heard of, for a node that has only started: clocks are set back.
+func (t *Table) Outlive(now time.Duration) {
+	t.self.Up = t.later + 1
+	t.set(t.self, now)
+	t.spread(t.self.Name, "")
+}
+
+// Leave has the node leave in good order.
+func (t *Table) Leave(now time.Duration) {
+	t.self.Condition = Left
+	t.set(t.self, now)
+	t.spread(t.self.Name, "")
+}
+
+// spread has all that are connected told of a member, but the one who has told it.
+func (t *Table) spread(name, from string) {
+	for other, p := range t.peers {
+		if p.linked && other != from {
+			p.pending[name] = true
+		}
+	}
+}
+
+// sees moves what is seen of a node on; it is true where it is to be suspected.
+func (t *Table) sees(p *peer, name string, e event, now time.Duration) deed {
+	move := watching[p.sight][e]
+	if move.next != p.sight {
+		p.sight, p.since = move.next, now
+	}
+	return move.do
+}
+
+// Watched are those that this node watches: it leads a connection to each.
+func (t *Table) Watched() []string { return t.beside(t.self.Name, -1) }
+
+// Watchers are those that watch a node.
+func (t *Table) Watchers(name string) []string { return t.beside(name, 1) }
+
+func (t *Table) beside(name string, by int) (names []string) {
+	for i := range t.rings {
+		if other := t.rings[i].beside(name, by); other != "" && !slices.Contains(names, other) {
+			names = append(names, other)
+		}
+	}
+	return names
+}
+
+// Knock is a node that was given up and is tried once more, "" for none: after a cut nobody else would find back.
+func (t *Table) Knock(now time.Duration) string {
+	if now-t.knocked < knockEvery {
+		return ""
+	}
+	t.knocked = now
+	var dead []string
+	for name, m := range t.members {
+		if m.Condition == Dead {
+			dead = append(dead, name)
+		}
+	}
+	if len(dead) == 0 {
+		return ""
+	}
+	slices.Sort(dead)
+	t.turn++
+	return dead[hashed(t.self.Name, byte(t.turn))%uint32(len(dead))]
+}
+
+// Tick moves on by time and returns what is to be sent.
+func (t *Table) Tick(now time.Duration) (out []Out) {
+	if now-t.ticked > silentAfter { // this process stood still: what it has not heard says nothing of the others
+		for _, p := range t.peers {
+			p.heard, p.since = now, now
+		}
+		for name := range t.since {
+			t.since[name] = now
+		}
+	}
+	t.ticked = now
+	watched := t.Watched()
+	t.alone = len(watched) > 0
+	for _, p := range t.peers {
+		if p.linked && now-p.heard < silentAfter {
+			t.alone = false
+		}
+	}
+	for _, name := range watched {
+		out = t.watch(now, name, out)
+	}
+	for name, m := range t.members {
+		switch {
+		case m.Condition == Suspected && !t.alone && now-t.since[name] > deadAfter:
+			m.Condition = Dead
+			t.set(m, now)
+			t.spread(name, "")
+		case !m.Condition.Lives() && now-t.since[name] > tombstoneFor && name != t.self.Name:
+			t.sum -= digest(m)
+			delete(t.members, name)
+			delete(t.since, name)
+			delete(t.peers, name)
+		}
+	}
+	return t.tell(now, out)
+}
+
+// watch looks at one that this node watches.
+func (t *Table) watch(now time.Duration, name string, out []Out) []Out {
+	p := t.at(name)
+	if p.since == 0 && p.heard == 0 { // newly watched: it has the time of a silence to be connected
+		p.heard, p.since = now, now
+	}
+	var e event
+	switch {
+	case p.linked && now-p.heard < silentAfter:
+		e = heard
+	case p.sight == asking && now-p.since > askFor:
+		if e = nobody; t.alone {
+			return out
+		}
+	case p.sight >= cut && now-p.since > cutAgain:
+		e = again
+	case now-p.heard >= silentAfter:
+		e = silence
+	default:
+		return out
+	}
+	switch t.sees(p, name, e, now) {
+	case askOthers:
+		p.since = now
+		asked := 0
+		for _, other := range t.Watchers(name) {
+			if m := t.members[other]; other != t.self.Name && m.Condition == Alive && asked < askMost {
+				out = append(out, Out{other, &Ask{Of: name}})
+				asked++
+			}
+		}
+	case suspect:
+		if m := t.members[name]; m.Condition == Alive {
+			m.Condition = Suspected
+			t.set(m, now)
+			t.spread(name, "")
+		}
+	}
+	return out
+}
+
+// tell sends beats and news to all that are connected.
+func (t *Table) tell(now time.Duration, out []Out) []Out {
+	beat := now-t.beat >= BeatEvery
+	if beat {
+		t.beat = now
+	}
+	for other, p := range t.peers {
+		if !p.linked {
+			continue
+		}
+		if p.differs > 0 && now-p.differs > differsFor && now-p.mentioned > differsFor {
+			p.whole = true
+		}
+		if p.whole {
+			p.whole, p.differs, p.mentioned = false, 0, now
+			for name := range t.members {
+				p.pending[name] = true
+			}
+		}
+		if len(p.pending) > 0 {
+			names := slices.Sorted(maps.Keys(p.pending))
+			clear(p.pending)
+			for part := range slices.Chunk(names, newsMost) {
+				news := &News{}
+				for _, name := range part {
+					if m, ok := t.members[name]; ok {
+						news.Members = append(news.Members, m)
+					}
+				}
+				out = append(out, Out{other, news})
+			}
+		} else if beat {
+			out = append(out, Out{other, &Beat{Digest: t.sum}})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Out) int { return cmp.Compare(a.To, b.To) })
+	return out
+}
--- /dev/null
+++ b/internal/peers/command.go
@@ -0,0 +1,337 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"fernvane/internal/bindings"
+	"fernvane/internal/bindlog"
+	"fernvane/internal/frames"
+	"fernvane/internal/neighbours"
+	"fernvane/internal/replicas"
+)
+
+const (
+	askMost     = 5 * time.Minute // for a node to read all that it holds
+	statusMost  = 5 * time.Second
+	pulledBytes = 256 << 10 // of records in one frame
+	askAtOnce   = 16
+)
+
+// command answers a caller that is no node.
+func (p *Peers) command(ctx context.Context, c *frames.Conn) error {
+	for {
+		k, body, err := c.Receive(time.Now().Add(askMost))
+		if err != nil {
+			return err
+		}
+		switch k {
+		case queryKind:
+			var q query
+			if err := frames.Decode(body, &q); err != nil {
+				return c.Refuse(err)
+			}
+			var faults []string
+			if q.Verify {
+				faults = p.verify(ctx)
+			}
+			s := p.Status()
+			s.Faults = faults
+			if err := c.Send(statusKind, s); err != nil {
+				return err
+			}
+		case pullKind:
+			var q pull
+			if err := frames.Decode(body, &q); err != nil {
+				return c.Refuse(err)
+			}
+			if err := p.pulled(ctx, c, &q); err != nil {
+				return err
+			}
+		default:
+			return c.Refuse(fmt.Errorf("a frame of kind %d from a command", k))
+		}
+	}
+}
+
+// Status is how the node stands.
+func (p *Peers) Status() *Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := &Status{Self: p.table.Self(), Members: p.table.All(), Ready: p.ready, Replicas: p.cfg.Replicas, Holdings: p.keeper.Holdings(), Bytes: p.keeper.Bytes(), Most: p.cfg.HeldBytes}
+	if p.origin != nil {
+		s.Stream, s.Next, s.Kept, s.Waits, s.Holders = p.origin.Stream(), p.origin.Next(), p.origin.Kept(), p.origin.Waits(), p.origin.Holders()
+	}
+	return s
+}
+
+// pulled sends all records that stand here.
+func (p *Peers) pulled(ctx context.Context, c *frames.Conn, q *pull) error {
+	p.mu.Lock()
+	journal := p.journal
+	p.mu.Unlock()
+	streams, err := p.store.Streams()
+	var dirs []string
+	if journal != "" {
+		dirs = append(dirs, journal)
+	}
+	for _, s := range streams {
+		dirs = append(dirs, p.store.Dir(s))
+	}
+	out := pulled{}
+	send := func() error {
+		err := c.Send(pulledKind, &out)
+		out.Body = out.Body[:0]
+		return err
+	}
+	for _, dir := range dirs {
+		mine := map[[2]uint64]bool{}
+		report, scanned := bindlog.Scan(p.files, dir, time.Unix(0, q.Since), func(r *bindings.Record) error {
+			if q.ID != "" && r.Kind != bindings.Gap {
+				op := [2]uint64{r.Run, r.Op}
+				if r.ID == q.ID || r.Repeats == q.ID {
+					mine[op] = true
+				} else if !mine[op] {
+					return nil
+				}
+			}
+			if r.Kind == bindings.Numbered {
+				return nil
+			}
+			var err error
+			if out.Body, err = bindlog.AppendFrame(out.Body, r); err != nil {
+				return err
+			}
+			if len(out.Body) > pulledBytes {
+				return send()
+			}
+			return ctx.Err()
+		}, nil)
+		if scanned != nil {
+			err = errors.Join(err, scanned)
+		}
+		out.Corrupt += report.Corrupt()
+	}
+	if out.Last = true; err != nil {
+		out.Fault = err.Error()
+	}
+	return send()
+}
+
+// Client asks the nodes of a tier.
+type Client struct {
+	cfg *Config
+	// Members are those that were found; Asked those that answered, by name, and Missed why the others did not.
+	Members map[string]neighbours.Member
+	Asked   map[string]*Status
+	Missed  map[string]error
+}
+
+// Ask finds the nodes of a tier, by the addresses of a file and by what those tell, and asks each how it stands.
+func Ask(ctx context.Context, cfg *Config, verify bool) *Client {
+	t := &Client{cfg: cfg, Members: map[string]neighbours.Member{}, Asked: map[string]*Status{}, Missed: map[string]error{}}
+	var mu sync.Mutex
+	tried := map[string]bool{}
+	next := append(slices.Clone(cfg.Peers), cfg.Advertise)
+	for len(next) > 0 {
+		var wg sync.WaitGroup
+		room := make(chan struct{}, askAtOnce)
+		for _, at := range next {
+			if tried[at] {
+				continue
+			}
+			tried[at] = true
+			wg.Go(func() {
+				room <- struct{}{}
+				defer func() { <-room }()
+				s, err := status(ctx, cfg, at, verify)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					t.Missed[at] = err
+					return
+				}
+				t.Asked[s.Self.Name] = s
+				for _, m := range append(s.Members, s.Self) {
+					if was, ok := t.Members[m.Name]; !ok || neighbours.Compare(was, m) < 0 {
+						t.Members[m.Name] = m
+					}
+				}
+			})
+		}
+		wg.Wait()
+		next = nil
+		for _, m := range t.Members {
+			if m.Condition != neighbours.Left && !tried[m.Address] {
+				next = append(next, m.Address)
+			}
+		}
+	}
+	t.name()
+	return t
+}
+
+// name has those that did not answer stand under their names, where these are known, and leaves out addresses of the file
+// at which nobody of the tier was ever known.
+func (t *Client) name() {
+	missed := map[string]error{}
+	for _, m := range t.Members {
+		if err := t.Missed[m.Address]; err != nil && t.Asked[m.Name] == nil && m.Condition != neighbours.Left {
+			missed[m.Name] = err
+			delete(t.Missed, m.Address)
+		}
+	}
+	for at, err := range t.Missed {
+		missed[at] = err
+	}
+	t.Missed = missed
+}
+
+// Enough tells whether those that answered hold all that was ever kept: no more are missing than may be lost.
+func (t *Client) Enough() bool {
+	if len(t.Asked) == 0 {
+		return false
+	}
+	machines, most := map[string]bool{}, 0
+	for _, s := range t.Asked {
+		most = max(most, s.Replicas)
+		if !s.Ready {
+			return false
+		}
+	}
+	for name := range t.Missed {
+		machine := name
+		if m, ok := t.Members[name]; ok {
+			machine = m.Machine
+		}
+		machines[machine] = true
+	}
+	return len(machines) <= most
+}
+
+func status(ctx context.Context, cfg *Config, at string, verify bool) (*Status, error) {
+	c, _, err := dial(ctx, cfg, netip.Addr{}, at, "command", neighbours.Member{})
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := c.Send(queryKind, query{Verify: verify}); err != nil {
+		return nil, err
+	}
+	by := time.Now().Add(statusMost)
+	if verify {
+		by = time.Now().Add(askMost)
+	}
+	k, body, err := c.Receive(by)
+	switch {
+	case err != nil:
+		return nil, err
+	case k == frames.Refusals:
+		return nil, frames.Refused(body)
+	case k != statusKind:
+		return nil, fmt.Errorf("a frame of kind %d in place of an answer", k)
+	}
+	s := &Status{}
+	return s, frames.Decode(body, s)
+}
+
+// Records has each node that answers tell all its records, or those of one operation; one is called for each, by one node
+// at a time. What stands at several nodes comes several times. Who does not answer to its end counts as missed.
+func (t *Client) Records(ctx context.Context, since time.Time, id string, each func(*bindings.Record) error) (corrupt int, err error) {
+	for name := range t.Asked {
+		n, err := t.records(ctx, t.Members[name].Address, pull{Since: since.UnixNano(), ID: id}, each)
+		corrupt += n
+		var mine ownError
+		if errors.As(err, &mine) {
+			return corrupt, mine.error
+		}
+		if err != nil {
+			t.Missed[name] = err
+		}
+	}
+	for name := range t.Missed {
+		delete(t.Asked, name)
+	}
+	return corrupt, nil
+}
+
+// ownError is one of the caller's, not of a node.
+type ownError struct{ error }
+
+func (t *Client) records(ctx context.Context, at string, q pull, each func(*bindings.Record) error) (corrupt int, err error) {
+	c, _, err := dial(ctx, t.cfg, netip.Addr{}, at, "command", neighbours.Member{})
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	if err := c.Send(pullKind, q); err != nil {
+		return 0, err
+	}
+	for {
+		k, body, err := c.Receive(time.Now().Add(askMost))
+		if err != nil {
+			return corrupt, err
+		}
+		var part pulled
+		if k != pulledKind {
+			return corrupt, fmt.Errorf("a frame of kind %d in place of records", k)
+		}
+		if err := frames.Decode(body, &part); err != nil {
+			return corrupt, err
+		}
+		if err := bindlog.ReadFrames(part.Body, func(r *bindings.Record) error {
+			if err := each(r); err != nil {
+				return ownError{err}
+			}
+			return nil
+		}); err != nil {
+			return corrupt, err
+		}
+		if part.Last {
+			if corrupt = part.Corrupt; part.Fault != "" {
+				err = errors.New(part.Fault)
+			}
+			return corrupt, err
+		}
+	}
+}
+
+// Copies counts on how many machines each stream stands whole, as far as any node has it. The origin's own disk counts
+// where it answers.
+func (t *Client) Copies() map[replicas.Stream]int {
+	all := map[replicas.Stream]replicas.Ranges{}
+	add := func(s replicas.Stream, r replicas.Ranges) {
+		for _, x := range r {
+			all[s] = all[s].With(x.From, x.To)
+		}
+	}
+	for _, s := range t.Asked {
+		for _, h := range s.Holdings {
+			add(h.Stream, h.Ranges)
+		}
+	}
+	machines := map[replicas.Stream]map[string]bool{}
+	for stream, whole := range all {
+		machines[stream] = map[string]bool{}
+		for _, s := range t.Asked {
+			for _, h := range s.Holdings {
+				if h.Stream == stream && len(whole.Without(h.Ranges)) == 0 {
+					machines[stream][s.Self.Machine] = true
+				}
+			}
+			if s.Stream == stream {
+				machines[stream][s.Self.Machine] = true
+			}
+		}
+	}
+	counts := map[replicas.Stream]int{}
+	for stream, m := range machines {
+		counts[stream] = len(m)
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/peers/held.go
@@ -0,0 +1,284 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/holdings"
+	"fernvane/internal/neighbours"
+	"fernvane/internal/replicas"
+)
+
+const (
+	onWayMost = 8 // parts of one copying that are sent and not answered
+	ackWait   = 2 * time.Second
+)
+
+var errLost = errors.New("the node is gone, or has all")
+
+// read reads the parts of a stream that stand here: those held, and for an earlier life of this node its own journal.
+func (p *Peers) read(s replicas.Stream, each func(bindlog.Part) error) (report bindlog.Report, err error) {
+	p.mu.Lock()
+	journal := p.journal
+	p.mu.Unlock()
+	if s.Name == p.name && journal != "" {
+		report, err = holdings.ReadDir(p.files, journal, func(part bindlog.Part) error {
+			if int64(part.Run) != s.Up {
+				return nil
+			}
+			return each(part)
+		})
+		if err != nil {
+			return report, err
+		}
+	}
+	held, err := p.store.Read(s, each)
+	if errors.Is(err, os.ErrNotExist) {
+		err = nil
+	}
+	report.Faults = append(report.Faults, held.Faults...)
+	report.Segments, report.Records, report.Bytes = report.Segments+held.Segments, report.Records+held.Records, report.Bytes+held.Bytes
+	return report, err
+}
+
+// scan finds out what is held on disk. Until then no offer is answered.
+func (p *Peers) scan(ctx context.Context) {
+	select {
+	case <-p.begun:
+	case <-ctx.Done():
+		return
+	}
+	began := time.Now()
+	streams, err := p.store.Streams()
+	if err != nil {
+		p.log.Error().Err(err).Msg("what is held cannot be read")
+	}
+	records := 0
+	for _, s := range streams {
+		report, err := p.store.Read(s, func(part bindlog.Part) error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.keeper.Found(s, part.First, part.First+uint64(part.N), int64(len(part.Body)), part.At)
+			return nil
+		})
+		records += report.Records
+		for _, f := range report.Faults {
+			p.log.Warn().Str("file", f.Path).Int64("offset", f.Offset).Int64("bytes", f.Bytes).Bool("torn", f.Torn).Msg("replica damaged")
+		}
+		if err != nil && ctx.Err() == nil {
+			p.log.Error().Err(err).Stringer("stream", s).Msg("replica not read")
+		}
+	}
+	p.mu.Lock()
+	journal, up := p.journal, p.table.Self().Up
+	p.mu.Unlock()
+	if journal != "" {
+		own := map[int64]bool{}
+		holdings.ReadDir(p.files, journal, func(part bindlog.Part) error {
+			if int64(part.Run) >= up || ctx.Err() != nil {
+				return ctx.Err()
+			}
+			own[int64(part.Run)] = true
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.keeper.Found(replicas.Stream{Name: p.name, Up: int64(part.Run)}, part.First, part.First+uint64(part.N), 0, part.At)
+			return nil
+		})
+	}
+	p.mu.Lock()
+	p.ready = true
+	p.mu.Unlock()
+	p.log.Info().Int("streams", len(streams)).Int("records", records).Dur("took", time.Since(began)).Msg("what is held is read")
+}
+
+// verify reads all that is held again. What is damaged no longer counts, and who would copy it anew is told.
+func (p *Peers) verify(ctx context.Context) (faults []string) {
+	p.mu.Lock()
+	streams := p.keeper.Streams()
+	p.mu.Unlock()
+	for _, s := range streams {
+		p.mu.Lock()
+		p.keeper.Read(s)
+		p.mu.Unlock()
+		var found replicas.Ranges
+		report, err := p.read(s, func(part bindlog.Part) error {
+			found = found.With(part.First, part.First+uint64(part.N))
+			return ctx.Err()
+		})
+		if err != nil {
+			faults = append(faults, fmt.Sprintf("%s: %v", s, err))
+		}
+		for _, f := range report.Faults {
+			faults = append(faults, f.String())
+		}
+		p.mu.Lock()
+		if err == nil {
+			p.send(p.now(), p.keeper.Reread(s, found))
+		}
+		p.mu.Unlock()
+	}
+	return faults
+}
+
+// copies starts what is to be copied to others now, each beside the serving.
+func (p *Peers) copies(ctx context.Context, g *errgroup.Group, now time.Duration) {
+	var jobs []replicas.Job
+	if p.ready {
+		jobs = p.keeper.Jobs(now)
+	}
+	if p.origin != nil {
+		for _, name := range p.origin.Wanted() {
+			if len(p.origin.Lacks(name)) > 0 {
+				jobs = append(jobs, replicas.Job{Stream: p.origin.Stream(), To: name})
+			}
+		}
+	}
+	for _, j := range jobs {
+		if p.jobs[j] != nil || len(p.links[j.To]) == 0 {
+			continue
+		}
+		onWay := make(chan struct{}, onWayMost)
+		p.jobs[j] = onWay
+		g.Go(func() error {
+			began := time.Now()
+			n, err := p.copy(ctx, j, onWay)
+			p.mu.Lock()
+			delete(p.jobs, j)
+			p.mu.Unlock()
+			if n > 0 && ctx.Err() == nil {
+				p.log.Info().Err(err).Stringer("stream", j.Stream).Str("to", j.To).Int("records", n).Dur("took", time.Since(began)).Msg("replica copied")
+			}
+			return nil
+		})
+	}
+}
+
+// lacks is what a job's receiver does not have.
+func (p *Peers) lacks(j replicas.Job) replicas.Ranges {
+	if p.origin != nil && j.Stream == p.origin.Stream() {
+		return p.origin.Lacks(j.To)
+	}
+	return p.keeper.Lacks(j.Stream, j.To)
+}
+
+// copy sends from disk what a node lacks of a stream, at the rate that all copying of this node keeps to.
+func (p *Peers) copy(ctx context.Context, j replicas.Job, onWay chan struct{}) (records int, err error) {
+	p.mu.Lock()
+	live := p.origin != nil && j.Stream == p.origin.Stream()
+	p.mu.Unlock()
+	_, err = p.read(j.Stream, func(part bindlog.Part) error {
+		p.mu.Lock()
+		lacks, there := p.lacks(j), len(p.links[j.To]) > 0
+		p.mu.Unlock()
+		if len(lacks) == 0 || !there {
+			return errLost
+		}
+		end := part.First + uint64(part.N)
+		if (replicas.Ranges{{From: part.First, To: end}}).Without(lacks).Has(part.First, end) { // it has that one
+			return nil
+		}
+		if err := p.limit.WaitN(ctx, len(part.Body)); err != nil {
+			return err
+		}
+		wait := time.NewTimer(ackWait)
+		defer wait.Stop()
+		select {
+		case onWay <- struct{}{}:
+		case <-wait.C:
+			return errLost
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		records += part.N
+		b := &replicas.Batch{Stream: j.Stream, First: part.First, N: part.N, Origin: live, Body: append([]byte(nil), part.Body...)}
+		p.mu.Lock()
+		p.send(p.now(), []neighbours.Out{{To: j.To, What: b}})
+		p.mu.Unlock()
+		return nil
+	})
+	for by := time.Now().Add(ackWait); len(onWay) > 0 && time.Now().Before(by) && ctx.Err() == nil; {
+		time.Sleep(tickEvery)
+	}
+	if errors.Is(err, errLost) {
+		err = nil
+	}
+	return records, err
+}
+
+// tidy closes and removes what is no longer needed.
+func (p *Peers) tidy(ctx context.Context) error {
+	tick := time.NewTicker(tidyEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		p.store.Idle()
+		p.mu.Lock()
+		old := p.keeper.Old(time.Now().UnixNano())
+		for _, s := range old {
+			p.keeper.Gone(s)
+		}
+		floors := map[replicas.Stream]uint64{}
+		for _, s := range p.keeper.Streams() {
+			if f := p.keeper.Floor(s); f > 1 {
+				floors[s] = f
+			}
+		}
+		if p.origin != nil && p.journal != "" {
+			delete(floors, p.origin.Stream())
+		}
+		p.mu.Unlock()
+		for _, s := range old {
+			if err := p.store.Remove(s); err != nil {
+				p.log.Error().Err(err).Stringer("stream", s).Msg("replica not removed")
+			}
+		}
+		for s, from := range floors {
+			if err := p.store.Trim(s, from); err != nil && !errors.Is(err, os.ErrNotExist) {
+				p.log.Error().Err(err).Stringer("stream", s).Msg("replica not trimmed")
+			}
+		}
+		p.forget()
+	}
+}
+
+// forget notes what of the running journal has become too old here.
+func (p *Peers) forget() {
+	p.mu.Lock()
+	o, dir := p.origin, p.journal
+	p.mu.Unlock()
+	if o == nil {
+		return
+	}
+	segments, err := bindlog.Segments(p.files, dir)
+	if err != nil || len(segments) == 0 {
+		return
+	}
+	errFirst := errors.New("the first is found")
+	for _, s := range segments {
+		_, err := bindlog.Parts(p.files, s, func(part bindlog.Part) error {
+			if int64(part.Run) != o.Stream().Up {
+				return nil
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.origin.Forgot(part.First)
+			return errFirst
+		})
+		if errors.Is(err, errFirst) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/link.go
@@ -0,0 +1,302 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/frames"
+	"fernvane/internal/neighbours"
+	"fernvane/internal/replicas"
+)
+
+const (
+	greetMost  = 2 * time.Second
+	dialMost   = time.Second
+	silentMost = 3 * time.Second // of a connection: twelve beats
+	linkMost   = 16 << 20        // bytes that wait to be sent on one connection
+	ackMost    = 256             // parts that wait for the disk from one connection
+)
+
+var errCrowded = errors.New("too many connections are here: ask another node")
+
+// link is one connection with a node.
+type link struct {
+	conn   *frames.Conn
+	name   string
+	dialed bool
+
+	mu     sync.Mutex
+	queue  []any
+	bytes  int
+	wake   chan struct{}
+	closed bool
+	used   time.Duration // when it was last wanted, if dialed; under the peers' lock
+	stored chan stored
+}
+
+// stored is a part that is on its way to the disk.
+type stored struct {
+	batch *replicas.Batch
+	at    int64
+	wait  *bindlog.Wait
+	err   error
+}
+
+func newLink(conn *frames.Conn, name string, dialed bool) *link {
+	return &link{conn: conn, name: name, dialed: dialed, wake: make(chan struct{}, 1), stored: make(chan stored, ackMost)}
+}
+
+// put has something sent. It waits for nothing; a peer that takes too little has ended.
+func (l *link) put(what any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	if l.bytes += size(what); l.bytes > linkMost {
+		l.closed = true
+		go l.conn.Close()
+		return
+	}
+	l.queue = append(l.queue, what)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end closes the connection, from either side.
+func (l *link) end() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.conn.Close()
+}
+
+// write sends what is put, until the connection ends.
+func (l *link) write(ended <-chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		case <-l.wake:
+		}
+		l.mu.Lock()
+		batch := l.queue
+		l.queue, l.bytes = nil, 0
+		l.mu.Unlock()
+		for _, what := range batch {
+			if l.conn.Send(kindOf(what), what) != nil {
+				l.conn.Close()
+				return
+			}
+		}
+	}
+}
+
+// accept takes connections of other nodes and of commands.
+func (p *Peers) accept(ctx context.Context, ln net.Listener) error {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for {
+		nc, err := ln.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			p.log.Warn().Err(err).Msg("a peer is not accepted")
+			select {
+			case <-ctx.Done():
+			case <-time.After(acceptAgain):
+			}
+			continue
+		}
+		all.Go(func() {
+			defer nc.Close()
+			defer context.AfterFunc(ctx, func() { nc.Close() })()
+			if err := p.accepted(ctx, nc); err != nil && ctx.Err() == nil {
+				p.log.Debug().Err(err).Stringer("from", nc.RemoteAddr()).Msg("peer gone")
+			}
+		})
+	}
+}
+
+func (p *Peers) accepted(ctx context.Context, nc net.Conn) error {
+	by := time.Now().Add(greetMost)
+	nc.SetDeadline(by)
+	if p.cfg.Keys != nil {
+		nc = p.cfg.Keys.Server(nc)
+	}
+	c := protocol.New(nc)
+	if _, err := c.Greeted(by); err != nil {
+		return err
+	}
+	if err := c.Send(frames.Greeting, frames.Hello{Version: version, Name: p.name}); err != nil {
+		return err
+	}
+	k, body, err := c.Receive(by)
+	if err != nil {
+		return err
+	}
+	var who intro
+	if k != introKind || frames.Decode(body, &who) != nil {
+		return c.Refuse(errors.New("a caller that does not say who it is"))
+	}
+	if who.Deployment != p.cfg.Deployment {
+		return c.Refuse(fmt.Errorf("this is deployment %q", p.cfg.Deployment))
+	}
+	if who.Member.Up == 0 {
+		return p.command(ctx, c)
+	}
+	p.mu.Lock()
+	crowded := len(p.links) >= linksMost && p.links[who.Member.Name] == nil
+	p.mu.Unlock()
+	if crowded {
+		return c.Refuse(errCrowded)
+	}
+	if err := c.Send(introKind, intro{Deployment: p.cfg.Deployment, Member: p.self()}); err != nil {
+		return err
+	}
+	return p.lead(ctx, newLink(c, who.Member.Name, false), who.Member)
+}
+
+// dial opens a connection to an address and says who this is.
+func dial(ctx context.Context, cfg *Config, from netip.Addr, at, name string, me neighbours.Member) (c *frames.Conn, who intro, err error) {
+	by := time.Now().Add(dialMost)
+	d := net.Dialer{Deadline: by}
+	if from.IsValid() && !from.IsUnspecified() { // the address by which the others know this node
+		d.LocalAddr = &net.TCPAddr{IP: from.AsSlice()}
+	}
+	nc, err := d.DialContext(ctx, "tcp", at)
+	if err != nil {
+		return nil, who, err
+	}
+	defer func() {
+		if err != nil {
+			nc.Close()
+		}
+	}()
+	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	by = time.Now().Add(greetMost)
+	nc.SetDeadline(by)
+	wrapped := nc
+	if cfg.Keys != nil {
+		wrapped = cfg.Keys.Client(nc, cfg.TLSName)
+	}
+	c = protocol.New(wrapped)
+	if _, err = c.Greet(name, by); err != nil {
+		return nil, who, err
+	}
+	if err = c.Send(introKind, intro{Deployment: cfg.Deployment, Member: me}); err != nil {
+		return nil, who, err
+	}
+	if me.Up == 0 {
+		return c, who, nil
+	}
+	k, body, err := c.Receive(by)
+	switch {
+	case err != nil:
+	case k == frames.Refusals:
+		err = frames.Refused(body)
+	case k != introKind:
+		err = errors.New("a peer that does not say who it is")
+	default:
+		err = frames.Decode(body, &who)
+	}
+	return c, who, err
+}
+
+// lead is the life of a connection with a node.
+func (p *Peers) lead(ctx context.Context, l *link, who neighbours.Member) error {
+	defer l.end()
+	if l.name == "" || l.name == p.name && who.Up == p.self().Up {
+		return errors.New("this node itself")
+	}
+	ended := make(chan struct{})
+	var both sync.WaitGroup
+	defer both.Wait()
+	defer close(ended)
+	defer close(l.stored)
+	both.Go(func() { l.write(ended) })
+	both.Go(func() { p.store1(l) })
+	if l.name == p.name { // another life of this name: it is told, and nothing else
+		p.met(l, who, nil)
+		time.Sleep(greetMost / 4)
+		return errors.New("another life of this name")
+	}
+	p.met(l, who, l)
+	defer p.lost(l)
+	for {
+		k, body, err := l.conn.Receive(time.Now().Add(silentMost))
+		if err != nil {
+			return err
+		}
+		what, err := read(k, body)
+		if err != nil {
+			return err
+		}
+		if b, ok := what.(*replicas.Batch); ok {
+			if err := p.batch(l, b); err != nil {
+				return err
+			}
+			continue
+		}
+		p.got(l, what)
+	}
+}
+
+// batch has a part of a stream written, if it is taken.
+func (p *Peers) batch(l *link, b *replicas.Batch) error {
+	part, records, err := bindlog.ReadPart(b.Body)
+	if err != nil {
+		return err
+	}
+	if int64(part.Run) != b.Up || part.First != b.First || part.N != b.N || !names.MatchString(b.Name) {
+		return fmt.Errorf("a part of %s that is another", b.Stream)
+	}
+	p.mu.Lock()
+	now := p.now()
+	p.table.Heard(now, l.name)
+	ok, out := p.keeper.Takes(l.name, b, part.At, time.Now().UnixNano())
+	if !p.ready {
+		ok, out = false, nil // what it holds is not known yet; it is sent again
+	}
+	p.send(now, out)
+	p.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	s := stored{batch: b, at: part.At}
+	s.wait, s.err = p.store.Put(b.Stream, records)
+	l.stored <- s
+	return nil
+}
+
+// store1 answers for parts in the order in which they came, each when it lasts.
+func (p *Peers) store1(l *link) {
+	for s := range l.stored {
+		if s.err == nil {
+			<-s.wait.Done()
+			s.err = s.wait.Err()
+		}
+		ack := &replicas.Ack{Stream: s.batch.Stream, First: s.batch.First, N: s.batch.N}
+		p.mu.Lock()
+		if s.err == nil {
+			p.keeper.Found(ack.Stream, ack.First, ack.First+uint64(ack.N), int64(len(s.batch.Body)), s.at)
+		} else {
+			ack.Refused = "the disk takes nothing"
+		}
+		p.mu.Unlock()
+		if s.err != nil {
+			p.log.Error().Err(s.err).Stringer("stream", ack.Stream).Msg("replica not kept")
+		}
+		l.put(ack)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,549 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"fernvane/internal/bindlog"
+	"fernvane/internal/holdings"
+	"fernvane/internal/neighbours"
+	"fernvane/internal/replicas"
+)
+
+const (
+	tickEvery    = 25 * time.Millisecond
+	lookEvery    = 250 * time.Millisecond // over the connections that are wanted
+	acceptAgain  = 100 * time.Millisecond
+	redialFirst  = 100 * time.Millisecond
+	redialMost   = 2 * time.Second
+	wantFor      = 3 * time.Second // a connection for a word by the way
+	unwantedFor  = 3 * time.Second
+	linksMost    = 256         // connections; who comes beyond them is to ask another node
+	tidyEvery    = time.Minute // of what is held
+	segmentBytes = 16 << 20
+	flushFor     = 300 * time.Millisecond // at a stop, for holders to have the last records
+)
+
+// Why a record is not kept by others.
+var (
+	ErrBehind   = errors.New("too many records wait for holders")
+	ErrReplaced = errors.New("a later life of this node's name is known: two processes run under it")
+	ErrStopped  = errors.New("the node stops")
+)
+
+// Peers is a running node's part in its tier.
+type Peers struct {
+	cfg      *Config
+	name     string
+	log      zerolog.Logger
+	files    bindlog.Files
+	began    time.Time
+	ln       net.Listener
+	store    *holdings.Store
+	limit    *rate.Limiter
+	replaced chan struct{}
+	news     chan struct{} // closed when the first news have come
+	begun    chan struct{} // closed when it is known whether there is a journal
+
+	mu       sync.Mutex
+	table    *neighbours.Table
+	keeper   *replicas.Keeper
+	origin   *replicas.Origin // nil: the node keeps no journal
+	journal  string           // its folder
+	ready    bool             // what is on disk is known
+	sum      uint64           // of the members when they were last handed on
+	links    map[string][]*link
+	wants    map[string]time.Duration // until when
+	letters  map[string][]any         // for those to which there is no connection yet
+	dialing  map[string]bool
+	tries    map[string]try
+	waiters  []*Kept
+	jobs     map[replicas.Job]chan struct{} // parts of each that are on their way
+	looked   time.Duration
+	joined   bool // this life's start is settled
+	told     bool // that it was replaced
+	settling func(replicas.Stream) error
+	lists    func() []byte // the list of servers as it is kept here
+	listed   func([]byte)  // one of another node
+	stop     bool
+}
+
+type try struct {
+	at   time.Duration
+	wait time.Duration
+}
+
+// Kept is for a record to be held by enough.
+type Kept struct {
+	seq  uint64
+	done chan struct{}
+	err  error
+}
+
+// Done is closed when it is, or never will be.
+func (k *Kept) Done() <-chan struct{} { return k.done }
+
+// Err tells which, once Done is closed.
+func (k *Kept) Err() error { return k.err }
+
+// New listens for other nodes. files is the disk beneath what is held, nil for the system's.
+func New(cfg *Config, name string, files bindlog.Files, log zerolog.Logger) (*Peers, error) {
+	if cfg.Name != "" {
+		name = cfg.Name
+	}
+	if !names.MatchString(name) {
+		return nil, errors.New("the node's name " + name + " cannot be one of a tier: letters, digits, dots and dashes, 64 at most")
+	}
+	if files == nil {
+		files = bindlog.OS{}
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	place := replicas.Place{Name: name, Site: cfg.Site, Machine: cfg.Machine, Well: true}
+	return &Peers{cfg: cfg, name: name, log: log, files: files, began: time.Now().Add(-time.Second), ln: ln,
+		store: holdings.Open(cfg.Held, files, segmentBytes), limit: rate.NewLimiter(rate.Limit(cfg.RepairBytes), frameMost),
+		replaced: make(chan struct{}), news: make(chan struct{}), begun: make(chan struct{}),
+		table:  neighbours.New(neighbours.Member{Name: name, Up: time.Now().UnixNano(), Address: cfg.Advertise, Site: cfg.Site, Machine: cfg.Machine}),
+		keeper: replicas.NewKeeper(place, cfg.Replicas, cfg.HeldBytes, cfg.KeepFor.D()),
+		links:  map[string][]*link{}, wants: map[string]time.Duration{}, letters: map[string][]any{}, dialing: map[string]bool{}, tries: map[string]try{},
+		jobs: map[replicas.Job]chan struct{}{}}, nil
+}
+
+func (p *Peers) now() time.Duration { return time.Since(p.began) }
+
+func (p *Peers) self() neighbours.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Self()
+}
+
+func (p *Peers) place() replicas.Place {
+	return replicas.Place{Name: p.name, Site: p.cfg.Site, Machine: p.cfg.Machine, Well: true}
+}
+
+// Replaced is closed when another process has been started under this node's name since.
+func (p *Peers) Replaced() <-chan struct{} { return p.replaced }
+
+// Join waits until another node is met, for so long at most, and returns when this life is said to have begun: after all
+// others of its name, whatever the clock says.
+func (p *Peers) Join(ctx context.Context, most time.Duration) int64 {
+	if len(p.cfg.Peers) > 0 {
+		select {
+		case <-p.news:
+		case <-time.After(most):
+			p.log.Warn().Msg("no other node is met yet")
+		case <-ctx.Done():
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.joined = true
+	return p.table.Self().Up
+}
+
+// Keep tells the folder of this life's journal, "" for none; with stream it is kept by others as well. Until then nothing is
+// held for anybody.
+func (p *Peers) Keep(dir string, stream bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.begun:
+	default:
+		close(p.begun)
+	}
+	if p.journal = dir; stream {
+		now := p.now()
+		p.origin = replicas.NewOrigin(now, replicas.Stream{Name: p.name, Up: p.table.Self().Up}, p.place(), p.cfg.Replicas, p.cfg.SlowAfter.D())
+		p.sum = 0 // members are handed on to it
+		p.after(now)
+	}
+}
+
+// Copy takes in numbered records in frames, before they are written here.
+func (p *Peers) Copy(first uint64, n int, body []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	_, out := p.origin.Add(now, n, body)
+	p.send(now, out)
+	p.after(now)
+}
+
+// Stored tells that records last here.
+func (p *Peers) Stored(first uint64, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.origin.Stored(first, first+uint64(n))
+}
+
+// Wait is for a record, by its number, to be held by enough.
+func (p *Peers) Wait(seq uint64) *Kept {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := &Kept{seq: seq, done: make(chan struct{})}
+	p.waiters = append(p.waiters, k)
+	p.settle()
+	return k
+}
+
+// Stalled tells for how long records have waited for holders, or for how long there have been too few.
+func (p *Peers) Stalled() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.told || p.origin == nil {
+		return time.Hour
+	}
+	return p.origin.Stalled(p.now())
+}
+
+// settle ends what has been waited for.
+func (p *Peers) settle() {
+	if len(p.waiters) == 0 {
+		return
+	}
+	kept, base := p.origin.Kept(), p.origin.Base()
+	p.waiters = slices.DeleteFunc(p.waiters, func(k *Kept) bool {
+		switch {
+		case k.seq < kept:
+		case k.seq < base:
+			k.err = ErrBehind
+		case p.told:
+			k.err = ErrReplaced
+		case p.stop:
+			k.err = ErrStopped
+		default:
+			return false
+		}
+		close(k.done)
+		return true
+	})
+}
+
+// Run takes part in the tier until the context ends.
+func (p *Peers) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer p.store.Close()
+	g, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, func() { p.ln.Close() })()
+	p.log.Info().Str("node", p.name).Str("listen", p.cfg.Listen).Str("deployment", p.cfg.Deployment).Int("replicas", p.cfg.Replicas).Msg("neighbours are sought")
+	g.Go(func() error { return p.accept(ctx, p.ln) })
+	g.Go(func() error { p.scan(ctx); return nil })
+	for _, at := range p.cfg.Peers {
+		g.Go(func() error { p.seek(ctx, at); return nil })
+	}
+	g.Go(func() error { return p.tidy(ctx) })
+	g.Go(func() error {
+		tick := time.NewTicker(tickEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-tick.C:
+				p.tick(ctx, g)
+			}
+		}
+	})
+	return g.Wait()
+}
+
+// seek keeps on asking at an address of the file while no node is known there.
+func (p *Peers) seek(ctx context.Context, at string) {
+	for wait := redialFirst; ctx.Err() == nil; wait = min(2*wait, redialMost) {
+		p.mu.Lock()
+		known := at == p.cfg.Advertise
+		for name, all := range p.links {
+			m, _ := p.table.Get(name)
+			known = known || len(all) > 0 && m.Address == at && m.Condition.Lives()
+		}
+		p.mu.Unlock()
+		if !known {
+			p.call(ctx, at)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration((0.75 + rand.Float64()/2) * float64(wait))):
+		}
+	}
+}
+
+// call leads a connection to an address.
+func (p *Peers) call(ctx context.Context, at string) {
+	c, who, err := dial(ctx, p.cfg, p.cfg.ListenAt.Addr(), at, p.name, p.self())
+	if err == nil {
+		defer context.AfterFunc(ctx, func() { c.Close() })()
+		err = p.lead(ctx, newLink(c, who.Member.Name, true), who.Member)
+	}
+	if ctx.Err() == nil {
+		p.log.Debug().Err(err).Str("at", at).Msg("peer lost")
+	}
+}
+
+// met takes in a connection; l is nil for one that is not kept.
+func (p *Peers) met(l *link, who neighbours.Member, keep *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	if keep != nil {
+		p.links[l.name] = append(p.links[l.name], l)
+		l.used = now
+		p.table.Connected(now, l.name)
+		for _, what := range p.letters[l.name] {
+			l.put(what)
+		}
+		delete(p.letters, l.name)
+		delete(p.tries, l.name)
+	}
+	p.table.Joined(now, l.name, []neighbours.Member{who})
+	if who.Name == p.name {
+		l.put(&neighbours.News{Members: []neighbours.Member{p.table.Self()}})
+	}
+	p.after(now)
+}
+
+// lost lets go of a connection.
+func (p *Peers) lost(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.links[l.name] = slices.DeleteFunc(p.links[l.name], func(o *link) bool { return o == l })
+	if len(p.links[l.name]) > 0 {
+		return
+	}
+	delete(p.links, l.name)
+	p.table.Closed(l.name)
+	if p.origin != nil {
+		p.send(now, p.origin.Parted(now, l.name))
+	}
+	p.after(now)
+}
+
+// got takes in what a node says.
+func (p *Peers) got(l *link, what any) {
+	if w, ok := what.(*list); ok {
+		p.mu.Lock()
+		listed := p.listed
+		p.mu.Unlock()
+		if listed != nil {
+			listed(w.Text)
+		}
+		return
+	}
+	var text []byte
+	if _, ok := what.(*listAsk); ok {
+		p.mu.Lock()
+		lists := p.lists
+		p.mu.Unlock()
+		if lists != nil {
+			text = lists()
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.table.Heard(now, l.name)
+	switch w := what.(type) {
+	case *replicas.Offer:
+		if p.ready {
+			p.send(now, p.keeper.Offered(now, l.name, w))
+		}
+	case *replicas.Have, *replicas.Ack:
+		if p.origin != nil {
+			p.send(now, p.origin.Got(now, l.name, w))
+		}
+		p.keeper.Got(now, l.name, w)
+		if a, ok := w.(*replicas.Ack); ok {
+			if onWay := p.jobs[replicas.Job{Stream: a.Stream, To: l.name}]; onWay != nil {
+				select {
+				case <-onWay:
+				default:
+				}
+			}
+		}
+	case *listAsk:
+		if len(text) > 0 && len(text) < frameMost-64 {
+			l.put(&list{Text: text})
+		}
+	default:
+		p.send(now, p.table.Got(now, l.name, w))
+	}
+	p.after(now)
+	if _, ok := what.(*neighbours.News); ok {
+		select {
+		case <-p.news:
+		default:
+			close(p.news)
+		}
+	}
+}
+
+// send puts words on their connections. For one without, a connection is wanted, and the word waits for it.
+func (p *Peers) send(now time.Duration, out []neighbours.Out) {
+	for _, o := range out {
+		if all := p.links[o.To]; len(all) > 0 {
+			all[len(all)-1].put(o.What)
+			continue
+		}
+		if m, ok := p.table.Get(o.To); !ok || !m.Condition.Lives() {
+			continue
+		}
+		p.wants[o.To] = now + wantFor
+		if _, part := o.What.(*replicas.Batch); !part && len(p.letters[o.To]) < 8 {
+			p.letters[o.To] = append(p.letters[o.To], o.What)
+		}
+	}
+}
+
+// after is done behind whatever has changed something: who lives is handed on, connections that stand are told to those
+// who want them, and what has been waited for ends.
+func (p *Peers) after(now time.Duration) {
+	if p.table.Replaced() && !p.told {
+		if p.joined {
+			p.told = true
+			close(p.replaced)
+			p.log.Error().Err(ErrReplaced).Msg("this node stops")
+		} else {
+			p.table.Outlive(now)
+		}
+	}
+	if sum := p.table.Digest(); sum != p.sum {
+		p.sum = sum
+		var lives []replicas.Life
+		var places []replicas.Place
+		for _, m := range p.table.All() {
+			l := replicas.Life{Place: replicas.Place{Name: m.Name, Site: m.Site, Machine: m.Machine, Well: m.Condition == neighbours.Alive}, Up: m.Up, Lives: m.Condition.Lives()}
+			if m.Name != p.name {
+				places = append(places, l.Place)
+			}
+			lives = append(lives, l)
+		}
+		p.keeper.Lived(now, lives)
+		if p.origin != nil {
+			p.send(now, p.origin.Placed(now, places))
+		}
+	}
+	if p.origin != nil {
+		for _, name := range p.origin.Wanted() {
+			if len(p.links[name]) > 0 {
+				p.send(now, p.origin.Linked(now, name))
+			} else {
+				p.wants[name] = max(p.wants[name], now+lookEvery)
+			}
+		}
+		p.settle()
+	}
+}
+
+// tick moves all on by time, and opens connections that are wanted.
+func (p *Peers) tick(ctx context.Context, g *errgroup.Group) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.send(now, p.table.Tick(now))
+	if p.origin != nil {
+		p.send(now, p.origin.Tick(now))
+	}
+	if p.ready {
+		p.send(now, p.keeper.Tick(now))
+	}
+	p.after(now)
+	if now-p.looked >= lookEvery {
+		p.looked = now
+		p.look(now)
+		p.copies(ctx, g, now)
+	}
+	for name, until := range p.wants {
+		if until < now {
+			delete(p.wants, name)
+			if len(p.links[name]) == 0 {
+				delete(p.letters, name)
+			}
+			continue
+		}
+		m, ok := p.table.Get(name)
+		t := p.tries[name]
+		if !ok || name == p.name || len(p.links[name]) > 0 || p.dialing[name] || now < t.at+t.wait {
+			continue
+		}
+		p.dialing[name] = true
+		p.tries[name] = try{now, min(max(2*t.wait, redialFirst), redialMost)}
+		g.Go(func() error {
+			p.call(ctx, m.Address)
+			p.mu.Lock()
+			delete(p.dialing, name)
+			p.mu.Unlock()
+			return nil
+		})
+	}
+}
+
+// look notes which connections are wanted, and ends those that have not been for a while.
+func (p *Peers) look(now time.Duration) {
+	wanted := p.table.Watched()
+	if p.origin != nil {
+		wanted = append(wanted, p.origin.Wanted()...)
+	}
+	if p.ready {
+		wanted = append(wanted, p.keeper.Wanted()...)
+	}
+	if knock := p.table.Knock(now); knock != "" {
+		wanted = append(wanted, knock)
+	}
+	for _, name := range wanted {
+		p.wants[name] = max(p.wants[name], now+2*lookEvery)
+	}
+	for name, all := range p.links {
+		for _, l := range all {
+			if _, ok := p.wants[name]; ok || !l.dialed {
+				l.used = now
+			} else if now-l.used > unwantedFor {
+				go l.end()
+			}
+		}
+	}
+}
+
+// Leave tells the others that this node goes in good order, once they have what is still on its way.
+func (p *Peers) Leave() {
+	by := time.Now().Add(flushFor)
+	for time.Now().Before(by) {
+		p.mu.Lock()
+		waits := p.origin != nil && p.origin.Kept() < p.origin.Next()
+		p.mu.Unlock()
+		if !waits {
+			break
+		}
+		time.Sleep(tickEvery)
+	}
+	p.mu.Lock()
+	now := p.now()
+	p.stop = true
+	p.table.Leave(now)
+	p.send(now, p.table.Tick(now))
+	p.after(now)
+	p.mu.Unlock()
+	time.Sleep(tickEvery) // for the word to be written
+}
+
+// Members are all that is known of the tier, by name.
+func (p *Peers) Members() map[string]neighbours.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := map[string]neighbours.Member{}
+	for _, m := range p.table.All() {
+		all[m.Name] = m
+	}
+	return all
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,383 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"fernvane/internal/bindings"
+	"fernvane/internal/bindlog"
+	"fernvane/internal/frames"
+	"fernvane/internal/neighbours"
+	"fernvane/internal/replicas"
+	"fernvane/internal/standin/keys"
+	"fernvane/internal/tomlfile"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// member is one node of a tier in this process.
+type member struct {
+	*Peers
+	cfg    *Config
+	dir    string
+	log    *bindlog.Log
+	cancel func()
+	done   chan error
+}
+
+func address(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// start has a node of a tier begin, on the folder of an earlier one or, with "", an empty one.
+func start(t *testing.T, name, dir string, seeds ...string) *member {
+	t.Helper()
+	if dir == "" {
+		dir = t.TempDir()
+	}
+	for _, d := range []string{"held", "journal"} {
+		if err := os.MkdirAll(filepath.Join(dir, d), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cfg := &Config{Listen: "127.0.0.1:0", Peers: seeds, Deployment: "d", Machine: name, Replicas: 2, Held: filepath.Join(dir, "held"), HeldBytes: 1 << 30,
+		RepairBytes: 64 << 20, SlowAfter: tomlfile.Span(100 * time.Millisecond), KeepFor: tomlfile.Span(time.Hour), Plaintext: true}
+	cfg.Listen = address(t)
+	cfg.Advertise = cfg.Listen
+	p, err := New(cfg, name, nil, zerolog.New(io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{Peers: p, cfg: cfg, dir: dir, cancel: cancel, done: make(chan error, 1)}
+	go func() { m.done <- p.Run(ctx) }()
+	up := p.Join(ctx, 2*time.Second)
+	p.Keep(filepath.Join(dir, "journal"), true)
+	m.log, err = bindlog.Open(bindlog.Options{Dir: filepath.Join(dir, "journal"), Files: bindlog.OS{}, Machine: true, SegmentBytes: 64 << 10, Run: uint64(up), Copy: p.Copy, Stored: p.Stored})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.die)
+	return m
+}
+
+// die ends a node without a word.
+func (m *member) die() {
+	if m.cancel != nil {
+		m.cancel()
+		<-m.done
+		m.log.Close()
+		m.cancel = nil
+	}
+}
+
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for by := time.Now().Add(30 * time.Second); !is(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatalf("not within 30 s: %s", what)
+		}
+	}
+}
+
+// keep has a booking's intent kept, and returns when it lasts.
+func (m *member) keep(t *testing.T, op uint64) {
+	t.Helper()
+	eventually(t, "an intent is kept", func() bool {
+		w, err := m.log.Append(true, bindings.Record{Kind: bindings.Intent, Run: uint64(m.self().Up), Op: op, At: time.Now().UnixNano(), ID: fmt.Sprint(m.name, "-", op), Type: "book", Server: "s"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-w.Done()
+		k := m.Wait(w.Number())
+		select {
+		case <-k.Done():
+			return k.Err() == nil
+		case <-time.After(time.Second):
+			return false
+		}
+	})
+}
+
+// found are the ids that the nodes of a tier tell, and whether what they tell is all.
+func found(t *testing.T, cfg *Config) (ids map[string]bool, enough bool) {
+	t.Helper()
+	client := Ask(context.Background(), cfg, false)
+	ids = map[string]bool{}
+	if _, err := client.Records(context.Background(), time.Time{}, "", func(r *bindings.Record) error {
+		if r.ID != "" {
+			ids[r.ID] = true
+		}
+		return nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return ids, client.Enough()
+}
+
+// A machine is lost with its disk, then another; what they kept is found in what is left, and is soon held often enough.
+func TestMachinesLost(t *testing.T) {
+	t.Parallel()
+	tier := []*member{start(t, "n0", "")}
+	for i := 1; i < 5; i++ {
+		tier = append(tier, start(t, fmt.Sprint("n", i), "", tier[0].cfg.Listen, tier[i-1].cfg.Listen))
+	}
+	want := map[string]bool{}
+	for op := range uint64(3) {
+		for _, m := range tier {
+			m.keep(t, op)
+			want[fmt.Sprint(m.name, "-", op)] = true
+		}
+	}
+	whole := func(of *member, nodes, streams int) func() bool {
+		return func() bool {
+			c := Ask(context.Background(), of.cfg, false)
+			n := 0
+			for _, copies := range c.Copies() {
+				if copies >= 3 {
+					n++
+				}
+			}
+			return len(c.Asked) == nodes && n >= streams
+		}
+	}
+	eventually(t, "all streams stand on three machines", whole(tier[0], 5, 5))
+	ask := func(at *member, missing int) {
+		t.Helper()
+		ids, enough := found(t, at.cfg)
+		for id := range want {
+			if !ids[id] {
+				t.Errorf("%s is not found with %d nodes lost", id, missing)
+			}
+		}
+		if enough != (missing <= 2) {
+			t.Errorf("%d nodes are missing: enough is %v", missing, enough)
+		}
+	}
+	ask(tier[0], 0)
+	tier[3].die()
+	tier[4].die()
+	ask(tier[0], 2)
+	eventually(t, "their streams stand on three machines again", whole(tier[0], 3, 5))
+	tier[0].die() // a third one, after all was right again
+	ids, enough := found(t, tier[1].cfg)
+	if len(ids) != len(want) || enough {
+		t.Errorf("%d of %d are found at two of five nodes; enough is %v", len(ids), len(want), enough)
+	}
+	// One returns with its disk, another without: all is right again, and nothing comes twice.
+	back := start(t, "n3", tier[3].dir, tier[1].cfg.Listen)
+	start(t, "n4", "", tier[1].cfg.Listen)
+	back.keep(t, 9)
+	want["n3-9"] = true
+	eventually(t, "all streams stand on three machines in the end", whole(tier[1], 4, 6))
+	if ids, _ := found(t, tier[2].cfg); len(ids) != len(want) {
+		t.Errorf("%d of %d are found", len(ids), len(want))
+	}
+}
+
+// A replica is damaged on its disk: reading it again finds that out, and a whole one takes its place.
+func TestDamagedReplica(t *testing.T) {
+	t.Parallel()
+	tier := []*member{start(t, "n0", "")}
+	for i := 1; i < 3; i++ {
+		tier = append(tier, start(t, fmt.Sprint("n", i), "", tier[0].cfg.Listen))
+	}
+	for op := range uint64(8) {
+		tier[0].keep(t, op)
+	}
+	stream := tier[0].origin.Stream()
+	segments, err := bindlog.Segments(bindlog.OS{}, tier[1].store.Dir(stream))
+	if err != nil || len(segments) == 0 {
+		t.Fatal(segments, err)
+	}
+	text, _ := os.ReadFile(segments[0].Path)
+	for i := 50; i < len(text); i += len(text) / 4 {
+		text[i] ^= 0x55
+	}
+	if err := os.WriteFile(segments[0].Path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := Ask(context.Background(), tier[0].cfg, true)
+	if s := c.Asked["n1"]; s == nil || len(s.Faults) == 0 {
+		t.Fatalf("the damage was not found: %+v", c.Asked)
+	}
+	eventually(t, "the stream stands on three machines again", func() bool {
+		c := Ask(context.Background(), tier[0].cfg, true)
+		return c.Copies()[stream] == 3
+	})
+}
+
+// Two processes run under one name: the later one goes on, the earlier one is told. A clock that was set back between two
+// starts changes nothing.
+func TestTwoUnderOneName(t *testing.T) {
+	t.Parallel()
+	a := start(t, "n0", "")
+	b := start(t, "n1", "", a.cfg.Listen)
+	twin := start(t, "n1", "", a.cfg.Listen)
+	select {
+	case <-b.Replaced():
+	case <-time.After(20 * time.Second):
+		t.Fatal("the earlier one was not told")
+	}
+	select {
+	case <-twin.Replaced():
+		t.Error("the later one was told to stop")
+	default:
+	}
+	twin.die()
+	b.die()
+	later := time.Now().Add(time.Hour).UnixNano()
+	a.mu.Lock()
+	a.table.Joined(a.now(), "", []neighbours.Member{{Name: "n1", Up: later, Condition: neighbours.Dead}})
+	a.mu.Unlock()
+	again := start(t, "n1", "", a.cfg.Listen)
+	if up := again.self().Up; up <= later {
+		t.Errorf("it began a life at %d, behind one at %d", up, later)
+	}
+}
+
+// Callers that are no nodes of the tier are refused, and harm nothing.
+func TestStrangers(t *testing.T) {
+	t.Parallel()
+	a := start(t, "n0", "")
+	hello, _ := protocol.Append(nil, frames.Greeting, frames.Hello{Version: version, Name: "x"})
+	old, _ := protocol.Append(nil, frames.Greeting, frames.Hello{Version: version + 1, Name: "x"})
+	other, _ := protocol.Append(slices.Clone(hello), introKind, intro{Deployment: "other", Member: neighbours.Member{Name: "x", Up: 1}})
+	node, _ := protocol.Append(slices.Clone(hello), introKind, intro{Deployment: "d", Member: neighbours.Member{Name: "x", Up: 1}})
+	beat, _ := protocol.Append(slices.Clone(hello), beatKind, neighbours.Beat{})
+	part, _ := protocol.Append(slices.Clone(node), batchKind, replicas.Batch{Stream: replicas.Stream{Name: "../x", Up: 1}, First: 1, N: 1, Body: []byte("no part")})
+	for name, c := range map[string]struct {
+		sends []byte
+		told  string
+	}{
+		"HTTP":                {[]byte("GET / HTTP/1.1\r\n\r\n"), ""},
+		"another version":     {old, "version 1 is spoken here"},
+		"another deployment":  {other, `this is deployment`},
+		"a beat first":        {beat, "does not say who it is"},
+		"a part that is none": {part, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nc, err := net.Dial("tcp", a.cfg.Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			nc.SetDeadline(time.Now().Add(10 * time.Second))
+			nc.Write(c.sends)
+			got, err := io.ReadAll(nc)
+			if err != nil && !strings.Contains(err.Error(), "reset") || !strings.Contains(string(got), c.told) {
+				t.Errorf("%q, %v", got, err)
+			}
+		})
+	}
+	if entries, _ := os.ReadDir(a.cfg.Held); len(entries) > 0 {
+		t.Errorf("%v is held", entries)
+	}
+}
+
+// With keys, only who shows a certificate of the authority is a peer.
+func TestKeys(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	file := func(name string, sign *keys.Authority, listen string, seeds ...string) *Config {
+		own := filepath.Join(dir, name)
+		os.MkdirAll(filepath.Join(own, "held"), 0o700)
+		cert, key, ca, err := sign.Write(own, "tier", time.Now().Add(time.Hour))
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(own, "peers.toml")
+		text := fmt.Sprintf("listen = %q\npeers = [%s]\ndeployment = \"d\"\nmachine = %q\nheld = %q\ntls_name = \"tier\"\ncert = %q\nkey = %q\nca = %q\n",
+			listen, strings.Join(seeds, ","), name, filepath.Join(own, "held"), cert, key, ca)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := Load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cfg
+	}
+	ours, err := keys.New("ours")
+	if err != nil {
+		t.Fatal(err)
+	}
+	theirs, err := keys.New("theirs")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := address(t)
+	run := func(cfg *Config, name string) *Peers {
+		p, err := New(cfg, name, nil, zerolog.New(io.Discard))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- p.Run(ctx) }()
+		t.Cleanup(func() { cancel(); <-done })
+		p.Keep("", false)
+		return p
+	}
+	a := run(file("a", ours, at), "a")
+	b := run(file("b", ours, address(t), fmt.Sprintf("%q", at)), "b")
+	run(file("c", theirs, address(t), fmt.Sprintf("%q", at)), "c")
+	eventually(t, "two of one authority know each other", func() bool { return len(a.Members()) == 2 && len(b.Members()) == 2 })
+	time.Sleep(3 * redialFirst) // the third has tried by now; what follows holds whenever it has
+	if _, ok := a.Members()["c"]; ok {
+		t.Error("one of another authority was taken in")
+	}
+}
+
+func FuzzFrames(f *testing.F) {
+	for _, w := range []any{&neighbours.News{Members: []neighbours.Member{{Name: "a", Up: 1}}}, &replicas.Offer{Ranges: replicas.Ranges{{From: 1, To: 2}}}, &replicas.Have{}, &replicas.Ack{}, &neighbours.Tell{}} {
+		b, _ := protocol.Append(nil, kindOf(w), w)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		k, body, err := protocol.Read(strings.NewReader(string(b)), nil)
+		if err != nil {
+			return
+		}
+		what, err := read(k, body)
+		if err != nil {
+			return
+		}
+		table, keeper := neighbours.New(neighbours.Member{Name: "n", Up: 1}), replicas.NewKeeper(replicas.Place{Name: "n"}, 2, 1<<20, 0)
+		origin := replicas.NewOrigin(0, replicas.Stream{Name: "n", Up: 1}, replicas.Place{Name: "n"}, 1, time.Millisecond)
+		origin.Placed(0, []replicas.Place{{Name: "a", Machine: "a", Well: true}})
+		origin.Linked(0, "a")
+		table.Connected(time.Second, "a")
+		switch w := what.(type) {
+		case *replicas.Offer:
+			keeper.Offered(time.Second, "a", w)
+		case *replicas.Batch:
+			bindlog.ReadPart(w.Body)
+			keeper.Takes("a", w, 0, 0)
+		default:
+			table.Got(time.Second, "a", w)
+			keeper.Got(time.Second, "a", w)
+			origin.Got(time.Second, "a", w)
+		}
+		table.Tick(2 * time.Second)
+		keeper.Tick(2 * time.Second)
+		origin.Tick(2 * time.Second)
+		origin.Add(2*time.Second, 1, []byte{1})
+	})
+}
--- a/internal/plancfg/plancfg.go
+++ b/internal/plancfg/plancfg.go
@@ -113,27 +113,5 @@
 
 // keys loads what the file names; without TLS all addresses must stay on this machine.
 func (t TLS) keys(f *tomlfile.File, addresses []netip.AddrPort) *mtls.Keys {
-	if t.Plaintext {
-		for _, at := range addresses {
-			if err := mtls.Plain(at); at.IsValid() && err != nil {
-				f.Wrong("plaintext", "%s: %v", at, err)
-			}
-		}
-		if t.Cert != "" || t.Key != "" || t.CA != "" {
-			f.Wrong("plaintext", "either plaintext or keys")
-		}
-		return nil
-	}
-	for key, v := range map[string]string{"cert": t.Cert, "key": t.Key, "ca": t.CA} {
-		if v == "" {
-			f.Wrong(key, "%s names no file; cert, key and ca are wanted, or plaintext = true on loopback", key)
-			return nil
-		}
-	}
-	keys, err := mtls.Load(mtls.Files{Cert: t.Cert, Key: t.Key, CA: t.CA})
-	if err != nil {
-		f.Wrong("cert", "%v", err)
-		return nil
-	}
-	return keys
+	return mtls.Configured(f, mtls.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}, t.Plaintext, addresses)
 }
--- a/internal/planline/line.go
+++ b/internal/planline/line.go
@@ -1,183 +1,52 @@
-// Package planline carries reports and plans between forwarders and planners: frames of a length, a kind and a CBOR body,
-// in both directions on one connection that the forwarder opens.
+// Package planline is the protocol of frames between forwarders and planners, on one connection that the forwarder opens.
 package planline
 
 import (
-	"bufio"
-	"encoding/binary"
-	"errors"
-	"fmt"
 	"io"
 	"net"
-	"time"
 
-	"github.com/fxamacker/cbor/v2"
+	"fernvane/internal/frames"
 )
 
 // Version of the frames. A peer of another is refused.
 const Version = 1
 
-const (
-	frameMost   = 1 << 20 // bytes of a body: 4,000 lives of 200 bytes, and slack
-	elementMost = 8192    // of an array within it
-	depthMost   = 8       // of arrays within arrays
-	headBytes   = 5
-	sendMost    = 2 * time.Second // for a peer to take a frame
-)
+const frameMost = 1 << 20 // bytes of a body: 4,000 lives of 200 bytes, and slack
 
 // Kind of a frame.
-type Kind uint8
+type Kind = frames.Kind
 
 const (
-	HelloKind   Kind = 1 + iota // each side's first
-	RefusalKind                 // why a connection is ended
-	ReportKind                  // a forwarder's
-	ChangeKind                  // a planner's
+	HelloKind   = frames.Greeting
+	RefusalKind = frames.Refusals
+	ReportKind  = frames.First + iota - 2 // a forwarder's
+	ChangeKind                            // a planner's
 	kinds
 )
 
-// Hello is the first frame of each side.
-type Hello struct {
-	_ struct{} `cbor:",toarray"`
-
-	Version int
-	Name    string
-}
-
-// Refusal is the last frame to a peer that is refused.
-type Refusal struct {
-	_ struct{} `cbor:",toarray"`
-
-	Reason string
-}
+var protocol = frames.Protocol{Version: Version, Kinds: kinds, Most: frameMost}
 
-// Why a frame cannot be taken.
-var (
-	ErrTooLong = errors.New("a frame is longer than any may be")
-	ErrKind    = errors.New("a frame of an unknown kind")
+// What both sides and those between them use of frames.
+type (
+	Hello   = frames.Hello
+	Refusal = frames.Refusal
+	Conn    = frames.Conn
 )
 
+// Why a frame cannot be taken.
 var (
-	encoding = must(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode())
-	decoding = must(cbor.DecOptions{MaxArrayElements: elementMost, MaxMapPairs: elementMost, MaxNestedLevels: depthMost,
-		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode())
+	ErrTooLong = frames.ErrTooLong
+	ErrKind    = frames.ErrKind
 )
 
-func must[T any](mode T, err error) T {
-	if err != nil {
-		panic(err) // the options are this file's own
-	}
-	return mode
-}
+// New leads a connection.
+func New(nc net.Conn) *Conn { return protocol.New(nc) }
 
 // Append writes a frame.
-func Append(b []byte, k Kind, body any) ([]byte, error) {
-	text, err := encoding.Marshal(body)
-	if err != nil {
-		return b, err
-	}
-	if len(text) > frameMost {
-		return b, ErrTooLong
-	}
-	b = binary.BigEndian.AppendUint32(b, uint32(len(text)))
-	return append(append(b, byte(k)), text...), nil
-}
+func Append(b []byte, k Kind, body any) ([]byte, error) { return protocol.Append(b, k, body) }
 
 // Read reads a frame. What it returns holds until the next one is read into the same buffer.
-func Read(r io.Reader, buffer []byte) (Kind, []byte, error) {
-	var head [headBytes]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return 0, buffer, err
-	}
-	n, k := binary.BigEndian.Uint32(head[:4]), Kind(head[4])
-	if n > frameMost {
-		return 0, buffer, ErrTooLong
-	}
-	if k == 0 || k >= kinds {
-		return 0, buffer, ErrKind
-	}
-	if buffer = buffer[:0]; cap(buffer) < int(n) {
-		buffer = make([]byte, 0, n)
-	}
-	buffer = buffer[:n]
-	_, err := io.ReadFull(r, buffer)
-	return k, buffer, err
-}
+func Read(r io.Reader, buffer []byte) (Kind, []byte, error) { return protocol.Read(r, buffer) }
 
 // Decode reads a body strictly.
-func Decode(body []byte, into any) error { return decoding.Unmarshal(body, into) }
-
-// Conn is one connection. One goroutine may send while another receives.
-type Conn struct {
-	net.Conn
-	r      *bufio.Reader
-	in     []byte
-	out    []byte
-	Sent   int // bytes
-	Frames int // sent
-}
-
-// New leads a connection.
-func New(nc net.Conn) *Conn { return &Conn{Conn: nc, r: bufio.NewReader(nc)} }
-
-// Send writes a frame; a peer that does not take it in time has ended.
-func (c *Conn) Send(k Kind, body any) (err error) {
-	if c.out, err = Append(c.out[:0], k, body); err != nil {
-		return err
-	}
-	c.SetWriteDeadline(time.Now().Add(sendMost))
-	n, err := c.Write(c.out)
-	c.Sent, c.Frames = c.Sent+n, c.Frames+1
-	return err
-}
-
-// Receive waits for a frame until a moment.
-func (c *Conn) Receive(by time.Time) (Kind, []byte, error) {
-	c.SetReadDeadline(by)
-	k, body, err := Read(c.r, c.in)
-	c.in = body
-	return k, body, err
-}
-
-// Greet sends this side's Hello and reads the other's. A peer of another version is told so before the end.
-func (c *Conn) Greet(name string, by time.Time) (peer string, err error) {
-	if err := c.Send(HelloKind, Hello{Version: Version, Name: name}); err != nil {
-		return "", err
-	}
-	return c.Greeted(by)
-}
-
-// Greeted reads the other side's Hello.
-func (c *Conn) Greeted(by time.Time) (peer string, err error) {
-	k, body, err := c.Receive(by)
-	if err != nil {
-		return "", err
-	}
-	switch k {
-	case RefusalKind:
-		var r Refusal
-		if err := Decode(body, &r); err != nil {
-			return "", err
-		}
-		return "", fmt.Errorf("refused by the peer: %.200s", r.Reason)
-	case HelloKind:
-		var h Hello
-		if err := Decode(body, &h); err != nil {
-			return "", c.Refuse(fmt.Errorf("a greeting that cannot be read: %v", err))
-		}
-		if h.Version != Version {
-			return "", c.Refuse(fmt.Errorf("version %d is spoken here, not %d", Version, h.Version))
-		}
-		if h.Name == "" || len(h.Name) > 200 {
-			return "", c.Refuse(errors.New("a peer without a name"))
-		}
-		return h.Name, nil
-	}
-	return "", c.Refuse(errors.New("a frame before the greeting"))
-}
-
-// Refuse tells the peer why the connection ends, and returns that reason.
-func (c *Conn) Refuse(why error) error {
-	c.Send(RefusalKind, Refusal{Reason: why.Error()})
-	return why
-}
+func Decode(body []byte, into any) error { return frames.Decode(body, into) }
--- /dev/null
+++ b/internal/replicas/place.go
@@ -0,0 +1,53 @@
+package replicas
+
+import (
+	"cmp"
+	"hash/crc32"
+	"slices"
+)
+
+// Place is a node that may hold a replica.
+type Place struct {
+	Name, Site, Machine string
+	Well                bool // it can be counted on now
+}
+
+// rank orders places for a stream, alike at all nodes (rendezvous): a node more or less moves only what it holds itself.
+func rank(stream string, all []Place) []Place {
+	type ranked struct {
+		Place
+		by uint32
+	}
+	list := make([]ranked, len(all))
+	for i, p := range all {
+		list[i] = ranked{p, crc32.ChecksumIEEE([]byte(stream + "\x00" + p.Name + "\x00" + stream))}
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.by, b.by), cmp.Compare(a.Name, b.Name)) })
+	out := make([]Place, len(list))
+	for i := range list {
+		out[i] = list[i].Place
+	}
+	return out
+}
+
+// choose takes n places, those of kept first: each on a machine of its own, and on as many sites as there are. taken are
+// machines and sites that hold the stream already. Only what is well is chosen.
+func choose(ranked []Place, n int, kept map[string]bool, taken []Place) (chosen []Place) {
+	machines, sites := map[string]bool{}, map[string]bool{}
+	for _, p := range taken {
+		machines[p.Machine], sites[p.Site] = true, true
+	}
+	take := func(fits func(Place) bool) {
+		for _, p := range ranked {
+			if len(chosen) < n && p.Well && !machines[p.Machine] && fits(p) {
+				machines[p.Machine], sites[p.Site] = true, true
+				chosen = append(chosen, p)
+			}
+		}
+	}
+	take(func(p Place) bool { return kept[p.Name] && !sites[p.Site] })
+	take(func(p Place) bool { return !sites[p.Site] })
+	take(func(p Place) bool { return kept[p.Name] })
+	take(func(Place) bool { return true })
+	return chosen
+}
--- /dev/null
+++ b/internal/replicas/replicas.go
@@ -0,0 +1,516 @@
+// Package replicas decides where what a node keeps is copied to, and when an entry counts as kept. It is free of I/O:
+// whoever runs it has records written and sent, and hands in what came back.
+//
+// What one life of a node keeps is a stream of numbered records. Its origin sends each record to a few holders, one after
+// the other without waiting, and a record counts as kept when so many holders on other machines have said that it lasts
+// there. A holder that is silent, late or full is passed over at once for the next; what the new one lacks is copied to it
+// from disk, beside the serving. When the origin is gone the holders see to it that there are enough again.
+//
+// (A second copy of an operation is another thing; what is held elsewhere is called a replica throughout.)
+package replicas
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Times and bounds.
+const (
+	avoidFor    = 5 * time.Second  // a holder that was late, refused or was lost is not chosen anew for so long, if others are there
+	settleFor   = 10 * time.Second // until one that never came to be needed is let go of
+	offerAgain  = 2 * time.Second  // an offer without an answer is made again
+	queueMost   = 16 << 10         // records that wait for holders; older ones wait on disk
+	queueBytes  = 8 << 20          // of them
+	extraMost   = 2                // holders beyond those needed, while some are late
+	waitingMost = 64               // batches on their way to one holder; more wait here
+)
+
+// Stream is what one life of a node keeps.
+type Stream struct {
+	_ struct{} `cbor:",toarray"`
+
+	Name string
+	Up   int64 // Unix time in ns of the life's start
+}
+
+func (s Stream) String() string { return fmt.Sprintf("%s@%d", s.Name, s.Up) }
+
+// What nodes tell each other of streams.
+type (
+	// Offer tells what of a stream the sender has, and asks what the receiver has.
+	Offer struct {
+		_ struct{} `cbor:",toarray"`
+		Stream
+		Origin bool // the sender is the life whose stream it is
+		Ranges Ranges
+	}
+	// Have answers it. With a reason for a refusal nothing is taken.
+	Have struct {
+		_ struct{} `cbor:",toarray"`
+		Stream
+		Ranges  Ranges
+		Refused string
+	}
+	// Batch are records one behind the other, in frames as they stand on disk, with their sums.
+	Batch struct {
+		_ struct{} `cbor:",toarray"`
+		Stream
+		First  uint64
+		N      int
+		Origin bool
+		Body   []byte
+	}
+	// Ack tells that they last, or why they do not.
+	Ack struct {
+		_ struct{} `cbor:",toarray"`
+		Stream
+		First   uint64
+		N       int
+		Refused string
+	}
+)
+
+// Out is something to send.
+type Out = struct {
+	To   string
+	What any
+}
+
+// stand is how a holder stands with the origin.
+type stand uint8
+
+const (
+	called  stand = iota // it is chosen, and not connected or not answered
+	offered              // it was asked what it has
+	level                // it is sent what comes
+	late                 // it has not said in time that a record lasts
+	refused              // it takes nothing
+	stands
+)
+
+type event uint8
+
+const (
+	linked   event = iota // a connection to it stands
+	parted                // none does any more
+	answered              // it told what it has
+	slow                  // a record has waited too long for it
+	caught                // nothing waits for it any more
+	turned                // it refuses
+	recalled              // it is chosen anew after a while
+	events
+)
+
+type deed uint8
+
+const (
+	nothing deed = iota
+	offer        // tell it what there is
+	send         // it is sent what is not kept yet
+	other        // another one is taken
+	stop         // nothing more is sent to it
+)
+
+// courses is the way of a holder: what follows from each event in each stand.
+var courses = [stands][events]struct {
+	next stand
+	do   deed
+}{
+	called:  {linked: {offered, offer}, parted: {called, other}, answered: {called, nothing}, slow: {called, other}, caught: {called, nothing}, turned: {refused, other}, recalled: {called, nothing}},
+	offered: {linked: {offered, offer}, parted: {called, other}, answered: {level, send}, slow: {offered, other}, caught: {offered, nothing}, turned: {refused, other}, recalled: {offered, nothing}},
+	level:   {linked: {offered, offer}, parted: {called, other}, answered: {level, nothing}, slow: {late, other}, caught: {level, nothing}, turned: {refused, other}, recalled: {level, nothing}},
+	late:    {linked: {offered, offer}, parted: {called, other}, answered: {late, nothing}, slow: {late, nothing}, caught: {level, nothing}, turned: {refused, other}, recalled: {late, nothing}},
+	refused: {linked: {refused, nothing}, parted: {refused, nothing}, answered: {refused, nothing}, slow: {refused, nothing}, caught: {refused, nothing}, turned: {refused, nothing}, recalled: {called, nothing}},
+}
+
+// holder is one that was chosen.
+type holder struct {
+	place   Place
+	stand   stand
+	since   time.Duration // of the stand
+	linked  bool
+	ranges  Ranges          // that last there
+	acked   uint64          // all from where its sending began up to and without this last there
+	next    uint64          // the next record to send to it
+	out     map[uint64]bool // batches sent as they came and not acknowledged, by their first records
+	offered time.Duration
+	refusal string
+}
+
+type waiting struct {
+	first, next uint64
+	at          time.Duration
+	body        []byte
+}
+
+// Origin is the running life's own stream.
+type Origin struct {
+	stream  Stream
+	self    Place
+	need    int
+	slow    time.Duration // a record that waits longer for a holder has another one taken
+	places  []Place
+	holders map[string]*holder
+	ranges  Ranges // that last on this node's own disk
+	queue   []waiting
+	bytes   int
+	next    uint64                   // the number of the next record
+	base    uint64                   // the first that is not waited for on disk alone
+	kept    uint64                   // all before this are kept at enough holders
+	chosen  time.Duration            // when holders were last looked over
+	bad     map[string]time.Duration // when a holder was last late, lost or refusing
+	short   time.Duration            // since when too few holders are sent what comes; -1: there are enough
+	// Later is set when a holder knows of a later life of this name.
+	Later bool
+}
+
+// NewOrigin begins a stream. need is how many other machines have to hold a record until it is kept.
+func NewOrigin(now time.Duration, s Stream, self Place, need int, slow time.Duration) *Origin {
+	return &Origin{short: now, stream: s, self: self, need: need, slow: slow, holders: map[string]*holder{}, bad: map[string]time.Duration{}, next: 1, base: 1, kept: 1}
+}
+
+// Stream that it is.
+func (o *Origin) Stream() Stream { return o.stream }
+
+// Kept is the record up to and without which all are held by enough.
+func (o *Origin) Kept() uint64 { return o.kept }
+
+// Base is the first record that is still waited for: what is older and not kept waits on disk for a holder.
+func (o *Origin) Base() uint64 { return o.base }
+
+// Next is the number that the next record gets.
+func (o *Origin) Next() uint64 { return o.next }
+
+// Waits are the records that are not kept.
+func (o *Origin) Waits() int { return int(o.next - max(o.kept, o.base)) }
+
+// Stalled tells for how long the oldest record has waited to be kept, or for how long there have been too few holders.
+func (o *Origin) Stalled(now time.Duration) (stalled time.Duration) {
+	if o.short >= 0 {
+		stalled = now - o.short
+	}
+	if i := o.oldest(); i >= 0 {
+		stalled = max(stalled, now-o.queue[i].at)
+	}
+	return stalled
+}
+
+// oldest is the first that is not kept; -1 for none.
+func (o *Origin) oldest() int {
+	return slices.IndexFunc(o.queue, func(w waiting) bool { return w.next > o.kept })
+}
+
+// Add numbers records and has them sent. They are in frames as they go to disk.
+func (o *Origin) Add(now time.Duration, n int, body []byte) (first uint64, out []Out) {
+	first = o.next
+	o.next += uint64(n)
+	o.queue = append(o.queue, waiting{first, o.next, now, body})
+	o.bytes += len(body)
+	for len(o.queue) > 1 && (o.next-o.queue[0].first > queueMost || o.bytes > queueBytes) {
+		o.drop()
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
+		out = o.feed(o.holders[name], out)
+	}
+	return first, out
+}
+
+// drop lets go of the oldest that waits: it stands on disk, and goes to holders from there.
+func (o *Origin) drop() {
+	o.base = o.queue[0].next
+	o.bytes -= len(o.queue[0].body)
+	o.queue[0].body = nil
+	o.queue = o.queue[1:]
+}
+
+// feed sends a holder what it has not been sent.
+func (o *Origin) feed(h *holder, out []Out) []Out {
+	if h.stand != level && h.stand != late {
+		return out
+	}
+	h.next = max(h.next, o.base)
+	h.acked = max(h.acked, o.base)
+	i, _ := slices.BinarySearchFunc(o.queue, h.next, func(w waiting, n uint64) int { return cmp.Compare(w.first, n) })
+	if i > 0 && o.queue[i-1].next > h.next { // it has a part of one: what comes twice changes nothing
+		i--
+	}
+	for ; i < len(o.queue) && len(h.out) < waitingMost; i++ {
+		w := &o.queue[i]
+		out = append(out, Out{h.place.Name, &Batch{Stream: o.stream, First: w.first, N: int(w.next - w.first), Origin: true, Body: w.body}})
+		h.next = w.next
+		h.out[w.first] = true
+	}
+	return out
+}
+
+// Stored tells that records last on this node's own disk.
+func (o *Origin) Stored(from, to uint64) { o.ranges = o.ranges.With(from, to) }
+
+// Forgot tells that records are no longer on it, as when a segment became too old.
+func (o *Origin) Forgot(before uint64) { o.ranges = o.ranges.Without(Ranges{{From: 0, To: before}}) }
+
+// Placed tells which nodes there are, without this one.
+func (o *Origin) Placed(now time.Duration, places []Place) []Out {
+	o.places = rank(o.stream.Name, places)
+	return o.choose(now, nil)
+}
+
+// choose sees to it that enough holders are called: first of those that nothing speaks against, then, where these are too
+// few, of all that do not refuse.
+func (o *Origin) choose(now time.Duration, out []Out) []Out {
+	kept := map[string]bool{}
+	fits := func(strict bool) []Place {
+		usable := slices.Clone(o.places)
+		for i := range usable {
+			h, bad := o.holders[usable[i].Name], o.bad[usable[i].Name]
+			lately := bad > 0 && now-bad < avoidFor
+			kept[usable[i].Name] = h != nil && h.stand <= level
+			switch {
+			case h != nil && h.stand == refused:
+				usable[i].Well = usable[i].Well && !lately
+			case strict:
+				usable[i].Well = usable[i].Well && !lately && (h == nil || h.stand != late)
+			}
+		}
+		return usable
+	}
+	chosen := choose(fits(true), o.need, kept, []Place{o.self})
+	if len(chosen) < o.need {
+		chosen = choose(fits(false), o.need, kept, []Place{o.self})
+	}
+	wanted := map[string]bool{}
+	for _, p := range chosen {
+		wanted[p.Name] = true
+		h := o.holders[p.Name]
+		if h == nil {
+			h = &holder{since: now, out: map[uint64]bool{}}
+			o.holders[p.Name] = h
+		}
+		h.place = p
+		if h.stand == refused {
+			h.linked = false // a connection that stands is told of anew
+			out = o.moves(now, h, recalled, out)
+		}
+	}
+	o.release(now, wanted)
+	o.tally(now)
+	return out
+}
+
+// release lets go of holders that are not wanted: when those that are have all there is, or when there are too many.
+func (o *Origin) release(now time.Duration, wanted map[string]bool) {
+	whole := 0
+	for name := range wanted {
+		if h := o.holders[name]; h.stand == level && h.acked >= o.kept && len(o.Lacks(name)) == 0 {
+			whole++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
+		h := o.holders[name]
+		idle := h.stand <= offered || h.stand == refused
+		if !wanted[name] && (whole >= o.need || idle && now-h.since > settleFor || len(o.holders) > o.need+extraMost && h.stand != level) {
+			delete(o.holders, name)
+		}
+	}
+}
+
+// tally notes since when too few are sent what comes.
+func (o *Origin) tally(now time.Duration) {
+	n := 0
+	for _, h := range o.holders {
+		if h.stand == level {
+			n++
+		}
+	}
+	if n >= o.need {
+		o.short = -1
+	} else if o.short < 0 {
+		o.short = now
+	}
+}
+
+// moves leads a holder on by an event.
+func (o *Origin) moves(now time.Duration, h *holder, e event, out []Out) []Out {
+	move := courses[h.stand][e]
+	if move.next != h.stand {
+		h.stand, h.since = move.next, now
+	}
+	switch move.do {
+	case offer:
+		h.offered = now
+		out = append(out, Out{h.place.Name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
+	case send:
+		h.acked = h.ranges.After(max(o.base, o.kept))
+		h.next = max(o.base, o.kept)
+		clear(h.out)
+		out = o.feed(h, out)
+		o.count()
+	case other:
+		o.bad[h.place.Name] = max(now, 1)
+		out = o.choose(now, out)
+	}
+	o.tally(now)
+	return out
+}
+
+// Linked tells that a connection to a node stands.
+func (o *Origin) Linked(now time.Duration, name string) []Out {
+	if h := o.holders[name]; h != nil && !h.linked {
+		h.linked = true
+		return o.moves(now, h, linked, nil)
+	}
+	return nil
+}
+
+// Parted tells that none does any more.
+func (o *Origin) Parted(now time.Duration, name string) []Out {
+	if h := o.holders[name]; h != nil && h.linked {
+		h.linked = false
+		return o.moves(now, h, parted, nil)
+	}
+	return nil
+}
+
+// Got takes in what a holder says.
+func (o *Origin) Got(now time.Duration, from string, what any) []Out {
+	h := o.holders[from]
+	if h == nil {
+		return nil
+	}
+	switch w := what.(type) {
+	case *Have:
+		if w.Stream != o.stream || !w.Ranges.sound() {
+			return nil
+		}
+		if w.Refused != "" {
+			return o.turned(now, h, w.Refused)
+		}
+		h.ranges = w.Ranges
+		return o.moves(now, h, answered, nil)
+	case *Ack:
+		if w.Stream != o.stream || w.N <= 0 || w.First >= o.next {
+			return nil
+		}
+		if w.Refused != "" {
+			return o.turned(now, h, w.Refused)
+		}
+		to := min(w.First+uint64(w.N), o.next)
+		h.ranges = h.ranges.With(w.First, to)
+		if h.stand != level && h.stand != late {
+			return nil
+		}
+		delete(h.out, w.First)
+		h.acked = max(h.acked, h.ranges.After(h.acked))
+		o.count()
+		out := o.feed(h, nil)
+		if h.stand == late && h.acked >= o.next {
+			out = o.moves(now, h, caught, out)
+		}
+		return out
+	}
+	return nil
+}
+
+// LaterLife is the reason of a holder that knows of a later life of the same name.
+const LaterLife = "a later life of this name is known"
+
+func (o *Origin) turned(now time.Duration, h *holder, why string) []Out {
+	h.refusal = why
+	if why == LaterLife {
+		o.Later = true
+	}
+	return o.moves(now, h, turned, nil)
+}
+
+// count finds up to where enough holders have all.
+func (o *Origin) count() {
+	machines := map[string]uint64{}
+	for _, h := range o.holders {
+		if h.stand == level || h.stand == late {
+			machines[h.place.Machine] = max(machines[h.place.Machine], h.acked)
+		}
+	}
+	if len(machines) < o.need {
+		return
+	}
+	acked := slices.Sorted(maps.Values(machines))
+	if k := acked[len(acked)-o.need]; k > o.kept {
+		o.kept = k
+	}
+	for len(o.queue) > 0 && o.queue[0].next <= o.kept && o.everywhere(o.queue[0].next) {
+		o.bytes -= len(o.queue[0].body)
+		o.queue[0].body = nil
+		o.base = max(o.base, o.queue[0].next)
+		o.queue = o.queue[1:]
+	}
+}
+
+// everywhere tells whether all holders that are sent what comes have been sent all before a record.
+func (o *Origin) everywhere(next uint64) bool {
+	for _, h := range o.holders {
+		if (h.stand == level || h.stand == late) && h.next < next {
+			return false
+		}
+	}
+	return true
+}
+
+// Tick moves on by time.
+func (o *Origin) Tick(now time.Duration) (out []Out) {
+	i := o.oldest()
+	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
+		h := o.holders[name]
+		if h == nil || h.stand == refused { // it was let go of meanwhile
+			continue
+		}
+		unheard := h.stand <= offered && now-h.since > offerAgain
+		waits := i >= 0 && i < len(o.queue) && now-o.queue[i].at > o.slow && h.acked < o.queue[i].next && now-h.since > o.slow
+		if bad, ok := o.bad[name]; (unheard || waits) && h.stand != late && (!ok || now-bad > avoidFor) {
+			out = o.moves(now, h, slow, out)
+		}
+		if h.stand == offered && now-h.offered > offerAgain {
+			h.offered = now
+			out = append(out, Out{name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
+		}
+	}
+	if now-o.chosen > time.Second {
+		o.chosen = now
+		out = o.choose(now, out)
+	}
+	return out
+}
+
+// Wanted are the nodes to which a connection is to be kept.
+func (o *Origin) Wanted() []string { return slices.Sorted(maps.Keys(o.holders)) }
+
+// Lacks is what of this node's own disk a holder does not have, where it is to have it.
+func (o *Origin) Lacks(name string) Ranges {
+	h := o.holders[name]
+	if h == nil || h.stand != level {
+		return nil
+	}
+	return o.ranges.Without(h.ranges).Without(Ranges{{From: o.base, To: max(o.next, o.base)}})
+}
+
+// Holder is how one stands, for those who ask.
+type Holder struct {
+	_ struct{} `cbor:",toarray"`
+
+	Name, Stand, Refusal string
+	Acked                uint64
+	Lacks                uint64 // records that are still to be copied to it
+}
+
+var standNames = [stands]string{"called", "offered", "level", "late", "refused"}
+
+// Holders tells how each stands.
+func (o *Origin) Holders() (all []Holder) {
+	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
+		h := o.holders[name]
+		all = append(all, Holder{Name: name, Stand: standNames[h.stand], Refusal: h.refusal, Acked: h.acked, Lacks: o.ranges.Without(h.ranges).Count()})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/replicas/replicas_test.go
@@ -0,0 +1,349 @@
+package replicas
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+)
+
+// What nodes say of streams comes back as it was said.
+func TestWords(t *testing.T) {
+	s := Stream{Name: "n1", Up: 7}
+	for _, w := range []any{&Offer{Stream: s, Origin: true, Ranges: Ranges{{From: 1, To: 5}}}, &Have{Stream: s, Refused: "x"},
+		&Batch{Stream: s, First: 3, N: 2, Body: []byte{1}}, &Ack{Stream: s, First: 3, N: 2}} {
+		text, err := cbor.Marshal(w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back any
+		switch w.(type) {
+		case *Offer:
+			back = &Offer{}
+		case *Have:
+			back = &Have{}
+		case *Batch:
+			back = &Batch{}
+		case *Ack:
+			back = &Ack{}
+		}
+		if err := cbor.Unmarshal(text, back); err != nil || fmt.Sprint(back) != fmt.Sprint(w) {
+			t.Errorf("%v came back as %v, %v", w, back, err)
+		}
+	}
+}
+
+// Ranges are as sets of numbers are.
+func TestRanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) (r Ranges, set map[uint64]bool) {
+			set = map[uint64]bool{}
+			for range rapid.IntRange(0, 6).Draw(t, name) {
+				from := uint64(rapid.IntRange(1, 30).Draw(t, "from"))
+				to := from + uint64(rapid.IntRange(0, 6).Draw(t, "n"))
+				r = r.With(from, to)
+				for x := from; x < to; x++ {
+					set[x] = true
+				}
+			}
+			return r, set
+		}
+		a, inA := draw("a")
+		b, inB := draw("b")
+		rest := a.Without(b)
+		for _, r := range []Ranges{a, b, rest} {
+			if !r.sound() {
+				t.Fatalf("%v are no ranges", r)
+			}
+		}
+		for x := uint64(1); x < 40; x++ {
+			if a.Has(x, x+1) != inA[x] || rest.Has(x, x+1) != (inA[x] && !inB[x]) {
+				t.Fatalf("%d of %v without %v: %v", x, a, b, rest)
+			}
+		}
+		if a.Count() != uint64(len(inA)) {
+			t.Fatalf("%v are %d", a, len(inA))
+		}
+	})
+}
+
+func places(n int) (all []Place) {
+	for i := range n {
+		all = append(all, Place{Name: fmt.Sprint("n", i), Site: fmt.Sprint("s", i%3), Machine: fmt.Sprint("m", i/2), Well: true})
+	}
+	return all
+}
+
+// Holders stand on machines of their own, on as many sites as there are, and a node more or less moves little.
+func TestPlaces(t *testing.T) {
+	all := places(12)
+	moved := 0
+	for i := range 200 {
+		name := fmt.Sprint("stream", i)
+		self := all[i%len(all)]
+		others := slices.DeleteFunc(slices.Clone(all), func(p Place) bool { return p.Name == self.Name })
+		chosen := choose(rank(name, others), 2, nil, []Place{self})
+		machines, sites := map[string]bool{self.Machine: true}, map[string]bool{self.Site: true}
+		for _, p := range chosen {
+			machines[p.Machine], sites[p.Site] = true, true
+		}
+		if len(chosen) != 2 || len(machines) != 3 || len(sites) != 3 {
+			t.Fatalf("%v for %v", chosen, self)
+		}
+		fewer := others[:len(others)-1]
+		for _, p := range choose(rank(name, fewer), 2, nil, []Place{self}) {
+			if !slices.Contains(chosen, p) {
+				moved++
+			}
+		}
+	}
+	if moved > 100 {
+		t.Errorf("%d of 400 moved for one node less", moved)
+	}
+}
+
+// tape is a small tier in virtual time: one origin, keepers that may lose their disks, connections that break.
+type tape struct {
+	now    time.Duration
+	places []Place
+	origin *Origin
+	disk   map[string]Ranges // what lasts at each node, by its disk
+	keeper map[string]*Keeper
+	linked map[string]bool
+	alive  map[string]bool
+	cut    map[string]bool
+	flight []Out // from the origin to holders
+	back   []struct {
+		from string
+		what any
+	}
+	life map[string]int64
+}
+
+func newTape(n, need int) *tape {
+	all := places(n)
+	for i := range all {
+		all[i].Machine = all[i].Name
+	}
+	w := &tape{places: all, disk: map[string]Ranges{}, keeper: map[string]*Keeper{}, linked: map[string]bool{}, alive: map[string]bool{}, cut: map[string]bool{}, life: map[string]int64{}}
+	w.origin = NewOrigin(0, Stream{Name: "n0", Up: 1}, all[0], need, 50*time.Millisecond)
+	for _, p := range all[1:] {
+		w.start(p)
+	}
+	w.placed()
+	return w
+}
+
+func (w *tape) start(p Place) {
+	w.alive[p.Name] = true
+	w.life[p.Name]++
+	k := NewKeeper(p, w.origin.need, 1<<40, 0)
+	for _, r := range w.disk[p.Name] {
+		k.Found(w.origin.stream, r.From, r.To, 0, 0)
+	}
+	w.keeper[p.Name] = k
+}
+
+func (w *tape) placed() {
+	var others []Place
+	for _, p := range w.places[1:] {
+		p.Well = w.alive[p.Name] && !w.cut[p.Name]
+		others = append(others, p)
+	}
+	w.send(w.origin.Placed(w.now, others))
+}
+
+func (w *tape) send(out []Out) { w.flight = append(w.flight, out...) }
+
+// part ends the connection with a node: what was on its way is lost.
+func (w *tape) part(name string) {
+	if w.linked[name] {
+		delete(w.linked, name)
+		w.flight = slices.DeleteFunc(w.flight, func(o Out) bool { return o.To == name })
+		w.back = slices.DeleteFunc(w.back, func(b struct {
+			from string
+			what any
+		}) bool {
+			return b.from == name
+		})
+		w.send(w.origin.Parted(w.now, name))
+	}
+}
+
+// step lets time pass; connections come up, and what is on its way arrives.
+func (w *tape) step(d time.Duration, deliver bool) {
+	w.now += d
+	for _, name := range w.origin.Wanted() {
+		if w.alive[name] && !w.cut[name] {
+			w.linked[name] = true
+			w.send(w.origin.Linked(w.now, name))
+		}
+	}
+	w.send(w.origin.Tick(w.now))
+	if !deliver {
+		return
+	}
+	flight := w.flight
+	w.flight = nil
+	for _, o := range flight {
+		if !w.linked[o.To] {
+			continue
+		}
+		if w.cut[o.To] {
+			w.flight = append(w.flight, o)
+			continue
+		}
+		k := w.keeper[o.To]
+		switch m := o.What.(type) {
+		case *Offer:
+			for _, a := range k.Offered(w.now, "n0", m) {
+				w.answer(o.To, a.What)
+			}
+		case *Batch:
+			ok, out := k.Takes("n0", m, 0, 0)
+			for _, a := range out {
+				w.answer(o.To, a.What)
+			}
+			if ok {
+				w.disk[o.To] = w.disk[o.To].With(m.First, m.First+uint64(m.N))
+				k.Found(m.Stream, m.First, m.First+uint64(m.N), 0, 0)
+				w.answer(o.To, &Ack{Stream: m.Stream, First: m.First, N: m.N})
+			}
+		}
+	}
+	back := w.back
+	w.back = nil
+	for _, b := range back {
+		w.send(w.origin.Got(w.now, b.from, b.what))
+	}
+	for _, name := range w.origin.Wanted() { // what is copied from disk beside the serving
+		for _, r := range w.origin.Lacks(name) {
+			if w.linked[name] && !w.cut[name] {
+				w.disk[name] = w.disk[name].With(r.From, r.To)
+				w.keeper[name].Found(w.origin.stream, r.From, r.To, 0, 0)
+				w.send(w.origin.Got(w.now, name, &Ack{Stream: w.origin.stream, First: r.From, N: int(r.To - r.From)}))
+			}
+		}
+	}
+}
+
+func (w *tape) answer(from string, what any) {
+	w.back = append(w.back, struct {
+		from string
+		what any
+	}{from, what})
+}
+
+// holders counts the disks on which a record stands.
+func (w *tape) holders(n uint64) (count int) {
+	for _, r := range w.disk {
+		if r.Has(n, n+1) {
+			count++
+		}
+	}
+	return count
+}
+
+// Whatever befalls holders and connections: a record that counts as kept stands on so many disks when it does, and when
+// all is well again everything is kept.
+func TestKeptIsHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		need := rapid.IntRange(1, 3).Draw(t, "need")
+		w := newTape(rapid.IntRange(need+1, 7).Draw(t, "nodes"), need)
+		stored := uint64(1)
+		was := w.origin.Kept()
+		check := func() {
+			for n := was; n < w.origin.Kept(); n++ {
+				if w.holders(n) < need {
+					t.Fatalf("record %d is kept by %d, not %d", n, w.holders(n), need)
+				}
+			}
+			was = w.origin.Kept()
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			name := rapid.SampledFrom(w.places[1:]).Draw(t, "node").Name
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2:
+				n := rapid.IntRange(1, 5).Draw(t, "n")
+				first, out := w.origin.Add(w.now, n, []byte{1})
+				w.send(out)
+				w.origin.Stored(first, first+uint64(n))
+				stored = first + uint64(n)
+			case 3, 4, 5:
+				w.step(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms"))*time.Millisecond, true)
+			case 6:
+				w.step(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms"))*time.Millisecond, false)
+			case 7: // dies, with its disk or without
+				switch rapid.SampledFrom([]string{"disk kept", "disk lost", "an old disk"}).Draw(t, "with") {
+				case "disk lost":
+					delete(w.disk, name)
+				case "an old disk":
+					half := w.disk[name].Count() / 2
+					w.disk[name] = w.disk[name].Without(Ranges{{From: half + 1, To: 1 << 60}})
+				}
+				w.part(name)
+				delete(w.alive, name)
+				w.placed()
+				was = w.origin.Kept()
+			case 8:
+				if p := w.places[slices.IndexFunc(w.places, func(p Place) bool { return p.Name == name })]; !w.alive[name] {
+					w.start(p)
+				}
+				w.placed()
+			case 9:
+				if w.cut[name] = !w.cut[name]; w.cut[name] && rapid.Bool().Draw(t, "known") {
+					w.part(name)
+				}
+				w.placed()
+			}
+			check()
+		}
+		for _, p := range w.places[1:] {
+			delete(w.cut, p.Name)
+			if !w.alive[p.Name] {
+				w.start(p)
+			}
+		}
+		w.placed()
+		for range 60 {
+			w.step(500*time.Millisecond, true)
+			check()
+		}
+		for n := uint64(1); n < stored; n++ {
+			if w.holders(n) < need {
+				t.Fatalf("30 s after all is well record %d of %d stands on %d of %d disks: %+v", n, stored-1, w.holders(n), need, w.origin.Holders())
+			}
+		}
+		if w.origin.Kept() < stored {
+			t.Fatalf("30 s after all is well %d are kept of %d: %+v", w.origin.Kept(), stored, w.origin.Holders())
+		}
+	})
+}
+
+// A holder that falls silent holds nothing up for longer than it takes to notice; no other one is taken for it twice.
+func TestSlowHolder(t *testing.T) {
+	w := newTape(6, 2)
+	for range 20 {
+		w.step(10*time.Millisecond, true)
+	}
+	silent := w.origin.Wanted()[0]
+	w.cut[silent] = true // nobody knows
+	first, out := w.origin.Add(w.now, 1, []byte{1})
+	w.send(out)
+	began := w.now
+	for w.origin.Kept() <= first && w.now < began+time.Second {
+		w.step(5*time.Millisecond, true)
+	}
+	if took := w.now - began; took > 100*time.Millisecond {
+		t.Errorf("a record was kept after %v, behind %s: %+v", took, silent, w.origin.Holders())
+	}
+	if n := len(w.origin.Wanted()); n != 3 {
+		t.Errorf("%d holders", n)
+	}
+	if s := w.origin.Stalled(w.now); s > 0 {
+		t.Errorf("stalled for %v", s)
+	}
+}
--- a/internal/serve/bindings.go
+++ b/internal/serve/bindings.go
@@ -13,6 +13,7 @@
 	"fernvane/internal/bindlog"
 	"fernvane/internal/fleet"
 	"fernvane/internal/message"
+	"fernvane/internal/peers"
 	"fernvane/policy"
 )
 
@@ -26,19 +27,23 @@
 	log   zerolog.Logger
 	run   uint64
 	kept  *bindlog.Log
-	types []string // by traffic type; "" for those that are not kept
+	peers *peers.Peers // hold what is kept; nil: it stands on this machine's disk alone
+	types []string     // by traffic type; "" for those that are not kept
 	ops   atomic.Uint64
 
 	reading sync.WaitGroup
 	ended   atomic.Bool
 }
 
-const stallShare = 0.25 // of the longest wait: a write that takes longer has what comes denied, or served at once
+const (
+	stallShare = 0.25                   // of the longest wait: a write that takes longer has what comes denied, or served at once
+	joinMost   = 500 * time.Millisecond // at the start, for other nodes to say what they know of this one
+)
 
 var errUnkept = errors.New("the journal has not kept the intent in time")
 
 // newJournal begins a segment and looks through the others beside the serving.
-func newJournal(cfg Config, log zerolog.Logger) (*journal, error) {
+func newJournal(cfg Config, log zerolog.Logger, others *peers.Peers) (*journal, error) {
 	j := &journal{cfg: cfg.Bindings, files: cfg.Disk, log: log, run: uint64(time.Now().UnixNano())}
 	if j.files == nil {
 		j.files = bindlog.OS{}
@@ -55,9 +60,17 @@
 	if err != nil {
 		return nil, err
 	}
-	j.kept, err = bindlog.Open(bindlog.Options{Dir: cfg.Bindings.Dir, Files: j.files, Machine: cfg.Bindings.Promise == "machine",
-		SegmentBytes: cfg.Bindings.SegmentBytes, KeepFor: cfg.Bindings.KeepFor.D(), KeepBytes: cfg.Bindings.KeepBytes, Run: j.run, Note: j.note})
-	if err != nil {
+	o := bindlog.Options{Dir: cfg.Bindings.Dir, Files: j.files, Machine: cfg.Bindings.Promise != "process",
+		SegmentBytes: cfg.Bindings.SegmentBytes, KeepFor: cfg.Bindings.KeepFor.D(), KeepBytes: cfg.Bindings.KeepBytes, Note: j.note}
+	if others != nil {
+		j.run = uint64(others.Join(context.Background(), joinMost))
+		others.Keep(cfg.Bindings.Dir, cfg.Bindings.Promise == bindlog.Machines)
+		if cfg.Bindings.Promise == bindlog.Machines {
+			j.peers, o.Copy, o.Stored = others, others.Copy, others.Stored
+		}
+	}
+	o.Run = j.run
+	if j.kept, err = bindlog.Open(o); err != nil {
 		return nil, err
 	}
 	if len(segments) > 0 {
@@ -121,9 +134,10 @@
 		j.kept.Failing() == nil && !j.slow()
 }
 
-// slow: the disk takes so long that waits would fill the node's window, which other operations need.
+// slow: the disk or the holders take so long that waits would fill the node's window, which other operations need.
 func (j *journal) slow() bool {
-	return j.kept.Stalled() > time.Duration(stallShare*float64(j.cfg.WaitMost.D()))
+	most := time.Duration(stallShare * float64(j.cfg.WaitMost.D()))
+	return j.kept.Stalled() > most || j.peers != nil && j.peers.Stalled() > most
 }
 
 // kept is one operation in the journal; nil is one that is not kept.
@@ -175,16 +189,7 @@
 		return hop, nil
 	}
 	if err == nil {
-		by := time.NewTimer(min(k.j.cfg.WaitMost.D(), time.Until(until)))
-		defer by.Stop()
-		select {
-		case <-w.Done():
-			err = w.Err()
-		case <-by.C:
-			err = errUnkept
-		case <-ctx.Done():
-			err = errUnkept
-		}
+		err = k.j.lasts(ctx, w, min(k.j.cfg.WaitMost.D(), time.Until(until)))
 	}
 	if err == nil || ctx.Err() == nil && !k.j.cfg.Deny() {
 		if err != nil && w != nil { // one that was refused at once is counted already
@@ -196,6 +201,29 @@
 	return hop, err
 }
 
+// lasts waits until a record lasts as promised: on this disk, and at enough holders. Both have it from the same moment.
+func (j *journal) lasts(ctx context.Context, w *bindlog.Wait, most time.Duration) error {
+	by := time.NewTimer(most)
+	defer by.Stop()
+	await := func(done <-chan struct{}) error {
+		select {
+		case <-done:
+			return nil
+		case <-by.C:
+		case <-ctx.Done():
+		}
+		return errUnkept
+	}
+	if err := await(w.Done()); err != nil || w.Err() != nil || j.peers == nil {
+		return errors.Join(err, w.Err())
+	}
+	held := j.peers.Wait(w.Number())
+	if err := await(held.Done()); err != nil {
+		return err
+	}
+	return held.Err()
+}
+
 // proof is what the end of a hop proves.
 func proof(how fleet.End) bindings.Proof {
 	switch how.Outcome() {
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -14,6 +14,7 @@
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
+	"fernvane/internal/peers"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/registry"
 	"fernvane/internal/route"
@@ -26,6 +27,7 @@
 const (
 	memoryMost  = 192  // MB, where the configuration names no limit, and at most
 	socketsMost = 1024 // descriptors, likewise
+	peerSockets = 64   // of them for other nodes and what is held for them, where there are any
 )
 
 // Config is what a node is told at its start.
@@ -47,6 +49,7 @@
 	Bindings  *bindlog.Config    // nil: no journal of bindings is kept
 	Registry  *registry.Config   // nil: discovery tells of servers
 	Snapshot  *snapshot.Config   // nil: no list is kept on disk
+	Peers     *peers.Config      // nil: the node knows of no other one
 	Watch     *shadow.Watch      // nil: no other settings are watched beside the node's own
 	Disk      bindlog.Files      // beneath it; nil: the system's
 	path      string
@@ -80,6 +83,14 @@
 	if path := getenv("PROXY_BINDINGS"); err == nil && path != "" {
 		c.Bindings, err = bindlog.Load(path)
 	}
+	if path := getenv("PROXY_PEERS"); err == nil && path != "" {
+		if c.Peers, err = peers.Load(path); err == nil {
+			c.Limits.Sockets = max(c.Limits.Sockets-peerSockets, c.Limits.Sockets/2)
+		}
+	}
+	if err == nil && c.Bindings != nil && c.Bindings.Promise == bindlog.Machines && c.Peers == nil {
+		err = errors.New("the promise machines needs other nodes to hold what is kept: name them with --peers FILE")
+	}
 	if path := getenv("PROXY_WATCH"); err == nil && path != "" {
 		var s *settings.Settings
 		if s, err = readWatch(path, &c.Settings); err == nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -17,6 +17,7 @@
 
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
+	"fernvane/internal/peers"
 	"fernvane/internal/roster"
 	"fernvane/internal/route"
 	"fernvane/internal/shadow"
@@ -39,9 +40,10 @@
 	log       zerolog.Logger
 	fleet     *fleet.Fleet
 	discovery atomic.Pointer[watch.Place]
-	planners  *planners   // nil: there are none
-	journal   *journal    // nil: none is kept
-	kept      *listKeeper // nil: no list of servers is kept on disk
+	planners  *planners    // nil: there are none
+	journal   *journal     // nil: none is kept
+	kept      *listKeeper  // nil: no list of servers is kept on disk
+	peers     *peers.Peers // nil: no other node is known
 	dialer    net.Dialer
 	draining  atomic.Bool    // answers end their connections
 	closing   atomic.Bool    // listening ends as soon as no connection comes
@@ -73,12 +75,24 @@
 	defer ln.Close()
 	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits, cfg.module())}
 	defer s.fleet.Stop()
+	var replaced <-chan struct{}
+	if cfg.Peers != nil {
+		end, err := s.meet()
+		if err != nil {
+			return err
+		}
+		defer end()
+		replaced = s.peers.Replaced()
+	}
 	if cfg.Bindings != nil {
 		var err error
-		if s.journal, err = newJournal(cfg, log); err != nil {
+		if s.journal, err = newJournal(cfg, log, s.peers); err != nil {
 			return err
 		}
 		defer s.journal.close()
+	} else if s.peers != nil {
+		s.peers.Join(context.Background(), joinMost)
+		s.peers.Keep("", false)
 	}
 	var cgi *net.TCPListener
 	if cfg.Routes != nil && cfg.Routes.Listen.IsValid() {
@@ -145,6 +159,9 @@
 		select {
 		case <-tell.Stop:
 			s.drain(ln, cgi)
+		case <-replaced:
+			s.drain(ln, cgi)
+			return peers.ErrReplaced
 		case <-ctx.Done():
 		}
 		return nil
@@ -152,6 +169,23 @@
 	return g.Wait()
 }
 
+// meet has the node take part in its tier, until end is called.
+func (s *Server) meet() (end func(), err error) {
+	if s.peers, err = peers.New(s.cfg.Peers, s.cfg.Name, s.cfg.Disk, s.log); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.peers.Run(ctx) }()
+	return func() {
+		s.peers.Leave()
+		cancel()
+		if err := <-done; err != nil {
+			s.log.Error().Err(err).Msg("neighbours lost")
+		}
+	}, nil
+}
+
 // known hands over the list that this node last had.
 func (s *Server) known() {
 	if s.cfg.KnownErr != nil {
