Entries of machines gone for good are settled by one adopter, by the next if that one dies

With dockets = [...] in the tier's file, the node that stands first of those that should hold a stream without a life, and lacks nothing another was seen to have, settles what is open by the servers' dockets (peers/settle.go). What it settles is a stream of its own beside the other ("n0~n3"), held where that stands, so the next adopter knows what is settled already. Found on the way: asking for one id left settlements out, since they name no id (command.go, pulled); settlements waited for a life that nobody has (keeper.go, bury), so the next adopter settled anew. TestAdopted fails without either.

--- a/internal/peers/command.go
+++ b/internal/peers/command.go
@@ -89,8 +89,8 @@
 		out.Body = out.Body[:0]
 		return err
 	}
+	mine := map[[2]uint64]bool{} // operations of the id; what settles a stream stands behind it
 	for _, dir := range dirs {
-		mine := map[[2]uint64]bool{}
 		report, scanned := bindlog.Scan(p.files, dir, time.Unix(0, q.Since), func(r *bindings.Record) error {
 			if q.ID != "" && r.Kind != bindings.Gap {
 				op := [2]uint64{r.Run, r.Op}
--- a/internal/peers/config.go
+++ b/internal/peers/config.go
@@ -47,7 +47,11 @@
 	Keys     *mtls.Keys     `toml:"-"` // nil: plaintext
 }
 
-var names = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`) // they become names of folders
+// Names become names of folders. A stream's may be that of a node, or of one and another that settles its entries.
+var (
+	names       = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	streamNames = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}(~[A-Za-z0-9][A-Za-z0-9._-]{0,63})?$`)
+)
 
 // Load reads the file; each fault is named by file and line.
 func Load(path string) (*Config, error) {
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -258,7 +258,7 @@
 	if err != nil {
 		return err
 	}
-	if int64(part.Run) != b.Up || part.First != b.First || part.N != b.N || !names.MatchString(b.Name) {
+	if int64(part.Run) != b.Up || part.First != b.First || part.N != b.N || !streamNames.MatchString(b.Name) {
 		return fmt.Errorf("a part of %s that is another", b.Stream)
 	}
 	p.mu.Lock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -56,29 +56,28 @@
 	news     chan struct{} // closed when the first news have come
 	begun    chan struct{} // closed when it is known whether there is a journal
 
-	mu       sync.Mutex
-	table    *neighbours.Table
-	keeper   *replicas.Keeper
-	origin   *replicas.Origin // nil: the node keeps no journal
-	journal  string           // its folder
-	ready    bool             // what is on disk is known
-	sum      uint64           // of the members when they were last handed on
-	links    map[string][]*link
-	wants    map[string]time.Duration // until when
-	letters  map[string][]any         // for those to which there is no connection yet
-	early    []early                  // offers that came before it was known what is held here
-	dialing  map[string]bool
-	tries    map[string]try
-	waiters  []*Kept
-	jobs     map[replicas.Job]chan struct{} // parts of each that are on their way
-	looked   time.Duration
-	joined   bool // this life's start is settled
-	told     bool // that it was replaced
-	short    bool // too few hold what is kept; said so in the log
-	settling func(replicas.Stream) error
-	lists    func() []byte // the list of servers as it is kept here
-	listed   chan []byte   // those of other nodes, while they are asked for
-	stop     bool
+	mu      sync.Mutex
+	table   *neighbours.Table
+	keeper  *replicas.Keeper
+	origin  *replicas.Origin // nil: the node keeps no journal
+	journal string           // its folder
+	ready   bool             // what is on disk is known
+	sum     uint64           // of the members when they were last handed on
+	links   map[string][]*link
+	wants   map[string]time.Duration // until when
+	letters map[string][]any         // for those to which there is no connection yet
+	early   []early                  // offers that came before it was known what is held here
+	dialing map[string]bool
+	tries   map[string]try
+	waiters []*Kept
+	jobs    map[replicas.Job]chan struct{} // parts of each that are on their way
+	looked  time.Duration
+	joined  bool          // this life's start is settled
+	told    bool          // that it was replaced
+	short   bool          // too few hold what is kept; said so in the log
+	lists   func() []byte // the list of servers as it is kept here
+	listed  chan []byte   // those of other nodes, while they are asked for
+	stop    bool
 }
 
 type early struct {
@@ -253,6 +252,7 @@
 		g.Go(func() error { p.seek(ctx, at); return nil })
 	}
 	g.Go(func() error { return p.tidy(ctx) })
+	g.Go(func() error { return p.settles(ctx) })
 	g.Go(func() error {
 		tick := time.NewTicker(tickEvery)
 		defer tick.Stop()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -47,6 +47,19 @@
 
 // start has a node of a tier begin, on the folder of an earlier one or, with "", an empty one.
 func start(t *testing.T, name, dir string, seeds ...string) *member {
+	t.Helper()
+	return startWith(t, name, dir, "", seeds...)
+}
+
+func (m *member) seed() string {
+	if m == nil {
+		return "127.0.0.1:1"
+	}
+	return m.cfg.Listen
+}
+
+// startWith settles entries of machines that are gone by a file of dockets.
+func startWith(t *testing.T, name, dir, file string, seeds ...string) *member {
 	t.Helper()
 	if dir == "" {
 		dir = t.TempDir()
@@ -60,6 +73,9 @@
 		RepairBytes: 64 << 20, SlowAfter: tomlfile.Span(100 * time.Millisecond), KeepFor: tomlfile.Span(time.Hour), Plaintext: true}
 	cfg.Listen = address(t)
 	cfg.Advertise = cfg.Listen
+	if file != "" {
+		cfg.Dockets = []string{file}
+	}
 	p, err := New(cfg, name, nil, zerolog.New(io.Discard))
 	if err != nil {
 		t.Fatal(err)
@@ -223,6 +239,92 @@
 	})
 }
 
+// A machine is gone for good: what it left open is settled by the servers' dockets, by one node; when that one dies as
+// well, another settles what dockets tell only then, and nothing twice.
+func TestAdopted(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "dockets.jsonl")
+	tell := func(ids ...string) {
+		text := fmt.Sprintf("{\"server\":\"s\",\"from\":%q,\"to\":%q}\n", time.Now().Add(-time.Hour).Format(time.RFC3339), time.Now().Add(-time.Minute).Format(time.RFC3339))
+		for _, id := range ids {
+			text += fmt.Sprintf("{\"id\":%q}\n", id)
+		}
+		if err := os.WriteFile(file+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		os.Rename(file+".new", file)
+	}
+	tell("n0-0")
+	tier := map[string]*member{"n0": startWith(t, "n0", "", file)}
+	for i := 1; i < 6; i++ {
+		name := fmt.Sprint("n", i)
+		tier[name] = startWith(t, name, "", file, tier["n0"].cfg.Listen, tier["n1"].seed())
+	}
+	tier["n0"].keep(t, 0)
+	tier["n0"].keep(t, 1)
+	any := func() *member {
+		for _, name := range []string{"n1", "n2", "n3", "n4", "n5"} {
+			if tier[name] != nil {
+				return tier[name]
+			}
+		}
+		return nil
+	}
+	tier["n0"].die()
+	delete(tier, "n0")
+	settlers := func() (by map[string]uint64) {
+		by = map[string]uint64{}
+		for _, s := range Ask(context.Background(), any().cfg, false).Asked {
+			for _, h := range s.Holdings {
+				if base, who, ok := strings.Cut(h.Name, "~"); ok && base == "n0" {
+					by[who] = max(by[who], h.Ranges.Count())
+				}
+			}
+		}
+		return by
+	}
+	state := func(id string) (s bindings.State) {
+		union := bindings.NewUnion()
+		var all []*bindings.Entry
+		if _, err := Ask(context.Background(), any().cfg, false).Records(context.Background(), time.Time{}, id, func(r *bindings.Record) error {
+			if e := union.Add(r); e != nil {
+				all = append(all, e)
+			}
+			return nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range append(all, union.Rest()...) {
+			s = e.State()
+		}
+		return s
+	}
+	eventually(t, "what dockets tell is settled", func() bool { return state("n0-0") == bindings.HasRun && state("n0-1") == bindings.PossiblySent })
+	by := settlers()
+	if len(by) != 1 {
+		t.Fatalf("settled by %v", by)
+	}
+	var first string
+	for first = range by {
+	}
+	eventually(t, "the settlement is copied", func() bool {
+		c := Ask(context.Background(), any().cfg, false)
+		return len(c.Asked) == 5 && c.Lacking() == ""
+	})
+	tier[first].die()
+	delete(tier, first)
+	tell("n0-0", "n0-1")
+	eventually(t, "the next one settles the rest", func() bool { return state("n0-1") == bindings.HasRun })
+	if by := settlers(); len(by) != 2 || by[first] != 1 {
+		t.Errorf("settled by %v, at first by %s", by, first)
+	}
+	for who, n := range settlers() {
+		if n != 1 {
+			t.Errorf("%s has settled %d hops of two, one each", who, n)
+		}
+	}
+}
+
 // Two processes run under one name: the later one goes on, the earlier one is told. A clock that was set back between two
 // starts changes nothing.
 func TestTwoUnderOneName(t *testing.T) {
--- /dev/null
+++ b/internal/peers/settle.go
@@ -0,0 +1,137 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"fernvane/internal/bindings"
+	"fernvane/internal/bindlog"
+	"fernvane/internal/dockets"
+	"fernvane/internal/replicas"
+)
+
+const settleSlack = 5 * time.Second // a hop that began so shortly before a list of dockets ends may still run
+
+// settles has entries of machines that are gone settled by the servers' dockets, where the file names any: each stream by
+// the one node that stands first of its holders, and by the next if that one dies.
+func (p *Peers) settles(ctx context.Context) error {
+	if len(p.cfg.Dockets) == 0 {
+		return nil
+	}
+	tick := time.NewTicker(max(p.cfg.GoneAfter.D()/4, time.Second))
+	defer tick.Stop()
+	done := map[replicas.Stream]uint64{} // with so many records nothing was left open
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		p.mu.Lock()
+		var mine []replicas.Stream
+		for _, s := range p.keeper.Streams() {
+			if p.ready && p.keeper.Adopts(p.now(), s, p.cfg.GoneAfter.D()) && done[s] != p.keeper.Ranges(s).Count() {
+				mine = append(mine, s)
+			}
+		}
+		p.mu.Unlock()
+		var all map[string]*bindings.Dockets // read when the first entry is open
+		for _, s := range mine {
+			open, err := p.open(s)
+			if err != nil {
+				p.log.Error().Err(err).Stringer("stream", s).Msg("not settled")
+				continue
+			}
+			if len(open) > 0 && all == nil {
+				all = map[string]*bindings.Dockets{}
+				for _, from := range p.cfg.Dockets {
+					if err := dockets.Load(from, all); err != nil {
+						p.log.Warn().Err(err).Str("from", from).Msg("dockets not read")
+					}
+				}
+			}
+			var records []bindings.Record
+			left := 0
+			for _, e := range open {
+				found := bindings.Reconcile(e, all, int64(settleSlack), time.Now().UnixNano())
+				if records = append(records, found...); len(found) == 0 {
+					left++
+				}
+			}
+			if err := p.settled(s, records); err != nil {
+				p.log.Error().Err(err).Stringer("stream", s).Msg("not settled")
+				continue
+			}
+			if len(records) > 0 {
+				p.log.Info().Stringer("stream", s).Int("hops", len(records)).Int("open", left).Msg("entries of a machine that is gone are settled")
+			}
+			if left == 0 {
+				p.mu.Lock()
+				done[s] = p.keeper.Ranges(s).Count()
+				p.mu.Unlock()
+			}
+		}
+	}
+}
+
+// open are the entries of a stream that may have run, by all that this node has of it and of who settled it before.
+func (p *Peers) open(s replicas.Stream) (open []*bindings.Entry, err error) {
+	p.mu.Lock()
+	dirs := []string{p.store.Dir(s)}
+	for _, x := range p.keeper.Settlements(s) {
+		dirs = append(dirs, p.store.Dir(x))
+	}
+	if s.Name == p.name && p.journal != "" {
+		dirs = append(dirs, p.journal)
+	}
+	p.mu.Unlock()
+	union := bindings.NewUnion()
+	for _, dir := range dirs {
+		r, err := bindlog.Scan(p.files, dir, time.Time{}, func(r *bindings.Record) error {
+			if int64(r.Run) == s.Up {
+				union.Add(r)
+			}
+			return nil
+		}, nil)
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return nil, err
+		}
+		union.Damaged = union.Damaged || r.Corrupt() > 0
+	}
+	for _, e := range union.Rest() {
+		if e.State() == bindings.PossiblySent {
+			open = append(open, e)
+		}
+	}
+	return open, nil
+}
+
+// settled keeps what settles entries of a stream, in a stream of its own beside it, which is copied like any other.
+func (p *Peers) settled(s replicas.Stream, records []bindings.Record) error {
+	for len(records) > 0 {
+		part := records[:min(len(records), bindlog.PartMost)]
+		records = records[len(part):]
+		p.mu.Lock()
+		mine := p.keeper.Settlement(s)
+		first := uint64(1)
+		if have := p.keeper.Ranges(mine); len(have) > 0 {
+			first = have[len(have)-1].To
+		}
+		p.mu.Unlock()
+		now := time.Now().UnixNano()
+		mark := bindings.Record{Kind: bindings.Numbered, Run: uint64(s.Up), At: now, From: int64(first), N: len(part)}
+		w, err := p.store.Put(mine, append([]bindings.Record{mark}, part...))
+		if err != nil {
+			return err
+		}
+		if <-w.Done(); w.Err() != nil {
+			return w.Err()
+		}
+		p.mu.Lock()
+		p.keeper.Found(mine, first, first+uint64(len(part)), int64(64*len(part)), now)
+		p.mu.Unlock()
+	}
+	return nil
+}
--- a/internal/replicas/keeper.go
+++ b/internal/replicas/keeper.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -141,6 +142,10 @@
 
 // bury notes whether the life of a stream is gone.
 func (k *Keeper) bury(s Stream, h *held, now time.Duration) {
+	if s.Settles() { // it is nobody's running life's
+		h.orphan = max(h.orphan, 0)
+		return
+	}
 	l, known := k.lives[s.Name]
 	switch lives := known && l.Lives && l.Up <= s.Up; {
 	case lives:
@@ -253,7 +258,8 @@
 		all[i].Well = t == nil || t.refused == 0
 	}
 	ranked := rank(s.Name, all)
-	if i := slices.IndexFunc(ranked, func(p Place) bool { return p.Name == s.Name }); i > 0 {
+	name, _, _ := strings.Cut(s.Name, settledBy)
+	if i := slices.IndexFunc(ranked, func(p Place) bool { return p.Name == name }); i > 0 {
 		own := ranked[i]
 		ranked = append([]Place{own}, slices.Delete(ranked, i, i+1)...)
 	}
@@ -361,7 +367,7 @@
 // lacks nothing that another was seen to have.
 func (k *Keeper) Adopts(now time.Duration, s Stream, after time.Duration) bool {
 	h := k.streams[s]
-	if h == nil || h.orphan < 0 || now-h.orphan < max(after, orphanFor) {
+	if h == nil || h.orphan < 0 || now-h.orphan < max(after, orphanFor) || s.Settles() {
 		return false
 	}
 	for _, t := range h.targets {
@@ -373,6 +379,32 @@
 	return len(all) > 0 && all[0].Name == k.self.Name
 }
 
+// Settlement is the stream in which this node settles entries of another one.
+func (k *Keeper) Settlement(s Stream) Stream {
+	return Stream{Name: s.Name + settledBy + k.self.Name, Up: s.Up}
+}
+
+// Settlements are the streams held here that settle entries of one.
+func (k *Keeper) Settlements(s Stream) (all []Stream) {
+	for _, x := range k.Streams() {
+		if name, _, ok := strings.Cut(x.Name, settledBy); ok && name == s.Name && x.Up == s.Up {
+			all = append(all, x)
+		}
+	}
+	return all
+}
+
+// Settles tells whether a stream is one that settles entries of another.
+func (s Stream) Settles() bool { return strings.Contains(s.Name, settledBy) }
+
+// Ranges of a stream that are held here.
+func (k *Keeper) Ranges(s Stream) Ranges {
+	if h := k.streams[s]; h != nil {
+		return h.ranges
+	}
+	return nil
+}
+
 // Streams that are held, in order.
 func (k *Keeper) Streams() []Stream {
 	return slices.SortedFunc(maps.Keys(k.streams), func(a, b Stream) int {
--- a/internal/replicas/place.go
+++ b/internal/replicas/place.go
@@ -4,8 +4,12 @@
 	"cmp"
 	"hash/crc32"
 	"slices"
+	"strings"
 )
 
+// settledBy stands in the name of a stream between the one whose entries it settles and the node that does.
+const settledBy = "~"
+
 // Place is a node that may hold a replica.
 type Place struct {
 	Name, Site, Machine string
@@ -14,6 +18,7 @@
 
 // rank orders places for a stream, alike at all nodes (rendezvous): a node more or less moves only what it holds itself.
 func rank(stream string, all []Place) []Place {
+	stream, _, _ = strings.Cut(stream, settledBy) // what settles a stream stands where it does
 	type ranked struct {
 		Place
 		by uint32
