--- a/cmd/fernlab/journal.go
+++ b/cmd/fernlab/journal.go
@@ -273,3 +273,54 @@
 	c.Flags().IntVar(&atOnce, "at-once", 4, "tiers of 6 nodes at a time")
 	return c
 }
+
+// repairCommand measures how long it takes until a journal that stands on one machine stands on enough.
+func repairCommand() *cobra.Command {
+	var n, rate int
+	var length time.Duration
+	c := &cobra.Command{Use: "repair", Short: "Time until a journal that stands on one machine stands on enough, and service meanwhile", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			command, err := self()
+			if err != nil {
+				return err
+			}
+			s, err := scenario.Load("replicas-losses")
+			if err != nil {
+				return err
+			}
+			s.Faults, s.Length, s.Nodes.Count, s.Peers.RepairBytes = nil, scenario.Span(length), 6, rate
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
+			fmt.Fprintln(t, "entries before\twhole after s\tservice\tbook p50 ms\tp99\tCPU s\t")
+			for _, before := range []int{0, n} {
+				one := *s
+				one.Peers.Before = before
+				out, err := lab.Run(c.Context(), lab.Options{Scenario: &one, Ops: load.Plan(&one), Command: command})
+				if err != nil {
+					return err
+				}
+				if out.Late.Behind {
+					return errors.Join(errors.New("the generator fell behind"), exit(exitInvalid))
+				}
+				for _, k := range out.ByType {
+					if k.Name == "hire-book" {
+						fmt.Fprintf(t, "%d\t%.1f\t%.4f\t%.1f\t%.1f\t%.1f\t\n", before, out.Journal.Whole, out.Service(), float64(k.Latency.ValueAtQuantile(50))/1000,
+							float64(k.Latency.ValueAtQuantile(99))/1000, out.Use.CPU.Seconds())
+					}
+				}
+				for _, r := range out.Rules {
+					if r.Broken > 0 {
+						fmt.Fprintf(c.OutOrStdout(), "broken %d times: %s: %s\n", r.Broken, r.Name, r.Worst)
+						err = exit(exitBroken)
+					}
+				}
+				if err != nil {
+					return err
+				}
+			}
+			return t.Flush()
+		}}
+	c.Flags().IntVar(&n, "entries", 1_000_000, "that one machine holds alone")
+	c.Flags().IntVar(&rate, "repair-bytes", 8<<20, "a second that a node copies")
+	c.Flags().DurationVar(&length, "length", 80*time.Second, "of the load")
+	return c
+}
--- a/cmd/fernvane/pages_test.go
+++ b/cmd/fernvane/pages_test.go
@@ -2,18 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"fernvane/internal/bindlog"
+	"fernvane/internal/peers"
 	"fernvane/internal/snapshot"
 )
 
@@ -74,6 +77,19 @@
 		"planners.toml": put("planners.toml", "planners = [\"127.0.0.1:1\"]\nplaintext = true\n"),
 		"planner.toml":  put("planner.toml", fmt.Sprintf("name = \"p\"\nlisten = %q\ndiscovery = \"127.0.0.1:1\"\nplaintext = true\n", free(t))),
 	}
+	first, _ := node(t, "n0")
+	tier, err := peers.Load(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stands["peers.toml"], _ = node(t, "n1", fmt.Sprintf("%q", tier.Listen))
+	whole := func() bool {
+		t := peers.Ask(context.Background(), tier, false)
+		return len(t.Asked) == 2 && t.Lacking() == ""
+	}
+	for by := time.Now().Add(20 * time.Second); !whole() && time.Now().Before(by); {
+		time.Sleep(20 * time.Millisecond)
+	}
 	var pages []string
 	for _, glob := range []string{"README.md", "docs/operators/*.md", "docs/on-call.md", "deploy/*.toml"} {
 		found, _ := filepath.Glob(filepath.Join(root, glob))
@@ -105,6 +121,9 @@
 				if args[0] == "serve" && strings.Contains(command, "--planners FILE") { // where FILE is not an operator's
 					args[2] = stands["planners.toml"]
 				}
+				if i := slices.Index(args, stands["peers.toml"]); i >= 0 && args[0] == "serve" { // its address is taken
+					args[i] = put("own.toml", fmt.Sprintf("listen = %q\ndeployment = \"own\"\nheld = %q\nplaintext = true\n", free(t), t.TempDir()))
+				}
 				cmd := exec.Command(built, args...)
 				cmd.Env = os.Environ()
 				switch {
@@ -134,11 +153,55 @@
 			})
 		}
 	}
+	t.Run("a node without files opens nothing but its listener", func(t *testing.T) {
+		cmd := exec.Command(built, "serve")
+		cmd.Env = append(os.Environ(), "PROXY_CONFIG="+config())
+		errs := &watched{word: `"serving"`, found: make(chan struct{})}
+		cmd.Stderr = errs
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		<-errs.found
+		listens, datagrams := sockets(t, cmd.Process.Pid)
+		cmd.Process.Signal(syscall.SIGTERM)
+		if err := cmd.Wait(); err != nil || listens != 1 || datagrams != 0 {
+			t.Errorf("%d listeners, %d sockets for datagrams: %v", listens, datagrams, err)
+		}
+	})
 	if seen < 15 {
 		t.Errorf("only %d commands are found", seen)
 	}
 }
 
+// sockets counts a process's listeners and its sockets for datagrams.
+func sockets(t *testing.T, pid int) (listens, datagrams int) {
+	t.Helper()
+	own := map[string]bool{}
+	fds, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	if err != nil || len(fds) == 0 {
+		t.Fatal(fds, err)
+	}
+	for _, fd := range fds {
+		to, _ := os.Readlink(fd)
+		own[strings.TrimSuffix(strings.TrimPrefix(to, "socket:["), "]")] = true
+	}
+	for _, kind := range []string{"tcp", "tcp6", "udp", "udp6"} {
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/%s", pid, kind))
+		for line := range strings.Lines(string(text)) {
+			f := strings.Fields(line)
+			if len(f) < 10 || !own[f[9]] {
+				continue
+			}
+			if kind[0] == 'u' {
+				datagrams++
+			} else if f[3] == "0A" {
+				listens++
+			}
+		}
+	}
+	return listens, datagrams
+}
+
 // watched is a log that tells when a word comes.
 type watched struct {
 	text  bytes.Buffer
--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -34,7 +34,7 @@
 	machines int
 	cycles   int
 	told     map[int]bool // nodes whose journals were said to be lost
-	gone     map[int]bool // machines that are away now
+	whole    float64      // seconds until what was there before stood as often as it should
 }
 
 // steps are faults that wait for a frame.
@@ -63,7 +63,7 @@
 // tier has nodes know each other, over links that can fail, where the scenario says so.
 func (w *world) tier() error {
 	s := w.Scenario
-	w.losses.told, w.losses.gone = map[int]bool{}, map[int]bool{}
+	w.losses.told = map[int]bool{}
 	if s.Peers.Replicas == 0 {
 		return nil
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -382,6 +382,9 @@
 	}
 	g.Ops, g.Shift = ops, shift
 	w.schedule(ctx, shift)
+	if s := w.Scenario.Peers; s.Before > 0 && s.Replicas > 0 {
+		w.becomesWhole(ctx, &w.losses.whole)
+	}
 	late := g.Run(ctx, w.start, w.front, w.eyes)
 	err := ctx.Err()
 	if err != nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -66,6 +66,7 @@
 	Replicas    int  `toml:"replicas"`     // how many others hold what a node keeps
 	SlowAfter   Span `toml:"slow_after"`   // until another holder is taken in the place of a slow one
 	RepairBytes int  `toml:"repair_bytes"` // a second that a node copies to others
+	Before      int  `toml:"before"`       // entries of an earlier life that the first node begins with, held by nobody else
 }
 
 // Journal of bindings that each node keeps; without a promise it keeps none.
