--- a/cmd/fernvane/replicas_test.go
+++ b/cmd/fernvane/replicas_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -135,3 +137,37 @@
 		t.Errorf("exit %d of a tier that lacks nodes: %s", code, out)
 	}
 }
+
+// Two processes of the program run under one name: the later one serves, the earlier one is told and ends.
+func TestTwoProcessesOfOneName(t *testing.T) {
+	built := filepath.Join(t.TempDir(), "fernvane")
+	if out, err := exec.Command("go", "build", "-o", built, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	begin := func(listen string, seeds string) (*exec.Cmd, *watched) {
+		dir := t.TempDir()
+		file, config := filepath.Join(dir, "peers.toml"), filepath.Join(dir, "config.json")
+		text := fmt.Sprintf("listen = %q\npeers = [%s]\ndeployment = \"d\"\nmachine = %q\nheld = %q\nplaintext = true\n", listen, seeds, dir, dir)
+		os.WriteFile(file, []byte(text), 0o600)
+		os.WriteFile(config, fmt.Appendf(nil, `{"name":"twin","listen":%q,"discovery":"127.0.0.1:1","settings":%s}`, free(t), example), 0o600)
+		cmd := exec.Command(built, "serve", "--config", config, "--peers", file)
+		errs := &watched{word: `"serving"`, found: make(chan struct{})}
+		cmd.Stderr = errs
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cmd.Process.Kill() })
+		<-errs.found
+		return cmd, errs
+	}
+	at := free(t)
+	first, _ := begin(at, "")
+	second, _ := begin(free(t), fmt.Sprintf("%q", at))
+	if err := first.Wait(); err == nil || first.ProcessState.ExitCode() != 1 {
+		t.Errorf("the earlier one ended with %v", err)
+	}
+	second.Process.Signal(syscall.SIGTERM)
+	if err := second.Wait(); err != nil {
+		t.Errorf("the later one ended with %v", err)
+	}
+}
--- a/internal/bindlog/log.go
+++ b/internal/bindlog/log.go
@@ -76,6 +76,7 @@
 	record bindings.Record
 	wait   *Wait
 	seq    uint64 // 0: it has no number yet
+	at     int64  // when its part was written first, Unix time in ns; of the first of a part
 }
 
 // part is a run of numbered records that are handed on as one.
@@ -350,6 +351,9 @@
 		these := batch[:min(len(batch), PartMost)]
 		batch = batch[len(these):]
 		fresh := these[0].seq == 0
+		if fresh {
+			these[0].at = time.Now().UnixNano()
+		}
 		waited := false
 		for i := range these {
 			waited = waited || these[i].wait != nil
@@ -362,7 +366,7 @@
 			}
 		}
 		p := part{first: these[0].seq, n: len(these), from: len(l.frames)}
-		mark := bindings.Record{Kind: bindings.Numbered, Run: l.o.Run, At: time.Now().UnixNano(), From: int64(p.first), N: p.n}
+		mark := bindings.Record{Kind: bindings.Numbered, Run: l.o.Run, At: these[0].at, From: int64(p.first), N: p.n}
 		if l.frames, err = appendFrame(l.frames, &mark); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/bindlog/stream_test.go
@@ -0,0 +1,139 @@
+package bindlog_test
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"fernvane/internal/bindings"
+	. "fernvane/internal/bindlog"
+	"fernvane/internal/standin/disk"
+)
+
+// A stream's records under a disk that fails once at each of its operations: numbers have no holes, what was handed on is
+// what stands on disk, whenever it was written, and what was said to last can be read.
+func TestNumbersUnderFaults(t *testing.T) {
+	for _, trouble := range []disk.Trouble{disk.None, disk.Short, disk.Full, disk.Lying} {
+		for at := range 12 {
+			t.Run(fmt.Sprintf("%d at %d", trouble, at), func(t *testing.T) {
+				d := disk.New()
+				d.Meet = func(n int) disk.Trouble {
+					if n == at {
+						return trouble
+					}
+					return disk.None
+				}
+				var mu sync.Mutex
+				handed, stored := map[uint64][]byte{}, map[uint64]bool{}
+				next := uint64(1)
+				o := Options{Dir: "j", Files: d, Machine: true, SegmentBytes: 600, Run: 7, Again: time.Millisecond,
+					Copy: func(first uint64, n int, frames []byte, _ bool) {
+						mu.Lock()
+						defer mu.Unlock()
+						if first != next {
+							t.Errorf("%d behind %d", first, next)
+						}
+						next = first + uint64(n)
+						handed[first] = frames
+					},
+					Stored: func(first uint64, _ int) {
+						mu.Lock()
+						defer mu.Unlock()
+						stored[first] = true
+					}}
+				l, err := Open(o)
+				for err != nil {
+					l, err = Open(o)
+				}
+				lasts := map[uint64]bool{} // operations
+				for op := uint64(1); op <= 10; op++ {
+					w, err := l.Append(true, bindings.Record{Kind: bindings.Intent, Run: 7, Op: op, ID: fmt.Sprint(op), Server: "s"})
+					if err != nil {
+						time.Sleep(2 * time.Millisecond)
+						continue
+					}
+					<-w.Done()
+					if w.Err() == nil {
+						lasts[op] = true
+					}
+				}
+				l.Close()
+				read := map[uint64]bool{}
+				segments, err := Segments(d, "j")
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, s := range segments {
+					if _, err := Parts(d, s, func(p Part) error {
+						if !bytes.Equal(p.Body, handed[p.First]) {
+							t.Errorf("part %d stands as another than was handed on", p.First)
+						}
+						all, records, err := ReadParts(p.Body)
+						if err != nil || all.First != p.First || all.N != p.N || all.Run != 7 {
+							t.Errorf("%+v read as %+v, %v", p, all, err)
+						}
+						for _, r := range records {
+							read[r.Op] = true
+						}
+						delete(stored, p.First)
+						return nil
+					}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				for op := range lasts {
+					if !read[op] {
+						t.Errorf("operation %d was said to last", op)
+					}
+				}
+				for first := range stored {
+					t.Errorf("part %d was said to be stored", first)
+				}
+				if len(lasts) < 8 {
+					t.Errorf("%d of 10 were kept", len(lasts))
+				}
+			})
+		}
+	}
+}
+
+// Parts that are cut, mixed or counted wrong are none.
+func TestBadParts(t *testing.T) {
+	frame := func(r bindings.Record) []byte {
+		b, err := AppendFrame(nil, &r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	mark := func(run uint64, from int64, n int) []byte {
+		return frame(bindings.Record{Kind: bindings.Numbered, Run: run, From: from, N: n})
+	}
+	one := frame(bindings.Record{Kind: bindings.Intent, Run: 1, Op: 1, ID: "x"})
+	join := func(parts ...[]byte) []byte { return bytes.Join(parts, nil) }
+	for name, c := range map[string]struct {
+		body []byte
+		n    int // records; 0: it is none
+	}{
+		"one":                       {join(mark(1, 1, 1), one), 1},
+		"two, one behind the other": {join(mark(1, 1, 1), one, mark(1, 2, 2), one, one), 3},
+		"nothing":                   {nil, 0},
+		"no number":                 {one, 0},
+		"too few":                   {join(mark(1, 1, 2), one), 0},
+		"too many":                  {join(mark(1, 1, 1), one, one), 0},
+		"a hole":                    {join(mark(1, 1, 1), one, mark(1, 3, 1), one), 0},
+		"of two lives":              {join(mark(1, 1, 1), one, mark(2, 2, 1), one), 0},
+		"a number within":           {join(mark(1, 1, 2), one, mark(1, 3, 1), one), 0},
+		"cut off":                   {join(mark(1, 1, 1), one)[:40], 0},
+		"from 0":                    {join(mark(1, 0, 1), one), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _, err := ReadParts(c.body)
+			if (err == nil) != (c.n > 0) || err == nil && p.N != c.n {
+				t.Errorf("%d records, %v", p.N, err)
+			}
+		})
+	}
+}
