--- a/internal/peers/held.go
+++ b/internal/peers/held.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -105,8 +106,41 @@
 	p.log.Info().Int("streams", len(streams)).Int("records", records).Dur("took", time.Since(began)).Msg("what is held is read")
 }
 
+// own reads the running life's journal again. What is damaged of it comes back from its holders, beside it.
+func (p *Peers) own(ctx context.Context) (faults []string) {
+	p.mu.Lock()
+	o := p.origin
+	if o == nil {
+		p.mu.Unlock()
+		return nil
+	}
+	s, upTo := o.Stream(), o.Next()
+	had := o.Ranges()
+	p.mu.Unlock()
+	var found replicas.Ranges
+	report, err := p.read(s, func(part bindlog.Part) error {
+		found = found.With(part.First, part.First+uint64(part.N))
+		return ctx.Err()
+	})
+	if err != nil {
+		return []string{fmt.Sprintf("%s: %v", s, err)}
+	}
+	for _, f := range report.Faults {
+		if !f.Torn { // its end may be under way
+			faults = append(faults, f.String())
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lost := had.Without(found); len(lost) > 0 && upTo > 0 {
+		p.send(p.now(), o.Lost(p.now(), lost))
+	}
+	return faults
+}
+
 // verify reads all that is held again. What is damaged no longer counts, and who would copy it anew is told.
 func (p *Peers) verify(ctx context.Context) (faults []string) {
+	faults = p.own(ctx)
 	p.mu.Lock()
 	streams := p.keeper.Streams()
 	p.mu.Unlock()
@@ -251,6 +285,12 @@
 		p.store.Idle()
 		p.mu.Lock()
 		old := p.keeper.Old(time.Now().UnixNano())
+		p.mu.Unlock()
+		old = slices.DeleteFunc(old, func(s replicas.Stream) bool { // what is open is kept beyond its time, until it is settled
+			open, err := p.open(s)
+			return err != nil || len(open) > 0
+		})
+		p.mu.Lock()
 		for _, s := range old {
 			p.keeper.Gone(s)
 		}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -290,6 +290,9 @@
 		p.mu.Lock()
 		if s.err == nil {
 			p.keeper.Found(ack.Stream, ack.First, ack.First+uint64(ack.N), int64(len(s.batch.Body)), s.at)
+			if p.origin != nil && ack.Stream == p.origin.Stream() { // what was damaged here has come back
+				p.origin.Stored(ack.First, ack.First+uint64(ack.N))
+			}
 		} else {
 			ack.Refused = "the disk takes nothing"
 		}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -207,36 +207,56 @@
 	}
 }
 
-// A replica is damaged on its disk: reading it again finds that out, and a whole one takes its place.
-func TestDamagedReplica(t *testing.T) {
+// A replica, or the journal that it is of, is damaged on its disk: reading it again finds that out, and a whole one takes
+// its place.
+func TestDamaged(t *testing.T) {
 	t.Parallel()
-	tier := []*member{start(t, "n0", "")}
-	for i := 1; i < 3; i++ {
-		tier = append(tier, start(t, fmt.Sprint("n", i), "", tier[0].cfg.Listen))
-	}
-	for op := range uint64(8) {
-		tier[0].keep(t, op)
-	}
-	stream := tier[0].origin.Stream()
-	segments, err := bindlog.Segments(bindlog.OS{}, tier[1].store.Dir(stream))
-	if err != nil || len(segments) == 0 {
-		t.Fatal(segments, err)
-	}
-	text, _ := os.ReadFile(segments[0].Path)
-	for i := 50; i < len(text); i += len(text) / 4 {
-		text[i] ^= 0x55
-	}
-	if err := os.WriteFile(segments[0].Path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c := Ask(context.Background(), tier[0].cfg, true)
-	if s := c.Asked["n1"]; s == nil || len(s.Faults) == 0 {
-		t.Fatalf("the damage was not found: %+v", c.Asked)
+	for name, dir := range map[string]func(tier []*member) (*member, string){
+		"a replica":         func(tier []*member) (*member, string) { return tier[1], tier[1].store.Dir(tier[0].origin.Stream()) },
+		"a running journal": func(tier []*member) (*member, string) { return tier[0], tier[0].journal },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tier := []*member{start(t, "n0", "")}
+			for i := 1; i < 3; i++ {
+				tier = append(tier, start(t, fmt.Sprint("n", i), "", tier[0].cfg.Listen))
+			}
+			for op := range uint64(8) {
+				tier[0].keep(t, op)
+			}
+			stream := tier[0].origin.Stream()
+			at, path := dir(tier)
+			segments, err := bindlog.Segments(bindlog.OS{}, path)
+			if err != nil || len(segments) == 0 {
+				t.Fatal(segments, err)
+			}
+			text, _ := os.ReadFile(segments[0].Path)
+			for _, i := range []int{len(text) / 3, len(text) / 2} { // between the first and the last
+				text[i] ^= 0x55
+			}
+			if err := os.WriteFile(segments[0].Path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			c := Ask(context.Background(), tier[0].cfg, true)
+			if s := c.Asked[at.name]; s == nil || len(s.Faults) == 0 {
+				t.Fatalf("the damage was not found: %+v", c.Asked)
+			}
+			eventually(t, "the stream stands whole on three machines again", func() bool {
+				whole := 0
+				for _, m := range tier {
+					var found replicas.Ranges
+					m.read(stream, func(p bindlog.Part) error {
+						found = found.With(p.First, p.First+uint64(p.N))
+						return nil
+					})
+					if found.Has(1, 9) {
+						whole++
+					}
+				}
+				return whole == 3
+			})
+		})
 	}
-	eventually(t, "the stream stands on three machines again", func() bool {
-		c := Ask(context.Background(), tier[0].cfg, true)
-		return c.Copies()[stream] == 3
-	})
 }
 
 // A machine is gone for good: what it left open is settled by the servers' dockets, by one node; when that one dies as
--- a/internal/replicas/keeper.go
+++ b/internal/replicas/keeper.go
@@ -40,6 +40,7 @@
 	orphan  time.Duration // since when its life is gone; -1: it lives
 	targets map[string]*target
 	others  map[string]bool // who were seen to hold some of it
+	returns Ranges          // that its origin has lost of it, between what it has
 	wanted  []Place         // who should hold it
 	by      int             // the look at the places by which they were found
 }
@@ -186,6 +187,7 @@
 		answer.Ranges = h.ranges
 		if o.Origin && len(o.Ranges) > 0 && answer.Refused == "" { // what its life lets go of is let go of here
 			h.ranges = h.ranges.Without(Ranges{{From: 0, To: o.Ranges[0].From}})
+			h.returns = Ranges{{From: o.Ranges[0].From, To: o.Ranges[len(o.Ranges)-1].To}}.Without(o.Ranges)
 		}
 	}
 	return []Out{{from, answer}}
@@ -242,6 +244,8 @@
 			}
 			t.ranges = t.ranges.With(w.First, w.First+uint64(w.N))
 			h.others[from] = true
+		} else if h != nil && from == w.Name && w.N > 0 {
+			h.returns = h.returns.Without(Ranges{{From: w.First, To: w.First + uint64(w.N)}})
 		}
 	}
 }
@@ -321,7 +325,13 @@
 // Lacks is what is held here of a stream and not at a node that should hold it.
 func (k *Keeper) Lacks(s Stream, name string) Ranges {
 	h := k.streams[s]
-	if h == nil || h.orphan < 0 {
+	if h == nil {
+		return nil
+	}
+	if h.orphan < 0 {
+		if name == s.Name { // it is not lost: it lacks a part of what it had
+			return h.ranges.Without(h.ranges.Without(h.returns))
+		}
 		return nil
 	}
 	t := h.targets[name]
@@ -341,6 +351,9 @@
 func (k *Keeper) Jobs(now time.Duration) (jobs []Job) {
 	for _, s := range k.Streams() {
 		h := k.streams[s]
+		if h.orphan < 0 && len(k.Lacks(s, s.Name)) > 0 {
+			jobs = append(jobs, Job{s, s.Name})
+		}
 		if h.orphan < 0 || now-h.orphan < orphanFor {
 			continue
 		}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -263,6 +263,20 @@
 // Stored tells that records last on this node's own disk.
 func (o *Origin) Stored(from, to uint64) { o.ranges = o.ranges.With(from, to) }
 
+// Ranges are the records that last on this node's own disk.
+func (o *Origin) Ranges() Ranges { return o.ranges }
+
+// Lost tells that records were found to be damaged here: holders are told what is left, and send what lacks.
+func (o *Origin) Lost(now time.Duration, lost Ranges) (out []Out) {
+	o.ranges = o.ranges.Without(lost)
+	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
+		if h := o.holders[name]; h.linked {
+			out = append(out, Out{name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
+		}
+	}
+	return out
+}
+
 // Forgot tells that records are no longer on it, as when a segment became too old.
 func (o *Origin) Forgot(before uint64) { o.ranges = o.ranges.Without(Ranges{{From: 0, To: before}}) }
 
