A test that holders have an intent before the server's first byte, and of their loss

With both holders lost, bindings are denied or served as chosen, checks answered, and with others in their place all goes on.

--- /dev/null
+++ b/internal/serve/peers_test.go
@@ -0,0 +1,146 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/bindings"
+	"fernvane/internal/bindlog"
+	"fernvane/internal/http1"
+	"fernvane/internal/peers"
+	"fernvane/internal/tomlfile"
+)
+
+// tierOf is the file of one node of a tier in which each record is held by two others.
+func tierOf(t *testing.T, name string, seeds ...string) *peers.Config {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := ln.Addr().String()
+	ln.Close()
+	return &peers.Config{Name: name, Listen: at, Advertise: at, Peers: seeds, Deployment: "d", Machine: name, Replicas: 2, Held: t.TempDir(), HeldBytes: 1 << 30,
+		RepairBytes: 8 << 20, SlowAfter: tomlfile.Span(50 * time.Millisecond), KeepFor: tomlfile.Span(time.Hour), GoneAfter: tomlfile.Span(time.Minute), Plaintext: true}
+}
+
+// holder is another node of the tier; stop ends it without a word.
+func holder(t *testing.T, cfg *peers.Config) (stop func()) {
+	t.Helper()
+	p, err := peers.New(cfg, cfg.Name, nil, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	p.Keep("", false)
+	var once atomic.Bool
+	stop = func() {
+		if !once.Swap(true) {
+			cancel()
+			<-done
+		}
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+// heldOf are the entries that stand in the folders held by a node.
+func heldOf(t *testing.T, cfg *peers.Config) (all []*bindings.Entry) {
+	t.Helper()
+	dirs, err := filepath.Glob(filepath.Join(cfg.Held, "*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, dir := range dirs {
+		fold := bindings.NewFold()
+		bindlog.Scan(bindlog.OS{}, dir, time.Time{}, func(r *bindings.Record) error {
+			if e := fold.Add(r); e != nil {
+				all = append(all, e)
+			}
+			return nil
+		}, nil)
+		all = append(all, fold.Rest()...)
+	}
+	return all
+}
+
+// When a server gets a binding's first byte, two other machines hold its intent on disk. When both are lost, bindings are
+// denied or served as the operator chose, others notice nothing, and with holders back all goes on.
+func TestHeldByOthers(t *testing.T) {
+	t.Parallel()
+	for _, choice := range []string{"deny", "serve"} {
+		t.Run(choice, func(t *testing.T) {
+			t.Parallel()
+			a := tierOf(t, "a")
+			b := tierOf(t, "b", a.Listen)
+			stopA, stopB := holder(t, a), holder(t, b)
+			var early, hops atomic.Int32
+			var down atomic.Bool
+			box := standIn(t, func(nc net.Conn) {
+				defer nc.Close()
+				for c := http1.NewConn(nc); ; {
+					var r http1.Request
+					if c.ReadRequest(&r) != nil {
+						return
+					}
+					if hops.Add(1); string(r.Method) == "POST" && !down.Load() {
+						for _, other := range []*peers.Config{a, b} {
+							found := false
+							for _, e := range heldOf(t, other) {
+								found = found || e.ID == string(r.Get("Request-Id"))
+							}
+							if !found {
+								early.Add(1)
+							}
+						}
+					}
+					io.WriteString(nc, whole)
+				}
+			})
+			cfg := config(http1.Host{ID: "s", Address: box, Size: 1})
+			cfg.Bindings = &bindlog.Config{Dir: t.TempDir(), Promise: bindlog.Machines, WhenFailing: choice, WaitMost: tomlfile.Span(400 * time.Millisecond), SegmentBytes: 1 << 20}
+			cfg.Peers = tierOf(t, "n", a.Listen, b.Listen)
+			at, _ := startNode(t, cfg)
+			await(t, "binding kept", func() bool { return book(t, at, "") == 200 })
+			for range 5 {
+				if got := book(t, at, ""); got != 200 {
+					t.Errorf("answered %d with both holders there", got)
+				}
+			}
+			if early.Load() > 0 {
+				t.Errorf("%d times a holder did not have what a server got", early.Load())
+			}
+			down.Store(true)
+			stopA()
+			stopB()
+			want := map[string]int{"deny": 503, "serve": 200}[choice]
+			await(t, "holders missed", func() bool { return book(t, at, "") == want })
+			for range 3 {
+				began := time.Now()
+				if got := book(t, at, ""); got != want {
+					t.Errorf("answered %d without holders, not %d", got, want)
+				}
+				if took := time.Since(began); choice == "deny" && took > 5*time.Second {
+					t.Errorf("denied after %v", took)
+				}
+				if r := ask1(t, dial(t, at), "/check/1"); r.Status != 200 {
+					t.Errorf("a check is answered %d", r.Status)
+				}
+			}
+			for i := range 2 { // others come in their place
+				holder(t, tierOf(t, fmt.Sprint("c", i), cfg.Peers.Listen))
+			}
+			await(t, "binding kept again", func() bool { return book(t, at, "") == 200 })
+		})
+	}
+}
