--- a/cmd/fernlab/run.go
+++ b/cmd/fernlab/run.go
@@ -24,7 +24,7 @@
 	json, plot, node, trace, keep, policy, operator string
 	baselines                                       []string
 	seed                                            uint64
-	quiet, pairings, alone                          bool
+	quiet, pairings, alone, seconds                 bool
 }
 
 func runCommand() *cobra.Command {
@@ -70,6 +70,7 @@
 	fl.Uint64Var(&f.seed, "seed", 0, "another `seed` than the scenario's")
 	fl.BoolVar(&f.pairings, "pairings", false, "play each pairing of HTTP and FastCGI, of clients and boxes")
 	fl.BoolVar(&f.alone, "alone", false, "play a scenario with planners only, not single-level after it")
+	fl.BoolVar(&f.seconds, "seconds", false, "tell second by second where tries and hops went")
 	fl.BoolVar(&f.quiet, "quiet", false, "show no progress")
 	return c
 }
@@ -179,7 +180,9 @@
 	if !f.quiet {
 		fmt.Fprintln(errs)
 	}
-	r.Text(out)
+	if r.Text(out); f.seconds {
+		r.Table(out)
+	}
 	if f.json != "" {
 		if err := r.Save(f.json); err != nil {
 			return err
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -146,3 +146,31 @@
 		})
 	}
 }
+
+// Where tries and hops go, second by second: the hop that the client was answered by is not in vain, the others are.
+func TestSeconds(t *testing.T) {
+	a := New(Figures{Types: []Type{{Name: "x"}}})
+	a.Box(Box{Name: "b0"})
+	a.Box(Box{Name: "b1"})
+	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	for id, end := range []struct {
+		how    End
+		status int
+	}{{Answered, 200}, {Answered, 503}, {Answered, 504}, {Unanswered, 0}} {
+		id := uint64(id + 1)
+		a.Sending(id, 0, int(id)%2)
+		a.Sent(id, at(100))
+		a.Hop(id, 0, at(110), at(120))
+		a.Ran(id, 0, at(130))
+		a.Over(id, 0, at(900), false)
+		a.Hop(id, 1, at(1110), at(1120))
+		a.Ran(id, 1, at(1130))
+		a.Over(id, 1, at(1150), false)
+		a.Ended(id, end.how, end.status, at(1160), false, false)
+	}
+	got := a.Seconds()
+	want := []Second{{Tries: 4, First: 4, Ran: 4, Vain: 4, Busiest: 2}, {Further: 4, Ran: 4, Vain: 3, Handled: 1, Denied: 1, WrittenOff: 1, Lost: 1, Busiest: 2}}
+	if len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -67,6 +67,7 @@
 	Journal   Journal
 	PlanBytes int // that planners sent to nodes
 	Rude      int // bad clients
+	Seconds   []audit.Second
 }
 
 // world is everything that runs for a run.
@@ -409,7 +410,9 @@
 	}
 	out.Planning, out.PlanBytes = w.stopPlanners()
 	out.Calls, out.Lines, out.TurnedOff = w.discovery.Use()
-	w.eyes.see(func(a *audit.Audit, _ time.Duration) { out.Rules = a.Verdict() })
+	w.eyes.see(func(a *audit.Audit, _ time.Duration) { out.Rules, out.Seconds = a.Verdict(), a.Seconds() })
+	from := min(int(shift/time.Second), len(out.Seconds)) // the load's own
+	out.Seconds = out.Seconds[from:]
 	return out, nil
 }
 
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -45,6 +45,7 @@
 	PlannerUse       Use                `json:"planners_use"`
 	PlanBytes        int                `json:"plan_bytes"` // that planners sent to nodes
 	Journal          *lab.Journal       `json:"journal,omitempty"`
+	Seconds          []audit.Second     `json:"seconds,omitempty"`
 	BadClients       int                `json:"bad_clients"`
 	Series           []Point            `json:"series"`
 	Faults           []Fault            `json:"faults"`
@@ -134,6 +135,7 @@
 	if s.Journal.Promise != "" {
 		r.Journal = &o.Journal
 	}
+	r.Seconds = o.Seconds
 	return r
 }
 
@@ -224,6 +226,16 @@
 	fmt.Fprintln(w)
 }
 
+// Table writes second by second where tries and hops went.
+func (r *Report) Table(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "second\ttries\tfirst hops\tfurther\tbegun\tin vain\thandled\tdenied\twritten off\tlost\tbusiest node\t")
+	for i, s := range r.Seconds {
+		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", i, s.Tries, s.First, s.Further, s.Ran, s.Vain, s.Handled, s.Denied, s.WrittenOff, s.Lost, s.Busiest)
+	}
+	t.Flush()
+}
+
 func (r *Report) brokenNames() string {
 	var names []string
 	for _, rule := range r.Rules {
