--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -322,7 +322,13 @@
 	}
 	switch r.end {
 	case Unanswered:
-		return fmt.Sprintf("no answer in %s", (r.ended - r.sent).Round(time.Millisecond))
+		why := fmt.Sprintf("no answer in %s", (r.ended - r.sent).Round(time.Millisecond))
+		for _, d := range a.down[r.node] {
+			if since := r.sent - d.to; since > 0 && since < time.Second {
+				why += fmt.Sprintf(", sent %s after node %d had come back", since.Round(time.Millisecond), r.node)
+			}
+		}
+		return why
 	case Dropped:
 		return fmt.Sprintf("connection closed with no answer after %s", (r.ended - r.sent).Round(time.Millisecond))
 	}
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -66,17 +66,28 @@
 
 // Read reads the whole parts of a stream, with what they take on disk.
 func (s *Store) Read(of replicas.Stream, each func(bindlog.Part) error) (bindlog.Report, error) {
-	return ReadDir(s.files, s.Dir(of), each)
+	return ReadDir(s.files, s.Dir(of), 0, each)
 }
 
-// ReadDir reads the whole parts in a folder of segments.
-func ReadDir(files bindlog.Files, dir string, each func(bindlog.Part) error) (all bindlog.Report, err error) {
+// errOther ends the reading of a segment of another life.
+var errOther = errors.New("a segment of another life")
+
+// ReadDir reads the whole parts in a folder of segments, of one life or, with 0, of all. A segment is one life's.
+func ReadDir(files bindlog.Files, dir string, run uint64, each func(bindlog.Part) error) (all bindlog.Report, err error) {
 	segments, err := bindlog.Segments(files, dir)
 	if err != nil {
 		return all, err
 	}
 	for _, segment := range segments {
-		r, err := bindlog.Parts(files, segment, each)
+		r, err := bindlog.Parts(files, segment, func(p bindlog.Part) error {
+			if run != 0 && p.Run != run {
+				return errOther
+			}
+			return each(p)
+		})
+		if errors.Is(err, errOther) {
+			continue
+		}
 		all.Segments, all.Records, all.Bytes, all.Faults = all.Segments+1, all.Records+r.Records, all.Bytes+r.Bytes, append(all.Faults, r.Faults...)
 		if err != nil && !errors.Is(err, os.ErrNotExist) { // one that was removed meanwhile is none
 			return all, err
--- a/internal/peers/held.go
+++ b/internal/peers/held.go
@@ -30,12 +30,7 @@
 	journal := p.journal
 	p.mu.Unlock()
 	if s.Name == p.name && journal != "" {
-		report, err = holdings.ReadDir(p.files, journal, func(part bindlog.Part) error {
-			if int64(part.Run) != s.Up {
-				return nil
-			}
-			return each(part)
-		})
+		report, err = holdings.ReadDir(p.files, journal, uint64(s.Up), each)
 		if err != nil {
 			return report, err
 		}
@@ -85,7 +80,7 @@
 	p.mu.Unlock()
 	if journal != "" {
 		own := map[int64]bool{}
-		holdings.ReadDir(p.files, journal, func(part bindlog.Part) error {
+		holdings.ReadDir(p.files, journal, 0, func(part bindlog.Part) error {
 			if int64(part.Run) >= up || ctx.Err() != nil {
 				return ctx.Err()
 			}
@@ -330,18 +325,17 @@
 	if err != nil || len(segments) == 0 {
 		return
 	}
-	errFirst := errors.New("the first is found")
+	errFirst := errors.New("the first is found") // of each segment: it is one life's
 	for _, s := range segments {
+		first := bindlog.Part{}
 		_, err := bindlog.Parts(p.files, s, func(part bindlog.Part) error {
-			if int64(part.Run) != o.Stream().Up {
-				return nil
-			}
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.origin.Forgot(part.First)
+			first = part
 			return errFirst
 		})
-		if errors.Is(err, errFirst) {
+		if errors.Is(err, errFirst) && int64(first.Run) == o.Stream().Up {
+			p.mu.Lock()
+			o.Forgot(first.First)
+			p.mu.Unlock()
 			return
 		}
 	}
