--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -306,7 +306,8 @@
 }
 
 // loseBeyond loses a node and all that hold its journal, at once. Which journals that may cost is found out before.
-func (w *world) loseBeyond(ctx context.Context, _ *scenario.Fault, chance *rand.Rand) {
+func (w *world) loseBeyond(ctx context.Context, f *scenario.Fault, chance *rand.Rand) {
+	until := time.Now().Add(f.For.D())
 	w.wg.Go(func() {
 		if err := w.whole(ctx); err != nil {
 			if !errors.Is(err, context.Canceled) {
@@ -316,6 +317,9 @@
 		}
 		c := w.ask(ctx)
 		n := chance.IntN(len(w.nodes))
+		if time.Now().After(until) { // the machine is slow, and the run would end within it
+			return
+		}
 		lost := c.HeldBy(fmt.Sprint("n", n))
 		for of := range w.nodes {
 			on := c.HeldBy(fmt.Sprint("n", of))
