--- a/internal/neighbours/table.go
+++ b/internal/neighbours/table.go
@@ -98,8 +98,8 @@
 	knocked time.Duration
 	turn    uint32 // of knocks
 	sum     uint64 // of digests of all members
-	alone   bool
-	later   int64 // the latest life of this node's own name that was heard of
+	alone   bool   // it hears none of those with which it should be in touch: most likely it is cut off itself, and blames nobody
+	later   int64  // the latest life of this node's own name that was heard of
 }
 
 // New knows of nobody but the node itself.
@@ -121,18 +121,11 @@
 	return m, ok
 }
 
-// Since is when a member's present condition came to be known here.
-func (t *Table) Since(name string) time.Duration { return t.since[name] }
-
 // All are the members in the order of their names.
 func (t *Table) All() []Member {
 	return slices.SortedFunc(maps.Values(t.members), func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 }
 
-// Alone tells that this node hears none of those with which it should be in touch, so that it is most likely itself cut
-// off: it blames nobody.
-func (t *Table) Alone() bool { return t.alone }
-
 var table64 = crc64.MakeTable(crc64.ECMA)
 
 func digest(m Member) uint64 {
--- a/internal/peers/held.go
+++ b/internal/peers/held.go
@@ -109,8 +109,7 @@
 		p.mu.Unlock()
 		return nil
 	}
-	s, upTo := o.Stream(), o.Next()
-	had := o.Ranges()
+	s, had := o.Stream(), o.Ranges()
 	p.mu.Unlock()
 	var found replicas.Ranges
 	report, err := p.read(s, func(part bindlog.Part) error {
@@ -127,7 +126,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if lost := had.Without(found); len(lost) > 0 && upTo > 0 {
+	if lost := had.Without(found); len(lost) > 0 {
 		p.send(p.now(), o.Lost(p.now(), lost))
 	}
 	return faults
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -597,14 +597,3 @@
 	}
 	return texts
 }
-
-// Members are all that is known of the tier, by name.
-func (p *Peers) Members() map[string]neighbours.Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	all := map[string]neighbours.Member{}
-	for _, m := range p.table.All() {
-		all[m.Name] = m
-	}
-	return all
-}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -477,9 +477,9 @@
 	a := run(file("a", ours, at), "a")
 	b := run(file("b", ours, address(t), fmt.Sprintf("%q", at)), "b")
 	run(file("c", theirs, address(t), fmt.Sprintf("%q", at)), "c")
-	eventually(t, "two of one authority know each other", func() bool { return len(a.Members()) == 2 && len(b.Members()) == 2 })
+	eventually(t, "two of one authority know each other", func() bool { return len(a.Status().Members) == 2 && len(b.Status().Members) == 2 })
 	time.Sleep(3 * redialFirst) // the third has tried by now; what follows holds whenever it has
-	if _, ok := a.Members()["c"]; ok {
+	if len(a.Status().Members) != 2 {
 		t.Error("one of another authority was taken in")
 	}
 }
