A silent watch is noticed within 4.1 s, also on a new connection to discovery

Change: the first call on a connection waits for 0.1 s only (4.1 s in all, the next call goes on with the watch), later ones for 2 s in place of 3 (3.5 s). What discovery was just telling as SIGHUP named another address is taken in for 0.3 s: it counts as told, and was dropped (follow, `w.Place.Left.Err() != nil`).

--- a/internal/serve/discovery.go
+++ b/internal/serve/discovery.go
@@ -26,6 +26,10 @@
 		case <-w.Place.Left.Done():
 		}
 		for {
+			if w.Place.Left.Err() != nil {
+				w.Close()
+				w.Place, w.Moved = s.discovery.Load(), true
+			}
 			if s.planners != nil {
 				if !s.planners.needed() {
 					w.Close()
@@ -41,9 +45,7 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			if w.Place.Left.Err() != nil { // what the address before said last is not waited for
-				w.Close()
-				w.Place, w.Moved = s.discovery.Load(), true
+			if err != nil && w.Place.Left.Err() != nil {
 				continue
 			}
 			if err != nil {
--- a/internal/serve/planners_test.go
+++ b/internal/serve/planners_test.go
@@ -144,11 +144,11 @@
 	}
 	second.die()
 	call := <-calls // after a while, from what planners have told
-	if want := "/discovery/hosts?index=6&wait=3000"; call != want {
+	if want := "/discovery/hosts?index=6&wait=100"; call != want {
 		t.Errorf("called %s, not %s", call, want)
 	}
 	answers <- fmt.Sprintf(`{"revision":7,"members":[{"id":%q,"host_port":"%s","phase":"SERVING","size":1}]}`, a.ID, hosts[0].Address)
-	if call := <-calls; call != "/discovery/hosts?index=7&wait=3000" {
+	if call := <-calls; call != "/discovery/hosts?index=7&wait=2000" {
 		t.Errorf("called %s", call)
 	}
 	close(answers)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -691,8 +691,8 @@
 		says  []string
 		calls []string
 	}{
-		"its count is the same":  {[]string{list(9, false)}, []string{"?index=5&wait=0", "?index=9&wait=3000"}},
-		"it counts from another": {[]string{list(1, false), list(0, true)}, []string{"?index=5&wait=0", "", "?index=0&wait=3000"}},
+		"its count is the same":  {[]string{list(9, false)}, []string{"?index=5&wait=100", "?index=9&wait=2000"}},
+		"it counts from another": {[]string{list(1, false), list(0, true)}, []string{"?index=5&wait=100", "", "?index=0&wait=2000"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -13,11 +13,14 @@
 )
 
 const (
-	// A silent connection is noticed when an answer is overdue, and what discovery had to tell counts as told
-	// 2 s after the wait: a short wait finds out sooner, and going on with a watch costs discovery no call.
-	wait        = 3 * time.Second
+	// A silent connection is noticed when an answer is overdue, and what discovery had to tell counts as told 6 s after it
+	// fell silent: a short wait finds out sooner, with time left for another connection, and going on with a watch costs
+	// discovery no call. A new call waits in discovery's queue, so the answer to it is not waited for beyond that.
+	wait        = 2 * time.Second
 	slack       = 1500 * time.Millisecond // beyond the wait, for an answer to a watch that goes on
-	queueSlack  = 4 * time.Second         // the same for a new call, which waits in discovery's queue
+	firstWait   = 100 * time.Millisecond  // of a call on a new connection
+	queueSlack  = 4 * time.Second         // beyond it
+	leaveMost   = 300 * time.Millisecond  // after another address was named, for what this one is just telling
 	dialMost    = time.Second             // for a connection to discovery
 	longestList = 1 << 20                 // bytes
 
@@ -58,18 +61,15 @@
 	}
 }
 
-// Call waits for changes; the first call at a new address does not, so as to learn at once whether ours is a
-// revision there.
+// Call waits for changes; the first call on a new connection hardly does, so as to learn soon whether it is silent, and at
+// a new address whether ours is a revision there.
 func (w *Watcher) Call(ctx context.Context) (http1.List, error) {
 	if w.conn != nil && !w.conn.Quiet() {
 		w.Close()
 	}
 	wait, slack := wait, slack
-	if w.Moved {
-		wait = 0
-	}
 	if w.conn == nil {
-		slack = queueSlack
+		wait, slack = firstWait, queueSlack
 		d := net.Dialer{Timeout: dialMost}
 		dialing, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -83,7 +83,7 @@
 	conn := w.conn
 	conn.SetDeadline(time.Now().Add(wait + slack))
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(past) })()
-	defer context.AfterFunc(w.Place.Left, func() { conn.SetDeadline(past) })()
+	defer context.AfterFunc(w.Place.Left, func() { conn.SetDeadline(time.Now().Add(leaveMost)) })()
 	list, again, err := ask(conn, w.Place.At.String(), http1.ListCall{Whole: w.Whole, After: w.Revision, Wait: wait})
 	if err != nil || !again {
 		w.Close()
