Nothing is sent for a client that left, and a stop ends no open operation

Cause, each seen to fail on the old code by its test: - http1.Conn.Gone looked once: with bytes unread behind a request its client's leaving was never seen (TestLeavingIsNoticed, TestOtherSide hang on it). What comes behind is now read ahead, 8 KiB held, 1 MiB dropped at most, then the client counts as gone. - A client that left while nobody had looked was still sent for: a look at its connection now comes right before a hop's first byte, and before an operation is taken (TestNothingSentAfterTheEnd). - settle gave up no hop for a client that left: a connect kept operation and descriptor (TestLeavingGivesUpWhatIsNotWritten). Hops not yet written are given up now, the others when there is no place for an operation. - finish ended the process at 3.5 s with operations open that may run longer, which loses them (TestStopOutlastsItsTime); what comes while it stops is answered before the node may be killed. - accept could close the listener over a queued connection when its time had run out before a look, and drain's wake could count as the quiet time (TestListeningEndsWithAnEmptyQueue). - SIGHUP before the signals were taken ended the process (TestReloadAsItStarts: "signal: hangup" without the change). TestOtherSide's case of a client that sends and stays is as strict: not gone, and its byte still waiting.

--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -12,12 +12,18 @@
 
 	"github.com/spf13/cobra"
 
+	"fernvane/internal/serve"
 	"fernvane/internal/tomlfile"
 )
 
 const exitUsage = 2 // also for a configuration of no use
 
-func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv)) }
+func main() {
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		serve.Hear() // ahead of all else, or a reload that is asked for as the node starts would end it
+	}
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr, os.Getenv))
+}
 
 // exit ends a command with a code, after what it had to say.
 type exit int
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -59,8 +59,12 @@
 	Unanswered
 	Dropped // the connection ended with no whole answer
 	Unsent  // never written whole
+	Left    // the client went before its time was up
 )
 
+// leftGrace is how long after its client has left a request may still be sent on.
+const leftGrace = 300 * time.Millisecond
+
 // Condition of a box, as a node was told.
 type Condition uint8
 
@@ -243,6 +247,7 @@
 	{"one-answer", "and no second one", (*Audit).twice},
 	{"own-answer", "made by a server for that very request", (*Audit).foreign},
 	{"nothing-after", "nothing is sent for it afterwards", (*Audit).after},
+	{"leavers", "nor for a client that left a while ago", (*Audit).deserted},
 	{"no-second-effect", "what may have run goes on only within what its type allows", (*Audit).repeated},
 	{"clean-denial", "a denial only where trying again does no harm", (*Audit).unclean},
 	{"hops", "no more hops than are allowed", (*Audit).tooMany},
@@ -364,6 +369,19 @@
 	return ""
 }
 
+// deserted looks at whatever the request waited for, and whatever its client had sent behind it.
+func (a *Audit) deserted(r *request) string {
+	if r.end != Left && r.end != Unanswered || r.ended < 0 {
+		return ""
+	}
+	for _, h := range r.hops {
+		if h.first > r.ended+leftGrace+a.f.Slack {
+			return fmt.Sprintf("sent to %s %s after its client had left", a.boxes[h.box].Name, (h.first - r.ended).Round(time.Millisecond))
+		}
+	}
+	return ""
+}
+
 // mayHaveRun: it came whole, and its box has not said that it never began.
 func (h *hop) mayHaveRun() bool { return !h.unbegun }
 
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -48,20 +48,28 @@
 			ask(a, check)
 			a.Ended(1, Dropped, 0, 5*ms, false, false)
 		}, "answered"},
-		"two answers":          {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, true) }, "one-answer"},
-		"an unasked one":       {func(a *Audit) { a.Extra(0) }, "one-answer"},
-		"another's answer":     {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, true, false) }, "own-answer"},
-		"made up":              {func(a *Audit) { ask(a, book); a.Ended(1, Answered, 200, 20*ms, false, false) }, "own-answer"},
-		"sent after":           {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 80*ms) }, "nothing-after"},
-		"sent just before":     {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 60*ms) }, ""},
-		"booked twice":         {func(a *Audit) { ask(a, book); hop(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
-		"booked after a break": {func(a *Audit) { ask(a, book); lost(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
+		"two answers":        {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, true) }, "one-answer"},
+		"an unasked one":     {func(a *Audit) { a.Extra(0) }, "one-answer"},
+		"another's answer":   {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, true, false) }, "own-answer"},
+		"made up":            {func(a *Audit) { ask(a, book); a.Ended(1, Answered, 200, 20*ms, false, false) }, "own-answer"},
+		"sent after":         {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 80*ms) }, "nothing-after"},
+		"sent just before":   {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 60*ms) }, ""},
+		"sent to nobody":     {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 380*ms) }, "leavers"},
+		"sent on as it left": {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 360*ms) }, ""},
+		"sent for one given up": {func(a *Audit) {
+			ask(a, check)
+			hop(a, 0, 0)
+			a.Ended(1, Unanswered, 0, 20*ms, false, false)
+			hop(a, 1, 380*ms)
+		}, "answered leavers"},
+		"booked twice":                             {func(a *Audit) { ask(a, book); hop(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
+		"booked after a break":                     {func(a *Audit) { ask(a, book); lost(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
 		"booked elsewhere after being turned away": {func(a *Audit) { ask(a, book); away(a, 0, 0); hop(a, 1, 20*ms) }, ""},
-		"checked twice":            {func(a *Audit) { ask(a, check); hop(a, 0, 0); hop(a, 1, 20*ms) }, ""},
-		"a mark within its window": {func(a *Audit) { ask(a, zoned); hop(a, 0, 0); hop(a, 2, 900*ms) }, ""},
-		"a mark in another zone":   {func(a *Audit) { ask(a, zoned); hop(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
-		"a mark past its window":   {func(a *Audit) { ask(a, fingerprinted); hop(a, 0, 0); hop(a, 1, 1100*ms) }, "no-second-effect"},
-		"denied, and it ran":       {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, "clean-denial"},
+		"checked twice":                            {func(a *Audit) { ask(a, check); hop(a, 0, 0); hop(a, 1, 20*ms) }, ""},
+		"a mark within its window":                 {func(a *Audit) { ask(a, zoned); hop(a, 0, 0); hop(a, 2, 900*ms) }, ""},
+		"a mark in another zone":                   {func(a *Audit) { ask(a, zoned); hop(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
+		"a mark past its window":                   {func(a *Audit) { ask(a, fingerprinted); hop(a, 0, 0); hop(a, 1, 1100*ms) }, "no-second-effect"},
+		"denied, and it ran":                       {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, "clean-denial"},
 		"denied, and runs later": {func(a *Audit) {
 			ask(a, book)
 			a.Hop(1, 0, 0, 0)
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -15,6 +15,7 @@
 const (
 	sweepEvery = 20 * time.Millisecond  // between looks at open operations
 	askAgain   = time.Second            // after discovery failed
+	heldBack   = 100 * time.Millisecond // before the client's time is up
 	tooLate    = 400 * time.Millisecond // after the client's leaving, beyond any slack
 	ahead      = 5 * time.Millisecond   // of the client's leaving, the last moment to answer
 )
@@ -33,6 +34,7 @@
 	"ignores-drains":   "drains",
 	"floods-cold":      "cold",
 	"too-many-hops":    "hops",
+	"deaf":             "leavers",
 }
 
 // Find returns the maker of a baseline, a broken one, or the project's own; ok is false for another name.
@@ -124,6 +126,10 @@
 		o.out = true // as if a hop were out, of which nothing is heard
 		return
 	}
+	if m.is("deaf") && m.chance() < 0.3 {
+		o.target = o.limit
+		return // it waits for nearly all of its time, and then goes whether or not its client is there
+	}
 	if !m.send(in.Op) {
 		m.deny(in.Op)
 	}
@@ -269,6 +275,9 @@
 		if m.is("late") && len(o.hops) == 0 {
 			limit = o.limit + tooLate
 		}
+		if m.is("deaf") && o.open && len(o.hops) == 0 && m.now >= limit-heldBack && m.send(i) {
+			continue
+		}
 		if !o.open || m.now < limit || m.is("silent") {
 			continue
 		}
--- a/internal/fleet/copy_test.go
+++ b/internal/fleet/copy_test.go
@@ -79,6 +79,9 @@
 				t.Fatalf("the copy: %+v", copyHop)
 			}
 			op.Copying(copyHop, func() { gaveUp[copied] = true })
+			if !op.Writing(d.Hop) || !op.Writing(copyHop.Hop) {
+				t.Fatal("not to be written")
+			}
 			for _, s := range c.steps {
 				switch s.what {
 				case leave:
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -536,6 +536,47 @@
 	}
 }
 
+// A client that leaves ends a hop that is not written yet, such as a connect; one that is written goes on for what it tells,
+// until others have no place.
+func TestLeavingGivesUpWhatIsNotWritten(t *testing.T) {
+	for name, written := range map[string]bool{"on its way": false, "written": true} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(t, policy.Binding, Limits{}, host("a", 1))
+			given := 0
+			var hops []int
+			var ops []*Operation
+			for op := arrive(f); op != nil; op = arrive(f) {
+				d := op.Next(func() { given++ })
+				if written && (d.Kind != Send || !op.Writing(d.Hop)) {
+					t.Fatalf("decided %d, not to be written", d.Kind)
+				}
+				ops, hops = append(ops, op), append(hops, d.Hop)
+			}
+			for _, op := range ops {
+				op.Left()
+			}
+			if want := map[bool]int{true: 0, false: len(ops)}[written]; given != want {
+				t.Errorf("%d hops of %d given up", given, len(ops))
+			}
+			if arrive(f) != nil || given < len(ops) {
+				t.Errorf("with no place for another, %d hops of %d are given up", given, len(ops))
+			}
+			for i, op := range ops {
+				if op.Writing(hops[i]) {
+					t.Error("still to be written")
+				}
+				op.Ended(hops[i], GivenUp, nil)
+				if d := op.Next(func() {}); d.Kind != Drop {
+					t.Errorf("decided %d", d.Kind)
+				}
+			}
+			if arrive(f) == nil {
+				t.Error("there is still no place")
+			}
+		})
+	}
+}
+
 // An id is free again as soon as its operation is answered, also while a hop is out.
 func TestOpenIDs(t *testing.T) {
 	f := fleet(t, policy.Binding, limits, host("a", 1))
--- a/internal/fleet/operation.go
+++ b/internal/fleet/operation.go
@@ -56,6 +56,7 @@
 	sent   time.Duration
 	copy   bool
 	giveUp func() // nil until it is led
+	begun  bool   // its first byte may have been written
 }
 
 // Type finds a traffic type by name.
@@ -103,6 +104,7 @@
 	}
 	if len(f.ops) >= f.room.share {
 		f.counts.NoRoom++
+		f.forsake()
 		return nil, ErrNoRoom
 	}
 	t, ok := f.tenants[string(a.Tenant)]
@@ -124,6 +126,17 @@
 	return o, nil
 }
 
+// forsake gives up the hops of operations whose clients have left: places are short, and those that wait come first.
+func (f *Fleet) forsake() {
+	for _, o := range f.ops {
+		for _, hop := range o.outs {
+			if o.settled && hop.giveUp != nil {
+				hop.giveUp()
+			}
+		}
+	}
+}
+
 // Next waits for the module's decision. While a hop that Next returned is out, giveUp is called if the
 // operation gets its answer otherwise.
 func (o *Operation) Next(giveUp func()) Decision {
@@ -241,6 +254,19 @@
 	}
 }
 
+// Writing tells whether a hop may be written now: not once the operation is settled. From then on it goes on past its
+// client's leaving.
+func (o *Operation) Writing(hop int) bool {
+	o.f.mu.Lock()
+	defer o.f.unlock()
+	for i := range o.outs {
+		if o.outs[i].hop == hop && !o.settled {
+			o.outs[i].begun = true
+		}
+	}
+	return !o.settled
+}
+
 // Settled tells that nothing more may be sent for the operation.
 func (o *Operation) Settled() bool {
 	o.f.mu.Lock()
@@ -249,7 +275,7 @@
 }
 
 // settle sets the one final answer; whatever crosses it finds the operation settled. Hops that are out are given up,
-// but for a client that left: what they tell about their servers is still of use.
+// but for a client that left and hops that are written: what they tell about their servers is still of use.
 func (o *Operation) settle(d Decision) {
 	o.settled = true
 	delete(o.f.open, o.name)
@@ -260,7 +286,7 @@
 	}
 	o.decide(d)
 	for _, hop := range o.outs {
-		if d.Kind != Drop && hop.giveUp != nil {
+		if hop.giveUp != nil && (d.Kind != Drop || !hop.begun) {
 			hop.giveUp()
 		}
 	}
--- /dev/null
+++ b/internal/http1/ahead.go
@@ -0,0 +1,78 @@
+package http1
+
+import (
+	"errors"
+	"sync/atomic"
+	"syscall"
+
+	"fernvane/internal/sock"
+)
+
+const (
+	aheadMost = KeptBuffer // bytes read ahead that are held: some small requests
+	spiltMost = 1 << 20    // bytes beyond them, which are dropped; who sends more reads no answer
+)
+
+// ahead is what came behind a request while it was open. It is read so that the other side's leaving is seen behind it.
+type ahead struct {
+	held  []byte
+	count atomic.Int32 // of held, for those who may ask from anywhere
+	spilt int          // bytes that were dropped: what follows cannot be read as messages
+}
+
+// Gone waits until the other side has closed or broken the connection, and tells so, whatever it has sent before. It is
+// false when the read deadline passed or the connection is of a kind that cannot be looked at.
+func (c *Conn) Gone() bool { return c.gone(true) }
+
+// Left is Gone without the wait. It must not be asked beside Gone.
+func (c *Conn) Left() bool { return c.gone(false) }
+
+// Parting is a first look at what Left tells, which may be asked beside Gone: with unread bytes before it a leaving is
+// not seen.
+func (c *Conn) Parting() bool {
+	n, err := sock.Peek(c.Conn, false)
+	return err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.ENOTSUP
+}
+
+func (c *Conn) gone(wait bool) bool {
+	for {
+		n, err := sock.Peek(c.Conn, wait)
+		switch {
+		case err == syscall.EAGAIN, err == syscall.ENOTSUP, errors.Is(err, ErrTimeout):
+			return false
+		case err != nil, n == 0, c.ahead.spilt > spiltMost:
+			return true
+		}
+		c.readAhead()
+	}
+}
+
+// readAhead takes in what was seen to have come. Its errors come again with the next look.
+func (c *Conn) readAhead() {
+	a := &c.ahead
+	if room := aheadMost - len(a.held); room > 0 && a.spilt == 0 {
+		if len(a.held) == cap(a.held) {
+			a.held = append(make([]byte, 0, min(max(2*cap(a.held), firstBuffer), aheadMost)), a.held...)
+		}
+		n, _ := c.Read(a.held[len(a.held):cap(a.held)])
+		a.held = a.held[:len(a.held)+n]
+		a.count.Store(int32(len(a.held)))
+		return
+	}
+	var dropped [4 << 10]byte
+	n, _ := c.Read(dropped[:])
+	a.spilt += n
+}
+
+// Spilt tells that more came while a request was open than is held: nothing further can be read.
+func (c *Conn) Spilt() bool { return c.ahead.spilt > 0 }
+
+// take moves what was read ahead to where messages are read.
+func (a *ahead) take(b []byte) int {
+	n := copy(b, a.held)
+	if a.held = a.held[n:]; len(a.held) == 0 {
+		a.held = nil
+	}
+	a.count.Store(int32(len(a.held)))
+	return n
+}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -35,6 +35,7 @@
 	at, end int // read from the socket and not yet used: buf[at:end]
 	pool    *Pool
 	lent    int
+	ahead   ahead
 }
 
 // NewConn wraps a connection that nothing was read from.
@@ -91,7 +92,13 @@
 		copy(grown, c.buf[:c.end])
 		c.buf = grown
 	}
-	n, err := c.Read(c.buf[c.end:])
+	var n int
+	var err error
+	if len(c.ahead.held) > 0 {
+		n = c.ahead.take(c.buf[c.end:])
+	} else {
+		n, err = c.Read(c.buf[c.end:])
+	}
 	c.end += n
 	if n > 0 {
 		return nil // an error comes again with the next read
@@ -154,19 +161,12 @@
 
 // Waiting tells that something has come that was not read yet. It may be asked from anywhere.
 func (c *Conn) Waiting() bool {
+	if c.ahead.count.Load() > 0 {
+		return true
+	}
 	n, err := sock.Peek(c.Conn, false)
 	return err == nil && n > 0
 }
 
 // More tells that something lies behind the message just read.
 func (c *Conn) More() bool { return c.at < c.end || c.Waiting() }
-
-// Gone waits until the other side has closed or broken the connection, and tells so. It is false when
-// more data came first, the read deadline passed, or the connection is of a kind that cannot be looked at.
-func (c *Conn) Gone() bool {
-	n, err := sock.Peek(c.Conn, true)
-	if errors.Is(err, ErrTimeout) || err == syscall.ENOTSUP {
-		return false
-	}
-	return err != nil || n == 0
-}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -263,10 +263,13 @@
 		do                   func(*net.TCPConn)
 		quiet, gone, waiting bool
 	}{
-		"sends":   {func(c *net.TCPConn) { c.Write([]byte("x")) }, false, false, true},
-		"closes":  {func(c *net.TCPConn) { c.Close() }, false, true, false},
-		"resets":  {func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, false, true, false},
-		"is idle": {func(*net.TCPConn) {}, true, false, false},
+		"sends":                 {func(c *net.TCPConn) { c.Write([]byte("x")) }, false, false, true},
+		"sends and closes":      {func(c *net.TCPConn) { c.Write([]byte("x")); c.Close() }, false, true, true},
+		"sends much and closes": {func(c *net.TCPConn) { c.Write(make([]byte, 100<<10)); c.Close() }, false, true, true},
+		"sends without an end":  {func(c *net.TCPConn) { go io.Copy(c, zeros{}) }, false, true, true},
+		"closes":                {func(c *net.TCPConn) { c.Close() }, false, true, false},
+		"resets":                {func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, false, true, false},
+		"is idle":               {func(*net.TCPConn) {}, true, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -286,8 +289,8 @@
 			defer far.Close()
 			conn := NewConn(near)
 			c.do(far.(*net.TCPConn))
-			if c.quiet {
-				near.SetReadDeadline(time.Unix(1, 0)) // nothing will come: do not wait for it
+			if !c.gone {
+				near.SetReadDeadline(time.Unix(1, 0)) // nothing more will come: do not wait for it
 			}
 			if gone := conn.Gone(); gone != c.gone {
 				t.Errorf("gone %v", gone)
@@ -300,6 +303,10 @@
 	}
 }
 
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
 // What cannot be looked at counts as open, or each of its operations would be dropped.
 func TestOtherKindOfConnection(t *testing.T) {
 	if NewConn(&script{end: io.EOF}).Gone() {
--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -60,7 +60,7 @@
 }
 
 var tryEnds = [...]audit.End{load.Answered: audit.Answered, load.Late: audit.Late, load.Unanswered: audit.Unanswered,
-	load.Dropped: audit.Dropped, load.Unsent: audit.Unsent}
+	load.Dropped: audit.Dropped, load.Unsent: audit.Unsent, load.Left: audit.Left}
 
 func (e *eyes) Ended(t *load.Try) {
 	e.see(func(a *audit.Audit, _ time.Duration) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -39,6 +39,7 @@
 		cfg.Disk = Disk(os.Getenv)
 		cfg.Module, _ = baseline.Find(os.Getenv(policyVar))
 		_, cfg.Unguarded = baseline.Broken[os.Getenv(policyVar)]
+		cfg.Deaf = baseline.Broken[os.Getenv(policyVar)] == "leavers"
 		os.Exit(serve.Process(cfg, os.Stderr, zerolog.InfoLevel))
 	}
 	goleak.VerifyTestMain(m)
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -57,6 +57,7 @@
 	Unanswered            // the client's time was up
 	Dropped               // the connection ended with no whole answer
 	Unsent                // no connection, or it broke before the last byte was written
+	Left                  // the client went before its time was up
 )
 
 // Try is one sending of an operation. Times count since the start.
@@ -171,6 +172,8 @@
 	key                  int
 	body                 []byte
 	wait                 time.Duration // how long the client waits for its answer
+	leaves               time.Duration // when it goes in truth; 0: it does not
+	behind               []byte        // what it has sent by then behind the request
 }
 
 // message is the request of a try.
@@ -221,12 +224,16 @@
 			return
 		}
 		k.conn.SetDeadline(until.Add(slack))
+		if r.leaves > 0 {
+			k.conn.SetDeadline(until.Add(r.leaves - r.wait))
+		}
 		g.watch.Sending(t)
 		k.heard.any = false
 		whole, err := k.conn.Ask(r.message(t.ID), left, "127.0.0.1")
 		if whole {
 			t.Sent = time.Since(g.start)
 			g.watch.Sent(t)
+			k.heard.Write(r.behind)
 			if err = g.answer(k, t, pool); err == nil {
 				return
 			}
@@ -240,6 +247,8 @@
 		switch {
 		case !whole:
 			t.End = Unsent
+		case errors.Is(err, http1.ErrTimeout) && r.leaves > 0:
+			t.End = Left
 		case errors.Is(err, http1.ErrTimeout):
 			t.End = Unanswered
 		default:
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -158,6 +158,11 @@
 	if r.method != "GET" {
 		r.body = body
 	}
+	if o.Leaves {
+		if r.leaves = time.Duration(s.Clients.LeavesAt * float64(kind.Abandon)); i%2 == 0 && !g.FastCGI {
+			r.behind = []byte("GET ")
+		}
+	}
 	if o.Tenant >= 0 {
 		r.tenant = s.Tenants[o.Tenant].Name
 	}
@@ -169,7 +174,7 @@
 		g.tried(&t)
 		denied := t.End == Answered && (t.Status == 429 || t.Status == 503) || t.End == Unsent
 		handled := t.End == Answered && t.Status == 200
-		if handled || n >= s.Clients.Retries || !denied && kind.Repeat == "binding" || ctx.Err() != nil {
+		if handled || o.Leaves || n >= s.Clients.Retries || !denied && kind.Repeat == "binding" || ctx.Err() != nil {
 			break
 		}
 		wait := s.Clients.Backoff.D()
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -27,6 +27,7 @@
 	WrittenOff      // the last try was, or its connection ended
 	NoAnswer        // the last try got none in time
 	Unreached       // the last try found no node to send to
+	LeftEarly       // its client went before its time was up: nothing was to be gained
 	fates
 )
 
@@ -103,6 +104,10 @@
 func (r *Result) ended(o *Operation, t *Try) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if t.End == Left {
+		r.Fates[LeftEarly]++
+		return
+	}
 	worth, latency := r.Worth(o), t.Ended-o.At
 	bin := int((o.At - r.shift) / BinWidth)
 	for len(r.Series) <= bin {
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -21,6 +21,7 @@
 	Key    int           // 0: none
 	Work   time.Duration // on a core of speed 1
 	Beyond bool          // its tenant's allowance was used up
+	Leaves bool          // its client goes before its time is up
 }
 
 // The streams of chance; each draws from a generator of its own, so that a change of one leaves the others alone.
@@ -31,6 +32,7 @@
 	places
 	keys
 	works
+	leavers
 )
 
 const grid = time.Millisecond // on which the rate is summed up
@@ -58,6 +60,7 @@
 	for i := range left {
 		left[i] = s.Tenants[i].Allowance
 	}
+	leaver := stream(s, leavers)
 	last := time.Duration(0)
 	for i := range ops {
 		o := &ops[i]
@@ -72,6 +75,7 @@
 			}
 		}
 		o.Work = draw(&s.Types[o.Type], work)
+		o.Leaves = leaver.Float64() < s.Clients.Leaves
 		for t := range left {
 			allowed := s.Tenants[t].Allowance
 			left[t] = min(left[t]+allowed*(o.At-last).Seconds(), allowed)
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -34,6 +34,7 @@
 	WrittenOff       int                `json:"written_off"`
 	Unanswered       int                `json:"unanswered"`
 	Unreached        int                `json:"unreached"` // no node to send to
+	LeftEarly        int                `json:"left_early,omitempty"`
 	Tries            int                `json:"tries"`
 	Rules            []audit.Rule       `json:"rules"`
 	Latency          map[string]Latency `json:"latency_ms"`
@@ -109,7 +110,7 @@
 func New(s *scenario.Scenario, policy string, ops []load.Operation, o *lab.Outcome) Report {
 	r := Report{Scenario: s.Name, Seed: s.Seed, Policy: policy, Nodes: s.Nodes.Count, Boxes: len(s.BoxNames()), Offered: len(ops),
 		Service: round(o.Service()), AnsweredInTarget: o.Fates[load.InTarget], Handled: o.Fates[load.Handled], Denied: o.Fates[load.Denied],
-		WrittenOff: o.Fates[load.WrittenOff], Unanswered: o.Fates[load.NoAnswer], Unreached: o.Fates[load.Unreached], Tries: o.Tries, Rules: o.Rules,
+		WrittenOff: o.Fates[load.WrittenOff], Unanswered: o.Fates[load.NoAnswer], Unreached: o.Fates[load.Unreached], LeftEarly: o.Fates[load.LeftEarly], Tries: o.Tries, Rules: o.Rules,
 		Latency: map[string]Latency{}, ByTenant: map[string]Part{}, BySite: map[string]Part{},
 		Generator:  Generator{millis(o.Late.Most), round(o.Late.Share), o.Late.Behind, round(o.Late.Bin)},
 		Discovery:  Discovery{o.Calls, math.Round(o.Lines), o.TurnedOff},
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -202,6 +202,8 @@
 	within("load.over", s.Load.Over, 0, 1)
 	oneOf("load.shape", s.Load.Shape, "constant", "poisson", "bursts", "ramp", "wave")
 	within("clients.gives_up", s.Clients.GivesUp, 0.01, 1)
+	within("clients.leaves", s.Clients.Leaves, 0, 1)
+	within("clients.leaves_at", s.Clients.LeavesAt, 0.001, 1)
 	within("clients.retries", float64(s.Clients.Retries), 0, 10)
 	within("rules.most_hops", float64(s.Rules.MostHops), 1, 16)
 	if len(s.Sites) == 0 || len(s.Sites) > 16 {
@@ -391,6 +393,7 @@
 	or(&s.Load.Zipf, 1)
 	or(&s.Load.Over, 0.2)
 	or(&s.Clients.GivesUp, 0.5)
+	or(&s.Clients.LeavesAt, 0.05)
 	or(&s.Clients.Backoff, Span(50*time.Millisecond))
 	or(&s.Discovery.Notice, Span(time.Second))
 	or(&s.Discovery.SilentNotice, Span(6*time.Second))
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -153,6 +153,10 @@
 	GivesUp  float64 `toml:"gives_up"` // after this share of the abandon time
 	FastCGI  bool    `toml:"fastcgi"`  // they speak FastCGI; else HTTP
 	Exponent bool    `toml:"doubling"` // each wait is twice the one before
+	// Leaves is the share of operations whose clients leave before their time is up, after LeavesAt of the abandon time;
+	// half of them have sent on behind their request. They come once.
+	Leaves   float64 `toml:"leaves"`
+	LeavesAt float64 `toml:"leaves_at"`
 }
 
 // Net is the network between the sites.
--- a/internal/serve/cgi.go
+++ b/internal/serve/cgi.go
@@ -244,6 +244,15 @@
 	return from
 }
 
+func (f cgiFront) Parting() bool {
+	select {
+	case <-f.c.Left():
+		return true
+	default:
+		return false
+	}
+}
+
 func (f cgiFront) Watch(op *fleet.Operation) (end func()) {
 	done, over := make(chan struct{}), make(chan struct{})
 	go func() {
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -73,6 +73,8 @@
 		req.Close = req.Close || s.fleet.Crowded() && !c.More()
 		if req.IsReadiness() {
 			err = s.answer(f, message.Answer{Status: 200, Close: req.Close})
+		} else if c.Left() && !s.cfg.Deaf { // behind its request, which waited here or before it was accepted
+			return
 		} else {
 			err = s.operation(f, &req, came)
 		}
@@ -80,7 +82,7 @@
 			s.reject(f, err)
 			return
 		}
-		if req.Close || s.draining.Load() {
+		if req.Close || s.draining.Load() || c.Spilt() {
 			if c.More() { // the client has sent on before it could read that this is the last answer
 				discard(nc)
 			}
@@ -137,6 +139,8 @@
 	}
 }
 
+func (f httpFront) Parting() bool { return f.c.Parting() }
+
 func (f httpFront) Watch(op *fleet.Operation) (end func()) {
 	c := f.c
 	done := make(chan struct{})
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -45,6 +45,7 @@
 	Routes    *route.Set         // what it says; nil for none
 	Module    node.Maker         // nil: the project's own
 	Unguarded bool               // what the module decides is sent as it is: for modules that are broken on purpose
+	Deaf      bool               // clients' leaving is not looked at: likewise
 	Planners  *plancfg.Forwarder // nil: the node decides by itself
 	Bindings  *bindlog.Config    // nil: no journal of bindings is kept
 	Registry  *registry.Config   // nil: discovery tells of servers
@@ -62,6 +63,7 @@
 type unhurried struct {
 	coming func()        // returns when new connections are not waited for any more
 	more   time.Duration // than the usual time until all must be over
+	quiet  time.Duration // more than the usual time without a connection until listening ends
 }
 
 // Load reads a configuration; variables of the environment go before the file. The operator's file and the
--- a/internal/serve/ends_test.go
+++ b/internal/serve/ends_test.go
@@ -129,7 +129,7 @@
 func TestStopSharedConnection(t *testing.T) {
 	t.Parallel()
 	coming := make(chan struct{})
-	http, cgi, stop, begun, release := heldNode(t, unhurried{func() { <-coming }, time.Minute})
+	http, cgi, stop, begun, release := heldNode(t, unhurried{coming: func() { <-coming }, more: time.Minute})
 	nc, idle := dialCGI(t, cgi), dialCGI(t, cgi)
 	const n, mark = 99, 1000 // a hundred with the one that asks how it stands
 	var wire []byte
--- a/internal/serve/hop.go
+++ b/internal/serve/hop.go
@@ -24,6 +24,7 @@
 	op      *fleet.Operation
 	req     *http1.Request
 	from    string                      // the client's address
+	parting func() bool                 // a look at whether the client has left; nil: there is none
 	kept    *kept                       // in the journal; nil: it is not kept
 	compose func(message.Answer) []byte // the client's answer, in room of its own
 }
@@ -52,17 +53,19 @@
 	if conn == nil {
 		return end, nil
 	}
-	if x.op.Settled() || s.parted(d.Server) { // the client has left while the connection came up, or the server: nothing is sent any more
+	if x.kept != nil && (x.op.Settled() || s.parted(d.Server)) { // what will not be sent is not kept
 		s.fleet.Keep(d.Server, d.FastCGI, conn)
 		return fleet.NoTime, nil
 	}
 	hop, err := x.kept.intend(ctx, d.Server, until)
-	if err != nil || x.kept != nil && (x.op.Settled() || s.parted(d.Server)) {
-		if err == nil { // the client or the server has left meanwhile
-			x.kept.ended(hop, fleet.NoTime)
+	if err != nil || !s.writing(d, x) {
+		end = fleet.Unkept
+		if err == nil {
+			end = fleet.NoTime
+			x.kept.ended(hop, end)
 		}
 		s.fleet.Keep(d.Server, d.FastCGI, conn)
-		return fleet.Unkept, nil
+		return end, nil
 	}
 	conn.SetDeadline(until)
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
@@ -98,6 +101,16 @@
 	return end, answer
 }
 
+// writing is the last look before a hop's first byte: whatever it waited for, nothing is sent for a client that has left
+// meanwhile, nor to a server that has. It looks at the client's connection itself, for who waits for its leaving may not
+// have run yet.
+func (s *Server) writing(d fleet.Decision, x *exchanged) bool {
+	if !s.cfg.Deaf && x.parting != nil && x.parting() {
+		x.op.Left()
+	}
+	return !s.parted(d.Server) && x.op.Writing(d.Hop)
+}
+
 // parted tells that a server left too long ago for anything to be written to it.
 func (s *Server) parted(server string) bool { return !s.cfg.Unguarded && s.fleet.Parted(server) }
 
@@ -117,7 +130,7 @@
 				op.Ended(d.Hop, end, answer)
 			}()
 			op.Copying(d, giveUp)
-			end, answer = s.hop(ctx, d, &exchanged{op: op, req: req, from: f.From(), kept: k, compose: func(a message.Answer) []byte { return f.Append(nil, a) }})
+			end, answer = s.hop(ctx, d, &exchanged{op: op, req: req, from: f.From(), parting: f.Parting, kept: k, compose: func(a message.Answer) []byte { return f.Append(nil, a) }})
 			return nil
 		})
 	}
--- a/internal/serve/listener.go
+++ b/internal/serve/listener.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"time"
+
+	"fernvane/internal/sock"
 )
 
 const acceptPause = 5 * time.Millisecond // after a failed accept, so that shortage does not spin
@@ -12,17 +14,27 @@
 // accept takes connections until the node stops and none comes any more. One that the system has taken
 // may hold a request already, so listening does not end while there are such.
 func (s *Server) accept(ln *net.TCPListener, lead func(*net.TCPConn)) error {
+	quietFor := quietFor + s.cfg.stop.quiet
+	var quiet time.Time // since when none has come, once the node stops
 	for {
 		s.fleet.Admit()
 		last := s.closing.Load()
 		if last {
-			if time.Now().After(s.gone) { // they never cease
+			if time.Now().After(s.enough) { // they never cease
 				return ln.Close()
 			}
-			ln.SetDeadline(time.Now().Add(quietFor))
+			if quiet.IsZero() {
+				quiet = time.Now()
+			}
+			ln.SetDeadline(quiet.Add(quietFor))
 		}
 		nc, err := ln.AcceptTCP()
+		over := last && errors.Is(err, os.ErrDeadlineExceeded) && time.Since(quiet) >= quietFor
+		if over { // the time may have run out with one in the queue that nobody has looked at
+			nc, err = sock.Accept(ln)
+		}
 		if err == nil {
+			quiet = time.Now()
 			s.clients.Go(func() error {
 				lead(nc)
 				return nil
@@ -30,10 +42,10 @@
 			continue
 		}
 		s.fleet.Vacate()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if last {
-				return ln.Close()
-			}
+		if over {
+			return ln.Close()
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // woken: the node stops
 			continue
 		}
 		if errors.Is(err, net.ErrClosed) {
--- /dev/null
+++ b/internal/serve/moments_test.go
@@ -0,0 +1,143 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/node"
+	"fernvane/internal/watch"
+)
+
+// holding is a server that takes requests and answers none until it is released.
+func holding(t *testing.T) (h http1.Host, begun chan struct{}, release func()) {
+	begun = make(chan struct{}, 16)
+	until := make(chan struct{})
+	at := standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
+			begun <- struct{}{}
+			<-until
+			io.WriteString(nc, whole)
+		}
+	})
+	return http1.Host{ID: "s", Address: at, Size: 1}, begun, func() { close(until) }
+}
+
+// A client that sends on behind its request and stays gets its answers, as long as what it sends can be held.
+func TestSentOnBehind(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		padding int
+		next    bool // the request behind is answered
+	}{"a request": {0, true}, "as much as is held": {7 << 10, true}, "more than is held": {60 << 10, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, begun, release := holding(t)
+			cfg := config(h)
+			cfg.Settings.Types[0].TargetTime, cfg.Settings.Types[0].AbandonTime = time.Minute, time.Minute
+			at, _ := startNode(t, cfg)
+			client := dial(t, at)
+			fmt.Fprintf(client, "GET /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n", ids.Add(1))
+			<-begun
+			fmt.Fprintf(client, "GET /check/2 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\nX: %s\r\n\r\n", ids.Add(1), strings.Repeat("x", c.padding))
+			release()
+			if r := reply(t, client); r.Status != 200 {
+				t.Errorf("the first is answered %d", r.Status)
+			}
+			var r http1.Response
+			client.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if err := client.ReadResponse(&r, http1.MaxAnswer); (err == nil && r.Status == 200) != c.next {
+				t.Errorf("the next is answered %d, %v", r.Status, err)
+			}
+		})
+	}
+}
+
+// One comes into the listener's queue as the time for it runs out, and nobody has looked: listening must not end over it.
+func TestListeningEndsWithAnEmptyQueue(t *testing.T) {
+	t.Parallel()
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
+	defer s.fleet.Stop()
+	s.cfg.stop.quiet = -quietFor // each look is too late
+	s.enough = time.Now().Add(time.Minute)
+	s.closing.Store(true)
+	dial(t, ln.Addr().String())
+	led := make(chan struct{}, 1)
+	if err := s.accept(ln, func(nc *net.TCPConn) { nc.Close(); led <- struct{}{} }); err != nil {
+		t.Fatal(err)
+	}
+	s.clients.Wait()
+	if len(led) == 0 {
+		t.Error("the connection was dropped with its listener")
+	}
+}
+
+// A stop whose time is over: what was taken before is answered all the same, and what still comes is answered at once.
+func TestStopOutlastsItsTime(t *testing.T) {
+	t.Parallel()
+	h, begun, release := holding(t)
+	cfg := config(h)
+	for i := range cfg.Settings.Types {
+		cfg.Settings.Types[i].TargetTime, cfg.Settings.Types[i].AbandonTime = time.Minute, time.Minute
+	}
+	coming := make(chan struct{})
+	cfg.stop = unhurried{coming: func() { <-coming }, more: -time.Hour}
+	at, stop := startNode(t, cfg)
+	before, kept := dial(t, at), dial(t, at)
+	ask1(t, kept, "/up")
+	fmt.Fprintf(before, "GET /book/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n", ids.Add(1))
+	<-begun
+	done := make(chan error, 1)
+	go func() { done <- stop() }()
+	for !ask1(t, dial(t, at), "/up").Close {
+	}
+	if r := ask1(t, kept, "/book/1"); r.Status == 200 {
+		t.Errorf("what came too late is answered %d", r.Status)
+	}
+	close(coming)
+	select {
+	case <-done:
+		t.Error("the node has ended over what it had taken")
+	case <-time.After(100 * time.Millisecond): // only a fault ends it before the release
+	}
+	release()
+	if r := reply(t, before); r.Status != 200 {
+		t.Errorf("what was taken is answered %d", r.Status)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// What discovery was just telling as another address was named counts as told.
+func TestToldAsItMoves(t *testing.T) {
+	t.Parallel()
+	var place *watch.Place
+	named := make(chan struct{})
+	at := standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		<-named
+		http1.NewConn(nc).ReadRequest(&http1.Request{})
+		place.Leave()
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{\"revision\":9,\"members\":[]}")
+	})
+	place = watch.NewPlace(at)
+	close(named)
+	w := watch.Watcher{Place: place}
+	defer w.Close()
+	if l, err := w.Call(context.Background()); err != nil || l.Revision != 9 {
+		t.Errorf("told %d, %v", l.Revision, err)
+	}
+}
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -26,6 +26,8 @@
 	Send(answer []byte) error
 	// From is the client's address.
 	From() string
+	// Parting is a look at whether the client has left, which may be asked beside Watch.
+	Parting() bool
 	// Watch looks for the client's leaving while the operation is open; the function it returns ends that.
 	Watch(op *fleet.Operation) (end func())
 }
@@ -60,10 +62,12 @@
 		return bad
 	}
 	defer op.Close()
-	defer f.Watch(op)()
+	if !s.cfg.Deaf {
+		defer f.Watch(op)()
+	}
 	ctx, giveUp := context.WithCancel(context.Background())
 	defer giveUp()
-	x := &exchanged{op: op, req: req, from: f.From(), kept: k, compose: func(a message.Answer) []byte { return f.Append(f.Scratch(), a) }}
+	x := &exchanged{op: op, req: req, from: f.From(), parting: f.Parting, kept: k, compose: func(a message.Answer) []byte { return f.Append(f.Scratch(), a) }}
 	var last fleet.End
 	for {
 		switch d := op.Next(giveUp); d.Kind {
@@ -128,6 +132,9 @@
 		if a.Budget -= time.Since(came); a.Budget <= 0 {
 			return nil, nil, &message.Malformed{Status: 408, Why: "the request took all of its time to come"}
 		}
+		if s.draining.Load() { // its answer comes before the node must be gone
+			a.Budget = max(min(a.Budget, time.Until(s.gone)), time.Millisecond)
+		}
 		op, err := s.fleet.Arrive(a)
 		if err != fleet.ErrMoved {
 			return op, k, err
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -4,16 +4,15 @@
 	"io"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/rs/zerolog"
 )
 
-// Process runs a node as the life of this process, which signals lead: SIGTERM or SIGINT ends it, SIGHUP has it read
-// its configuration again. It returns the exit code.
-func Process(cfg Config, errs io.Writer, level zerolog.Level) int {
-	log, flush := NewLog(errs, level)
-	defer flush()
+// Hear takes the process's signals from now on. It comes before the configuration is read: a reload that is asked for
+// meanwhile would end a process that does not hear it, and may be of a file that was just read.
+var Hear = sync.OnceValue(func() Signals {
 	signal.Ignore(syscall.SIGPIPE)    // or the node would end with the reader of its log
 	reload := make(chan os.Signal, 1) // one that waits is enough: the file is read after it
 	signal.Notify(reload, syscall.SIGHUP)
@@ -24,7 +23,15 @@
 		<-signals
 		close(stop)
 	}()
-	if err := Run(Signals{Reload: reload, Stop: stop}, cfg, log); err != nil {
+	return Signals{Reload: reload, Stop: stop}
+})
+
+// Process runs a node as the life of this process, which signals lead: SIGTERM or SIGINT ends it, SIGHUP has it read
+// its configuration again. It returns the exit code.
+func Process(cfg Config, errs io.Writer, level zerolog.Level) int {
+	log, flush := NewLog(errs, level)
+	defer flush()
+	if err := Run(Hear(), cfg, log); err != nil {
 		log.Error().Err(err).Msg("cannot serve")
 		return 1
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -28,6 +28,7 @@
 	memoryShare  = 0.75                   // of the memory limit that the collector keeps to; the rest is its slack
 	comingFor    = 600 * time.Millisecond // new connections come for up to 0.4 s after SIGTERM
 	quietFor     = 150 * time.Millisecond // without a new connection, after that, before listening ends
+	endlessFor   = 500 * time.Millisecond // after that, if they never cease: what is taken still wants its answer
 	reportEvery  = 10 * time.Second       // between lines with counts; a glance at the log shows the last minutes
 	killAfter    = 700 * time.Millisecond // SIGKILL comes the longest abandon time and this after SIGTERM
 	killSlack    = 200 * time.Millisecond // to be gone before that
@@ -48,7 +49,9 @@
 	draining  atomic.Bool    // answers end their connections
 	closing   atomic.Bool    // listening ends as soon as no connection comes
 	late      atomic.Bool    // connections that requests share take none any more
-	gone      time.Time      // when a stop must be over; set before closing
+	enough    time.Time      // when listening ends at the latest; set before draining, as the next two
+	gone      time.Time      // when what is taken from then on must have its answer, for the node may be killed
+	over      time.Time      // when all that was taken before has its answer
 	clients   errgroup.Group // one for each connection
 }
 
@@ -218,7 +221,13 @@
 // connections; what is idle after that is closed.
 func (s *Server) drain(listeners ...*net.TCPListener) {
 	s.log.Info().Msg("stopping")
-	s.gone = time.Now().Add(min(s.longest(), longestAwait) + killAfter - killSlack + s.cfg.stop.more)
+	now := time.Now()
+	s.enough = now.Add(comingFor + endlessFor + s.cfg.stop.more)
+	s.gone = now.Add(min(s.longest(), longestAwait) + killAfter - killSlack + s.cfg.stop.more)
+	s.over = now.Add(s.longest() + answerMost)
+	if s.over.Before(s.gone) {
+		s.over = s.gone
+	}
 	s.draining.Store(true)
 	if s.cfg.stop.coming != nil {
 		s.cfg.stop.coming()
@@ -233,7 +242,8 @@
 	}
 }
 
-// finish closes what is idle and waits for what was taken, as long as there is time.
+// finish closes what is idle and waits for what was taken. It does not end the process over what is open, however long
+// that may take: an answer that is not there when the node is killed was not lost by it.
 func (s *Server) finish() {
 	s.late.Store(true)
 	done := make(chan struct{})
@@ -243,7 +253,7 @@
 	}()
 	again := time.NewTicker(10 * time.Millisecond)
 	defer again.Stop()
-	for time.Now().Before(s.gone) {
+	for time.Now().Before(s.over) {
 		s.fleet.CloseIdle()
 		select {
 		case <-done:
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -415,20 +415,29 @@
 
 func TestLeavingIsNoticed(t *testing.T) {
 	t.Parallel()
-	gone := make(chan net.Conn, 1)
-	at := standIn(t, func(c net.Conn) { gone <- c })
-	near := dial(t, at.String())
-	s := &Server{fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
-	defer s.fleet.Stop()
-	s.fleet.Listed(http1.List{Hosts: []http1.Host{{ID: "s", Address: at, Size: 1}}}, roster.Saved)
-	op := booked(s.fleet)
-	if d := op.Next(func() {}); d.Kind != fleet.Send {
-		t.Fatalf("decided %d", d.Kind)
-	}
-	defer httpFront{s, near}.Watch(op)()
-	(<-gone).Close() // while the hop is out
-	if d := op.Next(func() {}); d.Kind != fleet.Drop {
-		t.Errorf("decided %d", d.Kind)
+	for name, behind := range map[string]int{"nothing behind": 0, "a request behind": 80, "more than is held": 200 << 10} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gone := make(chan net.Conn, 1)
+			at := standIn(t, func(c net.Conn) { gone <- c })
+			near := dial(t, at.String())
+			s := &Server{fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
+			defer s.fleet.Stop()
+			s.fleet.Listed(http1.List{Hosts: []http1.Host{{ID: "s", Address: at, Size: 1}}}, roster.Saved)
+			op := booked(s.fleet)
+			if d := op.Next(func() {}); d.Kind != fleet.Send {
+				t.Fatalf("decided %d", d.Kind)
+			}
+			defer httpFront{s, near}.Watch(op)()
+			far := <-gone
+			go func() { // while the hop is out
+				far.Write(make([]byte, behind))
+				far.Close()
+			}()
+			if d := op.Next(func() {}); d.Kind != fleet.Drop {
+				t.Errorf("decided %d", d.Kind)
+			}
+		})
 	}
 }
 
@@ -441,18 +450,18 @@
 	s.fleet.Listed(http1.List{Hosts: hosts}, roster.Saved)
 	req := &http1.Request{Method: []byte("GET"), Target: []byte("/book/1")}
 	for name, c := range map[string]struct {
-		leave bool
-		want  fleet.End
-	}{"left": {true, fleet.NoTime}, "still there": {false, fleet.Answered}} {
+		leave, seen bool // seen: only by a look at its connection, for nobody who waits for it has run
+		want        fleet.End
+	}{"left": {true, false, fleet.NoTime}, "left unnoticed": {true, true, fleet.NoTime}, "still there": {false, false, fleet.Answered}} {
 		t.Run(name, func(t *testing.T) {
 			before := taken.Load()
 			op := booked(s.fleet)
 			defer op.Close()
 			d := op.Next(func() {})
-			if c.leave {
+			if c.leave && !c.seen {
 				op.Left()
 			}
-			end, _ := s.hop(context.Background(), d, &exchanged{op: op, req: req, compose: func(a http1.Answer) []byte { return http1.AppendAnswer(nil, a) }})
+			end, _ := s.hop(context.Background(), d, &exchanged{op: op, req: req, parting: func() bool { return c.seen }, compose: func(a http1.Answer) []byte { return http1.AppendAnswer(nil, a) }})
 			if sent := taken.Load() > before; end != c.want || sent == c.leave {
 				t.Errorf("ended %s, sent %v", end, sent)
 			}
@@ -530,7 +539,7 @@
 	cfg := config(http1.Host{ID: "s", Address: server, Size: 1})
 	cfg.Settings.Types[0].TargetTime, cfg.Settings.Types[0].AbandonTime = time.Minute, time.Minute
 	coming := make(chan struct{})
-	cfg.stop = unhurried{func() { <-coming }, time.Minute}
+	cfg.stop = unhurried{coming: func() { <-coming }, more: time.Minute}
 	at, stop := startNode(t, cfg)
 	before := dial(t, at)
 	kept := dial(t, at)
--- a/internal/sock/peek.go
+++ b/internal/sock/peek.go
@@ -3,9 +3,38 @@
 
 import (
 	"net"
+	"os"
 	"syscall"
 )
 
+// Accept takes a connection that stands in a listener's queue, whatever its deadline says, and waits for none.
+func Accept(ln *net.TCPListener) (*net.TCPConn, error) {
+	rc, err := ln.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var fd int
+	var got error
+	err = rc.Control(func(l uintptr) {
+		for got = syscall.EINTR; got == syscall.EINTR; {
+			fd, _, got = syscall.Accept4(int(l), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		}
+	})
+	if err == nil {
+		err = got
+	}
+	if err != nil {
+		return nil, err
+	}
+	f := os.NewFile(uintptr(fd), "")
+	defer f.Close() // the connection has its own
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, err
+	}
+	return c.(*net.TCPConn), nil
+}
+
 // Peek looks at the socket of a connection without reading from it, and waits for something to see where it is told to.
 func Peek(c net.Conn, wait bool) (n int, err error) {
 	raw, ok := c.(syscall.Conn)
