--- a/internal/fleet/copy_test.go
+++ b/internal/fleet/copy_test.go
@@ -126,6 +126,16 @@
 	}
 }
 
+// What is written late to a server that leaves stays well within the grace of the settings, however short.
+func TestLateWithinTheGrace(t *testing.T) {
+	for grace, want := range map[time.Duration]time.Duration{-1: lateMost, 0: 0, 100 * time.Millisecond: 60 * time.Millisecond, time.Minute: lateMost} {
+		f := Fleet{set: settings.Settings{DrainGrace: grace}}
+		if got := f.lateFor(); got != want {
+			t.Errorf("grace %v: %v, not %v", grace, got, want)
+		}
+	}
+}
+
 // A server that has left gets nothing new by any path: kept connections, operations that wait, further hops, second copies.
 func TestNothingNewToWhoLeft(t *testing.T) {
 	gone, drains := host("a", 1), host("a", 1)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -164,16 +164,26 @@
 	return from, f.now() - heard
 }
 
-// lateMost is for how long a hop that was decided on before its server left may still be written to it; the rule allows
-// half a second, and the write itself takes some of that.
-const lateMost = 300 * time.Millisecond
+const (
+	// lateMost is for how long a hop that was decided on before its server left may still be written to it, whatever the
+	// settings allow, and lateShare the part of what they allow: the rest is for the way there.
+	lateMost  = 300 * time.Millisecond
+	lateShare = 0.6
+)
+
+func (f *Fleet) lateFor() time.Duration {
+	if f.set.DrainGrace < 0 {
+		return lateMost
+	}
+	return min(lateMost, time.Duration(lateShare*float64(f.set.DrainGrace)))
+}
 
 // Parted tells that a server left so long ago that nothing may be written to it any more, whenever it was decided: a
 // connection or the journal may have kept the hop waiting.
 func (f *Fleet) Parted(server string) bool {
 	f.mu.Lock()
 	defer f.unlock()
-	return f.book.Parted(f.now(), server, lateMost)
+	return f.book.Parted(f.now(), server, f.lateFor())
 }
 
 // Routes is the set of routes that holds now, nil for none.
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -202,7 +202,7 @@
 		"overageRevenue": s.Load.Over, "dcs": s.Sites, "trafficTypes": types, "tenants": tenants,
 		"limits": object{"connIdle": 5000, "connectTimeout": 100, "maxRetryAfter": 0, "mostHops": s.Rules.MostHops, "retryAfter": false,
 			"secondCopies": s.Rules.Copies},
-		"rules": object{"askWithin": ms(s.Rules.AskWithin), "cold": ms(coldFor), "fallMultiple": s.Rules.FallMultiple,
+		"rules": object{"askWithin": ms(s.Rules.AskWithin), "stopSendingWithin": ms(s.Rules.DrainGrace), "cold": ms(coldFor), "fallMultiple": s.Rules.FallMultiple,
 			"startCapacity": coldest}}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	TenantNames []string
 	Zones       []string
 	ConnIdle    time.Duration // an unused connection is closed after this at the latest
+	DrainGrace  time.Duration // for which a server that is told to leave may still be sent to; below 0: not said
 }
 
 // Fits tells why settings cannot be watched beside these: they must name the same traffic types and tenants.
@@ -58,6 +59,7 @@
 		}
 		Rules struct {
 			AskWithin, Cold, FallMultiple, StartCapacity float64
+			StopSendingWithin                            *float64
 			OnlyDrainingBinds                            bool
 		}
 		Tenants []struct {
@@ -73,7 +75,10 @@
 	if err := json.Unmarshal(object, &raw); err != nil {
 		return Settings{}, fmt.Errorf("settings cannot be read: %v", err)
 	}
-	s := Settings{Zones: raw.Dcs, ConnIdle: Span(raw.Limits.ConnIdle)}
+	s := Settings{Zones: raw.Dcs, ConnIdle: Span(raw.Limits.ConnIdle), DrainGrace: -1}
+	if raw.Rules.StopSendingWithin != nil {
+		s.DrainGrace = max(Span(*raw.Rules.StopSendingWithin), 0)
+	}
 	s.Settings = policy.Settings{
 		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Zone: raw.Zone, Tick: Span(raw.Granularity),
 		OverageRevenue: raw.OverageRevenue,
