--- a/internal/http1/ahead.go
+++ b/internal/http1/ahead.go
@@ -43,25 +43,28 @@
 		case err != nil, n == 0, c.ahead.spilt > spiltMost:
 			return true
 		}
-		c.readAhead()
+		if err := c.readAhead(); errors.Is(err, ErrTimeout) {
+			return false
+		}
 	}
 }
 
-// readAhead takes in what was seen to have come. Its errors come again with the next look.
-func (c *Conn) readAhead() {
+// readAhead takes in what was seen to have come. That the other side has ended comes again with the next look.
+func (c *Conn) readAhead() error {
 	a := &c.ahead
 	if room := aheadMost - len(a.held); room > 0 && a.spilt == 0 {
 		if len(a.held) == cap(a.held) {
 			a.held = append(make([]byte, 0, min(max(2*cap(a.held), firstBuffer), aheadMost)), a.held...)
 		}
-		n, _ := c.Read(a.held[len(a.held):cap(a.held)])
+		n, err := c.Read(a.held[len(a.held):cap(a.held)])
 		a.held = a.held[:len(a.held)+n]
 		a.count.Store(int32(len(a.held)))
-		return
+		return err
 	}
 	var dropped [4 << 10]byte
-	n, _ := c.Read(dropped[:])
+	n, err := c.Read(dropped[:])
 	a.spilt += n
+	return err
 }
 
 // Spilt tells that more came while a request was open than is held: nothing further can be read.
