Resting connections is taken back for its price; a silent agent of pushed lists is asked again soon

Change: where lists are pushed such a call is given up after 1.6 s and the pause does not grow (Watcher.patience, fleet.New).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,7 +55,9 @@
 // New starts the module that a maker makes.
 func New(s settings.Settings, seed uint32, limits Limits, module node.Maker) *Fleet {
 	// On sockets nothing is pushed: also where the settings say so, the list comes only to a node that asks.
-	s.OnRequest = true
+	if !s.OnRequest {
+		s.OnRequest, s.AskWithin = true, 0 // an agent that is silent is asked again soon: what it gets at its return is told at once
+	}
 	f := &Fleet{set: s, routes: route.NewLive(&s), started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
 		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
 		servers: map[string]*server{}, book: roster.NewBook(), room: newRoom(limits)}
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -23,7 +23,7 @@
 	keptShare  = 8                      // the part of all connections that clients may keep idle; half of the nodes may be away
 	settled    = 100 * time.Millisecond // in which a new connection's request must come, or it may be closed for room
 	patient    = time.Second            // the same while the node stops and nothing presses; a new client may be slow to ask
-	unsettled  = 10 * time.Millisecond  // in which a server may still close behind its answer, or say more: it is not asked then
+	unsettled  = 5 * time.Millisecond   // in which a server may still close behind its answer: rather one idle for longer
 	idleShare  = 0.6                    // of the settings' idle time, after which a server's connection is not used again
 )
 
@@ -316,8 +316,7 @@
 }
 
 // Take returns an idle connection to a server, nil if there is none. The latest used comes first, so that
-// those not needed grow old, but none that was just answered on: a server may close behind its answer, or send a second
-// one, which would be taken for the answer to what is asked next. Once it has come it is seen.
+// those not needed grow old, but for those just answered on: a server may close behind its answer.
 func (f *Fleet) Take(id string) Line {
 	f.mu.Lock()
 	defer f.unlock()
@@ -326,12 +325,9 @@
 		return nil
 	}
 	i := len(s.idle) - 1
-	for i >= 0 && f.now()-s.idle[i].since < unsettled {
+	for i > 0 && f.now()-s.idle[i].since < unsettled {
 		i--
 	}
-	if i < 0 {
-		return nil
-	}
 	c := s.idle[i]
 	s.idle = slices.Delete(s.idle, i, i+1)
 	if f.old(c) {
--- a/internal/serve/discovery.go
+++ b/internal/serve/discovery.go
@@ -16,7 +16,7 @@
 // follow watches discovery's list whenever the module asks for it, until a call fails. Under planners it waits until
 // they have been silent for long enough.
 func (s *Server) follow(ctx context.Context) error {
-	w := watch.Watcher{Place: s.discovery.Load(), Revision: s.cfg.Known.Revision}
+	w := watch.Watcher{Place: s.discovery.Load(), Revision: s.cfg.Known.Revision, Pushed: !s.cfg.Settings.OnRequest}
 	defer w.Close()
 	for {
 		select {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -49,6 +49,7 @@
 	Place    *Place
 	Moved    bool // and nothing heard at the new address yet
 	Whole    bool // the whole list is wanted
+	Pushed   bool // by an agent that has no queue: a call on a new connection is answered at once
 	Revision uint64
 	conn     *http1.Conn
 }
@@ -61,15 +62,25 @@
 	}
 }
 
+// patience is how long discovery may wait with its answer, and how long beyond that it is waited for.
+func (w *Watcher) patience() (time.Duration, time.Duration) {
+	switch {
+	case w.conn != nil:
+		return wait, slack
+	case w.Pushed:
+		return firstWait, slack
+	}
+	return firstWait, queueSlack
+}
+
 // Call waits for changes; the first call on a new connection hardly does, so as to learn soon whether it is silent, and at
 // a new address whether ours is a revision there.
 func (w *Watcher) Call(ctx context.Context) (http1.List, error) {
 	if w.conn != nil && !w.conn.Quiet() {
 		w.Close()
 	}
-	wait, slack := wait, slack
+	wait, slack := w.patience()
 	if w.conn == nil {
-		wait, slack = firstWait, queueSlack
 		d := net.Dialer{Timeout: dialMost}
 		dialing, cancel := context.WithCancel(ctx)
 		defer cancel()
