--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -53,6 +53,7 @@
 
 // node is what `fernvane serve` is, in this binary, so that the lab needs no build beside it; the policy may be another.
 func node(errs io.Writer, getenv func(string) string) int {
+	serve.Hear() // as the node's own command does
 	cfg, err := serve.Load(getenv("PROXY_CONFIG"), getenv)
 	if err != nil {
 		fmt.Fprintf(errs, "the configuration cannot be used: %v\n", err)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -32,6 +32,7 @@
 		os.Exit(planner.Process(cfg, os.Stderr))
 	}
 	if os.Getenv("PROXY_CONFIG") != "" {
+		serve.Hear() // as the node's own command does
 		cfg, err := serve.Load(os.Getenv("PROXY_CONFIG"), os.Getenv)
 		if err != nil {
 			os.Exit(2)
