A client is not watched behind its answer: its next request was read ahead and could be lost

The node lived and logged nothing. Cause: operation ended the watch by defer, behind Send. Ruled out: the seccomp filter (the process lived), a reused port, eviction. Change: the watch ends ahead of the answer. TestNotWatchedBehindItsAnswer fails without it.

--- a/internal/serve/moments_test.go
+++ b/internal/serve/moments_test.go
@@ -12,6 +12,7 @@
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
+	"fernvane/internal/roster"
 	"fernvane/internal/watch"
 )
 
@@ -60,6 +61,38 @@
 	}
 }
 
+// watched is a client that notes whether it is still watched as its answer is sent.
+type watched struct {
+	front
+	now, asSent bool
+}
+
+func (w *watched) Append(b []byte, a http1.Answer) []byte { return http1.AppendAnswer(b, a) }
+func (w *watched) Scratch() []byte                        { return nil }
+func (w *watched) From() string                           { return "" }
+func (w *watched) Parting() bool                          { return false }
+func (w *watched) Send([]byte) error                      { w.asSent = w.now; return nil }
+func (w *watched) Watch(*fleet.Operation) func() {
+	w.now = true
+	return func() { w.now = false }
+}
+
+// Whoever waits for a client's leaving reads what comes. With the answer its next request may come, so that ends before.
+func TestNotWatchedBehindItsAnswer(t *testing.T) {
+	t.Parallel()
+	hosts, _ := servers(t, 1, whole)
+	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
+	defer s.fleet.Stop()
+	for name, listed := range map[string][]http1.Host{"denied": nil, "handled": hosts} {
+		s.fleet.Listed(http1.List{Hosts: listed}, roster.Saved)
+		req := &http1.Request{Method: []byte("GET"), Target: []byte("/check/1"), Fields: []http1.Field{{Name: []byte("Request-Id"), Value: []byte(name)}}}
+		w := &watched{asSent: true}
+		if err := s.operation(w, req, time.Now()); err != nil || w.asSent {
+			t.Errorf("%s: still watched: %v, %v", name, w.asSent, err)
+		}
+	}
+}
+
 // One comes into the listener's queue as the time for it runs out, and nobody has looked: listening must not end over it.
 func TestListeningEndsWithAnEmptyQueue(t *testing.T) {
 	t.Parallel()
--- a/internal/serve/operation.go
+++ b/internal/serve/operation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"fernvane/internal/fleet"
@@ -62,15 +63,21 @@
 		return bad
 	}
 	defer op.Close()
+	unwatch := func() {}
 	if !s.cfg.Deaf {
-		defer f.Watch(op)()
+		unwatch = sync.OnceFunc(f.Watch(op))
 	}
+	defer unwatch()
 	ctx, giveUp := context.WithCancel(context.Background())
 	defer giveUp()
 	x := &exchanged{op: op, req: req, from: f.From(), parting: f.Parting, kept: k, compose: func(a message.Answer) []byte { return f.Append(f.Scratch(), a) }}
 	var last fleet.End
 	for {
-		switch d := op.Next(giveUp); d.Kind {
+		d := op.Next(giveUp)
+		if d.Kind != fleet.Send {
+			unwatch() // ahead of the answer: what its client sends behind that is the next request, for the connection's reader
+		}
+		switch d.Kind {
 		case fleet.Send:
 			var answer []byte
 			last, answer = s.hop(ctx, d, x)
