A client's connection is not closed for room over a request that its reader has in hand

Cause: http1.Conn.Await read first, and only then client.Begun took the connection from those that may be closed for room (internal/serve/client.go, `c.Await()` ahead of `place.Begun()`). Between the two lines Waiting sees nothing, for it was read. A node that stood still reads hundreds of requests at once and makes room for others beside. Ruled out: the watch for leavers, idle time-outs (they look again), a crash, shortage. Change: HTTP keeps to what FastCGI did: a connection rests only while its reader waits (sock.Read tells Wait once nothing is there, Came before it reads). Idle, Begun and Busy go. The order cannot come any more. Costs no further system call.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -301,7 +301,7 @@
 			for i := range leastSockets - 3 { // the others are servers'
 				f.Admit()
 				if p := f.Client(http1.NewConn(&closer{name: fmt.Sprint("client ", i), closed: closed})); i < c.idle {
-					p.Idle()
+					p.Wait(false)
 					p.used = true
 					if i == 0 {
 						first = p
@@ -319,7 +319,7 @@
 				t.Errorf("closed %s", got)
 			}
 			if first != nil {
-				if first.Busy() {
+				if first.Came() {
 					t.Error("a closed connection may be used")
 				}
 				first.Vacate() // as its goroutine does
@@ -346,8 +346,9 @@
 		f.Admit()
 		close(admitted)
 	}()
-	busy.Busy()
-	busy.Idle()
+	busy.Taken()
+	busy.Answered()
+	busy.Wait(false)
 	<-closed
 	<-admitted
 }
@@ -367,23 +368,69 @@
 		t.Run(name, func(t *testing.T) {
 			f := fleet(t, policy.Retriable, limits)
 			p := f.Client(http1.NewConn(&closer{closed: make(chan string, 1)}))
-			if p.Idle(); c.before {
-				p.Busy()
-				p.Idle()
+			if p.Wait(false); c.before {
+				p.Came()
+				p.Taken()
+				p.Answered()
+				p.Wait(false)
 			}
-			if p.Begun(); c.old {
+			p.Came()
+			if p.Wait(true); c.old {
 				p.since -= time.Minute
 			}
 			f.mu.Lock()
 			got := f.evictClient(settled)
 			f.unlock()
-			if got != c.want || p.Busy() == c.want {
+			if got != c.want || p.Came() == c.want {
 				t.Errorf("closed for room %v, may go on %v", got, !c.want)
 			}
 		})
 	}
 }
 
+// What was read of a connection is never met by a close for room, not even before its reader has said so: a node that
+// stood still reads hundreds of requests at once while others are let in.
+func TestRoomNotFromWhatWasRead(t *testing.T) {
+	for name, before := range map[string]bool{"a first request": false, "a later one": true} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet(t, policy.Retriable, limits)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			client, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			nc, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := http1.NewPooled(nc, f.Pool())
+			defer c.Close()
+			p := f.Client(c)
+			c.Tell(p)
+			p.Wait(false) // it has stood for long
+			if p.used = before; p.Came() {
+				p.since -= time.Minute
+			}
+			fmt.Fprint(client, "GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n")
+			if err := c.Await(); err != nil {
+				t.Fatal(err)
+			}
+			f.mu.Lock() // the reader has its bytes, and nothing of them is done yet
+			got := f.evictClient(settled)
+			f.unlock()
+			var req http1.Request
+			if err := c.ReadRequest(&req); got || err != nil {
+				t.Errorf("closed for room %v: %v", got, err)
+			}
+		})
+	}
+}
+
 // A connection that requests share may be closed for room only while its reader waits, nothing that was taken is open
 // and no later request has come in part; in whichever order an answer and the next request come together.
 func TestRoomFromShared(t *testing.T) {
@@ -434,7 +481,7 @@
 	f := fleet(t, policy.Retriable, limits)
 	closed := make(chan string, 2)
 	p := f.Client(http1.NewConn(&closer{closed: closed}))
-	p.Idle()
+	p.Wait(false)
 	p.since -= 5 * settled
 	if f.CloseIdle(); len(closed) > 0 {
 		t.Error("closed at once")
@@ -450,7 +497,7 @@
 	f := fleet(t, policy.Retriable, limits)
 	f.Admit()
 	p := f.Client(http1.NewConn(&closer{closed: make(chan string, 1)}))
-	p.Idle()
+	p.Wait(false)
 	p.used = true
 	p.Vacate()
 	if f.MakeRoom(); f.room.free != f.room.most {
@@ -494,18 +541,20 @@
 	var clients []*Client
 	for i := range 5 {
 		p := f.Client(http1.NewConn(&closer{closed: make(chan string, 1)}))
-		p.Idle()
+		p.Wait(false)
 		if i > 0 { // the first has asked nothing yet
-			p.Busy()
-			p.Idle()
+			p.Came()
+			p.Taken()
+			p.Answered()
+			p.Wait(false)
 		}
 		if clients = append(clients, p); f.Crowded() != (i > leastSockets/keptShare) {
 			t.Errorf("crowded %v after %d", f.Crowded(), i)
 		}
 	}
-	clients[1].Begun()
+	clients[1].Came()
 	clients[2].Vacate()
-	clients[3].Begun()
+	clients[3].Came()
 	if f.room.kept != 1 || f.Crowded() {
 		t.Errorf("%d are kept", f.room.kept)
 	}
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -87,11 +87,9 @@
 	since   time.Duration // there
 	used    bool          // for a request before
 	evicted bool
-
-	// Where requests share it:
-	open  int  // taken, and not answered
-	waits bool // its reader waits for more, with nothing in hand that was not dealt with
-	half  bool // a request has come in part
+	open    int  // requests that were taken and are not answered
+	waits   bool // its reader waits for more, with nothing in hand that was not dealt with
+	half    bool // a request has come in part
 }
 
 // Pool is the memory for large messages.
@@ -165,14 +163,6 @@
 // Client takes in an accepted connection.
 func (f *Fleet) Client(conn ClientConn) *Client { return &Client{f: f, conn: conn} }
 
-// Idle tells that the connection is between requests and may be closed at any time.
-func (c *Client) Idle() {
-	c.f.mu.Lock()
-	defer c.f.unlock()
-	c.since = c.f.now()
-	c.rest()
-}
-
 func (c *Client) rest() {
 	if c.place != nil {
 		return
@@ -184,8 +174,9 @@
 	c.f.room.tell() // or what the system has accepted would wait unread until some connection ends
 }
 
-// Wait tells that a connection which requests share is read no further until Came is told. half: a request has come in
-// part. It may be closed for room only while it waits and nothing that was taken is open.
+// Wait tells that a connection is read no further until Came is told. half: a request has come in part. It may be closed
+// for room only while it waits and nothing that was taken is open. Until the first request is whole it may be closed with
+// a part of it, after a while, or clients that send halves would hold all places; a later one has shown that it can end.
 func (c *Client) Wait(half bool) {
 	c.f.mu.Lock()
 	defer c.f.unlock()
@@ -233,32 +224,6 @@
 	}
 }
 
-// Begun tells that a request has begun to come. Until the first one is whole the connection may still be closed
-// for room, after a while, or clients that send halves would hold all places. A later one has shown that it can end,
-// and must not meet the close with its last byte.
-func (c *Client) Begun() {
-	c.f.mu.Lock()
-	defer c.f.unlock()
-	switch {
-	case c.place == nil:
-	case c.used:
-		c.leave()
-	default:
-		c.f.room.idle.MoveToBack(c.place)
-		c.since = c.f.now()
-	}
-}
-
-// Busy tells that a whole request has been read. It is false if the connection was closed before, and then the
-// request does not count as read.
-func (c *Client) Busy() bool {
-	c.f.mu.Lock()
-	defer c.f.unlock()
-	c.leave()
-	c.used = true
-	return !c.evicted
-}
-
 func (c *Client) leave() {
 	if c.place == nil {
 		return
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -36,8 +36,22 @@
 	pool    *Pool
 	lent    int
 	ahead   ahead
+	rests   Rests // nil: nobody is told
 }
 
+// Rests is told of the waits of a connection's reader, as sock.Waits is. half: part of a message is in hand.
+type Rests interface {
+	Wait(half bool)
+	Came() bool
+}
+
+// Tell has the connection's reader tell of its waits.
+func (c *Conn) Tell(r Rests) { c.rests = r }
+
+// Wait and Came are what sock.Read tells.
+func (c *Conn) Wait()      { c.rests.Wait(c.end > 0) }
+func (c *Conn) Came() bool { return c.rests.Came() }
+
 // NewConn wraps a connection that nothing was read from.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
@@ -94,9 +108,12 @@
 	}
 	var n int
 	var err error
-	if len(c.ahead.held) > 0 {
+	switch {
+	case len(c.ahead.held) > 0:
 		n = c.ahead.take(c.buf[c.end:])
-	} else {
+	case c.rests != nil:
+		n, err = sock.Read(c.Conn, c.buf[c.end:], c)
+	default:
 		n, err = c.Read(c.buf[c.end:])
 	}
 	c.end += n
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -28,6 +28,7 @@
 	f := httpFront{s, c}
 	defer c.Trim()
 	place := s.fleet.Client(c)
+	c.Tell(place) // it may be closed for room only while nothing of it was read that is not dealt with
 	defer place.Vacate()
 	defer nc.Close()
 	defer func() {
@@ -40,7 +41,6 @@
 	var req http1.Request
 	first := time.Now().Add(requestMost)
 	for {
-		place.Idle()
 		by := first
 		if by.IsZero() {
 			by = time.Now().Add(idleMost)
@@ -54,21 +54,17 @@
 		if err != nil {
 			return
 		}
-		place.Begun()
 		came := time.Now()
 		if by = came.Add(stall); !first.IsZero() && first.Before(by) {
 			by = first
 		}
 		first = time.Time{}
 		nc.SetReadDeadline(by)
-		err = c.ReadRequest(&req)
-		if !place.Busy() {
-			return
-		}
-		if err != nil {
+		if err = c.ReadRequest(&req); err != nil {
 			s.reject(f, err)
 			return
 		}
+		place.Taken()
 		nc.SetReadDeadline(time.Time{})
 		req.Close = req.Close || s.fleet.Crowded() && !c.More()
 		if req.IsReadiness() {
@@ -82,6 +78,7 @@
 			s.reject(f, err)
 			return
 		}
+		place.Answered()
 		if req.Close || s.draining.Load() || c.Spilt() {
 			if c.More() { // the client has sent on before it could read that this is the last answer
 				discard(nc)
--- a/internal/sock/peek.go
+++ b/internal/sock/peek.go
@@ -2,6 +2,7 @@
 package sock
 
 import (
+	"io"
 	"net"
 	"os"
 	"syscall"
@@ -66,6 +67,55 @@
 	return n, got
 }
 
+// Waits is told of the waits of a connection's reader: Wait before one, with nothing in hand that was read since the last,
+// Came behind it and before anything is read. Came is false where the connection was closed meanwhile.
+type Waits interface {
+	Wait()
+	Came() bool
+}
+
+// Read reads from a connection that may be closed from outside only while its reader waits: what was read is never met
+// by such a close.
+func Read(c net.Conn, b []byte, w Waits) (n int, err error) {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return c.Read(b)
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var got error
+	waits, closed := false, false
+	err = rc.Read(func(fd uintptr) bool {
+		if waits {
+			if waits = false; !w.Came() {
+				closed = true
+				return true
+			}
+		}
+		for got = syscall.EINTR; got == syscall.EINTR; {
+			n, got = syscall.Read(int(fd), b)
+		}
+		if got == syscall.EAGAIN {
+			waits = true
+			w.Wait()
+		}
+		return !waits
+	})
+	switch {
+	case closed, waits && !w.Came():
+		return 0, net.ErrClosed
+	case err != nil:
+		return 0, err
+	case got != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", got)}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // Quiet tells that a connection is open and that nothing has come on it.
 func Quiet(c net.Conn) bool {
 	_, err := Peek(c, false)
