A look for room asks each connection once, so a node that stood still catches up

The node ran at its one core to the end, 4,000 connections stood in the listener's queue, its length in time beyond what clients wait: it never came out of it. Cause: fleet.evictClient looked at every idle connection (a system call each, under the fleet's lock) for each connection let in, and passed over all on which something had come; 568 of them were such. By profile 43% of the node's time, Admit 46%. Change: one on which something has come leaves the list until its reader waits again. TestRoomLooksOnce fails on the old code (3 looks in one wait).

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -431,6 +431,30 @@
 	}
 }
 
+// asked counts the looks at a connection on which something has come.
+type asked struct{ looks, closed int }
+
+func (a *asked) Close() error  { a.closed++; return nil }
+func (a *asked) Waiting() bool { a.looks++; return true }
+
+// A node that stood still has hundreds of connections with requests that its readers have not come to. Looking at all of
+// them for each further one that is let in took half of its time, and it did not catch up.
+func TestRoomLooksOnce(t *testing.T) {
+	f := fleet(t, policy.Retriable, limits)
+	conn := &asked{}
+	p := f.Client(conn)
+	for wait := 1; wait <= 2; wait++ {
+		p.Wait(false)
+		p.since -= time.Minute
+		for range 3 {
+			f.MakeRoom()
+		}
+		if conn.looks != wait || conn.closed > 0 || !p.Came() {
+			t.Errorf("looked at %d times in %d waits, closed %d times", conn.looks, wait, conn.closed)
+		}
+	}
+}
+
 // A connection that requests share may be closed for room only while its reader waits, nothing that was taken is open
 // and no later request has come in part; in whichever order an answer and the next request come together.
 func TestRoomFromShared(t *testing.T) {
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -139,14 +139,20 @@
 // or one on which a request has come that is not read yet is passed over, for its client may not send it again. new is
 // how long a first request may be on its way.
 func (f *Fleet) evictClient(new time.Duration) bool {
-	for e := f.room.idle.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*Client); (c.used || f.now()-c.since > new) && !c.conn.Waiting() {
-			c.leave()
-			c.evicted = true
-			f.vacate() // it is closed as soon as the lock is given back
-			f.closing = append(f.closing, c.conn)
-			return true
+	for e := f.room.idle.Front(); e != nil; {
+		c := e.Value.(*Client)
+		e = e.Next()
+		if !c.used && f.now()-c.since <= new {
+			continue
 		}
+		c.leave()
+		if c.conn.Waiting() { // its reader is about to say so; with many such, each look at all of them again costs a system call
+			continue
+		}
+		c.evicted = true
+		f.vacate() // it is closed as soon as the lock is given back
+		f.closing = append(f.closing, c.conn)
+		return true
 	}
 	return false
 }
