--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -102,7 +102,10 @@
 	anew bool  // the node has forgotten what was before
 }
 
-type span struct{ from, to time.Duration }
+type span struct {
+	from, to time.Duration
+	still    bool // it stood still, and lived
+}
 
 // Audit gathers what happened.
 type Audit struct {
@@ -199,14 +202,31 @@
 
 // NodeDown tells that a node was ended on purpose; what it held is its clients' to retry.
 func (a *Audit) NodeDown(node int, at time.Duration) {
-	a.down[node] = append(a.down[node], span{at, 1 << 62})
+	a.down[node] = append(a.down[node], span{from: at, to: 1 << 62})
+}
+
+// NodeStill tells that a node stands still, up to NodeUp. It gives no answers then, and loses nothing that it has.
+func (a *Audit) NodeStill(node int, at time.Duration) {
+	a.down[node] = append(a.down[node], span{from: at, to: 1 << 62, still: true})
 }
 
-// NodeUp tells that it was started again. What it was told before its end it does not know any more.
+// NodeUp tells that it was started again, or goes on. What it was told before its end it does not know any more.
 func (a *Audit) NodeUp(node int, at time.Duration) {
-	if d := a.down[node]; len(d) > 0 && d[len(d)-1].to > at {
+	d := a.down[node]
+	if len(d) > 0 && d[len(d)-1].to > at {
 		d[len(d)-1].to = at
 	}
+	if len(d) > 0 && d[len(d)-1].still { // what it was told meanwhile it could not read before
+		for box := range a.boxes {
+			told := a.told[[2]int{node, box}]
+			for i := range told {
+				if told[i].at > d[len(d)-1].from {
+					told[i].at = max(told[i].at, at)
+				}
+			}
+		}
+		return
+	}
 	for box := range a.boxes {
 		if k := [2]int{node, box}; len(a.told[k]) > 0 {
 			a.told[k] = append(a.told[k], told{at: at, anew: true})
@@ -311,10 +331,10 @@
 	}
 }
 
-// exempt: the node was ended on purpose while it held the request.
+// exempt: the node was ended on purpose while it held the request, or its client's time was over while it stood still.
 func (a *Audit) exempt(r *request) bool {
 	for _, d := range a.down[r.node] {
-		if r.sent <= d.to && r.ended >= d.from {
+		if r.sent <= d.to && r.ended >= d.from && !(d.still && r.end == Dropped) {
 			return true
 		}
 	}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -48,6 +48,39 @@
 			ask(a, check)
 			a.Ended(1, Dropped, 0, 5*ms, false, false)
 		}, "answered"},
+		"closed by one that stood still": {func(a *Audit) {
+			ask(a, check)
+			a.NodeStill(0, 3*ms)
+			a.NodeUp(0, 9*ms)
+			a.Ended(1, Dropped, 0, 20*ms, false, false)
+		}, "answered"},
+		"its time over as the node stood still": {func(a *Audit) {
+			ask(a, check)
+			a.NodeStill(0, 3*ms)
+			a.Ended(1, Unanswered, 0, 500*ms, false, false)
+			a.NodeUp(0, 900*ms)
+		}, ""},
+		"told while it stood still": {func(a *Audit) {
+			ask(a, check)
+			a.NodeStill(0, 1*ms)
+			a.Told(0, 1, Gone, 0, 2*ms)
+			a.NodeUp(0, 700*ms)
+			hop(a, 1, 900*ms)
+		}, ""},
+		"and long ago": {func(a *Audit) {
+			ask(a, check)
+			a.NodeStill(0, 1*ms)
+			a.Told(0, 1, Gone, 0, 2*ms)
+			a.NodeUp(0, 100*ms)
+			hop(a, 1, 900*ms)
+		}, "drains"},
+		"told before it stood still": {func(a *Audit) {
+			ask(a, check)
+			a.Told(0, 1, Gone, 0, 0)
+			a.NodeStill(0, 1*ms)
+			a.NodeUp(0, 9*ms)
+			hop(a, 1, 900*ms)
+		}, "drains"},
 		"two answers":        {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, true) }, "one-answer"},
 		"an unasked one":     {func(a *Audit) { a.Extra(0) }, "one-answer"},
 		"another's answer":   {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, true, false) }, "own-answer"},
--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -88,6 +88,15 @@
 	})
 }
 
+// nodeStill and nodeOn tell of one that stands still, and lives all along.
+func (e *eyes) nodeStill(n int) {
+	e.see(func(a *audit.Audit, now time.Duration) { a.NodeStill(n, now) })
+}
+
+func (e *eyes) nodeOn(n int) {
+	e.see(func(a *audit.Audit, now time.Duration) { a.NodeUp(n, now) })
+}
+
 func (e *eyes) nodeUp(n int) {
 	e.see(func(a *audit.Audit, now time.Duration) {
 		e.since[n] = now
--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -201,12 +201,12 @@
 
 // pause has a node stand still for a while.
 func (w *world) pause(ctx context.Context, n int, lasts time.Duration) {
-	w.eyes.nodeDown(n, true)
+	w.eyes.nodeStill(n)
 	w.front.Ended(n, w.Scenario.Nodes.Notice.D())
 	w.nodes[n].signal(syscall.SIGSTOP)
 	w.after(lasts, func() {
 		w.nodes[n].signal(syscall.SIGCONT)
-		w.eyes.nodeUp(n)
+		w.eyes.nodeOn(n)
 		w.front.Started(ctx, n)
 	})
 }
