Two tests of the lab's stand-ins do not depend on a busy machine: shared sockets, full buffers

Change: the test's sockets get room for all 400, its counts are as strict as before. Measured: TestReturnsBesideAFork ("address already in use" without the change).

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -106,13 +106,22 @@
 	l.ln, l.conns = nil, map[*Conn]bool{}
 	l.mu.Unlock()
 	if ln != nil {
-		ln.Close()
+		shut(ln)
 	}
 	for c := range conns {
 		c.Reset()
 	}
 }
 
+// shut ends a listener at once, also where a process that is just being started shares it until it runs its program:
+// its address would be in use for as long.
+func shut(ln *net.TCPListener) {
+	if rc, err := ln.SyscallConn(); err == nil {
+		rc.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RD) })
+	}
+	ln.Close()
+}
+
 // Close leaves for good and waits for what was led.
 func (l *Listener) Close() {
 	l.Leave()
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -82,3 +82,21 @@
 		})
 	}
 }
+
+// A listener that left can return at once, also while a process that the lab is just starting shares its socket.
+func TestReturnsBesideAFork(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", func(*Conn) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	shared, err := l.ln.File() // as between fork and exec
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer shared.Close()
+	l.Leave()
+	if err := l.Return(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/standin/wires/wires_test.go
+++ b/internal/standin/wires/wires_test.go
@@ -93,6 +93,8 @@
 	}
 }
 
+const roomFor = 1 << 20 // bytes: more than 400 datagrams as the system counts them
+
 // Datagrams are lost, come twice or out of order by their ways, and their receiver sees their sender's place.
 func TestDatagrams(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -117,6 +119,7 @@
 					t.Fatal(err)
 				}
 				defer pc.Close()
+				pc.(*net.UDPConn).SetReadBuffer(roomFor) // they are read only once all are sent; some 270 fit as it is
 				ends[n] = pc
 				if err := f.JoinPackets(n, ip, ip+":0", pc.LocalAddr().String()); err != nil {
 					t.Fatal(err)
