Lab: a client that was slow to ask on a new connection asks again where it was closed unread

Cause, by a line of log in fleet.evictClient (trial, scratch copy, more load still): 16,000 closes for room were of new connections that had said nothing for 100 to 1,100 ms. The generator, without processor, asked so long after it had connected; nodes hold a new connection for 100 ms whatever room they need (docs/design.md), and then may close it. Ruled out: a request that was read (none of the node's lines of ends without an answer).

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -92,10 +92,11 @@
 }
 
 const (
-	idleMost  = 30 * time.Second     // a client's connection that is not used for so long is closed
-	keepMost  = 512                  // idle connections of a site's clients
-	frontWait = 2 * time.Millisecond // between looks at a front that knows of no node
-	leastLeft = 5 * time.Millisecond // of a client's time for which it still sends
+	idleMost  = 30 * time.Second       // a client's connection that is not used for so long is closed
+	keepMost  = 512                    // idle connections of a site's clients
+	frontWait = 2 * time.Millisecond   // between looks at a front that knows of no node
+	leastLeft = 5 * time.Millisecond   // of a client's time for which it still sends
+	newMost   = 100 * time.Millisecond // for which nodes promise to hold a new connection, whatever room they need (docs/design.md)
 )
 
 // pool keeps the idle connections of the clients of one site.
@@ -108,7 +109,7 @@
 	conn  conn
 	heard *heard
 	way   Way
-	since time.Time
+	since time.Time // it rests; of a new one, it is being opened
 }
 
 // heard is a connection that knows whether anything has come on it since it was asked last.
@@ -131,6 +132,13 @@
 		errors.Is(err, syscall.EPIPE))
 }
 
+// excused tells whether a request that was not read may be sent once more: where it crossed the close of a connection that
+// had rested, or of a new one whose client, on a busy machine, took so long to ask that nodes do not hold it any more.
+// asked is when it had asked.
+func excused(k kept, old, again bool, asked time.Time, err error) bool {
+	return (old && !again || !old && asked.Sub(k.since) >= newMost) && crossed(k, err)
+}
+
 func (p *pool) take() (kept, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -230,6 +238,7 @@
 		g.watch.Sending(t)
 		k.heard.any = false
 		whole, err := k.conn.Ask(r.message(t.ID), left, "127.0.0.1")
+		asked := time.Now()
 		if whole {
 			t.Sent = time.Since(g.start)
 			g.watch.Sent(t)
@@ -240,7 +249,7 @@
 		}
 		k.conn.Close()
 		t.Ended = time.Since(g.start)
-		if old && !again && crossed(k, err) && g.watch.Lives(t.Way, t.Begun) && time.Now().Before(until) {
+		if excused(k, old, again, asked, err) && g.watch.Lives(t.Way, t.Begun) && time.Now().Before(until) {
 			g.watch.Unread(t)
 			continue
 		}
@@ -303,7 +312,7 @@
 			continue
 		}
 		t.Way = way
-		d := net.Dialer{Deadline: until}
+		d, since := net.Dialer{Deadline: until}, time.Now()
 		address := way.Address
 		if g.FastCGI {
 			address = way.FastCGI
@@ -314,8 +323,8 @@
 		}
 		h := &heard{TCPConn: nc.(*net.TCPConn)}
 		if g.FastCGI {
-			return kept{conn: fastcgi.NewBack(h, nil, nil), heard: h, way: way}, true
+			return kept{conn: fastcgi.NewBack(h, nil, nil), heard: h, way: way, since: since}, true
 		}
-		return kept{conn: http1.NewConn(h), heard: h, way: way}, true
+		return kept{conn: http1.NewConn(h), heard: h, way: way, since: since}, true
 	}
 }
--- a/internal/load/crossed_test.go
+++ b/internal/load/crossed_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Which ends of a connection say that a request on it was not read.
@@ -30,3 +31,25 @@
 		}
 	}
 }
+
+// Which requests that were not read are sent once more: never those of a new connection on which the client asked at once.
+func TestExcused(t *testing.T) {
+	for name, c := range map[string]struct {
+		old, again bool
+		took       time.Duration
+		err        error
+		want       bool
+	}{
+		"a rested connection":         {true, false, time.Second, io.EOF, true},
+		"and again":                   {true, true, time.Second, io.EOF, false},
+		"a new one, asked at once":    {false, false, newMost - 1, io.EOF, false},
+		"asked on the second at once": {false, true, newMost - 1, io.EOF, false},
+		"a new one, asked late":       {false, false, newMost, io.EOF, true},
+		"late, and silence":           {false, false, time.Second, os.ErrDeadlineExceeded, false},
+	} {
+		opened := time.Now()
+		if got := excused(kept{heard: &heard{}, since: opened}, c.old, c.again, opened.Add(c.took), c.err); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
