--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -322,8 +322,7 @@
 		}
 		lost := c.HeldBy(fmt.Sprint("n", n))
 		for of := range w.nodes {
-			on := c.HeldBy(fmt.Sprint("n", of))
-			if !slices.ContainsFunc(on, func(x string) bool { return !slices.Contains(lost, x) }) {
+			if !c.Survives(fmt.Sprint("n", of), lost) {
 				w.losses.told[of] = true
 			}
 		}
--- a/internal/peers/command.go
+++ b/internal/peers/command.go
@@ -301,41 +301,64 @@
 	}
 }
 
-// Copies counts on how many machines each stream stands whole, as far as any node has it. The origin's own disk counts
-// where it answers.
-func (t *Client) Copies() map[replicas.Stream]int {
+// whole finds which nodes have each stream whole, as far as any node has it. The origin's own disk counts where it answers.
+func (t *Client) whole() map[replicas.Stream][]string {
 	all := map[replicas.Stream]replicas.Ranges{}
-	add := func(s replicas.Stream, r replicas.Ranges) {
-		for _, x := range r {
-			all[s] = all[s].With(x.From, x.To)
-		}
-	}
 	for _, s := range t.Asked {
 		for _, h := range s.Holdings {
-			add(h.Stream, h.Ranges)
+			for _, x := range h.Ranges {
+				all[h.Stream] = all[h.Stream].With(x.From, x.To)
+			}
 		}
 	}
-	machines := map[replicas.Stream]map[string]bool{}
+	at := map[replicas.Stream][]string{}
 	for stream, whole := range all {
-		machines[stream] = map[string]bool{}
-		for _, s := range t.Asked {
-			for _, h := range s.Holdings {
-				if h.Stream == stream && len(whole.Without(h.Ranges)) == 0 {
-					machines[stream][s.Self.Machine] = true
-				}
-			}
-			if s.Stream == stream {
-				machines[stream][s.Self.Machine] = true
+		for name, s := range t.Asked {
+			if s.Stream == stream || slices.ContainsFunc(s.Holdings, func(h replicas.Holding) bool {
+				return h.Stream == stream && len(whole.Without(h.Ranges)) == 0
+			}) {
+				at[stream] = append(at[stream], name)
 			}
 		}
 	}
+	return at
+}
+
+// Copies counts on how many machines each stream stands whole.
+func (t *Client) Copies() map[replicas.Stream]int {
 	counts := map[replicas.Stream]int{}
-	for stream, m := range machines {
-		counts[stream] = len(m)
+	for stream, names := range t.whole() {
+		machines := map[string]bool{}
+		for _, name := range names {
+			machines[t.Asked[name].Self.Machine] = true
+		}
+		counts[stream] = len(machines)
 	}
 	return counts
 }
 
+// Survives tells whether a node's journal, its running life's and earlier ones', stands whole past the loss of some nodes
+// with their disks. Who has only a part of it, from a time when others did not answer, does not count. It is false where
+// the node does not say who holds it.
+func (t *Client) Survives(name string, lost []string) bool {
+	gone := func(n string) bool { return slices.Contains(lost, n) }
+	own := t.Asked[name]
+	if own == nil {
+		return false
+	}
+	if gone(name) && own.Stream.Up != 0 && !slices.ContainsFunc(own.Holders, func(h replicas.Holder) bool {
+		return h.Stand == "level" && h.Lacks == 0 && !gone(h.Name)
+	}) {
+		return false
+	}
+	for stream, at := range t.whole() {
+		if stream.Name == name && stream != own.Stream && !slices.ContainsFunc(at, func(n string) bool { return !gone(n) }) {
+			return false
+		}
+	}
+	return true
+}
+
 // Lacking is what of the tier does not stand as often as it should, "" where all does: each stream without a life on as
 // many machines as replicas and one, each living one at its holders up to what is on its way.
 func (t *Client) Lacking() string {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -484,6 +484,43 @@
 	}
 }
 
+// Which journals stand past the loss of nodes: those that one who is left has whole, not some of.
+func TestSurvives(t *testing.T) {
+	now, before := replicas.Stream{Name: "a", Up: 2}, replicas.Stream{Name: "a", Up: 1}
+	holding := func(s replicas.Stream, to uint64) replicas.Holding {
+		return replicas.Holding{Stream: s, Ranges: replicas.Ranges{{From: 1, To: to}}}
+	}
+	level := replicas.Holder{Name: "b", Stand: "level"}
+	for name, c := range map[string]struct {
+		holders []replicas.Holder
+		b, c    []replicas.Holding
+		lost    []string
+		want    bool
+	}{
+		"nothing is lost":                    {nil, nil, nil, nil, true},
+		"another one":                        {nil, nil, nil, []string{"c"}, true},
+		"held by one who is left":            {[]replicas.Holder{level}, []replicas.Holding{holding(now, 9)}, nil, []string{"a"}, true},
+		"with all holders":                   {[]replicas.Holder{level}, []replicas.Holding{holding(now, 9)}, nil, []string{"a", "b"}, false},
+		"a part is left":                     {[]replicas.Holder{level}, []replicas.Holding{holding(now, 9)}, []replicas.Holding{holding(now, 3)}, []string{"a", "b"}, false},
+		"one is left who still lacks some":   {[]replicas.Holder{{Name: "b", Stand: "level", Lacks: 2}}, nil, nil, []string{"a"}, false},
+		"one who was only offered it":        {[]replicas.Holder{{Name: "b", Stand: "offered"}}, nil, nil, []string{"a"}, false},
+		"an earlier life with its holder":    {nil, []replicas.Holding{holding(before, 9)}, []replicas.Holding{holding(before, 3)}, []string{"b"}, false},
+		"an earlier life that another has":   {nil, []replicas.Holding{holding(before, 9)}, []replicas.Holding{holding(before, 9)}, []string{"b"}, true},
+		"nobody knows who holds its journal": {nil, nil, nil, []string{"unasked"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asked := map[string]*Status{"a": {Stream: now, Holders: c.holders}, "b": {Holdings: c.b}, "c": {Holdings: c.c}}
+			of := "a"
+			if slices.Contains(c.lost, "unasked") {
+				of = "unasked"
+			}
+			if got := (&Client{Asked: asked}).Survives(of, c.lost); got != c.want {
+				t.Errorf("survives %v", got)
+			}
+		})
+	}
+}
+
 func FuzzFrames(f *testing.F) {
 	for _, w := range []any{&neighbours.News{Members: []neighbours.Member{{Name: "a", Up: 1}}}, &replicas.Offer{Ranges: replicas.Ranges{{From: 1, To: 2}}}, &replicas.Have{}, &replicas.Ack{}, &neighbours.Tell{}} {
 		b, _ := protocol.Append(nil, kindOf(w), w)
