--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -31,6 +31,13 @@
 		a.Sending(1, kind, 0)
 		a.Sent(1, 0)
 	}
+	still := func(a *Audit, from, to time.Duration, told ...time.Duration) { // and is told meanwhile that a box has gone
+		a.NodeStill(0, from)
+		for _, at := range told {
+			a.Told(0, 1, Gone, 0, at)
+		}
+		a.NodeUp(0, to)
+	}
 	for name, c := range map[string]struct {
 		day    func(a *Audit)
 		breaks string
@@ -48,47 +55,19 @@
 			ask(a, check)
 			a.Ended(1, Dropped, 0, 5*ms, false, false)
 		}, "answered"},
-		"closed by one that stood still": {func(a *Audit) {
-			ask(a, check)
-			a.NodeStill(0, 3*ms)
-			a.NodeUp(0, 9*ms)
-			a.Ended(1, Dropped, 0, 20*ms, false, false)
-		}, "answered"},
-		"its time over as the node stood still": {func(a *Audit) {
-			ask(a, check)
-			a.NodeStill(0, 3*ms)
-			a.Ended(1, Unanswered, 0, 500*ms, false, false)
-			a.NodeUp(0, 900*ms)
-		}, ""},
-		"told while it stood still": {func(a *Audit) {
-			ask(a, check)
-			a.NodeStill(0, 1*ms)
-			a.Told(0, 1, Gone, 0, 2*ms)
-			a.NodeUp(0, 700*ms)
-			hop(a, 1, 900*ms)
-		}, ""},
-		"and long ago": {func(a *Audit) {
-			ask(a, check)
-			a.NodeStill(0, 1*ms)
-			a.Told(0, 1, Gone, 0, 2*ms)
-			a.NodeUp(0, 100*ms)
-			hop(a, 1, 900*ms)
-		}, "drains"},
-		"told before it stood still": {func(a *Audit) {
-			ask(a, check)
-			a.Told(0, 1, Gone, 0, 0)
-			a.NodeStill(0, 1*ms)
-			a.NodeUp(0, 9*ms)
-			hop(a, 1, 900*ms)
-		}, "drains"},
-		"two answers":        {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, true) }, "one-answer"},
-		"an unasked one":     {func(a *Audit) { a.Extra(0) }, "one-answer"},
-		"another's answer":   {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, true, false) }, "own-answer"},
-		"made up":            {func(a *Audit) { ask(a, book); a.Ended(1, Answered, 200, 20*ms, false, false) }, "own-answer"},
-		"sent after":         {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 80*ms) }, "nothing-after"},
-		"sent just before":   {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 60*ms) }, ""},
-		"sent to nobody":     {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 380*ms) }, "leavers"},
-		"sent on as it left": {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 360*ms) }, ""},
+		"closed by one that stood still": {func(a *Audit) { ask(a, check); still(a, 3*ms, 9*ms); a.Ended(1, Dropped, 0, 20*ms, false, false) }, "answered"},
+		"its time over meanwhile":        {func(a *Audit) { ask(a, check); still(a, 3*ms, 900*ms); a.Ended(1, Unanswered, 0, 500*ms, false, false) }, ""},
+		"told while it stood still":      {func(a *Audit) { ask(a, check); still(a, 1*ms, 700*ms, 2*ms); hop(a, 1, 900*ms) }, ""},
+		"and long ago":                   {func(a *Audit) { ask(a, check); still(a, 1*ms, 100*ms, 2*ms); hop(a, 1, 900*ms) }, "drains"},
+		"told before it stood still":     {func(a *Audit) { ask(a, check); a.Told(0, 1, Gone, 0, 0); still(a, 1*ms, 9*ms); hop(a, 1, 900*ms) }, "drains"},
+		"two answers":                    {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, true) }, "one-answer"},
+		"an unasked one":                 {func(a *Audit) { a.Extra(0) }, "one-answer"},
+		"another's answer":               {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, true, false) }, "own-answer"},
+		"made up":                        {func(a *Audit) { ask(a, book); a.Ended(1, Answered, 200, 20*ms, false, false) }, "own-answer"},
+		"sent after":                     {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 80*ms) }, "nothing-after"},
+		"sent just before":               {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 60*ms) }, ""},
+		"sent to nobody":                 {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 380*ms) }, "leavers"},
+		"sent on as it left":             {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 360*ms) }, ""},
 		"sent for one given up": {func(a *Audit) {
 			ask(a, check)
 			hop(a, 0, 0)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"fernvane/internal/node"
 	"fernvane/internal/roster"
 	"fernvane/internal/settings"
+	"fernvane/internal/standin/pair"
 	"fernvane/policy"
 )
 
@@ -394,22 +395,8 @@
 	for name, before := range map[string]bool{"a first request": false, "a later one": true} {
 		t.Run(name, func(t *testing.T) {
 			f := fleet(t, policy.Retriable, limits)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
-			client, err := net.Dial("tcp", ln.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer client.Close()
-			nc, err := ln.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
+			nc, client := pair.TCP(t)
 			c := http1.NewPooled(nc, f.Pool())
-			defer c.Close()
 			p := f.Client(c)
 			c.Tell(p)
 			p.Wait(false) // it has stood for long
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fernvane/internal/message"
+	"fernvane/internal/standin/pair"
 )
 
 // script is a connection that brings given bytes, so many at a time, and then its end.
@@ -272,23 +273,9 @@
 		"is idle":               {func(*net.TCPConn) {}, true, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
-			near, err := net.Dial("tcp", ln.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer near.Close()
-			far, err := ln.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer far.Close()
+			near, far := pair.TCP(t)
 			conn := NewConn(near)
-			c.do(far.(*net.TCPConn))
+			c.do(far)
 			if !c.gone {
 				near.SetReadDeadline(time.Unix(1, 0)) // nothing more will come: do not wait for it
 			}
--- a/internal/serve/moments_test.go
+++ b/internal/serve/moments_test.go
@@ -13,6 +13,7 @@
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
 	"fernvane/internal/roster"
+	"fernvane/internal/standin/pair"
 	"fernvane/internal/watch"
 )
 
@@ -64,10 +65,7 @@
 // A client that is gone before its request is read, with bytes behind it: its operation is not taken at all.
 func TestGoneBeforeItIsTaken(t *testing.T) {
 	t.Parallel()
-	got := make(chan net.Conn, 1)
-	at := standIn(t, func(nc net.Conn) { got <- nc })
-	client := dial(t, at.String())
-	near := (<-got).(*net.TCPConn)
+	near, client := pair.TCP(t)
 	fmt.Fprintf(client, "GET /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\nGET ", ids.Add(1))
 	client.Close()
 	s := &Server{cfg: config(), fleet: fleet.New(config().Settings, 1, config().Limits, node.Policy)}
--- a/internal/sock/peek_test.go
+++ b/internal/sock/peek_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fernvane/internal/standin/pair"
 )
 
 // waits notes what a reader tells, and does something as it is told of a wait.
@@ -32,7 +34,7 @@
 // between the two meets nothing that was read.
 func TestRead(t *testing.T) {
 	var w *waits
-	var near, far net.Conn
+	var near, far *net.TCPConn
 	for name, c := range map[string]struct {
 		before, waiting func()
 		steps           []string
@@ -42,14 +44,14 @@
 		"there already":      {before: func() { far.Write([]byte("x")); Peek(near, true) }, got: "x"},
 		"comes later":        {waiting: func() { far.Write([]byte("x")) }, steps: []string{"wait", "came"}, got: "x"},
 		"the end":            {waiting: func() { far.Close() }, steps: []string{"wait", "came"}, want: io.EOF},
-		"a reset":            {waiting: func() { far.(*net.TCPConn).SetLinger(0); far.Close() }, steps: []string{"wait", "came"}, want: syscall.ECONNRESET},
+		"a reset":            {waiting: func() { far.SetLinger(0); far.Close() }, steps: []string{"wait", "came"}, want: syscall.ECONNRESET},
 		"its time over":      {waiting: func() { near.SetReadDeadline(time.Unix(1, 0)) }, steps: []string{"wait", "came"}, want: os.ErrDeadlineExceeded},
 		"over before":        {before: func() { near.SetReadDeadline(time.Unix(1, 0)) }, want: os.ErrDeadlineExceeded},
 		"closed for room":    {waiting: func() { w.closed = true; go near.Close() }, steps: []string{"wait", "came"}, want: net.ErrClosed},
 		"closed as it comes": {waiting: func() { w.closed = true; far.Write([]byte("x")) }, steps: []string{"wait", "came"}, want: net.ErrClosed},
 	} {
 		t.Run(name, func(t *testing.T) {
-			near, far = pair(t)
+			near, far = pair.TCP(t)
 			w = &waits{do: c.waiting}
 			if c.before != nil {
 				c.before()
@@ -62,24 +64,3 @@
 		})
 	}
 }
-
-// pair is both ends of a connection.
-func pair(t *testing.T) (near, far net.Conn) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	if far, err = net.Dial("tcp", ln.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	if near, err = ln.Accept(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		near.Close()
-		far.Close()
-	})
-	return near, far
-}
