fernlab scale: hollow nodes by the hundred under real control processes

docs/CAPACITY.md needs figures of the control side at a fleet's size, and the lab plays whole nodes with servers and clients, a few hundred at most. A hollow node is serve.Run as it ships, many to a process, under real planners or discovery's stand-in on real loopback connections; its module is observed, so a change counts when the module holds it. Bytes and messages come from the system's socket diagnostics, from outside of what is measured.

--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -18,6 +18,7 @@
 	"fernvane/internal/lab"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/planner"
+	"fernvane/internal/scale"
 	"fernvane/internal/serve"
 )
 
@@ -48,6 +49,9 @@
 	if len(os.Args) == 2 && os.Args[1] == planCommand {
 		os.Exit(plans(os.Stderr, os.Getenv))
 	}
+	if len(os.Args) == 2 && os.Args[1] == scale.WorkerCommand {
+		os.Exit(scale.Worker(os.Stdin, os.Stdout, os.Stderr))
+	}
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
@@ -110,7 +114,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.AddCommand(runCommand(), listCommand(), checkCommand(), faultsCommand(), scheduleCommand(), compareCommand(), loadCommand(),
-		benchCommand(), proveCommand(), killsCommand(), promisesCommand(), lossesCommand(), stepsCommand(), repairCommand())
+		benchCommand(), proveCommand(), killsCommand(), promisesCommand(), lossesCommand(), stepsCommand(), repairCommand(), scaleCommand())
 	err := root.ExecuteContext(ctx)
 	var code exit
 	switch {
--- /dev/null
+++ b/internal/scale/conductor.go
@@ -0,0 +1,255 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	readyMost   = 60 * time.Second
+	wholeMost   = 60 * time.Second       // for all nodes to know all servers
+	orderMost   = 20 * time.Second       // for an order to be carried out
+	lookEvery   = time.Second            // at connections and processes
+	askEvery    = 100 * time.Millisecond // whether all nodes are where they should be
+	settle      = 2 * time.Second        // after the start, before the phase at rest
+	trailMost   = 15 * time.Second       // after the last change of a phase, for the last node
+	faultsMost  = 20                     // kept
+	killedAfter = time.Second            // of the event's phase
+)
+
+// Options of a run.
+type Options struct {
+	Size     Size
+	Command  []string // that runs a process: this binary and WorkerCommand
+	Progress io.Writer
+	Told     string // the command as it was given
+}
+
+// errMemory ends a run that takes more than half of the machine's memory.
+var errMemory = errors.New("the run takes more than half of this machine's memory")
+
+// conductor leads a run.
+type conductor struct {
+	Options
+	layout    *Layout
+	machine   Machine
+	ledger    *ledger
+	meter     *meter
+	workers   []*process
+	controls  []*process
+	discovery *process
+	ways      *process // nil: none can be cut
+	answers   chan told
+	begun     time.Time
+	revision  int      // of the operator's file
+	returned  *InForce // nodes that an event killed, from their start on
+
+	mu     sync.Mutex
+	faults []string
+	most   float64 // memory
+}
+
+// Run plays a size and returns what was measured.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	if err := o.Size.Check(); err != nil {
+		return nil, err
+	}
+	machine, err := ThisMachine()
+	if err != nil {
+		return nil, err
+	}
+	if err := o.Size.Fits(machine.Memory); err != nil {
+		return nil, err
+	}
+	number, held, err := claim()
+	if err != nil {
+		return nil, err
+	}
+	defer held.Close()
+	dir, err := os.MkdirTemp("", "fernlab-scale-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	c := &conductor{Options: o, layout: &Layout{Size: o.Size, Net: number, Dir: dir}, machine: machine, ledger: newLedger(o.Size.Nodes),
+		meter: newMeter(number), answers: make(chan told, 1), begun: time.Now()}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer c.end()
+	if err := c.prepare(); err != nil {
+		return nil, err
+	}
+	go c.watch(ctx, cancel)
+	phases, err := c.phases(ctx)
+	if cause := context.Cause(ctx); cause != nil {
+		return nil, cause
+	}
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &Result{Command: o.Told, At: c.begun.UTC().Truncate(time.Second), Machine: machine, Size: o.Size, Processes: c.layout.Size.Processes(),
+		Memory: c.most, Shared: Shared, Phases: phases, Faults: c.faults}, nil
+}
+
+func (c *conductor) say(format string, args ...any) {
+	if c.Progress != nil {
+		fmt.Fprintf(c.Progress, "%6.1fs %s\n", time.Since(c.begun).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+func (c *conductor) prepare() error {
+	for _, dir := range []string{"lists", "held"} {
+		if err := os.Mkdir(filepath.Join(c.layout.Dir, dir), 0o755); err != nil {
+			return err
+		}
+	}
+	if err := c.layout.write(); err != nil {
+		return err
+	}
+	if err := planes[c.Size.Plane].Prepare(c.layout); err != nil {
+		return err
+	}
+	for i := range c.Size.workers() {
+		c.workers = append(c.workers, c.process(roleNodes, i))
+	}
+	c.discovery = c.process(roleDiscovery, 0)
+	if c.Size.controls() {
+		for n := range c.Size.Control {
+			c.controls = append(c.controls, c.process(roleControl, n))
+		}
+	}
+	if c.Size.Event == RegionsApart {
+		c.ways = c.process(roleCut, 0)
+	}
+	return nil
+}
+
+func (c *conductor) process(r role, n int) *process {
+	return &process{task: task{Role: r, Number: n, Layout: c.layout}, command: c.Command, hear: c.hear}
+}
+
+// all processes of the tool but the tool itself.
+func (c *conductor) all() []*process {
+	all := slices.Concat(c.workers, c.controls, []*process{c.discovery})
+	if c.ways != nil {
+		all = append(all, c.ways)
+	}
+	return all
+}
+
+// hear takes in what a process says.
+func (c *conductor) hear(p *process, t told) {
+	if t.Fault != "" {
+		c.mu.Lock()
+		if len(c.faults) < faultsMost {
+			c.faults = append(c.faults, t.Fault)
+		}
+		c.mu.Unlock()
+	}
+	if p.task.Role == roleNodes {
+		c.ledger.heard(p.task.Number, t)
+	}
+	if p == c.discovery && (t.Changed > 0 || t.Done || t.Fault != "") {
+		c.answers <- t
+	}
+}
+
+func (c *conductor) end() {
+	var all sync.WaitGroup
+	for _, p := range c.all() {
+		all.Go(p.kill)
+	}
+	all.Wait()
+}
+
+// watch reads connections and processes now and then, and ends a run that grows too large.
+func (c *conductor) watch(ctx context.Context, cancel context.CancelCauseFunc) {
+	for tick := time.NewTicker(lookEvery); ; {
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+			return
+		case <-tick.C:
+		}
+		if err := c.read(); err != nil {
+			cancel(err)
+			return
+		}
+		sum := usageOf(os.Getpid()).Memory
+		for _, p := range c.all() {
+			sum += p.use().Memory
+		}
+		c.mu.Lock()
+		c.most = max(c.most, sum)
+		c.mu.Unlock()
+		if sum > memoryShare*c.machine.Memory {
+			cancel(errMemory)
+			return
+		}
+	}
+}
+
+func (c *conductor) read() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.meter.read()
+}
+
+// reading is what all roles have paid up to a moment.
+type reading struct {
+	at     time.Time
+	flows  map[role]flow
+	use    map[role]usage
+	handed handed
+}
+
+func (c *conductor) reading() (r reading, err error) {
+	if err := c.read(); err != nil {
+		return r, err
+	}
+	c.mu.Lock()
+	r = reading{at: time.Now(), flows: c.meter.flows(), use: map[role]usage{}, handed: c.ledger.handed()}
+	c.mu.Unlock()
+	for _, p := range c.all() {
+		u, one := r.use[p.task.Role], p.use()
+		u.CPU, u.Memory = u.CPU+one.CPU, u.Memory+one.Memory
+		r.use[p.task.Role] = u
+	}
+	r.use[roleTools] = usageOf(os.Getpid())
+	return r, nil
+}
+
+const roleTools role = "tools"
+
+// phase is what lies between two readings.
+func (c *conductor) phase(name string, from, to reading, in *InForce) Phase {
+	seconds := to.at.Sub(from.at).Seconds()
+	p := Phase{Name: name, Seconds: seconds, Roles: map[string]Role{}, InForce: in, Handed: handed{
+		Lists: to.handed.Lists - from.handed.Lists, Elements: to.handed.Elements - from.handed.Elements,
+		Plans: to.handed.Plans - from.handed.Plans, Reroutes: to.handed.Reroutes - from.handed.Reroutes}}
+	members := map[role]int{roleNodes: c.Size.Nodes, roleDiscovery: 1, roleTools: 1, roleControl: len(c.controls)}
+	if c.Size.Membership {
+		members[roleMembers] = c.Size.Nodes
+	}
+	if c.ways != nil {
+		members[roleCut] = 1
+	}
+	for r, n := range members {
+		if n == 0 {
+			continue
+		}
+		f := to.flows[r].less(from.flows[r])
+		p.Roles[string(r)] = Role{Members: n, BytesIn: f.BytesIn / seconds, BytesOut: f.BytesOut / seconds, MessagesIn: f.SegmentsIn / seconds,
+			MessagesOut: f.SegmentsOut / seconds, CPU: (to.use[r].CPU - from.use[r].CPU) / seconds, Memory: to.use[r].Memory}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/scale/cut.go
@@ -0,0 +1,70 @@
+package scale
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"fernvane/internal/standin/link"
+)
+
+// ways are the connections from nodes to control processes of other regions, which can be cut without a word to either
+// side.
+type ways struct{ listeners []*link.Listener }
+
+func newWays(l *Layout) (*ways, error) {
+	w := &ways{}
+	for region := range l.Size.Regions {
+		for n := range l.Size.Control {
+			if l.controlIn(n) == region {
+				continue
+			}
+			to := l.controlAddress(n)
+			listener, err := link.Listen(l.cutAddress(region, n), func(c *link.Conn) { pass(c, to, l) })
+			if err != nil {
+				return nil, err
+			}
+			w.listeners = append(w.listeners, listener)
+		}
+	}
+	return w, nil
+}
+
+// pass leads a connection on to a control process, from an address of its own by which it is not counted twice.
+func pass(from *link.Conn, address string, l *Layout) {
+	defer from.Close()
+	d := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, byte(l.Net), cutHost, 254)}}
+	to, err := d.Dial("tcp", address)
+	if err != nil {
+		from.Reset()
+		return
+	}
+	defer to.Close()
+	var both sync.WaitGroup
+	both.Go(func() {
+		io.Copy(to, from)
+		to.Close()
+	})
+	both.Go(func() {
+		io.Copy(from, to)
+		from.TCPConn.Close()
+	})
+	both.Wait()
+}
+
+func (w *ways) cut(cut bool) {
+	for _, l := range w.listeners {
+		if cut {
+			l.Hush()
+		} else {
+			l.Speak()
+		}
+	}
+}
+
+func (w *ways) close() {
+	for _, l := range w.listeners {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/internal/scale/layout.go
@@ -0,0 +1,160 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Ports tell connections apart when they are counted: each kind has one on its serving side.
+const (
+	discoveryPort  = 18070 // discovery, for nodes
+	controlPort    = 18071 // control processes
+	memberPort     = 18072 // nodes, for each other
+	cutPort        = 18073 // ways between regions that can be cut
+	ownerPort      = 18074 // discovery, for control processes
+	nodePort       = 18080 // nodes, for clients; nobody connects
+	claimPort      = 18090 // held by the tool, so that two runs do not share a net
+	firstNet       = 2
+	lastNet        = 15 // those above belong to the lab
+	markersMost    = 64 // servers that change
+	discoveryHost  = 251
+	controlHost    = 252
+	cutHost        = 253
+	nodesPerSubnet = 240
+)
+
+// Layout says where everything of a run is.
+type Layout struct {
+	Size Size   `json:"size"`
+	Net  int    `json:"net"` // 127.Net.x.y
+	Dir  string `json:"dir"`
+}
+
+func (l *Layout) address(x, y, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", l.Net, x, y, port)
+}
+
+func (l *Layout) nodeAddress(node, port int) string {
+	return l.address(node/nodesPerSubnet, 1+node%nodesPerSubnet, port)
+}
+func (l *Layout) discoveryAddress(port int) string { return l.address(discoveryHost, 1, port) }
+func (l *Layout) controlAddress(n int) string      { return l.address(controlHost, 1+n, controlPort) }
+
+// cutAddress is where nodes of a region reach a control process of another one.
+func (l *Layout) cutAddress(region, n int) string { return l.address(cutHost, 1+region*64+n, cutPort) }
+
+// zone of a process of nodes, and region of a zone.
+func (l *Layout) zone(worker int) int   { return worker % l.Size.Zones }
+func (l *Layout) region(zone int) int   { return zone % l.Size.Regions }
+func (l *Layout) controlIn(n int) int   { return n % l.Size.Regions }
+func (l *Layout) workerOf(node int) int { return node % l.Size.workers() }
+
+// nodesOf are the nodes of a process.
+func (l *Layout) nodesOf(worker int) (nodes []int) {
+	for n := worker; n < l.Size.Nodes; n += l.Size.workers() {
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// controlsFor are the addresses of the control processes as nodes of a region reach them, those of their own region first.
+func (l *Layout) controlsFor(region int) (addresses []string) {
+	for _, own := range []bool{true, false} {
+		for n := range l.Size.Control {
+			switch {
+			case (l.controlIn(n) == region) != own:
+			case own || l.Size.Event != RegionsApart:
+				addresses = append(addresses, l.controlAddress(n))
+			default:
+				addresses = append(addresses, l.cutAddress(region, n))
+			}
+		}
+	}
+	return addresses
+}
+
+func (l *Layout) markers() int { return min(markersMost, l.Size.Servers) }
+
+func serverID(services, i int) string { return fmt.Sprintf("svc%04d-srv-%06d", i%services, i) }
+
+func zoneName(l *Layout, zone int) string {
+	return fmt.Sprintf("region-%d-zone-%d", l.region(zone), zone)
+}
+
+// claim finds a net that no other run holds; it is held until the listener is closed.
+func claim() (netNumber int, held net.Listener, err error) {
+	for n := firstNet; n <= lastNet; n++ {
+		if held, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, claimPort)); err == nil {
+			return n, held, nil
+		}
+	}
+	return 0, nil, fmt.Errorf("no loopback net is free: %v", err)
+}
+
+type object = map[string]any
+
+func (l *Layout) configPath() string   { return filepath.Join(l.Dir, "node.json") }
+func (l *Layout) operatorPath() string { return filepath.Join(l.Dir, "operator.toml") }
+func (l *Layout) plannersPath(r int) string {
+	return filepath.Join(l.Dir, fmt.Sprintf("planners-%d.toml", r))
+}
+func (l *Layout) snapshotDir(n int) string   { return filepath.Join(l.Dir, "lists", fmt.Sprint(n)) }
+func (l *Layout) heldDir(n int) string       { return filepath.Join(l.Dir, "held", fmt.Sprint(n)) }
+func (l *Layout) planPath(n int) string      { return filepath.Join(l.Dir, fmt.Sprintf("plan-%d.toml", n)) }
+func (l *Layout) logPath(name string) string { return filepath.Join(l.Dir, name+".log") }
+
+// write makes the files that all nodes share.
+func (l *Layout) write() error {
+	types := []object{}
+	for _, t := range []struct {
+		name, repeat string
+		target       int
+	}{{"svc0000", "safe", 200}, {"svc0001", "keyed", 400}, {"svc0002", "unsafe", 800}} {
+		types = append(types, object{"name": t.name, "targetTime": t.target, "abandonTime": 4 * t.target, "window": 2000, "revenue": 1,
+			"keyScope": "all", "idempotency": t.repeat})
+	}
+	tenants, zones := []object{}, []string{}
+	for i := range l.Size.Tenants {
+		tenants = append(tenants, object{"name": fmt.Sprintf("tenant-%06d", i), "allowancePerS": 8.5})
+	}
+	for z := range l.Size.Zones {
+		zones = append(zones, zoneName(l, z))
+	}
+	text, err := json.Marshal(object{"name": "n", "listen": l.address(0, 1, nodePort), "discovery": l.discoveryAddress(discoveryPort),
+		"limits": object{"memory_mb": 128, "sockets": 256},
+		"settings": object{"groupSize": l.Size.Nodes, "granularity": 2, "discovery": "on_request", "overageRevenue": 0.3, "dcs": zones,
+			"trafficTypes": types, "tenants": tenants, "limits": object{"connIdle": 5000, "connectTimeout": 100, "mostHops": 3},
+			"rules": object{"askWithin": 2000, "stopSendingWithin": 500, "cold": 5000, "fallMultiple": 2, "startCapacity": 0.3}}})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(l.configPath(), text, 0o644); err != nil {
+		return err
+	}
+	return l.writeRoutes(0)
+}
+
+// writeRoutes writes the operator's file, whose first route changes with each revision.
+func (l *Layout) writeRoutes(revision int) error {
+	if l.Size.Routes == 0 {
+		return nil
+	}
+	var b strings.Builder
+	for i := range l.Size.Routes {
+		rate := 100 + i%50
+		if i == 0 {
+			rate += revision
+		}
+		fmt.Fprintf(&b, "[[routes]]\nname = \"route-%05d\"\ntype = \"svc000%d\"\npath = \"/svc000%d/p%05d/**\"\nrate = %d\nat_once = 40\n\n",
+			i, i%3, i%3, i, rate)
+	}
+	next := l.operatorPath() + ".new"
+	if err := os.WriteFile(next, []byte(b.String()), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, l.operatorPath())
+}
--- /dev/null
+++ b/internal/scale/records.go
@@ -0,0 +1,126 @@
+package scale
+
+import (
+	"hash/crc32"
+	"sync"
+	"time"
+
+	"fernvane/internal/node"
+	"fernvane/policy"
+)
+
+// recordKind says what a node's module has taken in.
+type recordKind int
+
+const (
+	markerTaken recordKind = iota // a changed server
+	wholeTaken                    // as many servers as there are, a source having told
+	routesTaken                   // routes of the operator's file
+	nodeStarted
+)
+
+// record is one such moment. What counts is when the module holds it: nothing decides otherwise after that.
+type record struct {
+	Kind     recordKind
+	Node     int
+	Marker   int  // of markerTaken
+	Draining bool // likewise
+	At       int64
+}
+
+// recorder gathers the records of the nodes of one process, and counts what their modules were handed.
+type recorder struct {
+	servers int
+	markers map[uint32]int // by rank
+
+	mu      sync.Mutex // taken under a fleet's lock; nothing is done under it but this
+	records []record
+	counts  handed
+}
+
+// handed counts what modules were handed of lists.
+type handed struct {
+	Lists    int `json:"lists"`
+	Elements int `json:"elements"` // lines of them
+	Plans    int `json:"plans"`
+	Reroutes int `json:"reroutes"`
+}
+
+func newRecorder(l *Layout) *recorder {
+	r := &recorder{servers: l.Size.Servers, markers: map[uint32]int{}}
+	for i := range l.markers() {
+		r.markers[crc32.ChecksumIEEE([]byte(serverID(l.Size.Services, i)))] = i
+	}
+	return r
+}
+
+// take returns what has gathered since the last call, and the counts so far.
+func (r *recorder) take() ([]record, handed) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	records := r.records
+	r.records = nil
+	return records, r.counts
+}
+
+func (r *recorder) started(node int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = append(r.records, record{Kind: nodeStarted, Node: node, At: time.Now().UnixNano()})
+}
+
+// observed is the shipped module, and notes what it has taken in once it has.
+type observed struct {
+	node.Module
+	recorder *recorder
+	node     int
+	known    int // servers that it was ever told of, by their dense indices
+	whole    bool
+}
+
+func (r *recorder) observe(number int, maker node.Maker) node.Maker {
+	return func(s policy.Settings, seed uint32) node.Module {
+		return &observed{Module: maker(s, seed), recorder: r, node: number}
+	}
+}
+
+func (o *observed) Handle(now time.Duration, in *policy.Input, effects []policy.Effect) []policy.Effect {
+	effects = o.Module.Handle(now, in, effects)
+	if in.Kind != policy.List && in.Kind != policy.Retyped && in.Kind != policy.Planned {
+		return effects
+	}
+	r, at := o.recorder, time.Now().UnixNano()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch in.Kind {
+	case policy.Planned:
+		r.counts.Plans++
+	case policy.Retyped:
+		r.counts.Reroutes++
+		r.records = append(r.records, record{Kind: routesTaken, Node: o.node, At: at})
+	case policy.List:
+		o.listed(in, at)
+	}
+	return effects
+}
+
+func (o *observed) listed(in *policy.Input, at int64) {
+	r := o.recorder
+	for _, m := range in.Members {
+		o.known = max(o.known, m.Server+1)
+	}
+	if in.Scope == policy.Saved || in.Scope == policy.Unavailable {
+		return
+	}
+	r.counts.Lists++
+	r.counts.Elements += len(in.Members)
+	if !o.whole && o.known >= r.servers {
+		o.whole = true
+		r.records = append(r.records, record{Kind: wholeTaken, Node: o.node, At: at})
+	}
+	for _, m := range in.Members {
+		if marker, ok := r.markers[m.Rank]; ok {
+			r.records = append(r.records, record{Kind: markerTaken, Node: o.node, Marker: marker, Draining: m.Condition == policy.Draining, At: at})
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/run_test.go
@@ -0,0 +1,70 @@
+package scale
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+)
+
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == WorkerCommand {
+		os.Exit(Worker(os.Stdin, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func small(plane, event string) Size {
+	return Size{Nodes: 12, Servers: 40, Services: 4, Routes: 8, Tenants: 4, Regions: 2, Zones: 4, Control: 2, Churn: 5, Plane: plane, Event: event,
+		For: time.Second, Seed: 1}
+}
+
+// Each plane and event, played by real processes: in the end every node that is up has every change, and knows all servers.
+func TestRuns(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name   string
+		size   Size
+		phases []string
+	}{
+		{"planners, a rack", small("planners", Rack), []string{"start", "rest", "changes", "reload", Rack}},
+		{"planners, regions apart", small("planners", RegionsApart), []string{"start", "rest", "changes", "reload", RegionsApart}},
+		{"planners, one killed", small("planners", ControlKilled), []string{"start", "rest", "changes", "reload", ControlKilled}},
+		{"discovery, away", small("discovery", DiscoveryAway), []string{"start", "rest", "changes", "reload", DiscoveryAway}},
+		{"discovery, all started at once", small("discovery", StartAll), []string{"start", "rest", "changes", "reload", StartAll}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(context.Background(), Options{Size: c.size, Command: []string{self, WorkerCommand}, Progress: t.Output(), Told: "test"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, f := range r.Faults {
+				t.Error("fault:", f)
+			}
+			for i, p := range r.Phases {
+				if i >= len(c.phases) || p.Name != c.phases[i] {
+					t.Fatalf("phase %d is %q, want %q", i, p.Name, c.phases)
+				}
+				if f := p.InForce; f != nil && (f.Missing > 0 || f.Taken == 0) {
+					t.Errorf("%s: %+v", p.Name, f)
+				}
+				if f := p.Returned; f != nil && (f.Missing > 0 || f.Taken == 0) {
+					t.Errorf("%s: returned: %+v", p.Name, f)
+				}
+				if n := p.Roles[string(roleNodes)]; n.Members != c.size.Nodes || p.Name == "start" && n.BytesIn == 0 {
+					t.Errorf("%s: nodes %+v", p.Name, n)
+				}
+			}
+			if len(r.Phases) != len(c.phases) {
+				t.Errorf("%d phases, want %q", len(r.Phases), c.phases)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/scale/sockets.go
@@ -0,0 +1,182 @@
+package scale
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"syscall"
+)
+
+// The system's own count of each connection is read by its socket diagnostics, from outside of the processes that are
+// measured: no byte is counted in a way that costs them anything.
+const (
+	sockDiag       = 4  // NETLINK_SOCK_DIAG
+	diagByFamily   = 20 // SOCK_DIAG_BY_FAMILY
+	diagInfo       = 2  // INET_DIAG_INFO
+	allStates      = ^uint32(0)
+	requestBytes   = 56 // inet_diag_req_v2
+	messageBytes   = 72 // inet_diag_msg
+	bufferBytes    = 1 << 20
+	receivedAt     = 128 // offsets in tcp_info
+	segmentsInAt   = 152
+	segmentsOutAt  = 156
+	sentAt         = 200
+	resentAt       = 208
+	infoLeastBytes = 216
+)
+
+// flow is what passed on the serving side of some connections.
+type flow struct {
+	BytesIn, BytesOut       float64
+	SegmentsIn, SegmentsOut float64 // with data
+}
+
+func (f *flow) add(o flow) {
+	f.BytesIn, f.BytesOut = f.BytesIn+o.BytesIn, f.BytesOut+o.BytesOut
+	f.SegmentsIn, f.SegmentsOut = f.SegmentsIn+o.SegmentsIn, f.SegmentsOut+o.SegmentsOut
+}
+
+func (f flow) less(o flow) flow {
+	return flow{f.BytesIn - o.BytesIn, f.BytesOut - o.BytesOut, f.SegmentsIn - o.SegmentsIn, f.SegmentsOut - o.SegmentsOut}
+}
+
+// turned is the same from the other side.
+func (f flow) turned() flow { return flow{f.BytesOut, f.BytesIn, f.SegmentsOut, f.SegmentsIn} }
+
+// socket is one as the system tells it.
+type socket struct {
+	cookie            uint64
+	local, remote     uint16 // ports
+	localIP, remoteIP [4]byte
+	flow
+}
+
+// sockets asks for all TCP connections over IPv4 of this machine.
+func sockets(each func(*socket)) error {
+	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_DGRAM|syscall.SOCK_CLOEXEC, sockDiag)
+	if err != nil {
+		return os.NewSyscallError("socket", err)
+	}
+	defer syscall.Close(fd)
+	request := make([]byte, syscall.NLMSG_HDRLEN+requestBytes)
+	binary.NativeEndian.PutUint32(request, uint32(len(request)))
+	binary.NativeEndian.PutUint16(request[4:], diagByFamily)
+	binary.NativeEndian.PutUint16(request[6:], syscall.NLM_F_REQUEST|syscall.NLM_F_DUMP)
+	body := request[syscall.NLMSG_HDRLEN:]
+	body[0], body[1], body[2] = syscall.AF_INET, syscall.IPPROTO_TCP, 1<<(diagInfo-1)
+	binary.NativeEndian.PutUint32(body[4:], allStates)
+	if err := syscall.Sendto(fd, request, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
+		return os.NewSyscallError("sendto", err)
+	}
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, _, err := syscall.Recvfrom(fd, buffer, 0)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		if err != nil {
+			return os.NewSyscallError("recvfrom", err)
+		}
+		messages, err := syscall.ParseNetlinkMessage(buffer[:n])
+		if err != nil {
+			return err
+		}
+		for _, m := range messages {
+			switch m.Header.Type {
+			case syscall.NLMSG_DONE:
+				return nil
+			case syscall.NLMSG_ERROR:
+				return fmt.Errorf("the system does not tell of its sockets")
+			}
+			if s, ok := parseSocket(m.Data); ok {
+				each(&s)
+			}
+		}
+	}
+}
+
+// parseSocket reads one message; it is false for a socket that has no counts, as one that listens or has ended.
+func parseSocket(data []byte) (s socket, ok bool) {
+	if len(data) < messageBytes {
+		return s, false
+	}
+	s.local, s.remote = binary.BigEndian.Uint16(data[4:]), binary.BigEndian.Uint16(data[6:])
+	copy(s.localIP[:], data[8:])
+	copy(s.remoteIP[:], data[24:])
+	s.cookie = binary.NativeEndian.Uint64(data[44:])
+	for rest := data[messageBytes:]; len(rest) >= syscall.SizeofRtAttr; {
+		length, kind := int(binary.NativeEndian.Uint16(rest)), binary.NativeEndian.Uint16(rest[2:])
+		if length < syscall.SizeofRtAttr || length > len(rest) {
+			return s, false
+		}
+		if info := rest[syscall.SizeofRtAttr:length]; kind == diagInfo && len(info) >= infoLeastBytes {
+			s.BytesOut = float64(binary.NativeEndian.Uint64(info[sentAt:]) - binary.NativeEndian.Uint64(info[resentAt:]))
+			s.BytesIn = float64(binary.NativeEndian.Uint64(info[receivedAt:]))
+			s.SegmentsIn = float64(binary.NativeEndian.Uint32(info[segmentsInAt:]))
+			s.SegmentsOut = float64(binary.NativeEndian.Uint32(info[segmentsOutAt:]))
+			return s, true
+		}
+		rest = rest[min((length+3)&^3, len(rest)):]
+	}
+	return s, false
+}
+
+// meter adds up what passed on the connections of one net, by the port of their serving side.
+type meter struct {
+	net    byte
+	sums   map[uint16]flow
+	cutWay flow // of the control processes' connections, those that come over ways between regions
+	last   map[uint64]flow
+}
+
+func newMeter(net int) *meter {
+	return &meter{net: byte(net), sums: map[uint16]flow{}, last: map[uint64]flow{}}
+}
+
+// read brings the sums up to now. A connection that has ended since keeps what was counted of it.
+func (m *meter) read() error {
+	seen := map[uint64]flow{}
+	err := sockets(func(s *socket) {
+		if s.localIP[0] != 127 || s.localIP[1] != m.net {
+			return
+		}
+		switch s.local {
+		case discoveryPort, controlPort, memberPort, cutPort, ownerPort:
+		default:
+			return
+		}
+		if s.local == memberPort && s.remote == memberPort {
+			return
+		}
+		fresh := s.flow.less(m.last[s.cookie])
+		seen[s.cookie] = s.flow
+		sum := m.sums[s.local]
+		sum.add(fresh)
+		m.sums[s.local] = sum
+		if s.local == controlPort && s.remoteIP[2] == cutHost && s.remoteIP[1] == m.net {
+			m.cutWay.add(fresh)
+		}
+	})
+	if err == nil {
+		m.last = seen
+	}
+	return err
+}
+
+// flows of the roles, each from its own side.
+func (m *meter) flows() map[role]flow {
+	nodes := m.sums[discoveryPort].turned()
+	nodes.add(m.sums[controlPort].less(m.cutWay).turned())
+	nodes.add(m.sums[cutPort].turned())
+	control := m.sums[controlPort]
+	control.add(m.sums[ownerPort].turned())
+	discovery := m.sums[discoveryPort]
+	discovery.add(m.sums[ownerPort])
+	members := m.sums[memberPort]
+	both := members.turned()
+	both.add(members) // each connection has two nodes, and both their sides count
+	return map[role]flow{roleNodes: nodes, roleControl: control, roleDiscovery: discovery, roleMembers: both}
+}
+
+const roleMembers role = "membership"
--- /dev/null
+++ b/internal/scale/standin.go
@@ -0,0 +1,58 @@
+package scale
+
+import (
+	"fmt"
+	"time"
+
+	"fernvane/internal/standin/discovery"
+)
+
+// listsPerS is far above what any size needs: the stand-in's modelled capacity is a deployment's figure, not the project's.
+const listsPerS = 1e12
+
+// standin is discovery's side: the project's stand-in for the service that lists servers.
+type standin struct {
+	layout  *Layout
+	service *discovery.Service
+}
+
+type nobody struct{}
+
+func (nobody) Told(int, string, string, int64, time.Time) {}
+
+func newStandin(l *Layout) (Source, error) {
+	s := &standin{layout: l, service: discovery.New(discovery.Figures{LinesPerS: listsPerS, Timeout: time.Minute}, l.Size.Seed, nobody{})}
+	for i := range l.Size.Servers {
+		s.service.Set(s.entry(i, discovery.Serving))
+	}
+	for i, port := range []int{discoveryPort, ownerPort} {
+		if err := s.service.Serve(i, 0, l.discoveryAddress(port)); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (s *standin) entry(i int, phase string) discovery.Entry {
+	const longAgo = 90 * 24 * time.Hour
+	return discovery.Entry{ID: serverID(s.layout.Size.Services, i), Site: zoneName(s.layout, i%s.layout.Size.Zones), Cell: i % 40,
+		Flavor: fmt.Sprintf("svc%04d", i%s.layout.Size.Services), Phase: phase, UpSince: time.Now().Add(-longAgo).Truncate(24 * time.Hour),
+		Addresses: []string{fmt.Sprintf("127.1.%d.%d:%d", i>>8&255, i&255, 1024+i>>16)}}
+}
+
+func (s *standin) Change(server int, draining bool) (time.Time, error) {
+	phase := discovery.Serving
+	if draining {
+		phase = discovery.Draining
+	}
+	at := time.Now()
+	s.service.Set(s.entry(server, phase))
+	return at, nil
+}
+
+func (s *standin) Away(away bool) error {
+	s.service.Down(away)
+	return nil
+}
+
+func (s *standin) Close() { s.service.Close() }
--- /dev/null
+++ b/internal/scale/worker.go
@@ -0,0 +1,219 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// WorkerCommand has the tool's own binary run as one of its processes.
+const WorkerCommand = "scale-worker"
+
+// role of a process.
+type role string
+
+const (
+	roleNodes     role = "nodes"
+	roleControl   role = "control"
+	roleDiscovery role = "discovery"
+	roleCut       role = "ways" // between regions
+)
+
+// task is what a process is told at its start, on its standard input.
+type task struct {
+	Role   role    `json:"role"`
+	Number int     `json:"number"`
+	Layout *Layout `json:"layout"`
+}
+
+// order is what it is told later.
+type order struct {
+	Do       string `json:"do"`
+	Server   int    `json:"server,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+	On       bool   `json:"on,omitempty"`
+}
+
+const (
+	doReload = "reload" // nodes read the operator's file again
+	doChange = "change" // a server drains, or serves again
+	doAway   = "away"   // discovery cannot be reached, or can again
+	doCut    = "cut"    // ways between regions bring nothing, or again
+)
+
+// told is a line of what a process says, on its standard output.
+type told struct {
+	Ready   bool     `json:"ready,omitempty"`
+	Records []record `json:"records,omitempty"`
+	Handed  *handed  `json:"handed,omitempty"`
+	Changed int64    `json:"changed,omitempty"` // when an order to change was carried out
+	Done    bool     `json:"done,omitempty"`    // another order was
+	Fault   string   `json:"fault,omitempty"`
+}
+
+const flushEvery = 100 * time.Millisecond
+
+// worker is one process.
+type worker struct {
+	task
+	out    sync.Mutex
+	encode *json.Encoder
+	orders *json.Decoder
+}
+
+// Worker runs a process of the tool until its standard input ends. It returns the exit code.
+func Worker(in io.Reader, out, errs io.Writer) int {
+	signal.Ignore(syscall.SIGINT, syscall.SIGPIPE) // the tool ends its processes, not the terminal
+	w := &worker{encode: json.NewEncoder(out), orders: json.NewDecoder(bufio.NewReader(in))}
+	if err := w.orders.Decode(&w.task); err != nil || w.Layout == nil {
+		fmt.Fprintln(errs, "a process of `fernlab scale` is started by it alone")
+		return 2
+	}
+	if err := w.run(); err != nil {
+		w.say(told{Fault: err.Error()})
+		fmt.Fprintln(errs, err)
+		return 1
+	}
+	return 0
+}
+
+func (w *worker) say(t told) {
+	w.out.Lock()
+	defer w.out.Unlock()
+	w.encode.Encode(t)
+}
+
+func (w *worker) run() error {
+	switch w.Role {
+	case roleNodes:
+		return w.nodes()
+	case roleControl:
+		return w.control()
+	case roleDiscovery:
+		return w.discovery()
+	case roleCut:
+		return w.ways()
+	}
+	return fmt.Errorf("no role %q", w.Role)
+}
+
+// obey carries out orders until there are none any more.
+func (w *worker) obey(do func(order) told) error {
+	for {
+		var o order
+		if err := w.orders.Decode(&o); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		w.say(do(o))
+	}
+}
+
+func (w *worker) nodes() error {
+	r := newRecorder(w.Layout)
+	var all []*hollow
+	for _, n := range w.Layout.nodesOf(w.Number) {
+		h, err := startHollow(w.Layout, n, r)
+		if err != nil {
+			return fmt.Errorf("node %d: %w", n, err)
+		}
+		all = append(all, h)
+	}
+	for _, h := range all { // one that cannot serve says so in a log of its own
+		go func() {
+			if err := <-h.done; err != nil {
+				w.say(told{Fault: fmt.Sprintf("node %d: %v", h.number, err)})
+			}
+		}()
+	}
+	w.say(told{Ready: true})
+	go func() {
+		for range time.Tick(flushEvery) {
+			if records, counts := r.take(); len(records) > 0 {
+				w.say(told{Records: records, Handed: &counts})
+			}
+		}
+	}()
+	return w.obey(func(o order) told {
+		for _, h := range all {
+			select {
+			case h.reload <- syscall.SIGHUP:
+			default: // one that waits is enough
+			}
+		}
+		return told{Done: true}
+	})
+}
+
+func (w *worker) control() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return planes[w.Layout.Size.Plane].Control(ctx, w.Layout, w.Number) })
+	g.Go(func() error {
+		if err := reachable(ctx, w.Layout.controlAddress(w.Number)); err != nil {
+			return err
+		}
+		w.say(told{Ready: true})
+		return nil
+	})
+	g.Go(func() error {
+		defer cancel()
+		return w.obey(func(order) told { return told{Done: true} })
+	})
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func (w *worker) discovery() error {
+	source, err := planes[w.Layout.Size.Plane].Source(w.Layout)
+	if err != nil {
+		return err
+	}
+	defer source.Close()
+	w.say(told{Ready: true})
+	return w.obey(func(o order) told {
+		if o.Do == doAway {
+			if err := source.Away(o.On); err != nil {
+				return told{Fault: err.Error()}
+			}
+			return told{Done: true}
+		}
+		at, err := source.Change(o.Server, o.Draining)
+		if err != nil {
+			return told{Fault: err.Error()}
+		}
+		return told{Changed: at.UnixNano()}
+	})
+}
+
+func (w *worker) ways() error {
+	ways, err := newWays(w.Layout)
+	if err != nil {
+		return err
+	}
+	w.say(told{Ready: true})
+	err = w.obey(func(o order) told {
+		ways.cut(o.On)
+		return told{Done: true}
+	})
+	ways.cut(false)
+	ways.close()
+	return err
+}
+
+// environment of a process beside the tool's own.
+func environment() []string { return append(os.Environ(), "GOMAXPROCS="+hollowThreads) }
