--- a/internal/http1/fields.go
+++ b/internal/http1/fields.go
@@ -32,7 +32,7 @@
 			return into, errField
 		}
 		if !message.IsText(value) {
-			if f := (Field{Name: name, Value: value}); lenient && !frames(f) && bytes.IndexAny(value, "\x00\r\n") < 0 {
+			if f := (Field{Name: name, Value: value}); lenient && !frames(f) && !bytes.ContainsAny(value, "\x00\r\n") {
 				continue
 			}
 			return into, errField
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -14,11 +14,8 @@
 )
 
 // keys are the limits by their names in the file, in the order of the struct.
-func keys() (all []reflect.StructField) {
-	for _, f := range reflect.VisibleFields(reflect.TypeFor[Limits]()) {
-		all = append(all, f)
-	}
-	return all
+func keys() []reflect.StructField {
+	return reflect.VisibleFields(reflect.TypeFor[Limits]())
 }
 
 // value writes a limit as the file does; ok is false where it is not set.
--- a/internal/route/file.go
+++ b/internal/route/file.go
@@ -4,8 +4,6 @@
 package route
 
 import (
-	"time"
-
 	"fernvane/internal/tomlfile"
 )
 
@@ -93,8 +91,6 @@
 	return *p
 }
 
-func span(p *Span) time.Duration { return time.Duration(or(p, 0)) }
-
 // over returns l with what it leaves out taken from below.
 func (l Limits) over(below Limits) Limits {
 	nearer(&l.Target, below.Target)
