--- /dev/null
+++ b/internal/roster/bench_test.go
@@ -0,0 +1,46 @@
+package roster
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"fernvane/internal/life"
+)
+
+func words(from, to int) []Word {
+	var list []Word
+	for i := from; i < to; i++ {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80)
+		list = append(list, Word{ID: fmt.Sprint("server-", i), Address: at, Condition: life.Up})
+	}
+	return list
+}
+
+func BenchmarkWholeList(b *testing.B) {
+	for _, servers := range []int{200, 2_000, 20_000, 200_000} {
+		list := words(0, servers)
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			for b.Loop() {
+				NewBook().Told(0, Discovery, list, true)
+			}
+		})
+	}
+}
+
+// One server more, with a tenth of the others drained before.
+func BenchmarkOneChange(b *testing.B) {
+	for _, servers := range []int{200, 2_000, 20_000, 200_000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			book := NewBook()
+			for i, w := range words(0, servers) { // not told through Told, which may take a square
+				book.lines[w.ID] = &Line{Word: w, Used: i%10 != 0}
+			}
+			list := words(servers, servers+1)
+			for b.Loop() {
+				book.Told(0, Discovery, list, false)
+				book.Forget(list[0].ID)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/policy/bench_test.go
@@ -0,0 +1,100 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// fleetSettings are those of a node with so many traffic types and tenants.
+func fleetSettings(types, tenants int) Settings {
+	s := Settings{Nodes: 5800, Tick: 5 * ms, MostHops: 4, ColdFor: 8 * time.Second, ColdStart: 0.3, FallMultiple: 3,
+		AskWithin: 10 * time.Second, OverageRevenue: 0.1}
+	for k := range types {
+		s.Types = append(s.Types, TrafficType{Repeat: Repeat(k % 3), TargetTime: 400 * ms, AbandonTime: 2 * time.Second,
+			Revenue: float64(1 + k%9), RetryShare: 0.1, RetryFloor: 1})
+	}
+	for range tenants {
+		s.AllowancePerS = append(s.AllowancePerS, 10)
+	}
+	return s
+}
+
+// fleetList is a list of servers that started long ago, under ranks spread as checksums are.
+func fleetList(servers int) []Member {
+	list := make([]Member, servers)
+	for i := range list {
+		list[i] = Member{Server: i, Rank: uint32(i) * 2654435761, Zone: i % 18, Cell: i / 40, Scale: 1,
+			Started: -time.Hour, HasStart: true}
+	}
+	return list
+}
+
+func newFleet(types, tenants, servers int) *Policy {
+	p := New(fleetSettings(types, tenants), 7)
+	p.Handle(0, &Input{Kind: Woken}, nil)
+	if servers > 0 {
+		p.Handle(0, &Input{Kind: List, Scope: Whole, Members: fleetList(servers)}, nil)
+	}
+	return p
+}
+
+var fleetSizes = []int{200, 2_000, 20_000, 50_000, 200_000}
+
+func BenchmarkWholeList(b *testing.B) {
+	for _, servers := range fleetSizes {
+		list := fleetList(servers)
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				p := newFleet(3, 0, 0)
+				b.StartTimer()
+				p.Handle(0, &Input{Kind: List, Scope: Whole, Members: list}, nil)
+			}
+		})
+	}
+}
+
+func BenchmarkOneChange(b *testing.B) {
+	for _, servers := range fleetSizes {
+		p := newFleet(3, 0, servers)
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			b.ReportAllocs()
+			effects, change := []Effect(nil), [1]Member{}
+			for i := 0; b.Loop(); i++ {
+				change[0] = Member{Server: i % servers, Rank: uint32(i), Zone: i % 18, Scale: 1, Other: true,
+					Started: -time.Hour, HasStart: true}
+				effects = p.Handle(0, &Input{Kind: List, Scope: Changes, Members: change[:]}, effects[:0])
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, c := range []struct{ types, tenants, servers int }{
+		{3, 0, 200}, {1_000, 0, 200}, {10_000, 0, 200}, {3, 390_000, 200}, {3, 0, 200_000},
+	} {
+		b.Run(fmt.Sprintf("types=%d/tenants=%d/servers=%d", c.types, c.tenants, c.servers), func(b *testing.B) {
+			p := newFleet(c.types, c.tenants, min(c.servers, 2_000))
+			for p.readyCount < c.servers { // by pieces, of which none costs a square
+				list := fleetList(p.readyCount + 2_000)[p.readyCount:]
+				p.Handle(0, &Input{Kind: List, Scope: Changes, Members: list}, nil)
+			}
+			now := time.Duration(0)
+			var effects []Effect
+			for op := range 20 {
+				effects = p.Handle(now, &Input{Kind: Arrival, Op: op, Type: op % c.types, Tenant: op, Budget: time.Hour}, effects[:0])
+			}
+			for range 300 { // until what only starts has settled
+				now += 20 * ms
+				effects = p.Handle(now, &Input{Kind: Woken}, effects[:0])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now += 20 * ms
+				effects = p.Handle(now, &Input{Kind: Woken}, effects[:0])
+			}
+		})
+	}
+}
