One change to the list costs the module what it touches; a whole list is n log n

A list took a square: follow looked for each server in the rotation and shifted it, enrol took the mean over all, each server taken in had all counted anew, and each change copied and walked all. Now the rotation is an order-statistic treap (internal/ordered), what walks looked for are sets (internal/activeset) and counts kept as they change (policy/tables.go), and what a server has had of one type of operation is kept for types with trouble only. Plans touch the servers that they name; a rest counts among servers in trouble.

The tests that count fail with the copy of the listed, with a walk of the rotation, or with a set not kept in step put back.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,13 +170,17 @@
 // planned takes over a plan. A server that left the part or is to be avoided is let go while no hop is out.
 func (p *Policy) planned(in *Input) {
 	p.set.Nodes, p.within, p.admitMost = in.Nodes, in.Within, in.Admit
-	was := slices.Clone(p.part)
-	clear(p.part)
-	clear(p.pace)
+	was := map[int]float64{}
+	for s := range p.shared.All() {
+		was[s], p.part[s], p.pace[s] = p.part[s], 0, 0
+		p.shared.Remove(s)
+	}
 	for _, s := range in.Shares {
 		p.part[s.Server], p.pace[s.Server] = s.Part, s.Pace
+		p.shared.Add(s.Server)
 		if s.Rest > 0 { // then one hop on trial, as after a rest of its own
-			p.restUntil[s.Server] = max(p.restUntil[s.Server], p.now+s.Rest)
+			until := p.untilOf(s.Server, allTypes)
+			*until = max(*until, p.now+s.Rest)
 			p.strikes[s.Server] = max(p.strikes[s.Server], 1)
 		}
 	}
@@ -189,9 +193,10 @@
 
 // retype takes over traffic types; a new one starts with what was learned of the one that it is like.
 func (p *Policy) retype(in *Input) {
-	p.set.Types, p.roomMost = in.Types, in.Rooms
+	p.set.Types, p.roomMost, p.answers = in.Types, in.Rooms, false
 	p.rooms = append(p.rooms, make([]int, max(len(in.Rooms)-len(p.rooms), 0))...)
 	for k, from := range in.Like {
+		p.answers = p.answers || from >= 0 && p.samples[from] > 0
 		if from == k {
 			continue
 		}
@@ -213,9 +218,8 @@
 				p.order = append(p.order, b)
 			}
 		}
-		for s := range p.shy {
-			put(k, 0, &p.faults[s])
-			put(k, 0, &p.faulted[s], &p.shy[s])
+		for s := range p.troubled.All() {
+			p.forgetTrouble(s, k)
 		}
 	}
 }
@@ -479,14 +483,14 @@
 	if p.inFlight[s] == 0 {
 		p.answered[s] = p.now
 	}
-	if p.faults[s][o.kind] > 0 {
-		p.shy[s][o.kind] = o.target // on trial, alone
+	if p.trouble(s, o.kind).faults > 0 {
+		*p.untilOf(s, o.kind) = o.target // on trial, alone
 	}
 	p.inFlight[s]++
 	if p.flying++; p.doom(o) > 0 { // takes none of the window from those that can be handled
 		p.outlast(op)
 	}
-	if p.cold[s] {
+	if p.cold.Has(s) {
 		p.coldPace[s]--
 	}
 	p.emit(Effect{Kind: SendHop, Op: op, Server: s, For: allow})
@@ -544,8 +548,9 @@
 	switch how {
 	case Success:
 		p.spike(s, sent, float64(spent) > spikeFactor*float64(p.smoothed[s]))
-		p.smoothed[s] += time.Duration(smoothing * float64(spent-p.smoothed[s]))
+		p.smooth(s, p.smoothed[s]+time.Duration(smoothing*float64(spent-p.smoothed[s])))
 		p.samples[o.kind]++
+		p.answers = true
 		p.usual[o.kind] += time.Duration(max(typeSmooth, 1/p.samples[o.kind]) * float64(spent-usual))
 		if p.base[o.kind] > p.usual[o.kind] || p.samples[o.kind] < baseSamples {
 			p.base[o.kind] = p.usual[o.kind]
@@ -553,7 +558,8 @@
 		p.successes += 1 / rateSpan.Seconds()
 		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
-		p.faults[s][o.kind], p.shy[s][o.kind], p.refused[s] = 0, 0, 0
+		p.refused[s] = 0
+		p.endTrouble(s, o.kind)
 		if sent >= p.ghostSent[s] {
 			p.ghosts[s] = 0 // servers work in turn: what was sent before this hop is done
 		}
@@ -570,11 +576,11 @@
 			p.strike(s, 1)
 		}
 	case Overloaded: // servers may refuse one type and serve the others: the rest is for that type only
-		p.answered[s], p.shy[s][o.kind] = p.now, p.now+restFirst
+		p.answered[s], *p.untilOf(s, o.kind) = p.now, p.now+restFirst
 		p.turned.failed++
 		p.slowness[s] += smoothing * (spikeFactor - p.slowness[s])
 		if p.refused[s]++; p.refused[s] >= restStrikes && p.now >= p.restUntil[s] {
-			p.rest(func(s int) *time.Duration { return &p.restUntil[s] }, s, p.refused[s]-restStrikes, restServers)
+			p.rest(s, allTypes, p.refused[s]-restStrikes, restServers)
 		}
 	case Unreachable:
 		enough := 1
@@ -671,33 +677,35 @@
 		p.doubt[s] = min(p.doubt[s]+1, doubtMost)
 	}
 	if p.strikes[s] >= enough && p.now >= p.restUntil[s] {
-		p.rest(func(s int) *time.Duration { return &p.restUntil[s] }, s, p.strikes[s]-enough, restServers)
+		p.rest(s, allTypes, p.strikes[s]-enough, restServers)
 	}
 }
 
 // fault counts the failures of one type; answers to others take a server's strikes back. One hop at a time
 // then tries it, and after a row it rests for that type. Of a queue that fails whole one counts.
 func (p *Policy) fault(s, kind int, sent time.Duration) {
-	if sent < p.faulted[s][kind] {
+	if sent < p.trouble(s, kind).faulted {
 		return
 	}
-	p.faulted[s][kind] = p.now
-	if p.faults[s][kind]++; p.faults[s][kind] >= typeStrikes {
-		p.rest(func(s int) *time.Duration { return &p.shy[s][kind] }, s, p.faults[s][kind]-typeStrikes, restTypes)
+	t := p.troubleOf(s, kind)
+	t.faulted = p.now
+	if t.faults++; t.faults >= typeStrikes {
+		p.rest(s, kind, t.faults-typeStrikes, restTypes)
 	}
 }
 
 // rest sets the end of a rest that doubles, unless too large a share of the ready servers would be resting.
-func (p *Policy) rest(until func(int) *time.Duration, s, doubled int, share float64) {
+func (p *Policy) rest(s, kind, doubled int, share float64) {
 	n := 1.0
-	for other, ready := range p.ready {
-		if ready && p.listed[other] && p.now < *until(other) {
+	for other := range p.troubled.All() {
+		if p.ready[other] && p.listed[other] && p.now < p.until(other, kind) {
 			n++
 		}
+		p.dropTroubles(other)
 	}
 	if n <= share*float64(p.readyCount) || !p.listed[s] { // for those dropped the list bears it out
 		wait := min(restFirst<<min(doubled, 3), restMost)
-		*until(s) = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
+		*p.untilOf(s, kind) = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
 	}
 }
 
@@ -764,12 +772,12 @@
 // unwell: resting, be it for this type, or on trial with a hop out; binding operations go to none on trial.
 func (p *Policy) unwell(s int, o *operation) bool {
 	trial := p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding)
-	return trial || p.now < max(p.restUntil[s], p.shy[s][o.kind])
+	return trial || p.now < max(p.restUntil[s], p.trouble(s, o.kind).shy)
 }
 
 // barred: the rules or the cold budget forbid this server for this operation.
 func (p *Policy) barred(s int, o *operation) bool {
-	if !p.ready[s] || p.cold[s] && p.coldPace[s] < 1 {
+	if !p.ready[s] || p.cold.Has(s) && p.coldPace[s] < 1 {
 		return true
 	}
 	t := &p.set.Types[o.kind]
@@ -832,7 +840,7 @@
 // join takes in the next server of the rotation that the operation may use. The first place is drawn
 // from this node's own part of the rotation, so that nodes that know few come out even over all.
 func (p *Policy) join(o *operation) bool {
-	n := len(p.rotation)
+	n := p.rotation.Len()
 	if !p.started {
 		part := (float64(p.set.Me)*homeStep + p.chance()/float64(p.set.Nodes))
 		p.next, p.started = int((part-math.Floor(part))*float64(n)), true
@@ -841,18 +849,23 @@
 		return !p.member[s] && !p.barred(s, o) && !tried(o, s) && !p.unwell(s, o) && !p.nearPause(s)
 	}
 	best := 0.0
-	for s, part := range p.part {
-		if part > 0 && free(s) {
-			if drawn := part * p.chance(); drawn > best {
+	for s := range p.shared.All() {
+		if p.part[s] > 0 && free(s) {
+			if drawn := p.part[s] * p.chance(); drawn > best {
 				best, p.pick = drawn, s
 			}
 		}
 	}
 	home := p.chance() > p.strain
-	for i := 0; i < 2*n && best == 0; i++ {
-		s := p.rotation[(p.next+i)%n]
-		if p.part[s] >= 0 && free(s) && (i >= n || !home || p.zone[s] == p.set.Zone) {
-			p.next, p.pick, best = (p.next+i+1)%n, s, 1
+	for _, anywhere := range []bool{!home, true} {
+		i := 0
+		for s := range p.rotation.From(p.next) {
+			if i++; best > 0 {
+				break
+			}
+			if p.part[s] >= 0 && free(s) && (anywhere || p.zone[s] == p.set.Zone) {
+				p.next, p.pick, best = (p.next+i)%n, s, 1
+			}
 		}
 	}
 	if best > 0 {
@@ -862,9 +875,13 @@
 }
 
 func (p *Policy) take(s int) {
+	p.admitServer(s)
+	p.weigh()
+}
+
+func (p *Policy) admitServer(s int) {
 	p.pool, p.member[s] = append(p.pool, s), true
 	p.slowness[s], p.ghosts[s], p.due[s] = 1, 0, 0
-	p.weigh()
 }
 
 // letGo drops the slowest server when more are taken in than were needed lately and than can be judged:
@@ -903,31 +920,35 @@
 	if in.Scope != Saved {
 		p.askWait = askFirst
 	}
-	was, known := slices.Clone(p.listed), len(p.listed) > 0
+	known := len(p.listed) > 0
+	p.lists++
 	if in.Scope != Changes { // absent from a full list: gone
-		clear(p.listed)
+		for s := range p.listed {
+			p.wasListed(s)
+			p.setListed(s, false)
+		}
 	}
 	for _, m := range in.Members {
 		s := m.Server
-		isNew := m.Other || s == len(p.ready)
+		isNew, wasListed := m.Other || s == len(p.ready), p.wasListed(s)
 		if isNew {
 			p.enrol(s)
 		}
-		if !slices.Contains(p.rotation, s) {
+		if !p.rotation.Has(s) {
 			p.rotate(s, int(m.Rank))
 		}
-		wasListed := s < len(was) && was[s]
 		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, cmp.Or(max(m.Scale, 0), 1)
 		p.labels[s] = m.Labels
-		p.ready[s] = m.Condition == Up || m.Condition == Gone && p.ready[s] && !m.Replaced
+		p.setReady(s, m.Condition == Up || m.Condition == Gone && p.ready[s] && !m.Replaced)
 		if m.Condition == Up && !wasListed && known && !p.member[s] &&
 			p.chance()*float64(p.readyCount+1) < float64(len(p.pool)) {
-			p.take(s) // as often as it has any other: not left out, and not taken in by all at once
+			p.admitServer(s) // as often as it has any other: not left out, and not taken in by all at once
+			p.readyCount = p.readyNow
 		}
-		p.listed[s] = m.Condition != Gone
+		p.setListed(s, m.Condition != Gone)
 		switch {
 		case m.HasStart && p.now-m.Started < p.set.ColdFor:
-			if !p.cold[s] || m.Started > p.coldSince[s] {
+			if !p.cold.Has(s) || m.Started > p.coldSince[s] {
 				p.chill(s, m.Started)
 			}
 		case !m.HasStart && known && !wasListed && in.Scope != Saved && p.ready[s] &&
@@ -935,22 +956,17 @@
 			p.chill(s, p.now) // no start time told, but it was not there before
 		}
 	}
-	named := 0
-	for s, listed := range p.listed {
-		if listed {
-			named++
-		} else if p.ready[s] {
-			p.unlist(s, s < len(was) && was[s])
-		}
+	for s := range p.dropped.All() {
+		p.unlist(s, p.wasListed(s))
 	}
-	p.listedMost = max(p.listedMost, named)
+	p.listedMost = max(p.listedMost, p.listedNow)
 	p.pool = slices.DeleteFunc(p.pool, func(s int) bool {
 		p.member[s] = p.ready[s]
 		return !p.ready[s]
 	})
 	p.turn = min(p.turn, max(len(p.pool)-1, 0))
 	p.weigh()
-	if len(p.samples) > 0 && slices.Max(p.samples) == 0 {
+	if len(p.samples) > 0 && !p.answers {
 		p.grown = windowStart * float64(p.readyCount) / float64(p.set.Nodes)
 	}
 	p.pump()
@@ -960,7 +976,7 @@
 // proves nothing: its turns go down by a step, and from then on by what its hops find. This guards against
 // lists that are wrong, old or cut short; where all that vanish are dead, each costs a few failed connects.
 func (p *Policy) unlist(s int, now bool) {
-	if p.ready[s] = p.set.OnlyDraining; !p.ready[s] {
+	if p.setReady(s, p.set.OnlyDraining); !p.ready[s] {
 		return
 	}
 	if now {
@@ -972,16 +988,14 @@
 // giveUpDropped lets go of servers that the list dropped and that have not answered for long, the longest
 // silent also when more are kept than are listed at most, so that what is kept stays bounded.
 func (p *Policy) giveUpDropped() {
-	kept, oldest := 0, -1
-	for s, ready := range p.ready {
-		if ready && !p.listed[s] {
-			if kept++; oldest < 0 || p.droppedAt[s] < p.droppedAt[oldest] {
-				oldest = s
-			}
+	kept, oldest := p.dropped.Len(), -1
+	for s := range p.dropped.All() {
+		if oldest < 0 || p.droppedAt[s] < p.droppedAt[oldest] {
+			oldest = s
 		}
 	}
 	if kept > 0 && (kept > p.listedMost || p.now-p.droppedAt[oldest] > dropKept) && p.inFlight[oldest] == 0 {
-		p.ready[oldest] = false
+		p.setReady(oldest, false)
 		if i := slices.Index(p.pool, oldest); i >= 0 {
 			p.drop(i)
 		}
@@ -991,37 +1005,46 @@
 
 // chill takes a server for cold since a moment.
 func (p *Policy) chill(s int, since time.Duration) {
-	p.cold[s], p.coldSince[s], p.coldPace[s] = true, since, 0
+	p.cold.Add(s)
+	p.coldSince[s], p.coldPace[s] = since, 0
 	p.strikes[s], p.restUntil[s], p.lost[s], p.soft[s] = 0, 0, false, 0
-	clear(p.faults[s])
+	for i := range p.troubles[s] {
+		p.troubles[s][i].faults = 0
+	}
 }
 
 // rotate puts a server into the rotation by its rank, which is the same at every node.
 func (p *Policy) rotate(s, r int) {
 	p.rank[s] = r
-	i, _ := slices.BinarySearchFunc(p.rotation, r, func(a, b int) int { return p.rank[a] - b })
-	p.rotation = slices.Insert(p.rotation, i, s)
-	if i < p.next {
+	if p.rotation.Insert(s, r) < p.next {
 		p.next++
 	}
 }
 
 // enrol sets all figures of a server, also under the index of another; smoothed latency is the others' mean.
 func (p *Policy) enrol(s int) {
-	others, mean := p.smoothed, time.Duration(0)
-	if len(others) == 0 {
-		others = p.usual
+	mean, wasListed := time.Duration(0), p.wasListed(s)
+	if n := len(p.smoothed); n > 0 {
+		mean = p.smoothedSum / time.Duration(n)
+	} else {
+		for _, latency := range p.usual {
+			mean += latency / time.Duration(len(p.usual))
+		}
 	}
-	for _, latency := range others {
-		mean += latency / time.Duration(len(others))
+	if p.rotation.Has(s) && p.rotation.Delete(s) < p.next {
+		p.next--
 	}
-	if i := slices.Index(p.rotation, s); i >= 0 {
-		p.rotation = slices.Delete(p.rotation, i, i+1)
-		if i < p.next {
-			p.next--
-		}
+	if s < len(p.ready) {
+		p.setReady(s, false)
+		p.setListed(s, false)
+		p.smooth(s, 0)
+		p.troubled.Remove(s)
 	}
-	put(s, false, &p.ready, &p.listed, &p.cold, &p.member, &p.lost)
+	p.cold.Remove(s)
+	p.shared.Remove(s)
+	put(s, false, &p.ready, &p.listed, &p.member, &p.lost)
+	put(s, wasListed, &p.before)
+	put(s, p.lists, &p.heard)
 	put(s, record{}, &p.records)
 	put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft, &p.doubt,
 		&p.refused)
@@ -1030,16 +1053,18 @@
 	put(s, 0, &p.labels)
 	put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.restUntil,
 		&p.forecast, &p.interval, &p.droppedAt)
-	put(s, mean, &p.smoothed)
+	put(s, 0, &p.smoothed)
+	p.smooth(s, mean)
 	put(s, p.now, &p.answered)
 	put(s, [forecastWindow]float64{}, &p.onsets)
-	put(s, make([]time.Duration, len(p.set.Types)), &p.shy)
-	put(s, make([]time.Duration, len(p.set.Types)), &p.faulted)
-	put(s, make([]int, len(p.set.Types)), &p.faults)
+	put(s, nil, &p.troubles)
 }
 
 func put[T any](s int, v T, figures ...*[]T) {
 	for _, f := range figures {
+		if s >= cap(*f) { // doubled, for a list brings many at once
+			*f = slices.Grow(*f, s+1)
+		}
 		*f = append(*f, v)[:max(len(*f), s+1)]
 		(*f)[s] = v
 	}
@@ -1048,19 +1073,17 @@
 // capacity is the share of its full capacity that a server surely has: it warms evenly at the slowest.
 func (p *Policy) capacity(s int) float64 {
 	age := float64(p.now-p.coldSince[s]) / float64(max(p.set.ColdFor, 1))
-	if p.cold[s] = p.cold[s] && age < 1; !p.cold[s] {
+	if age >= 1 {
+		p.cold.Remove(s)
+	}
+	if !p.cold.Has(s) {
 		return 1
 	}
 	return p.set.ColdStart + (1-p.set.ColdStart)*max(age, 0)
 }
 
 func (p *Policy) weigh() {
-	p.weights, p.scales, p.readyCount = 0, 0, 0
-	for s := range p.ready {
-		if p.ready[s] {
-			p.readyCount++
-		}
-	}
+	p.weights, p.scales, p.readyCount = 0, 0, p.readyNow
 	for _, s := range p.pool {
 		able := p.scale[s] * p.capacity(s)
 		p.weight[s] = able / max(p.slowness[s]*p.slowness[s], slowLeast) / float64(int(1)<<(2*p.doubt[s]))
@@ -1121,16 +1144,14 @@
 // server what a warm one of its scale handles for this node, cut to the capacity it surely has.
 func (p *Policy) paceCold(passed time.Duration) {
 	floor := coldFloor * p.set.FallMultiple / max(slices.Max(p.usual), 1).Seconds() / float64(p.set.Nodes)
-	for s := range p.cold {
-		if p.cold[s] {
-			own := coldShare * p.set.FallMultiple * p.successes * p.scale[s] / max(p.scales, 1e-9)
-			pace := cmp.Or(p.pace[s], max(own, floor)) * p.capacity(s)
-			if p.chance() < pace*passed.Seconds() {
-				p.coldPace[s] = min(p.coldPace[s]+1, coldBurst)
-			}
-			if p.chance() < passed.Seconds()/coldLasts.Seconds() {
-				p.coldPace[s] = max(p.coldPace[s]-1, 0)
-			}
+	for s := range p.cold.All() {
+		own := coldShare * p.set.FallMultiple * p.successes * p.scale[s] / max(p.scales, 1e-9)
+		pace := cmp.Or(p.pace[s], max(own, floor)) * p.capacity(s)
+		if p.chance() < pace*passed.Seconds() {
+			p.coldPace[s] = min(p.coldPace[s]+1, coldBurst)
+		}
+		if p.chance() < passed.Seconds()/coldLasts.Seconds() {
+			p.coldPace[s] = max(p.coldPace[s]-1, 0)
 		}
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -117,7 +118,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 1, nil)
-			r.smoothed[0] = 100 * ms
+			r.smooth(0, 100*ms)
 			for i, is := range c.spikes {
 				r.now = time.Second + time.Duration(i)*c.gap
 				r.spike(0, r.now, is)
@@ -236,7 +237,8 @@
 
 func TestNewServerStartsAtTheOthersMean(t *testing.T) {
 	r := newRig(t, 2, nil)
-	r.smoothed[0], r.smoothed[1] = 100*ms, 300*ms
+	r.smooth(0, 100*ms)
+	r.smooth(1, 300*ms)
 	r.at(time.Second, Input{Kind: List, Scope: Changes, Members: []Member{{Server: 2, Scale: 1}}})
 	if r.smoothed[2] != 200*ms {
 		t.Errorf("starts at %v", r.smoothed[2])
@@ -308,7 +310,7 @@
 			r := newRig(t, 8, func(s *Settings) { s.Types[1].Group, s.Types[1].Window = c.group, c.window })
 			if c.group == GroupCell { // two a cell: a third hop finds only those it has tried, resting
 				for s := range r.ready {
-					r.ready[s] = s < 2
+					r.setReady(s, s < 2)
 				}
 			}
 			op, _ := r.arriveAt(time.Second, 1, 2*time.Second)
@@ -317,7 +319,9 @@
 				t.Fatalf("no second hop: %v", second)
 			}
 			if c.group == GroupCell {
-				r.ready[0], r.ready[1], r.ready[4] = false, false, true
+				r.setReady(0, false)
+				r.setReady(1, false)
+				r.setReady(4, true)
 			}
 			third := r.end(time.Second+90*ms, op, 1, Failure)
 			if got := kinds(third); !reflect.DeepEqual(got, c.want) {
@@ -439,7 +443,7 @@
 				t.Errorf("sent %d in two seconds, at most %d", sent, c.most)
 			}
 			r.at(c.unbarred, Input{Kind: Woken})
-			if r.cold[2] {
+			if r.cold.Has(2) {
 				t.Error("still held for cold")
 			}
 		})
@@ -459,8 +463,8 @@
 			op, _ := r.arriveAt(time.Second, 0, time.Second)
 			r.end(time.Second, op, 0, Unreachable)
 			r.end(time.Second+c.lost, op, 1, Success) // it had been sent there again at once
-			if r.cold[0] != c.cold {
-				t.Errorf("cold: %v", r.cold[0])
+			if r.cold.Has(0) != c.cold {
+				t.Errorf("cold: %v", r.cold.Has(0))
 			}
 		})
 	}
@@ -637,11 +641,11 @@
 			t.Errorf("type %d: unwell", kind)
 		}
 	}
-	if r.cold[1] || r.slowness[1] != 1 || r.pauses[1] != 0 || r.cell[1] != 5 || !r.ready[1] || r.soft[1] != 0 {
+	if r.cold.Has(1) || r.slowness[1] != 1 || r.pauses[1] != 0 || r.cell[1] != 5 || !r.ready[1] || r.soft[1] != 0 {
 		t.Error("something is left of the one before")
 	}
-	if want := []int{0, 2, 1}; !reflect.DeepEqual(r.rotation, want) || len(r.ready) != len(untouched.ready) {
-		t.Errorf("rotation %v", r.rotation)
+	if want := []int{0, 2, 1}; !slices.Equal(slices.Collect(r.rotation.From(0)), want) || len(r.ready) != len(untouched.ready) {
+		t.Errorf("rotation %v", slices.Collect(r.rotation.From(0)))
 	}
 }
 
--- /dev/null
+++ b/policy/scale_test.go
@@ -0,0 +1,138 @@
+package policy
+
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+	"testing"
+	"time"
+
+	"fernvane/internal/activeset"
+)
+
+// visits is how many elements of the module's sets and steps of its rotation were come to.
+func visits(p *Policy) int {
+	sum := p.rotation.Steps()
+	for _, s := range []*activeset.Set{&p.cold, &p.dropped, &p.shared, &p.troubled} {
+		sum += s.Visits()
+	}
+	return sum
+}
+
+// What one change costs does not grow with the fleet: a server replaced by another, one drained, one back, each by
+// elements come to and by memory taken.
+func TestOneChangeCostsWhatItTouches(t *testing.T) {
+	up := Member{Zone: 1, Scale: 1, Started: -time.Hour, HasStart: true}
+	for name, change := range map[string]func(i int) []Member{
+		"replaced": func(i int) []Member {
+			m := up
+			m.Server, m.Rank, m.Other = i, uint32(i)*2654435761, true
+			return []Member{m}
+		},
+		"drained and back": func(i int) []Member {
+			m := up
+			m.Server, m.Condition = i, Draining
+			back := up
+			back.Server = i
+			return []Member{m, back}
+		},
+		"gone and back": func(i int) []Member {
+			m := up
+			m.Server, m.Condition = i, Gone
+			back := up
+			back.Server = i
+			return []Member{m, back}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const changes = 200
+			cost := func(servers int) (elements int, allocs float64) {
+				p := newFleet(3, 0, servers)
+				p.set.OnlyDraining = true
+				var lists [changes][]Member
+				for i := range lists {
+					lists[i] = change(i * 4)
+				}
+				var effects []Effect
+				from, i := visits(p), 0
+				allocs = testing.AllocsPerRun(changes-1, func() {
+					effects = p.Handle(0, &Input{Kind: List, Scope: Changes, Members: lists[i]}, effects[:0])
+					i++
+				})
+				return (visits(p) - from) / changes, allocs
+			}
+			few, fewAllocs := cost(1_000)
+			many, manyAllocs := cost(20_000)
+			if many > 2*few+8 || many > 16*bits.Len(20_000) { // by the logarithm: half as much again
+				t.Errorf("%d elements among 1,000 servers, %d among 20,000", few, many)
+			}
+			if fewAllocs > 0 || manyAllocs > 0 { // a copy of anything would be one, whatever its size
+				t.Errorf("%g allocations among 1,000 servers, %g among 20,000", fewAllocs, manyAllocs)
+			}
+		})
+	}
+}
+
+// A whole list costs n log n at most: told anew, and first told.
+func TestWholeListIsNotASquare(t *testing.T) {
+	cost := func(servers int) (elements int) {
+		p := newFleet(3, 0, servers)
+		p.Handle(0, &Input{Kind: List, Scope: Whole, Members: fleetList(servers)}, nil)
+		return visits(p)
+	}
+	for _, servers := range []int{1_000, 20_000} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			if got, most := cost(servers), 4*servers*bits.Len(uint(servers)); got > most {
+				t.Errorf("%d elements for %d servers, at most %d", got, servers, most)
+			}
+		})
+	}
+}
+
+// The counts and sets that stand for walks over all servers say what a walk would.
+func TestCountsAreAsWalked(t *testing.T) {
+	for _, only := range []bool{false, true} {
+		t.Run(fmt.Sprintf("only draining binds: %v", only), func(t *testing.T) {
+			r := newRig(t, 40, func(s *Settings) { s.OnlyDraining = only }).takeAll()
+			for i := range 4_000 {
+				r.now += 20 * ms
+				scope, list := Changes, []Member{{Server: i * 7 % 40, Rank: uint32(i), Scale: 1, Condition: Condition(i % 3), Other: i%31 == 0}}
+				if i%50 == 49 {
+					scope = Whole
+				}
+				r.at(r.now, Input{Kind: List, Scope: scope, Members: list})
+				r.at(r.now, Input{Kind: Woken})
+				op, _ := r.arriveAt(r.now, i%4, time.Second)
+				if len(r.Policy.ops[op].hops) > 0 {
+					r.end(r.now, op, 0, Outcome(i%8))
+				}
+				walked(t, r)
+			}
+		})
+	}
+}
+
+func walked(t *testing.T, r *rig) {
+	t.Helper()
+	ready, listed, sum := 0, 0, time.Duration(0)
+	var dropped []int
+	for s := range r.ready {
+		if r.ready[s] {
+			ready++
+		}
+		if r.listed[s] {
+			listed++
+		}
+		if r.ready[s] && !r.listed[s] {
+			dropped = append(dropped, s)
+		}
+		if (len(r.troubles[s]) > 0 || r.restUntil[s] > r.now) && !r.troubled.Has(s) {
+			t.Fatalf("server %d has troubles that no walk comes to", s)
+		}
+		sum += r.smoothed[s]
+	}
+	if ready != r.readyNow || listed != r.listedNow || sum != r.smoothedSum || !slices.Equal(dropped, slices.Collect(r.dropped.All())) {
+		t.Fatalf("at %v: %d ready, counted %d; %d listed, counted %d; sum %v, kept %v; dropped %v, kept %v", r.now,
+			ready, r.readyNow, listed, r.listedNow, sum, r.smoothedSum, dropped, slices.Collect(r.dropped.All()))
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,11 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"fernvane/internal/activeset"
+	"fernvane/internal/ordered"
+)
 
 type hop struct {
 	server      int
@@ -36,36 +41,46 @@
 	open, order []int // operations in hand; buckets, the cheapest first
 
 	// Servers, in parallel arrays under their index.
-	ready, listed, cold, member, lost []bool // ready: may be sent to; member: taken in; lost: a connect failed
-	labels                            []uint64
-	rank, zone, cell                  []int
-	inFlight, streak, pauses          []int
-	strikes, soft, refused            []int     // failures in a row; what softRun counts; refusals in a row
-	doubt                             []int     // steps down since the list dropped it
-	scale, weight, due                []float64 // weight: scale, less while cold or slow; due: turns earned
-	slowness                          []float64 // latency over what is usual for the type
-	coldPace, part, pace              []float64 // hops a cold server may have; by a plan, see Share
-	ghosts                            []float64 // hops given up that the server may still work on
-	smoothed, runStart, lastSpike     []time.Duration
-	coldSince, interval, forecast     []time.Duration   // forecast: 0 if none
-	ghostSent, restUntil              []time.Duration   // the last ghost
-	answered                          []time.Duration   // last sign of life while hops were out
-	droppedAt                         []time.Duration   // or its last answer since
-	shy                               [][]time.Duration // refused this type, until then
-	faults                            [][]int           // failures in a row by type
-	faulted                           [][]time.Duration // the last of them
-	onsets                            [][forecastWindow]float64
-	records, byType, byTenant, byKey  []record // how often hops to it failed, or of a sort
-	breaks                            []record // by type: servers that broke off a hop
-	overall, turned                   record   // how often all failed; were turned away as full
+	ready, listed, member, lost      []bool // ready: may be sent to; member: taken in; lost: a connect failed
+	labels                           []uint64
+	rank, zone, cell                 []int
+	inFlight, streak, pauses         []int
+	strikes, soft, refused           []int     // failures in a row; what softRun counts; refusals in a row
+	doubt                            []int     // steps down since the list dropped it
+	scale, weight, due               []float64 // weight: scale, less while cold or slow; due: turns earned
+	slowness                         []float64 // latency over what is usual for the type
+	coldPace, part, pace             []float64 // hops a cold server may have; by a plan, see Share
+	ghosts                           []float64 // hops given up that the server may still work on
+	smoothed, runStart, lastSpike    []time.Duration
+	coldSince, interval, forecast    []time.Duration // forecast: 0 if none
+	ghostSent, restUntil             []time.Duration // the last ghost
+	answered                         []time.Duration // last sign of life while hops were out
+	droppedAt                        []time.Duration // or its last answer since
+	troubles                         [][]trouble     // by type, in no order
+	onsets                           [][forecastWindow]float64
+	records, byType, byTenant, byKey []record // how often hops to it failed, or of a sort
+	breaks                           []record // by type: servers that broke off a hop
+	overall, turned                  record   // how often all failed; were turned away as full
+
+	// What a walk over all servers would find.
+	cold, dropped    activeset.Set // dropped: not listed, and may yet be sent to
+	shared, troubled activeset.Set // a plan names them; they have troubles, or rest
+	rotation         ordered.Index // all, in the order that all nodes share
+	before           []bool        // whether it was listed before the list numbered in heard
+	heard            []int
+	lists            int
+	readyNow         int // readyCount is as of the last weighing
+	listedNow        int
+	smoothedSum      time.Duration
 
-	rotation, pool                []int   // all servers in the order that all nodes share; those taken in
+	pool                          []int   // the servers taken in
 	next, listedMost              int     // place in rotation where the next joins; servers listed at a time
 	need, dearest                 float64 // most hops out lately; revenue of the dearest type
 	turn, pick, readyCount, pumps int
 	weights, scales, flying       float64         // of the pool; scales: cut to capacity only; flying: hops out
 	usual, base                   []time.Duration // latency by type; the least of it lately: unloaded
 	samples                       []float64       // answers by type, since the start
+	answers                       bool            // to any type
 
 	finished, grown           float64   // hops that would finish in time; answers made room for
 	strain, blocked           float64   // time of hops over what they may take; share of time full
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -31,8 +31,8 @@
 				}
 				r.at(time.Second, Input{Kind: List, Scope: Whole, Members: list})
 			}
-			if r.ready[0] != c.ready || r.barred(0, &operation{group: -1}) == c.ready || r.cold[0] && c.only {
-				t.Errorf("may be sent to: %v, cold %v", r.ready[0], r.cold[0])
+			if r.ready[0] != c.ready || r.barred(0, &operation{group: -1}) == c.ready || r.cold.Has(0) && c.only {
+				t.Errorf("may be sent to: %v, cold %v", r.ready[0], r.cold.Has(0))
 			}
 		})
 	}
@@ -54,8 +54,8 @@
 	}
 	tell(Up)
 	r.slowness[0] = 1
-	if r.weigh(); r.weight[0] != r.weight[1]/4 || r.cold[0] {
-		t.Errorf("weight %g beside %g, cold %v", r.weight[0], r.weight[1], r.cold[0])
+	if r.weigh(); r.weight[0] != r.weight[1]/4 || r.cold.Has(0) {
+		t.Errorf("weight %g beside %g, cold %v", r.weight[0], r.weight[1], r.cold.Has(0))
 	}
 	tell(Gone)
 	if r.at(r.now+dropKept+time.Second, Input{Kind: Woken}); r.ready[0] {
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -32,8 +32,8 @@
 func (p *Policy) copied(op int) *Policy {
 	c := *p
 	c.effects = nil
-	dup(&c.ready, &c.listed, &c.cold, &c.member, &c.lost)
-	dup(&c.doubt, &c.refused, &c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses, &c.strikes, &c.soft, &c.rotation, &c.pool,
+	dup(&c.ready, &c.listed, &c.before, &c.member, &c.lost)
+	dup(&c.doubt, &c.refused, &c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses, &c.strikes, &c.soft, &c.heard, &c.pool,
 		&c.open, &c.order, &c.rooms, &c.roomMost)
 	dup(&c.scale, &c.weight, &c.due, &c.coldPace, &c.ghosts, &c.slowness, &c.part, &c.pace, &c.samples, &c.denyShare,
 		&c.rates, &c.tenants, &c.retries, &c.copies, &c.within)
@@ -43,11 +43,11 @@
 	dup(&c.breaks, &c.records, &c.byType, &c.byTenant, &c.byKey)
 	dup(&c.onsets)
 	dup(&c.ops)
-	dup(&c.faults)
-	dup(&c.faulted, &c.shy)
-	for s := range c.ready {
-		dup(&c.faults[s])
-		dup(&c.faulted[s], &c.shy[s])
+	c.rotation = p.rotation.Clone()
+	c.cold, c.dropped, c.shared, c.troubled = p.cold.Clone(), p.dropped.Clone(), p.shared.Clone(), p.troubled.Clone()
+	dup(&c.troubles)
+	for s := range c.troubled.All() {
+		dup(&c.troubles[s])
 	}
 	for _, open := range c.open {
 		dup(&c.ops[open].hops)
--- a/policy/whatif_test.go
+++ b/policy/whatif_test.go
@@ -76,6 +76,10 @@
 			for i := range a.Len() {
 				look(fmt.Sprintf("%s[%d]", name, i), a.Index(i), b.Index(i))
 			}
+		case reflect.Array:
+			for i := range a.Len() {
+				look(fmt.Sprintf("%s[%d]", name, i), a.Index(i), b.Index(i))
+			}
 		case reflect.Struct:
 			for i := range a.NumField() {
 				if f := a.Type().Field(i).Name; f != "set" && f != "rows" && f != "effects" { // read only, or set anew
