The node and the book of servers pay for a change what it touches

The book sorted all ids for each new server to find who was at its address, and named all unused servers as idle at each change; the node walked all its indices at each list. The book now finds servers by address, and names those that a change touches: no other server has idle connections, for one that is not used gets none (fleet.Keep). The node keeps those that have gone and are not forgotten yet as a set.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"fernvane/internal/activeset"
 	"fernvane/policy"
 )
 
@@ -57,9 +58,9 @@
 	free    []int
 	servers map[S]int
 	ids     []S
-	uses    []int  // by server: hops of operations in hand
-	gone    []bool // by server
-	unused  []int  // indices of servers that are forgotten
+	uses    []int         // by server: hops of operations in hand
+	gone    activeset.Set // servers that have gone and are not forgotten yet
+	unused  []int         // indices of servers that are forgotten
 	effects []policy.Effect
 	members []policy.Member
 }
@@ -80,7 +81,7 @@
 	if last := len(n.unused) - 1; last >= 0 {
 		s, other, n.unused = n.unused[last], true, n.unused[:last]
 	} else {
-		s, n.ids, n.uses, n.gone = len(n.ids), append(n.ids, id), append(n.uses, 0), append(n.gone, false)
+		s, n.ids, n.uses = len(n.ids), append(n.ids, id), append(n.uses, 0)
 	}
 	n.servers[id], n.ids[s] = s, id
 	return s, other
@@ -90,7 +91,8 @@
 // module may still ask which those were.
 func (n *Node[S]) forget(s int, out Out[S]) {
 	id := n.ids[s]
-	if at, ok := n.servers[id]; ok && at == s && n.gone[s] && n.uses[s] == 0 {
+	if at, ok := n.servers[id]; ok && at == s && n.gone.Has(s) && n.uses[s] == 0 {
+		n.gone.Remove(s)
 		delete(n.servers, id)
 		n.unused = append(n.unused, s)
 		out.Forget(id)
@@ -101,8 +103,8 @@
 func (n *Node[S]) List(now time.Duration, scope policy.Scope, lines []Member[S], out Out[S]) {
 	n.members = n.members[:0]
 	if scope == policy.Whole || scope == policy.Saved { // absent: gone
-		for s := range n.gone {
-			n.gone[s] = true
+		for _, s := range n.servers {
+			n.gone.Add(s)
 		}
 	}
 	for _, m := range lines {
@@ -112,11 +114,11 @@
 		}
 		line.Server, line.Other = n.server(m.Server)
 		line.Started -= n.origin
-		n.gone[line.Server] = line.Condition == policy.Gone
+		n.gone.Put(line.Server, line.Condition == policy.Gone)
 		n.members = append(n.members, line)
 	}
 	n.apply(now, policy.Input{Kind: policy.List, Scope: scope, Members: n.members}, out)
-	for s := range n.gone {
+	for s := range n.gone.All() {
 		n.forget(s, out)
 	}
 }
@@ -225,7 +227,7 @@
 		case policy.Release:
 			out.Release(n.ids[e.Server])
 		case policy.Keep, policy.Forget:
-			n.gone[e.Server] = e.Kind == policy.Forget
+			n.gone.Put(e.Server, e.Kind == policy.Forget)
 		}
 	}
 	for _, e := range n.effects { // an answer to an operation other than the event's own
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -111,3 +111,20 @@
 		t.Fatalf("%d sent, the last known: %v, %d indices", r.forwards, known, len(n.ids))
 	}
 }
+
+// What one change costs the node does not grow with the servers, nor with those that have gone and are in use still.
+func TestOneChangeCostsWhatItTouches(t *testing.T) {
+	cost := func(servers int) (visits int, allocs float64) {
+		r := &record{}
+		n := New[uint32](0, still{}, r)
+		n.List(0, policy.Whole, lines(servers), r)
+		from, one := n.gone.Visits(), lines(1)
+		allocs = testing.AllocsPerRun(100, func() { n.List(0, policy.Changes, one, r) })
+		return n.gone.Visits() - from, allocs
+	}
+	few, fewAllocs := cost(1_000)
+	many, manyAllocs := cost(20_000)
+	if few > 0 || many > 0 || manyAllocs > fewAllocs {
+		t.Errorf("%d servers come to and %g allocations among 1,000, %d and %g among 20,000", few, fewAllocs, many, manyAllocs)
+	}
+}
--- a/internal/roster/bench_test.go
+++ b/internal/roster/bench_test.go
@@ -33,9 +33,12 @@
 	for _, servers := range []int{200, 2_000, 20_000, 200_000} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
 			book := NewBook()
-			for i, w := range words(0, servers) { // not told through Told, which may take a square
-				book.lines[w.ID] = &Line{Word: w, Used: i%10 != 0}
+			book.Told(0, Discovery, words(0, servers), true)
+			drained := words(0, servers/10)
+			for i := range drained {
+				drained[i].Condition = life.Draining
 			}
+			book.Told(0, Discovery, drained, false)
 			list := words(servers, servers+1)
 			for b.Loop() {
 				book.Told(0, Discovery, list, false)
--- a/internal/roster/book.go
+++ b/internal/roster/book.go
@@ -48,42 +48,51 @@
 // Update is what a list changes.
 type Update struct {
 	Lines []Line   // in the order in which they are to be taken in
-	Idle  []string // servers at which connections that stand idle are of no use any more
+	Idle  []string // servers that it touches, at which connections that stand idle are of no use any more
 }
 
 // Book is the list of servers of one node, from whichever source it comes.
 type Book struct {
-	lines map[string]*Line
-	from  Source
-	heard time.Duration
-	lists int
+	lines     map[string]*Line
+	byAddress map[netip.AddrPort][]string // servers that were last told there, in the order of ids
+	visits    int                         // lines come to by lists so far, for tests that count
+	from      Source
+	heard     time.Duration
+	lists     int
 	// OnlyDraining: a server that is told gone or left out, without having been told draining, stays in use until it is
 	// forgotten.
 	OnlyDraining bool
 }
 
 // NewBook knows of no server.
-func NewBook() *Book { return &Book{lines: map[string]*Line{}} }
+func NewBook() *Book {
+	return &Book{lines: map[string]*Line{}, byAddress: map[netip.AddrPort][]string{}}
+}
 
 // Told takes in what a source says: changes, or the whole list, of which those that it does not name have gone. A server
 // that is new at another's address takes that one out, though its source may tell so only later: what is sent there
 // would reach the new one, for which it was not meant.
 func (b *Book) Told(now time.Duration, from Source, words []Word, whole bool) Update {
-	var u Update
+	u := Update{Lines: make([]Line, 0, len(words))}
 	b.from, b.heard = from, now
 	if len(words) > 0 || whole {
 		b.lists++
 	}
-	if whole && !b.OnlyDraining {
-		for _, l := range b.lines {
-			l.leave(now)
+	moved := make(map[string]bool, len(words)) // by server that the list touches
+	if whole {
+		for id, l := range b.lines {
+			b.visits++
+			moved[id] = false
+			if !b.OnlyDraining {
+				l.leave(now)
+			}
 		}
 	}
-	idle := map[string]bool{}
 	for _, w := range words {
+		b.visits++
 		l := b.lines[w.ID]
 		if l == nil && w.Condition == life.Up {
-			u.Lines = b.displaced(now, w.Address, u.Lines)
+			u.Lines = b.displaced(now, w.Address, u.Lines, moved)
 		}
 		if l == nil {
 			l = &Line{}
@@ -91,9 +100,12 @@
 				b.lines[w.ID] = l
 			}
 		}
-		if idle[w.ID] = idle[w.ID] || w.Address != l.Address; !w.Address.IsValid() {
+		if moved[w.ID] = moved[w.ID] || w.Address != l.Address; !w.Address.IsValid() {
 			w.Address = l.Address
 		}
+		if b.lines[w.ID] != nil {
+			b.place(w.ID, l.Address, w.Address)
+		}
 		l.Word, l.From, l.Heard = w, from, now
 		if w.Condition == life.Up {
 			l.Used, l.Lost = true, false
@@ -102,8 +114,8 @@
 		}
 		u.Lines = append(u.Lines, *l)
 	}
-	for id, l := range b.lines {
-		if !l.Used || idle[id] {
+	for id := range moved {
+		if l := b.lines[id]; l != nil && (!l.Used || moved[id]) {
 			u.Idle = append(u.Idle, id)
 		}
 	}
@@ -124,9 +136,16 @@
 	return l == nil || !l.Used && now-l.Left > since
 }
 
-func (b *Book) displaced(now time.Duration, at netip.AddrPort, lines []Line) []Line {
-	for _, id := range b.ids() {
-		if l := b.lines[id]; l.Used && l.Address == at {
+// displaced takes out those that are used at an address, since another has come there. None of them is known by the
+// address any more; one that a list names again is.
+func (b *Book) displaced(now time.Duration, at netip.AddrPort, lines []Line, moved map[string]bool) []Line {
+	ids := b.byAddress[at]
+	delete(b.byAddress, at)
+	slices.Sort(ids)
+	for _, id := range ids {
+		b.visits++
+		moved[id] = moved[id] // touched
+		if l := b.lines[id]; l.Used {
 			l.leave(now)
 			l.Lost = true
 			gone := *l
@@ -137,6 +156,28 @@
 	return lines
 }
 
+// place has a server be known by another address, or by the same again.
+func (b *Book) place(id string, from, to netip.AddrPort) {
+	if from != to {
+		b.remove(id, from)
+	}
+	if ids := b.byAddress[to]; !slices.Contains(ids, id) {
+		b.byAddress[to] = append(ids, id)
+	}
+}
+
+func (b *Book) remove(id string, from netip.AddrPort) {
+	ids := b.byAddress[from]
+	if i := slices.Index(ids, id); i >= 0 {
+		ids = slices.Delete(ids, i, i+1)
+	}
+	if len(ids) == 0 {
+		delete(b.byAddress, from)
+		return
+	}
+	b.byAddress[from] = ids
+}
+
 // Line is what is known of a server.
 func (b *Book) Line(id string) (Line, bool) {
 	if l := b.lines[id]; l != nil {
@@ -146,7 +187,12 @@
 }
 
 // Forget lets go of a server that nothing names any more.
-func (b *Book) Forget(id string) { delete(b.lines, id) }
+func (b *Book) Forget(id string) {
+	if l := b.lines[id]; l != nil {
+		b.remove(id, l.Address)
+		delete(b.lines, id)
+	}
+}
 
 // Ran tells that a server has answered with what it had run.
 func (b *Book) Ran(now time.Duration, id string) {
--- a/internal/roster/book_test.go
+++ b/internal/roster/book_test.go
@@ -137,3 +137,57 @@
 	play(nil, 4)
 	t.Logf("%d ways", played)
 }
+
+// What one change costs the book does not grow with the servers, nor with those that drain; a whole list costs each once.
+func TestBookCostsWhatItTouches(t *testing.T) {
+	cost := func(servers int) (change, whole int) {
+		b := NewBook()
+		list := words(0, servers)
+		b.Told(0, Discovery, list, true)
+		for i := range servers / 10 {
+			list[i].Condition = life.Draining
+		}
+		from := b.visits
+		b.Told(0, Discovery, list, true)
+		whole, from = b.visits-from, b.visits
+		u := b.Told(0, Discovery, words(servers, servers+1), false)
+		if len(u.Lines) != 1 || len(u.Idle) != 1 {
+			t.Errorf("%d lines, %d idle", len(u.Lines), len(u.Idle))
+		}
+		return b.visits - from, whole
+	}
+	few, _ := cost(1_000)
+	many, whole := cost(20_000)
+	if many > few || whole > 3*20_000 {
+		t.Errorf("a change: %d lines among 1,000, %d among 20,000; a whole list of those: %d", few, many, whole)
+	}
+}
+
+// The index by address knows each server by the address that it was last told at, and only those that are known.
+func TestBookKnowsAddresses(t *testing.T) {
+	b := NewBook()
+	for i := range 3_000 {
+		id, port := fmt.Sprint(i*7%13), uint16(i*11%9)
+		b.Told(time.Duration(i), Discovery, []Word{word(id, port, life.Condition(i*5%3))}, i%17 == 0)
+		if i%5 == 0 {
+			b.Forget(fmt.Sprint(i % 13))
+		}
+		seen := map[string]bool{}
+		for at, ids := range b.byAddress {
+			for _, id := range ids {
+				if l := b.lines[id]; l == nil || l.Address != at || seen[id] {
+					t.Fatalf("step %d: %s is not at %s, or twice", i, id, at)
+				}
+				seen[id] = true
+			}
+			if len(ids) == 0 {
+				t.Fatalf("step %d: nothing is at %s", i, at)
+			}
+		}
+		for id, l := range b.lines {
+			if l.Used && !seen[id] {
+				t.Fatalf("step %d: %s is used and not found by its address", i, id)
+			}
+		}
+	}
+}
