A node asks discovery again within 1.1 s of a failed call, so told changes arrive in 6 s

Cause: where lists are asked for, the module's pause after failed calls grows to a quarter of askWithin, 4 s at most, and is spread by half (policy.follow, lines 899 to 901): 3.76 s with askWithin of 10 s, 6 s from 16 s on. A call without an answer takes 4.1 s (watch.Watcher.patience), counted anew once the connect was done. Together 8.6 to 10.8 s, when a change counts as told 6 s after discovery could be reached. Change: fleet.New gives the module a time for asking that keeps the pause to 0.75 s and its spread (askPauseMost), and a call's time includes its connect (watch.Watcher.Call). The sum stands above watch.Pace: 4.1 + 1.125 s leave 0.75 s for the answer. The settings' own time still counts where it is less.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,13 @@
 	"fernvane/policy"
 )
 
+const (
+	// askPauseMost is the longest pause, but for its spread by half, between two calls to discovery that failed. A change counts
+	// as told 6 s after discovery could be reached, whatever had failed before: package watch has the sum.
+	askPauseMost  = 750 * time.Millisecond
+	askPauseShare = 4 // the module's pause is at most this part of the time that settings give for asking
+)
+
 // Fleet is the memory of one node. All its methods may be called from anywhere; none waits on a socket.
 type Fleet struct {
 	mu      sync.Mutex
@@ -58,6 +65,7 @@
 	if !s.OnRequest {
 		s.OnRequest, s.AskWithin = true, 0 // an agent that is silent is asked again soon: what it gets at its return is told at once
 	}
+	s.AskWithin = min(s.AskWithin, askPauseShare*askPauseMost)
 	f := &Fleet{set: s, routes: route.NewLive(&s), started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
 		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
 		servers: map[string]*server{}, book: roster.NewBook(), room: newRoom(limits)}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -28,6 +28,11 @@
 	Pace = 25 * time.Millisecond
 )
 
+// Whatever call failed, was refused or given up in between, a change counts as told 6 s after discovery had it and could
+// be reached. The worst case, from that moment: a call that began just before it is never answered and ends by its time
+// (firstWait and queueSlack, the connect included: 4.1 s), the module pauses (fleet.askPauseMost: 1.125 s with its spread),
+// and 0.75 s are left for the call that is answered. A refused call costs its pause only, so there are at least four in 6 s.
+
 var past = time.Unix(1, 0) // a deadline that ends what is under way
 
 // Place is an address of discovery; Left is done when another has been named.
@@ -80,6 +85,7 @@
 		w.Close()
 	}
 	wait, slack := w.patience()
+	by := time.Now().Add(wait + slack) // the connect is part of it
 	if w.conn == nil {
 		d := net.Dialer{Timeout: dialMost}
 		dialing, cancel := context.WithCancel(ctx)
@@ -92,7 +98,7 @@
 		w.conn = http1.NewConn(nc)
 	}
 	conn := w.conn
-	conn.SetDeadline(time.Now().Add(wait + slack))
+	conn.SetDeadline(by)
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(past) })()
 	defer context.AfterFunc(w.Place.Left, func() { conn.SetDeadline(time.Now().Add(leaveMost)) })()
 	list, again, err := ask(conn, w.Place.At.String(), http1.ListCall{Whole: w.Whole, After: w.Revision, Wait: wait})
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
+	"fernvane/internal/node"
+	"fernvane/internal/settings"
+	"fernvane/policy"
 )
 
 // What a silent watch has missed counts as told 6 s after it fell silent, and there is a grace of some hundred ms. By then
@@ -25,3 +30,50 @@
 		})
 	}
 }
+
+// A change counts as told 6 s after discovery had it and could be reached, whatever failed before. Calls are refused for so
+// long that the module's pause has grown to its longest; the clock is that of a bubble, so the pause is exact. Then the
+// longest call without an answer, the longest pause and the time for the answer stay within the 6 s.
+func TestToldInTimeAfterFailures(t *testing.T) {
+	const (
+		toldAfter = 6 * time.Second
+		answerIn  = 700 * time.Millisecond
+		failures  = 40
+		seeds     = 50
+	)
+	for name, c := range map[string]struct {
+		onRequest bool
+		askWithin time.Duration
+		w         Watcher
+	}{
+		"pushed":               {false, 0, Watcher{Pushed: true}},
+		"pushed, with a time":  {false, time.Minute, Watcher{Pushed: true}},
+		"asked for often":      {true, 2 * time.Second, Watcher{}},
+		"asked for":            {true, 10 * time.Second, Watcher{}},
+		"asked for seldom":     {true, time.Hour, Watcher{}},
+		"a watch that went on": {true, 10 * time.Second, Watcher{conn: &http1.Conn{}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			longest := time.Duration(0)
+			for seed := range uint32(seeds) {
+				synctest.Test(t, func(t *testing.T) {
+					f := fleet.New(settings.Settings{Settings: policy.Settings{Nodes: 1, MostHops: 2, OnRequest: c.onRequest, AskWithin: c.askWithin,
+						Types: []policy.TrafficType{{TargetTime: time.Second, AbandonTime: time.Second, Revenue: 1}}}},
+						seed, fleet.Limits{MemoryMB: 64, Sockets: 64}, node.Policy)
+					defer f.Stop()
+					<-f.Asked()
+					for range failures {
+						f.Unlisted()
+						began := time.Now()
+						<-f.Asked()
+						longest = max(longest, time.Since(began))
+					}
+				})
+			}
+			wait, slack := c.w.patience()
+			if sum := wait + slack + longest + answerIn; sum > toldAfter {
+				t.Errorf("%v: %v without an answer, a pause of %v, %v for the answer", sum, wait+slack, longest, answerIn)
+			}
+		})
+	}
+}
