--- /dev/null
+++ b/cmd/fernlab/capacity.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fernvane/internal/capacity"
+	"fernvane/internal/scale"
+	"fernvane/internal/scale/parts"
+)
+
+func capacityCommand() *cobra.Command {
+	var results, target string
+	c := &cobra.Command{Use: "capacity", Short: "Print the tables of docs/CAPACITY.md from committed results and a target",
+		Long: `capacity fits how each measured figure grows, works it out at the size of the target file and sets it beside the budget.
+Results are the files of ` + "`fernlab scale --json`, named PLANE-DIMENSION-SIZE.json or PLANE-EVENT-SIZE.json, of `fernlab capacity\nmeasure` and of `fernlab bench --json`.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			r, err := capacity.LoadResults(results)
+			if err != nil {
+				return err
+			}
+			t, err := capacity.LoadTarget(target)
+			if err != nil {
+				return err
+			}
+			return capacity.Print(c.OutOrStdout(), r, t)
+		}}
+	c.Flags().StringVar(&results, "results", "docs/capacity", "`folder` of the results")
+	c.Flags().StringVar(&target, "target", "docs/capacity/target.toml", "target `file`")
+	c.AddCommand(measureCommand())
+	return c
+}
+
+func measureCommand() *cobra.Command {
+	var json string
+	var only []string
+	c := &cobra.Command{Use: "measure", Short: "Measure what parts of the control side cost by themselves, at sizes that no run of nodes reaches", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			machine, err := scale.ThisMachine()
+			if err != nil {
+				return err
+			}
+			r := parts.Result{Command: told(c), At: time.Now().UTC().Truncate(time.Second), Cores: machine.Cores, Load: machine.Load}
+			if r.Parts, err = parts.Measure(c.OutOrStdout(), only...); err != nil || json == "" {
+				return err
+			}
+			return capacity.Save(json, r)
+		}}
+	c.Flags().StringVar(&json, "json", "", "write the result to a `file`")
+	c.Flags().StringSliceVar(&only, "only", nil, "parts to measure, by name; by default all")
+	return c
+}
--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -114,7 +114,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.AddCommand(runCommand(), listCommand(), checkCommand(), faultsCommand(), scheduleCommand(), compareCommand(), loadCommand(),
-		benchCommand(), proveCommand(), killsCommand(), promisesCommand(), lossesCommand(), stepsCommand(), repairCommand(), scaleCommand())
+		benchCommand(), proveCommand(), killsCommand(), promisesCommand(), lossesCommand(), stepsCommand(), repairCommand(), scaleCommand(), capacityCommand())
 	err := root.ExecuteContext(ctx)
 	var code exit
 	switch {
--- a/cmd/fernlab/scale.go
+++ b/cmd/fernlab/scale.go
@@ -66,7 +66,16 @@
 	return b.String()
 }
 
-// told is the command as it was given, without where it stands.
+// told is the command as it was given, without where it stands and where its result goes.
 func told(c *cobra.Command) string {
-	return c.CommandPath() + " " + strings.Join(os.Args[min(2, len(os.Args)):], " ")
+	words := []string{c.CommandPath()}
+	args := os.Args[min(2, len(os.Args)):]
+	for i := 0; i < len(args); i++ {
+		if args[i] == "--json" {
+			i++
+		} else if !strings.HasPrefix(args[i], "--json=") {
+			words = append(words, args[i])
+		}
+	}
+	return strings.Join(words, " ")
 }
--- a/cmd/fernlab/tools.go
+++ b/cmd/fernlab/tools.go
@@ -11,9 +11,11 @@
 	"github.com/spf13/cobra"
 
 	"fernvane/internal/baseline"
+	"fernvane/internal/capacity"
 	"fernvane/internal/lab"
 	"fernvane/internal/load"
 	"fernvane/internal/report"
+	"fernvane/internal/scale"
 	"fernvane/internal/scenario"
 )
 
@@ -166,8 +168,9 @@
 }
 
 func benchCommand() *cobra.Command {
-	var profile string
+	var profile, json string
 	var conns []int
+	var rates []float64
 	var each time.Duration
 	c := &cobra.Command{Use: "bench", Short: "Throughput and latency of one node against going direct, closed loop", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -175,14 +178,24 @@
 			if err != nil {
 				return err
 			}
-			rows, err := lab.Bench(c.Context(), lab.BenchOptions{Command: []string{self, nodeCommand}, Each: each,
-				Env: []string{profileVar + "=" + profile}, Connections: conns})
+			machine, err := scale.ThisMachine()
 			if err != nil {
 				return err
 			}
+			r := capacity.Path{Command: told(c), At: time.Now().UTC().Truncate(time.Second), Machine: machine}
+			r.Rows, err = lab.Bench(c.Context(), lab.BenchOptions{Command: []string{self, nodeCommand}, Each: each,
+				Env: []string{profileVar + "=" + profile}, Connections: conns, Rates: rates})
+			if err != nil {
+				return err
+			}
+			if json != "" {
+				if err := capacity.Save(json, r); err != nil {
+					return err
+				}
+			}
 			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
 			fmt.Fprintln(t, "connections\tway\ta second\tp50 us\tp99 us\tdenied\tnode CPU us each\t")
-			for _, r := range rows {
+			for _, r := range r.Rows {
 				fmt.Fprintf(t, "%d\t%s\t%.0f\t%d\t%d\t%d\t%.1f\t\n", r.Connections, r.Way, r.PerSecond, r.P50.Microseconds(), r.P99.Microseconds(),
 					r.Denied, r.CPUEach)
 			}
@@ -190,7 +203,9 @@
 		}}
 	c.Flags().StringVar(&profile, "cpuprofile", "", "write a profile of the node to a `file`, for go tool pprof")
 	c.Flags().IntSliceVar(&conns, "connections", []int{1, 16, 64, 256}, "how many clients ask at a time, one after the other")
+	c.Flags().Float64SliceVar(&rates, "rate", nil, "requests a second at even moments, in place of as fast as answers come")
 	c.Flags().DurationVar(&each, "each", 2*time.Second, "how long each row takes")
+	c.Flags().StringVar(&json, "json", "", "write the rows to a `file`")
 	return c
 }
 
--- /dev/null
+++ b/internal/capacity/results.go
@@ -0,0 +1,234 @@
+package capacity
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fernvane/internal/lab"
+	"fernvane/internal/scale"
+	"fernvane/internal/scale/parts"
+)
+
+// Path is a measurement of the data path.
+type Path struct {
+	Command string         `json:"command"`
+	At      time.Time      `json:"at"`
+	Machine scale.Machine  `json:"machine"`
+	Rows    []lab.BenchRow `json:"rows"`
+}
+
+// Run is a run of hollow nodes with the name of its file.
+type Run struct {
+	Name string // without its ending: PLANE-DIMENSION-SIZE, or PLANE-EVENT-SIZE
+	scale.Result
+}
+
+// Results are all that stand in a folder.
+type Results struct {
+	Runs  []Run
+	Parts []parts.Result
+	Paths []Path
+}
+
+// Save writes a result as it is committed.
+func Save(path string, result any) error {
+	text, err := json.MarshalIndent(result, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+// LoadResults reads all results of a folder.
+func LoadResults(dir string) (*Results, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	if len(paths) == 0 {
+		return nil, fmt.Errorf("%s: there are no results", dir)
+	}
+	all := &Results{}
+	for _, path := range paths {
+		if err := all.read(path); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	slices.SortFunc(all.Runs, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Size.Nodes, b.Size.Nodes))
+	})
+	return all, nil
+}
+
+// read takes in one file, whose kind shows by what it holds.
+func (r *Results) read(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var kind struct{ Phases, Parts, Rows json.RawMessage }
+	if err := json.Unmarshal(text, &kind); err != nil {
+		return err
+	}
+	switch {
+	case kind.Phases != nil:
+		run := Run{Name: strings.TrimSuffix(filepath.Base(path), ".json")}
+		err = json.Unmarshal(text, &run.Result)
+		r.Runs = append(r.Runs, run)
+	case kind.Parts != nil:
+		var p parts.Result
+		err = json.Unmarshal(text, &p)
+		r.Parts = append(r.Parts, p)
+	case kind.Rows != nil:
+		var p Path
+		err = json.Unmarshal(text, &p)
+		r.Paths = append(r.Paths, p)
+	default:
+		err = fmt.Errorf("neither a run, nor parts, nor a data path")
+	}
+	return err
+}
+
+// Series is a figure by size, with where it comes from.
+type Series struct {
+	By      string // dimension
+	Fixed   string
+	Unit    string
+	Exact   bool
+	Points  []Point
+	Command string
+	Load    float64 // of the machine before
+	Cores   int
+}
+
+// Series finds what a row of the target file names: `parts NAME`, or `scale PLANE-DIMENSION PHASE ROLE FIELD`, where ROLE
+// may be in_force or handed.
+func (r *Results) Series(source string) (*Series, error) {
+	words := strings.Fields(source)
+	switch {
+	case len(words) == 2 && words[0] == "parts":
+		return r.part(words[1])
+	case len(words) == 5 && words[0] == "scale":
+		return r.scaled(words[1], words[2], words[3], words[4])
+	}
+	return nil, fmt.Errorf("source %q: `parts NAME` or `scale PLANE-DIMENSION PHASE ROLE FIELD`", source)
+}
+
+func (r *Results) part(name string) (*Series, error) {
+	for _, p := range r.Parts {
+		for _, s := range p.Parts {
+			if s.Name != name {
+				continue
+			}
+			series := &Series{By: s.By, Fixed: s.Fixed, Unit: s.Unit, Exact: s.Exact, Command: p.Command, Load: p.Load, Cores: p.Cores}
+			for _, at := range s.Points {
+				series.Points = append(series.Points, Point(at))
+			}
+			return series, nil
+		}
+	}
+	return nil, fmt.Errorf("no part %q was measured", name)
+}
+
+var runNames = regexp.MustCompile(`^([a-z]+)-([a-z-]+)-([0-9]+)$`)
+
+// dimensions of a run, by the flag's name.
+func dimension(s *scale.Size, name string) (float64, bool) {
+	v, ok := map[string]float64{"nodes": float64(s.Nodes), "servers": float64(s.Servers), "services": float64(s.Services),
+		"routes": float64(s.Routes), "tenants": float64(s.Tenants), "churn": s.Churn, "control": float64(s.Control)}[name]
+	return v, ok
+}
+
+func (r *Results) scaled(family, phase, role, field string) (*Series, error) {
+	s := &Series{}
+	for i := range r.Runs {
+		run := &r.Runs[i]
+		if m := runNames.FindStringSubmatch(run.Name); m == nil || m[1]+"-"+m[2] != family {
+			continue
+		}
+		_, s.By, _ = strings.Cut(family, "-")
+		size, ok := dimension(&run.Size, s.By)
+		if !ok {
+			return nil, fmt.Errorf("%s: %q is no dimension of a run", family, s.By)
+		}
+		value, unit, exact, err := figure(run, phase, role, field)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", run.Name, err)
+		}
+		s.Unit, s.Exact = unit, exact
+		s.Points = append(s.Points, Point{Size: size, Value: value})
+		if len(s.Points) == 1 || size >= slices.MaxFunc(s.Points, func(a, b Point) int { return cmpFloat(a.Size, b.Size) }).Size {
+			s.Command, s.Cores = run.Command, run.Machine.Cores
+		}
+		s.Load = max(s.Load, run.Machine.Load)
+		s.Fixed = fixed(&run.Size, s.By)
+	}
+	if len(s.Points) == 0 {
+		return nil, fmt.Errorf("no run of %s", family)
+	}
+	slices.SortFunc(s.Points, func(a, b Point) int { return cmpFloat(a.Size, b.Size) })
+	return s, nil
+}
+
+// fixed are the other dimensions of a run.
+func fixed(s *scale.Size, by string) string {
+	var words []string
+	for _, name := range []string{"nodes", "servers", "routes", "tenants"} {
+		if v, _ := dimension(s, name); name != by {
+			words = append(words, strconv.FormatFloat(v, 'f', -1, 64)+" "+name)
+		}
+	}
+	return strings.Join(words, ", ")
+}
+
+// figure is one of a run's: of nodes and control processes for each, of others for all.
+func figure(run *Run, phase, role, field string) (value float64, unit string, exact bool, err error) {
+	i := slices.IndexFunc(run.Phases, func(p scale.Phase) bool { return p.Name == phase })
+	if i < 0 {
+		return 0, "", false, fmt.Errorf("no phase %s", phase)
+	}
+	p := &run.Phases[i]
+	switch role {
+	case "in_force":
+		if p.InForce == nil {
+			return 0, "", false, fmt.Errorf("no changes in phase %s", phase)
+		}
+		v, ok := map[string]float64{"p50": p.InForce.P50, "p99": p.InForce.P99, "last": p.InForce.Last}[field]
+		return v, "ms", false, known(ok, field)
+	case "handed":
+		if p.InForce == nil || p.InForce.Taken == 0 {
+			return 0, "", false, fmt.Errorf("no changes in phase %s", phase)
+		}
+		v, ok := map[string]int{"elements": p.Handed.Elements, "lists": p.Handed.Lists}[field]
+		return float64(v) / float64(p.InForce.Taken), "", true, known(ok, field)
+	}
+	o, ok := p.Roles[role]
+	if !ok {
+		return 0, "", false, fmt.Errorf("no role %s", role)
+	}
+	n := float64(max(o.Members, 1))
+	v, ok := map[string]struct {
+		value float64
+		unit  string
+		exact bool
+	}{"bytes_in": {o.BytesIn, "B/s", true}, "bytes_out": {o.BytesOut, "B/s", true}, "bytes": {o.BytesIn + o.BytesOut, "B/s", true},
+		"messages_in": {o.MessagesIn, "/s", true}, "messages_out": {o.MessagesOut, "/s", true}, "messages": {o.MessagesIn + o.MessagesOut, "/s", true},
+		"cpu": {o.CPU, "cores", false}, "memory": {o.Memory, "B", false},
+		"bytes_each": {(o.BytesIn + o.BytesOut) * p.Seconds, "B", true}}[field]
+	return v.value / n, v.unit, v.exact, known(ok, field)
+}
+
+func known(ok bool, field string) error {
+	if !ok {
+		return fmt.Errorf("no field %s", field)
+	}
+	return nil
+}
--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -30,16 +30,19 @@
 	Env         []string
 	Connections []int // how many clients ask at a time, one after the other
 	Each        time.Duration
+	Rates       []float64 // requests a second, each with each number of clients; none: as fast as answers come
 }
 
 // BenchRow is one measurement. CPUEach is the node's CPU time for an operation, in microseconds.
 type BenchRow struct {
-	Connections int
-	Way         string
-	PerSecond   float64
-	P50, P99    time.Duration
-	Denied      int
-	CPUEach     float64
+	Connections int           `json:"connections"`
+	Rate        float64       `json:"rate,omitempty"` // that was asked for; 0: none
+	Way         string        `json:"way"`
+	PerSecond   float64       `json:"per_second"`
+	P50         time.Duration `json:"p50_ns"`
+	P99         time.Duration `json:"p99_ns"`
+	Denied      int           `json:"denied"`
+	CPUEach     float64       `json:"cpu_us_each"`
 }
 
 // Bench has clients ask one after the other (closed loop) by way of a node and directly, in turn, against servers that
@@ -86,21 +89,17 @@
 	if err := f.Started(up, 0); err != nil {
 		return nil, err
 	}
+	rates := o.Rates
+	if len(rates) == 0 {
+		rates = []float64{0}
+	}
 	for _, n := range o.Connections {
-		for _, way := range []struct {
-			name string
-			to   []string
-		}{{"direct", addresses}, {"node", []string{at}}} {
-			before := p.cpu()
-			row, err := closedLoop(ctx, n, o.Each, way.to)
+		for _, rate := range rates {
+			both, err := bothWays(ctx, p, clients{n: n, each: o.Each, rate: rate}, addresses, at)
 			if err != nil {
 				return nil, err
 			}
-			row.Way = way.name
-			if way.name == "node" {
-				row.CPUEach = float64((p.cpu() - before).Microseconds()) / (row.PerSecond * o.Each.Seconds())
-			}
-			rows = append(rows, row)
+			rows = append(rows, both...)
 		}
 	}
 	select {
@@ -111,6 +110,26 @@
 	}
 }
 
+// bothWays has clients ask the servers directly, and then the node.
+func bothWays(ctx context.Context, p *process, c clients, servers []string, node string) (rows []BenchRow, err error) {
+	for _, way := range []struct {
+		name string
+		to   []string
+	}{{"direct", servers}, {"node", []string{node}}} {
+		before := p.cpu()
+		row, err := c.ask(ctx, way.to)
+		if err != nil {
+			return nil, err
+		}
+		row.Way = way.name
+		if way.name == "node" {
+			row.CPUEach = float64((p.cpu() - before).Microseconds()) / (row.PerSecond * c.each.Seconds())
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
 // cpu is the time that the running process has used so far, by what the system keeps of it.
 func (p *process) cpu() time.Duration {
 	p.mu.Lock()
@@ -173,50 +192,33 @@
 	return members, addresses, closeAll, nil
 }
 
-// closedLoop has n clients ask one after the other for a while.
-func closedLoop(ctx context.Context, n int, each time.Duration, to []string) (BenchRow, error) {
-	until := time.Now().Add(each)
+// clients ask one after the other, each as soon as it has its answer, or at its moments of an even rate of all.
+type clients struct {
+	n    int
+	each time.Duration
+	rate float64 // a second, of all together; 0: as fast as answers come
+}
+
+// moment is when a client is due with its k-th request.
+func (c clients) moment(began time.Time, client, k int) time.Time {
+	return began.Add(time.Duration(float64(k*c.n+client) / c.rate * float64(time.Second)))
+}
+
+// ask has them ask for a while.
+func (c clients) ask(ctx context.Context, to []string) (BenchRow, error) {
+	began := time.Now()
 	var mu sync.Mutex
 	var all []time.Duration
 	denied := 0
 	g, ctx := errgroup.WithContext(ctx)
-	for i := range n {
+	for i := range c.n {
 		g.Go(func() error {
-			nc, err := net.Dial("tcp", to[i%len(to)])
-			if err != nil {
-				return err
-			}
-			defer nc.Close()
-			c := http1.NewConn(nc)
-			var mine []time.Duration
-			turned := 0
-			var r http1.Response
-			for k := 0; time.Now().Before(until) && ctx.Err() == nil; k++ {
-				began := time.Now()
-				b := append(c.Scratch(), "GET /hire-check/1 HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: "...)
-				b = load.AppendID(b, uint64(i+1)<<32|uint64(k))
-				if _, err := c.Send(append(b, "\r\nRequest-Timeout: 2.000\r\n\r\n"...)); err != nil {
-					return err
-				}
-				if err := c.ReadResponse(&r, http1.MaxAnswer); err != nil {
-					return err
-				}
-				if mine = append(mine, time.Since(began)); r.Status != 200 {
-					turned++
-				}
-				if r.Close {
-					nc.Close()
-					if nc, err = net.Dial("tcp", to[i%len(to)]); err != nil {
-						return err
-					}
-					c = http1.NewConn(nc)
-				}
-			}
+			mine, turned, err := c.one(ctx, began, i, to[i%len(to)])
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, mine...)
 			denied += turned
-			return nil
+			return err
 		})
 	}
 	if err := g.Wait(); err != nil {
@@ -226,5 +228,49 @@
 	if len(all) == 0 {
 		return BenchRow{}, errors.New("nothing was answered")
 	}
-	return BenchRow{Connections: n, PerSecond: float64(len(all)) / each.Seconds(), P50: all[len(all)/2], P99: all[len(all)*99/100], Denied: denied}, nil
+	return BenchRow{Connections: c.n, Rate: c.rate, PerSecond: float64(len(all)) / c.each.Seconds(), P50: all[len(all)/2], P99: all[len(all)*99/100],
+		Denied: denied}, nil
+}
+
+// one is the life of a client. With a rate, an answer that comes after the next request was due delays that one, and the
+// delay counts: latency is that from the moment it was due.
+func (c clients) one(ctx context.Context, start time.Time, client int, to string) (took []time.Duration, denied int, err error) {
+	nc, err := net.Dial("tcp", to)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { nc.Close() }()
+	conn := http1.NewConn(nc)
+	var r http1.Response
+	for k := 0; time.Since(start) < c.each && ctx.Err() == nil; k++ {
+		began := time.Now()
+		if c.rate > 0 {
+			due := c.moment(start, client, k)
+			if wait := time.Until(due); wait > 0 {
+				time.Sleep(wait)
+				began = time.Now()
+			} else {
+				began = due
+			}
+		}
+		b := append(conn.Scratch(), "GET /hire-check/1 HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: "...)
+		b = load.AppendID(b, uint64(client+1)<<32|uint64(k))
+		if _, err := conn.Send(append(b, "\r\nRequest-Timeout: 2.000\r\n\r\n"...)); err != nil {
+			return took, denied, err
+		}
+		if err := conn.ReadResponse(&r, http1.MaxAnswer); err != nil {
+			return took, denied, err
+		}
+		if took = append(took, time.Since(began)); r.Status != 200 {
+			denied++
+		}
+		if r.Close {
+			nc.Close()
+			if nc, err = net.Dial("tcp", to); err != nil {
+				return took, denied, err
+			}
+			conn = http1.NewConn(nc)
+		}
+	}
+	return took, denied, nil
 }
--- /dev/null
+++ b/internal/scale/change_test.go
@@ -0,0 +1,102 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/node"
+	"fernvane/internal/roster"
+	"fernvane/internal/settings"
+	"fernvane/internal/watch"
+	"fernvane/policy"
+)
+
+// layoutOf is a layout on a net of its own.
+func layoutOf(t *testing.T, servers int) *Layout {
+	t.Helper()
+	number, held, err := claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { held.Close() })
+	size := small("discovery", NoEvent)
+	size.Servers = servers
+	return &Layout{Size: size, Net: number, Dir: t.TempDir()}
+}
+
+// told1 is what a node is sent for one changed server, in bytes on its connection, and how many servers that names.
+func told1(t *testing.T, servers int) (bytes float64, named int) {
+	t.Helper()
+	l := layoutOf(t, servers)
+	source, err := newStandin(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer source.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	w := watch.Watcher{Place: watch.NewPlace(parsed(l.discoveryAddress(discoveryPort))), Whole: true}
+	defer w.Close()
+	list, err := w.Call(ctx)
+	if err != nil || len(list.Hosts) != servers {
+		t.Fatalf("%d servers, %v", len(list.Hosts), err)
+	}
+	w.Whole, w.Revision = false, list.Revision
+	m := newMeter(l.Net)
+	if err := m.read(); err != nil {
+		t.Fatal(err)
+	}
+	before := m.flows()[roleNodes]
+	if _, err := source.Change(0, true); err != nil {
+		t.Fatal(err)
+	}
+	list, err = w.Call(ctx)
+	if err := errors.Join(err, m.read()); err != nil {
+		t.Fatal(err)
+	}
+	return m.flows()[roleNodes].less(before).BytesIn, len(list.Hosts)
+}
+
+// A node is sent as much for one change whether there are few servers or many.
+func TestBytesOfAChange(t *testing.T) {
+	few, one := told1(t, 50)
+	many, another := told1(t, 2000)
+	const digits = 4 // that the revision may have more
+	if one != 1 || another != 1 || few == 0 || many > few+digits {
+		t.Errorf("%.0f bytes for %d of 50 servers, %.0f for %d of 2,000", few, one, many, another)
+	}
+}
+
+// What a node's module is handed for one change is one line, whether the node knows few servers or many.
+func TestElementsOfAChange(t *testing.T) {
+	for _, servers := range []int{50, 2000} {
+		l := layoutOf(t, servers)
+		r := newRecorder(l)
+		s := settings.Settings{Settings: policy.Settings{Nodes: 1, MostHops: 1, Types: []policy.TrafficType{{TargetTime: time.Second, AbandonTime: time.Second}}}, TypeNames: []string{"a"}}
+		f := fleet.New(s, 1, fleet.Limits{MemoryMB: 128, Sockets: 256}, r.observe(0, node.Policy))
+		defer f.Stop()
+		all := http1.List{Revision: 1, Complete: true}
+		for i := range servers {
+			all.Hosts = append(all.Hosts, http1.Host{ID: serverID(1, i), Address: parsed(l.address(0, 1, 1024+i)), Size: 1})
+		}
+		f.Listed(all, roster.Discovery)
+		records, whole := r.take()
+		if whole.Elements != servers || len(records) == 0 || records[0].Kind != wholeTaken {
+			t.Fatalf("%d servers: handed %+v", servers, whole)
+		}
+		drained := all.Hosts[0]
+		drained.Phase = http1.Draining
+		f.Listed(http1.List{Revision: 2, Hosts: []http1.Host{drained}}, roster.Discovery)
+		records, after := r.take()
+		if n := after.Elements - whole.Elements; n != 1 {
+			t.Errorf("%d servers: %d lines for one change", servers, n)
+		}
+		if len(records) != 1 || records[0].Kind != markerTaken || !records[0].Draining || records[0].Marker != 0 {
+			t.Errorf("%d servers: %+v", servers, records)
+		}
+	}
+}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"os"
 	"time"
 
@@ -97,7 +96,7 @@
 		// Spread over the fleet, so that the first nodes are not asked by all.
 		first = append(first, l.nodeAddress((number+1+i*l.Size.Nodes/membersAtFirst)%l.Size.Nodes, memberPort))
 	}
-	cfg.Peers = &peers.Config{Name: cfg.Name, Listen: at, Advertise: at, ListenAt: netip.MustParseAddrPort(at), Peers: first, Deployment: "scale",
+	cfg.Peers = &peers.Config{Name: cfg.Name, Listen: at, Advertise: at, ListenAt: parsed(at), Peers: first, Deployment: "scale",
 		Site: zoneName(l, l.zone(l.workerOf(number))), Machine: cfg.Name, Replicas: 1, Held: dir, HeldBytes: 16 << 20,
 		KeepFor: tomlfile.Span(time.Hour), RepairBytes: 1 << 20, SlowAfter: tomlfile.Span(50 * time.Millisecond),
 		GoneAfter: tomlfile.Span(time.Hour), Plaintext: true}
--- a/internal/scale/layout.go
+++ b/internal/scale/layout.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -61,6 +62,9 @@
 	return nodes
 }
 
+// parsed is an address that the layout has made.
+func parsed(address string) netip.AddrPort { return netip.MustParseAddrPort(address) }
+
 // controlsFor are the addresses of the control processes as nodes of a region reach them, those of their own region first.
 func (l *Layout) controlsFor(region int) (addresses []string) {
 	for _, own := range []bool{true, false} {
--- /dev/null
+++ b/internal/scale/parts/files.go
@@ -0,0 +1,111 @@
+package parts
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"fernvane/internal/plan"
+	"fernvane/internal/planline"
+	"fernvane/internal/route"
+	"fernvane/internal/settings"
+)
+
+type object = map[string]any
+
+// settingsText are settings with three traffic types and so many tenants.
+func settingsText(tenants int) []byte {
+	all, types := []object{}, []object{}
+	for i := range tenants {
+		all = append(all, object{"name": fmt.Sprintf("tenant-%06d", i), "allowancePerS": 8.5})
+	}
+	for i, repeat := range []string{"safe", "keyed", "unsafe"} {
+		types = append(types, object{"name": fmt.Sprintf("svc%04d", i), "targetTime": 200, "abandonTime": 1000, "window": 2000, "revenue": 1,
+			"keyScope": "all", "idempotency": repeat})
+	}
+	text, err := json.Marshal(object{"groupSize": 5800, "me": 1, "granularity": 2, "discovery": "on_request", "overageRevenue": 0.3,
+		"dcs": []string{"region-0-zone-0"}, "trafficTypes": types, "tenants": all,
+		"limits": object{"connIdle": 5000, "connectTimeout": 100, "mostHops": 3},
+		"rules":  object{"askWithin": 2000, "stopSendingWithin": 500, "cold": 5000, "fallMultiple": 2, "startCapacity": 0.3}})
+	if err != nil {
+		panic(err) // of what stands above
+	}
+	return text
+}
+
+func decoded(tenants int) (settings.Settings, error) { return settings.Decode(settingsText(tenants)) }
+
+// operatorText is an operator's file of so many routes, each with a rate and places.
+func operatorText(routes int) []byte {
+	var b bytes.Buffer
+	for i := range routes {
+		fmt.Fprintf(&b, "[[routes]]\nname = \"route-%05d\"\ntype = \"svc0001\"\npath = \"/svc0001/p%05d/**\"\nrate = %d\nat_once = 40\n\n", i, i, 100+i%50)
+	}
+	return b.Bytes()
+}
+
+func routesOf(n int) (*route.Set, error) {
+	s, err := decoded(4)
+	if err != nil {
+		return nil, err
+	}
+	return route.Parse("operator.toml", operatorText(n), &s)
+}
+
+// reportOf is what a node under so many tenants, none of which sends anything, tells a planner.
+func reportOf(tenants int) (plan.Report, error) {
+	f, err := newFleet(tenants)
+	if err != nil {
+		return plan.Report{}, err
+	}
+	defer f.Stop()
+	f.Digest()
+	return f.Report(), nil
+}
+
+func files() []figure {
+	routes, tenants := doubled(64, 8192), doubled(256, 262_144)
+	return []figure{
+		{Series{Name: "routes-bytes", About: "the operator's file", By: "routes", Unit: "B", Exact: true}, doubled(64, 131_072),
+			func(n int) (float64, error) { return float64(len(operatorText(n))), nil }},
+		{Series{Name: "routes-read", About: "reading and checking it", By: "routes", Unit: "ms"}, routes, func(n int) (float64, error) {
+			var err error
+			took := timed(3, func() { _, err = routesOf(n) })
+			return took, err
+		}},
+		{Series{Name: "routes-memory", About: "what is made of it", By: "routes", Unit: "B"}, routes, func(n int) (float64, error) {
+			var err error
+			bytes := held(func() any {
+				var s *route.Set
+				s, err = routesOf(n)
+				return s
+			})
+			return bytes, err
+		}},
+		{Series{Name: "tenants-bytes", About: "tenants in the settings", By: "tenants", Unit: "B", Exact: true}, tenants,
+			func(n int) (float64, error) { return float64(len(settingsText(n))), nil }},
+		{Series{Name: "tenants-read", About: "decoding them", By: "tenants", Unit: "ms"}, tenants, func(n int) (float64, error) {
+			b := settingsText(n)
+			return timed(3, func() { settings.Decode(b) }), nil
+		}},
+		{Series{Name: "tenants-memory", About: "a node's fleet and module with them, without traffic", By: "tenants", Unit: "B"}, tenants,
+			func(n int) (float64, error) {
+				var err error
+				bytes := held(func() any {
+					f, fault := newFleet(n)
+					err = fault
+					return f
+				})
+				return bytes, err
+			}},
+		{Series{Name: "report-bytes", About: "a node's report to a planner, with no traffic", By: "tenants", Unit: "B", Exact: true}, doubled(64, 8192),
+			func(n int) (float64, error) {
+				r, err := reportOf(n)
+				if err != nil {
+					return 0, err
+				}
+				frame, err := planline.Append(nil, planline.ReportKind, r)
+				return float64(len(frame)), err
+			}},
+	}
+}
--- /dev/null
+++ b/internal/scale/parts/lists.go
@@ -0,0 +1,125 @@
+package parts
+
+import (
+	"fmt"
+	"time"
+
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/node"
+	"fernvane/internal/roster"
+	"fernvane/internal/snapshot"
+	"fernvane/internal/standin/discovery"
+)
+
+const (
+	services  = 6000
+	regions   = 3
+	zones     = 6
+	cells     = 40
+	startedAt = 1_764_000_000_000 // Unix ms; any that is long ago
+)
+
+type nobody struct{}
+
+func (nobody) Told(int, string, string, int64, time.Time) {}
+
+func entry(i int, phase string) discovery.Entry {
+	return discovery.Entry{ID: fmt.Sprintf("svc%04d-srv-%06d", i%services, i), Site: fmt.Sprintf("region-%d-zone-%d", i%regions, i%zones), Cell: i % cells,
+		Flavor: fmt.Sprintf("svc%04d", i%services), Phase: phase, UpSince: time.UnixMilli(startedAt + int64(i)),
+		Addresses: []string{fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255)}}
+}
+
+// text is discovery's whole list of so many servers.
+func text(servers int) []byte {
+	s := discovery.New(discovery.Figures{LinesPerS: 1e12, Timeout: time.Minute}, 1, nobody{})
+	for i := range servers {
+		s.Set(entry(i, discovery.Serving))
+	}
+	return s.List(0)
+}
+
+func list(servers int) http1.List {
+	l, err := http1.ParseList(text(servers))
+	if err != nil {
+		panic(err) // the stand-in's own form
+	}
+	return l
+}
+
+func newFleet(tenants int) (*fleet.Fleet, error) {
+	s, err := decoded(tenants)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.New(s, 1, fleet.Limits{MemoryMB: 128, Sockets: 256}, node.Policy), nil
+}
+
+// filled is a node's fleet that knows so many servers.
+func filled(l http1.List) (*fleet.Fleet, error) {
+	f, err := newFleet(4)
+	if err == nil {
+		f.Listed(l, roster.Discovery)
+	}
+	return f, err
+}
+
+func lists() []figure {
+	sizes := doubled(256, 131_072)
+	return []figure{
+		{Series{Name: "list-bytes", About: "a whole list of discovery", By: "servers", Unit: "B", Exact: true}, doubled(64, 262_144),
+			func(n int) (float64, error) { return float64(len(text(n))), nil }},
+		{Series{Name: "list-parse", About: "reading it", By: "servers", Unit: "ms"}, sizes, func(n int) (float64, error) {
+			b := text(n)
+			return timed(3, func() { http1.ParseList(b) }), nil
+		}},
+		{Series{Name: "list-taken", About: "a whole list into the node's book and module", By: "servers", Unit: "ms"}, sizes, func(n int) (float64, error) {
+			l := list(n)
+			f, err := newFleet(4)
+			if err != nil {
+				return 0, err
+			}
+			defer f.Stop()
+			return timed(1, func() { f.Listed(l, roster.Discovery) }), nil
+		}},
+		{Series{Name: "list-change", About: "one changed server into a node that knows so many", By: "servers", Unit: "ms"}, sizes, func(n int) (float64, error) {
+			l := list(n)
+			f, err := filled(l)
+			if err != nil {
+				return 0, err
+			}
+			defer f.Stop()
+			one := http1.List{Revision: l.Revision + 1, Hosts: append([]http1.Host(nil), l.Hosts[0])}
+			const rounds = 500
+			return timed(3, func() {
+				for i := range rounds {
+					one.Hosts[0].Phase = http1.Phase(i % 2)
+					f.Listed(one, roster.Discovery)
+				}
+			}) / rounds, nil
+		}},
+		{Series{Name: "list-memory", About: "a node's book and module of so many servers", By: "servers", Unit: "B"}, sizes, func(n int) (float64, error) {
+			l := list(n)
+			var f *fleet.Fleet
+			var err error
+			bytes := held(func() any {
+				f, err = filled(l)
+				return f
+			})
+			if err == nil {
+				f.Stop()
+			}
+			return bytes, err
+		}},
+		{Series{Name: "snapshot-bytes", About: "a node's copy of the list on disk", By: "servers", Unit: "B", Exact: true}, doubled(64, 8192),
+			func(n int) (float64, error) {
+				s := &snapshot.Snapshot{Node: "n", Deployment: "d"}
+				for _, h := range list(n).Hosts {
+					s.Servers = append(s.Servers, snapshot.Server{ID: h.ID, Up: h.UpSinceMS, Address: h.Address.String(), Zone: h.Zone, Flavor: h.Flavor,
+						Cell: h.Cell, Size: h.Size, Heard: startedAt})
+				}
+				b, err := snapshot.Encode(s)
+				return float64(len(b)), err
+			}},
+	}
+}
--- /dev/null
+++ b/internal/scale/parts/plans.go
@@ -0,0 +1,100 @@
+package parts
+
+import (
+	"fmt"
+	"time"
+
+	"fernvane/internal/life"
+	"fernvane/internal/plan"
+	"fernvane/internal/planline"
+)
+
+const (
+	fixedServers = 192
+	fixedNodes   = 256
+	usedServers  = 16 // that a node reports hops to
+	plannedAt    = startedAt + 90*24*3600*1000
+)
+
+func nodeName(i int) string { return fmt.Sprintf("n%05d", i) }
+
+func lives(servers int) (all []life.Entry) {
+	for i := range servers {
+		e := entry(i, "")
+		all = append(all, life.Entry{ID: e.ID, Up: e.UpSince.UnixMilli(), Revision: uint64(i), Address: e.Addresses[0], Zone: e.Site, Flavor: e.Flavor,
+			Cell: e.Cell, Size: 1})
+	}
+	return all
+}
+
+// planned is a planner that has heard a report of each of its nodes.
+func planned(nodes, servers int) (*plan.Planner, []life.Entry) {
+	p, known := plan.New(plannedAt), lives(servers)
+	p.Listed(0, known, true)
+	for i := range nodes {
+		r := plan.Report{Sent: time.Second, Span: 500 * time.Millisecond, Types: []plan.Type{{Name: "svc0001", Target: 200 * time.Millisecond, Asked: 100}},
+			Flying: 8, Figures: plan.Figures{Nodes: nodes, ColdFor: 5 * time.Second, ColdStart: 0.3, FallMultiple: 2}}
+		for j := range usedServers {
+			r.Servers = append(r.Servers, plan.Server{ID: known[(i*usedServers+j)%servers].ID, Answered: []plan.Answered{{N: 6, Sum: 300 * time.Millisecond}}})
+		}
+		p.Reported(time.Second, nodeName(i), &r)
+	}
+	return p, known
+}
+
+func planTime(nodes, servers int) float64 {
+	p, _ := planned(nodes, servers)
+	now := time.Second
+	p.Plan(now) // the first one gives all parts at once
+	return timed(3, func() {
+		now += 500 * time.Millisecond
+		p.Plan(now)
+	})
+}
+
+// changeBytes are those of what a node is sent of the first plan, and of the next one with one changed server.
+func changeBytes(nodes, servers int) (first, next float64, err error) {
+	p, known := planned(nodes, servers)
+	change, told := plan.Diff(plan.Plan{}, p.Plan(time.Second).For(nodeName(0)))
+	frame, err := planline.Append(nil, planline.ChangeKind, change)
+	if err != nil {
+		return 0, 0, err
+	}
+	first = float64(len(frame))
+	// One of the servers that the node has no part of: who holds parts of it is another matter than the word of it.
+	changed := known[len(known)-1]
+	changed.Condition, changed.Revision = life.Draining, uint64(servers)
+	before := p.Plan(1500 * time.Millisecond).For(nodeName(0))
+	_, told = plan.Diff(told, before)
+	p.Listed(1500*time.Millisecond, []life.Entry{changed}, false)
+	after := before
+	after.Lives = p.Plan(2 * time.Second).For(nodeName(0)).Lives
+	change, _ = plan.Diff(told, after)
+	frame, err = planline.Append(nil, planline.ChangeKind, change)
+	return first, float64(len(frame)), err
+}
+
+func plans() []figure {
+	fixed := func(what string, n int) string { return fmt.Sprintf("%d %s", n, what) }
+	return []figure{
+		{Series{Name: "plan-by-nodes", About: "one plan", By: "nodes", Fixed: fixed("servers", fixedServers), Unit: "ms"}, doubled(64, 4096),
+			func(n int) (float64, error) { return planTime(n, fixedServers), nil }},
+		{Series{Name: "plan-by-servers", About: "one plan", By: "servers", Fixed: fixed("nodes", fixedNodes), Unit: "ms"}, doubled(64, 4096),
+			func(n int) (float64, error) { return planTime(fixedNodes, n), nil }},
+		{Series{Name: "first-plan-bytes", About: "a node's first plan, with all lives", By: "servers", Fixed: fixed("nodes", fixedNodes), Unit: "B", Exact: true},
+			doubled(64, 4096), func(n int) (float64, error) {
+				first, _, err := changeBytes(fixedNodes, n)
+				return first, err
+			}},
+		{Series{Name: "change-bytes-by-servers", About: "one changed server in a plan", By: "servers", Fixed: fixed("nodes", fixedNodes), Unit: "B", Exact: true},
+			doubled(64, 4096), func(n int) (float64, error) {
+				_, next, err := changeBytes(fixedNodes, n)
+				return next, err
+			}},
+		{Series{Name: "change-bytes-by-nodes", About: "one changed server in a plan", By: "nodes", Fixed: fixed("servers", fixedServers), Unit: "B", Exact: true},
+			doubled(64, 4096), func(n int) (float64, error) {
+				_, next, err := changeBytes(n, fixedServers)
+				return next, err
+			}},
+	}
+}
