A tick costs the module what has traffic, not all types, tenants and servers

Now types, servers with records and tenants are walked while they had traffic lately; what fades below a billionth of an end, or 1e-24 arrivals a second, is none. The share that an idle type is denied is worked out at its next arrival from what the last tick left. Tenants' figures are kept for those with traffic only, with their sum.

The tests that count fail with the walk of all types or servers put back, with tenants held for ever, or without the share.

--- a/internal/node/golden_test.go
+++ b/internal/node/golden_test.go
@@ -21,8 +21,9 @@
 const goldenFile = "effects.golden"
 
 const (
-	goldenSeeds = 24
+	goldenSeeds = 32
 	goldenSteps = 12_000
+	sparseFrom  = 24 // seeds from here on have many types and tenants, of which few have traffic at a time
 )
 
 // TestEffectsAreAsRecorded plays long random histories and compares the hash of all effects with those on record.
@@ -81,6 +82,7 @@
 	kinds    [8]int // effects by kind
 	inner    Module
 	rankMod  uint32
+	sparse   bool
 	rooms    int     // beside the one without a limit
 	load     float64 // attempts out at which servers slow down
 	sick     map[uint32]time.Duration
@@ -122,6 +124,15 @@
 	for range int(seed%7) * 6 {
 		h.set.AllowancePerS = append(h.set.AllowancePerS, float64(r.IntN(12)))
 	}
+	if seed >= sparseFrom {
+		for len(h.set.Types) < 150 {
+			h.set.Types = append(h.set.Types, h.trafficType(len(h.set.Types)))
+		}
+		for range 500 {
+			h.set.AllowancePerS = append(h.set.AllowancePerS, float64(r.IntN(12)))
+		}
+		h.sparse = true
+	}
 	h.rankMod = []uint32{1 << 31, 16}[seed%2] // few ranks bring ties
 	h.load = 10 + float64(r.IntN(60))
 	h.inner = policy.New(h.set, uint32(seed))
@@ -265,7 +276,7 @@
 func (h *history) step() {
 	r := h.rand
 	h.now += time.Duration(r.IntN(int(6 * time.Millisecond)))
-	if r.IntN(400) == 0 {
+	if r.IntN(400) == 0 || h.sparse && r.IntN(40) == 0 {
 		h.now += time.Duration(r.IntN(int(2 * time.Second)))
 	}
 	if h.now >= h.wakeAt {
@@ -289,12 +300,20 @@
 		h.node.Left(h.now, h.requests-uint64(r.IntN(int(min(h.requests, 20)))), h)
 	case n < 500:
 		h.requests++
-		h.node.Arrive(h.now, h.requests, policy.Input{Type: r.IntN(len(h.set.Types)), Tenant: r.IntN(len(h.set.AllowancePerS) + 1),
+		h.node.Arrive(h.now, h.requests, policy.Input{Type: h.some(len(h.set.Types)), Tenant: h.some(len(h.set.AllowancePerS) + 1),
 			Room: r.IntN(1 + h.rooms), Key: uint32(r.IntN(40)), Again: r.IntN(10) == 0,
 			Budget: time.Duration(300+r.IntN(2000)) * time.Millisecond}, h)
 	}
 }
 
+// some draws one of n; where few have traffic, mostly one of six that are others after a while.
+func (h *history) some(n int) int {
+	if !h.sparse || h.rand.IntN(100) == 0 {
+		return h.rand.IntN(n)
+	}
+	return (int(h.now/(20*time.Second))*6 + h.rand.IntN(6)) % n
+}
+
 func (h *history) play(steps int) string {
 	for range steps {
 		h.step()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -72,6 +72,8 @@
 	refusedAim   = 0.2                    // share of hops turned away as full before less is admitted
 	doubtMost    = 3                      // steps down for a dropped server, each halves its turns
 	dropKept     = 60 * time.Second       // without an answer, then a dropped server has gone; lists heal sooner
+	negligible   = 1e-9                   // ends: a record that fades below is none, and costs no tick more
+	rateLeast    = 1e-24                  // a second, likewise: what is less changes no sum of loads by a bit
 )
 
 type state uint8
@@ -125,7 +127,9 @@
 
 func (r *record) rate() float64 { return r.failed / (r.all + causeLeast) }
 
-func (r *record) fade(kept float64) { r.failed, r.all = r.failed*kept, r.all*kept }
+func (r *record) fade(kept float64) {
+	r.failed, r.all = faded(r.failed*kept, negligible), faded(r.all*kept, negligible)
+}
 
 func (r *record) add(failed, memory float64) {
 	r.failed, r.all = r.failed*(1-1/memory)+failed, r.all*(1-1/memory)+1
@@ -137,8 +141,8 @@
 	for _, r := range lifecycle() {
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
-	p.tenants = make([]float64, len(s.AllowancePerS))
-	p.byTenant, p.byKey = make([]record, len(s.AllowancePerS)+1), make([]record, causeKeys)
+	p.byKey = make([]record, causeKeys)
+	p.tenants.named, p.allowances = len(s.AllowancePerS), sum(s.AllowancePerS)
 	p.retype(&Input{Types: s.Types, Like: slices.Repeat([]int{-1}, len(s.Types)), Rooms: []int{0}})
 	return p
 }
@@ -207,6 +211,7 @@
 		put(k, usual, &p.usual)
 		put(k, base, &p.base)
 		put(k, samples, &p.samples)
+		p.activate(k)
 		put(k, 0, &p.retries, &p.copies)
 		put(k, record{}, &p.breaks)
 		put(2*k, record{}, &p.byType)
@@ -214,9 +219,6 @@
 		p.dearest = max(p.dearest, in.Types[k].Revenue)
 		for b := 2 * k; b < 2*k+2; b++ {
 			put(b, 0, &p.denyShare, &p.rates)
-			if b == len(p.order) {
-				p.order = append(p.order, b)
-			}
 		}
 		for s := range p.troubled.All() {
 			p.forgetTrouble(s, k)
@@ -278,12 +280,14 @@
 	}
 	t := &p.set.Types[in.Type]
 	o := &p.ops[in.Op]
-	*o = operation{kind: in.Type, key: in.Key, tenant: min(in.Tenant, len(p.tenants)), again: in.Again,
+	*o = operation{kind: in.Type, key: in.Key, tenant: in.Tenant, again: in.Again,
 		room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1,
 		came: p.now, limit: p.now + in.Budget, target: p.now + min(t.TargetTime-2*p.set.Tick, in.Budget)}
-	if in.Tenant < len(p.tenants) {
-		p.tenants[in.Tenant] += 1 / rateSpan.Seconds()
-		within := p.fair(in.Tenant) / p.tenants[in.Tenant]
+	p.activate(in.Type)
+	if in.Tenant >= p.tenants.named {
+		o.tenant = unknownTenant
+	} else {
+		within := p.fair(in.Tenant) / p.tenants.arrive(in.Tenant)
 		if in.Tenant < len(p.within) {
 			within = p.within[in.Tenant]
 		}
@@ -299,13 +303,9 @@
 // fair is a tenant's share at this node, per second. It goes with the others' traffic where that is above
 // their shares, for nodes do not get traffic alike, and has slack for the chance of a few arrivals.
 func (p *Policy) fair(tenant int) float64 {
-	nodes, shares, others := float64(p.set.Nodes), 0.0, 0.0
-	for t, a := range p.set.AllowancePerS {
-		if t != tenant {
-			shares, others = shares+a/nodes, others+p.tenants[t]
-		}
-	}
-	fair := p.set.AllowancePerS[tenant] / nodes * max(1, others/max(shares, 1e-9))
+	nodes, own := float64(p.set.Nodes), p.set.AllowancePerS[tenant]
+	shares, others := (p.allowances-own)/nodes, p.tenants.total-p.tenants.rate(tenant)
+	fair := own / nodes * max(1, others/max(shares, 1e-9))
 	return fair + math.Sqrt(fair/rateSpan.Seconds())
 }
 
@@ -602,7 +602,7 @@
 	if o.again {
 		kind++
 	}
-	all := [...]*record{&p.byType[kind], &p.byTenant[o.tenant], &p.byKey[o.key%causeKeys]}
+	all := [...]*record{&p.byType[kind], p.tenants.record(o.tenant), &p.byKey[o.key%causeKeys]}
 	if o.key == 0 {
 		return all[:2]
 	}
@@ -635,6 +635,7 @@
 		}
 	}
 	p.records[s].add(failed, causeMemory)
+	p.judged.Add(s)
 	p.overall.add(failed, 3*causeMemory)
 	return failed > 0 && worst > max(p.records[s].rate()+causeServer, p.overall.rate())
 }
@@ -1042,6 +1043,7 @@
 	}
 	p.cold.Remove(s)
 	p.shared.Remove(s)
+	p.judged.Remove(s)
 	put(s, false, &p.ready, &p.listed, &p.member, &p.lost)
 	put(s, wasListed, &p.before)
 	put(s, p.lists, &p.heard)
@@ -1100,27 +1102,25 @@
 	p.lastSweep = p.now
 	fade := math.Exp(-passed.Seconds() / rateSpan.Seconds())
 	p.successes *= fade
-	for _, rates := range [][]float64{p.rates, p.tenants} {
-		for i := range rates {
-			rates[i] *= fade
-		}
-	}
+	kept := math.Exp(-passed.Seconds() / causeFade.Seconds())
+	p.tenants.fade(fade, kept)
 	p.turned.fade(fade)
-	fade = math.Exp(-passed.Seconds() / causeFade.Seconds())
-	for _, records := range [][]record{p.records, p.breaks, p.byType, p.byTenant, p.byKey} {
-		for i := range records {
-			records[i].fade(fade)
+	for s := range p.judged.All() {
+		if p.records[s].fade(kept); p.records[s].all == 0 {
+			p.judged.Remove(s)
 		}
 	}
+	for i := range p.byKey {
+		p.byKey[i].fade(kept)
+	}
 	relax := 1 - math.Exp(-passed.Seconds()/baseSpan.Seconds())
-	for i := range p.base {
-		p.base[i] += time.Duration(relax * float64(p.usual[i]-p.base[i]))
+	for kind := range p.busy.All() {
+		if !p.age(kind, passed, fade, kept, relax) {
+			p.busy.Remove(kind)
+		}
 	}
 	p.finished *= math.Exp(-passed.Seconds() / windowSpan.Seconds())
 	p.weigh()
-	for kind := range p.set.Types {
-		p.grant(kind, 0, passed.Seconds())
-	}
 	p.paceCold(passed)
 	for _, s := range p.pool {
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
@@ -1140,9 +1140,28 @@
 	}
 }
 
+// age lets time pass for a type, and tells whether more of it would change anything.
+func (p *Policy) age(kind int, passed time.Duration, fade, kept, relax float64) bool {
+	rates, records, breaks := p.rates[2*kind:2*kind+2], p.byType[2*kind:2*kind+2], &p.breaks[kind]
+	for i := range rates {
+		rates[i] = faded(rates[i]*fade, rateLeast)
+		records[i].fade(kept)
+	}
+	breaks.fade(kept)
+	step := time.Duration(relax * float64(p.usual[kind]-p.base[kind]))
+	p.base[kind] += step
+	retries, copies := p.retries[kind], p.copies[kind]
+	p.grant(kind, 0, passed.Seconds())
+	still := step == 0 && p.retries[kind] == retries && p.copies[kind] == copies && passed > 0
+	return !still || rates[0]+rates[1]+records[0].all+records[1].all+breaks.failed > 0
+}
+
 // paceCold refills the cold budgets. The fall is counted over all nodes, so each node gives a cold
 // server what a warm one of its scale handles for this node, cut to the capacity it surely has.
 func (p *Policy) paceCold(passed time.Duration) {
+	if p.cold.Len() == 0 {
+		return
+	}
 	floor := coldFloor * p.set.FallMultiple / max(slices.Max(p.usual), 1).Seconds() / float64(p.set.Nodes)
 	for s := range p.cold.All() {
 		own := coldShare * p.set.FallMultiple * p.successes * p.scale[s] / max(p.scales, 1e-9)
@@ -1165,17 +1184,45 @@
 	}
 	off := max(1-max(p.blocked/blockedAim, p.turned.rate()/refusedAim), -2)
 	p.admit = min(max(p.admit*math.Exp(admitPace*off*passed.Seconds()), admitLeast), cmp.Or(p.admitMost, 1))
+	p.order = slices.DeleteFunc(p.order, func(b int) bool { return !p.busy.Has(b / 2) })
 	slices.SortFunc(p.order, func(a, b int) int { return cmp.Or(cmp.Compare(p.worth(a), p.worth(b)), a-b) })
 	total := 0.0
-	for b, r := range p.rates {
-		total += r * p.usual[b/2].Seconds()
+	for kind := range p.busy.All() {
+		for b := 2 * kind; b < 2*kind+2; b++ {
+			total += p.rates[b] * p.usual[kind].Seconds()
+		}
 	}
 	cut := (1 - p.admit) * total
+	p.shed = p.shed[:0]
 	for _, b := range p.order {
+		p.shed = append(p.shed, shed{b, p.worth(b), cut})
 		load := p.rates[b] * p.usual[b/2].Seconds()
-		p.denyShare[b] = min(cut/max(load, 1e-9), cmp.Or(p.set.Types[b/2].ShedMost, shedMost))
+		p.denyShare[b] = p.denied(b, cut, load)
 		cut = max(cut-p.denyShare[b]*load, 0)
 	}
+	p.shed = append(p.shed, shed{len(p.rates), math.Inf(1), cut})
+}
+
+func (p *Policy) denied(b int, cut, load float64) float64 {
+	return min(cut/max(load, 1e-9), cmp.Or(p.set.Types[b/2].ShedMost, shedMost))
+}
+
+// activate has a type that had no traffic for long age again. Its buckets get the shares that they would
+// have had.
+func (p *Policy) activate(kind int) {
+	if p.busy.Has(kind) {
+		return
+	}
+	p.busy.Add(kind)
+	for b := 2 * kind; b < 2*kind+2; b++ {
+		p.order = append(p.order, b)
+		if b < len(p.denyShare) && len(p.shed) > 0 {
+			i, _ := slices.BinarySearchFunc(p.shed, b, func(other shed, b int) int {
+				return cmp.Or(cmp.Compare(other.worth, p.worth(b)), other.bucket-b)
+			})
+			p.denyShare[b] = p.denied(b, p.shed[i].cut, 0)
+		}
+	}
 }
 
 func (p *Policy) worth(bucket int) float64 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -664,9 +664,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 2, func(s *Settings) { s.Nodes, s.AllowancePerS = c.nodes, []float64{10, 10} })
-			copy(r.tenants, c.rates)
-			if got := r.tenants[0] > r.fair(0); got != c.beyond {
-				t.Errorf("beyond %v: %.2f of %.2f", got, r.tenants[0], r.fair(0))
+			for tenant, rate := range c.rates {
+				r.tenants.of(tenant).rate = rate
+				r.tenants.total += rate
+			}
+			if got := r.tenants.rate(0) > r.fair(0); got != c.beyond {
+				t.Errorf("beyond %v: %.2f of %.2f", got, r.tenants.rate(0), r.fair(0))
 			}
 		})
 	}
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -12,8 +12,8 @@
 
 // visits is how many elements of the module's sets and steps of its rotation were come to.
 func visits(p *Policy) int {
-	sum := p.rotation.Steps()
-	for _, s := range []*activeset.Set{&p.cold, &p.dropped, &p.shared, &p.troubled} {
+	sum := p.rotation.Steps() + p.tenants.visits
+	for _, s := range []*activeset.Set{&p.cold, &p.dropped, &p.shared, &p.troubled, &p.judged, &p.busy} {
 		sum += s.Visits()
 	}
 	return sum
@@ -136,3 +136,75 @@
 			ready, r.readyNow, listed, r.listedNow, sum, r.smoothedSum, dropped, slices.Collect(r.dropped.All()))
 	}
 }
+
+// A tick costs what is in use: nothing of types, tenants and servers without traffic lately, however many there are, and
+// what had traffic is let go of when it has had none for long.
+func TestTickCostsWhatIsInUse(t *testing.T) {
+	const types, tenants, servers, inUse = 10_000, 390_000, 20_000, 3
+	p := newFleet(types, tenants, servers)
+	now := time.Duration(0)
+	tick := func(times int) (visited int) {
+		from := visits(p)
+		for range times {
+			now += 20 * ms
+			p.Handle(now, &Input{Kind: Woken}, nil)
+		}
+		return visits(p) - from
+	}
+	tick(200) // budgets of retries are full now
+	if got := tick(50); got != 0 {
+		t.Errorf("%d elements come to where nothing has had traffic", got)
+	}
+	for i := range inUse {
+		p.Handle(now, &Input{Kind: Arrival, Op: i, Type: i * 1_000, Tenant: i * 100_000, Budget: time.Second}, nil)
+		p.Handle(now+5*ms, &Input{Kind: HopEnded, Op: i, Outcome: Success, Final: true}, nil)
+	}
+	if got := tick(1); got == 0 || got > 4*inUse { // tenants, servers, types twice
+		t.Errorf("%d elements come to for %d in use", got, inUse)
+	}
+	var effects []Effect
+	if got := testing.AllocsPerRun(20, func() { effects = p.Handle(now, &Input{Kind: Woken}, effects[:0]) }); got > 0 {
+		t.Errorf("%g allocations a tick", got)
+	}
+	const marked, idle = 0.5, 7 // what a tick walks, it fades
+	p.rates[2*idle], p.byType[2*idle].all, p.records[idle].all, p.base[idle+1] = marked, marked, marked, 1
+	tick(1)
+	if p.rates[2*idle] != marked || p.byType[2*idle].all != marked || p.records[idle].all != marked || p.base[idle+1] != 1 {
+		t.Error("a tick comes to a type or a server without traffic")
+	}
+	for range 300 { // a second each: what has had no traffic for five minutes is let go of
+		now += time.Second
+		p.Handle(now, &Input{Kind: Woken}, nil)
+	}
+	if got := tick(10); got != 0 || len(p.tenants.active) != 0 || p.judged.Len() != 0 || len(p.order) != 0 {
+		t.Errorf("%d elements come to long after, %d tenants, %d servers, %d buckets held", got, len(p.tenants.active), p.judged.Len(), len(p.order))
+	}
+}
+
+// A type that has been idle is denied as it would have been, had each tick worked out its share.
+func TestIdleTypeIsDeniedAsOthersAre(t *testing.T) {
+	for name, c := range map[string]struct {
+		revenue float64
+		want    float64
+	}{
+		"the cheapest":       {0.05, shedMost},
+		"dearer than others": {50, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 4, func(s *Settings) { s.Types = append(s.Types, s.Types[0]); s.Types[4].Revenue = c.revenue })
+			r.busy.Remove(4)
+			for b := range r.rates[:8] {
+				r.rates[b] = 10
+			}
+			r.admit, r.blocked, r.now = 0.7, 1, time.Second
+			r.adjustShed(100 * ms)
+			if len(r.order) != 8 {
+				t.Fatalf("order %v", r.order)
+			}
+			r.activate(4)
+			if got := r.denyShare[8]; got != c.want || len(r.order) != 10 {
+				t.Errorf("share %g, want %g; order %v", got, c.want, r.order)
+			}
+		})
+	}
+}
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -123,3 +123,106 @@
 		p.troubled.Remove(s)
 	}
 }
+
+// faded is a figure that has faded, or none where it is less than the least that counts.
+func faded(x, least float64) float64 {
+	if x < least {
+		return 0
+	}
+	return x
+}
+
+func sum(figures []float64) (all float64) {
+	for _, f := range figures {
+		all += f
+	}
+	return all
+}
+
+// unknownTenant stands for all tenants that the settings do not name.
+const unknownTenant = -1
+
+// tenantFigures are what is known of a tenant with traffic lately.
+type tenantFigures struct {
+	tenant int
+	rate   float64 // arrivals a second
+	ends   record
+}
+
+// tenantTable keeps figures of those tenants only that had traffic lately.
+type tenantTable struct {
+	named   int     // tenants from here on are unknown
+	place   []int32 // in active, and one, by tenant; 0: not there
+	active  []tenantFigures
+	total   float64 // of the rates
+	unknown record
+	visits  int // figures come to by ticks so far, for tests that count
+}
+
+// rate is a tenant's arrivals a second.
+func (t *tenantTable) rate(tenant int) float64 {
+	if tenant >= len(t.place) || t.place[tenant] == 0 {
+		return 0
+	}
+	return t.active[t.place[tenant]-1].rate
+}
+
+// of finds the figures of a tenant, which hold until the next call.
+func (t *tenantTable) of(tenant int) *tenantFigures {
+	if missing := tenant + 1 - len(t.place); missing > 0 {
+		t.place = append(t.place, make([]int32, missing)...)
+	}
+	if t.place[tenant] == 0 {
+		t.active = append(t.active, tenantFigures{tenant: tenant})
+		t.place[tenant] = int32(len(t.active))
+	}
+	return &t.active[t.place[tenant]-1]
+}
+
+// arrive counts an arrival and returns the rate.
+func (t *tenantTable) arrive(tenant int) float64 {
+	f := t.of(tenant)
+	f.rate += 1 / rateSpan.Seconds()
+	t.total += 1 / rateSpan.Seconds()
+	return f.rate
+}
+
+func (t *tenantTable) record(tenant int) *record {
+	if tenant == unknownTenant {
+		return &t.unknown
+	}
+	return &t.of(tenant).ends
+}
+
+// fade lets time pass, and lets go of those of whom nothing is left.
+func (t *tenantTable) fade(rates, records float64) {
+	t.unknown.fade(records)
+	t.total = 0
+	for i := len(t.active) - 1; i >= 0; i-- {
+		t.visits++
+		f := &t.active[i]
+		f.rate = faded(f.rate*rates, rateLeast)
+		f.ends.fade(records)
+		t.total += f.rate
+		if f.rate == 0 && f.ends.all == 0 {
+			t.remove(i)
+		}
+	}
+}
+
+func (t *tenantTable) remove(i int) {
+	last := len(t.active) - 1
+	t.place[t.active[i].tenant] = 0
+	if i < last {
+		t.active[i] = t.active[last]
+		t.place[t.active[i].tenant] = int32(i + 1)
+	}
+	t.active = t.active[:last]
+}
+
+func (t *tenantTable) clone() tenantTable {
+	c := *t
+	dup(&c.place)
+	dup(&c.active)
+	return c
+}
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -11,6 +11,7 @@
 func (p *Policy) WhatIf(s *Settings, now time.Duration, in *Input, effects []Effect) []Effect {
 	c := p.copied(in.Op)
 	c.set = *s
+	c.allowances = sum(s.AllowancePerS)
 	c.set.OnRequest, c.set.Types = p.set.OnRequest, slices.Clone(p.set.Types)
 	for k := range min(len(s.Types), len(c.set.Types)) {
 		pool := c.set.Types[k].Pool
@@ -36,14 +37,17 @@
 	dup(&c.doubt, &c.refused, &c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses, &c.strikes, &c.soft, &c.heard, &c.pool,
 		&c.open, &c.order, &c.rooms, &c.roomMost)
 	dup(&c.scale, &c.weight, &c.due, &c.coldPace, &c.ghosts, &c.slowness, &c.part, &c.pace, &c.samples, &c.denyShare,
-		&c.rates, &c.tenants, &c.retries, &c.copies, &c.within)
+		&c.rates, &c.retries, &c.copies, &c.within)
 	dup(&c.ghostSent, &c.smoothed, &c.runStart, &c.lastSpike, &c.answered, &c.restUntil, &c.forecast,
 		&c.coldSince, &c.interval, &c.usual, &c.base, &c.droppedAt)
 	dup(&c.labels)
-	dup(&c.breaks, &c.records, &c.byType, &c.byTenant, &c.byKey)
+	dup(&c.breaks, &c.records, &c.byType, &c.byKey)
+	dup(&c.shed)
+	c.tenants = p.tenants.clone()
 	dup(&c.onsets)
 	dup(&c.ops)
 	c.rotation = p.rotation.Clone()
+	c.judged, c.busy = p.judged.Clone(), p.busy.Clone()
 	c.cold, c.dropped, c.shared, c.troubled = p.cold.Clone(), p.dropped.Clone(), p.shared.Clone(), p.troubled.Clone()
 	dup(&c.troubles)
 	for s := range c.troubled.All() {
