Tenants' allowances can change while a node runs: fleet.SetAllowances

Allowances were settings, read once. The module takes a new input, AllowancesChanged, with those that have changed by tenant's index; tenants beyond those at the start are known from then on. The node passes it on, the fleet gives names their indices: new names the next ones. The module's cost is that of the tenants named; the settings as they were read stay as they are, and what a watcher asks goes by the allowances that hold. What is negative, infinite or no number is left out.

--- /dev/null
+++ b/internal/fleet/allowances.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+
+	"fernvane/policy"
+)
+
+// SetAllowances has tenants' allowances, in requests a second over all nodes, be others from now on. A name that is not
+// known yet is a tenant from now on; those that are not named keep theirs. What is negative or no number is left out.
+func (f *Fleet) SetAllowances(perS map[string]float64) {
+	f.mu.Lock()
+	defer f.unlock()
+	if !f.reallowed { // the settings stay as they were read
+		f.set.TenantNames, f.set.AllowancePerS = slices.Clone(f.set.TenantNames), slices.Clone(f.set.AllowancePerS)
+		f.reallowed = true
+	}
+	changed := make([]policy.Allowance, 0, len(perS))
+	for name, allowance := range perS {
+		if !(allowance >= 0) || math.IsInf(allowance, 1) {
+			continue
+		}
+		tenant, known := f.tenants[name]
+		if !known {
+			tenant = len(f.tenants)
+			f.tenants[name] = tenant
+			f.set.TenantNames, f.set.AllowancePerS = append(f.set.TenantNames, name), append(f.set.AllowancePerS, 0)
+		}
+		if !known || f.set.AllowancePerS[tenant] != allowance {
+			f.set.AllowancePerS[tenant] = allowance
+			changed = append(changed, policy.Allowance{Tenant: tenant, PerS: allowance})
+		}
+	}
+	f.digests.grow(len(f.set.TenantNames))
+	if len(changed) > 0 {
+		f.door.SetAllowances(f.now(), changed, (*hands)(f))
+	}
+}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -40,6 +40,13 @@
 	d.asked, d.denied, d.tenants = make([]int, types), make([]int, types), make([]int, tenants)
 }
 
+// grow makes room for tenants that have come to be known.
+func (d *digests) grow(tenants int) {
+	if missing := tenants - len(d.tenants); d.on && missing > 0 {
+		d.tenants = append(d.tenants, make([]int, missing)...)
+	}
+}
+
 func (d *digests) arrived(kind, tenant int) {
 	if !d.on {
 		return
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,21 +36,22 @@
 	wake    *time.Timer
 	asked   chan struct{}
 
-	ops      map[uint64]*Operation
-	open     map[string]bool // the clients' ids of those that are not settled
-	lastOp   uint64
-	types    map[string]int
-	tenants  map[string]int
-	zones    map[string]int
-	servers  map[string]*server
-	book     *roster.Book // what is known of them
-	closing  []io.Closer  // to be closed when the lock is given back
-	room     room
-	counts   Counts
-	digests  digests
-	evidence []chan roster.Evidence // of those who ask for it
-	wary     bool                   // what must not run twice goes to servers that are proved only
-	proved   map[string]bool
+	ops       map[uint64]*Operation
+	open      map[string]bool // the clients' ids of those that are not settled
+	lastOp    uint64
+	types     map[string]int
+	tenants   map[string]int
+	reallowed bool // their allowances are not those of the settings any more
+	zones     map[string]int
+	servers   map[string]*server
+	book      *roster.Book // what is known of them
+	closing   []io.Closer  // to be closed when the lock is given back
+	room      room
+	counts    Counts
+	digests   digests
+	evidence  []chan roster.Evidence // of those who ask for it
+	wary      bool                   // what must not run twice goes to servers that are proved only
+	proved    map[string]bool
 }
 
 type server struct {
--- a/internal/node/golden_test.go
+++ b/internal/node/golden_test.go
@@ -74,7 +74,6 @@
 	now      time.Duration
 	wakeAt   time.Duration
 	requests uint64
-	open     []uint64
 	attempts []attempt
 	count    map[uint64]int // attempts by request
 	servers  []uint32       // listed now
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,6 +186,11 @@
 	n.apply(now, in, out)
 }
 
+// SetAllowances tells of tenants' allowances that have changed.
+func (n *Node[S]) SetAllowances(now time.Duration, changed []policy.Allowance, out Out[S]) {
+	n.apply(now, policy.Input{Kind: policy.AllowancesChanged, Allowances: changed}, out)
+}
+
 // Woken passes on the timer.
 func (n *Node[S]) Woken(now time.Duration, out Out[S]) {
 	n.apply(now, policy.Input{Kind: policy.Woken}, out)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -128,3 +128,25 @@
 		t.Errorf("%d servers come to and %g allocations among 1,000, %d and %g among 20,000", few, fewAllocs, many, manyAllocs)
 	}
 }
+
+// Allowances reach the module as they are.
+func TestAllowancesReachTheModule(t *testing.T) {
+	var got []policy.Allowance
+	r := &record{}
+	n := New[uint32](0, asked(func(in *policy.Input) {
+		if in.Kind == policy.AllowancesChanged {
+			got = in.Allowances
+		}
+	}), r)
+	n.SetAllowances(time.Second, []policy.Allowance{{Tenant: 7, PerS: 3}}, r)
+	if len(got) != 1 || got[0].Tenant != 7 || got[0].PerS != 3 {
+		t.Errorf("told %v", got)
+	}
+}
+
+type asked func(*policy.Input)
+
+func (a asked) Handle(_ time.Duration, in *policy.Input, effects []policy.Effect) []policy.Effect {
+	a(in)
+	return effects
+}
--- a/internal/roster/book.go
+++ b/internal/roster/book.go
@@ -144,7 +144,9 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		b.visits++
-		moved[id] = moved[id] // touched
+		if _, touched := moved[id]; !touched {
+			moved[id] = false
+		}
 		if l := b.lines[id]; l.Used {
 			l.leave(now)
 			l.Lost = true
--- a/internal/shadow/shadow.go
+++ b/internal/shadow/shadow.go
@@ -109,7 +109,11 @@
 // due: it is a decision on operations, and fewer were compared than may be.
 func (w *Watcher) due(now time.Duration, in *policy.Input) bool {
 	w.left, w.last = min(w.left+perSecond*(now-w.last).Seconds(), perSecond), now
-	if w.disabled || in.Kind == policy.List || in.Kind == policy.Retyped || in.Kind == policy.Planned || w.left < 1 {
+	switch in.Kind {
+	case policy.List, policy.Retyped, policy.Planned, policy.AllowancesChanged:
+		return false
+	}
+	if w.disabled || w.left < 1 {
 		return false
 	}
 	w.left--
--- a/policy/api.go
+++ b/policy/api.go
@@ -142,32 +142,41 @@
 	Woken
 	Retyped // traffic types have been added or changed
 	Planned // what only the whole of the nodes can know has changed
+	AllowancesChanged
 )
 
 // Input is one event, with all ids replaced by dense indices.
 type Input struct {
-	Kind    InputKind
-	Op      int
-	Hop     int
-	Server  int
-	Type    int
-	Tenant  int
-	Room    int    // of its route; 0: none
-	Key     uint32 // of what it is about, see KeyOf; 0: none
-	Again   bool   // the client says that it repeats it
-	Budget  time.Duration
-	Outcome Outcome
-	Spent   time.Duration
-	Final   bool
-	Scope   Scope
-	Members []Member
-	Types   []TrafficType // all; the index of one with operations in hand keeps its figures
-	Like    []int         // by type: itself where it stays, another whose figures it learns from, or -1
-	Rooms   []int         // operations that may have a hop out at a time, by room; 0: any number
-	Shares  []Share       // of a plan: the servers that it says anything of
-	Nodes   int           // of a plan: how many share the load
-	Admit   float64       // of a plan: the most of the offered work that is let in; 0: all
-	Within  []float64     // of a plan, by tenant: the share of its operations within its allowance; none: by own figures
+	Kind       InputKind
+	Op         int
+	Hop        int
+	Server     int
+	Type       int
+	Tenant     int
+	Room       int    // of its route; 0: none
+	Key        uint32 // of what it is about, see KeyOf; 0: none
+	Again      bool   // the client says that it repeats it
+	Budget     time.Duration
+	Outcome    Outcome
+	Spent      time.Duration
+	Final      bool
+	Scope      Scope
+	Members    []Member
+	Types      []TrafficType // all; the index of one with operations in hand keeps its figures
+	Like       []int         // by type: itself where it stays, another whose figures it learns from, or -1
+	Rooms      []int         // operations that may have a hop out at a time, by room; 0: any number
+	Shares     []Share       // of a plan: the servers that it says anything of
+	Nodes      int           // of a plan: how many share the load
+	Admit      float64       // of a plan: the most of the offered work that is let in; 0: all
+	Allowances []Allowance   // those that have changed
+	Within     []float64     // of a plan, by tenant: the share of its operations within its allowance; none: by own figures
+}
+
+// Allowance is a tenant's, a second over all nodes. A tenant beyond those known so far is known from then on, as are all
+// before it, with none until theirs are told.
+type Allowance struct {
+	Tenant int
+	PerS   float64
 }
 
 // Share is what a plan says of one server for this node. Those with a part are the node's part of the servers.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -167,6 +167,8 @@
 		p.retype(in)
 	case Planned:
 		p.planned(in)
+	case AllowancesChanged:
+		p.setAllowances(in.Allowances)
 	}
 	return p.effects
 }
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -208,3 +208,46 @@
 		})
 	}
 }
+
+// Allowances change while running: the sum goes with them, more tenants than at the start are known, the settings that
+// the module was given stay as they are, and what a watcher asks goes by those that hold.
+func TestAllowancesChange(t *testing.T) {
+	for name, c := range map[string]struct {
+		changed []Allowance
+		tenant  int
+		beyond  bool // after ten arrivals in a second and a half
+	}{
+		"none":                          {nil, 0, true},
+		"raised":                        {[]Allowance{{0, 100}}, 0, false},
+		"another's raised":              {[]Allowance{{1, 100}}, 0, true},
+		"a new tenant's":                {[]Allowance{{5, 100}}, 5, false},
+		"a new tenant with little":      {[]Allowance{{5, 1}}, 5, true},
+		"a tenant that is not known":    {[]Allowance{{5, 1}}, 9, false},
+		"raised, and lowered in one":    {[]Allowance{{0, 100}, {0, 1}}, 0, true},
+		"a new tenant, then known none": {[]Allowance{{5, 1}}, 4, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			given := []float64{1, 1}
+			r := newRig(t, 2, func(s *Settings) { s.Nodes, s.AllowancePerS = 1, given })
+			r.at(0, Input{Kind: AllowancesChanged, Allowances: c.changed})
+			beyond := false
+			for i := range 10 {
+				now := time.Duration(i) * 150 * ms
+				in := Input{Kind: Arrival, Op: i, Tenant: c.tenant, Budget: time.Second}
+				set := r.set
+				set.AllowancePerS = given
+				asked := r.WhatIf(&set, now, &in, nil)
+				if got := r.at(now, in); len(c.changed) > 0 && !slices.Equal(asked, got) {
+					t.Errorf("a watcher has %v, the module decides %v", asked, got)
+				}
+				beyond = beyond || r.Policy.ops[i].bucket == 1
+			}
+			if beyond != c.beyond {
+				t.Errorf("beyond its share: %v", beyond)
+			}
+			if got := sum(r.set.AllowancePerS); got != r.allowances || !slices.Equal(given, []float64{1, 1}) {
+				t.Errorf("the sum is %g, kept %g; given %v", got, r.allowances, given)
+			}
+		})
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -98,6 +98,7 @@
 	shed                      []shed        // by the last tick, the cheapest first
 	tenants                   tenantTable
 	allowances                float64   // of all tenants
+	reallowed                 bool      // they are not those of the settings any more
 	retries, copies           []float64 // by type: what is left of the budgets
 	rooms, roomMost           []int     // operations with a hop out, and allowed, by room
 	successes                 float64   // per second
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -139,6 +139,21 @@
 	return all
 }
 
+// setAllowances takes over allowances, and their sum, without writing to the settings that the module was given.
+func (p *Policy) setAllowances(changed []Allowance) {
+	if !p.reallowed {
+		p.set.AllowancePerS, p.reallowed = slices.Clone(p.set.AllowancePerS), true
+	}
+	for _, a := range changed {
+		if missing := a.Tenant + 1 - len(p.set.AllowancePerS); missing > 0 {
+			p.set.AllowancePerS = append(p.set.AllowancePerS, make([]float64, missing)...)
+		}
+		p.allowances += a.PerS - p.set.AllowancePerS[a.Tenant]
+		p.set.AllowancePerS[a.Tenant] = a.PerS
+	}
+	p.tenants.named = len(p.set.AllowancePerS)
+}
+
 // unknownTenant stands for all tenants that the settings do not name.
 const unknownTenant = -1
 
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -11,7 +11,9 @@
 func (p *Policy) WhatIf(s *Settings, now time.Duration, in *Input, effects []Effect) []Effect {
 	c := p.copied(in.Op)
 	c.set = *s
-	c.allowances = sum(s.AllowancePerS)
+	if c.allowances = sum(s.AllowancePerS); p.reallowed { // what has changed since the start is no setting
+		c.set.AllowancePerS, c.allowances = p.set.AllowancePerS, p.allowances
+	}
 	c.set.OnRequest, c.set.Types = p.set.OnRequest, slices.Clone(p.set.Types)
 	for k := range min(len(s.Types), len(c.set.Types)) {
 		pool := c.set.Types[k].Pool
