--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,59 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"fernvane/internal/http1"
+	"fernvane/internal/node"
+	"fernvane/internal/roster"
+	"fernvane/internal/settings"
+	"fernvane/policy"
+)
+
+func benchFleet(b *testing.B) *Fleet {
+	f := New(settings.Settings{ConnIdle: time.Hour, TypeNames: []string{"check"}, Settings: policy.Settings{Nodes: 5800, MostHops: 4,
+		ConnectTimeout: time.Second, ColdFor: 8 * time.Second, Types: []policy.TrafficType{{TargetTime: time.Minute, AbandonTime: time.Hour,
+			Revenue: 1}}}}, 1, limits, node.Policy)
+	b.Cleanup(f.Stop)
+	return f
+}
+
+func benchHosts(from, to int) (hosts []http1.Host) {
+	for i := from; i < to; i++ {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80)
+		hosts = append(hosts, http1.Host{ID: fmt.Sprint("server-", i), Address: at, Zone: fmt.Sprint("zone-", i%18), Size: 1, UpSinceMS: 1})
+	}
+	return hosts
+}
+
+// A whole list through the book, the node and the module, under the fleet's lock.
+func BenchmarkWholeList(b *testing.B) {
+	for _, servers := range []int{200, 2_000, 20_000, 200_000} {
+		hosts := benchHosts(0, servers)
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			for b.Loop() {
+				benchFleet(b).Listed(http1.List{Complete: true, Hosts: hosts}, roster.Discovery)
+			}
+		})
+	}
+}
+
+// One server goes and another comes, likewise.
+func BenchmarkOneChange(b *testing.B) {
+	for _, servers := range []int{200, 2_000, 20_000, 200_000} {
+		f := benchFleet(b)
+		f.Listed(http1.List{Complete: true, Hosts: benchHosts(0, servers)}, roster.Discovery)
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			last := servers
+			for b.Loop() {
+				hosts := benchHosts(last-1, last+1)
+				hosts[0].Phase = http1.Deleted
+				f.Listed(http1.List{Hosts: hosts}, roster.Discovery)
+				last++
+			}
+		})
+	}
+}
