A request for a small pool walks no others when all its servers are taken in

With a pool of 5 servers among 20,000, each request that found all five busy walked the rotation twice, 80,040 steps, for one that could join. Ready servers are counted by label; when all are taken in the walk is left out. It would have found none, so that effects are those on record. The tests fail without it (80,040 steps) and with labels that are not counted.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -860,6 +860,9 @@
 		}
 	}
 	home := p.chance() > p.strain
+	if pool := p.set.Types[o.kind].Pool; best == 0 && pool != 0 && p.allTaken(pool) {
+		return false
+	}
 	for _, anywhere := range []bool{!home, true} {
 		i := 0
 		for s := range p.rotation.From(p.next) {
@@ -941,7 +944,7 @@
 			p.rotate(s, int(m.Rank))
 		}
 		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, cmp.Or(max(m.Scale, 0), 1)
-		p.labels[s] = m.Labels
+		p.setLabels(s, m.Labels)
 		p.setReady(s, m.Condition == Up || m.Condition == Gone && p.ready[s] && !m.Replaced)
 		if m.Condition == Up && !wasListed && known && !p.member[s] &&
 			p.chance()*float64(p.readyCount+1) < float64(len(p.pool)) {
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -96,7 +96,8 @@
 			r := newRig(t, 40, func(s *Settings) { s.OnlyDraining = only }).takeAll()
 			for i := range 4_000 {
 				r.now += 20 * ms
-				scope, list := Changes, []Member{{Server: i * 7 % 40, Rank: uint32(i), Scale: 1, Condition: Condition(i % 3), Other: i%31 == 0}}
+				scope, list := Changes, []Member{{Server: i * 7 % 40, Rank: uint32(i), Scale: 1, Condition: Condition(i % 3), Other: i%31 == 0,
+					Labels: uint64(i * 5 % 16)}}
 				if i%50 == 49 {
 					scope = Whole
 				}
@@ -116,6 +117,7 @@
 	t.Helper()
 	ready, listed, sum := 0, 0, time.Duration(0)
 	var dropped []int
+	var labelled [64]int
 	for s := range r.ready {
 		if r.ready[s] {
 			ready++
@@ -130,6 +132,14 @@
 			t.Fatalf("server %d has troubles that no walk comes to", s)
 		}
 		sum += r.smoothed[s]
+		for bit := range labelled {
+			if r.ready[s] && r.labels[s]&(1<<bit) != 0 {
+				labelled[bit]++
+			}
+		}
+	}
+	if labelled != r.labelled {
+		t.Fatalf("at %v: by label %v, counted %v", r.now, labelled, r.labelled)
 	}
 	if ready != r.readyNow || listed != r.listedNow || sum != r.smoothedSum || !slices.Equal(dropped, slices.Collect(r.dropped.All())) {
 		t.Fatalf("at %v: %d ready, counted %d; %d listed, counted %d; sum %v, kept %v; dropped %v, kept %v", r.now,
@@ -251,3 +261,35 @@
 		})
 	}
 }
+
+// A request for a pool of which all servers are taken in walks no others in search of one more.
+func TestSmallPoolCostsNoWalkOfAllServers(t *testing.T) {
+	const servers, pooled, label = 20_000, 5, 1 << 9
+	p := New(fleetSettings(1, 0), 7)
+	p.set.Types[0].Pool = label
+	p.Handle(0, &Input{Kind: Woken}, nil)
+	list := fleetList(servers)
+	for i := range pooled {
+		list[i*1_000].Labels = label | 1
+	}
+	p.Handle(0, &Input{Kind: List, Scope: Whole, Members: list}, nil)
+	for op := range 2 * pooled { // the first ones take them in
+		p.Handle(0, &Input{Kind: Arrival, Op: op, Budget: time.Second}, nil)
+	}
+	if len(p.pool) != pooled || p.labelled[9] != pooled {
+		t.Fatalf("%d of %d taken in, counted %d", len(p.pool), pooled, p.labelled[9])
+	}
+	from := p.rotation.Steps()
+	effects := p.Handle(0, &Input{Kind: Arrival, Op: 2 * pooled, Budget: time.Second}, nil)
+	if got := p.rotation.Steps() - from; got != 0 || len(effects) != 1 || effects[0].Kind != SendHop {
+		t.Errorf("%d steps of the rotation; %v", got, effects)
+	}
+	p.Handle(0, &Input{Kind: List, Members: []Member{{Server: 7, Rank: list[7].Rank, Labels: label, Started: -time.Hour, HasStart: true}}}, nil)
+	if p.Handle(0, &Input{Kind: Arrival, Op: 2*pooled + 1, Budget: time.Second}, nil); !p.member[7] {
+		t.Error("one that has come to the pool is not taken in")
+	}
+	p.Handle(0, &Input{Kind: List, Members: []Member{{Server: 7, Condition: Draining, Labels: label}}}, nil)
+	if p.labelled[9] != pooled || !p.allTaken(label) {
+		t.Errorf("counted %d of the pool", p.labelled[9])
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,7 +76,8 @@
 	before           []bool        // whether it was listed before the list numbered in heard
 	heard            []int
 	lists            int
-	readyNow         int // readyCount is as of the last weighing
+	readyNow         int     // readyCount is as of the last weighing
+	labelled         [64]int // ready servers by label
 	listedNow        int
 	smoothedSum      time.Duration
 
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -23,6 +24,7 @@
 func (p *Policy) setReady(s int, ready bool) {
 	if ready != p.ready[s] {
 		p.readyNow += sign(ready)
+		p.countLabels(s, sign(ready))
 	}
 	p.ready[s] = ready
 	p.dropped.Put(s, ready && !p.listed[s])
@@ -36,6 +38,38 @@
 	p.dropped.Put(s, p.ready[s] && !listed)
 }
 
+// setLabels keeps the counts of ready servers by label in step.
+func (p *Policy) setLabels(s int, labels uint64) {
+	if p.labels[s] == labels {
+		return
+	}
+	if p.ready[s] {
+		p.countLabels(s, -1)
+	}
+	if p.labels[s] = labels; p.ready[s] {
+		p.countLabels(s, 1)
+	}
+}
+
+func (p *Policy) countLabels(s, by int) {
+	for l := p.labels[s]; l != 0; l &= l - 1 {
+		p.labelled[bits.TrailingZeros64(l)] += by
+	}
+}
+
+// allTaken tells that every ready server with one of some labels is taken in, so that a walk of the rotation for
+// another finds none.
+func (p *Policy) allTaken(labels uint64) bool {
+	others := 0
+	for l := labels; l != 0; l &= l - 1 {
+		others += p.labelled[bits.TrailingZeros64(l)]
+	}
+	for _, s := range p.pool {
+		others -= bits.OnesCount64(p.labels[s] & labels)
+	}
+	return others == 0
+}
+
 func sign(up bool) int {
 	if up {
 		return 1
