Watching other settings costs a node with many servers no more than one with few

Each comparison copies what the module knows of all servers, 100 a second: with 200,000 servers that is more than a core. A comparison now costs its share of the bound by the servers it copies, from 1,000 on.

--- a/internal/shadow/shadow.go
+++ b/internal/shadow/shadow.go
@@ -13,6 +13,10 @@
 // the module knows, some 50 microseconds with a hundred servers and as many operations.
 const perSecond = 100
 
+// serversEach is how many servers a comparison may copy at the price of one; more cost as many more, so that watching
+// takes no more of a node with many servers.
+const serversEach = 1_000
+
 // Kind is in what the other settings would have decided otherwise.
 type Kind int
 
@@ -108,15 +112,16 @@
 
 // due: it is a decision on operations, and fewer were compared than may be.
 func (w *Watcher) due(now time.Duration, in *policy.Input) bool {
-	w.left, w.last = min(w.left+perSecond*(now-w.last).Seconds(), perSecond), now
+	price := max(float64(w.live.Servers())/serversEach, 1)
+	w.left, w.last = min(w.left+perSecond*(now-w.last).Seconds(), max(perSecond, price)), now
 	switch in.Kind {
 	case policy.List, policy.Retyped, policy.Planned, policy.AllowancesChanged:
 		return false
 	}
-	if w.disabled || w.left < 1 {
+	if w.disabled || w.left < price {
 		return false
 	}
-	w.left--
+	w.left -= price
 	return true
 }
 
--- a/internal/shadow/shadow_test.go
+++ b/internal/shadow/shadow_test.go
@@ -1,6 +1,7 @@
 package shadow
 
 import (
+	"fmt"
 	"reflect"
 	"slices"
 	"testing"
@@ -102,3 +103,24 @@
 		})
 	}
 }
+
+// Comparisons grow rare as servers grow many, and do not end.
+func TestManyServersAreComparedSeldom(t *testing.T) {
+	for _, c := range []struct{ servers, least, most int }{{1_000, 200, 300}, {20_000, 10, 15}, {200_000, 1, 1}} {
+		t.Run(fmt.Sprint(c.servers), func(t *testing.T) {
+			watch := NewWatch(&settings.Settings{Settings: own()})
+			w := New(policy.New(own(), 7), watch)
+			list := make([]policy.Member, c.servers)
+			for i := range list {
+				list[i] = policy.Member{Server: i, Rank: uint32(i), Scale: 1}
+			}
+			w.Handle(0, &policy.Input{Kind: policy.List, Scope: policy.Whole, Members: list}, nil)
+			for i := range 1_000 { // over two seconds
+				w.Handle(time.Duration(i)*2*time.Millisecond, &policy.Input{Kind: policy.Arrival, Op: i, Budget: time.Second}, nil)
+			}
+			if got := watch.Take().Compared; got < c.least || got > c.most {
+				t.Errorf("%d compared in two seconds", got)
+			}
+		})
+	}
+}
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -31,6 +31,9 @@
 	return len(p.ops[op].hops)
 }
 
+// Servers is how many the instance keeps figures of.
+func (p *Policy) Servers() int { return len(p.ready) }
+
 // copied shares no memory with p that an input for the operation could write to; a test looks at each field.
 func (p *Policy) copied(op int) *Policy {
 	c := *p
