--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -62,8 +62,8 @@
 	Left    // the client went before its time was up
 )
 
-// leftGrace is how long after its client has left a request may still be sent on.
-const leftGrace = 300 * time.Millisecond
+// leftGrace is how long after its client has left an attempt, first or further, may still begin.
+const leftGrace = 100 * time.Millisecond
 
 // Condition of a box, as a node was told.
 type Condition uint8
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -66,8 +66,8 @@
 		"made up":                        {func(a *Audit) { ask(a, book); a.Ended(1, Answered, 200, 20*ms, false, false) }, "own-answer"},
 		"sent after":                     {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 80*ms) }, "nothing-after"},
 		"sent just before":               {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 60*ms) }, ""},
-		"sent to nobody":                 {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 380*ms) }, "leavers"},
-		"sent on as it left":             {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 360*ms) }, ""},
+		"sent to nobody":                 {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 180*ms) }, "leavers"},
+		"sent on as it left":             {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 160*ms) }, ""},
 		"sent for one given up": {func(a *Audit) {
 			ask(a, check)
 			hop(a, 0, 0)
