A node that knows of no server is not ready before its first list, for 3 s at most

GET /up needed nothing but the listener (serve.client, lines 66 and 67), so a node with no list, or with one whose servers all drain, took clients in and turned them all away until discovery had answered. Change: with a known server /up is 200 at once, as before; without one it is 503 until a list names one or 3 s are over (readiness, listMost), 200 while the node stops. TestReadiness: discovery refuses, is silent, is busy, then tells; four of its eight rows answered 200 before. go test -race ./internal/serve (TestReadiness): ok; ./internal/serve ./internal/fleet ./cmd/fernvane: ok.

--- a/internal/serve/cgi.go
+++ b/internal/serve/cgi.go
@@ -211,7 +211,7 @@
 	}
 	var err error
 	if c.Request.IsReadiness() {
-		err = s.answer(front, message.Answer{Status: 200})
+		err = s.answer(front, message.Answer{Status: s.readiness()})
 	} else {
 		err = s.operation(front, c.Request, c.Came)
 	}
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -18,6 +18,7 @@
 	answerMost  = 2 * time.Second         // for a client to take its answer
 	lingerMost  = 300 * time.Millisecond  // for a client to see why it is not served, before the close
 	lingerBytes = 256 << 10               // likewise
+	listMost    = 3 * time.Second         // for a first list, until a node without one is ready all the same; 6 s are allowed
 )
 
 var errUnsent = errors.New("the answer could not be written")
@@ -68,7 +69,7 @@
 		nc.SetReadDeadline(time.Time{})
 		req.Close = req.Close || s.fleet.Crowded() && !c.More()
 		if req.IsReadiness() {
-			err = s.answer(f, message.Answer{Status: 200, Close: req.Close})
+			err = s.answer(f, message.Answer{Status: s.readiness(), Close: req.Close})
 		} else if c.Left() && !s.cfg.Deaf { // behind its request, which waited here or before it was accepted
 			return
 		} else {
@@ -88,6 +89,15 @@
 	}
 }
 
+// readiness is the status that tells whether clients should be led here. A node that knows of no server would turn them all
+// away while others can serve them; it waits for its list, but not for long, for discovery may be crowded or away.
+func (s *Server) readiness() int {
+	if s.draining.Load() || time.Since(s.began) > listMost || s.fleet.Ready() {
+		return 200
+	}
+	return 503
+}
+
 // httpFront is a client's connection that speaks HTTP.
 type httpFront struct {
 	s *Server
--- /dev/null
+++ b/internal/serve/ready_test.go
@@ -0,0 +1,70 @@
+package serve
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"fernvane/internal/http1"
+	"fernvane/internal/watch"
+)
+
+// A node is ready at once where it knows of a server, whatever discovery does; one that knows of none is ready with its
+// first list, or when it has waited long enough.
+func TestReadiness(t *testing.T) {
+	t.Parallel()
+	hosts, _ := servers(t, 1, whole)
+	busy := "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+	draining := hosts[0]
+	draining.Phase = http1.Draining
+	for name, c := range map[string]struct {
+		known   []http1.Host
+		script  []string // of discovery, which is silent after it
+		waited  bool     // its time for a list is over
+		first   int
+		later   int // when the script is over
+		listens bool
+	}{
+		"a list is known, discovery refuses":     {hosts, nil, false, 200, 200, false},
+		"a list is known, discovery is silent":   {hosts, nil, false, 200, 200, true},
+		"a list is known, discovery is busy":     {hosts, []string{busy, busy, ""}, false, 200, 200, true},
+		"none is known, discovery refuses":       {nil, nil, false, 503, 503, false},
+		"none is known, discovery is silent":     {nil, []string{""}, false, 503, 503, true},
+		"none is known for long":                 {nil, []string{""}, true, 200, 200, true},
+		"none is known, busy, then told":         {nil, []string{busy, busy, listed(9, true, member(hosts[0], "SERVING")), ""}, false, 503, 200, true},
+		"the known ones drain, then one is told": {[]http1.Host{draining}, []string{listed(9, false, member(hosts[0], "SERVING")), ""}, false, 503, 200, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cfg := config(c.known...)
+			l := newLed(t, cfg)
+			if l.began = time.Now().Add(time.Hour); c.waited { // never over, however slow the machine is
+				l.began = time.Now().Add(-listMost - time.Second)
+			}
+			up := func() int {
+				client, _ := l.ask(t, "/up")
+				r := reply(t, http1.NewConn(client))
+				return r.Status
+			}
+			if got := up(); got != c.first {
+				t.Errorf("at first %d", got)
+			}
+			at, calls := cfg.Discovery, chan string(nil)
+			if c.listens {
+				at, calls = scripted(t, false, c.script...)
+			}
+			l.discovery.Store(watch.NewPlace(at))
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error)
+			go func() { done <- l.follow(ctx) }()
+			for range c.script {
+				<-calls // the next one comes when what the last one told was taken in
+			}
+			if got := up(); got != c.later {
+				t.Errorf("later %d", got)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -46,6 +46,7 @@
 	kept      *listKeeper  // nil: no list of servers is kept on disk
 	peers     *peers.Peers // nil: no other node is known
 	dialer    net.Dialer
+	began     time.Time
 	draining  atomic.Bool    // answers end their connections
 	closing   atomic.Bool    // listening ends as soon as no connection comes
 	late      atomic.Bool    // connections that requests share take none any more
@@ -76,7 +77,7 @@
 
 func run(tell Signals, cfg Config, log zerolog.Logger, ln *net.TCPListener) error {
 	defer ln.Close()
-	s := &Server{cfg: cfg, log: log, fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits, cfg.module())}
+	s := &Server{cfg: cfg, log: log, began: time.Now(), fleet: fleet.New(cfg.Settings, cfg.Seed, cfg.Limits, cfg.module())}
 	defer s.fleet.Stop()
 	var replaced <-chan struct{}
 	if cfg.Peers != nil {
