--- /dev/null
+++ b/internal/tools/codetable/glossary.go
@@ -0,0 +1,60 @@
+package main
+
+import "strings"
+
+// word is a row of the glossary: a coined word with the forms that count as it.
+type word struct {
+	coined string
+	forms  []string
+}
+
+// parseGlossary reads the rows of the page's tables whose first cell is "word" or "word, form, form" in backquotes.
+func parseGlossary(page string) (words []word) {
+	for line := range strings.Lines(page) {
+		cells := strings.Split(line, "|")
+		if len(cells) < 4 || strings.TrimSpace(cells[0]) != "" {
+			continue
+		}
+		first := strings.TrimSpace(cells[1])
+		if !strings.HasPrefix(first, "`") {
+			continue
+		}
+		var forms []string
+		for form := range strings.SplitSeq(first, ",") {
+			forms = append(forms, strings.Trim(strings.TrimSpace(form), "`"))
+		}
+		words = append(words, word{coined: forms[0], forms: forms})
+	}
+	return words
+}
+
+// wordsOf splits an identifier at underscores and where its case changes: "newHTTPHop2" is new, http and hop.
+func wordsOf(identifier string) (parts []string) {
+	start := 0
+	cut := func(end int) {
+		if end > start {
+			parts = append(parts, strings.ToLower(identifier[start:end]))
+		}
+		start = end
+	}
+	for i := range len(identifier) {
+		c := identifier[i]
+		if !isLetter(c) {
+			cut(i)
+			start = i + 1
+			continue
+		}
+		if i == start || !isUpper(c) {
+			continue
+		}
+		followedByLower := i+1 < len(identifier) && isLetter(identifier[i+1]) && !isUpper(identifier[i+1])
+		if !isUpper(identifier[i-1]) || followedByLower {
+			cut(i)
+		}
+	}
+	cut(len(identifier))
+	return parts
+}
+
+func isUpper(c byte) bool  { return 'A' <= c && c <= 'Z' }
+func isLetter(c byte) bool { return isUpper(c) || 'a' <= c && c <= 'z' }
