--- /dev/null
+++ b/cmd/fernvane/journalshow.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"fernvane/internal/bindings"
+)
+
+func clock(ns int64) string {
+	if ns == 0 {
+		return "-"
+	}
+	return time.Unix(0, ns).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+// shown is an entry for programs.
+type shown struct {
+	Run     uint64 `json:"run"`
+	Op      uint64 `json:"op"`
+	ID      string `json:"id"`
+	Type    string `json:"type"`
+	Tenant  string `json:"tenant,omitempty"`
+	Repeats string `json:"repeats,omitempty"`
+	Retry   bool   `json:"retry,omitempty"`
+	At      string `json:"at"`
+	State   string `json:"state"`
+	Told    string `json:"told"`
+	Hops    []hop  `json:"hops"`
+}
+
+type hop struct {
+	Server  string `json:"server"`
+	At      string `json:"at"`
+	EndedAt string `json:"ended_at"`
+	End     string `json:"end"`
+	Proof   string `json:"proof"`
+	Settled bool   `json:"settled,omitempty"`
+}
+
+func show(e *bindings.Entry) shown {
+	s := shown{Run: e.Run, Op: e.Op, ID: e.ID, Type: e.Type, Tenant: e.Tenant, Repeats: e.Repeats, Retry: e.Retry, At: clock(e.At),
+		State: e.State().String(), Told: e.Told, Hops: []hop{}}
+	for _, h := range e.Hops {
+		s.Hops = append(s.Hops, hop{h.Server, clock(h.At), clock(h.EndedAt), h.How,
+			[]string{"possibly sent", "ran", "never ran"}[h.Proof()], h.Settled})
+	}
+	return s
+}
+
+func servers(s shown) string {
+	var all []string
+	for _, h := range s.Hops {
+		all = append(all, h.Server+" "+h.Proof)
+	}
+	return strings.Join(all, ", ")
+}
--- /dev/null
+++ b/internal/audit/rules.go
@@ -0,0 +1,196 @@
+package audit
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// leftGrace is how long after its client has left a request may still be sent on.
+const leftGrace = 300 * time.Millisecond
+
+// rules are looked at for each request; each tells what is wrong with it, "" for nothing.
+var rules = []struct {
+	name, about string
+	breaks      func(*Audit, *request) string
+}{
+	{"answered", "each operation taken gets its final answer in time", (*Audit).unanswered},
+	{"one-answer", "and no second one", (*Audit).twice},
+	{"own-answer", "made by a server for that very request", (*Audit).foreign},
+	{"nothing-after", "nothing is sent for it afterwards", (*Audit).after},
+	{"leavers", "nor for a client that left a while ago", (*Audit).deserted},
+	{"no-second-effect", "what may have run goes on only within what its type allows", (*Audit).repeated},
+	{"clean-denial", "a denial only where trying again does no harm", (*Audit).unclean},
+	{"hops", "no more hops than are allowed", (*Audit).tooMany},
+	{"one-at-a-time", "no second copy while the first is out", (*Audit).copied},
+	{"drains", "nothing new to a server that this node knows to drain or be gone", (*Audit).undrained},
+}
+
+// exempt: the node was ended on purpose while it held the request, or its client's time was over while it stood still.
+func (a *Audit) exempt(r *request) bool {
+	for _, d := range a.down[r.node] {
+		if r.sent <= d.to && r.ended >= d.from && !(d.still && r.end == Dropped) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Audit) unanswered(r *request) string {
+	if !r.known || r.sent < 0 || r.ended < 0 || a.exempt(r) {
+		return ""
+	}
+	switch r.end {
+	case Unanswered:
+		why := fmt.Sprintf("no answer in %s", (r.ended - r.sent).Round(time.Millisecond))
+		for _, d := range a.down[r.node] {
+			if since := r.sent - d.to; since > 0 && since < time.Second {
+				why += fmt.Sprintf(", sent %s after node %d had come back", since.Round(time.Millisecond), r.node)
+			}
+		}
+		return why
+	case Dropped:
+		return fmt.Sprintf("connection closed with no answer after %s", (r.ended - r.sent).Round(time.Millisecond))
+	}
+	return ""
+}
+
+func (a *Audit) twice(r *request) string {
+	if r.extra {
+		return "more than its answer came"
+	}
+	return ""
+}
+
+func (a *Audit) foreign(r *request) string {
+	switch {
+	case r.foreign:
+		return "answered with what was made for another"
+	case r.end == Answered && r.known && r.ended >= 0 && r.status == 200 && !slices.ContainsFunc(r.hops, func(h hop) bool { return h.ran >= 0 }):
+		return "handled, and no server has run it"
+	}
+	return ""
+}
+
+func (a *Audit) after(r *request) string {
+	if r.end != Answered || r.ended < 0 {
+		return ""
+	}
+	for _, h := range r.hops {
+		if h.first > r.ended+a.f.Slack {
+			return fmt.Sprintf("sent to %s %s after its answer", a.boxes[h.box].Name, (h.first - r.ended).Round(time.Millisecond))
+		}
+	}
+	return ""
+}
+
+// deserted looks at whatever the request waited for, and whatever its client had sent behind it.
+func (a *Audit) deserted(r *request) string {
+	if r.end != Left && r.end != Unanswered || r.ended < 0 {
+		return ""
+	}
+	for _, h := range r.hops {
+		if h.first > r.ended+leftGrace+a.f.Slack {
+			return fmt.Sprintf("sent to %s %s after its client had left", a.boxes[h.box].Name, (h.first - r.ended).Round(time.Millisecond))
+		}
+	}
+	return ""
+}
+
+// mayHaveRun: it came whole, and its box has not said that it never began.
+func (h *hop) mayHaveRun() bool { return !h.unbegun }
+
+func (a *Audit) sameGroup(t *Type, x, y int) bool {
+	switch t.Group {
+	case Zone:
+		return a.boxes[x].Site == a.boxes[y].Site
+	case Cell:
+		return a.boxes[x].Cell == a.boxes[y].Cell
+	}
+	return true
+}
+
+func (a *Audit) repeated(r *request) string {
+	t := &a.f.Types[r.kind]
+	if t.Repeat == Retriable {
+		return ""
+	}
+	for i, h := range r.hops {
+		for _, earlier := range r.hops[:i] {
+			if !earlier.mayHaveRun() {
+				continue
+			}
+			from, to := a.boxes[earlier.box].Name, a.boxes[h.box].Name
+			switch {
+			case t.Repeat == Binding:
+				return fmt.Sprintf("sent to %s though it may have run at %s", to, from)
+			case !a.sameGroup(t, earlier.box, h.box):
+				return fmt.Sprintf("sent to %s though it may have run in another group, at %s", to, from)
+			case h.first > earlier.last+t.Window:
+				return fmt.Sprintf("sent to %s %s after %s, which forgets after %s", to, (h.first - earlier.last).Round(time.Millisecond), from, t.Window)
+			}
+		}
+	}
+	return ""
+}
+
+func (a *Audit) unclean(r *request) string {
+	t := &a.f.Types[r.kind]
+	if r.end != Answered || r.status != 429 && r.status != 503 || t.Repeat == Retriable || t.Repeat == Fingerprinted && t.Group == All {
+		return ""
+	}
+	for _, h := range r.hops {
+		if h.mayHaveRun() {
+			return fmt.Sprintf("denied though it may have run at %s", a.boxes[h.box].Name)
+		}
+	}
+	return ""
+}
+
+func (a *Audit) tooMany(r *request) string {
+	if len(r.hops) > a.f.MostHops {
+		return fmt.Sprintf("%d hops", len(r.hops))
+	}
+	return ""
+}
+
+func (a *Audit) copied(r *request) string {
+	if a.f.Copies {
+		return ""
+	}
+	for i, h := range r.hops {
+		for _, earlier := range r.hops[:i] {
+			if earlier.over >= 0 && h.first+a.f.Slack < earlier.over {
+				return fmt.Sprintf("sent to %s while %s still had it, for %s more", a.boxes[h.box].Name, a.boxes[earlier.box].Name,
+					(earlier.over - h.first).Round(time.Millisecond))
+			}
+		}
+	}
+	return ""
+}
+
+// undrained looks at what the node knew of the box when the hop began. A hop on its way is given the grace. That a box
+// serves undoes a drain only if it is said of a later start: an old word of it may come from a planner that was away.
+func (a *Audit) undrained(r *request) string {
+	for _, h := range r.hops {
+		since, up := time.Duration(-1), int64(0)
+		for _, t := range a.told[[2]int{r.node, h.box}] {
+			switch {
+			case t.at > h.first:
+			case t.anew:
+				since, up = -1, 0
+			case t.up > up:
+				if since, up = -1, t.up; t.cond != Serving {
+					since = t.at
+				}
+			case t.cond != Serving && since < 0 && (t.up == up || t.up == 0):
+				since = t.at
+			}
+		}
+		if since >= 0 && h.first > since+a.f.DrainGrace+a.f.Slack {
+			return fmt.Sprintf("sent to %s %s after node %d was told that it drains or is gone", a.boxes[h.box].Name,
+				(h.first - since).Round(time.Millisecond), r.node)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/audit/types.go
@@ -0,0 +1,65 @@
+package audit
+
+import "time"
+
+// Repeat says what may be done with an operation that may have run.
+type Repeat uint8
+
+const (
+	Retriable Repeat = iota
+	Fingerprinted
+	Binding
+)
+
+// Group of boxes that drops repeats of a fingerprinted operation.
+type Group uint8
+
+const (
+	All Group = iota
+	Zone
+	Cell
+)
+
+// Type is what the audit must know of a traffic type.
+type Type struct {
+	Name   string
+	Repeat Repeat
+	Group  Group
+	Window time.Duration
+}
+
+// Box is where a box stands.
+type Box struct {
+	Name       string
+	Site, Cell int
+}
+
+// Figures of the rules.
+type Figures struct {
+	Types      []Type
+	DrainGrace time.Duration
+	Slack      time.Duration // added to each limit, for what the machine is late
+	MostHops   int
+	Copies     bool // a second copy may be out while the first is
+}
+
+// End is how a client's try ended.
+type End uint8
+
+const (
+	Answered End = iota
+	Late         // answered when the client's time was up, but within the slack
+	Unanswered
+	Dropped // the connection ended with no whole answer
+	Unsent  // never written whole
+	Left    // the client went before its time was up
+)
+
+// Condition of a box, as a node was told.
+type Condition uint8
+
+const (
+	Serving Condition = iota
+	Draining
+	Gone
+)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -3,13 +3,9 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"net"
 	"os"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -130,137 +126,6 @@
 	return w.play(ctx)
 }
 
-// build starts boxes, discovery and nodes.
-func (w *world) build(ctx context.Context) error {
-	if err := w.reserve(); err != nil {
-		return err
-	}
-	s := w.Scenario
-	w.eyes = newEyes(s, w.Ops, w.start)
-	w.discovery = discovery.New(discovery.Figures{LinesPerS: s.Discovery.LinesPerS, CallLines: s.Discovery.CallLines,
-		Timeout: s.Discovery.Timeout.D(), Spread: s.Discovery.Spread.D()}, s.Seed, discovered{w.eyes})
-	for i := range s.Boxes {
-		for n := range s.Boxes[i].Count {
-			m, err := w.add(&s.Boxes[i], fmt.Sprintf("%s-%d", s.Boxes[i].Kind, n))
-			if err != nil {
-				return err
-			}
-			w.announce(m, discovery.Serving, 0, time.Time{})
-		}
-	}
-	var nodes []front.Node
-	for n := range s.Nodes.Count {
-		nodes = append(nodes, front.Node{Site: n % len(s.Sites), Address: w.nodeAddress(n), FastCGI: w.cgiAddress(n)})
-	}
-	w.front = front.New(len(s.Sites), nodes)
-	if err := w.serveDiscovery(); err != nil {
-		return err
-	}
-	ready, cancel := context.WithTimeoutCause(ctx, startMost, errors.New("the nodes take too long to start"))
-	defer cancel()
-	g, ready := errgroup.WithContext(ready)
-	g.SetLimit(startAtOnce)
-	for n := range s.Nodes.Count {
-		w.nodes = append(w.nodes, &process{number: n, command: w.Command, env: w.Env, dir: w.Keep})
-	}
-	if err := w.operator(0); err != nil {
-		return err
-	}
-	if err := w.plan(); err != nil {
-		return err
-	}
-	if err := w.journals(); err != nil {
-		return err
-	}
-	if err := w.tier(); err != nil {
-		return err
-	}
-	if err := w.enrols(); err != nil {
-		return err
-	}
-	if err := w.keepLists(); err != nil {
-		return err
-	}
-	for n := range s.Nodes.Count {
-		g.Go(func() error {
-			if err := w.configure(n); err != nil {
-				return err
-			}
-			return w.launch(ready, n)
-		})
-	}
-	return g.Wait()
-}
-
-// reserve finds a net of the loopback range that no other lab uses.
-func (w *world) reserve() (err error) {
-	from := os.Getpid()
-	for i := range lastNet - firstNet {
-		r := firstNet + (from+i)%(lastNet-firstNet)
-		if w.lock, err = net.Listen("tcp", fmt.Sprintf("127.%d.254.254:%d", r, boxPort-1)); err == nil {
-			w.net = fmt.Sprintf("127.%d", r)
-			return nil
-		}
-	}
-	return fmt.Errorf("no loopback net is free for a lab: %w", err)
-}
-
-func (w *world) nodeAddress(n int) string {
-	return fmt.Sprintf("%s.%d.%d:%d", w.net, n/250, n%250+1, nodePort)
-}
-
-func (w *world) cgiAddress(n int) string {
-	return fmt.Sprintf("%s.%d.%d:%d", w.net, n/250, n%250+1, cgiPort)
-}
-
-func (w *world) discoveryAddress(n, place int) string {
-	return fmt.Sprintf("%s.%d.1:%d", w.net, 200+place, discoveryPort+n)
-}
-
-func (w *world) serveDiscovery() error {
-	for n := range w.Scenario.Nodes.Count + w.Scenario.Planners.Count {
-		if err := w.discovery.Serve(n, n%len(w.Scenario.Sites), w.discoveryAddress(n, w.places)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// add builds a box; it is in no list yet.
-func (w *world) add(k *scenario.Boxes, name string) (*machine, error) {
-	s, n := w.Scenario, len(w.boxes)
-	site := n % len(s.Sites)
-	cell := 0
-	if k.GroupSize > 0 {
-		cell = n / k.GroupSize
-	}
-	addresses := make([]string, len(s.Sites))
-	for i := range addresses {
-		addresses[i] = fmt.Sprintf("%s.%d.%d:%d", w.net, 100+n/250, n%250+1, boxPort+i)
-	}
-	cross := func(from int) time.Duration {
-		if from == site {
-			return s.Net.Same.D()
-		}
-		return s.Net.Cross.D()
-	}
-	id := box.Identity{Number: n, Name: name, Site: site, Cell: cell}
-	b, err := box.NewBox(id, box.Figures{Cores: k.Cores, Speed: k.Speed, Queue: k.Queue, ColdShare: k.ColdShare, ColdFor: k.ColdFor.D(),
-		KeyGain: k.KeyGain, KeyFor: k.KeyFor.D(), Keys: k.Keys, Drops: k.Drops, FallMultiple: s.Rules.FallMultiple,
-		FallWindow: s.Rules.FallWindow.D(), Handshake: k.Handshake.D(), Connections: k.Connections, FastCGI: k.FastCGI}, w.start, addresses, cross, w.eyes)
-	if err != nil {
-		return nil, err
-	}
-	b.Set(func(f *box.Faults) { f.Err = k.ErrorRate })
-	m := &machine{Box: b, kind: k}
-	w.boxes = append(w.boxes, m)
-	w.eyes.see(func(a *audit.Audit, _ time.Duration) {
-		w.eyes.boxes[name] = n
-		a.Box(audit.Box{Name: name, Site: site, Cell: cell})
-	})
-	return m, nil
-}
-
 // announce has discovery learn of a box after a while, unless something else befalls it before.
 func (w *world) announce(m *machine, phase string, after time.Duration, up time.Time) {
 	m.mu.Lock()
@@ -300,72 +165,6 @@
 	})
 }
 
-// cgi tells whether anything of the scenario speaks FastCGI, and which kinds of boxes.
-func (w *world) cgi() (any bool, kinds []string) {
-	for _, b := range w.Scenario.Boxes {
-		if b.FastCGI {
-			kinds = append(kinds, b.Kind)
-		}
-	}
-	return w.Scenario.Clients.FastCGI || len(kinds) > 0, kinds
-}
-
-// operator writes the nodes' operator's files whole, so that none is ever read half.
-func (w *world) operator(which int) error {
-	any, kinds := w.cgi()
-	if len(w.Scenario.Operators) == 0 && !any {
-		return nil
-	}
-	for _, p := range w.nodes {
-		text := ""
-		if any {
-			text = fmt.Sprintf("[fastcgi]\nlisten = %q\nflavors = %s\n", w.cgiAddress(p.number), strings.ReplaceAll(fmt.Sprintf("%q", kinds), " ", ", "))
-		}
-		if n := len(w.Scenario.Operators); n > 0 {
-			text += w.Scenario.Operators[which%n]
-		}
-		if err := os.WriteFile(p.operator()+".new", []byte(text), 0o644); err != nil {
-			return err
-		}
-		if err := os.Rename(p.operator()+".new", p.operator()); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// configure writes a node's file, with the list as discovery has it now.
-func (w *world) configure(n int) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	seed := fmt.Sprintf("%d-%d-%d", w.Scenario.Seed, n, time.Since(w.start)/time.Second)
-	var known json.RawMessage
-	if w.Scenario.Lists.Start == "known" {
-		known = w.discovery.List(n % len(w.Scenario.Sites))
-	}
-	return w.nodes[n].configure(w.Scenario, w.nodeAddress(n), w.discoveryAddress(n, w.places), seed, known)
-}
-
-// launch starts a node on its file as it is, and waits until the front has taken it in.
-func (w *world) launch(ctx context.Context, n int) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if err := w.age(n); err != nil {
-		return err
-	}
-	err := w.nodes[n].start(w.keeper, func(why string) {
-		cancel(fmt.Errorf("node %d has ended: %s", n, why))
-		w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, why) })
-		w.eyes.nodeDown(n, true)
-		w.front.Ended(n, w.Scenario.Nodes.Notice.D())
-	})
-	if err != nil {
-		return err
-	}
-	w.eyes.nodeUp(n)
-	return w.front.Started(ctx, n)
-}
-
 // play sends the load, with the faults beside it.
 func (w *world) play(ctx context.Context) (*Outcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/neighbours/table.go
+++ b/internal/neighbours/table.go
@@ -31,48 +31,6 @@
 	What any
 }
 
-// sight is how a watched node is seen.
-type sight uint8
-
-const (
-	hearing sight = iota
-	asking        // it is silent, and its other watchers are asked
-	cut           // they hear it: the way between is cut, or passes one way only
-	blamed        // nobody hears it: it is suspected
-	sights
-)
-
-type event uint8
-
-const (
-	heard   event = iota
-	silence       // nothing came for silentAfter
-	vouched       // another watcher hears it
-	nobody        // the time to answer is over, and none does
-	refuted       // it lives by its own word, though this node does not hear it
-	again         // it is time to ask anew
-	events
-)
-
-type deed uint8
-
-const (
-	nothing deed = iota
-	askOthers
-	suspect
-)
-
-// watching is the way of a watched node: what follows from each event in each sight.
-var watching = [sights][events]struct {
-	next sight
-	do   deed
-}{
-	hearing: {heard: {hearing, nothing}, silence: {asking, askOthers}, vouched: {hearing, nothing}, nobody: {hearing, nothing}, refuted: {hearing, nothing}, again: {hearing, nothing}},
-	asking:  {heard: {hearing, nothing}, silence: {asking, nothing}, vouched: {cut, nothing}, nobody: {blamed, suspect}, refuted: {asking, nothing}, again: {asking, nothing}},
-	cut:     {heard: {hearing, nothing}, silence: {cut, nothing}, vouched: {cut, nothing}, nobody: {cut, nothing}, refuted: {cut, nothing}, again: {asking, askOthers}},
-	blamed:  {heard: {hearing, nothing}, silence: {blamed, nothing}, vouched: {cut, nothing}, nobody: {blamed, nothing}, refuted: {cut, nothing}, again: {asking, askOthers}},
-}
-
 // peer is what this node sees of another by itself.
 type peer struct {
 	heard     time.Duration // last
@@ -282,50 +240,6 @@
 	}
 }
 
-// sees moves what is seen of a node on; it is true where it is to be suspected.
-func (t *Table) sees(p *peer, name string, e event, now time.Duration) deed {
-	move := watching[p.sight][e]
-	if move.next != p.sight {
-		p.sight, p.since = move.next, now
-	}
-	return move.do
-}
-
-// Watched are those that this node watches: it leads a connection to each.
-func (t *Table) Watched() []string { return t.beside(t.self.Name, -1) }
-
-// Watchers are those that watch a node.
-func (t *Table) Watchers(name string) []string { return t.beside(name, 1) }
-
-func (t *Table) beside(name string, by int) (names []string) {
-	for i := range t.rings {
-		if other := t.rings[i].beside(name, by); other != "" && !slices.Contains(names, other) {
-			names = append(names, other)
-		}
-	}
-	return names
-}
-
-// Knock is a node that was given up and is tried once more, "" for none: after a cut nobody else would find back.
-func (t *Table) Knock(now time.Duration) string {
-	if now-t.knocked < knockEvery {
-		return ""
-	}
-	t.knocked = now
-	var dead []string
-	for name, m := range t.members {
-		if m.Condition == Dead {
-			dead = append(dead, name)
-		}
-	}
-	if len(dead) == 0 {
-		return ""
-	}
-	slices.Sort(dead)
-	t.turn++
-	return dead[hashed(t.self.Name, byte(t.turn))%uint32(len(dead))]
-}
-
 // Tick moves on by time and returns what is to be sent.
 func (t *Table) Tick(now time.Duration) (out []Out) {
 	if now-t.ticked > silentAfter { // this process stood still: what it has not heard says nothing of the others
@@ -363,47 +277,6 @@
 	return t.tell(now, out)
 }
 
-// watch looks at one that this node watches.
-func (t *Table) watch(now time.Duration, name string, out []Out) []Out {
-	p := t.at(name)
-	if p.since == 0 && p.heard == 0 { // newly watched: it has the time of a silence to be connected
-		p.heard, p.since = now, now
-	}
-	var e event
-	switch {
-	case p.linked && now-p.heard < silentAfter:
-		e = heard
-	case p.sight == asking && now-p.since > askFor:
-		if e = nobody; t.alone {
-			return out
-		}
-	case p.sight >= cut && now-p.since > cutAgain:
-		e = again
-	case now-p.heard >= silentAfter:
-		e = silence
-	default:
-		return out
-	}
-	switch t.sees(p, name, e, now) {
-	case askOthers:
-		p.since = now
-		asked := 0
-		for _, other := range t.Watchers(name) {
-			if m := t.members[other]; other != t.self.Name && m.Condition == Alive && asked < askMost {
-				out = append(out, Out{other, &Ask{Of: name}})
-				asked++
-			}
-		}
-	case suspect:
-		if m := t.members[name]; m.Condition == Alive {
-			m.Condition = Suspected
-			t.set(m, now)
-			t.spread(name, "")
-		}
-	}
-	return out
-}
-
 // tell sends beats and news to all that are connected.
 func (t *Table) tell(now time.Duration, out []Out) []Out {
 	beat := now-t.beat >= BeatEvery
--- /dev/null
+++ b/internal/peers/links.go
@@ -0,0 +1,135 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fernvane/internal/neighbours"
+	"fernvane/internal/replicas"
+)
+
+type early struct {
+	from  string
+	offer *replicas.Offer
+}
+
+type try struct {
+	at   time.Duration
+	wait time.Duration
+}
+
+// seek keeps on asking at an address of the file while no node is known there.
+func (p *Peers) seek(ctx context.Context, at string) {
+	for wait := redialFirst; ctx.Err() == nil; wait = min(2*wait, redialMost) {
+		p.mu.Lock()
+		known := at == p.cfg.Advertise
+		for name, all := range p.links {
+			m, _ := p.table.Get(name)
+			known = known || len(all) > 0 && m.Address == at && m.Condition.Lives()
+		}
+		p.mu.Unlock()
+		if !known {
+			p.call(ctx, at)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration((0.75 + rand.Float64()/2) * float64(wait))):
+		}
+	}
+}
+
+// call leads a connection to an address.
+func (p *Peers) call(ctx context.Context, at string) {
+	c, who, err := dial(ctx, p.cfg, p.cfg.ListenAt.Addr(), at, p.name, p.self())
+	if err == nil {
+		defer context.AfterFunc(ctx, func() { c.Close() })()
+		err = p.lead(ctx, newLink(c, who.Member.Name, true), who.Member)
+	}
+	if ctx.Err() == nil {
+		p.log.Debug().Err(err).Str("at", at).Msg("peer lost")
+	}
+}
+
+// met takes in a connection; l is nil for one that is not kept.
+func (p *Peers) met(l *link, who neighbours.Member, keep *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	if keep != nil {
+		p.links[l.name] = append(p.links[l.name], l)
+		l.used = now
+		p.table.Connected(now, l.name)
+		for _, what := range p.letters[l.name] {
+			l.put(what)
+		}
+		delete(p.letters, l.name)
+		delete(p.tries, l.name)
+	}
+	p.table.Joined(now, l.name, []neighbours.Member{who})
+	if who.Name == p.name {
+		l.put(&neighbours.News{Members: []neighbours.Member{p.table.Self()}})
+	}
+	p.after(now)
+}
+
+// lost lets go of a connection.
+func (p *Peers) lost(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.links[l.name] = slices.DeleteFunc(p.links[l.name], func(o *link) bool { return o == l })
+	if len(p.links[l.name]) > 0 {
+		return
+	}
+	delete(p.links, l.name)
+	p.table.Closed(l.name)
+	if p.origin != nil {
+		p.send(now, p.origin.Parted(now, l.name))
+	}
+	p.after(now)
+}
+
+// send puts words on their connections. For one without, a connection is wanted, and the word waits for it.
+func (p *Peers) send(now time.Duration, out []neighbours.Out) {
+	for _, o := range out {
+		if all := p.links[o.To]; len(all) > 0 {
+			all[len(all)-1].put(o.What)
+			continue
+		}
+		if m, ok := p.table.Get(o.To); !ok || !m.Condition.Lives() {
+			continue
+		}
+		p.wants[o.To] = now + wantFor
+		if _, part := o.What.(*replicas.Batch); !part && len(p.letters[o.To]) < 8 {
+			p.letters[o.To] = append(p.letters[o.To], o.What)
+		}
+	}
+}
+
+// look notes which connections are wanted, and ends those that have not been for a while.
+func (p *Peers) look(now time.Duration) {
+	wanted := p.table.Watched()
+	if p.origin != nil {
+		wanted = append(wanted, p.origin.Wanted()...)
+	}
+	if p.ready {
+		wanted = append(wanted, p.keeper.Wanted()...)
+	}
+	if knock := p.table.Knock(now); knock != "" {
+		wanted = append(wanted, knock)
+	}
+	for _, name := range wanted {
+		p.wants[name] = max(p.wants[name], now+2*lookEvery)
+	}
+	for name, all := range p.links {
+		for _, l := range all {
+			if _, ok := p.wants[name]; ok || !l.dialed {
+				l.used = now
+			} else if now-l.used > unwantedFor {
+				go l.end()
+			}
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -80,29 +78,6 @@
 	stop    bool
 }
 
-type early struct {
-	from  string
-	offer *replicas.Offer
-}
-
-type try struct {
-	at   time.Duration
-	wait time.Duration
-}
-
-// Kept is for a record to be held by enough.
-type Kept struct {
-	seq  uint64
-	done chan struct{}
-	err  error
-}
-
-// Done is closed when it is, or never will be.
-func (k *Kept) Done() <-chan struct{} { return k.done }
-
-// Err tells which, once Done is closed.
-func (k *Kept) Err() error { return k.err }
-
 // New listens for other nodes. files is the disk beneath what is held, nil for the system's.
 func New(cfg *Config, name string, files bindlog.Files, log zerolog.Logger) (*Peers, error) {
 	if cfg.Name != "" {
@@ -160,84 +135,6 @@
 	return p.table.Self().Up
 }
 
-// Keep tells the folder of this life's journal, "" for none; with stream it is kept by others as well. Until then nothing is
-// held for anybody.
-func (p *Peers) Keep(dir string, stream bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.begun:
-	default:
-		close(p.begun)
-	}
-	if p.journal = dir; stream {
-		now := p.now()
-		p.origin = replicas.NewOrigin(now, replicas.Stream{Name: p.name, Up: p.table.Self().Up}, p.place(), p.cfg.Replicas, p.cfg.SlowAfter.D())
-		p.sum = 0 // members are handed on to it
-		p.after(now)
-	}
-}
-
-// Copy takes in numbered records in frames, before they are written here. Those that nobody waits for go out together.
-func (p *Peers) Copy(first uint64, n int, body []byte, waited bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.now()
-	_, out := p.origin.Add(now, n, body, waited)
-	p.send(now, out)
-	p.settle()
-}
-
-// Stored tells that records last here.
-func (p *Peers) Stored(first uint64, n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.origin.Stored(first, first+uint64(n))
-}
-
-// Wait is for a record, by its number, to be held by enough.
-func (p *Peers) Wait(seq uint64) *Kept {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	k := &Kept{seq: seq, done: make(chan struct{})}
-	p.waiters = append(p.waiters, k)
-	p.settle()
-	return k
-}
-
-// Stalled tells for how long records have waited for holders, or for how long there have been too few.
-func (p *Peers) Stalled() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.told || p.origin == nil {
-		return time.Hour
-	}
-	return p.origin.Stalled(p.now())
-}
-
-// settle ends what has been waited for.
-func (p *Peers) settle() {
-	if len(p.waiters) == 0 {
-		return
-	}
-	kept, base := p.origin.Kept(), p.origin.Base()
-	p.waiters = slices.DeleteFunc(p.waiters, func(k *Kept) bool {
-		switch {
-		case k.seq < kept:
-		case k.seq < base:
-			k.err = ErrBehind
-		case p.told:
-			k.err = ErrReplaced
-		case p.stop:
-			k.err = ErrStopped
-		default:
-			return false
-		}
-		close(k.done)
-		return true
-	})
-}
-
 // Run takes part in the tier until the context ends.
 func (p *Peers) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -268,77 +165,6 @@
 	return g.Wait()
 }
 
-// seek keeps on asking at an address of the file while no node is known there.
-func (p *Peers) seek(ctx context.Context, at string) {
-	for wait := redialFirst; ctx.Err() == nil; wait = min(2*wait, redialMost) {
-		p.mu.Lock()
-		known := at == p.cfg.Advertise
-		for name, all := range p.links {
-			m, _ := p.table.Get(name)
-			known = known || len(all) > 0 && m.Address == at && m.Condition.Lives()
-		}
-		p.mu.Unlock()
-		if !known {
-			p.call(ctx, at)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration((0.75 + rand.Float64()/2) * float64(wait))):
-		}
-	}
-}
-
-// call leads a connection to an address.
-func (p *Peers) call(ctx context.Context, at string) {
-	c, who, err := dial(ctx, p.cfg, p.cfg.ListenAt.Addr(), at, p.name, p.self())
-	if err == nil {
-		defer context.AfterFunc(ctx, func() { c.Close() })()
-		err = p.lead(ctx, newLink(c, who.Member.Name, true), who.Member)
-	}
-	if ctx.Err() == nil {
-		p.log.Debug().Err(err).Str("at", at).Msg("peer lost")
-	}
-}
-
-// met takes in a connection; l is nil for one that is not kept.
-func (p *Peers) met(l *link, who neighbours.Member, keep *link) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.now()
-	if keep != nil {
-		p.links[l.name] = append(p.links[l.name], l)
-		l.used = now
-		p.table.Connected(now, l.name)
-		for _, what := range p.letters[l.name] {
-			l.put(what)
-		}
-		delete(p.letters, l.name)
-		delete(p.tries, l.name)
-	}
-	p.table.Joined(now, l.name, []neighbours.Member{who})
-	if who.Name == p.name {
-		l.put(&neighbours.News{Members: []neighbours.Member{p.table.Self()}})
-	}
-	p.after(now)
-}
-
-// lost lets go of a connection.
-func (p *Peers) lost(l *link) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.now()
-	p.links[l.name] = slices.DeleteFunc(p.links[l.name], func(o *link) bool { return o == l })
-	if len(p.links[l.name]) > 0 {
-		return
-	}
-	delete(p.links, l.name)
-	p.table.Closed(l.name)
-	if p.origin != nil {
-		p.send(now, p.origin.Parted(now, l.name))
-	}
-	p.after(now)
-}
-
 // got takes in what a node says.
 func (p *Peers) got(l *link, what any) {
 	if w, ok := what.(*list); ok {
@@ -401,23 +227,6 @@
 	}
 }
 
-// send puts words on their connections. For one without, a connection is wanted, and the word waits for it.
-func (p *Peers) send(now time.Duration, out []neighbours.Out) {
-	for _, o := range out {
-		if all := p.links[o.To]; len(all) > 0 {
-			all[len(all)-1].put(o.What)
-			continue
-		}
-		if m, ok := p.table.Get(o.To); !ok || !m.Condition.Lives() {
-			continue
-		}
-		p.wants[o.To] = now + wantFor
-		if _, part := o.What.(*replicas.Batch); !part && len(p.letters[o.To]) < 8 {
-			p.letters[o.To] = append(p.letters[o.To], o.What)
-		}
-	}
-}
-
 // after is done behind whatever has changed something: who lives is handed on, connections that stand are told to those
 // who want them, and what has been waited for ends.
 func (p *Peers) after(now time.Duration) {
@@ -510,32 +319,6 @@
 	}
 }
 
-// look notes which connections are wanted, and ends those that have not been for a while.
-func (p *Peers) look(now time.Duration) {
-	wanted := p.table.Watched()
-	if p.origin != nil {
-		wanted = append(wanted, p.origin.Wanted()...)
-	}
-	if p.ready {
-		wanted = append(wanted, p.keeper.Wanted()...)
-	}
-	if knock := p.table.Knock(now); knock != "" {
-		wanted = append(wanted, knock)
-	}
-	for _, name := range wanted {
-		p.wants[name] = max(p.wants[name], now+2*lookEvery)
-	}
-	for name, all := range p.links {
-		for _, l := range all {
-			if _, ok := p.wants[name]; ok || !l.dialed {
-				l.used = now
-			} else if now-l.used > unwantedFor {
-				go l.end()
-			}
-		}
-	}
-}
-
 // Leave tells the others that this node goes in good order, once they have what is still on its way.
 func (p *Peers) Leave() {
 	by := time.Now().Add(flushFor)
@@ -557,43 +340,3 @@
 	p.mu.Unlock()
 	time.Sleep(tickEvery) // for the word to be written
 }
-
-// Lists tells how to get the list of servers as this node keeps it, for those who ask.
-func (p *Peers) Lists(newest func() []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.lists = newest
-}
-
-// Fetch asks a few other nodes for the lists of servers that they keep, and returns what came in time.
-func (p *Peers) Fetch(most time.Duration) (texts [][]byte) {
-	by := time.NewTimer(most)
-	defer by.Stop()
-	listed := make(chan []byte, fetchMost)
-	p.mu.Lock()
-	p.listed = listed
-	asked := 0
-	for _, all := range p.links {
-		if asked < fetchMost {
-			asked++
-			all[0].put(&listAsk{})
-		}
-	}
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		p.listed = nil
-		p.mu.Unlock()
-	}()
-	for range asked {
-		select {
-		case text := <-listed:
-			if len(text) > 0 {
-				texts = append(texts, text)
-			}
-		case <-by.C:
-			return texts
-		}
-	}
-	return texts
-}
--- /dev/null
+++ b/internal/replicas/choose.go
@@ -0,0 +1,150 @@
+package replicas
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Placed tells which nodes there are, without this one.
+func (o *Origin) Placed(now time.Duration, places []Place) []Out {
+	o.places = rank(o.stream.Name, places)
+	return o.choose(now, nil)
+}
+
+// choose sees to it that enough holders are called: first of those that nothing speaks against, then, where these are too
+// few, of all that do not refuse.
+func (o *Origin) choose(now time.Duration, out []Out) []Out {
+	kept := map[string]bool{}
+	fits := func(strict bool) []Place {
+		usable := slices.Clone(o.places)
+		for i := range usable {
+			h, bad := o.holders[usable[i].Name], o.bad[usable[i].Name]
+			lately := bad > 0 && now-bad < avoidFor
+			kept[usable[i].Name] = h != nil && h.stand <= level
+			switch {
+			case h != nil && h.stand == refused:
+				usable[i].Well = usable[i].Well && !lately
+			case strict:
+				usable[i].Well = usable[i].Well && !lately && (h == nil || h.stand != late)
+			}
+		}
+		return usable
+	}
+	chosen := choose(fits(true), o.need, kept, []Place{o.self})
+	if len(chosen) < o.need {
+		chosen = choose(fits(false), o.need, kept, []Place{o.self})
+	}
+	wanted := map[string]bool{}
+	for _, p := range chosen {
+		wanted[p.Name] = true
+		h := o.holders[p.Name]
+		if h == nil {
+			h = &holder{since: now, out: map[uint64]bool{}}
+			o.holders[p.Name] = h
+		}
+		h.place = p
+		if h.stand == refused {
+			h.linked = false // a connection that stands is told of anew
+			out = o.moves(now, h, recalled, out)
+		}
+	}
+	o.release(now, wanted)
+	o.tally(now)
+	return out
+}
+
+// release lets go of holders that are not wanted: when those that are have all there is, or when there are too many.
+func (o *Origin) release(now time.Duration, wanted map[string]bool) {
+	whole := 0
+	for name := range wanted {
+		if h := o.holders[name]; h.stand == level && h.acked >= o.kept && len(o.Lacks(name)) == 0 {
+			whole++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
+		h := o.holders[name]
+		idle := h.stand <= offered || h.stand == refused
+		if !wanted[name] && (whole >= o.need || idle && now-h.since > settleFor || len(o.holders) > o.need+extraMost && h.stand != level) {
+			delete(o.holders, name)
+		}
+	}
+}
+
+// tally notes since when too few are sent what comes.
+func (o *Origin) tally(now time.Duration) {
+	n := 0
+	for _, h := range o.holders {
+		if h.stand == level {
+			n++
+		}
+	}
+	if n >= o.need {
+		o.short = -1
+	} else if o.short < 0 {
+		o.short = now
+	}
+}
+
+// moves leads a holder on by an event.
+func (o *Origin) moves(now time.Duration, h *holder, e event, out []Out) []Out {
+	move := courses[h.stand][e]
+	if move.next != h.stand {
+		h.stand, h.since = move.next, now
+	}
+	switch move.do {
+	case offer:
+		h.offered = now
+		out = append(out, Out{h.place.Name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
+	case send:
+		h.acked = h.ranges.After(max(o.base, o.kept))
+		h.next = max(o.base, o.kept)
+		clear(h.out)
+		out = o.feed(h, out)
+		o.count()
+	case other:
+		o.bad[h.place.Name] = max(now, 1)
+		out = o.choose(now, out)
+	}
+	o.tally(now)
+	return out
+}
+
+// Linked tells that a connection to a node stands.
+func (o *Origin) Linked(now time.Duration, name string) []Out {
+	if h := o.holders[name]; h != nil && !h.linked {
+		h.linked = true
+		return o.moves(now, h, linked, nil)
+	}
+	return nil
+}
+
+// Parted tells that none does any more.
+func (o *Origin) Parted(now time.Duration, name string) []Out {
+	if h := o.holders[name]; h != nil && h.linked {
+		h.linked = false
+		return o.moves(now, h, parted, nil)
+	}
+	return nil
+}
+
+func (o *Origin) turned(now time.Duration, h *holder, why string) []Out {
+	h.refusal = why
+	if why == LaterLife {
+		o.Later = true
+	}
+	return o.moves(now, h, turned, nil)
+}
+
+// everywhere tells whether all holders that are sent what comes have been sent all before a record.
+func (o *Origin) everywhere(next uint64) bool {
+	for _, h := range o.holders {
+		if (h.stand == level || h.stand == late) && h.next < next {
+			return false
+		}
+	}
+	return true
+}
+
+// Wanted are the nodes to which a connection is to be kept.
+func (o *Origin) Wanted() []string { return slices.Sorted(maps.Keys(o.holders)) }
--- a/internal/replicas/keeper.go
+++ b/internal/replicas/keeper.go
@@ -1,10 +1,8 @@
 package replicas
 
 import (
-	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -193,14 +191,6 @@
 	return []Out{{from, answer}}
 }
 
-// Floor is the first record of a stream that is still held.
-func (k *Keeper) Floor(s Stream) uint64 {
-	if h := k.streams[s]; h != nil && len(h.ranges) > 0 {
-		return h.ranges[0].From
-	}
-	return 0
-}
-
 // Takes tells whether records are to be written; if not, it answers. at is when the last of them was, Unix time in ns, and
 // clock the time now.
 func (k *Keeper) Takes(from string, b *Batch, at, clock int64) (ok bool, out []Out) {
@@ -250,27 +240,6 @@
 	}
 }
 
-// desired are the nodes that should hold a stream whose life is gone: a later life of its node, and as many others as make
-// enough, in order.
-func (k *Keeper) desired(s Stream, h *held) []Place {
-	if h.by == k.looks && h.wanted != nil {
-		return h.wanted
-	}
-	all := append(slices.Clone(k.places), k.self)
-	for i := range all {
-		t := h.targets[all[i].Name]
-		all[i].Well = t == nil || t.refused == 0
-	}
-	ranked := rank(s.Name, all)
-	name, _, _ := strings.Cut(s.Name, settledBy)
-	if i := slices.IndexFunc(ranked, func(p Place) bool { return p.Name == name }); i > 0 {
-		own := ranked[i]
-		ranked = append([]Place{own}, slices.Delete(ranked, i, i+1)...)
-	}
-	h.wanted, h.by = choose(ranked, k.need+1, nil, nil), k.looks
-	return h.wanted
-}
-
 // Tick has streams without a life offered where they should be.
 func (k *Keeper) Tick(now time.Duration) (out []Out) {
 	if now-k.at < time.Second {
@@ -308,158 +277,3 @@
 	}
 	return out
 }
-
-// Wanted are the nodes to which a connection is needed for streams without a life.
-func (k *Keeper) Wanted() []string {
-	wanted := map[string]bool{}
-	for s, h := range k.streams {
-		for name, t := range h.targets {
-			if h.orphan >= 0 && t.refused == 0 && (!t.answers || len(k.Lacks(s, name)) > 0) {
-				wanted[name] = true
-			}
-		}
-	}
-	return slices.Sorted(maps.Keys(wanted))
-}
-
-// Lacks is what is held here of a stream and not at a node that should hold it.
-func (k *Keeper) Lacks(s Stream, name string) Ranges {
-	h := k.streams[s]
-	if h == nil {
-		return nil
-	}
-	if h.orphan < 0 {
-		if name == s.Name { // it is not lost: it lacks a part of what it had
-			return h.ranges.Without(h.ranges.Without(h.returns))
-		}
-		return nil
-	}
-	t := h.targets[name]
-	if t == nil || !t.answers || t.refused > 0 {
-		return nil
-	}
-	return h.ranges.Without(t.ranges)
-}
-
-// Job is a stream to be copied to a node.
-type Job struct {
-	Stream
-	To string
-}
-
-// Jobs are those that are this node's to do now: the holders of a stream begin one after the other.
-func (k *Keeper) Jobs(now time.Duration) (jobs []Job) {
-	for _, s := range k.Streams() {
-		h := k.streams[s]
-		if h.orphan < 0 && len(k.Lacks(s, s.Name)) > 0 {
-			jobs = append(jobs, Job{s, s.Name})
-		}
-		if h.orphan < 0 || now-h.orphan < orphanFor {
-			continue
-		}
-		holders := []Place{k.self}
-		for _, p := range k.places {
-			if h.others[p.Name] && p.Name != k.self.Name {
-				holders = append(holders, p)
-			}
-		}
-		turn := slices.IndexFunc(rank(s.Name, holders), func(p Place) bool { return p.Name == k.self.Name })
-		if now-h.orphan < orphanFor+time.Duration(turn+1)*staggerFor/2 {
-			continue
-		}
-		for _, name := range slices.Sorted(maps.Keys(h.targets)) {
-			if len(k.Lacks(s, name)) > 0 {
-				jobs = append(jobs, Job{s, name})
-			}
-		}
-	}
-	return jobs
-}
-
-// Adopts tells whether a stream without a life is this node's to settle: it stands first of those that should hold it, and
-// lacks nothing that another was seen to have.
-func (k *Keeper) Adopts(now time.Duration, s Stream, after time.Duration) bool {
-	h := k.streams[s]
-	if h == nil || h.orphan < 0 || now-h.orphan < max(after, orphanFor) || s.Settles() {
-		return false
-	}
-	for _, t := range h.targets {
-		if len(t.ranges.Without(h.ranges)) > 0 {
-			return false
-		}
-	}
-	all := k.desired(s, h)
-	return len(all) > 0 && all[0].Name == k.self.Name
-}
-
-// Settlement is the stream in which this node settles entries of another one.
-func (k *Keeper) Settlement(s Stream) Stream {
-	return Stream{Name: s.Name + settledBy + k.self.Name, Up: s.Up}
-}
-
-// Settlements are the streams held here that settle entries of one.
-func (k *Keeper) Settlements(s Stream) (all []Stream) {
-	for _, x := range k.Streams() {
-		if name, _, ok := strings.Cut(x.Name, settledBy); ok && name == s.Name && x.Up == s.Up {
-			all = append(all, x)
-		}
-	}
-	return all
-}
-
-// Settles tells whether a stream is one that settles entries of another.
-func (s Stream) Settles() bool { return strings.Contains(s.Name, settledBy) }
-
-// Ranges of a stream that are held here.
-func (k *Keeper) Ranges(s Stream) Ranges {
-	if h := k.streams[s]; h != nil {
-		return h.ranges
-	}
-	return nil
-}
-
-// Streams that are held, in order.
-func (k *Keeper) Streams() []Stream {
-	return slices.SortedFunc(maps.Keys(k.streams), func(a, b Stream) int {
-		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Up, b.Up))
-	})
-}
-
-// Holding is a stream as it is held, for those who ask.
-type Holding struct {
-	_ struct{} `cbor:",toarray"`
-	Stream
-	Ranges Ranges
-	Bytes  int64
-	Last   int64
-	Orphan bool
-	Lacks  map[string]uint64 // records that are still to be copied, by node
-}
-
-// Holdings are all that is held.
-func (k *Keeper) Holdings() (all []Holding) {
-	for _, s := range k.Streams() {
-		h := k.streams[s]
-		x := Holding{Stream: s, Ranges: h.ranges, Bytes: h.bytes, Last: h.last, Orphan: h.orphan >= 0, Lacks: map[string]uint64{}}
-		for name := range h.targets {
-			if n := k.Lacks(s, name).Count(); n > 0 {
-				x.Lacks[name] = n
-			}
-		}
-		all = append(all, x)
-	}
-	return all
-}
-
-// Bytes that are held.
-func (k *Keeper) Bytes() int64 { return k.bytes }
-
-// Old are streams whose life is gone and whose last record is older than what is kept.
-func (k *Keeper) Old(clock int64) (old []Stream) {
-	for _, s := range k.Streams() {
-		if h := k.streams[s]; k.keepFor > 0 && h.orphan >= 0 && clock-h.last > int64(k.keepFor) {
-			old = append(old, s)
-		}
-	}
-	return old
-}
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -29,118 +28,12 @@
 	waitingMost = 64               // batches on their way to one holder; more wait here
 )
 
-// Stream is what one life of a node keeps.
-type Stream struct {
-	_ struct{} `cbor:",toarray"`
-
-	Name string
-	Up   int64 // Unix time in ns of the life's start
-}
-
-func (s Stream) String() string { return fmt.Sprintf("%s@%d", s.Name, s.Up) }
-
-// What nodes tell each other of streams.
-type (
-	// Offer tells what of a stream the sender has, and asks what the receiver has.
-	Offer struct {
-		_ struct{} `cbor:",toarray"`
-		Stream
-		Origin bool // the sender is the life whose stream it is
-		Ranges Ranges
-	}
-	// Have answers it. With a reason for a refusal nothing is taken.
-	Have struct {
-		_ struct{} `cbor:",toarray"`
-		Stream
-		Ranges  Ranges
-		Refused string
-	}
-	// Batch are records one behind the other, in frames as they stand on disk, with their sums.
-	Batch struct {
-		_ struct{} `cbor:",toarray"`
-		Stream
-		First  uint64
-		N      int
-		Origin bool
-		Body   []byte
-	}
-	// Ack tells that they last, or why they do not.
-	Ack struct {
-		_ struct{} `cbor:",toarray"`
-		Stream
-		First   uint64
-		N       int
-		Refused string
-	}
-)
-
 // Out is something to send.
 type Out = struct {
 	To   string
 	What any
 }
 
-// stand is how a holder stands with the origin.
-type stand uint8
-
-const (
-	called  stand = iota // it is chosen, and not connected or not answered
-	offered              // it was asked what it has
-	level                // it is sent what comes
-	late                 // it has not said in time that a record lasts
-	refused              // it takes nothing
-	stands
-)
-
-type event uint8
-
-const (
-	linked   event = iota // a connection to it stands
-	parted                // none does any more
-	answered              // it told what it has
-	slow                  // a record has waited too long for it
-	caught                // nothing waits for it any more
-	turned                // it refuses
-	recalled              // it is chosen anew after a while
-	events
-)
-
-type deed uint8
-
-const (
-	nothing deed = iota
-	offer        // tell it what there is
-	send         // it is sent what is not kept yet
-	other        // another one is taken
-	stop         // nothing more is sent to it
-)
-
-// courses is the way of a holder: what follows from each event in each stand.
-var courses = [stands][events]struct {
-	next stand
-	do   deed
-}{
-	called:  {linked: {offered, offer}, parted: {called, other}, answered: {called, nothing}, slow: {called, other}, caught: {called, nothing}, turned: {refused, other}, recalled: {called, nothing}},
-	offered: {linked: {offered, offer}, parted: {called, other}, answered: {level, send}, slow: {offered, other}, caught: {offered, nothing}, turned: {refused, other}, recalled: {offered, nothing}},
-	level:   {linked: {offered, offer}, parted: {called, other}, answered: {level, nothing}, slow: {late, other}, caught: {level, nothing}, turned: {refused, other}, recalled: {level, nothing}},
-	late:    {linked: {offered, offer}, parted: {called, other}, answered: {late, nothing}, slow: {late, nothing}, caught: {level, nothing}, turned: {refused, other}, recalled: {late, nothing}},
-	refused: {linked: {refused, nothing}, parted: {refused, nothing}, answered: {refused, nothing}, slow: {refused, nothing}, caught: {refused, nothing}, turned: {refused, nothing}, recalled: {called, nothing}},
-}
-
-// holder is one that was chosen.
-type holder struct {
-	place   Place
-	stand   stand
-	since   time.Duration // of the stand
-	linked  bool
-	ranges  Ranges          // that last there
-	acked   uint64          // all from where its sending began up to and without this last there
-	next    uint64          // the next record to send to it
-	out     map[uint64]bool // batches sent as they came and not acknowledged, by their first records
-	offered time.Duration
-	refusal string
-}
-
 type waiting struct {
 	first, next uint64
 	at          time.Duration
@@ -280,128 +173,6 @@
 // Forgot tells that records are no longer on it, as when a segment became too old.
 func (o *Origin) Forgot(before uint64) { o.ranges = o.ranges.Without(Ranges{{From: 0, To: before}}) }
 
-// Placed tells which nodes there are, without this one.
-func (o *Origin) Placed(now time.Duration, places []Place) []Out {
-	o.places = rank(o.stream.Name, places)
-	return o.choose(now, nil)
-}
-
-// choose sees to it that enough holders are called: first of those that nothing speaks against, then, where these are too
-// few, of all that do not refuse.
-func (o *Origin) choose(now time.Duration, out []Out) []Out {
-	kept := map[string]bool{}
-	fits := func(strict bool) []Place {
-		usable := slices.Clone(o.places)
-		for i := range usable {
-			h, bad := o.holders[usable[i].Name], o.bad[usable[i].Name]
-			lately := bad > 0 && now-bad < avoidFor
-			kept[usable[i].Name] = h != nil && h.stand <= level
-			switch {
-			case h != nil && h.stand == refused:
-				usable[i].Well = usable[i].Well && !lately
-			case strict:
-				usable[i].Well = usable[i].Well && !lately && (h == nil || h.stand != late)
-			}
-		}
-		return usable
-	}
-	chosen := choose(fits(true), o.need, kept, []Place{o.self})
-	if len(chosen) < o.need {
-		chosen = choose(fits(false), o.need, kept, []Place{o.self})
-	}
-	wanted := map[string]bool{}
-	for _, p := range chosen {
-		wanted[p.Name] = true
-		h := o.holders[p.Name]
-		if h == nil {
-			h = &holder{since: now, out: map[uint64]bool{}}
-			o.holders[p.Name] = h
-		}
-		h.place = p
-		if h.stand == refused {
-			h.linked = false // a connection that stands is told of anew
-			out = o.moves(now, h, recalled, out)
-		}
-	}
-	o.release(now, wanted)
-	o.tally(now)
-	return out
-}
-
-// release lets go of holders that are not wanted: when those that are have all there is, or when there are too many.
-func (o *Origin) release(now time.Duration, wanted map[string]bool) {
-	whole := 0
-	for name := range wanted {
-		if h := o.holders[name]; h.stand == level && h.acked >= o.kept && len(o.Lacks(name)) == 0 {
-			whole++
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
-		h := o.holders[name]
-		idle := h.stand <= offered || h.stand == refused
-		if !wanted[name] && (whole >= o.need || idle && now-h.since > settleFor || len(o.holders) > o.need+extraMost && h.stand != level) {
-			delete(o.holders, name)
-		}
-	}
-}
-
-// tally notes since when too few are sent what comes.
-func (o *Origin) tally(now time.Duration) {
-	n := 0
-	for _, h := range o.holders {
-		if h.stand == level {
-			n++
-		}
-	}
-	if n >= o.need {
-		o.short = -1
-	} else if o.short < 0 {
-		o.short = now
-	}
-}
-
-// moves leads a holder on by an event.
-func (o *Origin) moves(now time.Duration, h *holder, e event, out []Out) []Out {
-	move := courses[h.stand][e]
-	if move.next != h.stand {
-		h.stand, h.since = move.next, now
-	}
-	switch move.do {
-	case offer:
-		h.offered = now
-		out = append(out, Out{h.place.Name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
-	case send:
-		h.acked = h.ranges.After(max(o.base, o.kept))
-		h.next = max(o.base, o.kept)
-		clear(h.out)
-		out = o.feed(h, out)
-		o.count()
-	case other:
-		o.bad[h.place.Name] = max(now, 1)
-		out = o.choose(now, out)
-	}
-	o.tally(now)
-	return out
-}
-
-// Linked tells that a connection to a node stands.
-func (o *Origin) Linked(now time.Duration, name string) []Out {
-	if h := o.holders[name]; h != nil && !h.linked {
-		h.linked = true
-		return o.moves(now, h, linked, nil)
-	}
-	return nil
-}
-
-// Parted tells that none does any more.
-func (o *Origin) Parted(now time.Duration, name string) []Out {
-	if h := o.holders[name]; h != nil && h.linked {
-		h.linked = false
-		return o.moves(now, h, parted, nil)
-	}
-	return nil
-}
-
 // Got takes in what a holder says.
 func (o *Origin) Got(now time.Duration, from string, what any) []Out {
 	h := o.holders[from]
@@ -445,14 +216,6 @@
 // LaterLife is the reason of a holder that knows of a later life of the same name.
 const LaterLife = "a later life of this name is known"
 
-func (o *Origin) turned(now time.Duration, h *holder, why string) []Out {
-	h.refusal = why
-	if why == LaterLife {
-		o.Later = true
-	}
-	return o.moves(now, h, turned, nil)
-}
-
 // count finds up to where enough holders have all.
 func (o *Origin) count() {
 	machines := map[string]uint64{}
@@ -476,16 +239,6 @@
 	}
 }
 
-// everywhere tells whether all holders that are sent what comes have been sent all before a record.
-func (o *Origin) everywhere(next uint64) bool {
-	for _, h := range o.holders {
-		if (h.stand == level || h.stand == late) && h.next < next {
-			return false
-		}
-	}
-	return true
-}
-
 // Tick moves on by time.
 func (o *Origin) Tick(now time.Duration) (out []Out) {
 	i := o.oldest()
@@ -512,9 +265,6 @@
 	return out
 }
 
-// Wanted are the nodes to which a connection is to be kept.
-func (o *Origin) Wanted() []string { return slices.Sorted(maps.Keys(o.holders)) }
-
 // Lacks is what of this node's own disk a holder does not have, where it is to have it.
 func (o *Origin) Lacks(name string) Ranges {
 	h := o.holders[name]
@@ -523,23 +273,3 @@
 	}
 	return o.ranges.Without(h.ranges).Without(Ranges{{From: o.base, To: max(o.next, o.base)}})
 }
-
-// Holder is how one stands, for those who ask.
-type Holder struct {
-	_ struct{} `cbor:",toarray"`
-
-	Name, Stand, Refusal string
-	Acked                uint64
-	Lacks                uint64 // records that are still to be copied to it from disk
-}
-
-var standNames = [stands]string{"called", "offered", "level", "late", "refused"}
-
-// Holders tells how each stands.
-func (o *Origin) Holders() (all []Holder) {
-	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
-		h := o.holders[name]
-		all = append(all, Holder{Name: name, Stand: standNames[h.stand], Refusal: h.refusal, Acked: h.acked, Lacks: o.ranges.Without(h.ranges).Without(Ranges{{From: o.base, To: max(o.next, o.base)}}).Count()})
-	}
-	return all
-}
--- /dev/null
+++ b/internal/standin/registry/conn.go
@@ -0,0 +1,168 @@
+package registry
+
+import (
+	"bytes"
+	"crypto/rand"
+	"net"
+	"sync"
+	"time"
+)
+
+type conn struct {
+	net.Conn
+	s       *Server
+	session *session
+	data    map[string]bool // watches
+	child   map[string]bool
+	exist   map[string]bool
+	out     sync.Mutex
+}
+
+// Garble has each so many replies come as what cannot be read; 0 ends that.
+func (s *Server) Garble(each int) {
+	s.r.mu.Lock()
+	defer s.r.mu.Unlock()
+	s.spoil = each
+}
+
+// garbled makes one of several wrong replies of a right one, in turn: cut short, noise under its id, lengths of 2 GB, and one
+// that nobody asked for.
+func garbled(which int, reply []byte) []byte {
+	wrong := bytes.Clone(reply)
+	switch which % 4 {
+	case 0:
+		return wrong[:len(wrong)/2]
+	case 1:
+		for i := 16; i < len(wrong); i++ {
+			wrong[i] = byte(i * 37)
+		}
+	case 2:
+		for i := 16; i < min(len(wrong), 24); i++ {
+			wrong[i] = 0x7f
+		}
+	default:
+		wrong[3] ^= 0x55
+	}
+	return wrong
+}
+
+// fire tells watchers once.
+func (s *Server) fire(e event) {
+	for c := range s.conns {
+		var sets []map[string]bool
+		switch e.kind {
+		case created:
+			sets = []map[string]bool{c.exist}
+		case deleted:
+			sets = []map[string]bool{c.data, c.exist, c.child}
+		case changed:
+			sets = []map[string]bool{c.data, c.exist}
+		case children:
+			sets = []map[string]bool{c.child}
+		}
+		hit := false
+		for _, w := range sets {
+			hit = hit || w[e.path]
+			delete(w, e.path)
+		}
+		if !hit {
+			continue
+		}
+		var w writer
+		w.int(-1)
+		w.long(-1)
+		w.int(0)
+		w.int(e.kind)
+		w.int(3) // connected
+		w.string(e.path)
+		time.AfterFunc(s.delay, func() { c.send(w) })
+	}
+}
+
+func (c *conn) send(body []byte) {
+	c.out.Lock()
+	defer c.out.Unlock()
+	c.SetWriteDeadline(time.Now().Add(time.Second))
+	c.Write(frame(body))
+}
+
+// lead is the life of a client's connection.
+func (s *Server) lead(nc net.Conn) {
+	defer nc.Close()
+	r := s.r
+	r.mu.Lock()
+	refuse := r.refuse || s.silent
+	r.mu.Unlock()
+	if refuse {
+		return
+	}
+	c := &conn{Conn: nc, s: s, data: map[string]bool{}, child: map[string]bool{}, exist: map[string]bool{}}
+	nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	first, err := readFrame(nc)
+	if err != nil || !s.connect(c, first) {
+		return
+	}
+	r.mu.Lock()
+	s.conns[c] = true
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(s.conns, c)
+		if c.session.conn == c {
+			c.session.conn = nil
+		}
+		r.mu.Unlock()
+	}()
+	for {
+		nc.SetReadDeadline(time.Now().Add(2 * sessionMost))
+		b, err := readFrame(nc)
+		if err != nil {
+			return
+		}
+		if !s.request(c, b) {
+			return
+		}
+	}
+}
+
+// connect begins a session or takes one up again.
+func (s *Server) connect(c *conn, b []byte) bool {
+	q := reader{b: b}
+	q.int()
+	q.long()
+	timeout := min(max(time.Duration(q.int())*time.Millisecond, sessionMin), sessionMost)
+	id, passwd := q.long(), q.buffer()
+	if q.bad {
+		return false
+	}
+	r := s.r
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	se := r.sessions[id]
+	if id == 0 {
+		r.lastID++
+		se = &session{id: r.lastID, passwd: make([]byte, 16), timeout: timeout, owns: map[string]bool{}}
+		rand.Read(se.passwd)
+		r.sessions[se.id] = se
+	}
+	var w writer
+	w.int(0)
+	if se == nil || !bytes.Equal(se.passwd, passwd) && id != 0 { // it has expired, or is another's
+		w.int(0)
+		w.long(0)
+		w.buffer(make([]byte, 16))
+		w.bool(false)
+		c.send(w)
+		return false
+	}
+	if old := se.conn; old != nil {
+		old.Close()
+	}
+	se.conn, se.heard, c.session = c, time.Now(), se
+	w.int(int32(se.timeout.Milliseconds()))
+	w.long(se.id)
+	w.buffer(se.passwd)
+	w.bool(false)
+	c.send(w)
+	return true
+}
--- /dev/null
+++ b/internal/standin/registry/requests.go
@@ -0,0 +1,221 @@
+package registry
+
+import (
+	"slices"
+	"time"
+)
+
+// Operations as on the wire.
+const (
+	opCreate    = 1
+	opDelete    = 2
+	opExists    = 3
+	opGetData   = 4
+	opSetData   = 5
+	opChildren  = 8
+	opSync      = 9
+	opPing      = 11
+	opChildren2 = 12
+	opAuth      = 100
+	opWatches   = 101
+	opClose     = -11
+)
+
+// request answers one; false ends the connection.
+func (s *Server) request(c *conn, b []byte) bool {
+	q := reader{b: b}
+	xid, op := q.int(), q.int()
+	if q.bad {
+		return false
+	}
+	r := s.r
+	r.mu.Lock()
+	if s.silent {
+		r.mu.Unlock()
+		return true
+	}
+	if r.sessions[c.session.id] != c.session {
+		r.mu.Unlock()
+		return false
+	}
+	c.session.heard = time.Now()
+	if op != opPing {
+		r.calls++
+	}
+	var body writer
+	tell := func() {}
+	code := int32(ok)
+	switch op {
+	case opPing, opAuth:
+	case opClose:
+		r.end(c.session, time.Now())
+	case opSync:
+		s.lagless(time.Now())
+		body.string(q.string())
+	case opCreate:
+		code = s.create(c, &q, &body)
+	case opDelete:
+		p, version := q.string(), q.int()
+		n := r.head.nodes[p]
+		switch {
+		case n == nil:
+			code = noNode
+		case version >= 0 && version != n.version:
+			code = badVersion
+		case len(n.children) > 0:
+			code = notEmpty
+		default:
+			r.commit(change{op: deleted, path: p, at: time.Now()})
+		}
+	case opSetData:
+		p, data, version := q.string(), slices.Clone(q.buffer()), q.int()
+		n := r.head.nodes[p]
+		switch {
+		case n == nil:
+			code = noNode
+		case version >= 0 && version != n.version:
+			code = badVersion
+		default:
+			r.commit(change{op: changed, path: p, data: data, at: time.Now()})
+			body.stat(r.head.nodes[p])
+		}
+	case opExists, opGetData, opChildren, opChildren2:
+		p, watch := q.string(), q.bool()
+		n := s.tree.nodes[p]
+		switch {
+		case n == nil && op == opExists && watch:
+			c.exist[p] = true
+			code = noNode
+		case n == nil:
+			code = noNode
+		default:
+			if watch && (op == opExists || op == opGetData) {
+				c.data[p] = true
+			} else if watch {
+				c.child[p] = true
+			}
+			switch op {
+			case opExists:
+				body.stat(n)
+			case opGetData:
+				body.buffer(n.data)
+				body.stat(n)
+				data := slices.Clone(n.data)
+				tell = func() { r.watch.Data(s.reader, p, data, time.Now()) }
+			default:
+				names := s.tree.names(p)
+				body.strings(names)
+				var all []Child
+				for _, name := range names {
+					if c := s.tree.nodes[join(p, name)]; c != nil {
+						all = append(all, Child{name, c.czxid})
+					}
+				}
+				tell = func() { r.watch.Told(s.reader, p, all, time.Now()) }
+				if op == opChildren2 {
+					body.stat(n)
+				}
+			}
+		}
+	case opWatches:
+		s.rewatch(c, &q)
+	default:
+		code = unknownOp
+	}
+	if q.bad {
+		code = badArgs
+	}
+	var w writer
+	w.int(xid)
+	w.long(s.tree.zxid)
+	w.int(code)
+	if code == ok {
+		w = append(w, body...)
+	}
+	if s.spoil > 0 && op != opPing && op != opClose {
+		if s.spoilt++; s.spoilt%s.spoil == 0 {
+			which := s.spoilt / s.spoil
+			r.mu.Unlock()
+			c.send(garbled(which, w))
+			return which%2 == 0 // some close behind it
+		}
+	}
+	r.mu.Unlock()
+	c.send(w)
+	if code == ok && r.watch != nil {
+		tell()
+	}
+	return op != opClose
+}
+
+// lagless has the server see all that was agreed on, as a sync does.
+func (s *Server) lagless(now time.Time) {
+	lag := s.lag
+	s.lag = 0
+	s.r.catchUp(now)
+	s.lag = lag
+}
+
+func (s *Server) create(c *conn, q *reader, body *writer) int32 {
+	p, data := q.string(), slices.Clone(q.buffer())
+	for range q.int() {
+		q.int()
+		q.string()
+		q.string()
+		if q.bad {
+			return badArgs
+		}
+	}
+	flags := q.int()
+	r := s.r
+	if flags&flagSequent != 0 {
+		p = r.head.sequenced(p)
+	}
+	up := r.head.nodes[parent(p)]
+	switch {
+	case q.bad || !valid(p):
+		return badArgs
+	case up == nil:
+		return noNode
+	case up.owner != 0:
+		return ephemeral
+	case r.head.nodes[p] != nil:
+		return nodeExists
+	}
+	ch := change{op: created, path: p, data: data, at: time.Now()}
+	if flags&flagEphem != 0 {
+		ch.own = c.session.id
+		c.session.owns[p] = true
+	}
+	r.commit(ch)
+	body.string(p)
+	return ok
+}
+
+// rewatch takes up a client's watches on a new connection; what has changed since is told at once.
+func (s *Server) rewatch(c *conn, q *reader) {
+	since := q.long()
+	data, exist, child := q.strings(), q.strings(), q.strings()
+	for _, p := range data {
+		c.data[p] = true
+		if n := s.tree.nodes[p]; n == nil {
+			s.fire(event{deleted, p})
+		} else if n.mzxid > since {
+			s.fire(event{changed, p})
+		}
+	}
+	for _, p := range exist {
+		c.exist[p] = true
+		if s.tree.nodes[p] != nil {
+			s.fire(event{created, p})
+		}
+	}
+	for _, p := range child {
+		c.child[p] = true
+		if n := s.tree.nodes[p]; n == nil {
+			s.fire(event{deleted, p})
+		} else if n.pzxid > since {
+			s.fire(event{children, p})
+		}
+	}
+}
