--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"fernvane/internal/node"
 	"fernvane/internal/wire"
@@ -22,8 +23,7 @@
 func run(in io.Reader, out, errs io.Writer) error {
 	complain := func(what string) { fmt.Fprintln(errs, "adapter:", what) }
 	r, w := wire.NewReader(in, complain), wire.NewWriter(out)
-	nodes := map[int]*node.Node[uint32]{}
-	var members []node.Member[uint32]
+	instances := instances{nodes: map[int]*node.Node[uint32]{}, out: w, complain: complain}
 	for {
 		b, err := r.Read()
 		if errors.Is(err, io.EOF) {
@@ -35,49 +35,65 @@
 		for i := range b.Events {
 			e := &b.Events[i]
 			w.For(e.Instance)
-			switch e.Kind {
-			case wire.PowerOn:
-				if e.Err != nil {
-					w.Broken(e.Err.Error())
-					delete(nodes, e.Instance)
-					continue
-				}
-				nodes[e.Instance] = node.New[uint32](b.Now, policy.New(e.Settings, e.Seed), w)
-				continue
-			case wire.Killed:
-				delete(nodes, e.Instance)
-				continue
-			}
-			n := nodes[e.Instance]
-			if n == nil {
-				complain(fmt.Sprintf("dropped an event for instance %d, which does not run", e.Instance))
-				continue
-			}
-			known := true
-			switch e.Kind {
-			case wire.Discovery:
-				members = members[:0]
-				for _, l := range e.Entries {
-					members = append(members, node.Member[uint32]{Server: l.Server, Line: policy.Member{Rank: l.Server, Zone: l.Zone,
-						Cell: l.Cell, Condition: l.Condition, Scale: l.Scale, Started: l.Start, HasStart: l.HasStart}})
-				}
-				n.List(b.Now, e.Scope, members, w)
-			case wire.Arrival:
-				known = n.Arrive(b.Now, e.Job, policy.Input{Type: e.Type, Tenant: e.Tenant, Key: e.Key, Again: e.Again, Budget: e.Budget}, w)
-			case wire.Verdict:
-				known = n.HopEnded(b.Now, e.Job, e.Server,
-					policy.Input{Hop: e.Hop, Outcome: e.Outcome, Spent: e.Spent, Final: e.Final}, w)
-			case wire.Left:
-				n.Left(b.Now, e.Job, w)
-			case wire.DeadlineHit:
-				n.Woken(b.Now, w)
-			}
-			if !known {
-				complain(fmt.Sprintf("dropped an event of instance %d for an unknown operation or server", e.Instance))
-			}
+			instances.handle(b.Now, e)
 		}
 		if err := w.Flush(); err != nil {
 			return err
 		}
 	}
 }
+
+// instances are the nodes that the simulator runs, by their numbers on its wire.
+type instances struct {
+	nodes    map[int]*node.Node[uint32]
+	members  []node.Member[uint32] // reused from list to list
+	out      *wire.Writer
+	complain func(string)
+}
+
+// handle starts or ends an instance, or hands it what befalls it.
+func (s *instances) handle(now time.Duration, e *wire.Event) {
+	switch e.Kind {
+	case wire.PowerOn:
+		if e.Err != nil {
+			s.out.Broken(e.Err.Error())
+			delete(s.nodes, e.Instance)
+			return
+		}
+		s.nodes[e.Instance] = node.New[uint32](now, policy.New(e.Settings, e.Seed), s.out)
+		return
+	case wire.Killed:
+		delete(s.nodes, e.Instance)
+		return
+	}
+	n := s.nodes[e.Instance]
+	if n == nil {
+		s.complain(fmt.Sprintf("dropped an event for instance %d, which does not run", e.Instance))
+		return
+	}
+	if !s.deliver(now, n, e) {
+		s.complain(fmt.Sprintf("dropped an event of instance %d for an unknown operation or server", e.Instance))
+	}
+}
+
+// deliver hands an event to its instance; it is false where the event names what the instance doesn't know.
+func (s *instances) deliver(now time.Duration, n *node.Node[uint32], e *wire.Event) bool {
+	switch e.Kind {
+	case wire.Discovery:
+		s.members = s.members[:0]
+		for _, l := range e.Entries {
+			s.members = append(s.members, node.Member[uint32]{Server: l.Server, Line: policy.Member{Rank: l.Server, Zone: l.Zone,
+				Cell: l.Cell, Condition: l.Condition, Scale: l.Scale, Started: l.Start, HasStart: l.HasStart}})
+		}
+		n.List(now, e.Scope, s.members, s.out)
+	case wire.Arrival:
+		return n.Arrive(now, e.Job, policy.Input{Type: e.Type, Tenant: e.Tenant, Key: e.Key, Again: e.Again, Budget: e.Budget}, s.out)
+	case wire.Verdict:
+		return n.HopEnded(now, e.Job, e.Server, policy.Input{Hop: e.Hop, Outcome: e.Outcome, Spent: e.Spent, Final: e.Final}, s.out)
+	case wire.Left:
+		n.Left(now, e.Job, s.out)
+	case wire.DeadlineHit:
+		n.Woken(now, s.out)
+	}
+	return true
+}
--- a/internal/audit/seconds.go
+++ b/internal/audit/seconds.go
@@ -26,65 +26,82 @@
 	statusHandled = 200
 )
 
+// seconds are filled while the requests of a run are gone through.
+type seconds struct {
+	all    []Second
+	byNode []map[int]int // for each second: hops by node
+}
+
+// at finds the second of a moment.
+func (s *seconds) at(t time.Duration) *Second {
+	i := int(max(t, 0) / time.Second)
+	for len(s.all) <= i {
+		s.all, s.byNode = append(s.all, Second{}), append(s.byNode, map[int]int{})
+	}
+	return &s.all[i]
+}
+
 // Seconds are those of a run, from its start.
 func (a *Audit) Seconds() []Second {
-	var all []Second
-	nodes := []map[int]int{}
-	at := func(t time.Duration) *Second {
-		i := int(max(t, 0) / time.Second)
-		for len(all) <= i {
-			all, nodes = append(all, Second{}), append(nodes, map[int]int{})
-		}
-		return &all[i]
-	}
+	var s seconds
 	for _, r := range a.requests {
 		if !r.known {
 			continue
 		}
 		if r.sent >= 0 {
-			at(r.sent).Tries++
+			s.at(r.sent).Tries++
 		}
-		handled := r.end == Answered && r.status == statusHandled
-		if r.ended >= 0 {
-			switch s := at(r.ended); {
-			case handled:
-				s.Handled++
-			case r.end == Answered && (r.status == statusDenied || r.status == statusLimited):
-				s.Denied++
-			case r.end == Answered:
-				s.WrittenOff++
-			default:
-				s.Lost++
-			}
-		}
-		hops := slices.Clone(r.hops)
-		slices.SortFunc(hops, func(a, b hop) int { return cmp.Compare(a.first, b.first) })
-		answered := -1 // the hop whose answer the client got: the last that was over when the try ended
-		for i, h := range hops {
-			if handled && h.ran >= 0 && h.over >= 0 && (answered < 0 || h.over <= r.ended) {
-				answered = i
-			}
+		s.countEnd(r)
+		s.countHops(r)
+	}
+	for i, by := range s.byNode {
+		for _, n := range by {
+			s.all[i].Busiest = max(s.all[i].Busiest, n)
 		}
-		for i, h := range hops {
-			s := at(h.first)
-			if i == 0 {
-				s.First++
-			} else {
-				s.Further++
-			}
-			nodes[int(max(h.first, 0)/time.Second)][r.node]++
-			if h.ran >= 0 {
-				s := at(h.ran)
-				if s.Ran++; i != answered {
-					s.Vain++
-				}
-			}
+	}
+	return s.all
+}
+
+func (r *request) handled() bool { return r.end == Answered && r.status == statusHandled }
+
+func (s *seconds) countEnd(r *request) {
+	if r.ended < 0 {
+		return
+	}
+	switch at := s.at(r.ended); {
+	case r.handled():
+		at.Handled++
+	case r.end == Answered && (r.status == statusDenied || r.status == statusLimited):
+		at.Denied++
+	case r.end == Answered:
+		at.WrittenOff++
+	default:
+		at.Lost++
+	}
+}
+
+func (s *seconds) countHops(r *request) {
+	hops := slices.Clone(r.hops)
+	slices.SortFunc(hops, func(a, b hop) int { return cmp.Compare(a.first, b.first) })
+	answered := -1 // the hop whose answer the client got: the last that was over when the try ended
+	for i, h := range hops {
+		if r.handled() && h.ran >= 0 && h.over >= 0 && (answered < 0 || h.over <= r.ended) {
+			answered = i
 		}
 	}
-	for i, by := range nodes {
-		for _, n := range by {
-			all[i].Busiest = max(all[i].Busiest, n)
+	for i, h := range hops {
+		at := s.at(h.first)
+		if i == 0 {
+			at.First++
+		} else {
+			at.Further++
+		}
+		s.byNode[int(max(h.first, 0)/time.Second)][r.node]++
+		if h.ran >= 0 {
+			at := s.at(h.ran)
+			if at.Ran++; i != answered {
+				at.Vain++
+			}
 		}
 	}
-	return all
 }
--- a/internal/lab/journal.go
+++ b/internal/lab/journal.go
@@ -151,53 +151,23 @@
 	Whole    float64 // seconds until an earlier life's entries stood as often as they should; 0: they did not
 }
 
+// entryKey is an entry of a node's journal.
+type entryKey struct {
+	node int
+	id   uint64
+}
+
 // readJournals sets the journals beside what the boxes have run, and settles by their dockets what was left open.
 func (w *world) readJournals() (sum Journal, err error) {
 	if w.Scenario.Journal.Promise == "" {
 		return sum, nil
 	}
-	type key struct {
-		node int
-		id   uint64
-	}
-	all := map[key]*bindings.Entry{}
+	all := map[entryKey]*bindings.Entry{}
 	gaps := map[int]bool{}
-	places := map[int][]string{} // folders in which a node's entries may stand
-	for n, p := range w.nodes {
-		places[n] = append(places[n], p.journal())
-		held, _ := os.ReadDir(p.held())
-		for _, dir := range held { // of others, under their names
-			name, _, _ := strings.Cut(dir.Name(), "@")
-			if of, err := strconv.Atoi(strings.TrimPrefix(name, "n")); err == nil {
-				places[of] = append(places[of], filepath.Join(p.held(), dir.Name()))
-			}
-		}
-	}
+	dirs := w.journalDirs()
 	for n := range w.nodes {
-		fold := bindings.NewUnion()
-		keep := func(e *bindings.Entry) {
-			id, _ := strconv.ParseUint(e.ID, 16, 64)
-			all[key{n, id}] = e
-		}
-		for _, dir := range places[n] {
-			r, err := bindlog.Scan(bindlog.OS{}, dir, time.Time{}, func(rec *bindings.Record) error {
-				if e := fold.Add(rec); e != nil {
-					keep(e)
-				}
-				return nil
-			}, nil)
-			if err != nil {
-				return sum, err
-			}
-			fold.Damaged = fold.Damaged || r.Corrupt() > 0
-			sum.Bytes += r.Bytes
-		}
-		for _, e := range fold.Rest() {
-			keep(e)
-		}
-		for _, g := range fold.Gaps {
-			sum.Gaps += g.N
-			gaps[n] = true
+		if err := readJournal(n, dirs[n], all, gaps, &sum); err != nil {
+			return sum, err
 		}
 	}
 	sum.Losses, sum.Cycles, sum.Told = w.losses.machines, w.losses.cycles, len(w.losses.told)
@@ -213,48 +183,104 @@
 		dockets[b.Name] = &bindings.Dockets{Server: b.Name, From: 0, To: time.Now().Add(time.Hour).UnixNano(), IDs: map[string]bool{}}
 	}
 	w.eyes.see(func(a *audit.Audit, _ time.Duration) {
-		ran := map[key]bool{}
-		a.EachRan(func(kind int) bool { return w.Scenario.Types[kind].Repeat == "binding" }, func(id uint64, node, box int) {
-			sum.Ran++
-			k := key{node, id}
-			ran[k] = true
-			name := string(load.AppendID(nil, id))
-			dockets[w.boxes[box].Name].IDs[name] = true
-			switch e := all[k]; {
-			case e == nil && w.losses.told[node]:
-				sum.Lost++
-			case e == nil && !gaps[node]:
-				a.Unkept(fmt.Sprintf("%s ran at %s, and node %d's journal has no entry of it", name, w.boxes[box].Name, node))
-			case e != nil && e.State() == bindings.NotSent:
-				a.Unkept(fmt.Sprintf("%s ran at %s, and node %d's journal says that it was not sent", name, w.boxes[box].Name, node))
-			}
-		})
+		ran := w.compareWithRun(a, all, gaps, dockets, &sum)
 		for k, e := range all {
 			if e.State() == bindings.HasRun && !ran[k] && e.Run != 1 {
 				a.Unkept(fmt.Sprintf("node %d's journal says that %s ran, and no box has run it", k.node, e.ID))
 			}
-			if e.State() != bindings.PossiblySent {
-				continue
-			}
-			sum.Possibly++
-			fold := 0
-			for _, r := range bindings.Reconcile(e, dockets, 0, time.Now().UnixNano()) {
-				if r.Proof == bindings.Ran {
-					fold = len(e.Hops)
-				} else {
-					fold++
+			if e.State() == bindings.PossiblySent {
+				sum.Possibly++
+				if !settles(e, dockets) {
+					sum.Open++
 				}
 			}
-			open := 0
-			for _, h := range e.Hops {
-				if h.Proof() == bindings.Possibly {
-					open++
-				}
+		}
+	})
+	return sum, nil
+}
+
+// journalDirs are the folders in which each node's entries may stand: its own, and those of who holds replicas.
+func (w *world) journalDirs() map[int][]string {
+	dirs := map[int][]string{}
+	for n, p := range w.nodes {
+		dirs[n] = append(dirs[n], p.journal())
+		held, _ := os.ReadDir(p.held())
+		for _, dir := range held { // of others, under their names
+			name, _, _ := strings.Cut(dir.Name(), "@")
+			if of, err := strconv.Atoi(strings.TrimPrefix(name, "n")); err == nil {
+				dirs[of] = append(dirs[of], filepath.Join(p.held(), dir.Name()))
 			}
-			if fold < max(open, 1) {
-				sum.Open++
+		}
+	}
+	return dirs
+}
+
+// readJournal adds one node's entries, and notes where it says that some are missing.
+func readJournal(n int, dirs []string, all map[entryKey]*bindings.Entry, gaps map[int]bool, sum *Journal) error {
+	fold := bindings.NewUnion()
+	keep := func(e *bindings.Entry) {
+		id, _ := strconv.ParseUint(e.ID, 16, 64)
+		all[entryKey{n, id}] = e
+	}
+	for _, dir := range dirs {
+		r, err := bindlog.Scan(bindlog.OS{}, dir, time.Time{}, func(rec *bindings.Record) error {
+			if e := fold.Add(rec); e != nil {
+				keep(e)
 			}
+			return nil
+		}, nil)
+		if err != nil {
+			return err
+		}
+		fold.Damaged = fold.Damaged || r.Corrupt() > 0
+		sum.Bytes += r.Bytes
+	}
+	for _, e := range fold.Rest() {
+		keep(e)
+	}
+	for _, g := range fold.Gaps {
+		sum.Gaps += g.N
+		gaps[n] = true
+	}
+	return nil
+}
+
+// compareWithRun fills the dockets with what the boxes have run, and tells the audit what the journals lack of it.
+func (w *world) compareWithRun(a *audit.Audit, all map[entryKey]*bindings.Entry, gaps map[int]bool, dockets map[string]*bindings.Dockets, sum *Journal) map[entryKey]bool {
+	ran := map[entryKey]bool{}
+	a.EachRan(func(kind int) bool { return w.Scenario.Types[kind].Repeat == "binding" }, func(id uint64, node, box int) {
+		sum.Ran++
+		k := entryKey{node, id}
+		ran[k] = true
+		name := string(load.AppendID(nil, id))
+		dockets[w.boxes[box].Name].IDs[name] = true
+		switch e := all[k]; {
+		case e == nil && w.losses.told[node]:
+			sum.Lost++
+		case e == nil && !gaps[node]:
+			a.Unkept(fmt.Sprintf("%s ran at %s, and node %d's journal has no entry of it", name, w.boxes[box].Name, node))
+		case e != nil && e.State() == bindings.NotSent:
+			a.Unkept(fmt.Sprintf("%s ran at %s, and node %d's journal says that it was not sent", name, w.boxes[box].Name, node))
 		}
 	})
-	return sum, nil
+	return ran
+}
+
+// settles tells whether dockets settle all that is open of an entry.
+func settles(e *bindings.Entry, dockets map[string]*bindings.Dockets) bool {
+	settled := 0
+	for _, r := range bindings.Reconcile(e, dockets, 0, time.Now().UnixNano()) {
+		if r.Proof == bindings.Ran {
+			settled = len(e.Hops)
+		} else {
+			settled++
+		}
+	}
+	open := 0
+	for _, h := range e.Hops {
+		if h.Proof() == bindings.Possibly {
+			open++
+		}
+	}
+	return settled >= max(open, 1)
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -210,19 +210,10 @@
 	t.Begun = time.Since(g.start)
 	t.Until = t.Begun + r.wait
 	for again := false; ; again = true {
-		k, old := kept{}, false
-		for !again {
-			if k, old = pool.take(); !old || k.conn.Quiet() {
-				break
-			}
-			g.spoilt(k)
-		}
-		if !old {
-			var ok bool
-			if k, ok = g.open(ctx, site, until, t); !ok {
-				t.End, t.Ended = Unsent, time.Since(g.start)
-				return
-			}
+		k, old, ok := g.connection(ctx, site, until, t, !again)
+		if !ok {
+			t.End, t.Ended = Unsent, time.Since(g.start)
+			return
 		}
 		t.Way = k.way
 		left := time.Until(until) // the wait for a connection is over; what is told counts from the sending
@@ -253,20 +244,39 @@
 			g.watch.Unread(t)
 			continue
 		}
-		switch {
-		case !whole:
-			t.End = Unsent
-		case errors.Is(err, http1.ErrTimeout) && r.leaves > 0:
-			t.End = Left
-		case errors.Is(err, http1.ErrTimeout):
-			t.End = Unanswered
-		default:
-			t.End = Dropped
-		}
+		t.End = endWithout(whole, err, r.leaves > 0)
 		return
 	}
 }
 
+// connection is one that is kept, if it may be, or a new one; ok is false where none comes up in time.
+func (g *Generator) connection(ctx context.Context, site int, until time.Time, t *Try, mayBeKept bool) (k kept, old, ok bool) {
+	for mayBeKept {
+		if k, old = g.pools[site].take(); !old {
+			break
+		}
+		if k.conn.Quiet() {
+			return k, true, true
+		}
+		g.spoilt(k)
+	}
+	k, ok = g.open(ctx, site, until, t)
+	return k, false, ok
+}
+
+// endWithout is how a try ended that has no answer.
+func endWithout(whole bool, err error, leaves bool) End {
+	switch {
+	case !whole:
+		return Unsent
+	case errors.Is(err, http1.ErrTimeout) && leaves:
+		return Left
+	case errors.Is(err, http1.ErrTimeout):
+		return Unanswered
+	}
+	return Dropped
+}
+
 // answer reads the answer to a try and puts the connection by.
 func (g *Generator) answer(k kept, t *Try, pool *pool) error {
 	var resp message.Response
--- a/internal/peers/config.go
+++ b/internal/peers/config.go
@@ -65,9 +65,18 @@
 	if err != nil {
 		return nil, err
 	}
+	addresses := c.checkAddresses(f)
+	c.checkBounds(f)
+	c.keys(f, addresses)
+	return c, f.Err()
+}
+
+// checkAddresses fills in what follows from others and returns all addresses, the node's own first.
+func (c *Config) checkAddresses(f *tomlfile.File) []netip.AddrPort {
 	if c.Name != "" && !names.MatchString(c.Name) {
 		f.Wrong("name", "name %q: letters, digits, dots and dashes, 64 at most", c.Name)
 	}
+	var err error
 	if c.ListenAt, err = netip.ParseAddrPort(c.Listen); err != nil {
 		f.Wrong("listen", "listen %q: an address and a port are wanted", c.Listen)
 	}
@@ -95,6 +104,10 @@
 	if c.Machine == "" && addresses[1].IsValid() {
 		c.Machine = addresses[1].Addr().String()
 	}
+	return addresses
+}
+
+func (c *Config) checkBounds(f *tomlfile.File) {
 	if c.Replicas < 1 || c.Replicas > replicasMost {
 		f.Wrong("replicas", "replicas %d: from 1 to %d", c.Replicas, replicasMost)
 	}
@@ -113,8 +126,6 @@
 	if c.GoneAfter.D() < 5*time.Second {
 		f.Wrong("gone_after", "gone_after %s: 5s at least, a node may only be starting again", c.GoneAfter.D())
 	}
-	c.keys(f, addresses)
-	return c, f.Err()
 }
 
 func (c *Config) keys(f *tomlfile.File, addresses []netip.AddrPort) {
--- a/internal/peers/held.go
+++ b/internal/peers/held.go
@@ -203,59 +203,25 @@
 	return p.keeper.Lacks(j.Stream, j.To)
 }
 
+// copying is one stream on its way from this node's disk to another node.
+type copying struct {
+	p       *Peers
+	job     replicas.Job
+	live    bool            // it is this life's own stream
+	onWay   chan struct{}   // holds one for each batch that is not acknowledged
+	batch   *replicas.Batch // parts one behind the other go together
+	records int             // sent so far
+}
+
 // copy sends from disk what a node lacks of a stream, at the rate that all copying of this node keeps to.
 func (p *Peers) copy(ctx context.Context, j replicas.Job, onWay chan struct{}) (records int, err error) {
+	c := &copying{p: p, job: j, onWay: onWay}
 	p.mu.Lock()
-	live := p.origin != nil && j.Stream == p.origin.Stream()
+	c.live = p.origin != nil && j.Stream == p.origin.Stream()
 	p.mu.Unlock()
-	var b *replicas.Batch // parts one behind the other go together
-	flush := func() error {
-		if b == nil {
-			return nil
-		}
-		if err := p.limit.WaitN(ctx, len(b.Body)); err != nil {
-			return err
-		}
-		wait := time.NewTimer(ackWait)
-		defer wait.Stop()
-		select {
-		case onWay <- struct{}{}:
-		case <-wait.C:
-			return errLost
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		records += b.N
-		p.mu.Lock()
-		p.send(p.now(), []neighbours.Out{{To: j.To, What: b}})
-		p.mu.Unlock()
-		b = nil
-		return nil
-	}
-	_, err = p.read(j.Stream, func(part bindlog.Part) error {
-		p.mu.Lock()
-		lacks, there := p.lacks(j), len(p.links[j.To]) > 0
-		p.mu.Unlock()
-		if len(lacks) == 0 || !there {
-			return errLost
-		}
-		end := part.First + uint64(part.N)
-		if (replicas.Ranges{{From: part.First, To: end}}).Without(lacks).Has(part.First, end) { // it has that one
-			return nil
-		}
-		if b != nil && (b.First+uint64(b.N) != part.First || len(b.Body)+len(part.Body) > copyBytes) {
-			if err := flush(); err != nil {
-				return err
-			}
-		}
-		if b == nil {
-			b = &replicas.Batch{Stream: j.Stream, First: part.First, Origin: live}
-		}
-		b.N, b.Body = b.N+part.N, append(b.Body, part.Body...)
-		return nil
-	})
+	_, err = p.read(j.Stream, func(part bindlog.Part) error { return c.add(ctx, part) })
 	if err == nil {
-		err = flush()
+		err = c.flush(ctx)
 	}
 	for by := time.Now().Add(ackWait); len(onWay) > 0 && time.Now().Before(by) && ctx.Err() == nil; {
 		time.Sleep(tickEvery)
@@ -263,7 +229,57 @@
 	if errors.Is(err, errLost) {
 		err = nil
 	}
-	return records, err
+	return c.records, err
+}
+
+// add takes a part into the batch, if the other node lacks it, after sending the batch where the part doesn't fit it.
+func (c *copying) add(ctx context.Context, part bindlog.Part) error {
+	c.p.mu.Lock()
+	lacks, there := c.p.lacks(c.job), len(c.p.links[c.job.To]) > 0
+	c.p.mu.Unlock()
+	if len(lacks) == 0 || !there {
+		return errLost
+	}
+	end := part.First + uint64(part.N)
+	if (replicas.Ranges{{From: part.First, To: end}}).Without(lacks).Has(part.First, end) { // it has that one
+		return nil
+	}
+	if b := c.batch; b != nil && (b.First+uint64(b.N) != part.First || len(b.Body)+len(part.Body) > copyBytes) {
+		if err := c.flush(ctx); err != nil {
+			return err
+		}
+	}
+	if c.batch == nil {
+		c.batch = &replicas.Batch{Stream: c.job.Stream, First: part.First, Origin: c.live}
+	}
+	c.batch.N, c.batch.Body = c.batch.N+part.N, append(c.batch.Body, part.Body...)
+	return nil
+}
+
+// flush sends the batch, once the rate allows it and enough of those before are acknowledged.
+func (c *copying) flush(ctx context.Context) error {
+	b := c.batch
+	if b == nil {
+		return nil
+	}
+	if err := c.p.limit.WaitN(ctx, len(b.Body)); err != nil {
+		return err
+	}
+	wait := time.NewTimer(ackWait)
+	defer wait.Stop()
+	select {
+	case c.onWay <- struct{}{}:
+	case <-wait.C:
+		return errLost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	c.records += b.N
+	c.p.mu.Lock()
+	c.p.send(c.p.now(), []neighbours.Out{{To: c.job.To, What: b}})
+	c.p.mu.Unlock()
+	c.batch = nil
+	return nil
 }
 
 // tidy closes and removes what is no longer needed.
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -147,75 +147,96 @@
 // look reads what is not watched: the children if their watch has fired, and each entry whose watch has.
 func (r *Reader) look(ctx context.Context, childrenWatched *bool) (changed bool, err error) {
 	if !*childrenWatched {
-		names, _, events, err := r.conn.ChildrenW(r.path)
-		if err != nil {
-			return false, fmt.Errorf("%s: %w", r.path, err)
+		if err := r.readChildren(ctx); err != nil {
+			return false, err
 		}
 		*childrenWatched = true
-		r.follow(ctx, "", events)
-		there := make(map[string]bool, len(names))
-		for _, n := range names {
-			there[n] = true
-			if _, ok := r.held[n]; !ok {
-				r.held[n] = roster.Listed{ID: n}
-				delete(r.watched, n)
-			}
-		}
-		for n := range r.held {
-			if !there[n] {
-				delete(r.held, n)
-				delete(r.skipped, n)
-				changed = true
-			}
-		}
 		changed = true
 	}
-	type got struct {
-		name   string
-		data   []byte
-		stat   *zk.Stat
-		events <-chan zk.Event
-		err    error
+	read, err := r.readEntries(ctx)
+	return changed || read, err
+}
+
+// readChildren takes in which entries there are, and watches for others.
+func (r *Reader) readChildren(ctx context.Context) error {
+	names, _, events, err := r.conn.ChildrenW(r.path)
+	if err != nil {
+		return fmt.Errorf("%s: %w", r.path, err)
+	}
+	r.follow(ctx, "", events)
+	there := make(map[string]bool, len(names))
+	for _, n := range names {
+		there[n] = true
+		if _, ok := r.held[n]; !ok {
+			r.held[n] = roster.Listed{ID: n}
+			delete(r.watched, n)
+		}
 	}
+	for n := range r.held {
+		if !there[n] {
+			delete(r.held, n)
+			delete(r.skipped, n)
+		}
+	}
+	return nil
+}
+
+// answer is what the registry says of one entry.
+type answer struct {
+	name   string
+	data   []byte
+	stat   *zk.Stat
+	events <-chan zk.Event
+	err    error
+}
+
+// readEntries asks for all entries that are not watched, some at a time.
+func (r *Reader) readEntries(ctx context.Context) (changed bool, fault error) {
 	var ask []string
 	for n := range r.held {
 		if !r.watched[n] {
 			ask = append(ask, n)
 		}
 	}
-	answers, places := make(chan got, len(ask)), make(chan struct{}, atOnce)
+	answers, slots := make(chan answer, len(ask)), make(chan struct{}, atOnce)
 	for _, n := range ask {
-		places <- struct{}{}
+		slots <- struct{}{}
 		go func() {
-			defer func() { <-places }()
+			defer func() { <-slots }()
 			data, stat, events, err := r.conn.GetW(r.path + "/" + n)
-			answers <- got{n, data, stat, events, err}
+			answers <- answer{n, data, stat, events, err}
 		}()
 	}
-	var fault error
 	for range ask {
 		a := <-answers
 		changed = true
-		if errors.Is(a.err, zk.ErrNoNode) { // it went between the two calls; the children's watch tells
-			delete(r.held, a.name)
-			delete(r.skipped, a.name)
-			continue
-		}
-		if a.err != nil {
-			fault = fmt.Errorf("%s/%s: %w", r.path, a.name, a.err)
-			continue
+		if err := r.takeEntry(ctx, &a); err != nil {
+			fault = err
 		}
-		r.watched[a.name] = true
-		r.follow(ctx, a.name, a.events)
-		l, err := Parse(a.name, a.data)
-		if err != nil {
-			r.fault(fmt.Errorf("%s/%s: %w", r.path, a.name, err))
-			r.skipped[a.name] = true
-			continue
-		}
-		delete(r.skipped, a.name)
-		l.Owner, l.Czxid, l.Ctime = a.stat.EphemeralOwner, a.stat.Czxid, a.stat.Ctime
-		r.held[a.name] = l
 	}
 	return changed, fault
 }
+
+// takeEntry takes in an answer; an entry that cannot be read is skipped and is no error.
+func (r *Reader) takeEntry(ctx context.Context, a *answer) error {
+	if errors.Is(a.err, zk.ErrNoNode) { // it went between the two calls; the children's watch tells
+		delete(r.held, a.name)
+		delete(r.skipped, a.name)
+		return nil
+	}
+	if a.err != nil {
+		return fmt.Errorf("%s/%s: %w", r.path, a.name, a.err)
+	}
+	r.watched[a.name] = true
+	r.follow(ctx, a.name, a.events)
+	l, err := Parse(a.name, a.data)
+	if err != nil {
+		r.fault(fmt.Errorf("%s/%s: %w", r.path, a.name, err))
+		r.skipped[a.name] = true
+		return nil
+	}
+	delete(r.skipped, a.name)
+	l.Owner, l.Czxid, l.Ctime = a.stat.EphemeralOwner, a.stat.Czxid, a.stat.Ctime
+	r.held[a.name] = l
+	return nil
+}
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -20,109 +20,135 @@
 	mostRate    = 100_000
 )
 
+// checker tells by key what is wrong with a file.
+type checker struct{ *tomlfile.File }
+
+// lastOf is the last name of a key.
+func lastOf(key string) string { return key[strings.LastIndexByte(key, '.')+1:] }
+
+func (c checker) within(key string, v, least, most float64) {
+	if !(v >= least && v <= most) {
+		c.Wrong(key, "%s is %v: from %v to %v", lastOf(key), v, least, most)
+	}
+}
+
+func (c checker) oneOf(key, v string, of ...string) {
+	if !slices.Contains(of, v) {
+		c.Wrong(key, "%q is none of %s", v, strings.Join(of, ", "))
+	}
+}
+
+func (c checker) positive(key string, d Span) {
+	if d <= 0 {
+		c.Wrong(key, "%s must be above 0", lastOf(key))
+	}
+}
+
 // check fills in what a file leaves out and tells all that is wrong.
 func (s *Scenario) check(f *tomlfile.File) error {
 	s.fill()
-	within := func(key string, v, least, most float64) {
-		if !(v >= least && v <= most) {
-			f.Wrong(key, "%s is %v: from %v to %v", key[strings.LastIndexByte(key, '.')+1:], v, least, most)
-		}
-	}
-	oneOf := func(key, v string, of ...string) {
-		if !slices.Contains(of, v) {
-			f.Wrong(key, "%q is none of %s", v, strings.Join(of, ", "))
-		}
+	c := checker{f}
+	if s.Name == "" {
+		c.Wrong("name", "the scenario has no name")
 	}
-	positive := func(key string, d Span) {
-		if d <= 0 {
-			f.Wrong(key, "%s must be above 0", key[strings.LastIndexByte(key, '.')+1:])
-		}
+	c.within("length", s.Length.D().Seconds(), 0.1, mostLength.Seconds())
+	s.checkNodes(c)
+	s.checkLoad(c)
+	if len(s.Sites) == 0 || len(s.Sites) > 16 {
+		c.Wrong("sites", "from 1 to 16 sites")
 	}
-	if s.Name == "" {
-		f.Wrong("name", "the scenario has no name")
+	s.checkBoxes(c)
+	s.checkTypes(c)
+	s.checkTenants(c)
+	for i := range s.Faults {
+		s.checkFault(c, i)
 	}
-	within("length", s.Length.D().Seconds(), 0.1, mostLength.Seconds())
-	within("nodes.count", float64(s.Nodes.Count), 1, mostNodes)
-	oneOf("journal.promise", s.Journal.Promise, "", "process", "machine", "machines")
-	within("peers.replicas", float64(s.Peers.Replicas), 0, 6)
-	oneOf("journal.when_failing", s.Journal.WhenFailing, "deny", "serve")
-	oneOf("lists.start", s.Lists.Start, "known", "kept", "none")
-	within("registry.addresses", float64(s.Registry.Addresses), 0, 5)
-	within("planners.count", float64(s.Planners.Count), 0, mostPlanner)
+	return c.Err()
+}
+
+func (s *Scenario) checkNodes(c checker) {
+	c.within("nodes.count", float64(s.Nodes.Count), 1, mostNodes)
+	c.oneOf("journal.promise", s.Journal.Promise, "", "process", "machine", "machines")
+	c.within("peers.replicas", float64(s.Peers.Replicas), 0, 6)
+	c.oneOf("journal.when_failing", s.Journal.WhenFailing, "deny", "serve")
+	c.oneOf("lists.start", s.Lists.Start, "known", "kept", "none")
+	c.within("registry.addresses", float64(s.Registry.Addresses), 0, 5)
+	c.within("planners.count", float64(s.Planners.Count), 0, mostPlanner)
 	if n := len(s.Sites); n > s.Nodes.Count {
-		f.Wrong("nodes.count", "%d sites, but %d nodes: the clients of each site need one", n, s.Nodes.Count)
-	}
-	within("load.rate", s.Load.Rate, 0.1, mostRate)
-	within("load.swing", s.Load.Swing, 0, 0.95)
-	within("load.skew", s.Load.Skew, 0, 0.9)
-	within("load.over", s.Load.Over, 0, 1)
-	oneOf("load.shape", s.Load.Shape, "constant", "poisson", "bursts", "ramp", "wave")
-	within("clients.gives_up", s.Clients.GivesUp, 0.01, 1)
-	within("clients.leaves", s.Clients.Leaves, 0, 1)
-	within("clients.leaves_at", s.Clients.LeavesAt, 0.001, 1)
-	within("clients.retries", float64(s.Clients.Retries), 0, 10)
-	within("rules.most_hops", float64(s.Rules.MostHops), 1, 16)
-	if len(s.Sites) == 0 || len(s.Sites) > 16 {
-		f.Wrong("sites", "from 1 to 16 sites")
+		c.Wrong("nodes.count", "%d sites, but %d nodes: the clients of each site need one", n, s.Nodes.Count)
 	}
-	s.checkBoxes(f, within)
+}
+
+func (s *Scenario) checkLoad(c checker) {
+	c.within("load.rate", s.Load.Rate, 0.1, mostRate)
+	c.within("load.swing", s.Load.Swing, 0, 0.95)
+	c.within("load.skew", s.Load.Skew, 0, 0.9)
+	c.within("load.over", s.Load.Over, 0, 1)
+	c.oneOf("load.shape", s.Load.Shape, "constant", "poisson", "bursts", "ramp", "wave")
+	c.within("clients.gives_up", s.Clients.GivesUp, 0.01, 1)
+	c.within("clients.leaves", s.Clients.Leaves, 0, 1)
+	c.within("clients.leaves_at", s.Clients.LeavesAt, 0.001, 1)
+	c.within("clients.retries", float64(s.Clients.Retries), 0, 10)
+	c.within("rules.most_hops", float64(s.Rules.MostHops), 1, 16)
+}
+
+func (s *Scenario) checkTypes(c checker) {
 	shares := 0.0
 	if len(s.Types) == 0 {
-		f.Wrong("types", "no traffic types")
+		c.Wrong("types", "no traffic types")
 	}
 	for i := range s.Types {
 		t, key := &s.Types[i], "types."+strconv.Itoa(i)
 		shares += t.Share
-		within(key+".share", t.Share, 0, 1)
-		positive(key+".work", t.Work)
-		positive(key+".target", t.Target)
+		c.within(key+".share", t.Share, 0, 1)
+		c.positive(key+".work", t.Work)
+		c.positive(key+".target", t.Target)
 		if t.Abandon < t.Target {
-			f.Wrong(key+".abandon", "clients of %s give up before its target time", t.Name)
+			c.Wrong(key+".abandon", "clients of %s give up before its target time", t.Name)
 		}
-		oneOf(key+".dist", t.Dist, "constant", "exp", "lognormal")
-		oneOf(key+".repeat", t.Repeat, "retriable", "fingerprinted", "binding")
-		oneOf(key+".group", t.Group, "all", "zone", "cell")
+		c.oneOf(key+".dist", t.Dist, "constant", "exp", "lognormal")
+		c.oneOf(key+".repeat", t.Repeat, "retriable", "fingerprinted", "binding")
+		c.oneOf(key+".group", t.Group, "all", "zone", "cell")
 		if slices.ContainsFunc(s.Types[:i], func(o Type) bool { return o.Name == t.Name }) {
-			f.Wrong(key+".name", "a second type %q", t.Name)
+			c.Wrong(key+".name", "a second type %q", t.Name)
 		}
 	}
 	if len(s.Types) > 0 && math.Abs(shares-1) > sharesSlack {
-		f.Wrong("types.0.share", "the shares of the types add up to %.3f, not 1", shares)
+		c.Wrong("types.0.share", "the shares of the types add up to %.3f, not 1", shares)
 	}
-	shares = 0
+}
+
+func (s *Scenario) checkTenants(c checker) {
+	shares := 0.0
 	for i, t := range s.Tenants {
 		shares += t.Share
-		within("tenants."+strconv.Itoa(i)+".share", t.Share, 0, 1)
+		c.within("tenants."+strconv.Itoa(i)+".share", t.Share, 0, 1)
 	}
 	if len(s.Tenants) > 0 && math.Abs(shares-1) > sharesSlack {
-		f.Wrong("tenants.0.share", "the shares of the tenants add up to %.3f, not 1", shares)
-	}
-	for i := range s.Faults {
-		s.checkFault(f, i, within)
+		c.Wrong("tenants.0.share", "the shares of the tenants add up to %.3f, not 1", shares)
 	}
-	return f.Err()
 }
 
-func (s *Scenario) checkBoxes(f *tomlfile.File, within func(string, float64, float64, float64)) {
+func (s *Scenario) checkBoxes(c checker) {
 	total := 0
 	for i, b := range s.Boxes {
 		key := "boxes." + strconv.Itoa(i)
 		total += b.Count
-		within(key+".count", float64(b.Count), 1, mostBoxes)
-		within(key+".cores", float64(b.Cores), 1, 256)
-		within(key+".speed", b.Speed, 0.01, 1000)
-		within(key+".cold_share", b.ColdShare, 0.01, 1)
-		within(key+".key_gain", b.KeyGain, 0, 0.95)
-		within(key+".error_rate", b.ErrorRate, 0, 1)
+		c.within(key+".count", float64(b.Count), 1, mostBoxes)
+		c.within(key+".cores", float64(b.Cores), 1, 256)
+		c.within(key+".speed", b.Speed, 0.01, 1000)
+		c.within(key+".cold_share", b.ColdShare, 0.01, 1)
+		c.within(key+".key_gain", b.KeyGain, 0, 0.95)
+		c.within(key+".error_rate", b.ErrorRate, 0, 1)
 		if b.PauseEvery > 0 && b.PauseFor >= b.PauseEvery {
-			f.Wrong(key+".pause_for", "a pause of %s every %s leaves no time to work", b.PauseFor.D(), b.PauseEvery.D())
+			c.Wrong(key+".pause_for", "a pause of %s every %s leaves no time to work", b.PauseFor.D(), b.PauseEvery.D())
 		}
 		if b.Kind == "" || slices.ContainsFunc(s.Boxes[:i], func(o Boxes) bool { return o.Kind == b.Kind }) {
-			f.Wrong(key+".kind", "each kind of boxes needs a name of its own")
+			c.Wrong(key+".kind", "each kind of boxes needs a name of its own")
 		}
 	}
 	if len(s.Boxes) == 0 || total > mostBoxes {
-		f.Wrong("boxes", "%d boxes: from 1 to %d", total, mostBoxes)
+		c.Wrong("boxes", "%d boxes: from 1 to %d", total, mostBoxes)
 	}
 }
 
--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strconv"
 	"strings"
-
-	"fernvane/internal/tomlfile"
 )
 
 // target says what a kind of fault names.
@@ -95,78 +93,83 @@
 	return FaultKind{}, false
 }
 
-func (s *Scenario) checkFault(f *tomlfile.File, i int, within func(string, float64, float64, float64)) {
+func (s *Scenario) checkFault(c checker, i int) {
 	x, key := &s.Faults[i], "faults."+strconv.Itoa(i)
 	k, ok := KindOf(x.Kind)
 	if !ok {
-		f.Wrong(key+".kind", "no fault %q; `fernlab faults` lists them", x.Kind)
+		c.Wrong(key+".kind", "no fault %q; `fernlab faults` lists them", x.Kind)
 		return
 	}
 	if x.At < 0 || x.At >= s.Length {
-		f.Wrong(key+".at", "at %s, but the scenario lasts %s", x.At.D(), s.Length.D())
+		c.Wrong(key+".at", "at %s, but the scenario lasts %s", x.At.D(), s.Length.D())
 	}
 	if k.lasts && x.For <= 0 {
-		f.Wrong(key+".for", "a fault %q must last for some time", x.Kind)
+		c.Wrong(key+".for", "a fault %q must last for some time", x.Kind)
 	}
 	if x.Kind == "reload" && len(s.Operators) < 2 {
-		f.Wrong(key, "a reload needs two operators' files at least")
+		c.Wrong(key, "a reload needs two operators' files at least")
 	}
 	if k.size != "" {
-		within(key+".size", x.Size, 0.01, 10_000)
+		c.within(key+".size", x.Size, 0.01, 10_000)
 		if k.size == "share" && x.Size > 1 {
-			f.Wrong(key+".size", "size is the share that remains, 1 at most")
+			c.Wrong(key+".size", "size is the share that remains, 1 at most")
 		}
 	}
-	within(key+".share", x.Share, 0, 1)
+	c.within(key+".share", x.Share, 0, 1)
 	if k.share != "" && x.Share == 0 {
-		f.Wrong(key+".share", "share %s must be above 0", k.share)
+		c.Wrong(key+".share", "share %s must be above 0", k.share)
 	}
 	if x.When != "" {
 		if !slices.Contains(Steps, x.When) || x.Nth < 1 || len(x.Nodes) == 0 {
-			f.Wrong(key+".when", "when %q, nth %d, nodes %v: one of %s, from the first on, of a node that is named", x.When, x.Nth, x.Nodes, strings.Join(Steps, ", "))
+			c.Wrong(key+".when", "when %q, nth %d, nodes %v: one of %s, from the first on, of a node that is named", x.When, x.Nth, x.Nodes, strings.Join(Steps, ", "))
 		}
 	}
 	if s.Peers.Replicas == 0 && (k.on == links || k.on == siteLinks || x.When != "") {
-		f.Wrong(key, "there are no links between nodes for a fault %q", x.Kind)
+		c.Wrong(key, "there are no links between nodes for a fault %q", x.Kind)
 	}
+	s.checkTarget(c, key, x, k)
+}
+
+// checkTarget tells whether there is what the fault names.
+func (s *Scenario) checkTarget(c checker, key string, x *Fault, k FaultKind) {
 	switch k.on {
 	case boxes:
 		for _, name := range x.Boxes {
 			if !slices.Contains(s.BoxNames(), name) {
-				f.Wrong(key+".boxes", "no box %q", name)
+				c.Wrong(key+".boxes", "no box %q", name)
 			}
 		}
 		if len(x.Boxes) == 0 && x.Share == 0 && k.share == "" {
-			f.Wrong(key, "the fault names neither boxes nor a share of them")
+			c.Wrong(key, "the fault names neither boxes nor a share of them")
 		}
 	case nodes, anyNodes, links:
 		for _, n := range x.Nodes {
 			if n < 0 || n >= s.Nodes.Count {
-				f.Wrong(key+".nodes", "no node %d", n)
+				c.Wrong(key+".nodes", "no node %d", n)
 			}
 		}
 		if len(x.Nodes) == 0 && x.Share == 0 && k.on != anyNodes {
-			f.Wrong(key, "the fault names neither nodes nor a share of them")
+			c.Wrong(key, "the fault names neither nodes nor a share of them")
 		}
 	case planners:
 		for _, n := range x.Planners {
 			if n < 0 || n >= s.Planners.Count {
-				f.Wrong(key+".planners", "no planner %d", n)
+				c.Wrong(key+".planners", "no planner %d", n)
 			}
 		}
 		if s.Planners.Count == 0 {
-			f.Wrong(key, "there are no planners for a fault %q", x.Kind)
+			c.Wrong(key, "there are no planners for a fault %q", x.Kind)
 		}
 		if x.Half < 0 || x.Half > 1 {
-			f.Wrong(key+".half", "half is %d: 0 or 1", x.Half)
+			c.Wrong(key+".half", "half is %d: 0 or 1", x.Half)
 		}
 	case registry:
 		if s.Registry.Addresses == 0 {
-			f.Wrong(key, "there is no registry for a fault %q", x.Kind)
+			c.Wrong(key, "there is no registry for a fault %q", x.Kind)
 		}
 	case site, siteLinks:
 		if !slices.Contains(s.Sites, x.Site) {
-			f.Wrong(key+".site", "no site %q", x.Site)
+			c.Wrong(key+".site", "no site %q", x.Site)
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,58 +39,61 @@
 	return time.Duration(math.Round(ms * float64(time.Millisecond)))
 }
 
-// Decode reads the settings and tells what makes them unusable.
-func Decode(object []byte) (Settings, error) {
-	var raw struct {
-		GroupSize, Me  int
-		Zone           int
-		Granularity    float64
-		Discovery      string
-		OverageRevenue float64
-		Extra          struct{ WarmKeys bool }
-		Dcs            []string
-		Limits         struct {
-			ConnIdle       float64
-			ConnectTimeout float64
-			MaxRetryAfter  float64
-			MostHops       int
-			RetryAfter     bool
-			SecondCopies   bool
-		}
-		Rules struct {
-			AskWithin, Cold, FallMultiple, StartCapacity float64
-			StopSendingWithin                            *float64
-			OnlyDrainingBinds                            bool
-		}
-		Tenants []struct {
-			Name          string
-			AllowancePerS float64
-		}
-		TrafficTypes []struct {
-			AbandonTime, TargetTime, Window float64
-			Revenue, TardyRevenue           float64
-			Name, Idempotency, KeyScope     string
-		}
+// object is the settings as they stand on the wire; times are in milliseconds.
+type object struct {
+	GroupSize      int
+	Me             int
+	Zone           int
+	Granularity    float64
+	Discovery      string
+	OverageRevenue float64
+	Extra          struct{ WarmKeys bool }
+	Dcs            []string
+	Limits         struct {
+		ConnIdle       float64
+		ConnectTimeout float64
+		MaxRetryAfter  float64
+		MostHops       int
+		RetryAfter     bool
+		SecondCopies   bool
+	}
+	Rules struct {
+		AskWithin         float64
+		Cold              float64
+		FallMultiple      float64
+		StartCapacity     float64
+		StopSendingWithin *float64
+		OnlyDrainingBinds bool
 	}
-	if err := json.Unmarshal(object, &raw); err != nil {
+	Tenants []struct {
+		Name          string
+		AllowancePerS float64
+	}
+	TrafficTypes []trafficType
+}
+
+type trafficType struct {
+	Name         string
+	Idempotency  string
+	KeyScope     string
+	TargetTime   float64
+	AbandonTime  float64
+	Window       float64
+	Revenue      float64
+	TardyRevenue float64
+}
+
+// Decode reads the settings and tells what makes them unusable.
+func Decode(text []byte) (Settings, error) {
+	var raw object
+	if err := json.Unmarshal(text, &raw); err != nil {
 		return Settings{}, fmt.Errorf("settings cannot be read: %v", err)
 	}
 	s := Settings{Zones: raw.Dcs, ConnIdle: Span(raw.Limits.ConnIdle), DrainGrace: -1}
 	if raw.Rules.StopSendingWithin != nil {
 		s.DrainGrace = max(Span(*raw.Rules.StopSendingWithin), 0)
 	}
-	s.Settings = policy.Settings{
-		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Zone: raw.Zone, Tick: Span(raw.Granularity),
-		OverageRevenue: raw.OverageRevenue,
-		OnRequest:      raw.Discovery == "on_request",
-		MostHops:       raw.Limits.MostHops,
-		Copies:         raw.Limits.SecondCopies,
-		WarmKeys:       raw.Extra.WarmKeys,
-		ConnectTimeout: Span(raw.Limits.ConnectTimeout),
-		AskWithin:      Span(raw.Rules.AskWithin), ColdFor: Span(raw.Rules.Cold),
-		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
-		OnlyDraining: raw.Rules.OnlyDrainingBinds,
-	}
+	s.Settings = raw.figures()
 	if raw.Limits.RetryAfter {
 		s.MaxRetryIn = Span(raw.Limits.MaxRetryAfter)
 	}
@@ -105,36 +108,61 @@
 		s.AllowancePerS = append(s.AllowancePerS, t.AllowancePerS)
 	}
 	for i, t := range raw.TrafficTypes {
-		tt := policy.TrafficType{TargetTime: Span(t.TargetTime), AbandonTime: Span(t.AbandonTime),
-			Window: Span(t.Window), Revenue: t.Revenue, LateRevenue: t.TardyRevenue}
-		if tt.TargetTime <= 0 {
-			return s, fmt.Errorf("traffic type %d has no target time", i)
-		}
-		if t.TardyRevenue < 0 || t.TardyRevenue > 1 {
-			return s, fmt.Errorf("traffic type %d: tardyRevenue is %g, a share of the revenue from 0 to 1 is wanted", i, t.TardyRevenue)
-		}
-		switch t.Idempotency {
-		case "safe":
-			tt.Repeat = policy.Retriable
-		case "keyed":
-			tt.Repeat = policy.Fingerprinted
-		case "unsafe":
-			tt.Repeat = policy.Binding
-		default:
-			return s, fmt.Errorf("traffic type %d: unknown idempotency %q", i, t.Idempotency)
-		}
-		switch t.KeyScope {
-		case "all", "":
-			tt.Group = policy.GroupAll
-		case "zone":
-			tt.Group = policy.GroupZone
-		case "cell":
-			tt.Group = policy.GroupCell
-		default:
-			return s, fmt.Errorf("traffic type %d: unknown keyScope %q", i, t.KeyScope)
+		decoded, err := t.decode(i)
+		if err != nil {
+			return s, err
 		}
 		s.TypeNames = append(s.TypeNames, t.Name)
-		s.Types = append(s.Types, tt)
+		s.Types = append(s.Types, decoded)
 	}
 	return s, nil
 }
+
+// figures are those that stand in the object as the module wants them.
+func (raw *object) figures() policy.Settings {
+	return policy.Settings{
+		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Zone: raw.Zone, Tick: Span(raw.Granularity),
+		OverageRevenue: raw.OverageRevenue,
+		OnRequest:      raw.Discovery == "on_request",
+		MostHops:       raw.Limits.MostHops,
+		Copies:         raw.Limits.SecondCopies,
+		WarmKeys:       raw.Extra.WarmKeys,
+		ConnectTimeout: Span(raw.Limits.ConnectTimeout),
+		AskWithin:      Span(raw.Rules.AskWithin), ColdFor: Span(raw.Rules.Cold),
+		ColdStart: raw.Rules.StartCapacity, FallMultiple: raw.Rules.FallMultiple,
+		OnlyDraining: raw.Rules.OnlyDrainingBinds,
+	}
+}
+
+// decode reads the type that stands at a place of the list.
+func (t *trafficType) decode(i int) (policy.TrafficType, error) {
+	tt := policy.TrafficType{TargetTime: Span(t.TargetTime), AbandonTime: Span(t.AbandonTime),
+		Window: Span(t.Window), Revenue: t.Revenue, LateRevenue: t.TardyRevenue}
+	if tt.TargetTime <= 0 {
+		return tt, fmt.Errorf("traffic type %d has no target time", i)
+	}
+	if t.TardyRevenue < 0 || t.TardyRevenue > 1 {
+		return tt, fmt.Errorf("traffic type %d: tardyRevenue is %g, a share of the revenue from 0 to 1 is wanted", i, t.TardyRevenue)
+	}
+	switch t.Idempotency {
+	case "safe":
+		tt.Repeat = policy.Retriable
+	case "keyed":
+		tt.Repeat = policy.Fingerprinted
+	case "unsafe":
+		tt.Repeat = policy.Binding
+	default:
+		return tt, fmt.Errorf("traffic type %d: unknown idempotency %q", i, t.Idempotency)
+	}
+	switch t.KeyScope {
+	case "all", "":
+		tt.Group = policy.GroupAll
+	case "zone":
+		tt.Group = policy.GroupZone
+	case "cell":
+		tt.Group = policy.GroupCell
+	default:
+		return tt, fmt.Errorf("traffic type %d: unknown keyScope %q", i, t.KeyScope)
+	}
+	return tt, nil
+}
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -274,29 +274,7 @@
 		work += b.f.Handshake
 	}
 	h := &hop{id: id, ended: make(chan What, 1)}
-	var verdict Verdict
-	fell := false
-	b.do(func(now time.Duration) {
-		b.last++
-		b.hops[b.last] = h
-		verdict = b.model.Offer(now, Job{ID: b.last, Work: work, Key: asked.Key, Until: last + time.Duration(left*float64(time.Second))}, b.event)
-		if verdict != Taken {
-			delete(b.hops, b.last)
-		}
-		if verdict == Down && b.model.Fallen() {
-			fell = true
-		}
-	})
-	if verdict == Down {
-		b.watch.Over(id, b.Number, b.now(), false)
-	}
-	if fell {
-		b.watch.Fell(b.Number, b.now())
-		for _, l := range b.listeners {
-			l.Leave()
-		}
-	}
-	switch verdict {
+	switch b.offer(h, Job{Work: work, Key: asked.Key, Until: last + time.Duration(left*float64(time.Second))}) {
 	case Full:
 		return b.turnAway(p, id, 503)
 	case Down:
@@ -321,6 +299,31 @@
 	return b.reply(p, id, text, faults)
 }
 
+// offer gives the model a hop; a box that falls under it leaves its addresses.
+func (b *Box) offer(h *hop, j Job) (verdict Verdict) {
+	fell := false
+	b.do(func(now time.Duration) {
+		b.last++
+		b.hops[b.last] = h
+		j.ID = b.last
+		verdict = b.model.Offer(now, j, b.event)
+		if verdict != Taken {
+			delete(b.hops, b.last)
+		}
+		fell = verdict == Down && b.model.Fallen()
+	})
+	if verdict == Down {
+		b.watch.Over(h.id, b.Number, b.now(), false)
+	}
+	if fell {
+		b.watch.Fell(b.Number, b.now())
+		for _, l := range b.listeners {
+			l.Leave()
+		}
+	}
+	return verdict
+}
+
 // work waits for the end of a hop, which its caller's leaving does not change; gone tells that it has left, and that
 // the watcher was told that the hop is over.
 func (b *Box) work(p peer, h *hop) (what What, gone bool) {
--- a/internal/standin/registry/requests.go
+++ b/internal/standin/registry/requests.go
@@ -21,6 +21,13 @@
 	opClose     = -11
 )
 
+// reply is what a request is answered with.
+type reply struct {
+	code int32
+	body writer
+	tell func() // tells the watcher what the reader was told, once it was; nil for nothing
+}
+
 // request answers one; false ends the connection.
 func (s *Server) request(c *conn, b []byte) bool {
 	q := reader{b: b}
@@ -42,95 +49,16 @@
 	if op != opPing {
 		r.calls++
 	}
-	var body writer
-	tell := func() {}
-	code := int32(ok)
-	switch op {
-	case opPing, opAuth:
-	case opClose:
-		r.end(c.session, time.Now())
-	case opSync:
-		s.lagless(time.Now())
-		body.string(q.string())
-	case opCreate:
-		code = s.create(c, &q, &body)
-	case opDelete:
-		p, version := q.string(), q.int()
-		n := r.head.nodes[p]
-		switch {
-		case n == nil:
-			code = noNode
-		case version >= 0 && version != n.version:
-			code = badVersion
-		case len(n.children) > 0:
-			code = notEmpty
-		default:
-			r.commit(change{op: deleted, path: p, at: time.Now()})
-		}
-	case opSetData:
-		p, data, version := q.string(), slices.Clone(q.buffer()), q.int()
-		n := r.head.nodes[p]
-		switch {
-		case n == nil:
-			code = noNode
-		case version >= 0 && version != n.version:
-			code = badVersion
-		default:
-			r.commit(change{op: changed, path: p, data: data, at: time.Now()})
-			body.stat(r.head.nodes[p])
-		}
-	case opExists, opGetData, opChildren, opChildren2:
-		p, watch := q.string(), q.bool()
-		n := s.tree.nodes[p]
-		switch {
-		case n == nil && op == opExists && watch:
-			c.exist[p] = true
-			code = noNode
-		case n == nil:
-			code = noNode
-		default:
-			if watch && (op == opExists || op == opGetData) {
-				c.data[p] = true
-			} else if watch {
-				c.child[p] = true
-			}
-			switch op {
-			case opExists:
-				body.stat(n)
-			case opGetData:
-				body.buffer(n.data)
-				body.stat(n)
-				data := slices.Clone(n.data)
-				tell = func() { r.watch.Data(s.reader, p, data, time.Now()) }
-			default:
-				names := s.tree.names(p)
-				body.strings(names)
-				var all []Child
-				for _, name := range names {
-					if c := s.tree.nodes[join(p, name)]; c != nil {
-						all = append(all, Child{name, c.czxid})
-					}
-				}
-				tell = func() { r.watch.Told(s.reader, p, all, time.Now()) }
-				if op == opChildren2 {
-					body.stat(n)
-				}
-			}
-		}
-	case opWatches:
-		s.rewatch(c, &q)
-	default:
-		code = unknownOp
-	}
+	answer := s.answer(c, op, &q)
 	if q.bad {
-		code = badArgs
+		answer.code = badArgs
 	}
 	var w writer
 	w.int(xid)
 	w.long(s.tree.zxid)
-	w.int(code)
-	if code == ok {
-		w = append(w, body...)
+	w.int(answer.code)
+	if answer.code == ok {
+		w = append(w, answer.body...)
 	}
 	if s.spoil > 0 && op != opPing && op != opClose {
 		if s.spoilt++; s.spoilt%s.spoil == 0 {
@@ -142,12 +70,111 @@
 	}
 	r.mu.Unlock()
 	c.send(w)
-	if code == ok && r.watch != nil {
-		tell()
+	if answer.code == ok && r.watch != nil && answer.tell != nil {
+		answer.tell()
 	}
 	return op != opClose
 }
 
+// answer does what is asked; the lock is held.
+func (s *Server) answer(c *conn, op int32, q *reader) (a reply) {
+	a.code = ok
+	switch op {
+	case opPing, opAuth:
+	case opClose:
+		s.r.end(c.session, time.Now())
+	case opSync:
+		s.lagless(time.Now())
+		a.body.string(q.string())
+	case opCreate:
+		a.code = s.create(c, q, &a.body)
+	case opDelete:
+		a.code = s.remove(q)
+	case opSetData:
+		a.code = s.setData(q, &a.body)
+	case opExists, opGetData, opChildren, opChildren2:
+		s.read(c, op, q, &a)
+	case opWatches:
+		s.rewatch(c, q)
+	default:
+		a.code = unknownOp
+	}
+	return a
+}
+
+func (s *Server) remove(q *reader) int32 {
+	p, version := q.string(), q.int()
+	n := s.r.head.nodes[p]
+	switch {
+	case n == nil:
+		return noNode
+	case version >= 0 && version != n.version:
+		return badVersion
+	case len(n.children) > 0:
+		return notEmpty
+	}
+	s.r.commit(change{op: deleted, path: p, at: time.Now()})
+	return ok
+}
+
+func (s *Server) setData(q *reader, body *writer) int32 {
+	p, data, version := q.string(), slices.Clone(q.buffer()), q.int()
+	n := s.r.head.nodes[p]
+	switch {
+	case n == nil:
+		return noNode
+	case version >= 0 && version != n.version:
+		return badVersion
+	}
+	s.r.commit(change{op: changed, path: p, data: data, at: time.Now()})
+	body.stat(s.r.head.nodes[p])
+	return ok
+}
+
+// read answers from the tree as this server has seen it, and sets the watch that is asked for.
+func (s *Server) read(c *conn, op int32, q *reader, a *reply) {
+	p, watch := q.string(), q.bool()
+	n := s.tree.nodes[p]
+	if n == nil {
+		if op == opExists && watch {
+			c.exist[p] = true
+		}
+		a.code = noNode
+		return
+	}
+	if watch && (op == opExists || op == opGetData) {
+		c.data[p] = true
+	} else if watch {
+		c.child[p] = true
+	}
+	switch op {
+	case opExists:
+		a.body.stat(n)
+	case opGetData:
+		a.body.buffer(n.data)
+		a.body.stat(n)
+		data := slices.Clone(n.data)
+		a.tell = func() { s.r.watch.Data(s.reader, p, data, time.Now()) }
+	default:
+		s.readChildren(p, a)
+		if op == opChildren2 {
+			a.body.stat(n)
+		}
+	}
+}
+
+func (s *Server) readChildren(p string, a *reply) {
+	names := s.tree.names(p)
+	a.body.strings(names)
+	var all []Child
+	for _, name := range names {
+		if c := s.tree.nodes[join(p, name)]; c != nil {
+			all = append(all, Child{name, c.czxid})
+		}
+	}
+	a.tell = func() { s.r.watch.Told(s.reader, p, all, time.Now()) }
+}
+
 // lagless has the server see all that was agreed on, as a sync does.
 func (s *Server) lagless(now time.Time) {
 	lag := s.lag
--- /dev/null
+++ b/internal/wire/parser.go
@@ -0,0 +1,177 @@
+package wire
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"fernvane/internal/settings"
+	"fernvane/policy"
+)
+
+type parser struct {
+	fields []field
+	err    error
+}
+
+func (p *parser) fail(why string) {
+	if p.err == nil {
+		p.err = errors.New(why)
+	}
+}
+
+func (p *parser) find(name string) ([]byte, bool) {
+	for i := range p.fields {
+		if string(p.fields[i].name) == name {
+			return p.fields[i].value, true
+		}
+	}
+	return nil, false
+}
+
+func (p *parser) int(name string, must bool) int {
+	v, ok := p.find(name)
+	if !ok {
+		if must {
+			p.fail(name + " is missing")
+		}
+		return 0
+	}
+	n, err := strconv.Atoi(string(v))
+	if err != nil || n < 0 || n > math.MaxInt32 {
+		p.fail(name + " is not a small number")
+		return 0
+	}
+	return n
+}
+
+func (p *parser) number(name string, absent float64) float64 {
+	v, ok := p.find(name)
+	if !ok {
+		return absent
+	}
+	x, err := strconv.ParseFloat(string(v), 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		p.fail(name + " is not a number")
+		return absent
+	}
+	return x
+}
+
+func (p *parser) parseSpan(name string, v []byte) time.Duration {
+	x, err := strconv.ParseFloat(string(v), 64)
+	if err != nil || math.IsNaN(x) || math.Abs(x) > 1e12 {
+		p.fail(name + " is not a time")
+		return 0
+	}
+	return settings.Span(x)
+}
+
+func (p *parser) span(name string, must bool) time.Duration {
+	v, ok := p.find(name)
+	if !ok {
+		if must {
+			p.fail(name + " is missing")
+		}
+		return 0
+	}
+	return p.parseSpan(name, v)
+}
+
+func (p *parser) job() uint64 {
+	v, _ := p.find("job")
+	n, err := strconv.ParseUint(string(v), 16, 64)
+	if err != nil || len(v) != 16 {
+		p.fail("job is not 16 hex digits")
+	}
+	return n
+}
+
+func (p *parser) server() uint32 {
+	v, _ := p.find("server")
+	n, err := strconv.ParseUint(string(v), 10, 32)
+	if err != nil {
+		p.fail("server is not a number")
+	}
+	return uint32(n)
+}
+
+// entry reads a line of a server list.
+func (p *parser) entry() Entry {
+	e := Entry{Server: p.server(), Zone: p.int("hall", false), Cell: p.int("unitGroup", false),
+		Condition: p.condition(), Scale: p.number("scale", 1)}
+	if at, ok := p.find("lastStart"); ok {
+		e.Start = p.parseSpan("lastStart", at)
+		e.HasStart = e.Start != 0
+	}
+	return e
+}
+
+// seed folds the 64 bits of entropy that an instance is given.
+func (p *parser) seed() uint32 {
+	text, _ := p.find("entropy")
+	if n, err := strconv.ParseInt(string(text), 10, 64); err == nil {
+		return uint32(n) ^ uint32(n>>32)
+	}
+	u, err := strconv.ParseUint(string(text), 10, 64)
+	if err != nil {
+		p.fail("entropy is not a number")
+		return 0
+	}
+	return uint32(u) ^ uint32(u>>32)
+}
+
+func (p *parser) scope() policy.Scope {
+	text, _ := p.find("scope")
+	switch string(text) {
+	case "INCREMENTAL":
+		return policy.Changes
+	case "FULL":
+		return policy.Whole
+	case "SAVED":
+		return policy.Saved
+	case "FAILED":
+		return policy.Unavailable
+	}
+	p.fail("unknown scope")
+	return policy.Changes
+}
+
+func (p *parser) condition() policy.Condition {
+	v, _ := p.find("condition")
+	switch string(v) {
+	case "up", "":
+		return policy.Up
+	case "draining":
+		return policy.Draining
+	case "removed":
+		return policy.Gone
+	}
+	p.fail("unknown condition")
+	return policy.Gone
+}
+
+func (p *parser) outcome() policy.Outcome {
+	v, _ := p.find("verdict")
+	switch string(v) {
+	case "success":
+		return policy.Success
+	case "failure":
+		return policy.Failure
+	case "overloaded":
+		return policy.Overloaded
+	case "timed_out":
+		return policy.TimedOut
+	case "unreachable":
+		return policy.Unreachable
+	case "broken":
+		return policy.Broken
+	case "withdrawn":
+		return policy.Withdrawn
+	case "void":
+		return policy.Void
+	}
+	p.fail("unknown verdict")
+	return policy.Broken
+}
