--- a/cmd/fernlab/journal.go
+++ b/cmd/fernlab/journal.go
@@ -5,12 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
-	"golang.org/x/sync/errgroup"
 
 	"fernvane/internal/lab"
 	"fernvane/internal/load"
@@ -124,156 +122,6 @@
 		}}
 }
 
-// lossesCommand loses machines with their disks again and again, in several tiers at a time.
-func lossesCommand() *cobra.Command {
-	var n, atOnce int
-	var seed uint64
-	var promise string
-	c := &cobra.Command{Use: "losses", Short: "Lose machines with their disks again and again, and look for each docket in what is left", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			command, err := self()
-			if err != nil {
-				return err
-			}
-			var mu sync.Mutex
-			var sum lab.Journal
-			broken := map[string]int{}
-			worst := map[string]string{}
-			var fault error
-			var g errgroup.Group
-			runs := uint64(0)
-			for range atOnce {
-				g.Go(func() error {
-					for {
-						mu.Lock()
-						if sum.Losses >= n || fault != nil || c.Context().Err() != nil {
-							mu.Unlock()
-							return nil
-						}
-						runs++
-						s, err := scenario.Load("replicas-losses")
-						if err != nil {
-							mu.Unlock()
-							return err
-						}
-						s.Seed, s.Journal.Promise = seed+runs, promise
-						s.Length = scenario.Span(2 * time.Minute)
-						s.Faults[0].For = scenario.Span(118 * time.Second)
-						if promise != "machines" {
-							s.Peers.Replicas = 0
-						}
-						mu.Unlock()
-						out, err := lab.Run(c.Context(), lab.Options{Scenario: s, Ops: load.Plan(s), Command: command})
-						mu.Lock()
-						if err != nil {
-							fault = err
-							mu.Unlock()
-							return err
-						}
-						j := out.Journal
-						sum.Losses, sum.Cycles, sum.Entries, sum.Ran, sum.Possibly, sum.Open, sum.Gaps = sum.Losses+j.Losses, sum.Cycles+j.Cycles, sum.Entries+j.Entries,
-							sum.Ran+j.Ran, sum.Possibly+j.Possibly, sum.Open+j.Open, sum.Gaps+j.Gaps
-						for _, r := range out.Rules {
-							if broken[r.Name] += r.Broken; r.Broken > 0 && worst[r.Name] == "" {
-								worst[r.Name] = r.Worst
-							}
-						}
-						fmt.Fprintf(c.ErrOrStderr(), "seed %d: %d machines lost in %d cycles, service %.4f, %d dockets\n", s.Seed, j.Losses, j.Cycles, out.Service(), j.Ran)
-						mu.Unlock()
-					}
-				})
-			}
-			if err := g.Wait(); err != nil {
-				return err
-			}
-			fmt.Fprintf(c.OutOrStdout(), "%d machines lost in %d cycles, promise %s: %d entries, %d dockets, %d possibly sent, %d of them not settled by dockets, %d words in gaps\n",
-				sum.Losses, sum.Cycles, promise, sum.Entries, sum.Ran, sum.Possibly, sum.Open, sum.Gaps)
-			for name, n := range broken {
-				if n > 0 {
-					fmt.Fprintf(c.OutOrStdout(), "broken %d times: %s: %s\n", n, name, worst[name])
-					err = exit(exitBroken)
-				}
-			}
-			return err
-		}}
-	c.Flags().IntVarP(&n, "losses", "n", 1000, "how many, at least")
-	c.Flags().IntVar(&atOnce, "at-once", 3, "tiers of 12 nodes at a time")
-	c.Flags().Uint64Var(&seed, "seed", 6100, "before that of the first run")
-	c.Flags().StringVar(&promise, "promise", "machines", "process, machine or machines")
-	return c
-}
-
-// stepsCommand takes a machine or a process away at each step of copying and of copying on.
-func stepsCommand() *cobra.Command {
-	var atOnce int
-	c := &cobra.Command{Use: "steps", Short: "Lose, kill or stop a node at each step of copying, taking over and repairing, one after another", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			command, err := self()
-			if err != nil {
-				return err
-			}
-			type row struct {
-				name string
-				s    *scenario.Scenario
-				line string
-				bad  bool
-			}
-			var rows []*row
-			for _, phase := range []string{"copying", "repairing"} {
-				for _, what := range []string{"lose-machines", "kill-nodes", "stop-nodes"} {
-					for _, step := range []string{"news", "offer", "have", "batch", "ack"} {
-						for _, nth := range []int{1, 2, 5} {
-							s, err := scenario.Load("replicas-losses")
-							if err != nil {
-								return err
-							}
-							s.Nodes.Count, s.Load.Rate, s.Length, s.Seed = 6, 150, scenario.Span(9*time.Second), uint64(7000+len(rows))
-							s.Faults = []scenario.Fault{{Kind: what, At: scenario.Span(500 * time.Millisecond), For: scenario.Span(400 * time.Millisecond), Nodes: []int{1}, When: step, Nth: nth}}
-							if phase == "repairing" { // of node 0's journal, which is lost with it
-								lost := scenario.Fault{Kind: "lose-machines", At: scenario.Span(time.Second), For: scenario.Span(6 * time.Second), Nodes: []int{0}}
-								s.Faults[0].At = scenario.Span(4 * time.Second)
-								s.Faults = append(s.Faults, lost)
-							}
-							rows = append(rows, &row{name: fmt.Sprintf("%s\t%s\t%s\t%d", phase, what, step, nth), s: s})
-						}
-					}
-				}
-			}
-			var g errgroup.Group
-			g.SetLimit(atOnce)
-			for _, r := range rows {
-				g.Go(func() error {
-					out, err := lab.Run(c.Context(), lab.Options{Scenario: r.s, Ops: load.Plan(r.s), Command: command})
-					if err != nil {
-						return err
-					}
-					verdict := "kept"
-					for _, rule := range out.Rules {
-						if rule.Broken > 0 {
-							verdict, r.bad = fmt.Sprintf("%s broken %d times: %s", rule.Name, rule.Broken, rule.Worst), true
-						}
-					}
-					r.line = fmt.Sprintf("%s\t%d\t%d\t%.4f\t%s", r.name, out.Journal.Ran, out.Journal.Possibly, out.Service(), verdict)
-					return nil
-				})
-			}
-			if err := g.Wait(); err != nil {
-				return err
-			}
-			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-			fmt.Fprintln(t, "while\tbefalls node 1\tat\tnth\tdockets\tpossibly sent\tservice\trules")
-			for _, r := range rows {
-				fmt.Fprintln(t, r.line)
-				if r.bad {
-					err = exit(exitBroken)
-				}
-			}
-			return errors.Join(t.Flush(), err)
-		}}
-	c.Flags().IntVar(&atOnce, "at-once", 4, "tiers of 6 nodes at a time")
-	return c
-}
-
 // repairCommand measures how long it takes until a journal that stands on one machine stands on enough.
 func repairCommand() *cobra.Command {
 	var n, rate int
--- /dev/null
+++ b/cmd/fernlab/losses.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"fernvane/internal/lab"
+	"fernvane/internal/load"
+	"fernvane/internal/scenario"
+)
+
+// lossesCommand loses machines with their disks again and again, in several tiers at a time.
+func lossesCommand() *cobra.Command {
+	var n, atOnce int
+	var seed uint64
+	var promise string
+	c := &cobra.Command{Use: "losses", Short: "Lose machines with their disks again and again, and look for each docket in what is left", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			command, err := self()
+			if err != nil {
+				return err
+			}
+			l := &losses{wanted: n, seed: seed, promise: promise, command: command, progress: c.ErrOrStderr(),
+				broken: map[string]int{}, worst: map[string]string{}}
+			var g errgroup.Group
+			for range atOnce {
+				g.Go(func() error { return l.repeat(c.Context()) })
+			}
+			if err := g.Wait(); err != nil {
+				return err
+			}
+			return l.tell(c.OutOrStdout())
+		}}
+	c.Flags().IntVarP(&n, "losses", "n", 1000, "how many, at least")
+	c.Flags().IntVar(&atOnce, "at-once", 3, "tiers of 12 nodes at a time")
+	c.Flags().Uint64Var(&seed, "seed", 6100, "before that of the first run")
+	c.Flags().StringVar(&promise, "promise", "machines", "process, machine or machines")
+	return c
+}
+
+// losses are runs of a tier that loses machines, several at a time, until enough were lost.
+type losses struct {
+	wanted   int
+	seed     uint64
+	promise  string
+	command  []string
+	progress io.Writer
+
+	mu     sync.Mutex
+	runs   uint64
+	sum    lab.Journal
+	broken map[string]int
+	worst  map[string]string
+	fault  error
+}
+
+// repeat plays one run after the other until enough machines were lost or a run cannot be played.
+func (l *losses) repeat(ctx context.Context) error {
+	for {
+		s, err := l.next(ctx)
+		if s == nil || err != nil {
+			return err
+		}
+		out, err := lab.Run(ctx, lab.Options{Scenario: s, Ops: load.Plan(s), Command: l.command})
+		if err := l.add(s, out, err); err != nil {
+			return err
+		}
+	}
+}
+
+// next is the scenario of the next run; nil where no more are needed.
+func (l *losses) next(ctx context.Context) (*scenario.Scenario, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sum.Losses >= l.wanted || l.fault != nil || ctx.Err() != nil {
+		return nil, nil
+	}
+	l.runs++
+	s, err := scenario.Load("replicas-losses")
+	if err != nil {
+		return nil, err
+	}
+	s.Seed, s.Journal.Promise = l.seed+l.runs, l.promise
+	s.Length = scenario.Span(2 * time.Minute)
+	s.Faults[0].For = scenario.Span(118 * time.Second)
+	if l.promise != "machines" {
+		s.Peers.Replicas = 0
+	}
+	return s, nil
+}
+
+// add counts a run.
+func (l *losses) add(s *scenario.Scenario, out *lab.Outcome, err error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.fault = err
+		return err
+	}
+	j := out.Journal
+	l.sum.Losses += j.Losses
+	l.sum.Cycles += j.Cycles
+	l.sum.Entries += j.Entries
+	l.sum.Ran += j.Ran
+	l.sum.Possibly += j.Possibly
+	l.sum.Open += j.Open
+	l.sum.Gaps += j.Gaps
+	for _, r := range out.Rules {
+		if l.broken[r.Name] += r.Broken; r.Broken > 0 && l.worst[r.Name] == "" {
+			l.worst[r.Name] = r.Worst
+		}
+	}
+	fmt.Fprintf(l.progress, "seed %d: %d machines lost in %d cycles, service %.4f, %d dockets\n", s.Seed, j.Losses, j.Cycles, out.Service(), j.Ran)
+	return nil
+}
+
+// tell prints the sum, and fails where a rule was broken.
+func (l *losses) tell(out io.Writer) (err error) {
+	fmt.Fprintf(out, "%d machines lost in %d cycles, promise %s: %d entries, %d dockets, %d possibly sent, %d of them not settled by dockets, %d words in gaps\n",
+		l.sum.Losses, l.sum.Cycles, l.promise, l.sum.Entries, l.sum.Ran, l.sum.Possibly, l.sum.Open, l.sum.Gaps)
+	for name, n := range l.broken {
+		if n > 0 {
+			fmt.Fprintf(out, "broken %d times: %s: %s\n", n, name, l.worst[name])
+			err = exit(exitBroken)
+		}
+	}
+	return err
+}
--- a/cmd/fernlab/run.go
+++ b/cmd/fernlab/run.go
@@ -97,30 +97,10 @@
 	if err != nil {
 		return err
 	}
-	if _, ok := baseline.Find(f.policy); !ok {
-		return fmt.Errorf("no policy %q", f.policy)
-	}
-	ops := load.Plan(s)
-	if f.trace != "" {
-		if ops, err = load.LoadTrace(f.trace, s); err != nil {
-			return err
-		}
-	}
-	command, name := []string{"", nodeCommand}, "fernvane"
-	if command[0], err = os.Executable(); err != nil {
-		return err
-	}
-	if f.node != "" {
-		command, name = []string{f.node, "serve"}, f.node
-	}
-	if f.policy != "" {
-		name = f.policy
-	}
-	self, err := os.Executable()
+	o, name, err := f.options(s)
 	if err != nil {
 		return err
 	}
-	o := lab.Options{Scenario: s, Ops: ops, Command: command, Planner: []string{self, planCommand}, Keep: f.keep, Env: []string{policyVar + "=" + f.policy}}
 	if !f.quiet {
 		fmt.Fprintf(errs, "%s: starting %d nodes and %d boxes\n", s.Name, s.Nodes.Count, len(s.BoxNames()))
 		o.Progress = progress(errs, s.Length.D())
@@ -135,35 +115,10 @@
 			return err
 		}
 	}
-	other, name := s.Single(), "single-level"
-	if s.Registry.Addresses > 0 {
-		other, name = s.Discovered(), "discovery"
-	}
-	if (s.Planners.Count > 0 || s.Registry.Addresses > 0) && !f.alone {
-		r.Policy = map[string]string{"single-level": "with planners", "discovery": "registry"}[name]
-		o := o
-		if o.Scenario = other; o.Keep != "" {
-			o.Keep += "-" + name
-		}
-		one, err := once(ctx, o, name)
-		if err != nil {
+	if !f.alone {
+		if err := variants(ctx, o, &r); err != nil {
 			return err
 		}
-		r.Baselines = append(r.Baselines, one)
-	}
-	if s.Lists.Start == "kept" && !f.alone {
-		r.Policy = "kept list"
-		for _, with := range []string{"known", "none"} {
-			o, name := o, map[string]string{"known": "fresh list", "none": "no list"}[with]
-			if o.Scenario = s.Started(with); o.Keep != "" {
-				o.Keep += "-" + with
-			}
-			one, err := once(ctx, o, name)
-			if err != nil {
-				return err
-			}
-			r.Baselines = append(r.Baselines, one)
-		}
 	}
 	if len(others) > 0 {
 		if !f.quiet {
@@ -180,6 +135,76 @@
 	if !f.quiet {
 		fmt.Fprintln(errs)
 	}
+	if err := f.write(out, &r); err != nil {
+		return err
+	}
+	return verdict(&r, s.Pairings)
+}
+
+// options of the node's own run, and its name in the report.
+func (f *runFlags) options(s *scenario.Scenario) (o lab.Options, name string, err error) {
+	if _, ok := baseline.Find(f.policy); !ok {
+		return o, "", fmt.Errorf("no policy %q", f.policy)
+	}
+	ops := load.Plan(s)
+	if f.trace != "" {
+		if ops, err = load.LoadTrace(f.trace, s); err != nil {
+			return o, "", err
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return o, "", err
+	}
+	command, name := []string{self, nodeCommand}, "fernvane"
+	if f.node != "" {
+		command, name = []string{f.node, "serve"}, f.node
+	}
+	if f.policy != "" {
+		name = f.policy
+	}
+	return lab.Options{Scenario: s, Ops: ops, Command: command, Planner: []string{self, planCommand}, Keep: f.keep,
+		Env: []string{policyVar + "=" + f.policy}}, name, nil
+}
+
+// variants plays the scenario without what it is about: planners, the registry, or the kept list.
+func variants(ctx context.Context, o lab.Options, r *report.Report) error {
+	s := o.Scenario
+	play := func(other *scenario.Scenario, suffix, name string) error {
+		o := o
+		if o.Scenario = other; o.Keep != "" {
+			o.Keep += "-" + suffix
+		}
+		one, err := once(ctx, o, name)
+		if err == nil {
+			r.Baselines = append(r.Baselines, one)
+		}
+		return err
+	}
+	switch {
+	case s.Registry.Addresses > 0:
+		r.Policy = "registry"
+		if err := play(s.Discovered(), "discovery", "discovery"); err != nil {
+			return err
+		}
+	case s.Planners.Count > 0:
+		r.Policy = "with planners"
+		if err := play(s.Single(), "single-level", "single-level"); err != nil {
+			return err
+		}
+	}
+	if s.Lists.Start != "kept" {
+		return nil
+	}
+	r.Policy = "kept list"
+	if err := play(s.Started("known"), "known", "fresh list"); err != nil {
+		return err
+	}
+	return play(s.Started("none"), "none", "no list")
+}
+
+// write writes the report wherever the flags ask for it.
+func (f *runFlags) write(out io.Writer, r *report.Report) error {
 	if r.Text(out); f.seconds {
 		r.Table(out)
 	}
@@ -189,21 +214,25 @@
 		}
 	}
 	if f.plot != "" {
-		if err := r.Plot(f.plot); err != nil {
-			return err
-		}
+		return r.Plot(f.plot)
 	}
+	return nil
+}
+
+// verdict is how the program exits.
+func verdict(r *report.Report, pairings bool) error {
 	switch {
 	case r.Generator.Behind:
 		return exit(exitInvalid)
 	case r.Broken() > 0:
 		return exit(exitBroken)
 	}
-	if s.Pairings {
-		for _, p := range r.Baselines {
-			if p.Broken() > 0 {
-				return exit(exitBroken)
-			}
+	if !pairings {
+		return nil
+	}
+	for _, p := range r.Baselines {
+		if p.Broken() > 0 {
+			return exit(exitBroken)
 		}
 	}
 	return nil
--- /dev/null
+++ b/cmd/fernlab/steps.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"fernvane/internal/lab"
+	"fernvane/internal/load"
+	"fernvane/internal/scenario"
+)
+
+// stepsCommand takes a machine or a process away at each step of copying and of copying on.
+func stepsCommand() *cobra.Command {
+	var atOnce int
+	c := &cobra.Command{Use: "steps", Short: "Lose, kill or stop a node at each step of copying, taking over and repairing, one after another", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			command, err := self()
+			if err != nil {
+				return err
+			}
+			rows, err := stepRows()
+			if err != nil {
+				return err
+			}
+			var g errgroup.Group
+			g.SetLimit(atOnce)
+			for _, r := range rows {
+				g.Go(func() error { return r.play(c.Context(), command) })
+			}
+			if err := g.Wait(); err != nil {
+				return err
+			}
+			return tellSteps(c.OutOrStdout(), rows)
+		}}
+	c.Flags().IntVar(&atOnce, "at-once", 4, "tiers of 6 nodes at a time")
+	return c
+}
+
+// stepRow is one run: what befalls node 1 at a step.
+type stepRow struct {
+	name string
+	s    *scenario.Scenario
+	line string
+	bad  bool
+}
+
+// stepRows are all runs.
+func stepRows() (rows []*stepRow, err error) {
+	for _, phase := range []string{"copying", "repairing"} {
+		for _, what := range []string{"lose-machines", "kill-nodes", "stop-nodes"} {
+			for _, step := range []string{"news", "offer", "have", "batch", "ack"} {
+				for _, nth := range []int{1, 2, 5} {
+					s, err := stepScenario(phase == "repairing", what, step, nth)
+					if err != nil {
+						return nil, err
+					}
+					s.Seed = uint64(7000 + len(rows))
+					rows = append(rows, &stepRow{name: fmt.Sprintf("%s\t%s\t%s\t%d", phase, what, step, nth), s: s})
+				}
+			}
+		}
+	}
+	return rows, nil
+}
+
+// stepScenario has node 1 meet what at the nth time of a step, while node 0's journal is copied or, repairing, while it is
+// copied on after node 0 was lost with it.
+func stepScenario(repairing bool, what, step string, nth int) (*scenario.Scenario, error) {
+	s, err := scenario.Load("replicas-losses")
+	if err != nil {
+		return nil, err
+	}
+	s.Nodes.Count, s.Load.Rate, s.Length = 6, 150, scenario.Span(9*time.Second)
+	s.Faults = []scenario.Fault{{Kind: what, At: scenario.Span(500 * time.Millisecond), For: scenario.Span(400 * time.Millisecond), Nodes: []int{1}, When: step, Nth: nth}}
+	if repairing {
+		lost := scenario.Fault{Kind: "lose-machines", At: scenario.Span(time.Second), For: scenario.Span(6 * time.Second), Nodes: []int{0}}
+		s.Faults[0].At = scenario.Span(4 * time.Second)
+		s.Faults = append(s.Faults, lost)
+	}
+	return s, nil
+}
+
+func (r *stepRow) play(ctx context.Context, command []string) error {
+	out, err := lab.Run(ctx, lab.Options{Scenario: r.s, Ops: load.Plan(r.s), Command: command})
+	if err != nil {
+		return err
+	}
+	verdict := "kept"
+	for _, rule := range out.Rules {
+		if rule.Broken > 0 {
+			verdict, r.bad = fmt.Sprintf("%s broken %d times: %s", rule.Name, rule.Broken, rule.Worst), true
+		}
+	}
+	r.line = fmt.Sprintf("%s\t%d\t%d\t%.4f\t%s", r.name, out.Journal.Ran, out.Journal.Possibly, out.Service(), verdict)
+	return nil
+}
+
+// tellSteps prints a row for each run, and fails where a rule was broken.
+func tellSteps(out io.Writer, rows []*stepRow) (err error) {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "while\tbefalls node 1\tat\tnth\tdockets\tpossibly sent\tservice\trules")
+	for _, r := range rows {
+		fmt.Fprintln(t, r.line)
+		if r.bad {
+			err = exit(exitBroken)
+		}
+	}
+	return errors.Join(t.Flush(), err)
+}
--- a/cmd/fernlab/tools.go
+++ b/cmd/fernlab/tools.go
@@ -91,80 +91,106 @@
 		}}
 }
 
+// loadFlags are those of `fernlab load`.
+type loadFlags struct {
+	to     string
+	name   string
+	trace  string
+	json   string
+	shape  string
+	path   string
+	method string
+	rate   float64
+	length time.Duration
+}
+
 func loadCommand() *cobra.Command {
-	var to, name, trace, json, shape, path, method string
-	var rate float64
-	var length time.Duration
+	var l loadFlags
 	c := &cobra.Command{Use: "load --to ADDRESS", Short: "Send a load to any HTTP address, with no stand-ins and no audit",
 		Long: `load sends the schedule of a scenario, or one given by flags, to one address: open loop, so that operations begin at
 their moments whatever becomes of those before. Latency counts from the scheduled moment. Where the generator itself falls
 behind, it says so first and exits 3.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, err := scenario.Load(name)
+			s, err := l.scenario(c.Flags().Changed)
 			if err != nil {
 				return err
 			}
-			if c.Flags().Changed("path") {
-				kind := s.Types[0]
-				kind.Name, kind.Path, kind.Share = path, path, 1
-				if kind.Repeat = "retriable"; method == "POST" {
-					kind.Repeat = "binding"
-				}
-				s.Types, s.Name = []scenario.Type{kind}, "load"
-			}
-			if c.Flags().Changed("rate") {
-				s.Load.Rate = rate
-			}
-			if c.Flags().Changed("for") {
-				s.Length, s.Faults = scenario.Span(length), nil
-			}
-			if c.Flags().Changed("shape") {
-				s.Load.Shape = shape
-			}
-			ops := load.Plan(s)
-			if trace != "" {
-				if ops, err = load.LoadTrace(trace, s); err != nil {
-					return err
-				}
-			}
-			s.Nodes.Count, s.Boxes = 0, nil
-			if to == "self" {
-				address, stop, err := lab.Instant()
-				defer stop()
-				if err != nil {
-					return err
-				}
-				to = address
-			}
-			g := &load.Generator{Scenario: s, Ops: ops, Progress: progress(c.ErrOrStderr(), s.Length.D())}
-			late := g.Run(c.Context(), time.Now(), load.Fixed(to), load.Nobody{})
-			r := report.New(s, to, ops, &lab.Outcome{Result: g.Result, Late: late})
-			r.Text(c.OutOrStdout())
-			if json != "" {
-				if err := r.Save(json); err != nil {
-					return err
-				}
-			}
-			if late.Behind {
-				return exit(exitInvalid)
-			}
-			return nil
+			return l.send(c, s)
 		}}
 	f := c.Flags()
-	f.StringVar(&to, "to", "", "host:port to send to; self for a server within that answers at once")
+	f.StringVar(&l.to, "to", "", "host:port to send to; self for a server within that answers at once")
 	c.MarkFlagRequired("to")
-	f.StringVar(&name, "scenario", "calm", "whose types, tenants, clients and load to send")
-	f.StringVar(&path, "path", "", "send requests of one type, with this path")
-	f.StringVar(&method, "method", "GET", "with --path: GET or POST")
-	f.Float64Var(&rate, "rate", 0, "operations a second")
-	f.DurationVar(&length, "for", 0, "how long")
-	f.StringVar(&shape, "shape", "", "constant, poisson, bursts, ramp or wave")
-	f.StringVar(&trace, "trace", "", "send a recorded trace (`file`)")
-	f.StringVar(&json, "json", "", "write the report to a `file`")
+	f.StringVar(&l.name, "scenario", "calm", "whose types, tenants, clients and load to send")
+	f.StringVar(&l.path, "path", "", "send requests of one type, with this path")
+	f.StringVar(&l.method, "method", "GET", "with --path: GET or POST")
+	f.Float64Var(&l.rate, "rate", 0, "operations a second")
+	f.DurationVar(&l.length, "for", 0, "how long")
+	f.StringVar(&l.shape, "shape", "", "constant, poisson, bursts, ramp or wave")
+	f.StringVar(&l.trace, "trace", "", "send a recorded trace (`file`)")
+	f.StringVar(&l.json, "json", "", "write the report to a `file`")
 	return c
 }
 
+// scenario is the one that is named, with what the flags change of it.
+func (l *loadFlags) scenario(changed func(flag string) bool) (*scenario.Scenario, error) {
+	s, err := scenario.Load(l.name)
+	if err != nil {
+		return nil, err
+	}
+	if changed("path") {
+		kind := s.Types[0]
+		kind.Name, kind.Path, kind.Share = l.path, l.path, 1
+		if kind.Repeat = "retriable"; l.method == "POST" {
+			kind.Repeat = "binding"
+		}
+		s.Types, s.Name = []scenario.Type{kind}, "load"
+	}
+	if changed("rate") {
+		s.Load.Rate = l.rate
+	}
+	if changed("for") {
+		s.Length, s.Faults = scenario.Span(l.length), nil
+	}
+	if changed("shape") {
+		s.Load.Shape = l.shape
+	}
+	return s, nil
+}
+
+// send sends the scenario's load and reports.
+func (l *loadFlags) send(c *cobra.Command, s *scenario.Scenario) (err error) {
+	ops := load.Plan(s)
+	if l.trace != "" {
+		if ops, err = load.LoadTrace(l.trace, s); err != nil {
+			return err
+		}
+	}
+	s.Nodes.Count, s.Boxes = 0, nil
+	to := l.to
+	if to == "self" {
+		address, stop, err := lab.Instant()
+		defer stop()
+		if err != nil {
+			return err
+		}
+		to = address
+	}
+	g := &load.Generator{Scenario: s, Ops: ops, Progress: progress(c.ErrOrStderr(), s.Length.D())}
+	late := g.Run(c.Context(), time.Now(), load.Fixed(to), load.Nobody{})
+	r := report.New(s, to, ops, &lab.Outcome{Result: g.Result, Late: late})
+	r.Text(c.OutOrStdout())
+	if l.json != "" {
+		if err := r.Save(l.json); err != nil {
+			return err
+		}
+	}
+	if late.Behind {
+		return exit(exitInvalid)
+	}
+	return nil
+}
+
 func benchCommand() *cobra.Command {
 	var profile string
 	var conns []int
--- a/cmd/fernvane/snapshot.go
+++ b/cmd/fernvane/snapshot.go
@@ -21,79 +21,99 @@
 var errSpoilt = errors.New("a generation cannot be gone by")
 
 func snapshotCommand(getenv func(string) string) *cobra.Command {
-	var dir string
+	g := &generations{getenv: getenv}
 	root := &cobra.Command{Use: "snapshot", Short: "Look at the lists of servers that a node keeps on disk, also while it writes them",
 		Example: "  fernvane snapshot show --dir DIR\n  fernvane snapshot verify --dir DIR"}
-	root.PersistentFlags().StringVar(&dir, "dir", "", "the node's `folder`; by default that of the file in PROXY_SNAPSHOT")
-	all := func() (*snapshot.Store, []snapshot.Generation, error) {
-		if dir == "" {
-			path := getenv("PROXY_SNAPSHOT")
-			if path == "" {
-				return nil, nil, errors.New("which lists? --dir FOLDER")
-			}
-			cfg, err := snapshot.Load(path)
-			if err != nil {
-				return nil, nil, err
-			}
-			dir = cfg.Dir
+	root.PersistentFlags().StringVar(&g.dir, "dir", "", "the node's `folder`; by default that of the file in PROXY_SNAPSHOT")
+	root.AddCommand(snapshotShow(g), snapshotVerify(g), snapshotDiff(g), snapshotPrune(g))
+	return root
+}
+
+// generations are the lists in the folder that the command is about.
+type generations struct {
+	getenv func(string) string
+	dir    string
+}
+
+// read opens the folder and reads all generations, the newest first; a folder without any is an error.
+func (g *generations) read() (*snapshot.Store, []snapshot.Generation, error) {
+	if g.dir == "" {
+		path := g.getenv("PROXY_SNAPSHOT")
+		if path == "" {
+			return nil, nil, errors.New("which lists? --dir FOLDER")
 		}
-		store, err := snapshot.Open(dir, 1, bindlog.OS{})
+		cfg, err := snapshot.Load(path)
 		if err != nil {
 			return nil, nil, err
 		}
-		generations, err := store.All()
-		if err == nil && len(generations) == 0 {
-			err = fmt.Errorf("%s holds no list", dir)
-		}
-		return store, generations, err
+		g.dir = cfg.Dir
+	}
+	store, err := snapshot.Open(g.dir, 1, bindlog.OS{})
+	if err != nil {
+		return nil, nil, err
 	}
+	all, err := store.All()
+	if err == nil && len(all) == 0 {
+		err = fmt.Errorf("%s holds no list", g.dir)
+	}
+	return store, all, err
+}
+
+func snapshotShow(g *generations) *cobra.Command {
 	var lines bool
 	show := &cobra.Command{Use: "show", Short: "Tell what the newest whole generation holds, and how far a start would believe it", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			_, generations, err := all()
+			_, all, err := g.read()
 			if err != nil {
 				return err
 			}
-			i := slices.IndexFunc(generations, func(g snapshot.Generation) bool { return g.Snap != nil })
+			i := slices.IndexFunc(all, func(g snapshot.Generation) bool { return g.Snap != nil })
 			if i < 0 {
-				return fmt.Errorf("%s: %w", generations[0].Path, generations[0].Err)
+				return fmt.Errorf("%s: %w", all[0].Path, all[0].Err)
 			}
 			if lines {
-				return json.NewEncoder(c.OutOrStdout()).Encode(shownList(generations[i].Snap))
+				return json.NewEncoder(c.OutOrStdout()).Encode(shownList(all[i].Snap))
 			}
-			tellList(c.OutOrStdout(), generations[i].Snap, time.Now())
+			tellList(c.OutOrStdout(), all[i].Snap, time.Now())
 			return nil
 		}}
 	show.Flags().BoolVar(&lines, "json", false, "for programs")
-	verify := &cobra.Command{Use: "verify", Short: "Read every generation and name what is wrong", Args: cobra.NoArgs,
+	return show
+}
+
+func snapshotVerify(g *generations) *cobra.Command {
+	return &cobra.Command{Use: "verify", Short: "Read every generation and name what is wrong", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			_, generations, err := all()
+			_, all, err := g.read()
 			if err != nil {
 				return err
 			}
 			bad := 0
-			for _, g := range generations {
-				if g.Err != nil {
+			for _, one := range all {
+				if one.Err != nil {
 					bad++
-					fmt.Fprintf(c.ErrOrStderr(), "%s: %v\n", g.Path, g.Err)
+					fmt.Fprintf(c.ErrOrStderr(), "%s: %v\n", one.Path, one.Err)
 				}
 			}
-			fmt.Fprintf(c.OutOrStdout(), "%d generations, %d whole\n", len(generations), len(generations)-bad)
+			fmt.Fprintf(c.OutOrStdout(), "%d generations, %d whole\n", len(all), len(all)-bad)
 			if bad > 0 {
 				return errSpoilt
 			}
 			return nil
 		}}
-	diff := &cobra.Command{Use: "diff", Short: "Tell what changed between the two newest whole generations", Args: cobra.NoArgs,
+}
+
+func snapshotDiff(g *generations) *cobra.Command {
+	return &cobra.Command{Use: "diff", Short: "Tell what changed between the two newest whole generations", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			_, generations, err := all()
+			_, all, err := g.read()
 			if err != nil {
 				return err
 			}
 			var whole []*snapshot.Snapshot
-			for _, g := range generations {
-				if g.Snap != nil && len(whole) < 2 {
-					whole = append(whole, g.Snap)
+			for _, one := range all {
+				if one.Snap != nil && len(whole) < 2 {
+					whole = append(whole, one.Snap)
 				}
 			}
 			if len(whole) < 2 {
@@ -102,10 +122,13 @@
 			tellChanges(c.OutOrStdout(), whole[1], whole[0])
 			return nil
 		}}
+}
+
+func snapshotPrune(g *generations) *cobra.Command {
 	var keep int
 	prune := &cobra.Command{Use: "prune", Short: "Remove all but the newest generations; only while no node writes there", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			store, generations, err := all()
+			store, all, err := g.read()
 			if err != nil {
 				return err
 			}
@@ -113,12 +136,11 @@
 				return fmt.Errorf("--keep %d: one at least", keep)
 			}
 			err = store.Prune(keep)
-			fmt.Fprintf(c.OutOrStdout(), "%d generations removed\n", max(len(generations)-keep, 0))
+			fmt.Fprintf(c.OutOrStdout(), "%d generations removed\n", max(len(all)-keep, 0))
 			return err
 		}}
 	prune.Flags().IntVar(&keep, "keep", 3, "how many stay")
-	root.AddCommand(show, verify, diff, prune)
-	return root
+	return prune
 }
 
 var conditionNames = [...]string{life.Up: "up", life.Draining: "draining", life.Gone: "gone"}
