Struct fields stand one to a row in the packages that nobody else edits now

Change: 33 files; order and types of fields are the same. Comments that spoke of two fields say it of each. policy, fleet, serve, http1, roster, watch and cmd/fernvane/serve.go are left, since others edit them.

--- a/cmd/fernlab/run.go
+++ b/cmd/fernlab/run.go
@@ -21,10 +21,19 @@
 )
 
 type runFlags struct {
-	json, plot, node, trace, keep, policy, operator string
-	baselines                                       []string
-	seed                                            uint64
-	quiet, pairings, alone, seconds                 bool
+	json      string
+	plot      string
+	node      string
+	trace     string
+	keep      string
+	policy    string
+	operator  string
+	baselines []string
+	seed      uint64
+	quiet     bool
+	pairings  bool
+	alone     bool
+	seconds   bool
 }
 
 func runCommand() *cobra.Command {
--- a/cmd/fernvane/journalsource.go
+++ b/cmd/fernvane/journalsource.go
@@ -22,10 +22,14 @@
 
 // query is what find and export look for.
 type query struct {
-	id, server, state, tenant, since string
-	from                             time.Time
-	want                             bindings.State
-	anyState                         bool
+	id       string
+	server   string
+	state    string
+	tenant   string
+	since    string
+	from     time.Time
+	want     bindings.State
+	anyState bool
 }
 
 // ready reads the query's words.
--- a/cmd/fernvane/replicas.go
+++ b/cmd/fernvane/replicas.go
@@ -64,8 +64,9 @@
 		}}
 	repair.Flags().DurationVar(&most, "for", time.Minute, "how long to wait")
 	for _, v := range []struct {
-		use, short string
-		verify     bool
+		use    string
+		short  string
+		verify bool
 	}{{"status", "Tell which nodes live, what each keeps and holds, and what lacks", false},
 		{"verify", "Have all nodes read what they hold, and tell what is damaged", true}} {
 		root.AddCommand(&cobra.Command{Use: v.use, Short: v.short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -10,11 +10,12 @@
 )
 
 type hop struct {
-	box         int
-	first, last time.Duration
-	over        time.Duration // -1: not seen
-	unbegun     bool          // the box said that it has not begun, and never will
-	ran         time.Duration // -1: it has not
+	box     int
+	first   time.Duration
+	last    time.Duration
+	over    time.Duration // -1: not seen
+	unbegun bool          // the box said that it has not begun, and never will
+	ran     time.Duration // -1: it has not
 }
 
 type request struct {
@@ -38,8 +39,9 @@
 }
 
 type span struct {
-	from, to time.Duration
-	still    bool // it stood still, and lived
+	from  time.Duration
+	to    time.Duration
+	still bool // it stood still, and lived
 }
 
 // Audit gathers what happened.
@@ -227,8 +229,9 @@
 	}
 	out[1].add(a.extras)
 	for _, whole := range []struct {
-		name, about string
-		all         []string
+		name  string
+		about string
+		all   []string
 	}{
 		{"known", "servers are sent only what clients have sent", a.invented},
 		{"cold", "no cold server is pushed over", a.fallen},
--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -11,8 +11,9 @@
 
 // rules are looked at for each request; each tells what is wrong with it, "" for nothing.
 var rules = []struct {
-	name, about string
-	breaks      func(*Audit, *request) string
+	name   string
+	about  string
+	breaks func(*Audit, *request) string
 }{
 	{"answered", "each operation taken gets its final answer in time", (*Audit).unanswered},
 	{"one-answer", "and no second one", (*Audit).twice},
--- a/internal/audit/types.go
+++ b/internal/audit/types.go
@@ -30,8 +30,9 @@
 
 // Box is where a box stands.
 type Box struct {
-	Name       string
-	Site, Cell int
+	Name string
+	Site int
+	Cell int
 }
 
 // Figures of the rules.
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -73,13 +73,14 @@
 	effects []policy.Effect
 	ops     []operation
 
-	ready      []bool
-	zone, cell []int
-	started    []time.Duration
-	inFlight   []int
-	turn       int
-	asked      bool
-	askAt      time.Duration
+	ready    []bool
+	zone     []int
+	cell     []int
+	started  []time.Duration
+	inFlight []int
+	turn     int
+	asked    bool
+	askAt    time.Duration
 }
 
 func (m *module) is(broken string) bool { return m.broken && m.name == broken }
--- a/internal/bindings/entry.go
+++ b/internal/bindings/entry.go
@@ -85,7 +85,8 @@
 
 // Entry is one operation.
 type Entry struct {
-	Run, Op   uint64
+	Run       uint64
+	Op        uint64
 	ID        string
 	Tenant    string
 	Type      string
--- a/internal/bindings/fold.go
+++ b/internal/bindings/fold.go
@@ -83,9 +83,10 @@
 
 // Dockets are what one server says that it has run, of all that it took between two moments.
 type Dockets struct {
-	Server   string
-	From, To int64 // Unix time in ns
-	IDs      map[string]bool
+	Server string
+	From   int64 // Unix time in ns
+	To     int64 // likewise
+	IDs    map[string]bool
 }
 
 // Reconcile settles hops of an entry that may have run, by the dockets of their servers; records to add come back. A hop
--- a/internal/bindlog/flush.go
+++ b/internal/bindlog/flush.go
@@ -12,9 +12,10 @@
 
 // part is a run of numbered records that are handed on as one.
 type part struct {
-	first    uint64
-	n        int
-	from, to int // in the frames
+	first uint64
+	n     int
+	from  int // in the frames, in bytes
+	to    int // behind the last, likewise
 }
 
 // write takes what has been queued, all at once, and makes it last; so one sync serves all that came during the last one.
--- a/internal/ends/ends.go
+++ b/internal/ends/ends.go
@@ -59,8 +59,9 @@
 
 // Life is a connection's.
 type Life struct {
-	state        State
-	coming, open int // requests that have begun to come, and that were taken and wait for their answer
+	state  State
+	coming int // requests that have begun to come
+	open   int // that were taken and wait for their answer
 }
 
 // State is where it stands.
--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -37,7 +37,8 @@
 	Connections int
 	Way         string
 	PerSecond   float64
-	P50, P99    time.Duration
+	P50         time.Duration
+	P99         time.Duration
 	Denied      int
 	CPUEach     float64
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -176,12 +176,14 @@
 
 // request is what a try sends.
 type request struct {
-	method, path, tenant string
-	key                  int
-	body                 []byte
-	wait                 time.Duration // how long the client waits for its answer
-	leaves               time.Duration // when it goes in truth; 0: it does not
-	behind               []byte        // what it has sent by then behind the request
+	method string
+	path   string
+	tenant string
+	key    int
+	body   []byte
+	wait   time.Duration // how long the client waits for its answer
+	leaves time.Duration // when it goes in truth; 0: it does not
+	behind []byte        // what it has sent by then behind the request
 }
 
 // message is the request of a try.
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -33,9 +33,11 @@
 
 // Point is one span of a Series.
 type Point struct {
-	Asked, Gained  float64 // revenue asked for, and answered within the target time, by when it was asked
-	Denied, Failed int     // operations
-	Latency        *hdrhistogram.Histogram
+	Asked   float64 // revenue asked for
+	Gained  float64 // of it, answered within the target time, by when it was asked
+	Denied  int     // operations
+	Failed  int     // likewise
+	Latency *hdrhistogram.Histogram
 }
 
 // Result is what a schedule met.
@@ -45,21 +47,23 @@
 	shift    time.Duration
 	started  int
 
-	Fates         [fates]int
-	Tries         int
-	Denials       int     // of tries
-	Asked, Gained float64 // revenue
-	ByType        []Share
-	ByTenant      []Share
-	BySite        []Share
-	Series        []Point
+	Fates    [fates]int
+	Tries    int
+	Denials  int     // of tries
+	Asked    float64 // revenue asked for
+	Gained   float64 // of it, answered within the target time
+	ByType   []Share
+	ByTenant []Share
+	BySite   []Share
+	Series   []Point
 }
 
 // Share is the part of a result that one type, tenant or site has.
 type Share struct {
-	Name          string
-	Asked, Gained float64
-	Latency       *hdrhistogram.Histogram // microseconds from the scheduled moment, of operations handled or not answered
+	Name    string
+	Asked   float64                 // revenue asked for
+	Gained  float64                 // of it, answered within the target time
+	Latency *hdrhistogram.Histogram // microseconds from the scheduled moment, of operations handled or not answered
 }
 
 func newHistogram() *hdrhistogram.Histogram {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -116,10 +116,11 @@
 
 // Request is a whole request; its parts lie in the connection's buffer.
 type Request struct {
-	Method, Target []byte
-	Fields         []Field
-	Body           []byte
-	Close          bool // the client wants no further one on this connection
+	Method []byte
+	Target []byte
+	Fields []Field
+	Body   []byte
+	Close  bool // the client wants no further one on this connection
 }
 
 // Path is the target without its query.
--- a/internal/mtls/mtls.go
+++ b/internal/mtls/mtls.go
@@ -18,8 +18,9 @@
 
 // Files are where the keys are.
 type Files struct {
-	Cert, Key string // this side's own
-	CA        string // the authority of both sides
+	Cert string // this side's own
+	Key  string // of Cert
+	CA   string // the authority of both sides
 }
 
 // Keys are what the files hold.
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -53,24 +53,29 @@
 }
 
 type server struct {
-	life         life.Entry
-	answers      float64 // fading
-	slow         float64 // the sum of their latency over the usual
-	long, speed  float64 // the same two over the longer span
-	n, sum       float64 // the same two since the last plan
-	avoided      bool
-	hops, faults float64 // fading
-	seen         map[string]time.Duration
-	strikes      int
-	restUntil    time.Duration
-	cold         float64 // share of its capacity that it surely has; 1: warm
-	weight       float64
+	life      life.Entry
+	answers   float64 // fading
+	slow      float64 // the sum of their latency over the usual
+	long      float64 // answers over the longer span
+	speed     float64 // slow over the longer span
+	n         float64 // answers since the last plan
+	sum       float64 // slow since the last plan
+	avoided   bool
+	hops      float64 // fading
+	faults    float64 // of the hops, fading
+	seen      map[string]time.Duration
+	strikes   int
+	restUntil time.Duration
+	cold      float64 // share of its capacity that it surely has; 1: warm
+	weight    float64
 }
 
 type kind struct {
-	target       time.Duration
-	usual, base  float64 // seconds
-	answers, sum float64 // fading, for usual
+	target  time.Duration
+	usual   float64 // latency in seconds
+	base    float64 // the least of it lately, in seconds
+	answers float64 // fading, for usual
+	sum     float64 // of their latency, in seconds, fading
 }
 
 type tenant struct{ allowance, rate float64 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -48,8 +48,11 @@
 
 // counts since the last line of the log.
 type counts struct {
-	Reports, Plans, Refused, Bytes int
-	Slowest                        time.Duration // plan
+	Reports int
+	Plans   int
+	Refused int
+	Bytes   int
+	Slowest time.Duration // plan
 }
 
 // forwarder is one connection.
--- a/internal/replicas/holders.go
+++ b/internal/replicas/holders.go
@@ -71,9 +71,11 @@
 type Holder struct {
 	_ struct{} `cbor:",toarray"`
 
-	Name, Stand, Refusal string
-	Acked                uint64
-	Lacks                uint64 // records that are still to be copied to it from disk
+	Name    string
+	Stand   string
+	Refusal string
+	Acked   uint64
+	Lacks   uint64 // records that are still to be copied to it from disk
 }
 
 var standNames = [stands]string{"called", "offered", "level", "late", "refused"}
--- a/internal/replicas/place.go
+++ b/internal/replicas/place.go
@@ -12,8 +12,10 @@
 
 // Place is a node that may hold a replica.
 type Place struct {
-	Name, Site, Machine string
-	Well                bool // it can be counted on now
+	Name    string
+	Site    string
+	Machine string
+	Well    bool // it can be counted on now
 }
 
 // rank orders places for a stream, alike at all nodes (rendezvous): a node more or less moves only what it holds itself.
--- a/internal/replicas/ranges.go
+++ b/internal/replicas/ranges.go
@@ -6,7 +6,8 @@
 type Range struct {
 	_ struct{} `cbor:",toarray"`
 
-	From, To uint64
+	From uint64
+	To   uint64
 }
 
 // Ranges are apart and in order.
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -35,9 +35,10 @@
 }
 
 type waiting struct {
-	first, next uint64
-	at          time.Duration
-	body        []byte
+	first uint64
+	next  uint64
+	at    time.Duration
+	body  []byte
 }
 
 // Origin is the running life's own stream.
--- a/internal/report/compare.go
+++ b/internal/report/compare.go
@@ -24,7 +24,8 @@
 	row("service", a.Service, b.Service, "%.4f")
 	for _, f := range []struct {
 		name string
-		x, y int
+		x    int
+		y    int
 	}{{"in target", a.AnsweredInTarget, b.AnsweredInTarget}, {"handled", a.Handled, b.Handled}, {"denied", a.Denied, b.Denied},
 		{"written off", a.WrittenOff, b.WrittenOff}, {"unanswered", a.Unanswered, b.Unanswered}, {"unreached", a.Unreached, b.Unreached}, {"tries", a.Tries, b.Tries}} {
 		row(f.name, float64(f.x), float64(f.y), "%.0f")
--- a/internal/route/live.go
+++ b/internal/route/live.go
@@ -29,8 +29,9 @@
 
 // Grant is what an operation holds from its taking to its answer.
 type Grant struct {
-	Kind, Room int // as the module knows them
-	tenant     int
+	Kind   int // as the module knows it
+	Room   int // likewise
+	tenant int
 }
 
 // Update is what the module and the fleet must be told after a swap.
@@ -70,7 +71,10 @@
 
 // GateCounts is what became of operations at a gate.
 type GateCounts struct {
-	Taken, OverRate, NoPlace, OverTenant int
+	Taken      int
+	OverRate   int
+	NoPlace    int
+	OverTenant int
 }
 
 // Live holds the routes of a running node over all reloads. It is for one caller at a time.
--- a/internal/route/match.go
+++ b/internal/route/match.go
@@ -10,8 +10,10 @@
 
 // Request is what a matcher looks at.
 type Request struct {
-	Method, Path, Tenant []byte
-	Fields               Fields
+	Method []byte
+	Path   []byte
+	Tenant []byte
+	Fields Fields
 }
 
 // Fields finds the value of a header field, nil where it is not there.
--- a/internal/scenario/faults.go
+++ b/internal/scenario/faults.go
@@ -23,11 +23,12 @@
 
 // FaultKind is one kind of trouble.
 type FaultKind struct {
-	Name, About string
-	on          target
-	lasts       bool
-	size        string // what Size means; "" where it is not read
-	share       string // what Share means beside a choice of boxes or nodes
+	Name  string
+	About string
+	on    target
+	lasts bool
+	size  string // what Size means; "" where it is not read
+	share string // what Share means beside a choice of boxes or nodes
 }
 
 // FaultKinds are all that a file may ask for.
--- a/internal/shadow/shadow.go
+++ b/internal/shadow/shadow.go
@@ -48,9 +48,10 @@
 
 // Watch is what is watched and what was counted; both may be reached while the module decides.
 type Watch struct {
-	set              atomic.Pointer[settings.Settings]
-	compared, failed atomic.Int64
-	counts           [kinds]atomic.Int64
+	set      atomic.Pointer[settings.Settings]
+	compared atomic.Int64
+	failed   atomic.Int64
+	counts   [kinds]atomic.Int64
 }
 
 // Counts since the last call.
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -49,7 +49,12 @@
 
 // Faults are shares of requests that meet one, drawn by the request's id.
 type Faults struct {
-	CutBefore, CutWithin, CutAfter, Refuse, Err, Spoil float64
+	CutBefore float64
+	CutWithin float64
+	CutAfter  float64
+	Refuse    float64
+	Err       float64
+	Spoil     float64
 }
 
 // Box serves its model on a listener for each site of its callers, so that a site can be cut off from another.
--- a/internal/standin/discovery/discovery.go
+++ b/internal/standin/discovery/discovery.go
@@ -75,9 +75,10 @@
 
 // place is where one node finds the service.
 type place struct {
-	node, site int
-	l          *link.Listener
-	old        bool
+	node int
+	site int
+	l    *link.Listener
+	old  bool
 }
 
 // New starts the service; it listens nowhere yet.
--- a/internal/standin/keys/keys.go
+++ b/internal/standin/keys/keys.go
@@ -53,8 +53,9 @@
 	}
 	cert, key, ca = filepath.Join(dir, name+".crt"), filepath.Join(dir, name+".key"), filepath.Join(dir, "ca.crt")
 	for _, f := range []struct {
-		path, kind string
-		der        []byte
+		path string
+		kind string
+		der  []byte
 	}{{cert, "CERTIFICATE", der}, {key, "EC PRIVATE KEY", text}, {ca, "CERTIFICATE", a.der}} {
 		if err := os.WriteFile(f.path, pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.der}), 0o600); err != nil {
 			return "", "", "", err
--- a/internal/standin/registry/tree.go
+++ b/internal/standin/registry/tree.go
@@ -34,11 +34,17 @@
 )
 
 type node struct {
-	data                       []byte
-	children                   map[string]bool
-	czxid, mzxid, pzxid        int64
-	ctime, mtime, owner        int64
-	version, cversion, counter int32
+	data     []byte
+	children map[string]bool
+	czxid    int64
+	mzxid    int64
+	pzxid    int64
+	ctime    int64
+	mtime    int64
+	owner    int64
+	version  int32
+	cversion int32
+	counter  int32
 }
 
 // change is one step of the tree, by which addresses that lag catch up.
--- a/internal/tools/codetable/count.go
+++ b/internal/tools/codetable/count.go
@@ -24,8 +24,10 @@
 
 // use is how often a word stands in identifiers of code and of tests, and as a word of its own in pages.
 type use struct {
-	code, tests, pages int
-	packages           map[string]int // identifiers of code by folder
+	code     int
+	tests    int
+	pages    int
+	packages map[string]int // identifiers of code by folder
 }
 
 // count is what was found in a tree.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,12 +29,13 @@
 
 // Entry is a line of a server list, in the bench's own ids.
 type Entry struct {
-	Server     uint32
-	Zone, Cell int
-	Condition  policy.Condition
-	Scale      float64
-	Start      time.Duration
-	HasStart   bool
+	Server    uint32
+	Zone      int
+	Cell      int
+	Condition policy.Condition
+	Scale     float64
+	Start     time.Duration
+	HasStart  bool
 }
 
 // Event is one line of a batch.
