--- a/internal/audit/types.go
+++ b/internal/audit/types.go
@@ -6,18 +6,18 @@
 type Repeat uint8
 
 const (
-	Retriable Repeat = iota
-	Fingerprinted
-	Binding
+	Retriable     Repeat = iota // may run any number of times
+	Fingerprinted               // repeats are dropped within a group of boxes, for a while
+	Binding                     // must not run twice
 )
 
 // Group of boxes that drops repeats of a fingerprinted operation.
 type Group uint8
 
 const (
-	All Group = iota
-	Zone
-	Cell
+	All  Group = iota // every box
+	Zone              // the boxes of one site
+	Cell              // the boxes of one cell
 )
 
 // Type is what the audit must know of a traffic type.
@@ -48,19 +48,19 @@
 type End uint8
 
 const (
-	Answered End = iota
-	Late         // answered when the client's time was up, but within the slack
-	Unanswered
-	Dropped // the connection ended with no whole answer
-	Unsent  // never written whole
-	Left    // the client went before its time was up
+	Answered   End = iota // in time
+	Late                  // answered when the client's time was up, but within the slack
+	Unanswered            // the client's time was up first
+	Dropped               // the connection ended with no whole answer
+	Unsent                // never written whole
+	Left                  // the client went before its time was up
 )
 
 // Condition of a box, as a node was told.
 type Condition uint8
 
 const (
-	Serving Condition = iota
-	Draining
-	Gone
+	Serving  Condition = iota // may be sent to
+	Draining                  // finishes what it has, and gets nothing new
+	Gone                      // is no more
 )
--- a/internal/bindings/entry.go
+++ b/internal/bindings/entry.go
@@ -23,9 +23,9 @@
 type Proof uint8
 
 const (
-	Possibly Proof = iota // sent
-	Ran
-	Never // it provably never ran
+	Possibly Proof = iota // it was sent, and may have run
+	Ran                   // it provably ran
+	Never                 // it provably never ran
 )
 
 // Record is one line of the journal. Which fields it has follows from its kind.
@@ -55,8 +55,8 @@
 const (
 	NotSent      State = iota // no hop went out, or each provably never ran
 	PossiblySent              // some hop may have run
-	HasRun
-	NotKnown // nothing speaks for a hop, but too few were asked to say that there was none
+	HasRun                    // some hop provably ran
+	NotKnown                  // nothing speaks for a hop, but too few were asked to say that there was none
 	states
 )
 
--- a/internal/ends/ends.go
+++ b/internal/ends/ends.go
@@ -33,11 +33,11 @@
 type Effect uint8
 
 const (
-	Nothing Effect = iota
-	Take           // the request goes on
-	Refuse         // it is told that it never ran
-	End            // say that nothing more is written, and read on for a while, so that no reset overtakes an answer
-	Close          // nobody is there to be answered
+	Nothing Effect = iota // goes on as before
+	Take                  // the request goes on
+	Refuse                // it is told that it never ran
+	End                   // say that nothing more is written, and read on for a while, so that no reset overtakes an answer
+	Close                 // nobody is there to be answered
 )
 
 type row struct {
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -13,9 +13,9 @@
 type Condition uint8
 
 const (
-	Up Condition = iota
-	Draining
-	Gone
+	Up       Condition = iota // serves
+	Draining                  // finishes what it has, and gets nothing new
+	Gone                      // has ended
 )
 
 const (
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -12,11 +12,16 @@
 
 // Watcher is told of each try. Its methods are called from many goroutines.
 type Watcher interface {
-	Sending(t *Try) // the first byte is about to be written
-	Sent(t *Try)    // the last byte was written
-	Unread(t *Try)  // the connection had been closed before the request was read; it is sent once more
+	// Sending tells that the first byte is about to be written.
+	Sending(t *Try)
+	// Sent tells that the last byte was written.
+	Sent(t *Try)
+	// Unread tells that the connection had been closed before the request was read; it is sent once more.
+	Unread(t *Try)
+	// Ended tells that the try is over, by whatever its End says.
 	Ended(t *Try)
-	Extra(w Way) // bytes came on a connection on which nothing was asked
+	// Extra tells that bytes came on a connection on which nothing was asked.
+	Extra(w Way)
 	// Lives tells that what a way leads to has run ever since a moment.
 	Lives(w Way, since time.Duration) bool
 }
@@ -24,12 +29,22 @@
 // Nobody watches.
 type Nobody struct{}
 
-// Sending ignores it, as the others do.
-func (Nobody) Sending(*Try)                  {}
-func (Nobody) Sent(*Try)                     {}
-func (Nobody) Unread(*Try)                   {}
-func (Nobody) Ended(*Try)                    {}
-func (Nobody) Extra(Way)                     {}
+// Sending does nothing.
+func (Nobody) Sending(*Try) {}
+
+// Sent does nothing.
+func (Nobody) Sent(*Try) {}
+
+// Unread does nothing.
+func (Nobody) Unread(*Try) {}
+
+// Ended does nothing.
+func (Nobody) Ended(*Try) {}
+
+// Extra does nothing.
+func (Nobody) Extra(Way) {}
+
+// Lives is true of whatever is asked for.
 func (Nobody) Lives(Way, time.Duration) bool { return true }
 
 const (
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -21,13 +21,13 @@
 type Fate uint8
 
 const (
-	Handled    Fate = iota
-	InTarget        // handled within its target time; counted in Handled as well
-	Denied          // the last try was
-	WrittenOff      // the last try was, or its connection ended
-	NoAnswer        // the last try got none in time
-	Unreached       // the last try found no node to send to
-	LeftEarly       // its client went before its time was up: nothing was to be gained
+	Handled    Fate = iota // answered with success in the client's time
+	InTarget               // handled within its target time; counted in Handled as well
+	Denied                 // the last try was
+	WrittenOff             // the last try was, or its connection ended
+	NoAnswer               // the last try got none in time
+	Unreached              // the last try found no node to send to
+	LeftEarly              // its client went before its time was up: nothing was to be gained
 	fates
 )
 
--- a/internal/neighbours/member.go
+++ b/internal/neighbours/member.go
@@ -16,10 +16,10 @@
 type Condition uint8
 
 const (
-	Alive Condition = iota
-	Suspected
-	Dead
-	Left
+	Alive     Condition = iota // heard of lately
+	Suspected                  // nobody that watches it hears it; it may still refute that
+	Dead                       // suspected for too long
+	Left                       // went in good order
 	conditions
 )
 
--- a/internal/planline/line.go
+++ b/internal/planline/line.go
@@ -17,8 +17,8 @@
 type Kind = frames.Kind
 
 const (
-	HelloKind   = frames.Greeting
-	RefusalKind = frames.Refusals
+	HelloKind   = frames.Greeting         // the first frame of either side
+	RefusalKind = frames.Refusals         // why a side ends the connection
 	ReportKind  = frames.First + iota - 2 // a forwarder's
 	ChangeKind                            // a planner's
 	kinds
--- a/internal/route/live.go
+++ b/internal/route/live.go
@@ -17,10 +17,10 @@
 type Denial uint8
 
 const (
-	Taken      Denial = iota
-	OverRate          // more a second than the route takes
-	NoPlace           // as many in hand as may have a hop out and wait
-	OverTenant        // the tenant has used up its part of either
+	Taken      Denial = iota // no denial: the route takes it
+	OverRate                 // more a second than the route takes
+	NoPlace                  // as many in hand as may have a hop out and wait
+	OverTenant               // the tenant has used up its part of either
 )
 
 func (d Denial) String() string {
--- a/internal/standin/box/model.go
+++ b/internal/standin/box/model.go
@@ -54,9 +54,9 @@
 type Verdict uint8
 
 const (
-	Taken Verdict = iota
-	Full
-	Down // it does not run
+	Taken Verdict = iota // it runs or waits
+	Full                 // its queue takes no more
+	Down                 // it does not run
 )
 
 type running struct {
--- a/internal/standin/disk/disk.go
+++ b/internal/standin/disk/disk.go
@@ -21,11 +21,11 @@
 type Trouble uint8
 
 const (
-	None  Trouble = iota
-	Short         // half of a write comes through, and it says so
-	Full          // an error, and nothing is written
-	Lying         // a write's whole text comes through, and an error is told
-	Dead          // the machine dies here, and nothing comes through any more
+	None  Trouble = iota // it goes through
+	Short                // half of a write comes through, and it says so
+	Full                 // an error, and nothing is written
+	Lying                // a write's whole text comes through, and an error is told
+	Dead                 // the machine dies here, and nothing comes through any more
 )
 
 // ErrDisk is what a failing disk says.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -17,14 +17,14 @@
 type Kind uint8
 
 const (
-	PowerOn Kind = iota
-	Killed
-	Discovery
-	Arrival
-	Verdict
-	Left
-	DeadlineHit
-	Ignored // read and valid, but of no use to the module
+	PowerOn     Kind = iota // an instance starts, with its settings
+	Killed                  // an instance is no more
+	Discovery               // a server list, or that there is none
+	Arrival                 // a request
+	Verdict                 // how a hop ended
+	Left                    // the client has gone
+	DeadlineHit             // a wake-up that the module asked for
+	Ignored                 // read and valid, but of no use to the module
 )
 
 // Entry is a line of a server list, in the bench's own ids.
