The lab's eyes are an observer, its rude clients bad clients

The fault's kind rude and the policy deaf keep their names, since scenario files and commands use them.

--- a/internal/lab/rude.go
+++ b/internal/lab/badclients.go
@@ -14,20 +14,20 @@
 
 const owedWithin = 3 * time.Second // an error or a close, counted from the connection
 
-// rude counts bad clients.
-type rude struct {
+// badClients counts clients that send what cannot be read.
+type badClients struct {
 	mu sync.Mutex
 	n  int
 }
 
-func (r *rude) count() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.n
+func (b *badClients) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.n
 }
 
-// rudeness is what such clients send. Where an answer is due it must be no success.
-var rudeness = []struct{ name, text string }{
+// malformed is what such clients send. Where an answer is due it must be no success.
+var malformed = []struct{ name, text string }{
 	{"no HTTP", "hello\r\n\r\n"},
 	{"noise", "\x00\xff\x16\x03\x01\x02\r\n\r\n"},
 	{"a head without end", "GET /hire-check/1 HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 40<<10)},
@@ -42,8 +42,8 @@
 	{"nothing", ""},
 }
 
-// rudeClients connect to all nodes in turn, so many a second, each sending something else.
-func (w *world) rudeClients(f *scenario.Fault) {
+// sendMalformed has clients connect to all nodes in turn, so many a second, each sending something else.
+func (w *world) sendMalformed(f *scenario.Fault) {
 	w.wg.Go(func() {
 		every := time.NewTicker(time.Duration(float64(time.Second) / f.Size))
 		defer every.Stop()
@@ -56,23 +56,23 @@
 				return
 			case <-every.C:
 			}
-			w.wg.Go(func() { w.rudeClient(i) })
+			w.wg.Go(func() { w.sendOneMalformed(i) })
 		}
 	})
 }
 
-func (w *world) rudeClient(i int) {
-	r := rudeness[i%len(rudeness)]
-	n := (i / len(rudeness)) % len(w.nodes)
+func (w *world) sendOneMalformed(i int) {
+	r := malformed[i%len(malformed)]
+	n := (i / len(malformed)) % len(w.nodes)
 	began := time.Now()
 	c, err := net.DialTimeout("tcp", w.nodeAddress(n), owedWithin)
 	if err != nil {
 		return // a node that is away owes nothing
 	}
 	defer c.Close()
-	w.rude.mu.Lock()
-	w.rude.n++
-	w.rude.mu.Unlock()
+	w.badClients.mu.Lock()
+	w.badClients.n++
+	w.badClients.mu.Unlock()
 	c.SetDeadline(began.Add(owedWithin + w.Scenario.Rules.Slack.D()))
 	text := r.text
 	if strings.Contains(text, "%") {
@@ -91,7 +91,7 @@
 		why = fmt.Sprintf("%s: neither an error nor a close in %s", r.name, owedWithin)
 	}
 	if why != "" {
-		w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Owed(fmt.Sprintf("node %d: %s", n, why)) })
+		w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Owed(fmt.Sprintf("node %d: %s", n, why)) })
 	}
 }
 
--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -25,9 +25,9 @@
 		return err
 	}
 	s := w.Scenario
-	w.eyes = newEyes(s, w.Ops, w.start)
+	w.observer = newObserver(s, w.Ops, w.start)
 	w.discovery = discovery.New(discovery.Figures{LinesPerS: s.Discovery.LinesPerS, CallLines: s.Discovery.CallLines,
-		Timeout: s.Discovery.Timeout.D(), Spread: s.Discovery.Spread.D()}, s.Seed, discovered{w.eyes})
+		Timeout: s.Discovery.Timeout.D(), Spread: s.Discovery.Spread.D()}, s.Seed, discovered{w.observer})
 	for i := range s.Boxes {
 		for n := range s.Boxes[i].Count {
 			m, err := w.add(&s.Boxes[i], fmt.Sprintf("%s-%d", s.Boxes[i].Kind, n))
@@ -136,15 +136,15 @@
 	id := box.Identity{Number: n, Name: name, Site: site, Cell: cell}
 	b, err := box.NewBox(id, box.Figures{Cores: k.Cores, Speed: k.Speed, Queue: k.Queue, ColdShare: k.ColdShare, ColdFor: k.ColdFor.D(),
 		KeyGain: k.KeyGain, KeyFor: k.KeyFor.D(), Keys: k.Keys, Drops: k.Drops, FallMultiple: s.Rules.FallMultiple,
-		FallWindow: s.Rules.FallWindow.D(), Handshake: k.Handshake.D(), Connections: k.Connections, FastCGI: k.FastCGI}, w.start, addresses, cross, w.eyes)
+		FallWindow: s.Rules.FallWindow.D(), Handshake: k.Handshake.D(), Connections: k.Connections, FastCGI: k.FastCGI}, w.start, addresses, cross, w.observer)
 	if err != nil {
 		return nil, err
 	}
 	b.Set(func(f *box.Faults) { f.Err = k.ErrorRate })
 	m := &machine{Box: b, kind: k}
 	w.boxes = append(w.boxes, m)
-	w.eyes.see(func(a *audit.Audit, _ time.Duration) {
-		w.eyes.boxes[name] = n
+	w.observer.record(func(a *audit.Audit, _ time.Duration) {
+		w.observer.boxes[name] = n
 		a.Box(audit.Box{Name: name, Site: site, Cell: cell})
 	})
 	return m, nil
@@ -205,13 +205,13 @@
 	}
 	err := w.nodes[n].start(w.keeper, func(why string) {
 		cancel(fmt.Errorf("node %d has ended: %s", n, why))
-		w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, why) })
-		w.eyes.nodeDown(n, true)
+		w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, why) })
+		w.observer.nodeDown(n, true)
 		w.front.Ended(n, w.Scenario.Nodes.Notice.D())
 	})
 	if err != nil {
 		return err
 	}
-	w.eyes.nodeUp(n)
+	w.observer.nodeUp(n)
 	return w.front.Started(ctx, n)
 }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -126,7 +126,7 @@
 		for i, m := range old {
 			fresh, err := w.add(m.kind, fmt.Sprintf("%s-new-%d", m.Name, i))
 			if err != nil {
-				w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
+				w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
 				return
 			}
 			fresh.Crash() // until its turn
@@ -153,7 +153,7 @@
 			p.reload()
 		}
 		if err != nil {
-			w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
+			w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
 		}
 	},
 	"reload": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) {
@@ -161,7 +161,7 @@
 		for i := 0; time.Duration(i)*every < f.For.D(); i++ {
 			w.after(time.Duration(i)*every, func() {
 				if err := w.operator(i + 1); err != nil {
-					w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
+					w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
 				}
 				for _, p := range w.nodes {
 					p.reload()
@@ -180,9 +180,9 @@
 			w.front.Ended(n, planned)
 			w.wg.Go(func() {
 				if err := w.nodes[n].end(syscall.SIGTERM); err != nil {
-					w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, err.Error()) })
+					w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, err.Error()) })
 				}
-				w.eyes.nodeDown(n, false)
+				w.observer.nodeDown(n, false)
 				w.configure(n)
 				w.launch(ctx, n)
 			})
@@ -273,7 +273,7 @@
 		w.registry.Late(seconds(f))
 		w.after(f.For.D(), func() { w.registry.Late(0) })
 	},
-	"rude": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) { w.rudeClients(f) },
+	"rude": func(w *world, _ context.Context, f *scenario.Fault, _ *rand.Rand) { w.sendMalformed(f) },
 	// The load's own: the schedule holds them.
 	"hot-key":  func(*world, context.Context, *scenario.Fault, *rand.Rand) {},
 	"overload": func(*world, context.Context, *scenario.Fault, *rand.Rand) {},
@@ -344,7 +344,7 @@
 func (w *world) starts(m *machine) {
 	ok, err := m.Start()
 	if err != nil {
-		w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
+		w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(-1, err.Error()) })
 	}
 	if ok {
 		w.announce(m, discovery.Serving, w.Scenario.Discovery.Add.D(), time.Now())
--- a/internal/lab/journal.go
+++ b/internal/lab/journal.go
@@ -182,7 +182,7 @@
 	for _, b := range w.boxes {
 		dockets[b.Name] = &bindings.Dockets{Server: b.Name, From: 0, To: time.Now().Add(time.Hour).UnixNano(), IDs: map[string]bool{}}
 	}
-	w.eyes.see(func(a *audit.Audit, _ time.Duration) {
+	w.observer.record(func(a *audit.Audit, _ time.Duration) {
 		ran := w.compareWithRun(a, all, gaps, dockets, &sum)
 		for k, e := range all {
 			if e.State() == bindings.HasRun && !ran[k] && e.Run != 1 {
--- /dev/null
+++ b/internal/lab/observer.go
@@ -0,0 +1,171 @@
+package lab
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"fernvane/internal/audit"
+	"fernvane/internal/life"
+	"fernvane/internal/load"
+	"fernvane/internal/scenario"
+	"fernvane/internal/standin/box"
+	"fernvane/internal/standin/discovery"
+)
+
+// observer tells the audit what clients, boxes, discovery and planners see; it is safe for concurrent use. All times count since
+// the start of the load.
+type observer struct {
+	start time.Time
+	s     *scenario.Scenario
+	ops   []load.Operation
+
+	mu      sync.Mutex
+	audit   *audit.Audit
+	boxes   map[string]int       // numbers by id
+	listed  map[int]map[int]bool // by reader of the registry: boxes that it was told of last
+	missing map[int]map[int]time.Duration
+	drained map[[2]int]bool
+	since   []time.Duration // by node: when it was started; while it is down, never
+}
+
+const never = time.Duration(1<<62 - 1)
+
+func newObserver(s *scenario.Scenario, ops []load.Operation, start time.Time) *observer {
+	f := audit.Figures{DrainGrace: s.Rules.DrainGrace.D(), Slack: s.Rules.Slack.D(), MostHops: s.Rules.MostHops, Copies: s.Rules.Copies}
+	for _, t := range s.Types {
+		f.Types = append(f.Types, audit.Type{Name: t.Name, Window: t.Window.D(),
+			Repeat: map[string]audit.Repeat{"fingerprinted": audit.Fingerprinted, "binding": audit.Binding}[t.Repeat],
+			Group:  map[string]audit.Group{"zone": audit.Zone, "cell": audit.Cell}[t.Group]})
+	}
+	return &observer{start: start, s: s, ops: ops, audit: audit.New(f), boxes: map[string]int{}, listed: map[int]map[int]bool{}, missing: map[int]map[int]time.Duration{}, drained: map[[2]int]bool{}, since: make([]time.Duration, s.Nodes.Count)}
+}
+
+// record tells the audit something, under the lock.
+func (o *observer) record(tell func(a *audit.Audit, now time.Duration)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	tell(o.audit, time.Since(o.start))
+}
+
+func (o *observer) Sending(t *load.Try) {
+	o.record(func(a *audit.Audit, _ time.Duration) { a.Sending(t.ID, o.ops[t.Op].Type, t.Way.Node) })
+}
+
+func (o *observer) Sent(t *load.Try) {
+	o.record(func(a *audit.Audit, _ time.Duration) { a.Sent(t.ID, t.Sent) })
+}
+
+func (o *observer) Unread(t *load.Try) {
+	o.record(func(a *audit.Audit, _ time.Duration) { a.Sent(t.ID, -1) })
+}
+
+var tryEnds = [...]audit.End{load.Answered: audit.Answered, load.Late: audit.Late, load.Unanswered: audit.Unanswered,
+	load.Dropped: audit.Dropped, load.Unsent: audit.Unsent, load.Left: audit.Left}
+
+func (o *observer) Ended(t *load.Try) {
+	o.record(func(a *audit.Audit, _ time.Duration) {
+		a.Ended(t.ID, tryEnds[t.End], t.Status, t.Ended, t.Foreign, t.Extra)
+	})
+}
+
+func (o *observer) Extra(w load.Way) {
+	o.record(func(a *audit.Audit, _ time.Duration) { a.Extra(w.Node) })
+}
+
+func (o *observer) Lives(w load.Way, since time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.since[w.Node] <= since
+}
+
+// nodeDown and nodeUp keep the lives of nodes.
+func (o *observer) nodeDown(n int, onPurpose bool) {
+	o.record(func(a *audit.Audit, now time.Duration) {
+		o.since[n] = never
+		if onPurpose {
+			a.NodeDown(n, now)
+		}
+	})
+}
+
+// nodeStill and nodeOn tell of one that stands still, and lives all along.
+func (o *observer) nodeStill(n int) {
+	o.record(func(a *audit.Audit, now time.Duration) { a.NodeStill(n, now) })
+}
+
+func (o *observer) nodeOn(n int) {
+	o.record(func(a *audit.Audit, now time.Duration) { a.NodeUp(n, now) })
+}
+
+func (o *observer) nodeUp(n int) {
+	o.record(func(a *audit.Audit, now time.Duration) {
+		o.since[n] = now
+		a.NodeUp(n, now)
+	})
+}
+
+func (o *observer) Asked(id uint64) (box.Asked, bool) {
+	op, number := load.FromID(id)
+	if op < 0 || op >= len(o.ops) || number > o.s.Clients.Retries {
+		return box.Asked{}, false
+	}
+	operation := &o.ops[op]
+	return box.Asked{Work: operation.Work, Key: operation.Key}, true
+}
+
+func (o *observer) Hop(id uint64, b int, first, last time.Duration) {
+	o.record(func(a *audit.Audit, _ time.Duration) {
+		if _, ok := o.Asked(id); !ok {
+			a.Invented(b, fmt.Sprintf("%016x", id))
+			return
+		}
+		a.Hop(id, b, first, last)
+	})
+}
+
+func (o *observer) Ran(id uint64, b int, at time.Duration) {
+	o.record(func(a *audit.Audit, _ time.Duration) { a.Ran(id, b, at) })
+}
+
+func (o *observer) Over(id uint64, b int, at time.Duration, unbegun bool) {
+	o.record(func(a *audit.Audit, _ time.Duration) { a.Over(id, b, at, unbegun) })
+}
+
+func (o *observer) Fell(b int, at time.Duration) {
+	o.record(func(a *audit.Audit, _ time.Duration) { a.Fell(b, at) })
+}
+
+var conditions = map[string]audit.Condition{discovery.Serving: audit.Serving, discovery.Draining: audit.Draining, discovery.Deleted: audit.Gone}
+
+// Told tells what discovery has told a node. What it tells a planner reaches nodes by that planner only.
+func (o discovered) Told(node int, id, phase string, up int64, at time.Time) {
+	if node >= o.s.Nodes.Count {
+		return
+	}
+	o.record(func(a *audit.Audit, _ time.Duration) {
+		if b, ok := o.boxes[id]; ok {
+			a.Told(node, b, conditions[phase], up, at.Sub(o.start))
+		}
+	})
+}
+
+// discovered is what discovery tells.
+type discovered struct{ *observer }
+
+var lives = [...]audit.Condition{life.Up: audit.Serving, life.Draining: audit.Draining, life.Gone: audit.Gone}
+
+// Planned tells what a planner has told a node.
+func (o *observer) Planned(forwarder string, told []life.Entry, at time.Time) {
+	var node int
+	if _, err := fmt.Sscanf(forwarder, "n%d", &node); err != nil {
+		return
+	}
+	o.record(func(a *audit.Audit, _ time.Duration) {
+		for _, l := range told {
+			if b, ok := o.boxes[l.ID]; ok {
+				a.Told(node, b, lives[l.Condition], l.Up, at.Sub(o.start))
+			}
+		}
+	})
+}
--- a/internal/lab/planner.go
+++ b/internal/lab/planner.go
@@ -32,7 +32,7 @@
 	for n := range s.Planners.Count {
 		var halves [2]*relay.Relay
 		for half := range halves {
-			r, err := relay.Listen(w.relayAddress(n, half), w.plannerAddress(n), w.eyes)
+			r, err := relay.Listen(w.relayAddress(n, half), w.plannerAddress(n), w.observer)
 			if err != nil {
 				return err
 			}
@@ -62,7 +62,7 @@
 
 func (w *world) startPlanner(n int) error {
 	return w.planners[n].start(w.keeper, func(why string) {
-		w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, "planner: "+why) })
+		w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, "planner: "+why) })
 	})
 }
 
@@ -71,7 +71,7 @@
 	for n, p := range w.planners {
 		p.signal(syscall.SIGCONT)
 		if err := p.end(syscall.SIGTERM); err != nil {
-			w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, "planner: "+err.Error()) })
+			w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, "planner: "+err.Error()) })
 		}
 		p.mu.Lock()
 		all.CPU, all.RSSMB = all.CPU+p.use.CPU, max(all.RSSMB, p.use.RSSMB)
@@ -109,7 +109,7 @@
 
 func returnPlanner(w *world, _ *scenario.Fault, n int) {
 	if err := w.startPlanner(n); err != nil {
-		w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, err.Error()) })
+		w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, err.Error()) })
 	}
 }
 
--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -34,7 +34,7 @@
 	if s.Registry.Addresses == 0 {
 		return nil
 	}
-	w.registry = registry.New(w.eyes)
+	w.registry = registry.New(w.observer)
 	for n, p := range w.nodes {
 		var addresses []string
 		for which := range s.Registry.Addresses {
@@ -96,24 +96,24 @@
 }
 
 // Told tells what the registry has told a node of who is there.
-func (e *eyes) Told(reader int, at string, children []registry.Child, when time.Time) {
-	e.see(func(a *audit.Audit, _ time.Duration) {
+func (o *observer) Told(reader int, at string, children []registry.Child, when time.Time) {
+	o.record(func(a *audit.Audit, _ time.Duration) {
 		there := map[int]bool{}
 		for _, c := range children {
-			if b, ok := e.boxes[c.Name]; ok {
+			if b, ok := o.boxes[c.Name]; ok {
 				there[b] = true
-				a.Told(reader, b, audit.Serving, c.Czxid, when.Sub(e.start))
+				a.Told(reader, b, audit.Serving, c.Czxid, when.Sub(o.start))
 			}
 		}
 		// What vanishes with most others within two seconds is the registry's fault, not the fleet's: the last list is to
 		// hold then, but for boxes that were told to drain.
-		at := when.Sub(e.start)
-		missing := e.missing[reader]
+		at := when.Sub(o.start)
+		missing := o.missing[reader]
 		if missing == nil {
 			missing = map[int]time.Duration{}
-			e.missing[reader] = missing
+			o.missing[reader] = missing
 		}
-		for b := range e.listed[reader] {
+		for b := range o.listed[reader] {
 			if !there[b] {
 				missing[b] = at
 				a.Told(reader, b, audit.Gone, 0, at)
@@ -129,24 +129,24 @@
 		}
 		if lately >= 3 && 2*lately > lately+len(there) {
 			for b := range missing {
-				if !e.drained[[2]int{reader, b}] {
+				if !o.drained[[2]int{reader, b}] {
 					a.Excused(reader, b, at)
 				}
 			}
 		}
-		e.listed[reader] = there
+		o.listed[reader] = there
 	})
 }
 
 // Data tells what it has told of a box.
-func (e *eyes) Data(reader int, at string, data []byte, when time.Time) {
+func (o *observer) Data(reader int, at string, data []byte, when time.Time) {
 	if !strings.Contains(string(data), `"DRAINING"`) {
 		return
 	}
-	e.see(func(a *audit.Audit, _ time.Duration) {
-		if b, ok := e.boxes[path.Base(at)]; ok {
-			a.Told(reader, b, audit.Draining, 0, when.Sub(e.start))
-			e.drained[[2]int{reader, b}] = true
+	o.record(func(a *audit.Audit, _ time.Duration) {
+		if b, ok := o.boxes[path.Base(at)]; ok {
+			a.Told(reader, b, audit.Draining, 0, when.Sub(o.start))
+			o.drained[[2]int{reader, b}] = true
 		}
 	})
 }
--- a/internal/lab/tier.go
+++ b/internal/lab/tier.go
@@ -157,7 +157,7 @@
 
 // kill ends a node without a word.
 func (w *world) kill(n int) {
-	w.eyes.nodeDown(n, true)
+	w.observer.nodeDown(n, true)
 	w.nodes[n].end(syscall.SIGKILL)
 	w.front.Ended(n, w.Scenario.Nodes.Notice.D())
 	w.configure(n)
@@ -201,12 +201,12 @@
 
 // pause has a node stand still for a while.
 func (w *world) pause(ctx context.Context, n int, lasts time.Duration) {
-	w.eyes.nodeStill(n)
+	w.observer.nodeStill(n)
 	w.front.Ended(n, w.Scenario.Nodes.Notice.D())
 	w.nodes[n].signal(syscall.SIGSTOP)
 	w.after(lasts, func() {
 		w.nodes[n].signal(syscall.SIGCONT)
-		w.eyes.nodeOn(n)
+		w.observer.nodeOn(n)
 		w.front.Started(ctx, n)
 	})
 }
@@ -258,7 +258,7 @@
 		for time.Now().Before(until) && ctx.Err() == nil {
 			if err := w.whole(ctx); err != nil {
 				if !errors.Is(err, context.Canceled) {
-					w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Unkept(err.Error()) })
+					w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Unkept(err.Error()) })
 				}
 				return
 			}
@@ -311,7 +311,7 @@
 	w.wg.Go(func() {
 		if err := w.whole(ctx); err != nil {
 			if !errors.Is(err, context.Canceled) {
-				w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Unkept(err.Error()) })
+				w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Unkept(err.Error()) })
 			}
 			return
 		}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -53,44 +53,44 @@
 // Outcome of a run.
 type Outcome struct {
 	*load.Result
-	Late      load.Lateness
-	Rules     []audit.Rule
-	Use       usage
-	Calls     int // of discovery
-	TurnedOff int // calls that it turned away
-	Lines     float64
-	Planning  usage
-	Journal   Journal
-	PlanBytes int // that planners sent to nodes
-	Rude      int // bad clients
-	Seconds   []audit.Second
+	Late       load.Lateness
+	Rules      []audit.Rule
+	Use        usage
+	Calls      int // of discovery
+	TurnedOff  int // calls that it turned away
+	Lines      float64
+	Planning   usage
+	Journal    Journal
+	PlanBytes  int // that planners sent to nodes
+	BadClients int // clients that sent what cannot be read
+	Seconds    []audit.Second
 }
 
 // world is everything that runs for a run.
 type world struct {
 	Options
-	net       string
-	lock      net.Listener // holds the net
-	start     time.Time
-	eyes      *eyes
-	keeper    *keeper
-	boxes     []*machine
-	discovery *discovery.Service
-	mu        sync.Mutex
-	places    int // where discovery listens, counted by its moves
-	front     *front.Front
-	nodes     []*process
-	planners  []*process
-	registry  *registry.Registry // nil: discovery tells
-	ensemble  []*registry.Server
-	relays    [][2]*relay.Relay // by planner and half of the nodes
-	fabric    *wires.Fabric     // nil: nodes know nothing of each other
-	losses    losses
-	steps     steps
-	rude      rude
-	turn      sync.Mutex // faults come one at a time
-	stopped   chan struct{}
-	wg        sync.WaitGroup
+	net        string
+	lock       net.Listener // holds the net
+	start      time.Time
+	observer   *observer
+	keeper     *keeper
+	boxes      []*machine
+	discovery  *discovery.Service
+	mu         sync.Mutex
+	places     int // where discovery listens, counted by its moves
+	front      *front.Front
+	nodes      []*process
+	planners   []*process
+	registry   *registry.Registry // nil: discovery tells
+	ensemble   []*registry.Server
+	relays     [][2]*relay.Relay // by planner and half of the nodes
+	fabric     *wires.Fabric     // nil: nodes know nothing of each other
+	losses     losses
+	steps      steps
+	badClients badClients
+	turn       sync.Mutex // faults come one at a time
+	stopped    chan struct{}
+	wg         sync.WaitGroup
 }
 
 // machine is a box as the world keeps it.
@@ -185,12 +185,12 @@
 	if s := w.Scenario.Peers; s.Before > 0 && s.Replicas > 0 {
 		w.becomesWhole(ctx, &w.losses.whole)
 	}
-	late := g.Run(ctx, w.start, w.front, w.eyes)
+	late := g.Run(ctx, w.start, w.front, w.observer)
 	err := ctx.Err()
 	if err != nil {
 		return nil, err
 	}
-	out := &Outcome{Result: g.Result, Late: late, Rude: w.rude.count()}
+	out := &Outcome{Result: g.Result, Late: late, BadClients: w.badClients.count()}
 	for _, p := range append(slices.Clone(w.nodes), w.planners...) {
 		p.weigh()
 	}
@@ -209,7 +209,7 @@
 	}
 	out.Planning, out.PlanBytes = w.stopPlanners()
 	out.Calls, out.Lines, out.TurnedOff = w.discovery.Use()
-	w.eyes.see(func(a *audit.Audit, _ time.Duration) { out.Rules, out.Seconds = a.Verdict(), a.Seconds() })
+	w.observer.record(func(a *audit.Audit, _ time.Duration) { out.Rules, out.Seconds = a.Verdict(), a.Seconds() })
 	from := min(int(shift/time.Second), len(out.Seconds)) // the load's own
 	out.Seconds = out.Seconds[from:]
 	return out, nil
@@ -221,7 +221,7 @@
 	for n, p := range w.nodes {
 		g.Go(func() error {
 			if err := p.end(syscall.SIGTERM); err != nil {
-				w.eyes.see(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, err.Error()) })
+				w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, err.Error()) })
 			}
 			return nil
 		})
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -116,7 +116,7 @@
 		Discovery:  Discovery{o.Calls, math.Round(o.Lines), o.TurnedOff},
 		NodeUse:    Use{round(o.Use.CPU.Seconds()), math.Round(o.Use.RSSMB)},
 		PlannerUse: Use{round(o.Planning.CPU.Seconds()), math.Round(o.Planning.RSSMB)}, PlanBytes: o.PlanBytes,
-		BadClients: o.Rude, Faults: []Fault{}, Baselines: []Report{}}
+		BadClients: o.BadClients, Faults: []Fault{}, Baselines: []Report{}}
 	for _, t := range o.ByType {
 		r.Latency[t.Name] = Latency{quantile(t.Latency, 50), quantile(t.Latency, 99), quantile(t.Latency, 99.9),
 			float64(t.Latency.Max()) / 1000, ratio(t.Gained, t.Asked)}
