--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -89,25 +89,33 @@
 	if err := f.Started(up, 0); err != nil {
 		return nil, err
 	}
+	if rows, err = measureWays(ctx, o, p, at, addresses); err != nil {
+		return nil, err
+	}
+	select {
+	case why := <-died:
+		return nil, errors.New("the node has ended: " + why)
+	default:
+		return rows, nil
+	}
+}
+
+// measureWays measures the direct way and the one by the node, for each number of connections.
+func measureWays(ctx context.Context, o BenchOptions, p *process, node string, servers []string) (rows []BenchRow, err error) {
 	rates := o.Rates
 	if len(rates) == 0 {
 		rates = []float64{0}
 	}
 	for _, n := range o.Connections {
 		for _, rate := range rates {
-			both, err := bothWays(ctx, p, clients{n: n, each: o.Each, rate: rate}, addresses, at)
+			both, err := bothWays(ctx, p, clients{n: n, each: o.Each, rate: rate}, servers, node)
 			if err != nil {
 				return nil, err
 			}
 			rows = append(rows, both...)
 		}
 	}
-	select {
-	case why := <-died:
-		return nil, errors.New("the node has ended: " + why)
-	default:
-		return rows, nil
-	}
+	return rows, nil
 }
 
 // bothWays has clients ask the servers directly, and then the node.
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -49,7 +49,12 @@
 
 // Faults are shares of requests that meet one, drawn by the request's id.
 type Faults struct {
-	CutBefore, CutWithin, CutAfter, Refuse, Err, Spoil float64
+	CutBefore float64
+	CutWithin float64
+	CutAfter  float64
+	Refuse    float64
+	Err       float64
+	Spoil     float64
 }
 
 // Box serves its model on a listener for each site of its callers, so that a site can be cut off from another.
@@ -274,29 +279,7 @@
 		work += b.f.Handshake
 	}
 	h := &hop{id: id, ended: make(chan What, 1)}
-	var verdict Verdict
-	fell := false
-	b.do(func(now time.Duration) {
-		b.last++
-		b.hops[b.last] = h
-		verdict = b.model.Offer(now, Job{ID: b.last, Work: work, Key: asked.Key, Until: last + time.Duration(left*float64(time.Second))}, b.event)
-		if verdict != Taken {
-			delete(b.hops, b.last)
-		}
-		if verdict == Down && b.model.Fallen() {
-			fell = true
-		}
-	})
-	if verdict == Down {
-		b.watch.Over(id, b.Number, b.now(), false)
-	}
-	if fell {
-		b.watch.Fell(b.Number, b.now())
-		for _, l := range b.listeners {
-			l.Leave()
-		}
-	}
-	switch verdict {
+	switch b.offer(h, Job{Work: work, Key: asked.Key, Until: last + time.Duration(left*float64(time.Second))}) {
 	case Full:
 		return b.turnAway(p, id, 503)
 	case Down:
@@ -321,6 +304,31 @@
 	return b.reply(p, id, text, faults)
 }
 
+// offer gives the model a hop; a box that falls under it leaves its addresses.
+func (b *Box) offer(h *hop, j Job) (verdict Verdict) {
+	fell := false
+	b.do(func(now time.Duration) {
+		b.last++
+		b.hops[b.last] = h
+		j.ID = b.last
+		verdict = b.model.Offer(now, j, b.event)
+		if verdict != Taken {
+			delete(b.hops, b.last)
+		}
+		fell = verdict == Down && b.model.Fallen()
+	})
+	if verdict == Down {
+		b.watch.Over(h.id, b.Number, b.now(), false)
+	}
+	if fell {
+		b.watch.Fell(b.Number, b.now())
+		for _, l := range b.listeners {
+			l.Leave()
+		}
+	}
+	return verdict
+}
+
 // work waits for the end of a hop, which its caller's leaving does not change; gone tells that it has left, and that
 // the watcher was told that the hop is over.
 func (b *Box) work(p peer, h *hop) (what What, gone bool) {
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -23,6 +24,7 @@
 func (p *Policy) setReady(s int, ready bool) {
 	if ready != p.ready[s] {
 		p.readyNow += sign(ready)
+		p.countLabels(s, sign(ready))
 	}
 	p.ready[s] = ready
 	p.dropped.Put(s, ready && !p.listed[s])
@@ -36,6 +38,38 @@
 	p.dropped.Put(s, p.ready[s] && !listed)
 }
 
+// setLabels keeps the counts of ready servers by label in step.
+func (p *Policy) setLabels(s int, labels uint64) {
+	if p.labels[s] == labels {
+		return
+	}
+	if p.ready[s] {
+		p.countLabels(s, -1)
+	}
+	if p.labels[s] = labels; p.ready[s] {
+		p.countLabels(s, 1)
+	}
+}
+
+func (p *Policy) countLabels(s, by int) {
+	for l := p.labels[s]; l != 0; l &= l - 1 {
+		p.labelled[bits.TrailingZeros64(l)] += by
+	}
+}
+
+// allTaken tells that every ready server with one of some labels is taken in, so that a walk of the rotation for
+// another finds none.
+func (p *Policy) allTaken(labels uint64) bool {
+	others := 0
+	for l := labels; l != 0; l &= l - 1 {
+		others += p.labelled[bits.TrailingZeros64(l)]
+	}
+	for _, s := range p.pool {
+		others -= bits.OnesCount64(p.labels[s] & labels)
+	}
+	return others == 0
+}
+
 func sign(up bool) int {
 	if up {
 		return 1
@@ -123,3 +157,121 @@
 		p.troubled.Remove(s)
 	}
 }
+
+// faded is a figure that has faded, or none where it is less than the least that counts.
+func faded(x, least float64) float64 {
+	if x < least {
+		return 0
+	}
+	return x
+}
+
+func sum(figures []float64) (all float64) {
+	for _, f := range figures {
+		all += f
+	}
+	return all
+}
+
+// setAllowances takes over allowances, and their sum, without writing to the settings that the module was given.
+func (p *Policy) setAllowances(changed []Allowance) {
+	if !p.reallowed {
+		p.set.AllowancePerS, p.reallowed = slices.Clone(p.set.AllowancePerS), true
+	}
+	for _, a := range changed {
+		if missing := a.Tenant + 1 - len(p.set.AllowancePerS); missing > 0 {
+			p.set.AllowancePerS = append(p.set.AllowancePerS, make([]float64, missing)...)
+		}
+		p.allowances += a.PerS - p.set.AllowancePerS[a.Tenant]
+		p.set.AllowancePerS[a.Tenant] = a.PerS
+	}
+	p.tenants.named = len(p.set.AllowancePerS)
+}
+
+// unknownTenant stands for all tenants that the settings do not name.
+const unknownTenant = -1
+
+// tenantFigures are what is known of a tenant with traffic lately.
+type tenantFigures struct {
+	tenant int
+	rate   float64 // arrivals a second
+	ends   record
+}
+
+// tenantTable keeps figures of those tenants only that had traffic lately.
+type tenantTable struct {
+	named   int     // tenants from here on are unknown
+	place   []int32 // in active, and one, by tenant; 0: not there
+	active  []tenantFigures
+	total   float64 // of the rates
+	unknown record
+	visits  int // figures come to by ticks so far, for tests that count
+}
+
+// rate is a tenant's arrivals a second.
+func (t *tenantTable) rate(tenant int) float64 {
+	if tenant >= len(t.place) || t.place[tenant] == 0 {
+		return 0
+	}
+	return t.active[t.place[tenant]-1].rate
+}
+
+// of finds the figures of a tenant, which hold until the next call.
+func (t *tenantTable) of(tenant int) *tenantFigures {
+	if missing := tenant + 1 - len(t.place); missing > 0 {
+		t.place = append(t.place, make([]int32, missing)...)
+	}
+	if t.place[tenant] == 0 {
+		t.active = append(t.active, tenantFigures{tenant: tenant})
+		t.place[tenant] = int32(len(t.active))
+	}
+	return &t.active[t.place[tenant]-1]
+}
+
+// arrive counts an arrival and returns the rate.
+func (t *tenantTable) arrive(tenant int) float64 {
+	f := t.of(tenant)
+	f.rate += 1 / rateSpan.Seconds()
+	t.total += 1 / rateSpan.Seconds()
+	return f.rate
+}
+
+func (t *tenantTable) record(tenant int) *record {
+	if tenant == unknownTenant {
+		return &t.unknown
+	}
+	return &t.of(tenant).ends
+}
+
+// fade lets time pass, and lets go of those of whom nothing is left.
+func (t *tenantTable) fade(rates, records float64) {
+	t.unknown.fade(records)
+	t.total = 0
+	for i := len(t.active) - 1; i >= 0; i-- {
+		t.visits++
+		f := &t.active[i]
+		f.rate = faded(f.rate*rates, rateLeast)
+		f.ends.fade(records)
+		t.total += f.rate
+		if f.rate == 0 && f.ends.all == 0 {
+			t.remove(i)
+		}
+	}
+}
+
+func (t *tenantTable) remove(i int) {
+	last := len(t.active) - 1
+	t.place[t.active[i].tenant] = 0
+	if i < last {
+		t.active[i] = t.active[last]
+		t.place[t.active[i].tenant] = int32(i + 1)
+	}
+	t.active = t.active[:last]
+}
+
+func (t *tenantTable) clone() tenantTable {
+	c := *t
+	dup(&c.place)
+	dup(&c.active)
+	return c
+}
