--- a/cmd/fernlab/scale.go
+++ b/cmd/fernlab/scale.go
@@ -42,6 +42,7 @@
 	f.IntVar(&size.Nodes, "nodes", 64, "hollow nodes")
 	f.IntVar(&size.Servers, "servers", 192, "servers that discovery lists")
 	f.IntVar(&size.Services, "services", 8, "services that they belong to")
+	f.IntVar(&size.Serves, "serves", 0, "services that a node serves, where the plane sends it no others; 0 for all")
 	f.IntVar(&size.Routes, "routes", 64, "routes of the operator's file; 0 for no file")
 	f.IntVar(&size.Tenants, "tenants", 16, "tenants of the settings")
 	f.IntVar(&size.Regions, "regions", 3, "regions")
--- a/internal/scale/change_test.go
+++ b/internal/scale/change_test.go
@@ -47,7 +47,7 @@
 	}
 	w.Whole, w.Revision = false, list.Revision
 	m := newMeter(l.Net)
-	if err := m.read(); err != nil {
+	if err := m.read(nobodyElse); err != nil {
 		t.Fatal(err)
 	}
 	before := m.flows()[roleNodes]
@@ -55,7 +55,7 @@
 		t.Fatal(err)
 	}
 	list, err = w.Call(ctx)
-	if err := errors.Join(err, m.read()); err != nil {
+	if err := errors.Join(err, m.read(nobodyElse)); err != nil {
 		t.Fatal(err)
 	}
 	return m.flows()[roleNodes].less(before).BytesIn, len(list.Hosts)
--- a/internal/scale/conductor.go
+++ b/internal/scale/conductor.go
@@ -78,8 +78,9 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	c := &conductor{Options: o, layout: &Layout{Size: o.Size, Net: number, Dir: dir}, machine: machine, ledger: newLedger(o.Size.Nodes),
+	c := &conductor{Options: o, layout: &Layout{Size: o.Size, Net: number, Dir: dir}, machine: machine,
 		meter: newMeter(number), answers: make(chan told, 1), begun: time.Now()}
+	c.ledger = newLedger(o.Size.Nodes, c.layout.served)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer c.end()
@@ -201,7 +202,21 @@
 func (c *conductor) read() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.meter.read()
+	return c.meter.read(c.inner)
+}
+
+// inner are the processes whose connections to control processes are no node's.
+func (c *conductor) inner() (pids []int) {
+	others := append([]*process{c.discovery}, c.controls...)
+	if c.ways != nil {
+		others = append(others, c.ways)
+	}
+	for _, p := range others {
+		if pid := p.pid(); pid > 0 {
+			pids = append(pids, pid)
+		}
+	}
+	return pids
 }
 
 // reading is what all roles have paid up to a moment.
--- a/internal/scale/cut.go
+++ b/internal/scale/cut.go
@@ -21,7 +21,7 @@
 				continue
 			}
 			to := l.controlAddress(n)
-			listener, err := link.Listen(l.cutAddress(region, n), func(c *link.Conn) { pass(c, to, l) })
+			listener, err := link.Listen(l.cutAddress(region, n), func(c *link.Conn) { pass(c, to) })
 			if err != nil {
 				return nil, err
 			}
@@ -31,11 +31,10 @@
 	return w, nil
 }
 
-// pass leads a connection on to a control process, from an address of its own by which it is not counted twice.
-func pass(from *link.Conn, address string, l *Layout) {
+// pass leads a connection on to a control process.
+func pass(from *link.Conn, address string) {
 	defer from.Close()
-	d := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, byte(l.Net), cutHost, 254)}}
-	to, err := d.Dial("tcp", address)
+	to, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		from.Reset()
 		return
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -45,7 +45,6 @@
 
 // startHollow runs a node as it ships, on the files of the layout.
 func startHollow(l *Layout, number int, r *recorder) (*hollow, error) {
-	region := l.region(l.zone(l.workerOf(number)))
 	env := map[string]string{"PROXY_NAME": fmt.Sprintf("n%05d", number), "PROXY_LISTEN": l.nodeAddress(number, nodePort)}
 	if l.Size.Routes > 0 {
 		env["PROXY_OPERATOR"] = l.operatorPath()
@@ -63,7 +62,7 @@
 	if err := l.beside(&cfg, number); err != nil {
 		return nil, err
 	}
-	if err := planes[l.Size.Plane].Configure(l, region, &cfg); err != nil {
+	if err := planes[l.Size.Plane].Configure(l, number, &cfg); err != nil {
 		return nil, err
 	}
 	h := &hollow{number: number, reload: make(chan os.Signal, 1), stop: make(chan struct{}), done: make(chan error, 1)}
--- a/internal/scale/layout.go
+++ b/internal/scale/layout.go
@@ -54,6 +54,9 @@
 func (l *Layout) controlIn(n int) int   { return n % l.Size.Regions }
 func (l *Layout) workerOf(node int) int { return node % l.Size.workers() }
 
+// regionOf a node.
+func (l *Layout) regionOf(node int) int { return l.region(l.zone(l.workerOf(node))) }
+
 // nodesOf are the nodes of a process.
 func (l *Layout) nodesOf(worker int) (nodes []int) {
 	for n := worker; n < l.Size.Nodes; n += l.Size.workers() {
@@ -62,6 +65,36 @@
 	return nodes
 }
 
+// servicesOf are the services that a node serves.
+func (l *Layout) servicesOf(node int) (services []int) {
+	serves := l.serves()
+	for i := range serves {
+		services = append(services, (node*serves+i)%l.Size.Services)
+	}
+	return services
+}
+
+func (l *Layout) serves() int {
+	if l.Size.Serves == 0 || !planes[l.Size.Plane].Scoped() {
+		return l.Size.Services
+	}
+	return l.Size.Serves
+}
+
+// served tells whether a node is told of a server.
+func (l *Layout) served(node, server int) bool {
+	n := l.Size.Services
+	return ((server-node*l.serves())%n+n)%n < l.serves()
+}
+
+// serversOf counts the servers that a node is told of.
+func (l *Layout) serversOf(node int) (count int) {
+	for _, s := range l.servicesOf(node) {
+		count += (l.Size.Servers - s + l.Size.Services - 1) / l.Size.Services
+	}
+	return count
+}
+
 // parsed is an address that the layout has made.
 func parsed(address string) netip.AddrPort { return netip.MustParseAddrPort(address) }
 
--- a/internal/scale/ledger.go
+++ b/internal/scale/ledger.go
@@ -7,7 +7,8 @@
 
 // ledger holds what was changed, and when each node had it in force.
 type ledger struct {
-	nodes int
+	nodes  int
+	served func(node, server int) bool
 
 	mu      sync.Mutex
 	changes []*change
@@ -27,11 +28,12 @@
 	at       int64
 	next     int64 // when the same server changed again; 0: it has not
 	taken    []int64
+	apart    []bool // nodes that are not told of the server
 	down     []bool // nodes that were down at some time from then on
 }
 
-func newLedger(nodes int) *ledger {
-	return &ledger{nodes: nodes, byMark: map[int][]*change{}, started: make([]int64, nodes), whole: make([]int64, nodes),
+func newLedger(nodes int, served func(node, server int) bool) *ledger {
+	return &ledger{nodes: nodes, served: served, byMark: map[int][]*change{}, started: make([]int64, nodes), whole: make([]int64, nodes),
 		down: make([]bool, nodes), routed: make([]int64, nodes), modules: map[int]handed{}}
 }
 
@@ -40,7 +42,10 @@
 	at := now.UnixNano()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := &change{marker: marker, draining: draining, at: at, taken: make([]int64, l.nodes), down: append([]bool(nil), l.down...)}
+	c := &change{marker: marker, draining: draining, at: at, taken: make([]int64, l.nodes), apart: make([]bool, l.nodes), down: append([]bool(nil), l.down...)}
+	for n := range c.apart {
+		c.apart[n] = !l.served(n, marker)
+	}
 	if all := l.byMark[marker]; len(all) > 0 {
 		all[len(all)-1].next = at
 	}
@@ -158,6 +163,7 @@
 	for _, c := range l.changes[from:] {
 		for n, at := range c.taken {
 			switch {
+			case c.apart[n]:
 			case c.down[n]: // whenever it had it then: that says how long it was down
 				down++
 			case at > 0:
--- a/internal/scale/ledger_test.go
+++ b/internal/scale/ledger_test.go
@@ -70,7 +70,7 @@
 		}, InForce{Changes: 1, Taken: 3, P50: 50, P99: 50, Last: 50}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := newLedger(3)
+			l := newLedger(3, func(int, int) bool { return true })
 			c.play(l)
 			if got := l.inForce(0); *got != c.want {
 				t.Errorf("%+v, want %+v", *got, c.want)
@@ -94,7 +94,7 @@
 		"an unknown event":       {func(s *Size) { s.Event = "x" }, 24e9, "--event x: one of restart-tenth, rack, zone, regions-apart, control-killed, discovery-away, start-all"},
 		"an event of no control": {func(s *Size) { s.Plane, s.Event = "discovery", ControlKilled }, 24e9, "--event control-killed: plane discovery has no control processes"},
 		"too many processes":     {func(s *Size) { s.Nodes = 8000 }, 1e12, "209 processes are needed: 200 at most"},
-		"too much memory":        {func(s *Size) { s.Servers = 100_000 }, 24e9, "about 17.3 GB of memory are needed: half of this machine's are 12.0"},
+		"too much memory":        {func(s *Size) { s.Servers = 100_000 }, 24e9, "about 20.2 GB of memory are needed: half of this machine's are 12.0"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := well
--- a/internal/scale/parts/parts.go
+++ b/internal/scale/parts/parts.go
@@ -4,6 +4,7 @@
 package parts
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math"
@@ -53,7 +54,10 @@
 // Measure measures all parts, or those whose names are given.
 func Measure(progress io.Writer, only ...string) ([]Series, error) {
 	var all []Series
-	for _, f := range slices.Concat(lists(), files(), plans()) {
+	figures := slices.Concat(files(), lists(), plans())
+	// Memory first: what other figures leave to the collector would be in the way of it.
+	slices.SortStableFunc(figures, func(a, b figure) int { return cmp.Compare(order(&a), order(&b)) })
+	for _, f := range figures {
 		if len(only) > 0 && !slices.Contains(only, f.series.Name) {
 			continue
 		}
@@ -75,6 +79,13 @@
 	return all, nil
 }
 
+func order(f *figure) int {
+	if f.series.Unit == "B" && !f.series.Exact {
+		return 0
+	}
+	return 1
+}
+
 // doubled are sizes from one to another, each twice the one before.
 func doubled(from, to int) (sizes []int) {
 	for n := from; n <= to; n *= 2 {
--- a/internal/scale/phases.go
+++ b/internal/scale/phases.go
@@ -76,6 +76,8 @@
 		if err := p.start(); err != nil {
 			return nil, err
 		}
+	}
+	for _, p := range first {
 		if err := p.await(readyMost); err != nil {
 			return nil, err
 		}
--- a/internal/scale/plane.go
+++ b/internal/scale/plane.go
@@ -18,14 +18,17 @@
 type Plane interface {
 	// Controls tells whether there are control processes between discovery's side and the nodes.
 	Controls() bool
+	// Scoped tells whether a node is sent its own services alone.
+	Scoped() bool
 	// Prepare writes the files that control processes and nodes read, before any of them starts.
 	Prepare(l *Layout) error
 	// Control runs the n-th control process until the context ends. It returns when the process cannot go on.
 	Control(ctx context.Context, l *Layout, n int) error
-	// Source is where changes are made: discovery's side, or a part of the plane itself that takes them.
+	// Source is where changes are made: discovery's side, or a part of the plane itself that takes them. Control processes
+	// are starting beside it; it is there once all servers are listed.
 	Source(l *Layout) (Source, error)
-	// Configure has a node of a region take part, by the configuration that it has loaded.
-	Configure(l *Layout, region int, cfg *serve.Config) error
+	// Configure has a node take part, by the configuration that it has loaded.
+	Configure(l *Layout, node int, cfg *serve.Config) error
 }
 
 // Source is where servers change. It lives in the process of discovery's side.
@@ -46,6 +49,7 @@
 // discoveryPlane has each node watch discovery by itself.
 type discoveryPlane struct{}
 
+func (discoveryPlane) Scoped() bool                                { return false }
 func (discoveryPlane) Controls() bool                              { return false }
 func (discoveryPlane) Prepare(*Layout) error                       { return nil }
 func (discoveryPlane) Control(context.Context, *Layout, int) error { return nil }
--- a/internal/scale/planners.go
+++ b/internal/scale/planners.go
@@ -19,7 +19,7 @@
 	return planner.Run(ctx, cfg, zerolog.New(os.Stderr).With().Timestamp().Logger())
 }
 
-func (plannersPlane) Configure(l *Layout, region int, cfg *serve.Config) (err error) {
-	cfg.Planners, err = plancfg.LoadForwarder(l.plannersPath(region))
+func (plannersPlane) Configure(l *Layout, node int, cfg *serve.Config) (err error) {
+	cfg.Planners, err = plancfg.LoadForwarder(l.plannersPath(l.regionOf(node)))
 	return err
 }
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -134,6 +134,16 @@
 	<-ended
 }
 
+// pid of the running process, 0 for none.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // use is what it has used so far, over its restarts.
 func (p *process) use() (u usage) {
 	p.mu.Lock()
--- a/internal/scale/records.go
+++ b/internal/scale/records.go
@@ -14,7 +14,7 @@
 
 const (
 	markerTaken recordKind = iota // a changed server
-	wholeTaken                    // as many servers as there are, a source having told
+	wholeTaken                    // as many servers as there are of its services, a source having told
 	routesTaken                   // routes of the operator's file
 	nodeStarted
 )
@@ -30,7 +30,7 @@
 
 // recorder gathers the records of the nodes of one process, and counts what their modules were handed.
 type recorder struct {
-	servers int
+	layout  *Layout
 	markers map[uint32]int // by rank
 
 	mu      sync.Mutex // taken under a fleet's lock; nothing is done under it but this
@@ -47,7 +47,7 @@
 }
 
 func newRecorder(l *Layout) *recorder {
-	r := &recorder{servers: l.Size.Servers, markers: map[uint32]int{}}
+	r := &recorder{layout: l, markers: map[uint32]int{}}
 	for i := range l.markers() {
 		r.markers[crc32.ChecksumIEEE([]byte(serverID(l.Size.Services, i)))] = i
 	}
@@ -74,13 +74,14 @@
 	node.Module
 	recorder *recorder
 	node     int
-	known    int // servers that it was ever told of, by their dense indices
+	servers  int // that it is to know
+	known    int // that it was ever told of, by their dense indices
 	whole    bool
 }
 
 func (r *recorder) observe(number int, maker node.Maker) node.Maker {
 	return func(s policy.Settings, seed uint32) node.Module {
-		return &observed{Module: maker(s, seed), recorder: r, node: number}
+		return &observed{Module: maker(s, seed), recorder: r, node: number, servers: r.layout.serversOf(number)}
 	}
 }
 
@@ -114,7 +115,7 @@
 	}
 	r.counts.Lists++
 	r.counts.Elements += len(in.Members)
-	if !o.whole && o.known >= r.servers {
+	if !o.whole && o.known >= o.servers {
 		o.whole = true
 		r.records = append(r.records, record{Kind: wholeTaken, Node: o.node, At: at})
 	}
--- a/internal/scale/size.go
+++ b/internal/scale/size.go
@@ -17,6 +17,7 @@
 	Nodes      int           `json:"nodes"`
 	Servers    int           `json:"servers"`
 	Services   int           `json:"services"`
+	Serves     int           `json:"serves,omitempty"` // services of a node, where the plane sends it no others; 0: all
 	Routes     int           `json:"routes"`
 	Tenants    int           `json:"tenants"`
 	Regions    int           `json:"regions"`
@@ -31,7 +32,7 @@
 	Snapshots  bool          `json:"snapshots"`
 }
 
-// Bounds and estimates. What a node holds is estimated on the large side: the run is watched as well.
+// Bounds and estimates. What a node holds is estimated a little above what runs have measured; each run is watched as well.
 const (
 	processesMost   = 200
 	nodesTop        = 60_000 // addresses that a net has for them
@@ -39,12 +40,14 @@
 	nodesPerProcess = 40
 	memoryShare     = 0.5 // of the machine's
 	processBytes    = 24 << 20
-	nodeBytes       = 700 << 10
-	serverBytes     = 2_500 // of a server at a node or a control process, collector's slack included
-	routeBytes      = 5_000
-	tenantBytes     = 700
-	memberBytes     = 700  // of a node in another's membership
-	linkBytes       = 64e3 // of a control process's connection to a node
+	nodeBytes       = 350 << 10
+	serverBytes     = 1_500 // of a server at a node or a control process, collector's slack included
+	routeBytes      = 3_000
+	tenantBytes     = 500
+	followBytes     = 600 << 10 // of a node under control processes, beside what it holds of servers once more
+	tierBytes       = 7 << 20   // of a node in a tier, whose connections have buffers
+	memberBytes     = 700       // of another one that it knows
+	linkBytes       = 64e3      // of a control process's connection to a node
 )
 
 // Check tells in one line what is wrong with a size, without a look at the machine.
@@ -53,7 +56,7 @@
 		name              string
 		value, least, top int
 	}{
-		{"nodes", s.Nodes, 1, nodesTop}, {"servers", s.Servers, 1, serversTop}, {"services", s.Services, 1, serversTop},
+		{"nodes", s.Nodes, 1, nodesTop}, {"servers", s.Servers, 1, serversTop}, {"services", s.Services, 1, serversTop}, {"serves", s.Serves, 0, s.Services},
 		{"routes", s.Routes, 0, 1_000_000}, {"tenants", s.Tenants, 0, 1_000_000}, {"regions", s.Regions, 1, 16},
 		{"zones", s.Zones, s.Regions, 64}, {"control", s.Control, 1, 64},
 	} {
@@ -99,9 +102,10 @@
 	held := float64(s.Servers)*serverBytes + float64(s.Routes)*routeBytes + float64(s.Tenants)*tenantBytes
 	sum := float64(s.Processes())*processBytes + n*(nodeBytes+held)
 	if s.Membership {
-		sum += n * n * memberBytes
+		sum += n*tierBytes + n*n*memberBytes
 	}
 	if s.controls() {
+		sum += n * (followBytes + float64(s.Servers)*serverBytes)
 		sum += float64(s.Control) * (n*linkBytes + n*float64(s.Servers) + float64(s.Servers)*serverBytes)
 	}
 	return sum
--- a/internal/scale/sockets.go
+++ b/internal/scale/sockets.go
@@ -50,6 +50,8 @@
 	local, remote     uint16 // ports
 	localIP, remoteIP [4]byte
 	flow
+
+	inode uint32
 }
 
 // sockets asks for all TCP connections over IPv4 of this machine.
@@ -105,6 +107,7 @@
 	copy(s.localIP[:], data[8:])
 	copy(s.remoteIP[:], data[24:])
 	s.cookie = binary.NativeEndian.Uint64(data[44:])
+	s.inode = binary.NativeEndian.Uint32(data[68:])
 	for rest := data[messageBytes:]; len(rest) >= syscall.SizeofRtAttr; {
 		length, kind := int(binary.NativeEndian.Uint16(rest)), binary.NativeEndian.Uint16(rest[2:])
 		if length < syscall.SizeofRtAttr || length > len(rest) {
@@ -121,62 +124,3 @@
 	}
 	return s, false
 }
-
-// meter adds up what passed on the connections of one net, by the port of their serving side.
-type meter struct {
-	net    byte
-	sums   map[uint16]flow
-	cutWay flow // of the control processes' connections, those that come over ways between regions
-	last   map[uint64]flow
-}
-
-func newMeter(net int) *meter {
-	return &meter{net: byte(net), sums: map[uint16]flow{}, last: map[uint64]flow{}}
-}
-
-// read brings the sums up to now. A connection that has ended since keeps what was counted of it.
-func (m *meter) read() error {
-	seen := map[uint64]flow{}
-	err := sockets(func(s *socket) {
-		if s.localIP[0] != 127 || s.localIP[1] != m.net {
-			return
-		}
-		switch s.local {
-		case discoveryPort, controlPort, memberPort, cutPort, ownerPort:
-		default:
-			return
-		}
-		if s.local == memberPort && s.remote == memberPort {
-			return
-		}
-		fresh := s.flow.less(m.last[s.cookie])
-		seen[s.cookie] = s.flow
-		sum := m.sums[s.local]
-		sum.add(fresh)
-		m.sums[s.local] = sum
-		if s.local == controlPort && s.remoteIP[2] == cutHost && s.remoteIP[1] == m.net {
-			m.cutWay.add(fresh)
-		}
-	})
-	if err == nil {
-		m.last = seen
-	}
-	return err
-}
-
-// flows of the roles, each from its own side.
-func (m *meter) flows() map[role]flow {
-	nodes := m.sums[discoveryPort].turned()
-	nodes.add(m.sums[controlPort].less(m.cutWay).turned())
-	nodes.add(m.sums[cutPort].turned())
-	control := m.sums[controlPort]
-	control.add(m.sums[ownerPort].turned())
-	discovery := m.sums[discoveryPort]
-	discovery.add(m.sums[ownerPort])
-	members := m.sums[memberPort]
-	both := members.turned()
-	both.add(members) // each connection has two nodes, and both their sides count
-	return map[role]flow{roleNodes: nodes, roleControl: control, roleDiscovery: discovery, roleMembers: both}
-}
-
-const roleMembers role = "membership"
