--- a/internal/serve/cgi.go
+++ b/internal/serve/cgi.go
@@ -31,7 +31,7 @@
 			}
 			c.Refused()
 			c.calls.Wait() // what was taken is answered all the same
-			discard(nc)
+			s.discard(nc)
 			return
 		}
 		c.took()
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -82,7 +82,7 @@
 		place.Answered()
 		if req.Close || s.draining.Load() || c.Spilt() {
 			if c.More() { // the client has sent on before it could read that this is the last answer
-				discard(nc)
+				s.discard(nc)
 			}
 			return
 		}
@@ -133,15 +133,15 @@
 	}
 	s.log.Warn().Str("client", c.RemoteAddr().String()).Int("status", bad.Status).Str("why", bad.Why).Msg("request rejected")
 	s.answer(f, message.Answer{Status: bad.Status, Body: []byte(bad.Why + "\n"), Close: true})
-	discard(c.Conn)
+	s.discard(c.Conn)
 }
 
 // discard says that nothing more is written, and reads on for a while: a close with something unread would be a reset,
 // which takes with it what the client has not read yet of its answers.
-func discard(c net.Conn) {
+func (s *Server) discard(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		tcp.CloseWrite()
-		tcp.SetReadDeadline(time.Now().Add(lingerMost))
+		tcp.SetReadDeadline(time.Now().Add(lingerMost + s.cfg.stop.linger))
 		io.CopyN(io.Discard, tcp, lingerBytes)
 	}
 }
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -64,6 +64,7 @@
 	coming func()        // returns when new connections are not waited for any more
 	more   time.Duration // than the usual time until all must be over
 	quiet  time.Duration // more than the usual time without a connection until listening ends
+	linger time.Duration // more than the usual time for a client to read its last answer
 }
 
 // Load reads a configuration; variables of the environment go before the file. The operator's file and the
