Test: the sum of what 4 to 30 nodes send a cold server stays within N and its chance

Need: a cold server falls when all nodes together send more than N + 2 x root of N + 2 requests of mean work within the settings' time; no test had this sum. TestColdServersUnderAllNodes plays the shipped module for 4, 10, 20 and 30 nodes on a clock of its own, the busiest node with four times what the idlest gets, 12 servers of which 3 are new, 3 return or 6 return as a burst of half as much again begins at 0.9 of the capacity; work of 20, 60 and 150 ms, three seeds: N from 4 to 600. All nodes had been told of the starts.

--- /dev/null
+++ b/internal/lab/cold_test.go
@@ -0,0 +1,250 @@
+package lab
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fernvane/internal/node"
+	"fernvane/policy"
+)
+
+// moment is something that is due in a coldFleet.
+type moment struct {
+	at time.Duration
+	do func()
+}
+
+type agenda []moment
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(moment)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// coldServer works through what it is sent in turn, slower while it is cold.
+type coldServer struct {
+	started time.Duration // below 0: warm from the beginning
+	free    time.Duration
+	recent  []time.Duration // attempts since its start, within the window
+}
+
+// coldFleet is a number of nodes before some servers, each node the shipped module, on a clock of its own.
+type coldFleet struct {
+	set     policy.Settings
+	work    time.Duration // of one request on a warm server
+	window  time.Duration
+	now     time.Duration
+	due     agenda
+	chance  *rand.Rand
+	nodes   []*coldNode
+	servers []*coldServer
+	jobs    uint64
+	worst   float64 // most of what a cold server may get that one got
+	most    string
+	fed     int // attempts at cold servers
+}
+
+type coldNode struct {
+	f    *coldFleet
+	door *node.Node[int]
+	woke int // wakes asked for
+	hops map[uint64]int
+}
+
+func (f *coldFleet) after(d time.Duration, do func()) { heap.Push(&f.due, moment{f.now + d, do}) }
+
+// allows is N, what the settings allow a server to be sent within the window now, in requests of mean work.
+func (f *coldFleet) allows(s *coldServer) float64 {
+	return f.set.FallMultiple * f.capacity(s) * f.window.Seconds() / f.work.Seconds()
+}
+
+func (f *coldFleet) capacity(s *coldServer) float64 {
+	age := float64(f.now-s.started) / float64(f.set.ColdFor)
+	if s.started < 0 || age >= 1 {
+		return 1
+	}
+	return f.set.ColdStart + (1-f.set.ColdStart)*age
+}
+
+// sent counts an attempt at a server that is cold: beyond N only twice its root and two more are chance.
+func (f *coldFleet) sent(s int) {
+	c := f.servers[s]
+	if f.capacity(c) >= 1 {
+		return
+	}
+	f.fed++
+	c.recent = append(c.recent, f.now)
+	for f.now-c.recent[0] >= f.window {
+		c.recent = c.recent[1:]
+	}
+	n := f.allows(c)
+	if part := float64(len(c.recent)) / (n + 2*math.Sqrt(n) + 2); part > f.worst {
+		f.worst = part
+		f.most = fmt.Sprintf("server %d at %v: %d within %v, N is %.1f", s, f.now, len(c.recent), f.window, n)
+	}
+}
+
+func (n *coldNode) Forward(job uint64, server int, allow time.Duration) {
+	f := n.f
+	f.sent(server)
+	hop := n.hops[job]
+	n.hops[job]++
+	c, sent := f.servers[server], f.now
+	c.free = max(c.free, f.now) + time.Duration(float64(f.work)/f.capacity(c)*f.chance.ExpFloat64())
+	in := policy.Input{Hop: hop, Outcome: policy.Success, Final: true}
+	took := c.free - f.now
+	if took > allow {
+		took, in.Outcome, in.Final = allow, policy.TimedOut, false
+	}
+	f.after(took, func() {
+		in.Spent = f.now - sent
+		n.door.HopEnded(f.now, job, server, in, n)
+	})
+}
+
+func (n *coldNode) TurnAway(uint64, time.Duration) {}
+func (n *coldNode) Lose(uint64)                    {}
+func (n *coldNode) Listen()                        {}
+func (n *coldNode) Release(int)                    {}
+func (n *coldNode) Forget(int)                     {}
+
+func (n *coldNode) Schedule(after time.Duration) {
+	n.woke++
+	woke := n.woke
+	n.f.after(after, func() {
+		if n.woke == woke {
+			n.door.Woken(n.f.now, n)
+		}
+	})
+}
+
+// list tells all nodes of servers.
+func (f *coldFleet) list(scope policy.Scope, servers ...policy.Member) {
+	members := make([]node.Member[int], 0, len(servers))
+	for _, m := range servers {
+		members = append(members, node.Member[int]{Server: m.Server, Line: m})
+	}
+	for _, n := range f.nodes {
+		n.door.List(f.now, scope, members, n)
+	}
+}
+
+func (f *coldFleet) member(s int, c policy.Condition) policy.Member {
+	m := policy.Member{Server: s, Rank: uint32(s) * 2654435761, Scale: 1, Condition: c}
+	if start := f.servers[s].started; start >= 0 {
+		m.Started, m.HasStart = start, true
+	}
+	return m
+}
+
+// arrivals come at a rate over all nodes, of which the idlest takes a part of what the busiest takes.
+func (f *coldFleet) arrivals(idle float64, rate func() float64) {
+	f.after(time.Duration(f.chance.ExpFloat64()/rate()*float64(time.Second)), func() {
+		i := f.chance.IntN(len(f.nodes))
+		if keep := idle + (1-idle)*float64(i)/float64(len(f.nodes)); f.chance.Float64() < keep {
+			f.jobs++
+			n, t := f.nodes[i], f.set.Types[0]
+			n.door.Arrive(f.now, f.jobs, policy.Input{Budget: t.AbandonTime}, n)
+		}
+		f.arrivals(idle, rate)
+	})
+}
+
+func (f *coldFleet) run(until time.Duration) {
+	for len(f.due) > 0 && f.due[0].at <= until {
+		m := heap.Pop(&f.due).(moment)
+		f.now = m.at
+		m.do()
+	}
+	f.now = until
+}
+
+// throng plays so many nodes before servers of which some are new, or return, as a burst of half as much again begins.
+func throng(nodes int, work time.Duration, cold int, returns bool, seed uint64) *coldFleet {
+	const (
+		count  = 12
+		load   = 0.9 // of all servers' capacity, were they warm
+		idle   = 0.25
+		mean   = idle + (1-idle)/2 // of the busiest node's arrivals
+		burst  = 1.5
+		begins = 12 * time.Second
+		lasts  = 10 * time.Second
+		early  = time.Second // by which the burst begins before
+	)
+	f := &coldFleet{work: work, window: 2 * time.Second, chance: rand.New(rand.NewPCG(seed, uint64(nodes)))}
+	f.set = policy.Settings{Nodes: nodes, MostHops: 4, Tick: 2 * time.Millisecond, ConnectTimeout: 100 * time.Millisecond,
+		ColdFor: 8 * time.Second, ColdStart: 0.2, FallMultiple: 2,
+		Types: []policy.TrafficType{{TargetTime: 20 * work, AbandonTime: 40 * work, Revenue: 1}}}
+	var first, gone, back []policy.Member
+	for s := range count {
+		f.servers = append(f.servers, &coldServer{started: -1})
+		if s < count-cold || returns {
+			first = append(first, f.member(s, policy.Up))
+		}
+		if s >= count-cold {
+			gone = append(gone, f.member(s, policy.Gone))
+		}
+	}
+	for i := range nodes {
+		n := &coldNode{f: f, hops: map[uint64]int{}}
+		set := f.set
+		set.Me = i
+		n.door = node.New[int](0, policy.New(set, uint32(seed)<<8|uint32(i)), n)
+		f.nodes = append(f.nodes, n)
+	}
+	f.list(policy.Whole, first...)
+	f.arrivals(idle, func() float64 {
+		rate := load * count / work.Seconds() / mean
+		if f.now >= begins-early {
+			rate *= burst
+		}
+		return rate
+	})
+	f.run(begins / 2)
+	if returns {
+		f.list(policy.Changes, gone...)
+	}
+	f.run(begins)
+	for s := count - cold; s < count; s++ {
+		f.servers[s].started, f.servers[s].free = f.now, f.now
+		back = append(back, f.member(s, policy.Up))
+	}
+	f.list(policy.Changes, back...)
+	f.run(begins + lasts)
+	return f
+}
+
+// A cold server falls under the sum of what all nodes send. With four to thirty nodes, new servers and ones that return,
+// under a burst, none gets more than N and what the standing test puts down to chance.
+func TestColdServersUnderAllNodes(t *testing.T) {
+	const seeds = 3
+	for _, nodes := range []int{4, 10, 20, 30} {
+		for _, work := range []time.Duration{20 * time.Millisecond, 60 * time.Millisecond, 150 * time.Millisecond} {
+			for _, c := range []struct {
+				about   string
+				cold    int
+				returns bool
+			}{{"a few new", 3, false}, {"a few return", 3, true}, {"half return", 6, true}} {
+				t.Run(fmt.Sprintf("%d nodes, work of %v, %s", nodes, work, c.about), func(t *testing.T) {
+					t.Parallel()
+					for seed := range uint64(seeds) {
+						f := throng(nodes, work, c.cold, c.returns, seed+1)
+						t.Logf("%d at cold servers, the most %.0f%% of what is chance: %s", f.fed, 100*f.worst, f.most)
+						if f.fed == 0 || f.worst > 1 {
+							t.Error("cold servers got nothing, or more than their budget and its chance")
+						}
+					}
+				})
+			}
+		}
+	}
+}
