The audit, its boxes and the baselines speak of attempts, not hops

Change: identifiers and comments; the rule's name hops, its texts and MostHops of scenario files stay. Measured: tests of audit, standin/box and cmd/fernlab green.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-type hop struct {
+type attempt struct {
 	box     int
 	first   time.Duration
 	last    time.Duration
@@ -19,16 +19,16 @@
 }
 
 type request struct {
-	kind    int
-	node    int
-	sent    time.Duration // -1: never whole
-	ended   time.Duration
-	end     End
-	status  int
-	foreign bool
-	extra   bool
-	known   bool // a client has told of it
-	hops    []hop
+	kind     int
+	node     int
+	sent     time.Duration // -1: never whole
+	ended    time.Duration
+	end      End
+	status   int
+	foreign  bool
+	extra    bool
+	known    bool // a client has told of it
+	attempts []attempt
 }
 
 type told struct {
@@ -94,10 +94,10 @@
 // Extra tells that a node sent something on a connection on which nothing was asked.
 func (a *Audit) Extra(node int) { a.extras = append(a.extras, fmt.Sprintf("node %d", node)) }
 
-// Hop tells that a box was sent a request, by when its first and its last byte came.
-func (a *Audit) Hop(id uint64, box int, first, last time.Duration) {
+// Attempt tells that a box was sent a request, by when its first and its last byte came.
+func (a *Audit) Attempt(id uint64, box int, first, last time.Duration) {
 	r := a.request(id)
-	r.hops = append(r.hops, hop{box: box, first: first, last: last, over: -1, ran: -1})
+	r.attempts = append(r.attempts, attempt{box: box, first: first, last: last, over: -1, ran: -1})
 }
 
 // Invented tells that a box was sent what no client has sent.
@@ -105,20 +105,20 @@
 	a.invented = append(a.invented, fmt.Sprintf("%q at %s", what, a.boxes[box].Name))
 }
 
-// last is the latest hop of a request at a box.
-func (r *request) last(box int) *hop {
-	for i := len(r.hops) - 1; i >= 0; i-- {
-		if r.hops[i].box == box {
-			return &r.hops[i]
+// last is the latest attempt of a request at a box.
+func (r *request) last(box int) *attempt {
+	for i := len(r.attempts) - 1; i >= 0; i-- {
+		if r.attempts[i].box == box {
+			return &r.attempts[i]
 		}
 	}
-	return &hop{}
+	return &attempt{}
 }
 
-// Ran tells that a box has begun the work of its latest hop of a request.
+// Ran tells that a box has begun the work of its latest attempt of a request.
 func (a *Audit) Ran(id uint64, box int, at time.Duration) { a.request(id).last(box).ran = at }
 
-// Over tells that the hop is out no more: it was answered, or its connection ended. unbegun: by the word that it never ran.
+// Over tells that the attempt is out no more: it was answered, or its connection ended. unbegun: by the word that it never ran.
 func (a *Audit) Over(id uint64, box int, at time.Duration, unbegun bool) {
 	if h := a.request(id).last(box); h.over < 0 {
 		h.over, h.unbegun = at, unbegun
@@ -198,7 +198,7 @@
 // EachRan calls f for each work that a box has begun, of types that ask says yes to.
 func (a *Audit) EachRan(ask func(kind int) bool, f func(id uint64, node, box int)) {
 	for id, r := range a.requests {
-		for _, h := range r.hops {
+		for _, h := range r.attempts {
 			if r.known && h.ran >= 0 && ask(r.kind) {
 				f(id, r.node, h.box)
 			}
@@ -218,7 +218,7 @@
 		v := Rule{Name: r.name, About: r.about}
 		for _, id := range ids {
 			q := a.requests[id]
-			slices.SortStableFunc(q.hops, func(x, y hop) int { return cmp.Compare(x.first, y.first) })
+			slices.SortStableFunc(q.attempts, func(x, y attempt) int { return cmp.Compare(x.first, y.first) })
 			if why := r.breaks(a, q); why != "" {
 				if v.Broken++; v.Worst == "" {
 					v.Worst = fmt.Sprintf("request %016x (%s): %s", id, a.f.Types[q.kind].Name, why)
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -11,20 +11,20 @@
 // Each case is a day on which one thing happened; it breaks the one rule that is named, or none.
 func TestVerdict(t *testing.T) {
 	const check, book, fingerprinted, zoned = 0, 1, 2, 3
-	figures := Figures{DrainGrace: 500 * ms, Slack: 50 * ms, MostHops: 2, Types: []Type{
+	figures := Figures{DrainGrace: 500 * ms, Slack: 50 * ms, MostAttempts: 2, Types: []Type{
 		{"check", Retriable, All, 0}, {"book", Binding, All, 0}, {"print", Fingerprinted, All, time.Second}, {"zoned", Fingerprinted, Zone, time.Second}}}
-	// hop has a box take a request, run it and answer.
-	hop := func(a *Audit, box int, at time.Duration) {
-		a.Hop(1, box, at, at)
+	// attempt has a box take a request, run it and answer.
+	attempt := func(a *Audit, box int, at time.Duration) {
+		a.Attempt(1, box, at, at)
 		a.Ran(1, box, at)
 		a.Over(1, box, at+10*ms, false)
 	}
 	lost := func(a *Audit, box int, at time.Duration) { // came whole, and its connection broke
-		a.Hop(1, box, at, at)
+		a.Attempt(1, box, at, at)
 		a.Over(1, box, at+10*ms, false)
 	}
 	away := func(a *Audit, box int, at time.Duration) {
-		a.Hop(1, box, at, at)
+		a.Attempt(1, box, at, at)
 		a.Over(1, box, at+10*ms, true)
 	}
 	ask := func(a *Audit, kind int) {
@@ -42,9 +42,9 @@
 		day    func(a *Audit)
 		breaks string
 	}{
-		"handled":               {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, false) }, ""},
+		"handled":               {func(a *Audit) { ask(a, book); attempt(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, false) }, ""},
 		"no answer":             {func(a *Audit) { ask(a, check); a.Ended(1, Unanswered, 0, 500*ms, false, false) }, "answered"},
-		"one within the slack":  {func(a *Audit) { ask(a, check); hop(a, 0, 0); a.Ended(1, Late, 200, 500*ms, false, false) }, ""},
+		"one within the slack":  {func(a *Audit) { ask(a, check); attempt(a, 0, 0); a.Ended(1, Late, 200, 500*ms, false, false) }, ""},
 		"closed without":        {func(a *Audit) { ask(a, check); a.Ended(1, Dropped, 0, 5*ms, false, false) }, "answered"},
 		"never sent whole":      {func(a *Audit) { a.Sending(1, check, 0); a.Ended(1, Unsent, 0, 5*ms, false, false) }, ""},
 		"held by a killed node": {func(a *Audit) { ask(a, check); a.NodeDown(0, 3*ms); a.Ended(1, Dropped, 0, 5*ms, false, false) }, ""},
@@ -57,87 +57,91 @@
 		}, "answered"},
 		"closed by one that stood still": {func(a *Audit) { ask(a, check); still(a, 3*ms, 9*ms); a.Ended(1, Dropped, 0, 20*ms, false, false) }, "answered"},
 		"its time over meanwhile":        {func(a *Audit) { ask(a, check); still(a, 3*ms, 900*ms); a.Ended(1, Unanswered, 0, 500*ms, false, false) }, ""},
-		"told while it stood still":      {func(a *Audit) { ask(a, check); still(a, 1*ms, 700*ms, 2*ms); hop(a, 1, 900*ms) }, ""},
-		"and long ago":                   {func(a *Audit) { ask(a, check); still(a, 1*ms, 100*ms, 2*ms); hop(a, 1, 900*ms) }, "drains"},
-		"told before it stood still":     {func(a *Audit) { ask(a, check); a.Told(0, 1, Gone, 0, 0); still(a, 1*ms, 9*ms); hop(a, 1, 900*ms) }, "drains"},
-		"two answers":                    {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, true) }, "one-answer"},
+		"told while it stood still":      {func(a *Audit) { ask(a, check); still(a, 1*ms, 700*ms, 2*ms); attempt(a, 1, 900*ms) }, ""},
+		"and long ago":                   {func(a *Audit) { ask(a, check); still(a, 1*ms, 100*ms, 2*ms); attempt(a, 1, 900*ms) }, "drains"},
+		"told before it stood still":     {func(a *Audit) { ask(a, check); a.Told(0, 1, Gone, 0, 0); still(a, 1*ms, 9*ms); attempt(a, 1, 900*ms) }, "drains"},
+		"two answers":                    {func(a *Audit) { ask(a, book); attempt(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, false, true) }, "one-answer"},
 		"an unasked one":                 {func(a *Audit) { a.Extra(0) }, "one-answer"},
-		"another's answer":               {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, true, false) }, "own-answer"},
+		"another's answer":               {func(a *Audit) { ask(a, book); attempt(a, 0, 0); a.Ended(1, Answered, 200, 20*ms, true, false) }, "own-answer"},
 		"made up":                        {func(a *Audit) { ask(a, book); a.Ended(1, Answered, 200, 20*ms, false, false) }, "own-answer"},
-		"sent after":                     {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 80*ms) }, "nothing-after"},
-		"sent just before":               {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); hop(a, 0, 60*ms) }, ""},
-		"sent to nobody":                 {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 380*ms) }, "leavers"},
-		"sent on as it left":             {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); hop(a, 0, 360*ms) }, ""},
+		"sent after":                     {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); attempt(a, 0, 80*ms) }, "nothing-after"},
+		"sent just before":               {func(a *Audit) { ask(a, check); a.Ended(1, Answered, 503, 20*ms, false, false); attempt(a, 0, 60*ms) }, ""},
+		"sent to nobody":                 {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); attempt(a, 0, 380*ms) }, "leavers"},
+		"sent on as it left":             {func(a *Audit) { ask(a, check); a.Ended(1, Left, 0, 20*ms, false, false); attempt(a, 0, 360*ms) }, ""},
 		"sent for one given up": {func(a *Audit) {
 			ask(a, check)
-			hop(a, 0, 0)
+			attempt(a, 0, 0)
 			a.Ended(1, Unanswered, 0, 20*ms, false, false)
-			hop(a, 1, 380*ms)
+			attempt(a, 1, 380*ms)
 		}, "answered leavers"},
-		"booked twice":                             {func(a *Audit) { ask(a, book); hop(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
-		"booked after a break":                     {func(a *Audit) { ask(a, book); lost(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
-		"booked elsewhere after being turned away": {func(a *Audit) { ask(a, book); away(a, 0, 0); hop(a, 1, 20*ms) }, ""},
-		"checked twice":                            {func(a *Audit) { ask(a, check); hop(a, 0, 0); hop(a, 1, 20*ms) }, ""},
-		"a mark within its window":                 {func(a *Audit) { ask(a, zoned); hop(a, 0, 0); hop(a, 2, 900*ms) }, ""},
-		"a mark in another zone":                   {func(a *Audit) { ask(a, zoned); hop(a, 0, 0); hop(a, 1, 20*ms) }, "no-second-effect"},
-		"a mark past its window":                   {func(a *Audit) { ask(a, fingerprinted); hop(a, 0, 0); hop(a, 1, 1100*ms) }, "no-second-effect"},
-		"denied, and it ran":                       {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, "clean-denial"},
+		"booked twice":                             {func(a *Audit) { ask(a, book); attempt(a, 0, 0); attempt(a, 1, 20*ms) }, "no-second-effect"},
+		"booked after a break":                     {func(a *Audit) { ask(a, book); lost(a, 0, 0); attempt(a, 1, 20*ms) }, "no-second-effect"},
+		"booked elsewhere after being turned away": {func(a *Audit) { ask(a, book); away(a, 0, 0); attempt(a, 1, 20*ms) }, ""},
+		"checked twice":                            {func(a *Audit) { ask(a, check); attempt(a, 0, 0); attempt(a, 1, 20*ms) }, ""},
+		"a mark within its window":                 {func(a *Audit) { ask(a, zoned); attempt(a, 0, 0); attempt(a, 2, 900*ms) }, ""},
+		"a mark in another zone":                   {func(a *Audit) { ask(a, zoned); attempt(a, 0, 0); attempt(a, 1, 20*ms) }, "no-second-effect"},
+		"a mark past its window":                   {func(a *Audit) { ask(a, fingerprinted); attempt(a, 0, 0); attempt(a, 1, 1100*ms) }, "no-second-effect"},
+		"denied, and it ran":                       {func(a *Audit) { ask(a, book); attempt(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, "clean-denial"},
 		"denied, and runs later": {func(a *Audit) {
 			ask(a, book)
-			a.Hop(1, 0, 0, 0)
+			a.Attempt(1, 0, 0, 0)
 			a.Ended(1, Answered, 429, 20*ms, false, false)
 			a.Ran(1, 0, 90*ms)
 		}, "clean-denial"},
-		"denied, and it was turned away":    {func(a *Audit) { ask(a, book); away(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, ""},
-		"a mark denied, known everywhere":   {func(a *Audit) { ask(a, fingerprinted); hop(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, ""},
-		"a mark denied, known in one place": {func(a *Audit) { ask(a, zoned); hop(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, "clean-denial"},
-		"written off, and it ran":           {func(a *Audit) { ask(a, book); hop(a, 0, 0); a.Ended(1, Answered, 502, 20*ms, false, false) }, ""},
+		"denied, and it was turned away": {func(a *Audit) { ask(a, book); away(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, ""},
+		"a mark denied, known everywhere": {func(a *Audit) {
+			ask(a, fingerprinted)
+			attempt(a, 0, 0)
+			a.Ended(1, Answered, 503, 20*ms, false, false)
+		}, ""},
+		"a mark denied, known in one place": {func(a *Audit) { ask(a, zoned); attempt(a, 0, 0); a.Ended(1, Answered, 503, 20*ms, false, false) }, "clean-denial"},
+		"written off, and it ran":           {func(a *Audit) { ask(a, book); attempt(a, 0, 0); a.Ended(1, Answered, 502, 20*ms, false, false) }, ""},
 		"three hops":                        {func(a *Audit) { ask(a, check); away(a, 0, 0); away(a, 1, 20*ms); away(a, 2, 40*ms) }, "hops"},
-		"a copy while the first is out":     {func(a *Audit) { ask(a, check); hop(a, 1, 20*ms); a.Hop(1, 0, 0, 0); a.Over(1, 0, 90*ms, false) }, "one-at-a-time"},
-		"sent within the grace":             {func(a *Audit) { ask(a, check); a.Told(0, 1, Draining, 0, 0); hop(a, 1, 540*ms) }, ""},
-		"sent after it":                     {func(a *Audit) { ask(a, check); a.Told(0, 1, Draining, 0, 0); hop(a, 1, 560*ms) }, "drains"},
+		"a copy while the first is out":     {func(a *Audit) { ask(a, check); attempt(a, 1, 20*ms); a.Attempt(1, 0, 0, 0); a.Over(1, 0, 90*ms, false) }, "one-at-a-time"},
+		"sent within the grace":             {func(a *Audit) { ask(a, check); a.Told(0, 1, Draining, 0, 0); attempt(a, 1, 540*ms) }, ""},
+		"sent after it":                     {func(a *Audit) { ask(a, check); a.Told(0, 1, Draining, 0, 0); attempt(a, 1, 560*ms) }, "drains"},
 		"a second word starts no new grace": {func(a *Audit) {
 			ask(a, check)
 			a.Told(0, 1, Draining, 0, 0)
 			a.Told(0, 1, Gone, 0, 400*ms)
-			hop(a, 1, 560*ms)
+			attempt(a, 1, 560*ms)
 		}, "drains"},
 		"told to serve again": {func(a *Audit) {
 			ask(a, check)
 			a.Told(0, 1, Gone, 0, 0)
 			a.Told(0, 1, Serving, 7, 400*ms)
-			hop(a, 1, 900*ms)
+			attempt(a, 1, 900*ms)
 		}, ""},
 		"an old word of it": {func(a *Audit) {
 			ask(a, check)
 			a.Told(0, 1, Gone, 0, 0)
 			a.Told(0, 1, Serving, 0, 400*ms)
-			hop(a, 1, 900*ms)
+			attempt(a, 1, 900*ms)
 		}, "drains"},
 		"gone in its new life": {func(a *Audit) {
 			ask(a, check)
 			a.Told(0, 1, Serving, 7, 0)
 			a.Told(0, 1, Draining, 0, 100*ms)
-			hop(a, 1, 900*ms)
+			attempt(a, 1, 900*ms)
 		}, "drains"},
 		"the life before ended": {func(a *Audit) {
 			ask(a, check)
 			a.Told(0, 1, Serving, 7, 0)
 			a.Told(0, 1, Gone, 3, 100*ms)
-			hop(a, 1, 900*ms)
+			attempt(a, 1, 900*ms)
 		}, ""},
-		"another node was told": {func(a *Audit) { ask(a, check); a.Told(1, 1, Gone, 0, 0); hop(a, 1, 900*ms) }, ""},
+		"another node was told": {func(a *Audit) { ask(a, check); a.Told(1, 1, Gone, 0, 0); attempt(a, 1, 900*ms) }, ""},
 		"told before it was started anew": {func(a *Audit) {
 			ask(a, check)
 			a.Told(0, 1, Gone, 0, 0)
 			a.NodeDown(0, 1*ms)
 			a.NodeUp(0, 9*ms)
-			hop(a, 1, 900*ms)
+			attempt(a, 1, 900*ms)
 		}, ""},
 		"sent late, before it was started": {func(a *Audit) {
 			ask(a, check)
 			a.Told(0, 1, Gone, 0, 0)
-			hop(a, 1, 900*ms)
+			attempt(a, 1, 900*ms)
 			a.NodeDown(0, 950*ms)
 			a.NodeUp(0, 999*ms)
 		}, "drains"},
@@ -167,7 +171,7 @@
 	}
 }
 
-// Where tries and hops go, second by second: the hop that the client was answered by is not in vain, the others are.
+// Where tries and attempts go, second by second: the attempt that the client was answered by is not in vain, the others are.
 func TestSeconds(t *testing.T) {
 	a := New(Figures{Types: []Type{{Name: "x"}}})
 	a.Box(Box{Name: "b0"})
@@ -180,10 +184,10 @@
 		id := uint64(id + 1)
 		a.Sending(id, 0, int(id)%2)
 		a.Sent(id, at(100))
-		a.Hop(id, 0, at(110), at(120))
+		a.Attempt(id, 0, at(110), at(120))
 		a.Ran(id, 0, at(130))
 		a.Over(id, 0, at(900), false)
-		a.Hop(id, 1, at(1110), at(1120))
+		a.Attempt(id, 1, at(1110), at(1120))
 		a.Ran(id, 1, at(1130))
 		a.Over(id, 1, at(1150), false)
 		a.Ended(id, end.how, end.status, at(1160), false, false)
--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -67,7 +67,7 @@
 	switch {
 	case r.foreign:
 		return "answered with what was made for another"
-	case r.end == Answered && r.known && r.ended >= 0 && r.status == 200 && !slices.ContainsFunc(r.hops, func(h hop) bool { return h.ran >= 0 }):
+	case r.end == Answered && r.known && r.ended >= 0 && r.status == 200 && !slices.ContainsFunc(r.attempts, func(h attempt) bool { return h.ran >= 0 }):
 		return "handled, and no server has run it"
 	}
 	return ""
@@ -77,7 +77,7 @@
 	if r.end != Answered || r.ended < 0 {
 		return ""
 	}
-	for _, h := range r.hops {
+	for _, h := range r.attempts {
 		if h.first > r.ended+a.f.Slack {
 			return fmt.Sprintf("sent to %s %s after its answer", a.boxes[h.box].Name, (h.first - r.ended).Round(time.Millisecond))
 		}
@@ -90,7 +90,7 @@
 	if r.end != Left && r.end != Unanswered || r.ended < 0 {
 		return ""
 	}
-	for _, h := range r.hops {
+	for _, h := range r.attempts {
 		if h.first > r.ended+leftGrace+a.f.Slack {
 			return fmt.Sprintf("sent to %s %s after its client had left", a.boxes[h.box].Name, (h.first - r.ended).Round(time.Millisecond))
 		}
@@ -99,7 +99,7 @@
 }
 
 // mayHaveRun: it came whole, and its box has not said that it never began.
-func (h *hop) mayHaveRun() bool { return !h.unbegun }
+func (h *attempt) mayHaveRun() bool { return !h.unbegun }
 
 func (a *Audit) sameGroup(t *Type, x, y int) bool {
 	switch t.Group {
@@ -116,8 +116,8 @@
 	if t.Repeat == Retriable {
 		return ""
 	}
-	for i, h := range r.hops {
-		for _, earlier := range r.hops[:i] {
+	for i, h := range r.attempts {
+		for _, earlier := range r.attempts[:i] {
 			if !earlier.mayHaveRun() {
 				continue
 			}
@@ -140,7 +140,7 @@
 	if r.end != Answered || r.status != 429 && r.status != 503 || t.Repeat == Retriable || t.Repeat == Fingerprinted && t.Group == All {
 		return ""
 	}
-	for _, h := range r.hops {
+	for _, h := range r.attempts {
 		if h.mayHaveRun() {
 			return fmt.Sprintf("denied though it may have run at %s", a.boxes[h.box].Name)
 		}
@@ -149,8 +149,8 @@
 }
 
 func (a *Audit) tooMany(r *request) string {
-	if len(r.hops) > a.f.MostHops {
-		return fmt.Sprintf("%d hops", len(r.hops))
+	if len(r.attempts) > a.f.MostAttempts {
+		return fmt.Sprintf("%d hops", len(r.attempts))
 	}
 	return ""
 }
@@ -159,8 +159,8 @@
 	if a.f.Copies {
 		return ""
 	}
-	for i, h := range r.hops {
-		for _, earlier := range r.hops[:i] {
+	for i, h := range r.attempts {
+		for _, earlier := range r.attempts[:i] {
 			if earlier.over >= 0 && h.first+a.f.Slack < earlier.over {
 				return fmt.Sprintf("sent to %s while %s still had it, for %s more", a.boxes[h.box].Name, a.boxes[earlier.box].Name,
 					(earlier.over - h.first).Round(time.Millisecond))
@@ -170,10 +170,10 @@
 	return ""
 }
 
-// undrained looks at what the node knew of the box when the hop began. A hop on its way is given the grace. That a box
+// undrained looks at what the node knew of the box when the attempt began. An attempt on its way is given the grace. That a box
 // serves undoes a drain only if it is said of a later start: an old word of it may come from a planner that was away.
 func (a *Audit) undrained(r *request) string {
-	for _, h := range r.hops {
+	for _, h := range r.attempts {
 		since, up := time.Duration(-1), int64(0)
 		for _, t := range a.told[[2]int{r.node, h.box}] {
 			switch {
--- a/internal/audit/seconds.go
+++ b/internal/audit/seconds.go
@@ -9,7 +9,7 @@
 // Second is what befell in one second of a run, over all nodes and boxes.
 type Second struct {
 	Tries      int // of clients, by when they were sent
-	First      int // hops at boxes, by when their first byte came: the first of a try ...
+	First      int // attempts at boxes, by when their first byte came: the first of a try ...
 	Further    int // ... and those after it
 	Ran        int // begun by boxes in it
 	Vain       int // of those: the try was not handled by them, whatever their work was
@@ -17,7 +17,7 @@
 	Denied     int
 	WrittenOff int
 	Lost       int // without a whole answer, or none in time
-	Busiest    int // hops of the node that sent the most
+	Busiest    int // attempts of the node that sent the most
 }
 
 const (
@@ -29,7 +29,7 @@
 // seconds are filled while the requests of a run are gone through.
 type seconds struct {
 	all    []Second
-	byNode []map[int]int // for each second: hops by node
+	byNode []map[int]int // for each second: attempts by node
 }
 
 // at finds the second of a moment.
@@ -52,7 +52,7 @@
 			s.at(r.sent).Tries++
 		}
 		s.countEnd(r)
-		s.countHops(r)
+		s.countAttempts(r)
 	}
 	for i, by := range s.byNode {
 		for _, n := range by {
@@ -80,16 +80,16 @@
 	}
 }
 
-func (s *seconds) countHops(r *request) {
-	hops := slices.Clone(r.hops)
-	slices.SortFunc(hops, func(a, b hop) int { return cmp.Compare(a.first, b.first) })
-	answered := -1 // the hop whose answer the client got: the last that was over when the try ended
-	for i, h := range hops {
+func (s *seconds) countAttempts(r *request) {
+	attempts := slices.Clone(r.attempts)
+	slices.SortFunc(attempts, func(a, b attempt) int { return cmp.Compare(a.first, b.first) })
+	answered := -1 // the attempt whose answer the client got: the last that was over when the try ended
+	for i, h := range attempts {
 		if r.handled() && h.ran >= 0 && h.over >= 0 && (answered < 0 || h.over <= r.ended) {
 			answered = i
 		}
 	}
-	for i, h := range hops {
+	for i, h := range attempts {
 		at := s.at(h.first)
 		if i == 0 {
 			at.First++
--- a/internal/audit/types.go
+++ b/internal/audit/types.go
@@ -37,11 +37,11 @@
 
 // Figures of the rules.
 type Figures struct {
-	Types      []Type
-	DrainGrace time.Duration
-	Slack      time.Duration // added to each limit, for what the machine is late
-	MostHops   int
-	Copies     bool // a second copy may be out while the first is
+	Types        []Type
+	DrainGrace   time.Duration
+	Slack        time.Duration // added to each limit, for what the machine is late
+	MostAttempts int
+	Copies       bool // a second copy may be out while the first is
 }
 
 // End is how a client's try ended.
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -57,7 +57,7 @@
 	kind     int
 	limit    time.Duration // the client is gone
 	target   time.Duration
-	hops     []int
+	attempts []int
 	mayRun   int // server whose group must be kept; -1: none may have run
 	firstRun time.Duration
 }
@@ -102,7 +102,7 @@
 	case policy.Arrival:
 		m.arrive(in)
 	case policy.HopEnded:
-		m.hopEnded(in)
+		m.attemptEnded(in)
 	case policy.Left:
 		if in.Op < len(m.ops) {
 			m.ops[in.Op].open = false
@@ -121,10 +121,10 @@
 	}
 	t := &m.set.Types[in.Type]
 	o := &m.ops[in.Op]
-	*o = operation{open: true, kind: in.Type, hops: o.hops[:0], mayRun: -1, limit: m.now + in.Budget,
+	*o = operation{open: true, kind: in.Type, attempts: o.attempts[:0], mayRun: -1, limit: m.now + in.Budget,
 		target: m.now + min(t.TargetTime, in.Budget)}
 	if m.is("silent") && m.chance() < 0.05 || m.is("late") && m.chance() < 0.05 {
-		o.out = true // as if a hop were out, of which nothing is heard
+		o.out = true // as if an attempt were out, of which nothing is heard
 		return
 	}
 	if m.is("deaf") && m.chance() < 0.3 {
@@ -146,12 +146,12 @@
 	m.emit(policy.Effect{Kind: policy.WriteOff, Op: op})
 }
 
-// send puts a hop out, if there is a server that the operation may go to.
+// send puts an attempt out, if there is a server that the operation may go to.
 func (m *module) send(op int) bool {
 	o := &m.ops[op]
 	fits := make([]int, 0, len(m.ready))
 	for s, ready := range m.ready {
-		if ready && !slices.Contains(o.hops, s) && m.inGroup(o, s) {
+		if ready && !slices.Contains(o.attempts, s) && m.inGroup(o, s) {
 			fits = append(fits, s)
 		}
 	}
@@ -159,7 +159,7 @@
 		return false
 	}
 	s := m.choose(fits)
-	o.hops = append(o.hops, s)
+	o.attempts = append(o.attempts, s)
 	o.out = true
 	m.inFlight[s]++
 	m.emit(policy.Effect{Kind: policy.SendHop, Op: op, Server: s, For: max(o.target-m.now, time.Millisecond)})
@@ -208,7 +208,7 @@
 	return s
 }
 
-func (m *module) hopEnded(in *policy.Input) {
+func (m *module) attemptEnded(in *policy.Input) {
 	m.inFlight[in.Server]--
 	o := &m.ops[in.Op]
 	o.out = false
@@ -227,7 +227,7 @@
 	if m.is("too-many-hops") {
 		most = 1 << 30
 	}
-	if may && len(o.hops) < most && m.now < o.target && m.send(in.Op) {
+	if may && len(o.attempts) < most && m.now < o.target && m.send(in.Op) {
 		return
 	}
 	if m.harmless(o) || m.is("denies-after-run") {
@@ -273,16 +273,16 @@
 	for i := range m.ops {
 		o := &m.ops[i]
 		limit := o.limit - ahead - sweepEvery
-		if m.is("late") && len(o.hops) == 0 {
+		if m.is("late") && len(o.attempts) == 0 {
 			limit = o.limit + tooLate
 		}
-		if m.is("deaf") && o.open && len(o.hops) == 0 && m.now >= limit-heldBack && m.send(i) {
+		if m.is("deaf") && o.open && len(o.attempts) == 0 && m.now >= limit-heldBack && m.send(i) {
 			continue
 		}
 		if !o.open || m.now < limit || m.is("silent") {
 			continue
 		}
-		if m.harmless(o) || len(o.hops) == 0 {
+		if m.harmless(o) || len(o.attempts) == 0 {
 			m.deny(i)
 		} else {
 			m.writeOff(i)
--- a/internal/lab/observer.go
+++ b/internal/lab/observer.go
@@ -32,7 +32,7 @@
 const never = time.Duration(1<<62 - 1)
 
 func newObserver(s *scenario.Scenario, ops []load.Operation, start time.Time) *observer {
-	f := audit.Figures{DrainGrace: s.Rules.DrainGrace.D(), Slack: s.Rules.Slack.D(), MostHops: s.Rules.MostHops, Copies: s.Rules.Copies}
+	f := audit.Figures{DrainGrace: s.Rules.DrainGrace.D(), Slack: s.Rules.Slack.D(), MostAttempts: s.Rules.MostHops, Copies: s.Rules.Copies}
 	for _, t := range s.Types {
 		f.Types = append(f.Types, audit.Type{Name: t.Name, Window: t.Window.D(),
 			Repeat: map[string]audit.Repeat{"fingerprinted": audit.Fingerprinted, "binding": audit.Binding}[t.Repeat],
@@ -114,13 +114,13 @@
 	return box.Asked{Work: operation.Work, Key: operation.Key}, true
 }
 
-func (o *observer) Hop(id uint64, b int, first, last time.Duration) {
+func (o *observer) Attempt(id uint64, b int, first, last time.Duration) {
 	o.record(func(a *audit.Audit, _ time.Duration) {
 		if _, ok := o.Asked(id); !ok {
 			a.Invented(b, fmt.Sprintf("%016x", id))
 			return
 		}
-		a.Hop(id, b, first, last)
+		a.Attempt(id, b, first, last)
 	})
 }
 
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -29,11 +29,11 @@
 type Watcher interface {
 	// Asked finds what a request was meant to be; ok is false where no client has sent it.
 	Asked(id uint64) (a Asked, ok bool)
-	// Hop tells that a request has come whole, and when its first byte came.
-	Hop(id uint64, box int, first, last time.Duration)
+	// Attempt tells that a request has come whole, and when its first byte came.
+	Attempt(id uint64, box int, first, last time.Duration)
 	// Ran tells that its work has begun.
 	Ran(id uint64, box int, at time.Duration)
-	// Over tells that the hop is out no more: its answer is about to be written, or its connection has ended. unbegun:
+	// Over tells that the attempt is out no more: its answer is about to be written, or its connection has ended. unbegun:
 	// by the word that it never ran.
 	Over(id uint64, box int, at time.Duration, unbegun bool)
 	Fell(box int, at time.Duration)
@@ -68,7 +68,7 @@
 
 	mu       sync.Mutex
 	model    *Model
-	hops     map[uint64]*hop
+	attempts map[uint64]*attempt
 	last     uint64
 	timer    *time.Timer
 	conns    int
@@ -77,14 +77,14 @@
 	tells    []func() // to the watcher, once the lock is given back
 }
 
-type hop struct {
+type attempt struct {
 	id    uint64 // of the request
 	ended chan What
 }
 
 // NewBox makes a box that listens at one address for callers of each site.
 func NewBox(id Identity, f Figures, start time.Time, addresses []string, cross func(from int) time.Duration, w Watcher) (*Box, error) {
-	b := &Box{Identity: id, f: f, start: start, watch: w, cross: cross, model: New(f), hops: map[uint64]*hop{}}
+	b := &Box{Identity: id, f: f, start: start, watch: w, cross: cross, model: New(f), attempts: map[uint64]*attempt{}}
 	b.timer = time.AfterFunc(time.Hour, b.due)
 	for site, address := range addresses {
 		l, err := link.Listen(address, func(c *link.Conn) { b.lead(c, site) })
@@ -130,7 +130,7 @@
 func (b *Box) due() { b.do(func(now time.Duration) { b.model.Advance(now, b.event) }) }
 
 func (b *Box) event(e Event) {
-	h := b.hops[e.ID]
+	h := b.attempts[e.ID]
 	if h == nil {
 		return
 	}
@@ -138,7 +138,7 @@
 		b.tells = append(b.tells, func() { b.watch.Ran(h.id, b.Number, e.At) })
 		return
 	}
-	delete(b.hops, e.ID)
+	delete(b.attempts, e.ID)
 	h.ended <- e.What
 }
 
@@ -254,7 +254,7 @@
 	}
 	id, err := strconv.ParseUint(text, 16, 64)
 	asked, known := b.watch.Asked(id)
-	b.watch.Hop(id, b.Number, first, last)
+	b.watch.Attempt(id, b.Number, first, last)
 	if err != nil || len(text) != 16 || !known {
 		return p.answer(message.Answer{Status: 400, Body: []byte("nobody has sent this request")})
 	}
@@ -278,7 +278,7 @@
 	if fresh {
 		work += b.f.Handshake
 	}
-	h := &hop{id: id, ended: make(chan What, 1)}
+	h := &attempt{id: id, ended: make(chan What, 1)}
 	switch b.offer(h, Job{Work: work, Key: asked.Key, Until: last + time.Duration(left*float64(time.Second))}) {
 	case Full:
 		return b.turnAway(p, id, 503)
@@ -304,16 +304,16 @@
 	return b.reply(p, id, text, faults)
 }
 
-// offer gives the model a hop; a box that falls under it leaves its addresses.
-func (b *Box) offer(h *hop, j Job) (verdict Verdict) {
+// offer gives the model an attempt; a box that falls under it leaves its addresses.
+func (b *Box) offer(h *attempt, j Job) (verdict Verdict) {
 	fell := false
 	b.do(func(now time.Duration) {
 		b.last++
-		b.hops[b.last] = h
+		b.attempts[b.last] = h
 		j.ID = b.last
 		verdict = b.model.Offer(now, j, b.event)
 		if verdict != Taken {
-			delete(b.hops, b.last)
+			delete(b.attempts, b.last)
 		}
 		fell = verdict == Down && b.model.Fallen()
 	})
@@ -329,9 +329,9 @@
 	return verdict
 }
 
-// work waits for the end of a hop, which its caller's leaving does not change; gone tells that it has left, and that
-// the watcher was told that the hop is over.
-func (b *Box) work(p peer, h *hop) (what What, gone bool) {
+// work waits for the end of an attempt, which its caller's leaving does not change; gone tells that it has left, and that
+// the watcher was told that the attempt is over.
+func (b *Box) work(p peer, h *attempt) (what What, gone bool) {
 	watched := make(chan struct{})
 	go func() {
 		defer close(watched)
--- a/internal/standin/box/server_test.go
+++ b/internal/standin/box/server_test.go
@@ -37,7 +37,7 @@
 }
 
 func (n *notes) Asked(id uint64) (Asked, bool)                 { return Asked{Work: 20 * ms}, id != 0xbad }
-func (n *notes) Hop(id uint64, _ int, _, _ time.Duration)      { n.note("hop") }
+func (n *notes) Attempt(id uint64, _ int, _, _ time.Duration)  { n.note("hop") }
 func (n *notes) Ran(uint64, int, time.Duration)                { n.note("ran") }
 func (n *notes) Over(_ uint64, _ int, _ time.Duration, u bool) { n.note("over:%v", u) }
 func (n *notes) Fell(int, time.Duration)                       { n.note("fell") }
@@ -135,7 +135,7 @@
 	}
 }
 
-// A caller that leaves ends the hop but not the work; what waits behind it waits for that work.
+// A caller that leaves ends the attempt but not the work; what waits behind it waits for that work.
 func TestLeavingStopsNoWork(t *testing.T) {
 	b, told := start(t, Figures{Cores: 1, Speed: 0.02, Queue: 9})
 	gone := dial(t, b.Address(0))
