Load's fates are outcomes; what the lab called unkept and spoilt is named by what it is

Change: identifiers and comments only. Measured: tests of load, audit, standin/box, standin/registry and registry green.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -46,17 +46,17 @@
 
 // Audit gathers what happened.
 type Audit struct {
-	f        Figures
-	boxes    []Box
-	requests map[uint64]*request
-	told     map[[2]int][]told // by node and box
-	down     map[int][]span    // by node
-	extras   []string
-	fallen   []string
-	crashed  []string
-	invented []string
-	owed     []string
-	unkept   []string
+	f              Figures
+	boxes          []Box
+	requests       map[uint64]*request
+	told           map[[2]int][]told // by node and box
+	down           map[int][]span    // by node
+	extras         []string
+	fallen         []string
+	crashed        []string
+	invented       []string
+	owed           []string
+	brokenPromises []string
 }
 
 // New gathers from nothing.
@@ -179,8 +179,8 @@
 // Owed tells that a client which sent what cannot be read got neither an error nor a close in time.
 func (a *Audit) Owed(what string) { a.owed = append(a.owed, what) }
 
-// Unkept tells that a journal of bindings lacks what a box has run, or claims what is not so.
-func (a *Audit) Unkept(what string) { a.unkept = append(a.unkept, what) }
+// BrokenPromise tells that a journal of bindings lacks what a box has run, or claims what is not so.
+func (a *Audit) BrokenPromise(what string) { a.brokenPromises = append(a.brokenPromises, what) }
 
 // Fell tells that a cold box was sent too much.
 func (a *Audit) Fell(box int, at time.Duration) {
@@ -237,7 +237,7 @@
 		{"cold", "no cold server is pushed over", a.fallen},
 		{"bad-clients", "what cannot be read is ended with an error or a close", a.owed},
 		{"lives", "no node ends by itself", a.crashed},
-		{"journal", "what bindings' servers have run stands in the journal, and none of it as not sent", a.unkept},
+		{"journal", "what bindings' servers have run stands in the journal, and none of it as not sent", a.brokenPromises},
 	} {
 		v := Rule{Name: whole.name, About: whole.about}
 		v.add(whole.all)
--- a/internal/lab/journal.go
+++ b/internal/lab/journal.go
@@ -186,7 +186,7 @@
 		ran := w.compareWithRun(a, all, gaps, dockets, &sum)
 		for k, e := range all {
 			if e.State() == bindings.HasRun && !ran[k] && e.Run != 1 {
-				a.Unkept(fmt.Sprintf("node %d's journal says that %s ran, and no box has run it", k.node, e.ID))
+				a.BrokenPromise(fmt.Sprintf("node %d's journal says that %s ran, and no box has run it", k.node, e.ID))
 			}
 			if e.State() == bindings.PossiblySent {
 				sum.Possibly++
@@ -258,9 +258,9 @@
 		case e == nil && w.losses.told[node]:
 			sum.Lost++
 		case e == nil && !gaps[node]:
-			a.Unkept(fmt.Sprintf("%s ran at %s, and node %d's journal has no entry of it", name, w.boxes[box].Name, node))
+			a.BrokenPromise(fmt.Sprintf("%s ran at %s, and node %d's journal has no entry of it", name, w.boxes[box].Name, node))
 		case e != nil && e.State() == bindings.NotSent:
-			a.Unkept(fmt.Sprintf("%s ran at %s, and node %d's journal says that it was not sent", name, w.boxes[box].Name, node))
+			a.BrokenPromise(fmt.Sprintf("%s ran at %s, and node %d's journal says that it was not sent", name, w.boxes[box].Name, node))
 		}
 	})
 	return ran
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -78,7 +78,7 @@
 					t.Errorf("%s broken %d times, first: %s", r.Name, r.Broken, r.Worst)
 				}
 			}
-			if out.Fates[load.Handled] == 0 {
+			if out.Outcomes[load.Handled] == 0 {
 				t.Error("nothing was handled")
 			}
 		})
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -260,7 +260,7 @@
 		if k.conn.Quiet() {
 			return k, true, true
 		}
-		g.spoilt(k)
+		g.dropStale(k)
 	}
 	k, ok = g.open(ctx, site, until, t)
 	return k, false, ok
@@ -304,9 +304,9 @@
 	return nil
 }
 
-// spoilt closes a connection that stood idle and is no longer quiet. Bytes on it are a second answer to its last
+// dropStale closes a connection that stood idle and is no longer quiet. Bytes on it are a second answer to its last
 // request.
-func (g *Generator) spoilt(k kept) {
+func (g *Generator) dropStale(k kept) {
 	if k.conn.Waiting() {
 		g.watch.Extra(k.way)
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -202,12 +202,12 @@
 
 // What becomes of one operation, by what the node does with each try. The client's time is 450 ms for a check and 900
 // ms for a booking, and the target times 200 and 500 ms.
-func TestFates(t *testing.T) {
+func TestOutcomes(t *testing.T) {
 	own := func(c net.Conn, r *http1.Request) bool { return say(c, 200, string(r.Get(http1.RequestID))) }
 	for name, c := range map[string]struct {
 		kind  string
 		lead  func(net.Conn, *http1.Request, int) bool
-		want  Fate
+		want  Outcome
 		tries int
 		end   func(Try) bool
 	}{
@@ -236,8 +236,8 @@
 			tries := &ends{}
 			g := &Generator{Scenario: s, Ops: []Operation{{Type: kind}}, Checked: true}
 			g.Run(context.Background(), time.Now(), server(t, c.lead), tries)
-			if g.Tries != c.tries || g.Fates[c.want] != 1 {
-				t.Errorf("%d tries, fates %v", g.Tries, g.Fates)
+			if g.Tries != c.tries || g.Outcomes[c.want] != 1 {
+				t.Errorf("%d tries, outcomes %v", g.Tries, g.Outcomes)
 			}
 			if last := tries.all[len(tries.all)-1]; c.end != nil && !c.end(last) {
 				t.Errorf("the last try ended as %+v", last)
@@ -273,8 +273,8 @@
 	s := play(t, "length=\"1s\"")
 	g := &Generator{Scenario: s, Ops: []Operation{{}, {At: 50 * time.Millisecond}}, Checked: true}
 	g.Run(context.Background(), time.Now(), at, Nobody{})
-	if <-closed; g.Fates[Handled] != 2 || g.Tries != 2 {
-		t.Errorf("fates %v after %d tries", g.Fates, g.Tries)
+	if <-closed; g.Outcomes[Handled] != 2 || g.Tries != 2 {
+		t.Errorf("outcomes %v after %d tries", g.Outcomes, g.Tries)
 	}
 }
 
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -17,18 +17,18 @@
 	digits      = 3                               // of a latency
 )
 
-// Fate is how an operation ended, with all its tries.
-type Fate uint8
+// Outcome is how an operation ended, with all its tries.
+type Outcome uint8
 
 const (
-	Handled    Fate = iota // answered with success in the client's time
-	InTarget               // handled within its target time; counted in Handled as well
-	Denied                 // the last try was
-	WrittenOff             // the last try was, or its connection ended
-	NoAnswer               // the last try got none in time
-	Unreached              // the last try found no node to send to
-	LeftEarly              // its client went before its time was up: nothing was to be gained
-	fates
+	Handled    Outcome = iota // answered with success in the client's time
+	InTarget                  // handled within its target time; counted in Handled as well
+	Denied                    // the last try was
+	WrittenOff                // the last try was, or its connection ended
+	NoAnswer                  // the last try got none in time
+	Unreached                 // the last try found no node to send to
+	LeftEarly                 // its client went before its time was up: nothing was to be gained
+	outcomes
 )
 
 // Point is one span of a Series.
@@ -47,7 +47,7 @@
 	shift    time.Duration
 	started  int
 
-	Fates    [fates]int
+	Outcomes [outcomes]int
 	Tries    int
 	Denials  int     // of tries
 	Asked    float64 // revenue asked for
@@ -109,7 +109,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if t.End == Left {
-		r.Fates[LeftEarly]++
+		r.Outcomes[LeftEarly]++
 		return
 	}
 	worth, latency := r.Worth(o), t.Ended-o.At
@@ -125,23 +125,23 @@
 	gained, timed := 0.0, false
 	switch {
 	case t.End == Answered && t.Status == 200:
-		r.Fates[Handled]++
+		r.Outcomes[Handled]++
 		timed = true
 		if latency <= r.scenario.Types[o.Type].Target.D() {
-			r.Fates[InTarget]++
+			r.Outcomes[InTarget]++
 			gained = worth
 		}
 	case t.End == Answered && (t.Status == 429 || t.Status == 503):
-		r.Fates[Denied]++
+		r.Outcomes[Denied]++
 		p.Denied++
 	case t.End == Unsent:
-		r.Fates[Unreached]++
+		r.Outcomes[Unreached]++
 		p.Failed++
 	case t.End == Answered, t.End == Dropped:
-		r.Fates[WrittenOff]++
+		r.Outcomes[WrittenOff]++
 		p.Failed++
 	default:
-		r.Fates[NoAnswer]++
+		r.Outcomes[NoAnswer]++
 		p.Failed++
 		timed = true
 	}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -109,8 +109,8 @@
 // New sums a run up.
 func New(s *scenario.Scenario, policy string, ops []load.Operation, o *lab.Outcome) Report {
 	r := Report{Scenario: s.Name, Seed: s.Seed, Policy: policy, Nodes: s.Nodes.Count, Boxes: len(s.BoxNames()), Offered: len(ops),
-		Service: round(o.Service()), AnsweredInTarget: o.Fates[load.InTarget], Handled: o.Fates[load.Handled], Denied: o.Fates[load.Denied],
-		WrittenOff: o.Fates[load.WrittenOff], Unanswered: o.Fates[load.NoAnswer], Unreached: o.Fates[load.Unreached], LeftEarly: o.Fates[load.LeftEarly], Tries: o.Tries, Rules: o.Rules,
+		Service: round(o.Service()), AnsweredInTarget: o.Outcomes[load.InTarget], Handled: o.Outcomes[load.Handled], Denied: o.Outcomes[load.Denied],
+		WrittenOff: o.Outcomes[load.WrittenOff], Unanswered: o.Outcomes[load.NoAnswer], Unreached: o.Outcomes[load.Unreached], LeftEarly: o.Outcomes[load.LeftEarly], Tries: o.Tries, Rules: o.Rules,
 		Latency: map[string]Latency{}, ByTenant: map[string]Part{}, BySite: map[string]Part{},
 		Generator:  Generator{millis(o.Late.Most), round(o.Late.Share), o.Late.Behind, round(o.Late.Bin)},
 		Discovery:  Discovery{o.Calls, math.Round(o.Lines), o.TurnedOff},
--- a/internal/standin/box/peer.go
+++ b/internal/standin/box/peer.go
@@ -16,8 +16,8 @@
 	// answer writes an answer whole and tells whether the connection can be used again.
 	answer(message.Answer) bool
 	encode(message.Answer) []byte
-	// spoilt is one of several answers that cannot be used.
-	spoilt(id uint64, a message.Answer) []byte
+	// garbled is one of several answers that cannot be used.
+	garbled(id uint64, a message.Answer) []byte
 	raw([]byte)
 	// gone waits until the caller has left or given up, and tells so; look sets until when.
 	gone() bool
@@ -41,7 +41,7 @@
 	return whole
 }
 
-func (p httpPeer) spoilt(id uint64, a message.Answer) []byte {
+func (p httpPeer) garbled(id uint64, a message.Answer) []byte {
 	switch id >> 8 % 4 {
 	case 0:
 		return []byte("\x00\x01 what? \xff\xfe\r\n\r\n")
@@ -71,7 +71,7 @@
 	return err == nil
 }
 
-func (p cgiPeer) spoilt(id uint64, a message.Answer) []byte {
+func (p cgiPeer) garbled(id uint64, a message.Answer) []byte {
 	switch whole := p.encode(a); id >> 8 % 4 {
 	case 0:
 		return []byte("\x00\x01 what? \xff\xfe\r\n\r\n")
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -378,7 +378,7 @@
 		p.raw(whole[:len(whole)/2])
 		return false
 	case meets(id, "spoil", f.Spoil):
-		p.raw(p.spoilt(id, a))
+		p.raw(p.garbled(id, a))
 		p.look(time.Now().Add(idleMost)) // it stays open and is of no further use
 		p.gone()
 		return false
--- a/internal/standin/registry/conn.go
+++ b/internal/standin/registry/conn.go
@@ -22,7 +22,7 @@
 func (s *Server) Garble(each int) {
 	s.r.mu.Lock()
 	defer s.r.mu.Unlock()
-	s.spoil = each
+	s.garbleEvery = each
 }
 
 // garbled makes one of several wrong replies of a right one, in turn: cut short, noise under its id, lengths of 2 GB, and one
--- a/internal/standin/registry/ensemble.go
+++ b/internal/standin/registry/ensemble.go
@@ -52,17 +52,17 @@
 
 // Server is one address of the ensemble.
 type Server struct {
-	r      *Registry
-	reader int // who is told at this address
-	ln     net.Listener
-	tree   *tree
-	next   int // of the log
-	lag    time.Duration
-	delay  time.Duration // of watch events
-	silent bool
-	spoil  int // each so many replies cannot be read; 0: none
-	spoilt int // replies since
-	conns  map[*conn]bool
+	r              *Registry
+	reader         int // who is told at this address
+	ln             net.Listener
+	tree           *tree
+	next           int // of the log
+	lag            time.Duration
+	delay          time.Duration // of watch events
+	silent         bool
+	garbleEvery    int // each so many replies cannot be read; 0: none
+	garbledReplies int // replies since
+	conns          map[*conn]bool
 }
 
 // New starts an ensemble without an address.
--- a/internal/standin/registry/requests.go
+++ b/internal/standin/registry/requests.go
@@ -60,9 +60,9 @@
 	if answer.code == ok {
 		w = append(w, answer.body...)
 	}
-	if s.spoil > 0 && op != opPing && op != opClose {
-		if s.spoilt++; s.spoilt%s.spoil == 0 {
-			which := s.spoilt / s.spoil
+	if s.garbleEvery > 0 && op != opPing && op != opClose {
+		if s.garbledReplies++; s.garbledReplies%s.garbleEvery == 0 {
+			which := s.garbledReplies / s.garbleEvery
 			r.mu.Unlock()
 			c.send(garbled(which, w))
 			return which%2 == 0 // some close behind it
