--- a/internal/neighbours/table.go
+++ b/internal/neighbours/table.go
@@ -34,9 +34,9 @@
 // peer is what this node sees of another by itself.
 type peer struct {
 	heard     time.Duration // last
-	sight     sight
-	since     time.Duration // of the sight
-	linked    bool
+	state     state
+	since     time.Duration // when it is in this state
+	connected bool
 	pending   map[string]bool // members of which it has to be told
 	differs   time.Duration   // since when its digest has been another; 0: it is not
 	digest    uint64
@@ -116,7 +116,7 @@
 	if p := t.peers[m.Name]; p != nil && known && (was.Up != m.Up || was.Turn < m.Turn) {
 		t.sees(p, m.Name, refuted, now)
 		if was.Up != m.Up {
-			p.sight, p.heard = hearing, now
+			p.state, p.heard = hearing, now
 		}
 	}
 }
@@ -124,13 +124,13 @@
 // Connected tells that a connection to or from a node stands; it is told all there is.
 func (t *Table) Connected(now time.Duration, name string) {
 	p := t.at(name)
-	p.linked, p.heard, p.whole, p.sight = true, now, true, hearing
+	p.connected, p.heard, p.whole, p.state = true, now, true, hearing
 }
 
 // Closed tells that no connection to or from a node is left.
 func (t *Table) Closed(name string) {
 	if p := t.peers[name]; p != nil {
-		p.linked = false
+		p.connected = false
 		clear(p.pending)
 	}
 }
@@ -155,7 +155,7 @@
 // Hears tells whether this node hears another now.
 func (t *Table) Hears(now time.Duration, name string) bool {
 	p := t.peers[name]
-	return p != nil && p.linked && now-p.heard < silentAfter
+	return p != nil && p.connected && now-p.heard < silentAfter
 }
 
 // Got takes in a word of another node and returns what is to be answered.
@@ -234,7 +234,7 @@
 // spread has all that are connected told of a member, but the one who has told it.
 func (t *Table) spread(name, from string) {
 	for other, p := range t.peers {
-		if p.linked && other != from {
+		if p.connected && other != from {
 			p.pending[name] = true
 		}
 	}
@@ -254,7 +254,7 @@
 	watched := t.Watched()
 	t.alone = len(watched) > 0
 	for _, p := range t.peers {
-		if p.linked && now-p.heard < silentAfter {
+		if p.connected && now-p.heard < silentAfter {
 			t.alone = false
 		}
 	}
@@ -284,7 +284,7 @@
 		t.beat = now
 	}
 	for other, p := range t.peers {
-		if !p.linked {
+		if !p.connected {
 			continue
 		}
 		if p.differs > 0 && now-p.differs > differsFor && now-p.mentioned > differsFor {
--- a/internal/neighbours/sights.go
+++ b/internal/neighbours/transitions.go
@@ -1,14 +1,14 @@
 package neighbours
 
-// sight is how a watched node is seen.
-type sight uint8
+// state is how a watched node is seen.
+type state uint8
 
 const (
-	hearing sight = iota
+	hearing state = iota
 	asking        // it is silent, and its other watchers are asked
 	cut           // they hear it: the way between is cut, or passes one way only
 	blamed        // nobody hears it: it is suspected
-	sights
+	states
 )
 
 type event uint8
@@ -23,18 +23,18 @@
 	events
 )
 
-type deed uint8
+type action uint8
 
 const (
-	nothing deed = iota
+	nothing action = iota
 	askOthers
 	suspect
 )
 
-// watching is the way of a watched node: what follows from each event in each sight.
-var watching = [sights][events]struct {
-	next sight
-	do   deed
+// transitions say what follows from each event in each state of a watched node.
+var transitions = [states][events]struct {
+	next state
+	do   action
 }{
 	hearing: {heard: {hearing, nothing}, silence: {asking, askOthers}, vouched: {hearing, nothing}, nobody: {hearing, nothing}, refuted: {hearing, nothing}, again: {hearing, nothing}},
 	asking:  {heard: {hearing, nothing}, silence: {asking, nothing}, vouched: {cut, nothing}, nobody: {blamed, suspect}, refuted: {asking, nothing}, again: {asking, nothing}},
--- a/internal/neighbours/watch.go
+++ b/internal/neighbours/watch.go
@@ -6,10 +6,10 @@
 )
 
 // sees moves what is seen of a node on; it is true where it is to be suspected.
-func (t *Table) sees(p *peer, name string, e event, now time.Duration) deed {
-	move := watching[p.sight][e]
-	if move.next != p.sight {
-		p.sight, p.since = move.next, now
+func (t *Table) sees(p *peer, name string, e event, now time.Duration) action {
+	move := transitions[p.state][e]
+	if move.next != p.state {
+		p.state, p.since = move.next, now
 	}
 	return move.do
 }
@@ -57,13 +57,13 @@
 	}
 	var e event
 	switch {
-	case p.linked && now-p.heard < silentAfter:
+	case p.connected && now-p.heard < silentAfter:
 		e = heard
-	case p.sight == asking && now-p.since > askFor:
+	case p.state == asking && now-p.since > askFor:
 		if e = nobody; t.alone {
 			return out
 		}
-	case p.sight >= cut && now-p.since > cutAgain:
+	case p.state >= cut && now-p.since > cutAgain:
 		e = again
 	case now-p.heard >= silentAfter:
 		e = silence
--- a/internal/peers/links.go
+++ b/internal/peers/links.go
@@ -86,7 +86,7 @@
 	delete(p.links, l.name)
 	p.table.Closed(l.name)
 	if p.origin != nil {
-		p.send(now, p.origin.Parted(now, l.name))
+		p.send(now, p.origin.Disconnected(now, l.name))
 	}
 	p.after(now)
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -93,12 +93,12 @@
 	if err != nil {
 		return nil, err
 	}
-	place := replicas.Place{Name: name, Site: cfg.Site, Machine: cfg.Machine, Well: true}
+	candidate := replicas.Candidate{Name: name, Site: cfg.Site, Machine: cfg.Machine, Well: true}
 	return &Peers{cfg: cfg, name: name, log: log, files: files, began: time.Now().Add(-time.Second), ln: ln,
 		store: holdings.Open(cfg.Held, files, segmentBytes), limit: rate.NewLimiter(rate.Limit(cfg.RepairBytes), frameMost),
 		replaced: make(chan struct{}), news: make(chan struct{}), begun: make(chan struct{}),
 		table:  neighbours.New(neighbours.Member{Name: name, Up: time.Now().UnixNano(), Address: cfg.Advertise, Site: cfg.Site, Machine: cfg.Machine}),
-		keeper: replicas.NewKeeper(place, cfg.Replicas, cfg.HeldBytes, cfg.KeepFor.D()),
+		keeper: replicas.NewKeeper(candidate, cfg.Replicas, cfg.HeldBytes, cfg.KeepFor.D()),
 		links:  map[string][]*link{}, wants: map[string]time.Duration{}, letters: map[string][]any{}, dialing: map[string]bool{}, tries: map[string]try{},
 		jobs: map[replicas.Job]chan struct{}{}}, nil
 }
@@ -111,8 +111,8 @@
 	return p.table.Self()
 }
 
-func (p *Peers) place() replicas.Place {
-	return replicas.Place{Name: p.name, Site: p.cfg.Site, Machine: p.cfg.Machine, Well: true}
+func (p *Peers) candidate() replicas.Candidate {
+	return replicas.Candidate{Name: p.name, Site: p.cfg.Site, Machine: p.cfg.Machine, Well: true}
 }
 
 // Replaced is closed when another process has been started under this node's name since.
@@ -241,24 +241,24 @@
 	}
 	if sum := p.table.Digest(); sum != p.sum {
 		p.sum = sum
-		var lives []replicas.Life
-		var places []replicas.Place
+		var lives []replicas.Incarnation
+		var candidates []replicas.Candidate
 		for _, m := range p.table.All() {
-			l := replicas.Life{Place: replicas.Place{Name: m.Name, Site: m.Site, Machine: m.Machine, Well: m.Condition == neighbours.Alive}, Up: m.Up, Lives: m.Condition.Lives()}
+			l := replicas.Incarnation{Candidate: replicas.Candidate{Name: m.Name, Site: m.Site, Machine: m.Machine, Well: m.Condition == neighbours.Alive}, Up: m.Up, Lives: m.Condition.Lives()}
 			if m.Name != p.name {
-				places = append(places, l.Place)
+				candidates = append(candidates, l.Candidate)
 			}
 			lives = append(lives, l)
 		}
-		p.keeper.Lived(now, lives)
+		p.keeper.SetIncarnations(now, lives)
 		if p.origin != nil {
-			p.send(now, p.origin.Placed(now, places))
+			p.send(now, p.origin.SetCandidates(now, candidates))
 		}
 	}
 	if p.origin != nil {
 		for _, name := range p.origin.Wanted() {
 			if len(p.links[name]) > 0 {
-				p.send(now, p.origin.Linked(now, name))
+				p.send(now, p.origin.Connected(now, name))
 			} else {
 				p.wants[name] = max(p.wants[name], now+lookEvery)
 			}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -531,10 +531,10 @@
 		if err != nil {
 			return
 		}
-		table, keeper := neighbours.New(neighbours.Member{Name: "n", Up: 1}), replicas.NewKeeper(replicas.Place{Name: "n"}, 2, 1<<20, 0)
-		origin := replicas.NewOrigin(0, replicas.Stream{Name: "n", Up: 1}, replicas.Place{Name: "n"}, 1, time.Millisecond)
-		origin.Placed(0, []replicas.Place{{Name: "a", Machine: "a", Well: true}})
-		origin.Linked(0, "a")
+		table, keeper := neighbours.New(neighbours.Member{Name: "n", Up: 1}), replicas.NewKeeper(replicas.Candidate{Name: "n"}, 2, 1<<20, 0)
+		origin := replicas.NewOrigin(0, replicas.Stream{Name: "n", Up: 1}, replicas.Candidate{Name: "n"}, 1, time.Millisecond)
+		origin.SetCandidates(0, []replicas.Candidate{{Name: "a", Machine: "a", Well: true}})
+		origin.Connected(0, "a")
 		table.Connected(time.Second, "a")
 		switch w := what.(type) {
 		case *replicas.Offer:
--- a/internal/replicas/place.go
+++ b/internal/replicas/candidate.go
@@ -10,19 +10,19 @@
 // settledBy stands in the name of a stream between the one whose entries it settles and the node that does.
 const settledBy = "~"
 
-// Place is a node that may hold a replica.
-type Place struct {
+// Candidate is a node that may hold a replica.
+type Candidate struct {
 	Name    string
 	Site    string
 	Machine string
 	Well    bool // it can be counted on now
 }
 
-// rank orders places for a stream, alike at all nodes (rendezvous): a node more or less moves only what it holds itself.
-func rank(stream string, all []Place) []Place {
+// rank orders candidates for a stream, alike at all nodes (rendezvous): a node more or less moves only what it holds itself.
+func rank(stream string, all []Candidate) []Candidate {
 	stream, _, _ = strings.Cut(stream, settledBy) // what settles a stream stands where it does
 	type ranked struct {
-		Place
+		Candidate
 		by uint32
 	}
 	list := make([]ranked, len(all))
@@ -30,21 +30,21 @@
 		list[i] = ranked{p, crc32.ChecksumIEEE([]byte(stream + "\x00" + p.Name + "\x00" + stream))}
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(a.by, b.by), cmp.Compare(a.Name, b.Name)) })
-	out := make([]Place, len(list))
+	out := make([]Candidate, len(list))
 	for i := range list {
-		out[i] = list[i].Place
+		out[i] = list[i].Candidate
 	}
 	return out
 }
 
-// choose takes n places, those of kept first: each on a machine of its own, and on as many sites as there are. taken are
+// choose takes n candidates, those of kept first: each on a machine of its own, and on as many sites as there are. taken are
 // machines and sites that hold the stream already. Only what is well is chosen.
-func choose(ranked []Place, n int, kept map[string]bool, taken []Place) (chosen []Place) {
+func choose(ranked []Candidate, n int, kept map[string]bool, taken []Candidate) (chosen []Candidate) {
 	machines, sites := map[string]bool{}, map[string]bool{}
 	for _, p := range taken {
 		machines[p.Machine], sites[p.Site] = true, true
 	}
-	take := func(fits func(Place) bool) {
+	take := func(fits func(Candidate) bool) {
 		for _, p := range ranked {
 			if len(chosen) < n && p.Well && !machines[p.Machine] && fits(p) {
 				machines[p.Machine], sites[p.Site] = true, true
@@ -52,9 +52,9 @@
 			}
 		}
 	}
-	take(func(p Place) bool { return kept[p.Name] && !sites[p.Site] })
-	take(func(p Place) bool { return !sites[p.Site] })
-	take(func(p Place) bool { return kept[p.Name] })
-	take(func(Place) bool { return true })
+	take(func(p Candidate) bool { return kept[p.Name] && !sites[p.Site] })
+	take(func(p Candidate) bool { return !sites[p.Site] })
+	take(func(p Candidate) bool { return kept[p.Name] })
+	take(func(Candidate) bool { return true })
 	return chosen
 }
--- a/internal/replicas/choose.go
+++ b/internal/replicas/choose.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Placed tells which nodes there are, without this one.
-func (o *Origin) Placed(now time.Duration, places []Place) []Out {
-	o.places = rank(o.stream.Name, places)
+// SetCandidates tells which nodes there are, without this one.
+func (o *Origin) SetCandidates(now time.Duration, candidates []Candidate) []Out {
+	o.candidates = rank(o.stream.Name, candidates)
 	return o.choose(now, nil)
 }
 
@@ -16,24 +16,24 @@
 // few, of all that do not refuse.
 func (o *Origin) choose(now time.Duration, out []Out) []Out {
 	kept := map[string]bool{}
-	fits := func(strict bool) []Place {
-		usable := slices.Clone(o.places)
+	fits := func(strict bool) []Candidate {
+		usable := slices.Clone(o.candidates)
 		for i := range usable {
 			h, bad := o.holders[usable[i].Name], o.bad[usable[i].Name]
 			lately := bad > 0 && now-bad < avoidFor
-			kept[usable[i].Name] = h != nil && h.stand <= level
+			kept[usable[i].Name] = h != nil && h.state <= level
 			switch {
-			case h != nil && h.stand == refused:
+			case h != nil && h.state == refused:
 				usable[i].Well = usable[i].Well && !lately
 			case strict:
-				usable[i].Well = usable[i].Well && !lately && (h == nil || h.stand != late)
+				usable[i].Well = usable[i].Well && !lately && (h == nil || h.state != late)
 			}
 		}
 		return usable
 	}
-	chosen := choose(fits(true), o.need, kept, []Place{o.self})
+	chosen := choose(fits(true), o.need, kept, []Candidate{o.self})
 	if len(chosen) < o.need {
-		chosen = choose(fits(false), o.need, kept, []Place{o.self})
+		chosen = choose(fits(false), o.need, kept, []Candidate{o.self})
 	}
 	wanted := map[string]bool{}
 	for _, p := range chosen {
@@ -43,9 +43,9 @@
 			h = &holder{since: now, out: map[uint64]bool{}}
 			o.holders[p.Name] = h
 		}
-		h.place = p
-		if h.stand == refused {
-			h.linked = false // a connection that stands is told of anew
+		h.candidate = p
+		if h.state == refused {
+			h.connected = false // a connection that stands is told of anew
 			out = o.moves(now, h, recalled, out)
 		}
 	}
@@ -58,14 +58,14 @@
 func (o *Origin) release(now time.Duration, wanted map[string]bool) {
 	whole := 0
 	for name := range wanted {
-		if h := o.holders[name]; h.stand == level && h.acked >= o.kept && len(o.Lacks(name)) == 0 {
+		if h := o.holders[name]; h.state == level && h.acked >= o.kept && len(o.Lacks(name)) == 0 {
 			whole++
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
 		h := o.holders[name]
-		idle := h.stand <= offered || h.stand == refused
-		if !wanted[name] && (whole >= o.need || idle && now-h.since > settleFor || len(o.holders) > o.need+extraMost && h.stand != level) {
+		idle := h.state <= offered || h.state == refused
+		if !wanted[name] && (whole >= o.need || idle && now-h.since > settleFor || len(o.holders) > o.need+extraMost && h.state != level) {
 			delete(o.holders, name)
 		}
 	}
@@ -75,7 +75,7 @@
 func (o *Origin) tally(now time.Duration) {
 	n := 0
 	for _, h := range o.holders {
-		if h.stand == level {
+		if h.state == level {
 			n++
 		}
 	}
@@ -88,14 +88,14 @@
 
 // moves leads a holder on by an event.
 func (o *Origin) moves(now time.Duration, h *holder, e event, out []Out) []Out {
-	move := courses[h.stand][e]
-	if move.next != h.stand {
-		h.stand, h.since = move.next, now
+	move := transitions[h.state][e]
+	if move.next != h.state {
+		h.state, h.since = move.next, now
 	}
 	switch move.do {
 	case offer:
 		h.offered = now
-		out = append(out, Out{h.place.Name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
+		out = append(out, Out{h.candidate.Name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
 	case send:
 		h.acked = h.ranges.After(max(o.base, o.kept))
 		h.next = max(o.base, o.kept)
@@ -103,27 +103,27 @@
 		out = o.feed(h, out)
 		o.count()
 	case other:
-		o.bad[h.place.Name] = max(now, 1)
+		o.bad[h.candidate.Name] = max(now, 1)
 		out = o.choose(now, out)
 	}
 	o.tally(now)
 	return out
 }
 
-// Linked tells that a connection to a node stands.
-func (o *Origin) Linked(now time.Duration, name string) []Out {
-	if h := o.holders[name]; h != nil && !h.linked {
-		h.linked = true
-		return o.moves(now, h, linked, nil)
+// Connected tells that a connection to a node stands.
+func (o *Origin) Connected(now time.Duration, name string) []Out {
+	if h := o.holders[name]; h != nil && !h.connected {
+		h.connected = true
+		return o.moves(now, h, connected, nil)
 	}
 	return nil
 }
 
-// Parted tells that none does any more.
-func (o *Origin) Parted(now time.Duration, name string) []Out {
-	if h := o.holders[name]; h != nil && h.linked {
-		h.linked = false
-		return o.moves(now, h, parted, nil)
+// Disconnected tells that none does any more.
+func (o *Origin) Disconnected(now time.Duration, name string) []Out {
+	if h := o.holders[name]; h != nil && h.connected {
+		h.connected = false
+		return o.moves(now, h, disconnected, nil)
 	}
 	return nil
 }
@@ -139,7 +139,7 @@
 // everywhere tells whether all holders that are sent what comes have been sent all before a record.
 func (o *Origin) everywhere(next uint64) bool {
 	for _, h := range o.holders {
-		if (h.stand == level || h.stand == late) && h.next < next {
+		if (h.state == level || h.state == late) && h.next < next {
 			return false
 		}
 	}
--- a/internal/replicas/copies.go
+++ b/internal/replicas/copies.go
@@ -9,20 +9,20 @@
 
 // desired are the nodes that should hold a stream whose life is gone: a later life of its node, and as many others as make
 // enough, in order.
-func (k *Keeper) desired(s Stream, h *held) []Place {
+func (k *Keeper) desired(s Stream, h *held) []Candidate {
 	if h.by == k.looks && h.wanted != nil {
 		return h.wanted
 	}
-	all := append(slices.Clone(k.places), k.self)
+	all := append(slices.Clone(k.candidates), k.self)
 	for i := range all {
 		t := h.targets[all[i].Name]
 		all[i].Well = t == nil || t.refused == 0
 	}
 	ranked := rank(s.Name, all)
 	name, _, _ := strings.Cut(s.Name, settledBy)
-	if i := slices.IndexFunc(ranked, func(p Place) bool { return p.Name == name }); i > 0 {
+	if i := slices.IndexFunc(ranked, func(p Candidate) bool { return p.Name == name }); i > 0 {
 		own := ranked[i]
-		ranked = append([]Place{own}, slices.Delete(ranked, i, i+1)...)
+		ranked = append([]Candidate{own}, slices.Delete(ranked, i, i+1)...)
 	}
 	h.wanted, h.by = choose(ranked, k.need+1, nil, nil), k.looks
 	return h.wanted
@@ -76,13 +76,13 @@
 		if h.orphan < 0 || now-h.orphan < orphanFor {
 			continue
 		}
-		holders := []Place{k.self}
-		for _, p := range k.places {
+		holders := []Candidate{k.self}
+		for _, p := range k.candidates {
 			if h.others[p.Name] && p.Name != k.self.Name {
 				holders = append(holders, p)
 			}
 		}
-		turn := slices.IndexFunc(rank(s.Name, holders), func(p Place) bool { return p.Name == k.self.Name })
+		turn := slices.IndexFunc(rank(s.Name, holders), func(p Candidate) bool { return p.Name == k.self.Name })
 		if now-h.orphan < orphanFor+time.Duration(turn+1)*staggerFor/2 {
 			continue
 		}
--- a/internal/replicas/keeper.go
+++ b/internal/replicas/keeper.go
@@ -13,9 +13,9 @@
 	streamsMost = 4096             // that a node holds
 )
 
-// Life is what is known of a node that may have streams.
-type Life struct {
-	Place
+// Incarnation is what is known of a node that may have streams.
+type Incarnation struct {
+	Candidate
 	Up    int64
 	Lives bool
 }
@@ -39,28 +39,28 @@
 	targets map[string]*target
 	others  map[string]bool // who were seen to hold some of it
 	returns Ranges          // that its origin has lost of it, between what it has
-	wanted  []Place         // who should hold it
-	by      int             // the look at the places by which they were found
+	wanted  []Candidate     // who should hold it
+	by      int             // the look at the candidates by which they were found
 }
 
 // Keeper is what a node holds of others' streams, and of earlier lives of its own.
 type Keeper struct {
-	self    Place
-	need    int
-	streams map[Stream]*held
-	lives   map[string]Life
-	later   map[string]int64 // the latest life of a name that was heard of
-	places  []Place
-	looks   int // at the places: each change of them, and of refusals, is one
-	bytes   int64
-	most    int64         // bytes; new streams are refused beyond nine tenths, all beyond it
-	keepFor time.Duration // records that are older are not taken
-	at      time.Duration // of the last look at streams
+	self       Candidate
+	need       int
+	streams    map[Stream]*held
+	lives      map[string]Incarnation
+	later      map[string]int64 // the latest life of a name that was heard of
+	candidates []Candidate
+	looks      int // at the candidates: each change of them, and of refusals, is one
+	bytes      int64
+	most       int64         // bytes; new streams are refused beyond nine tenths, all beyond it
+	keepFor    time.Duration // records that are older are not taken
+	at         time.Duration // of the last look at streams
 }
 
 // NewKeeper holds nothing. need is how many machines beside the origin's hold each stream.
-func NewKeeper(self Place, need int, bytesMost int64, keepFor time.Duration) *Keeper {
-	return &Keeper{self: self, need: need, streams: map[Stream]*held{}, lives: map[string]Life{}, later: map[string]int64{}, most: bytesMost, keepFor: keepFor}
+func NewKeeper(self Candidate, need int, bytesMost int64, keepFor time.Duration) *Keeper {
+	return &Keeper{self: self, need: need, streams: map[Stream]*held{}, lives: map[string]Incarnation{}, later: map[string]int64{}, most: bytesMost, keepFor: keepFor}
 }
 
 // Found tells what of a stream lasts on this node's disk.
@@ -123,15 +123,15 @@
 	}
 }
 
-// Lived tells which nodes there are. The keeper's own life counts as well: streams of its earlier ones are orphans.
-func (k *Keeper) Lived(now time.Duration, lives []Life) {
-	k.places = k.places[:0]
+// SetIncarnations tells which nodes there are. The keeper's own life counts as well: streams of its earlier ones are orphans.
+func (k *Keeper) SetIncarnations(now time.Duration, lives []Incarnation) {
+	k.candidates = k.candidates[:0]
 	k.looks++
 	for _, l := range lives {
 		k.lives[l.Name] = l
 		k.later[l.Name] = max(k.later[l.Name], l.Up)
 		if l.Lives {
-			k.places = append(k.places, l.Place)
+			k.candidates = append(k.candidates, l.Candidate)
 		}
 	}
 	for s, h := range k.streams {
--- a/internal/replicas/keeper_test.go
+++ b/internal/replicas/keeper_test.go
@@ -16,18 +16,22 @@
 		why    string // "": they are taken
 		held   bool   // it has them already, and says that they last
 	}{
-		"a stream":                      {func(*Keeper) {}, true, clock, "", false},
-		"of a life behind a later one":  {func(k *Keeper) { k.Lived(0, []Life{{Place: Place{Name: "a"}, Up: 6, Lives: true}}) }, true, clock, LaterLife, false},
-		"the same, copied on by others": {func(k *Keeper) { k.Lived(0, []Life{{Place: Place{Name: "a"}, Up: 6, Lives: true}}) }, false, clock, "", false},
-		"a later life offered first":    {func(k *Keeper) { k.Offered(0, "a", &Offer{Stream: Stream{Name: "a", Up: 6}, Origin: true}) }, true, clock, LaterLife, false},
-		"nine tenths are full":          {func(k *Keeper) { k.Found(Stream{Name: "b", Up: 1}, 1, 2, 950, clock) }, true, clock, "no room is left", false},
-		"nine tenths, a stream held":    {func(k *Keeper) { k.Found(s, 1, 2, 950, clock) }, true, clock, "", false},
-		"all is full":                   {func(k *Keeper) { k.Found(s, 1, 2, 1000, clock) }, true, clock, "no room is left", false},
-		"too old":                       {func(*Keeper) {}, false, clock - int64(2*time.Minute), "older than what is kept", false},
-		"held already":                  {func(k *Keeper) { k.Found(s, 1, 20, 1, clock) }, true, clock, "", true},
+		"a stream": {func(*Keeper) {}, true, clock, "", false},
+		"of a life behind a later one": {func(k *Keeper) {
+			k.SetIncarnations(0, []Incarnation{{Candidate: Candidate{Name: "a"}, Up: 6, Lives: true}})
+		}, true, clock, LaterLife, false},
+		"the same, copied on by others": {func(k *Keeper) {
+			k.SetIncarnations(0, []Incarnation{{Candidate: Candidate{Name: "a"}, Up: 6, Lives: true}})
+		}, false, clock, "", false},
+		"a later life offered first": {func(k *Keeper) { k.Offered(0, "a", &Offer{Stream: Stream{Name: "a", Up: 6}, Origin: true}) }, true, clock, LaterLife, false},
+		"nine tenths are full":       {func(k *Keeper) { k.Found(Stream{Name: "b", Up: 1}, 1, 2, 950, clock) }, true, clock, "no room is left", false},
+		"nine tenths, a stream held": {func(k *Keeper) { k.Found(s, 1, 2, 950, clock) }, true, clock, "", false},
+		"all is full":                {func(k *Keeper) { k.Found(s, 1, 2, 1000, clock) }, true, clock, "no room is left", false},
+		"too old":                    {func(*Keeper) {}, false, clock - int64(2*time.Minute), "older than what is kept", false},
+		"held already":               {func(k *Keeper) { k.Found(s, 1, 20, 1, clock) }, true, clock, "", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			k := NewKeeper(Place{Name: "n"}, 2, 1000, time.Minute)
+			k := NewKeeper(Candidate{Name: "n"}, 2, 1000, time.Minute)
 			c.before(k)
 			ok, out := k.Takes("a", &Batch{Stream: s, First: 10, N: 2, Origin: c.origin}, c.at, clock)
 			if ok != (c.why == "" && !c.held) || !ok && out[0].What.(*Ack).Refused != c.why {
@@ -39,15 +43,15 @@
 
 // The life of a stream's node ends: who offers it to whom, and when each holder begins to copy it on.
 func TestOrphans(t *testing.T) {
-	all := places(6)
+	all := candidates(6)
 	for i := range all {
 		all[i].Machine = all[i].Name
 	}
-	lives := func(up int64, livesToo bool) (l []Life) {
+	lives := func(up int64, livesToo bool) (l []Incarnation) {
 		for _, p := range all[1:] {
-			l = append(l, Life{Place: p, Up: 1, Lives: true})
+			l = append(l, Incarnation{Candidate: p, Up: 1, Lives: true})
 		}
-		return append(l, Life{Place: all[0], Up: up, Lives: livesToo})
+		return append(l, Incarnation{Candidate: all[0], Up: up, Lives: livesToo})
 	}
 	s := Stream{Name: "n0", Up: 1}
 	offered := func(k *Keeper, until time.Duration) (to map[string]bool) {
@@ -63,9 +67,9 @@
 	}
 	keeper := func(up int64, livesToo bool) *Keeper {
 		k := NewKeeper(all[1], 2, 1<<30, 0)
-		k.Lived(0, lives(1, true))
+		k.SetIncarnations(0, lives(1, true))
 		k.Found(s, 1, 10, 1, 1)
-		k.Lived(0, lives(up, livesToo))
+		k.SetIncarnations(0, lives(up, livesToo))
 		return k
 	}
 	if to := offered(keeper(1, true), 10*time.Second); len(to) > 0 {
@@ -83,9 +87,9 @@
 	}
 	// Two holders know of each other: one begins at once, the other after it.
 	other := NewKeeper(all[2], 2, 1<<30, 0)
-	other.Lived(0, lives(1, true))
+	other.SetIncarnations(0, lives(1, true))
 	other.Found(s, 1, 10, 1, 1)
-	other.Lived(0, lives(1, false))
+	other.SetIncarnations(0, lives(1, false))
 	offered(other, 4*time.Second)
 	offered(dead, 4*time.Second)
 	begins := func(k *Keeper, partner string) time.Duration {
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -43,27 +43,27 @@
 
 // Origin is the running life's own stream.
 type Origin struct {
-	stream  Stream
-	self    Place
-	need    int
-	slow    time.Duration // a record that waits longer for a holder has another one taken
-	places  []Place
-	holders map[string]*holder
-	ranges  Ranges // that last on this node's own disk
-	queue   []waiting
-	bytes   int
-	next    uint64                   // the number of the next record
-	base    uint64                   // the first that is not waited for on disk alone
-	kept    uint64                   // all before this are kept at enough holders
-	chosen  time.Duration            // when holders were last looked over
-	bad     map[string]time.Duration // when a holder was last late, lost or refusing
-	short   time.Duration            // since when too few holders are sent what comes; -1: there are enough
+	stream     Stream
+	self       Candidate
+	need       int
+	slow       time.Duration // a record that waits longer for a holder has another one taken
+	candidates []Candidate
+	holders    map[string]*holder
+	ranges     Ranges // that last on this node's own disk
+	queue      []waiting
+	bytes      int
+	next       uint64                   // the number of the next record
+	base       uint64                   // the first that is not waited for on disk alone
+	kept       uint64                   // all before this are kept at enough holders
+	chosen     time.Duration            // when holders were last looked over
+	bad        map[string]time.Duration // when a holder was last late, lost or refusing
+	short      time.Duration            // since when too few holders are sent what comes; -1: there are enough
 	// Later is set when a holder knows of a later life of this name.
 	Later bool
 }
 
 // NewOrigin begins a stream. need is how many other machines have to hold a record until it is kept.
-func NewOrigin(now time.Duration, s Stream, self Place, need int, slow time.Duration) *Origin {
+func NewOrigin(now time.Duration, s Stream, self Candidate, need int, slow time.Duration) *Origin {
 	return &Origin{short: now, stream: s, self: self, need: need, slow: slow, holders: map[string]*holder{}, bad: map[string]time.Duration{}, next: 1, base: 1, kept: 1}
 }
 
@@ -130,7 +130,7 @@
 
 // feed sends a holder what it has not been sent.
 func (o *Origin) feed(h *holder, out []Out) []Out {
-	if h.stand != level && h.stand != late {
+	if h.state != level && h.state != late {
 		return out
 	}
 	h.next = max(h.next, o.base)
@@ -147,7 +147,7 @@
 			end = o.queue[i].next
 		}
 		b.N = int(end - b.First)
-		out = append(out, Out{h.place.Name, b})
+		out = append(out, Out{h.candidate.Name, b})
 		h.next = end
 		h.out[b.First] = true
 	}
@@ -164,7 +164,7 @@
 func (o *Origin) Lost(now time.Duration, lost Ranges) (out []Out) {
 	o.ranges = o.ranges.Without(lost)
 	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
-		if h := o.holders[name]; h.linked {
+		if h := o.holders[name]; h.connected {
 			out = append(out, Out{name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
 		}
 	}
@@ -199,14 +199,14 @@
 		}
 		to := min(w.First+uint64(w.N), o.next)
 		h.ranges = h.ranges.With(w.First, to)
-		if h.stand != level && h.stand != late {
+		if h.state != level && h.state != late {
 			return nil
 		}
 		delete(h.out, w.First)
 		h.acked = max(h.acked, h.ranges.After(h.acked))
 		o.count()
 		out := o.feed(h, nil)
-		if h.stand == late && h.acked >= o.next {
+		if h.state == late && h.acked >= o.next {
 			out = o.moves(now, h, caught, out)
 		}
 		return out
@@ -221,8 +221,8 @@
 func (o *Origin) count() {
 	machines := map[string]uint64{}
 	for _, h := range o.holders {
-		if h.stand == level || h.stand == late {
-			machines[h.place.Machine] = max(machines[h.place.Machine], h.acked)
+		if h.state == level || h.state == late {
+			machines[h.candidate.Machine] = max(machines[h.candidate.Machine], h.acked)
 		}
 	}
 	if len(machines) < o.need {
@@ -245,15 +245,15 @@
 	i := o.oldest()
 	for _, name := range slices.Sorted(maps.Keys(o.holders)) {
 		h := o.holders[name]
-		if h == nil || h.stand == refused { // it was let go of meanwhile
+		if h == nil || h.state == refused { // it was let go of meanwhile
 			continue
 		}
-		unheard := h.stand <= offered && now-h.since > offerAgain
+		unheard := h.state <= offered && now-h.since > offerAgain
 		waits := i >= 0 && i < len(o.queue) && now-o.queue[i].at > o.slow && h.acked < o.queue[i].next && now-h.since > o.slow
-		if bad, ok := o.bad[name]; (unheard || waits) && h.stand != late && (!ok || now-bad > avoidFor) {
+		if bad, ok := o.bad[name]; (unheard || waits) && h.state != late && (!ok || now-bad > avoidFor) {
 			out = o.moves(now, h, slow, out)
 		}
-		if h.stand == offered && now-h.offered > offerAgain {
+		if h.state == offered && now-h.offered > offerAgain {
 			h.offered = now
 			out = append(out, Out{name, &Offer{Stream: o.stream, Origin: true, Ranges: o.ranges}})
 		}
@@ -269,7 +269,7 @@
 // Lacks is what of this node's own disk a holder does not have, where it is to have it.
 func (o *Origin) Lacks(name string) Ranges {
 	h := o.holders[name]
-	if h == nil || h.stand != level {
+	if h == nil || h.state != level {
 		return nil
 	}
 	return o.ranges.Without(h.ranges).Without(Ranges{{From: o.base, To: max(o.next, o.base)}})
--- a/internal/replicas/replicas_test.go
+++ b/internal/replicas/replicas_test.go
@@ -70,22 +70,22 @@
 	})
 }
 
-func places(n int) (all []Place) {
+func candidates(n int) (all []Candidate) {
 	for i := range n {
-		all = append(all, Place{Name: fmt.Sprint("n", i), Site: fmt.Sprint("s", i%3), Machine: fmt.Sprint("m", i/2), Well: true})
+		all = append(all, Candidate{Name: fmt.Sprint("n", i), Site: fmt.Sprint("s", i%3), Machine: fmt.Sprint("m", i/2), Well: true})
 	}
 	return all
 }
 
 // Holders stand on machines of their own, on as many sites as there are, and a node more or less moves little.
 func TestPlaces(t *testing.T) {
-	all := places(12)
+	all := candidates(12)
 	moved := 0
 	for i := range 200 {
 		name := fmt.Sprint("stream", i)
 		self := all[i%len(all)]
-		others := slices.DeleteFunc(slices.Clone(all), func(p Place) bool { return p.Name == self.Name })
-		chosen := choose(rank(name, others), 2, nil, []Place{self})
+		others := slices.DeleteFunc(slices.Clone(all), func(p Candidate) bool { return p.Name == self.Name })
+		chosen := choose(rank(name, others), 2, nil, []Candidate{self})
 		machines, sites := map[string]bool{self.Machine: true}, map[string]bool{self.Site: true}
 		for _, p := range chosen {
 			machines[p.Machine], sites[p.Site] = true, true
@@ -94,7 +94,7 @@
 			t.Fatalf("%v for %v", chosen, self)
 		}
 		fewer := others[:len(others)-1]
-		for _, p := range choose(rank(name, fewer), 2, nil, []Place{self}) {
+		for _, p := range choose(rank(name, fewer), 2, nil, []Candidate{self}) {
 			if !slices.Contains(chosen, p) {
 				moved++
 			}
@@ -107,16 +107,16 @@
 
 // tape is a small tier in virtual time: one origin, keepers that may lose their disks, connections that break.
 type tape struct {
-	now    time.Duration
-	places []Place
-	origin *Origin
-	disk   map[string]Ranges // what lasts at each node, by its disk
-	keeper map[string]*Keeper
-	linked map[string]bool
-	alive  map[string]bool
-	cut    map[string]bool
-	flight []Out // from the origin to holders
-	back   []struct {
+	now        time.Duration
+	candidates []Candidate
+	origin     *Origin
+	disk       map[string]Ranges // what lasts at each node, by its disk
+	keeper     map[string]*Keeper
+	connected  map[string]bool
+	alive      map[string]bool
+	cut        map[string]bool
+	flight     []Out // from the origin to holders
+	back       []struct {
 		from string
 		what any
 	}
@@ -124,11 +124,11 @@
 }
 
 func newTape(n, need int) *tape {
-	all := places(n)
+	all := candidates(n)
 	for i := range all {
 		all[i].Machine = all[i].Name
 	}
-	w := &tape{places: all, disk: map[string]Ranges{}, keeper: map[string]*Keeper{}, linked: map[string]bool{}, alive: map[string]bool{}, cut: map[string]bool{}, life: map[string]int64{}}
+	w := &tape{candidates: all, disk: map[string]Ranges{}, keeper: map[string]*Keeper{}, connected: map[string]bool{}, alive: map[string]bool{}, cut: map[string]bool{}, life: map[string]int64{}}
 	w.origin = NewOrigin(0, Stream{Name: "n0", Up: 1}, all[0], need, 50*time.Millisecond)
 	for _, p := range all[1:] {
 		w.start(p)
@@ -137,7 +137,7 @@
 	return w
 }
 
-func (w *tape) start(p Place) {
+func (w *tape) start(p Candidate) {
 	w.alive[p.Name] = true
 	w.life[p.Name]++
 	k := NewKeeper(p, w.origin.need, 1<<40, 0)
@@ -148,20 +148,20 @@
 }
 
 func (w *tape) placed() {
-	var others []Place
-	for _, p := range w.places[1:] {
+	var others []Candidate
+	for _, p := range w.candidates[1:] {
 		p.Well = w.alive[p.Name] && !w.cut[p.Name]
 		others = append(others, p)
 	}
-	w.send(w.origin.Placed(w.now, others))
+	w.send(w.origin.SetCandidates(w.now, others))
 }
 
 func (w *tape) send(out []Out) { w.flight = append(w.flight, out...) }
 
 // part ends the connection with a node: what was on its way is lost.
 func (w *tape) part(name string) {
-	if w.linked[name] {
-		delete(w.linked, name)
+	if w.connected[name] {
+		delete(w.connected, name)
 		w.flight = slices.DeleteFunc(w.flight, func(o Out) bool { return o.To == name })
 		w.back = slices.DeleteFunc(w.back, func(b struct {
 			from string
@@ -169,7 +169,7 @@
 		}) bool {
 			return b.from == name
 		})
-		w.send(w.origin.Parted(w.now, name))
+		w.send(w.origin.Disconnected(w.now, name))
 	}
 }
 
@@ -178,8 +178,8 @@
 	w.now += d
 	for _, name := range w.origin.Wanted() {
 		if w.alive[name] && !w.cut[name] {
-			w.linked[name] = true
-			w.send(w.origin.Linked(w.now, name))
+			w.connected[name] = true
+			w.send(w.origin.Connected(w.now, name))
 		}
 	}
 	w.send(w.origin.Tick(w.now))
@@ -189,7 +189,7 @@
 	flight := w.flight
 	w.flight = nil
 	for _, o := range flight {
-		if !w.linked[o.To] {
+		if !w.connected[o.To] {
 			continue
 		}
 		if w.cut[o.To] {
@@ -221,7 +221,7 @@
 	}
 	for _, name := range w.origin.Wanted() { // what is copied from disk beside the serving
 		for _, r := range w.origin.Lacks(name) {
-			if w.linked[name] && !w.cut[name] {
+			if w.connected[name] && !w.cut[name] {
 				w.disk[name] = w.disk[name].With(r.From, r.To)
 				w.keeper[name].Found(w.origin.stream, r.From, r.To, 0, 0)
 				w.send(w.origin.Got(w.now, name, &Ack{Stream: w.origin.stream, First: r.From, N: int(r.To - r.From)}))
@@ -264,7 +264,7 @@
 			was = w.origin.Kept()
 		}
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
-			name := rapid.SampledFrom(w.places[1:]).Draw(t, "node").Name
+			name := rapid.SampledFrom(w.candidates[1:]).Draw(t, "node").Name
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0, 1, 2:
 				n := rapid.IntRange(1, 5).Draw(t, "n")
@@ -289,7 +289,7 @@
 				w.placed()
 				was = w.origin.Kept()
 			case 8:
-				if p := w.places[slices.IndexFunc(w.places, func(p Place) bool { return p.Name == name })]; !w.alive[name] {
+				if p := w.candidates[slices.IndexFunc(w.candidates, func(p Candidate) bool { return p.Name == name })]; !w.alive[name] {
 					w.start(p)
 				}
 				w.placed()
@@ -301,7 +301,7 @@
 			}
 			check()
 		}
-		for _, p := range w.places[1:] {
+		for _, p := range w.candidates[1:] {
 			delete(w.cut, p.Name)
 			if !w.alive[p.Name] {
 				w.start(p)
