--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// leftGrace is how long after its client has left a request may still be sent on.
-const leftGrace = 300 * time.Millisecond
+// leftGrace is how long after its client has left an attempt, first or further, may still begin.
+const leftGrace = 100 * time.Millisecond
 
 // rules are looked at for each request; each tells what is wrong with it, "" for nothing.
 var rules = []struct {
