--- a/internal/tools/codetable/codetable_test.go
+++ b/internal/tools/codetable/codetable_test.go
@@ -26,7 +26,7 @@
 }
 
 const glossary = "# Words\n\n| word | standard term | where |\n| --- | --- | --- |\n| `hop`, `hops` | attempt | here |\n| `box` | server | there |\n" +
-	"\n`hop` in a line of its own is no row.\n"
+	"\n| where | words |\n| --- | --- |\n| `internal/shop` (its lines) | `cart` | |\n| `internal/shop` | `cart` | |\n\n`hop` in a line of its own is no row.\n"
 
 // tree writes a module with one fault of each kind, each beside what is just allowed.
 func tree(t *testing.T) string {
@@ -76,6 +76,9 @@
 	if code, tests, pages := c.wordTotals(); code != 3 || tests != 1 || pages != 3 {
 		t.Errorf("words %d, %d, %d; expected 3, 1, 3", code, tests, pages)
 	}
+	if len(c.words) != 2 {
+		t.Errorf("words are %v; expected hop and box", c.words)
+	}
 	if most := c.words["hop"].most(); most != "internal/a 1, internal/b/c 1" {
 		t.Errorf("hop stands in %q", most)
 	}
--- a/internal/tools/codetable/glossary.go
+++ b/internal/tools/codetable/glossary.go
@@ -8,26 +8,33 @@
 	forms  []string
 }
 
-// parseGlossary reads the rows of the page's tables whose first cell is "word" or "word, form, form" in backquotes.
+// parseGlossary reads the rows of the page's tables whose first cell is a word, or a word and its forms, in backquotes.
 func parseGlossary(page string) (words []word) {
 	for line := range strings.Lines(page) {
 		cells := strings.Split(line, "|")
 		if len(cells) < 4 || strings.TrimSpace(cells[0]) != "" {
 			continue
 		}
-		first := strings.TrimSpace(cells[1])
-		if !strings.HasPrefix(first, "`") {
-			continue
-		}
-		var forms []string
-		for form := range strings.SplitSeq(first, ",") {
-			forms = append(forms, strings.Trim(strings.TrimSpace(form), "`"))
+		if forms := formsOf(cells[1]); len(forms) > 0 {
+			words = append(words, word{coined: forms[0], forms: forms})
 		}
-		words = append(words, word{coined: forms[0], forms: forms})
 	}
 	return words
 }
 
+// formsOf are the words in a cell; none where anything else stands in it.
+func formsOf(cell string) (forms []string) {
+	for form := range strings.SplitSeq(cell, ",") {
+		form = strings.TrimSpace(form)
+		plain := strings.Trim(form, "`")
+		if plain == "" || form != "`"+plain+"`" || strings.Join(wordsOf(plain), "") != plain {
+			return nil
+		}
+		forms = append(forms, plain)
+	}
+	return forms
+}
+
 // wordsOf splits an identifier at underscores and where its case changes: "newHTTPHop2" is new, http and hop.
 func wordsOf(identifier string) (parts []string) {
 	start := 0
