--- a/internal/fastcgi/params.go
+++ b/internal/fastcgi/params.go
@@ -64,6 +64,15 @@
 	return prefix + strings.ReplaceAll(strings.ToUpper(string(field)), "-", "_")
 }
 
+// reading is a request while its params are taken in.
+type reading struct {
+	request *message.Request
+	script  []byte
+	info    []byte
+	query   []byte
+	length  int // that the body is said to have; -1: not said
+}
+
 // request makes a request of params and a body. What is wrong with them is a *message.Malformed.
 func request(params []byte, body []byte) (*message.Request, error) {
 	pairs, err := parsePairs(params, nil)
@@ -71,62 +80,25 @@
 		return nil, message.Bad(400, "the params cannot be read")
 	}
 	r := &message.Request{Method: []byte("GET"), Body: body}
-	var script, info, query []byte
-	stated := -1
+	in := reading{request: r, length: -1}
 	for _, p := range pairs {
-		name, value := string(p.name), p.value
-		if !message.IsText(value) {
+		if !message.IsText(p.value) {
 			return nil, message.Bad(400, "a param cannot be read")
 		}
-		switch name {
-		case paramMethod:
-			r.Method = value
-		case paramURI:
-			r.Target = value
-		case paramScript:
-			script = value
-		case paramInfo:
-			info = value
-		case paramQuery:
-			query = value
-		case paramType:
-			if len(value) > 0 {
-				r.Fields = append(r.Fields, message.Field{Name: []byte("Content-Type"), Value: value})
-			}
-		case paramLength:
-			if len(value) == 0 {
-				break
-			}
-			n, err := strconv.ParseUint(string(value), 10, 31)
-			if err != nil || stated >= 0 && stated != int(n) {
-				return nil, message.Bad(400, "the length of the body is not clear")
-			}
-			stated = int(n)
-		case paramProxy:
-		default:
-			field, ok := strings.CutPrefix(name, prefix)
-			if !ok {
-				break
-			}
-			f := message.Field{Name: []byte(strings.ReplaceAll(field, "_", "-")), Value: value}
-			if !message.IsToken(f.Name) {
-				return nil, message.Bad(400, "a param cannot be read")
-			}
-			if message.Passes(f, nil) {
-				r.Fields = append(r.Fields, f)
-			}
+		if err := in.take(string(p.name), p.value); err != nil {
+			return nil, err
 		}
 		if len(r.Fields) > message.MaxFields {
 			return nil, message.Bad(431, "too many fields")
 		}
 	}
-	if stated >= 0 && stated != len(body) { // what one side takes for the body is not what the other has sent
+	if in.length >= 0 && in.length != len(body) { // what one side takes for the body is not what the other has sent
 		return nil, message.Bad(400, "the body is not as long as it is said to be")
 	}
 	if len(r.Target) == 0 {
-		r.Target = append(append([]byte(nil), script...), info...)
-		if len(query) > 0 {
-			r.Target = append(append(r.Target, '?'), query...)
+		r.Target = append(append([]byte(nil), in.script...), in.info...)
+		if len(in.query) > 0 {
+			r.Target = append(append(r.Target, '?'), in.query...)
 		}
 	}
 	if !message.IsToken(r.Method) || !message.IsTarget(r.Target) {
@@ -135,6 +107,56 @@
 	return r, nil
 }
 
+// take takes in a param.
+func (in *reading) take(name string, value []byte) error {
+	r := in.request
+	switch name {
+	case paramMethod:
+		r.Method = value
+	case paramURI:
+		r.Target = value
+	case paramScript:
+		in.script = value
+	case paramInfo:
+		in.info = value
+	case paramQuery:
+		in.query = value
+	case paramType:
+		if len(value) > 0 {
+			r.Fields = append(r.Fields, message.Field{Name: []byte("Content-Type"), Value: value})
+		}
+	case paramLength:
+		return in.takeLength(value)
+	case paramProxy:
+	default:
+		field, ok := strings.CutPrefix(name, prefix)
+		if !ok {
+			return nil
+		}
+		f := message.Field{Name: []byte(strings.ReplaceAll(field, "_", "-")), Value: value}
+		if !message.IsToken(f.Name) {
+			return message.Bad(400, "a param cannot be read")
+		}
+		if message.Passes(f, nil) {
+			r.Fields = append(r.Fields, f)
+		}
+	}
+	return nil
+}
+
+// takeLength takes in what is said of the body's length, which must be the same wherever it is said.
+func (in *reading) takeLength(value []byte) error {
+	if len(value) == 0 {
+		return nil
+	}
+	n, err := strconv.ParseUint(string(value), 10, 31)
+	if err != nil || in.length >= 0 && in.length != int(n) {
+		return message.Bad(400, "the length of the body is not clear")
+	}
+	in.length = int(n)
+	return nil
+}
+
 // response makes an answer of what a responder has written: a head as CGI has it, and the body.
 func response(out []byte, r *message.Response) error {
 	*r = message.Response{Status: 200, Fields: r.Fields[:0]}
--- a/internal/plan/deal.go
+++ b/internal/plan/deal.go
@@ -52,80 +52,110 @@
 	return max(demand*g.weight[s]/max(weights, 1e-9), 1e-9)
 }
 
+// dealing is what one deal works with.
+type dealing struct {
+	*grid
+	size      []int   // servers that each forwarder is to have
+	allDemand float64 // of the forwarders, hops a second
+	weights   float64 // of all servers
+}
+
 // deal gives each forwarder its number of servers, with as few moves as will do. Each place is counted as an even part of
 // its forwarder's demand; the shares are fitted afterwards.
 func (g *grid) deal() {
-	usable, demand, weights := 0, 0.0, 0.0
+	d := dealing{grid: g}
+	usable := 0
 	for _, w := range g.weight {
-		if weights += w; w > 0 {
+		if d.weights += w; w > 0 {
 			usable++
 		}
 	}
-	for _, d := range g.demand {
-		demand += d
+	for _, demand := range g.demand {
+		d.allDemand += demand
 	}
 	if usable == 0 || len(g.parts) == 0 {
 		return
 	}
-	size := make([]int, len(g.parts))
-	places := 0
-	for i := range g.parts {
-		size[i] = partLeast + int(math.Ceil(flyingPart*g.flying[i]))
-		size[i] = min(max(size[i], int(math.Ceil(holdersMin*float64(usable)/float64(len(g.parts))))), usable)
-		places += size[i]
-	}
+	places := d.fitSizes(usable)
 	g.load = make([]float64, len(g.servers))
-	put := func(i, s int) {
-		g.parts[i] = append(g.parts[i], cell{server: s})
-		g.load[s] += g.demand[i] / float64(size[i])
-	}
-	take := func(i, at int) {
-		g.load[g.parts[i][at].server] -= g.demand[i] / float64(size[i])
-		g.parts[i] = slices.Delete(g.parts[i], at, at+1)
-	}
-	ratio := func(s int) float64 { return g.load[s] / g.due(s, demand, weights) }
 	for i := range g.parts {
 		for _, c := range g.parts[i] {
-			g.load[c.server] += g.demand[i] / float64(size[i])
+			g.load[c.server] += g.demand[i] / float64(d.size[i])
 		}
 	}
-	// What is too much goes from the servers that are loaded most, one more than needed may stay.
+	d.shrink()
+	d.grow()
+	g.level(int(math.Ceil(movesShare*float64(places))), d.ratio, d.put, d.take)
 	for i := range g.parts {
-		for len(g.parts[i]) > size[i]+1 {
+		slices.SortFunc(g.parts[i], func(a, b cell) int { return cmp.Compare(a.server, b.server) })
+	}
+}
+
+// fitSizes sets how many servers each forwarder is to have, and returns the sum.
+func (d *dealing) fitSizes(usable int) (places int) {
+	d.size = make([]int, len(d.parts))
+	for i := range d.parts {
+		d.size[i] = partLeast + int(math.Ceil(flyingPart*d.flying[i]))
+		d.size[i] = min(max(d.size[i], int(math.Ceil(holdersMin*float64(usable)/float64(len(d.parts))))), usable)
+		places += d.size[i]
+	}
+	return places
+}
+
+// put gives a forwarder a server.
+func (d *dealing) put(i, s int) {
+	d.parts[i] = append(d.parts[i], cell{server: s})
+	d.load[s] += d.demand[i] / float64(d.size[i])
+}
+
+// take takes from a forwarder the server at a place of its part.
+func (d *dealing) take(i, at int) {
+	d.load[d.parts[i][at].server] -= d.demand[i] / float64(d.size[i])
+	d.parts[i] = slices.Delete(d.parts[i], at, at+1)
+}
+
+// ratio is a server's load over what is due to it.
+func (d *dealing) ratio(s int) float64 { return d.load[s] / d.due(s, d.allDemand, d.weights) }
+
+// shrink takes what is too much from the servers that are loaded most; one more than needed may stay.
+func (d *dealing) shrink() {
+	for i := range d.parts {
+		for len(d.parts[i]) > d.size[i]+1 {
 			worst := 0
-			for at := range g.parts[i] {
-				if ratio(g.parts[i][at].server) > ratio(g.parts[i][worst].server) {
+			for at := range d.parts[i] {
+				if d.ratio(d.parts[i][at].server) > d.ratio(d.parts[i][worst].server) {
 					worst = at
 				}
 			}
-			take(i, worst)
-		}
-	}
-	least := func(i int) int {
-		best := -1
-		for s, w := range g.weight {
-			if w > 0 && (best < 0 || ratio(s) < ratio(best)) && !holds(g.parts[i], s) {
-				best = s
-			}
+			d.take(i, worst)
 		}
-		return best
 	}
-	// The first places of all before the second ones, so that early names do not take the best.
+}
+
+// grow gives the first places of all before the second ones, so that early names do not take the best.
+func (d *dealing) grow() {
 	for more := true; more; {
 		more = false
-		for i := range g.parts {
-			if len(g.parts[i]) < size[i] {
-				if s := least(i); s >= 0 {
-					put(i, s)
+		for i := range d.parts {
+			if len(d.parts[i]) < d.size[i] {
+				if s := d.least(i); s >= 0 {
+					d.put(i, s)
 					more = true
 				}
 			}
 		}
 	}
-	g.level(int(math.Ceil(movesShare*float64(places))), ratio, put, take)
-	for i := range g.parts {
-		slices.SortFunc(g.parts[i], func(a, b cell) int { return cmp.Compare(a.server, b.server) })
+}
+
+// least is the server with the smallest ratio that a forwarder does not have; -1 for none.
+func (d *dealing) least(i int) int {
+	best := -1
+	for s, w := range d.weight {
+		if w > 0 && (best < 0 || d.ratio(s) < d.ratio(best)) && !holds(d.parts[i], s) {
+			best = s
+		}
 	}
+	return best
 }
 
 // level moves places from servers that have too much to those that have too little, a few with each plan.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -49,8 +49,8 @@
 
 // Reasons for which a file is no snapshot to go by.
 var (
-	ErrSpoilt = errors.New("it is not whole")
-	ErrNewer  = errors.New("it is of a newer version of this program")
+	ErrCorrupt = errors.New("it is not whole")
+	ErrNewer   = errors.New("it is of a newer version of this program")
 )
 
 // Encode writes one.
@@ -86,26 +86,26 @@
 // Decode reads one.
 func Decode(b []byte) (*Snapshot, error) {
 	if len(b) < headLen || string(b[:len(magic)]) != magic {
-		return nil, ErrSpoilt
+		return nil, ErrCorrupt
 	}
 	if v := binary.BigEndian.Uint16(b[len(magic):]); v > version {
 		return nil, ErrNewer
 	} else if v == 0 {
-		return nil, ErrSpoilt
+		return nil, ErrCorrupt
 	}
 	head, body := b[:headLen-4], b[headLen:]
 	if n := binary.LittleEndian.Uint32(head[len(head)-4:]); n > bodyMost || int(n) != len(body) ||
 		checksum(head, body) != binary.LittleEndian.Uint32(b[headLen-4:]) {
-		return nil, ErrSpoilt
+		return nil, ErrCorrupt
 	}
 	s := &Snapshot{}
 	if err := modes.Unmarshal(body, s); err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrSpoilt, err)
+		return nil, fmt.Errorf("%w: %v", ErrCorrupt, err)
 	}
 	seen := make(map[string]bool, len(s.Servers))
 	for _, one := range s.Servers {
 		if one.ID == "" || seen[one.ID] {
-			return nil, fmt.Errorf("%w: server %.40q is named twice, or not at all", ErrSpoilt, one.ID)
+			return nil, fmt.Errorf("%w: server %.40q is named twice, or not at all", ErrCorrupt, one.ID)
 		}
 		seen[one.ID] = true
 	}
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -19,7 +19,7 @@
 		Servers: []Server{{ID: "a", Up: n, Address: "127.0.0.1:1", Zone: "north", Size: 1, Heard: n, Ran: n}, {ID: "b", Condition: 1}}}
 }
 
-// What is written is read again; what is spoilt, of a newer version or not a list at all is told.
+// What is written is read again; what is corrupt, of a newer version or not a list at all is told.
 func TestDecode(t *testing.T) {
 	good, err := Encode(of(7))
 	if err != nil {
@@ -38,8 +38,8 @@
 		text []byte
 		want error
 	}{
-		"nothing": {nil, ErrSpoilt}, "noise": {[]byte(strings.Repeat("x", 99)), ErrSpoilt}, "cut off": {good[:len(good)-1], ErrSpoilt},
-		"longer": {append(bytes.Clone(good), 0), ErrSpoilt}, "a bit": {flipped, ErrSpoilt}, "newer": {newer, ErrNewer}, "named twice": {twice, ErrSpoilt},
+		"nothing": {nil, ErrCorrupt}, "noise": {[]byte(strings.Repeat("x", 99)), ErrCorrupt}, "cut off": {good[:len(good)-1], ErrCorrupt},
+		"longer": {append(bytes.Clone(good), 0), ErrCorrupt}, "a bit": {flipped, ErrCorrupt}, "newer": {newer, ErrNewer}, "named twice": {twice, ErrCorrupt},
 	} {
 		if _, err := Decode(c.text); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v", name, err)
@@ -124,7 +124,7 @@
 	}
 }
 
-// A spoilt generation is passed over and named; one of a newer version ends the search.
+// A corrupt generation is passed over and named; one of a newer version ends the search.
 func TestNewest(t *testing.T) {
 	dir := t.TempDir()
 	s, err := Open(dir, 3, bindlog.OS{})
