--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -69,7 +69,7 @@
 		return 0
 	case errors.As(err, &code):
 		return int(code)
-	case errors.Is(err, errDamaged), errors.Is(err, errCorrupt), errors.Is(err, errTooFew), errors.Is(err, errLacking):
+	case errors.Is(err, errDamaged), errors.Is(err, errSpoilt), errors.Is(err, errTooFew), errors.Is(err, errLacking):
 		fmt.Fprintf(errs, "fernvane: %v\n", err)
 		return 1
 	case errors.As(err, &faults): // each with its own file and line
--- a/cmd/fernvane/snapshot.go
+++ b/cmd/fernvane/snapshot.go
@@ -18,7 +18,7 @@
 	"fernvane/internal/trust"
 )
 
-var errCorrupt = errors.New("a generation cannot be gone by")
+var errSpoilt = errors.New("a generation cannot be gone by")
 
 func snapshotCommand(getenv func(string) string) *cobra.Command {
 	g := &generations{getenv: getenv}
@@ -97,7 +97,7 @@
 			}
 			fmt.Fprintf(c.OutOrStdout(), "%d generations, %d whole\n", len(all), len(all)-bad)
 			if bad > 0 {
-				return errCorrupt
+				return errSpoilt
 			}
 			return nil
 		}}
--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -58,8 +58,8 @@
 	for i := range s.Types { // no window of the module is to bind
 		s.Types[i].Target, s.Types[i].Abandon = scenario.Span(2*time.Second), scenario.Span(3*time.Second)
 	}
-	w := &world{Options: Options{Scenario: s}, launcher: newLauncher()}
-	defer close(w.launcher.starts)
+	w := &world{Options: Options{Scenario: s}, keeper: newKeeper()}
+	defer close(w.keeper.starts)
 	if err := w.reserve(); err != nil {
 		return nil, err
 	}
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	died := make(chan string, 1)
-	if err := p.start(w.launcher, func(why string) { died <- why }); err != nil {
+	if err := p.start(w.keeper, func(why string) { died <- why }); err != nil {
 		return nil, err
 	}
 	defer p.end(syscall.SIGTERM)
--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -203,7 +203,7 @@
 	if err := w.age(n); err != nil {
 		return err
 	}
-	err := w.nodes[n].start(w.launcher, func(why string) {
+	err := w.nodes[n].start(w.keeper, func(why string) {
 		cancel(fmt.Errorf("node %d has ended: %s", n, why))
 		w.observer.record(func(a *audit.Audit, _ time.Duration) { a.Crashed(n, why) })
 		w.observer.nodeDown(n, true)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -55,12 +55,12 @@
 	RSSMB float64 // the most of one
 }
 
-// launcher starts processes from one thread that lives as long as it does: the system ends them with that thread, so that
+// keeper starts processes from one thread that lives as long as it does: the system ends them with that thread, so that
 // none outlives a lab that is killed.
-type launcher struct{ starts chan func() }
+type keeper struct{ starts chan func() }
 
-func newLauncher() *launcher {
-	k := &launcher{starts: make(chan func())}
+func newKeeper() *keeper {
+	k := &keeper{starts: make(chan func())}
 	go func() {
 		runtime.LockOSThread() // never given back: the thread ends with the goroutine
 		for start := range k.starts {
@@ -70,14 +70,14 @@
 	return k
 }
 
-func (k *launcher) start(c *exec.Cmd) error {
+func (k *keeper) start(c *exec.Cmd) error {
 	err := make(chan error)
 	k.starts <- func() { err <- c.Start() }
 	return <-err
 }
 
 // start runs the node on the configuration in its folder. ended is called when the process ends unasked.
-func (p *process) start(k *launcher, ended func(why string)) error {
+func (p *process) start(k *keeper, ended func(why string)) error {
 	log, err := os.OpenFile(p.log(), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return err
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -73,7 +73,7 @@
 	lock       net.Listener // holds the net
 	start      time.Time
 	observer   *observer
-	launcher   *launcher
+	keeper     *keeper
 	boxes      []*machine
 	discovery  *discovery.Service
 	mu         sync.Mutex
@@ -106,8 +106,8 @@
 
 // Run plays a scenario once.
 func Run(ctx context.Context, o Options) (*Outcome, error) {
-	w := &world{Options: o, launcher: newLauncher(), stopped: make(chan struct{})}
-	defer close(w.launcher.starts)
+	w := &world{Options: o, keeper: newKeeper(), stopped: make(chan struct{})}
+	defer close(w.keeper.starts)
 	if w.Keep == "" {
 		dir, err := os.MkdirTemp("", "fernlab-")
 		if err != nil {
