--- a/internal/lab/bench.go
+++ b/internal/lab/bench.go
@@ -37,7 +37,8 @@
 	Connections int
 	Way         string
 	PerSecond   float64
-	P50, P99    time.Duration
+	P50         time.Duration
+	P99         time.Duration
 	Denied      int
 	CPUEach     float64
 }
@@ -86,11 +87,24 @@
 	if err := f.Started(up, 0); err != nil {
 		return nil, err
 	}
+	if rows, err = measureWays(ctx, o, p, at, addresses); err != nil {
+		return nil, err
+	}
+	select {
+	case why := <-died:
+		return nil, errors.New("the node has ended: " + why)
+	default:
+		return rows, nil
+	}
+}
+
+// measureWays measures the direct way and the one by the node, for each number of connections.
+func measureWays(ctx context.Context, o BenchOptions, p *process, node string, servers []string) (rows []BenchRow, err error) {
 	for _, n := range o.Connections {
 		for _, way := range []struct {
 			name string
 			to   []string
-		}{{"direct", addresses}, {"node", []string{at}}} {
+		}{{"direct", servers}, {"node", []string{node}}} {
 			before := p.cpu()
 			row, err := closedLoop(ctx, n, o.Each, way.to)
 			if err != nil {
@@ -103,12 +117,7 @@
 			rows = append(rows, row)
 		}
 	}
-	select {
-	case why := <-died:
-		return nil, errors.New("the node has ended: " + why)
-	default:
-		return rows, nil
-	}
+	return rows, nil
 }
 
 // cpu is the time that the running process has used so far, by what the system keeps of it.
