Planner, fastcgi and trust: ejections, in flight, borrowed, excluded

Change: unexported identifiers (Excluded of trust is used within it alone) and comments; the fields of the planners' frames keep their names, other packages use them. Measured: tests of plan, planner, follow, fastcgi and trust green.

--- a/internal/fastcgi/back.go
+++ b/internal/fastcgi/back.go
@@ -21,12 +21,12 @@
 // Back is a connection to a responder. It carries one request at a time.
 type Back struct {
 	net.Conn
-	records reader
-	out     []byte
-	again   bool
-	pool    *message.Pool
-	lent    int
-	stderr  func(text []byte)
+	records  reader
+	out      []byte
+	again    bool
+	pool     *message.Pool
+	borrowed int
+	stderr   func(text []byte)
 }
 
 // NewBack wraps a connection that nothing was read from. What responders write to STDERR is told to stderr.
@@ -54,8 +54,8 @@
 	if cap(b.records.content) > keptBuffer {
 		b.records.content = nil
 	}
-	b.pool.Give(b.lent)
-	b.lent = 0
+	b.pool.Give(b.borrowed)
+	b.borrowed = 0
 }
 
 // Ask writes a request whole, and tells whether its last byte, that of the empty STDIN record, was written.
@@ -122,11 +122,11 @@
 	if len(b.out)+len(content) > message.MaxHead+message.MaxAnswer {
 		return message.ErrGarbled
 	}
-	if more := len(b.out) + len(content) - keptBuffer - b.lent; more > 0 {
+	if more := len(b.out) + len(content) - keptBuffer - b.borrowed; more > 0 {
 		if !b.pool.Take(more) {
 			return message.ErrGarbled // no memory for it now; it may have run all the same
 		}
-		b.lent += more
+		b.borrowed += more
 	}
 	b.out = append(b.out, content...)
 	return nil
--- a/internal/fastcgi/front.go
+++ b/internal/fastcgi/front.go
@@ -57,15 +57,15 @@
 	Bad     *message.Malformed // why it cannot be taken; nil for a good one
 	Came    time.Time          // its first record
 
-	left   chan struct{}
-	gone   bool
-	whole  bool
-	over   bool // answered, or as good as
-	headed bool // its params are whole
-	params []byte
-	body   []byte
-	lent   int
-	large  *message.Malformed // it is read to its end, and kept no more
+	left     chan struct{}
+	gone     bool
+	whole    bool
+	over     bool // answered, or as good as
+	headed   bool // its params are whole
+	params   []byte
+	body     []byte
+	borrowed int
+	large    *message.Malformed // it is read to its end, and kept no more
 }
 
 // Left is closed when the client has aborted the request, or its connection has ended.
@@ -233,14 +233,14 @@
 		f.free(c)
 		return message.Bad(503, "no memory for so large a message now")
 	}
-	c.lent += len(content)
+	c.borrowed += len(content)
 	*to = append(*to, content...)
 	return nil
 }
 
 func (f *Front) free(c *Call) {
-	f.pool.Give(c.lent)
-	c.params, c.body, c.lent = nil, nil, 0
+	f.pool.Give(c.borrowed)
+	c.params, c.body, c.borrowed = nil, nil, 0
 }
 
 // manage answers records of the connection itself.
--- a/internal/plan/deal.go
+++ b/internal/plan/deal.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	partLeast  = 6    // servers of a part: one rests, one is slow, and two are left
-	holdersMin = 3.0  // forwarders that hold a server, on the mean
-	flyingPart = 2.0  // servers of a part for each hop out, so that most hops find one idle
-	movesShare = 0.02 // of all places in parts may move with one plan, beside those that must
-	overload   = 1.3  // times its due from which places are moved away from a server
-	underload  = 0.8  // and to it
-	fitRounds  = 15   // of proportional fitting
-	shareLeast = 0.01 // of the largest of a part; less is none
-	rateLeast  = 0.1  // hops a second that a forwarder without traffic counts as
+	partLeast    = 6    // servers of a part: one is ejected, one is slow, and two are left
+	holdersMin   = 3.0  // forwarders that hold a server, on the mean
+	inFlightPart = 2.0  // servers of a part for each hop out, so that most hops find one idle
+	movesShare   = 0.02 // of all places in parts may move with one plan, beside those that must
+	overload     = 1.3  // times its due from which places are moved away from a server
+	underload    = 0.8  // and to it
+	fitRounds    = 15   // of proportional fitting
+	shareLeast   = 0.01 // of the largest of a part; less is none
+	rateLeast    = 0.1  // hops a second that a forwarder without traffic counts as
 )
 
 // cell is one forwarder's share of one server.
@@ -26,12 +26,12 @@
 
 // grid is who uses what. Rows are forwarders in the order of their names, columns servers in that of their ids.
 type grid struct {
-	servers []string
-	weight  []float64 // of the servers; 0: to be left alone
-	demand  []float64 // of the forwarders, hops a second
-	flying  []float64
-	parts   [][]cell // sorted by server
-	load    []float64
+	servers  []string
+	weight   []float64 // of the servers; 0: to be left alone
+	demand   []float64 // of the forwarders, hops a second
+	inFlight []float64
+	parts    [][]cell // sorted by server
+	load     []float64
 }
 
 // add takes in a forwarder with what it holds now, so that a plan goes on from there whoever made the one before.
@@ -44,7 +44,7 @@
 	}
 	g.parts = append(g.parts, part)
 	g.demand = append(g.demand, max(f.rate, rateLeast))
-	g.flying = append(g.flying, f.flying)
+	g.inFlight = append(g.inFlight, f.inFlight)
 }
 
 // due is what a server should get: its weight's part of all demand.
@@ -95,7 +95,7 @@
 func (d *dealing) fitSizes(usable int) (places int) {
 	d.size = make([]int, len(d.parts))
 	for i := range d.parts {
-		d.size[i] = partLeast + int(math.Ceil(flyingPart*d.flying[i]))
+		d.size[i] = partLeast + int(math.Ceil(inFlightPart*d.inFlight[i]))
 		d.size[i] = min(max(d.size[i], int(math.Ceil(holdersMin*float64(usable)/float64(len(d.parts))))), usable)
 		places += d.size[i]
 	}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -9,65 +9,65 @@
 )
 
 const (
-	liveFor      = 10 * time.Second       // a forwarder that is heard no more counts for so long: it may still send
-	forwarderTop = 4096                   // forwarders that a planner keeps
-	serversTop   = 4096                   // servers that it judges
-	rateSpan     = 3 * time.Second        // over which rates are taken
-	judgeSpan    = 1 * time.Second        // over which answers tell how slow a server is now
-	judgePrior   = 3.0                    // answers of its usual speed that count beside, so that a few do not judge
-	speedSpan    = 8 * time.Second        // over which they tell how fast it is as a rule; noise of a second moves too much load
-	speedPrior   = 10.0                   // answers of usual speed that count beside
-	speedPower   = 1.5                    // of its speed in its weight: 1 has all equally busy, and the fast have less to lose
-	suddenFrom   = 1.6                    // times slower than it is as a rule: beneath, it is chance
-	suddenRule   = 0.1                    // weight of answers in the rule while it is so much slower
-	avoidFrom    = 2.0                    // times, from which it is avoided; without answers the signal fades within seconds
-	avoidServers = 0.25                   // of the servers at most
-	avoidAtOnce  = 0.05                   // and so many more with each plan, but one at least
-	usualSpan    = 5 * time.Second        // over which a type's usual latency is taken
-	baseSpan     = 30 * time.Second       // in which a higher latency counts as unloaded, as in the module
-	windowAim    = 0.15                   // of what is left of the target time, likewise
-	slowLeast    = 0.3                    // slowness under which a server gets no more for being fast
-	weightLeast  = 0.02                   // of the usual, so that a slow server is still seen to heal
-	lateShare    = 0.1                    // of hops that time out, over all, from which less is admitted
-	strainFrom   = 1.2                    // mean time of answers over the time they may take, likewise
-	admitPace    = 0.7                    // per second, of the log of the admitted share
-	admitLeast   = 0.2                    // beneath it the forwarders' own windows decide
-	faultsLeast  = 4.0                    // failures in judgeSpan before a rest is thought of
-	faultsShare  = 0.7                    // of the hops, likewise
-	agreeLeast   = 2                      // forwarders that must see it, where there are so many
-	restFirst    = 500 * time.Millisecond // doubles, as in the module
-	restMost     = 4 * time.Second
-	restServers  = 0.5  // of the servers may rest: more would only load the others
-	paceFloor    = 0.5  // of the fall budget of a one-core server, over all forwarders
-	paceNone     = 1e-9 // of a forwarder outside whose part a cold server is
+	liveFor       = 10 * time.Second       // a forwarder that is heard no more counts for so long: it may still send
+	forwarderTop  = 4096                   // forwarders that a planner keeps
+	serversTop    = 4096                   // servers that it judges
+	rateSpan      = 3 * time.Second        // over which rates are taken
+	judgeSpan     = 1 * time.Second        // over which answers tell how slow a server is now
+	judgePrior    = 3.0                    // answers of its usual speed that count beside, so that a few do not judge
+	speedSpan     = 8 * time.Second        // over which they tell how fast it is as a rule; noise of a second moves too much load
+	speedPrior    = 10.0                   // answers of usual speed that count beside
+	speedPower    = 1.5                    // of its speed in its weight: 1 has all equally busy, and the fast have less to lose
+	suddenFrom    = 1.6                    // times slower than it is as a rule: beneath, it is chance
+	suddenRule    = 0.1                    // weight of answers in the rule while it is so much slower
+	avoidFrom     = 2.0                    // times, from which it is avoided; without answers the signal fades within seconds
+	avoidServers  = 0.25                   // of the servers at most
+	avoidAtOnce   = 0.05                   // and so many more with each plan, but one at least
+	usualSpan     = 5 * time.Second        // over which a type's usual latency is taken
+	baseSpan      = 30 * time.Second       // in which a higher latency counts as unloaded, as in the module
+	windowAim     = 0.15                   // of what is left of the target time, likewise
+	slowLeast     = 0.3                    // slowness under which a server gets no more for being fast
+	weightLeast   = 0.02                   // of the usual, so that a slow server is still seen to heal
+	lateShare     = 0.1                    // of hops that time out, over all, from which less is admitted
+	strainFrom    = 1.2                    // mean time of answers over the time they may take, likewise
+	admitPace     = 0.7                    // per second, of the log of the admitted share
+	admitLeast    = 0.2                    // beneath it the forwarders' own windows decide
+	faultsLeast   = 4.0                    // failures in judgeSpan before an ejection is thought of
+	faultsShare   = 0.7                    // of the hops, likewise
+	agreeLeast    = 2                      // forwarders that must see it, where there are so many
+	ejectionFirst = 500 * time.Millisecond // doubles, as in the module
+	ejectionMost  = 4 * time.Second
+	ejectedShare  = 0.5  // of the servers may be ejected: more would only load the others
+	paceFloor     = 0.5  // of the fall budget of a one-core server, over all forwarders
+	paceNone      = 1e-9 // of a forwarder outside whose part a cold server is
 )
 
 type forwarder struct {
-	name    string
-	heard   time.Duration
-	sent    time.Duration // by its own clock
-	figures Figures
-	rate    float64 // hops a second
-	flying  float64
-	held    map[string]float64
+	name     string
+	heard    time.Duration
+	sent     time.Duration // by its own clock
+	figures  Figures
+	rate     float64 // hops a second
+	inFlight float64
+	held     map[string]float64
 }
 
 type server struct {
-	life      life.Entry
-	answers   float64 // fading
-	slow      float64 // the sum of their latency over the usual
-	long      float64 // answers over the longer span
-	speed     float64 // slow over the longer span
-	n         float64 // answers since the last plan
-	sum       float64 // slow since the last plan
-	avoided   bool
-	hops      float64 // fading
-	faults    float64 // of the hops, fading
-	seen      map[string]time.Duration
-	strikes   int
-	restUntil time.Duration
-	cold      float64 // share of its capacity that it surely has; 1: warm
-	weight    float64
+	life           life.Entry
+	answers        float64 // fading
+	slow           float64 // the sum of their latency over the usual
+	long           float64 // answers over the longer span
+	speed          float64 // slow over the longer span
+	n              float64 // answers since the last plan
+	sum            float64 // slow since the last plan
+	avoided        bool
+	hops           float64 // fading
+	faults         float64 // of the hops, fading
+	seen           map[string]time.Duration
+	ejectionsInRow int
+	ejectedUntil   time.Duration
+	cold           float64 // share of its capacity that it surely has; 1: warm
+	weight         float64
 }
 
 type kind struct {
@@ -133,7 +133,7 @@
 	if f.rate = keep*f.rate + (1-keep)*float64(hops)/span.Seconds(); f.rate < 1e-3 {
 		f.rate = 0
 	}
-	f.flying = keep*f.flying + (1-keep)*float64(max(r.Flying, 0))
+	f.inFlight = keep*f.inFlight + (1-keep)*float64(max(r.Flying, 0))
 	for _, t := range r.Tenants {
 		k := p.tenants[t.Name]
 		if k == nil {
@@ -170,7 +170,7 @@
 		k.answers, k.sum = k.answers+n, k.sum+a.Sum.Seconds()
 		p.strain += n * spent / k.allowed()
 		p.ended += n
-		s.strikes = 0
+		s.ejectionsInRow = 0
 	}
 	timed, failed := float64(max(told.TimedOut, 0)), float64(max(told.Failed, 0))
 	s.n, s.sum = s.n+timed, s.sum+timed*p.lateness()
--- a/internal/plan/whole.go
+++ b/internal/plan/whole.go
@@ -36,11 +36,11 @@
 			fall = min(fall, f.FallMultiple)
 		}
 	}
-	rests := p.rests(now, servers)
+	ejections := p.ejections(now, servers)
 	p.weigh(servers, coldFor, coldStart)
 	g := grid{servers: servers, weight: make([]float64, len(servers))}
 	for i, id := range servers {
-		if g.weight[i] = p.servers[id].weight; rests[id] > 0 {
+		if g.weight[i] = p.servers[id].weight; ejections[id] > 0 {
 			g.weight[i] = 0
 		}
 	}
@@ -61,13 +61,13 @@
 	paces := p.paces(servers, fall, holders, float64(counted)/float64(max(len(names), 1)))
 	for i, part := range g.parts {
 		for j, c := range part {
-			w.parts[i][j].Pace, w.parts[i][j].Rest = paces[c.server], rests[servers[c.server]]
+			w.parts[i][j].Pace, w.parts[i][j].Rest = paces[c.server], ejections[servers[c.server]]
 			w.parts[i][j].Avoid = p.servers[servers[c.server]].avoided
 		}
 	}
 	for i, id := range servers {
-		if avoided := p.servers[id].avoided; paces[i] > 0 || rests[id] > 0 || avoided {
-			s := Share{ID: id, Rest: rests[id], Avoid: avoided}
+		if avoided := p.servers[id].avoided; paces[i] > 0 || ejections[id] > 0 || avoided {
+			s := Share{ID: id, Rest: ejections[id], Avoid: avoided}
 			if paces[i] > 0 {
 				s.Pace = paceNone
 			}
@@ -117,12 +117,12 @@
 	return all
 }
 
-// rests sends servers to rest that several forwarders find failing, for longer each time, but never more than half.
-func (p *Planner) rests(now time.Duration, servers []string) map[string]time.Duration {
-	rests, resting := map[string]time.Duration{}, 0
+// ejections has servers ejected that several forwarders find failing, for longer each time, but never more than half.
+func (p *Planner) ejections(now time.Duration, servers []string) map[string]time.Duration {
+	ejections, ejected := map[string]time.Duration{}, 0
 	for _, id := range servers {
-		if p.servers[id].restUntil > now {
-			resting++
+		if p.servers[id].ejectedUntil > now {
+			ejected++
 		}
 	}
 	for _, id := range servers {
@@ -133,19 +133,19 @@
 				agreed++
 			}
 		}
-		if s.restUntil <= now && s.faults >= faultsLeast && s.faults >= faultsShare*s.hops &&
-			agreed >= min(agreeLeast, len(p.forwarders)) && float64(resting+1) <= restServers*float64(len(servers)) {
-			s.restUntil = now + min(restFirst<<min(s.strikes, 3), restMost)
-			s.strikes++
+		if s.ejectedUntil <= now && s.faults >= faultsLeast && s.faults >= faultsShare*s.hops &&
+			agreed >= min(agreeLeast, len(p.forwarders)) && float64(ejected+1) <= ejectedShare*float64(len(servers)) {
+			s.ejectedUntil = now + min(ejectionFirst<<min(s.ejectionsInRow, 3), ejectionMost)
+			s.ejectionsInRow++
 			s.hops, s.faults = 0, 0
 			clear(s.seen)
-			resting++
+			ejected++
 		}
-		if s.restUntil > now {
-			rests[id] = s.restUntil - now
+		if s.ejectedUntil > now {
+			ejections[id] = s.ejectedUntil - now
 		}
 	}
-	return rests
+	return ejections
 }
 
 // weigh says how much of the load each server gets beside the others.
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -69,11 +69,11 @@
 type Standing uint8
 
 const (
-	Held    Standing = iota // not tried yet
-	Trial                   // may be sent to, but nothing that must not run twice
-	Proved                  // has served since the start
-	Doubted                 // found to be away; tried again later
-	Barred                  // told to drain or gone before the start, or another server answers there
+	Held     Standing = iota // not tried yet
+	Trial                    // may be sent to, but nothing that must not run twice
+	Proved                   // has served since the start
+	Doubted                  // found to be away; tried again later
+	Excluded                 // told to drain or gone before the start, or another server answers there
 	standings
 )
 
@@ -95,11 +95,11 @@
 }
 
 var moves = [standings][inputs]move{
-	Held:    {offered: {Trial, 0}, served: {Held, 0}, turnedAway: {Held, 0}, away: {Held, 0}, another: {Barred, 0}, timeUp: {Held, 0}},
-	Trial:   {offered: {Trial, 0}, served: {Proved, 1}, turnedAway: {Trial, 0}, away: {Doubted, -1}, another: {Barred, -1}, timeUp: {Trial, 0}},
-	Proved:  {offered: {Proved, 0}, served: {Proved, 0}, turnedAway: {Proved, 0}, away: {Doubted, 0}, another: {Barred, -1}, timeUp: {Proved, 0}},
-	Doubted: {offered: {Doubted, 0}, served: {Doubted, 0}, turnedAway: {Doubted, 0}, away: {Doubted, 0}, another: {Barred, 0}, timeUp: {Held, 0}},
-	Barred:  {offered: {Barred, 0}, served: {Barred, 0}, turnedAway: {Barred, 0}, away: {Barred, 0}, another: {Barred, 0}, timeUp: {Barred, 0}},
+	Held:     {offered: {Trial, 0}, served: {Held, 0}, turnedAway: {Held, 0}, away: {Held, 0}, another: {Excluded, 0}, timeUp: {Held, 0}},
+	Trial:    {offered: {Trial, 0}, served: {Proved, 1}, turnedAway: {Trial, 0}, away: {Doubted, -1}, another: {Excluded, -1}, timeUp: {Trial, 0}},
+	Proved:   {offered: {Proved, 0}, served: {Proved, 0}, turnedAway: {Proved, 0}, away: {Doubted, 0}, another: {Excluded, -1}, timeUp: {Proved, 0}},
+	Doubted:  {offered: {Doubted, 0}, served: {Doubted, 0}, turnedAway: {Doubted, 0}, away: {Doubted, 0}, another: {Excluded, 0}, timeUp: {Held, 0}},
+	Excluded: {offered: {Excluded, 0}, served: {Excluded, 0}, turnedAway: {Excluded, 0}, away: {Excluded, 0}, another: {Excluded, 0}, timeUp: {Excluded, 0}},
 }
 
 type server struct {
@@ -130,7 +130,7 @@
 	for _, s := range all {
 		one := &server{Server: s, order: crc32.ChecksumIEEE([]byte(node + "/" + s.ID))}
 		if !s.Up {
-			one.standing = Barred
+			one.standing = Excluded
 		} else {
 			up++
 		}
@@ -264,5 +264,5 @@
 	if s := t.servers[id]; s != nil {
 		return s.standing
 	}
-	return Barred
+	return Excluded
 }
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -52,8 +52,8 @@
 		want  Standing
 	}{
 		"tried":                        {true, nil, Trial},
-		"told to drain before":         {false, nil, Barred},
-		"and answers all the same":     {false, []string{serve, wait}, Barred},
+		"told to drain before":         {false, nil, Excluded},
+		"and answers all the same":     {false, []string{serve, wait}, Excluded},
 		"serves":                       {true, []string{serve}, Proved},
 		"turns away":                   {true, []string{turn, turn}, Trial},
 		"serves, then turns away":      {true, []string{serve, turn}, Proved},
@@ -62,8 +62,8 @@
 		"serves, one hop fails":        {true, []string{serve, gone}, Proved},
 		"serves, two fail":             {true, []string{serve, gone, gone}, Doubted},
 		"two, with an answer between":  {true, []string{serve, gone, serve, gone}, Proved},
-		"another is there":             {true, []string{other}, Barred},
-		"served, and now another does": {true, []string{serve, other, wait, serve}, Barred},
+		"another is there":             {true, []string{other}, Excluded},
+		"served, and now another does": {true, []string{serve, other, wait, serve}, Excluded},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tr, now := New(Known{10 * time.Minute, true}, "n", []Server{{ID: "a", Up: c.up}}), time.Duration(0)
@@ -108,7 +108,7 @@
 	}
 }
 
-// Whatever happens: what was barred is never used, nothing is proved that has not served since the start, no more are on
+// Whatever happens: what was excluded is never used, nothing is proved that has not served since the start, no more are on
 // trial than have been won, and in the end of a fleet that serves all are proved.
 func TestTrustHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -118,10 +118,10 @@
 		}
 		age := time.Duration(rapid.Int64Range(-1e12, 1e15).Draw(t, "age"))
 		tr, now := New(Known{age, rapid.Bool().Draw(t, "clean")}, "n", all), time.Duration(0)
-		ran, barred := map[string]bool{}, map[string]bool{}
+		ran, excluded := map[string]bool{}, map[string]bool{}
 		most := tr.trials // that were ever allowed
 		for _, s := range all {
-			barred[s.ID] = !s.Up
+			excluded[s.ID] = !s.Up
 		}
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			id := all[rapid.IntRange(0, len(all)-1).Draw(t, "which")].ID
@@ -138,15 +138,15 @@
 				tr.Away(now, id)
 			case 3:
 				tr.Another(now, id)
-				barred[id] = true
+				excluded[id] = true
 			default:
 				tr.Passed(now)
 			}
 			usable, _ = tr.Usable()
 			on := 0
 			for _, u := range usable {
-				if barred[u.ID] || u.Proved && !ran[u.ID] {
-					t.Fatalf("%s is used, barred %v, has run %v", u.ID, barred[u.ID], ran[u.ID])
+				if excluded[u.ID] || u.Proved && !ran[u.ID] {
+					t.Fatalf("%s is used, barred %v, has run %v", u.ID, excluded[u.ID], ran[u.ID])
 				}
 				if !u.Proved {
 					on++
@@ -165,7 +165,7 @@
 			}
 		}
 		for _, s := range all {
-			if want := map[bool]Standing{true: Barred, false: Proved}[barred[s.ID]]; tr.Standing(s.ID) != want {
+			if want := map[bool]Standing{true: Excluded, false: Proved}[excluded[s.ID]]; tr.Standing(s.ID) != want {
 				t.Fatalf("%s ends as %d, not %d", s.ID, tr.Standing(s.ID), want)
 			}
 		}
