Distribution: store of keyed entries, publisher, receiver, subscriber states and wire messages

First working implementations with their exported names: Store (write, merge, reset, prune, digests, scope), Publisher (pending keys, two lanes, budgets), Receiver, Subscriber (table of states) and wire (CBOR arrays over frames with sums). Tests so far: one subscriber's way, each message's round trip, refused bounds, each byte of a frame changed.

--- /dev/null
+++ b/internal/distribution/merge.go
@@ -0,0 +1,182 @@
+package distribution
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Merge takes in entries of other holders and returns those that won, and why others were refused, which is only where they
+// break a bound. An entry that the vector covers and whose key is not held was deleted and forgotten: it does not come back.
+func (s *Store) Merge(entries []Entry) (changed []Entry, refused []Rejection) {
+	for _, e := range entries {
+		if !s.InScope(e.Key.Service) {
+			continue
+		}
+		if err := e.Check(); err != nil {
+			refused = append(refused, Rejection{Key: e.Key, Reason: err.Error()})
+			continue
+		}
+		s.observe(e.Origin, e.Sequence)
+		s.clock = max(s.clock, e.Clock)
+		held, ok := s.Entry(e.Key)
+		if ok && Compare(held, e) >= 0 {
+			continue
+		}
+		if !ok && s.vector.Covers(e) && !s.missing[e.Key.Service] {
+			continue
+		}
+		if err := s.room(s.growth(e.Key, len(e.Value))); err != nil {
+			refused = append(refused, Rejection{Key: e.Key, Reason: err.Error(), Full: true})
+			continue
+		}
+		s.put(e)
+		changed = append(changed, e)
+	}
+	return changed, refused
+}
+
+// Reset ends a service that was sent whole: what is held of it, was not named and is covered by the sender is gone.
+func (s *Store) Reset(services []string, named map[Key]bool, through Vector) (removed []Entry) {
+	for _, name := range services {
+		of := s.services[name]
+		if of == nil {
+			continue
+		}
+		for id, it := range of.items {
+			e := s.entry(name, id, it)
+			if !named[e.Key] && through.Covers(e) {
+				removed = append(removed, e)
+			}
+		}
+	}
+	slices.SortFunc(removed, func(a, b Entry) int { return CompareKeys(a.Key, b.Key) })
+	for _, e := range removed {
+		s.remove(e.Key)
+	}
+	return removed
+}
+
+// Advance raises the vector by what a sender has said to be whole.
+func (s *Store) Advance(v Vector) {
+	s.Observe(v)
+	s.vector.Join(v)
+}
+
+// AdvancePruned takes in which deletions a sender may have forgotten.
+func (s *Store) AdvancePruned(v Vector) { s.pruned.Join(v) }
+
+// Lacks tells whether another holder covers something that this one does not.
+func (s *Store) Lacks(v Vector) bool { return !s.vector.AtLeast(v) }
+
+// Behind tells whether deletions that a holder of a vector lacks may be forgotten here, so that it is to be sent all.
+func (s *Store) Behind(v Vector) bool { return !v.AtLeast(s.pruned) }
+
+// Observe looks whether another's vector shows this disk to be an old one.
+func (s *Store) Observe(v Vector) { s.observe(s.origin, v[s.origin]) }
+
+func (s *Store) observe(o Origin, sequence uint64) {
+	if o == s.origin && s.origin != "" && sequence > s.sequence {
+		s.stale = true
+	}
+}
+
+// Stale tells that others hold more of this origin than this disk, as after an old copy was put back: what it would write
+// has numbers that others take for known. No write is taken until Renew.
+func (s *Store) Stale() bool { return s.stale }
+
+// Renew gives the store another origin, and writes again under it what was written under the old one since the disk was
+// read. What it returns is to be put on disk and told as by a Write.
+func (s *Store) Renew(wall time.Time, origin Origin) []Entry {
+	before, loaded := s.origin, s.loaded
+	s.origin, s.sequence, s.loaded, s.stale = origin, 0, 0, false
+	if loaded > 0 {
+		s.vector[before] = loaded
+	} else {
+		delete(s.vector, before)
+	}
+	var again []Entry
+	for name, of := range s.services {
+		for id, it := range of.items {
+			if s.origins[it.origin] == before && it.sequence > loaded {
+				again = append(again, s.entry(name, id, it))
+			}
+		}
+	}
+	slices.SortFunc(again, func(a, b Entry) int { return Compare(a, b) })
+	for i := range again {
+		e := &again[i]
+		s.clock = max(ClockAt(wall), s.clock+1)
+		s.sequence++
+		e.Clock, e.Origin, e.Sequence = s.clock, origin, s.sequence
+		s.put(*e)
+	}
+	if s.sequence > 0 {
+		s.vector[origin] = s.sequence
+	}
+	return again
+}
+
+// Prune forgets deletions with clocks before one, and returns their keys. Those that the vector does not cover are kept:
+// nobody could be told to be behind them.
+func (s *Store) Prune(olderThan uint64) []Key {
+	var dropped []Key
+	for k, clock := range s.deleted {
+		e, _ := s.Entry(k)
+		if clock >= olderThan || !s.vector.Covers(e) {
+			continue
+		}
+		s.pruned[e.Origin] = max(s.pruned[e.Origin], e.Sequence)
+		dropped = append(dropped, k)
+	}
+	slices.SortFunc(dropped, CompareKeys)
+	for _, k := range dropped {
+		s.remove(k)
+	}
+	return dropped
+}
+
+// SetScope says which services this store is for; without a call it is for all. What it holds of others is dropped and
+// returned. A service that is new is missing until it was sent whole. After Restore the scope that was on disk is set first.
+func (s *Store) SetScope(services []string) (removed []Entry) {
+	scope := make(map[string]bool, len(services))
+	for _, name := range services {
+		scope[name] = true
+		if s.scope != nil && !s.scope[name] {
+			s.missing[name] = true
+		}
+	}
+	s.scope = scope
+	maps.DeleteFunc(s.missing, func(name string, _ bool) bool { return !scope[name] })
+	for _, name := range s.Services() {
+		if scope[name] {
+			continue
+		}
+		for id, it := range s.services[name].items {
+			removed = append(removed, s.entry(name, id, it))
+		}
+	}
+	slices.SortFunc(removed, func(a, b Entry) int { return CompareKeys(a.Key, b.Key) })
+	for _, e := range removed {
+		s.remove(e.Key)
+	}
+	return removed
+}
+
+// InScope tells whether a service is one of this store's.
+func (s *Store) InScope(name string) bool { return s.scope == nil || s.scope[name] }
+
+// Missing are the services for which the vector does not hold yet, in order.
+func (s *Store) Missing() []string { return slices.Sorted(maps.Keys(s.missing)) }
+
+// MarkMissing says that the vector does not hold for some services of the scope, as when their part of a disk was damaged.
+func (s *Store) MarkMissing(services []string) {
+	for _, name := range services {
+		if s.InScope(name) {
+			s.missing[name] = true
+		}
+	}
+}
+
+// arrived says that the vector holds for a service.
+func (s *Store) arrived(name string) { delete(s.missing, name) }
--- /dev/null
+++ b/internal/distribution/messages.go
@@ -0,0 +1,97 @@
+package distribution
+
+import "time"
+
+// Role of a subscriber.
+type Role uint8
+
+// The roles, as they stand on the wire.
+const (
+	Node Role = 1 + iota
+	Control
+)
+
+// String is the role's name.
+func (r Role) String() string {
+	switch r {
+	case Node:
+		return "node"
+	case Control:
+		return "control"
+	}
+	return "unknown"
+}
+
+// Subscription is what a subscriber asks for.
+type Subscription struct {
+	_ struct{} `cbor:",toarray"`
+
+	Name     string
+	Role     Role
+	Region   string
+	Zone     string
+	Services []string
+	All      bool
+	Vector   Vector   // what it holds of them
+	Missing  []string // services for which the vector does not hold: they are sent whole
+}
+
+// Batch is what a subscriber is sent. Batches of a subscription are numbered from 1.
+type Batch struct {
+	_ struct{} `cbor:",toarray"`
+
+	Number   uint64
+	Entries  []Entry
+	Reset    []string // services that are sent whole, from this batch until the next complete one
+	ResetAll bool     // all subscribed services are
+	Complete bool     // all up to Through in the subscribed services was sent, by this batch or earlier ones
+	Through  Vector   // with Complete, those origins that have moved on since the last one; all of them at first and after a Reset
+	Pruned   Vector   // with Complete, deletions up to which may be forgotten at the sender, as far as new
+}
+
+// Rejection is an entry that a subscriber could not put in force or hold.
+type Rejection struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key    Key
+	Reason string
+	Full   bool // for want of room
+}
+
+// Acknowledgement says up to which batch a subscriber has put in force what it was sent.
+type Acknowledgement struct {
+	_ struct{} `cbor:",toarray"`
+
+	Batch    uint64
+	InForce  Vector // may be left out where it has not grown
+	Rejected []Rejection
+}
+
+// Digests let a subscriber see whether it holds what its server holds. It compares where it covers no more than the server.
+type Digests struct {
+	_ struct{} `cbor:",toarray"`
+
+	Total    uint64            // of all services, for subscribers of all
+	Services map[string]uint64 // for others
+	Through  Vector            // those origins that have moved on since the last complete batch or digests
+}
+
+// NodeStatus is what a publisher knows of one subscriber.
+type NodeStatus struct {
+	_ struct{} `cbor:",toarray"`
+
+	Name         string
+	Role         Role
+	Region       string
+	Zone         string
+	Via          string // control process that it is subscribed to
+	Revision     uint64 // total of the vector in force
+	Clock        uint64 // newest clock of what it has acknowledged
+	Lag          time.Duration
+	Pending      int // keys that wait
+	Unconfirmed  int // bytes sent and not acknowledged
+	Acknowledged bool
+	CatchingUp   bool
+	Connected    bool
+	Rejected     []Rejection
+}
--- /dev/null
+++ b/internal/distribution/publisher.go
@@ -0,0 +1,368 @@
+package distribution
+
+import (
+	"container/list"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// SubscriptionID names a subscription at one publisher.
+type SubscriptionID uint64
+
+// Never is how long Next has to wait where nothing waits to be sent.
+const Never = time.Duration(math.MaxInt64)
+
+const (
+	batchBytes  = 32 << 10         // of a batch, unless one entry is larger
+	windowBytes = 4 * batchBytes   // that a subscriber has not acknowledged before it is sent more
+	slowAfter   = 5 * time.Second  // without an acknowledgement of what was sent, a subscriber is cut off
+	digestEvery = 10 * time.Second // to a subscriber for which nothing waits
+	rejectMost  = 16               // rejections kept of a subscriber
+	entryOnWire = 40               // bytes of an entry in a batch beside its name and value, about
+	batchOnWire = 40               // bytes of a batch beside its entries, about
+)
+
+// Publisher decides what each subscriber of a store is sent and when. What waits for one is a set of keys; what is sent is
+// their winners at that moment. A change costs what the subscriptions of its service cost, however many there are of others.
+type Publisher struct {
+	store         *Store
+	budget        Budget
+	subscriptions map[SubscriptionID]*subscription
+	byService     map[string]map[SubscriptionID]*subscription
+	ofAll         map[SubscriptionID]*subscription
+	last          SubscriptionID
+	total         bucket
+	lanes         [lanes]lane
+	asleep        sleepers
+	idle          *list.List // subscriptions by when their digests are due
+	touched       int        // subscriptions looked at, for tests that count
+}
+
+// subscription is one subscriber's state.
+type subscription struct {
+	Subscription
+	id       SubscriptionID
+	services map[string]bool
+	whole    map[string]bool // services of which the vector says nothing
+	resetAll bool            // all services are sent whole, also those that are not held here; to be said in the next batch
+	partial  bool            // the store holds some services only of what the subscriber holds: no batch is complete
+	told     Vector          // of this store's, in complete batches and digests
+	pruned   Vector          // likewise
+	started  time.Duration
+
+	fresh      []Key                 // changes that wait, oldest first
+	freshSince map[Key]time.Duration // and since when
+	scan       []string              // services not looked through yet
+	scanning   map[string]bool       // the same as a set
+	keys       []Key                 // of those looked through, still to be sent
+	owed       bool                  // a complete batch is owed: catching up
+	since      time.Duration         // of the oldest that a catch-up is for
+
+	bucket   bucket
+	deficit  [lanes]int
+	queued   [lanes]bool
+	sleeping [lanes]bool
+	number   uint64
+	sent     []sentBatch
+	inFlight int // bytes
+	moved    time.Duration
+	due      *list.Element
+	digestAt time.Duration
+
+	acknowledged bool
+	inForce      Vector
+	clock        uint64
+	rejected     []Rejection
+}
+
+// sentBatch has not been acknowledged yet.
+type sentBatch struct {
+	number uint64
+	size   int
+	since  time.Duration // of its oldest change
+	clock  uint64
+}
+
+// NewPublisher serves a store.
+func NewPublisher(store *Store, budget Budget) *Publisher {
+	p := &Publisher{store: store, budget: budget.withDefaults(), subscriptions: map[SubscriptionID]*subscription{},
+		byService: map[string]map[SubscriptionID]*subscription{}, ofAll: map[SubscriptionID]*subscription{}, idle: list.New()}
+	p.total = newBucket(p.budget.OutBytes, totalDepth)
+	return p
+}
+
+// Subscribe begins a subscription with what it lacks. Where its vector is ahead of the store's, the caller asks it for what
+// lacks here: Store.Lacks.
+func (p *Publisher) Subscribe(now time.Duration, asked Subscription) SubscriptionID {
+	return p.subscribe(now, asked, false)
+}
+
+// Offer sends what lacks to another holder that has asked for it, from a store of some services only. As that says nothing
+// about others, no batch is complete and no digests are told.
+func (p *Publisher) Offer(now time.Duration, asked Subscription) SubscriptionID {
+	return p.subscribe(now, asked, true)
+}
+
+func (p *Publisher) subscribe(now time.Duration, asked Subscription, partial bool) SubscriptionID {
+	p.store.Observe(asked.Vector)
+	p.last++
+	asked.Vector = asked.Vector.Clone()
+	s := &subscription{Subscription: asked, id: p.last, partial: partial, services: map[string]bool{}, whole: map[string]bool{}, told: Vector{},
+		pruned: Vector{}, started: now, freshSince: map[Key]time.Duration{}, scanning: map[string]bool{}, owed: true, since: now, moved: now,
+		digestAt: now + digestEvery}
+	s.bucket = newBucket(p.budget.of(asked.Role), nodeDepth)
+	s.bucket.at = now
+	p.subscriptions[s.id] = s
+	p.index(s)
+	if !partial {
+		p.resetAtStart(s)
+	}
+	s.due = p.idle.PushBack(s)
+	p.place(now, s)
+	return s.id
+}
+
+// index has the subscription told of changes of its services, and these looked through.
+func (p *Publisher) index(s *subscription) {
+	names := s.Services
+	if s.All {
+		p.ofAll[s.id] = s
+		s.Services = nil
+		names = p.store.Services()
+	}
+	for _, name := range sortedSet(names) {
+		s.look(name)
+		if s.All {
+			continue
+		}
+		s.services[name] = true
+		of := p.byService[name]
+		if of == nil {
+			of = map[SubscriptionID]*subscription{}
+			p.byService[name] = of
+		}
+		of[s.id] = s
+	}
+}
+
+// resetAtStart has sent whole what the vector does not hold for, or all where deletions that it lacks may be forgotten here.
+func (p *Publisher) resetAtStart(s *subscription) {
+	for _, name := range s.Missing {
+		if s.All || s.services[name] {
+			s.reset(name)
+		}
+	}
+	if !p.store.Behind(s.Vector) {
+		return
+	}
+	s.resetAll = true
+	for _, name := range s.scan {
+		s.whole[name] = true
+	}
+}
+
+// look has a service looked through.
+func (s *subscription) look(name string) {
+	if !s.scanning[name] {
+		s.scanning[name] = true
+		s.scan = append(s.scan, name)
+	}
+}
+
+// reset has a service sent whole.
+func (s *subscription) reset(name string) {
+	s.whole[name] = true
+	s.owed = true
+	s.look(name)
+}
+
+// Unsubscribe ends a subscription.
+func (p *Publisher) Unsubscribe(id SubscriptionID) {
+	s := p.subscriptions[id]
+	if s == nil {
+		return
+	}
+	delete(p.subscriptions, id)
+	delete(p.ofAll, id)
+	for name := range s.services {
+		delete(p.byService[name], id)
+		if len(p.byService[name]) == 0 {
+			delete(p.byService, name)
+		}
+	}
+	p.idle.Remove(s.due)
+}
+
+// Changed tells of new winners of the store: they wait for the subscribers of their services.
+func (p *Publisher) Changed(now time.Duration, entries []Entry) {
+	for _, e := range entries {
+		for _, s := range p.byService[e.Key.Service] {
+			p.mark(now, s, e)
+		}
+		for _, s := range p.ofAll {
+			p.mark(now, s, e)
+		}
+	}
+}
+
+func (p *Publisher) mark(now time.Duration, s *subscription, e Entry) {
+	p.touched++
+	if s.Vector.Covers(e) && !s.whole[e.Key.Service] {
+		return
+	}
+	if _, waits := s.freshSince[e.Key]; waits {
+		return
+	}
+	s.freshSince[e.Key] = now
+	s.fresh = append(s.fresh, e.Key)
+	p.place(now, s)
+}
+
+// Known says what a subscriber holds as it was learnt otherwise, as from its own batches in the other direction: that need
+// not be sent.
+func (p *Publisher) Known(id SubscriptionID, v Vector) {
+	if s := p.subscriptions[id]; s != nil {
+		s.Vector.Join(v)
+	}
+}
+
+// Resync has services sent whole to those of their subscribers, as after entries were removed here without a deletion.
+func (p *Publisher) Resync(now time.Duration, services []string) {
+	for _, name := range services {
+		for _, s := range p.byService[name] {
+			p.Whole(now, s.id, []string{name})
+		}
+		for _, s := range p.ofAll {
+			p.Whole(now, s.id, []string{name})
+		}
+	}
+}
+
+// Pruned tells which deletions the store has forgotten: subscribers that have not had all yet are sent their services whole.
+func (p *Publisher) Pruned(now time.Duration, keys []Key) {
+	for _, k := range keys {
+		for _, of := range []map[SubscriptionID]*subscription{p.byService[k.Service], p.ofAll} {
+			for _, s := range of {
+				if !s.partial && (s.owed || len(s.fresh) > 0) {
+					p.Whole(now, s.id, []string{k.Service})
+				}
+			}
+		}
+	}
+}
+
+// Whole has services sent whole to a subscriber, who has asked for them or seen that its digests differ.
+func (p *Publisher) Whole(now time.Duration, id SubscriptionID, services []string) {
+	s := p.subscriptions[id]
+	if s == nil || s.partial {
+		return
+	}
+	for _, name := range services {
+		if !s.All && !s.services[name] {
+			continue
+		}
+		if !s.owed {
+			s.since = now
+		}
+		s.reset(name)
+	}
+	p.place(now, s)
+}
+
+// Acknowledged takes in what a subscriber says, and tells of rejections that are new.
+func (p *Publisher) Acknowledged(now time.Duration, id SubscriptionID, a Acknowledgement) {
+	s := p.subscriptions[id]
+	if s == nil {
+		return
+	}
+	p.store.Observe(a.InForce)
+	s.Vector.Join(a.InForce)
+	n := 0
+	for n < len(s.sent) && s.sent[n].number <= a.Batch {
+		s.inFlight -= s.sent[n].size
+		s.clock = max(s.clock, s.sent[n].clock)
+		n++
+	}
+	if n > 0 {
+		s.sent = slices.Delete(s.sent, 0, n)
+		s.moved, s.acknowledged = now, true
+	}
+	s.reject(a.Rejected)
+	p.place(now, s)
+}
+
+// reject keeps the newest rejections, one of a key.
+func (s *subscription) reject(rejected []Rejection) {
+	for _, r := range rejected {
+		s.rejected = slices.DeleteFunc(s.rejected, func(other Rejection) bool { return other.Key == r.Key })
+		s.rejected = append(s.rejected, r)
+	}
+	if n := len(s.rejected) - rejectMost; n > 0 {
+		s.rejected = slices.Delete(s.rejected, 0, n)
+	}
+}
+
+// Slow are the subscribers to be cut off: what was sent to them has not been acknowledged for too long. They come back with
+// their vectors.
+func (p *Publisher) Slow(now time.Duration) (slow []SubscriptionID) {
+	for id, s := range p.subscriptions {
+		if len(s.sent) > 0 && now-s.moved >= slowAfter {
+			slow = append(slow, id)
+		}
+	}
+	slices.Sort(slow)
+	return slow
+}
+
+// Digests are of the next subscriber for whom nothing waits and whose digests are due.
+func (p *Publisher) Digests(now time.Duration) (id SubscriptionID, d Digests, ok bool) {
+	for e := p.idle.Front(); e != nil; e = p.idle.Front() {
+		s := e.Value.(*subscription)
+		if s.digestAt > now {
+			return 0, Digests{}, false
+		}
+		s.digestAt = now + digestEvery
+		p.idle.MoveToBack(e)
+		if s.partial || s.waits(freshLane) || s.waits(catchUpLane) || len(s.sent) > 0 {
+			continue
+		}
+		return s.id, p.digestsOf(s), true
+	}
+	return 0, Digests{}, false
+}
+
+// digestsOf tells a subscriber of all one sum, others one of each service.
+func (p *Publisher) digestsOf(s *subscription) Digests {
+	d := Digests{Total: p.store.TotalDigest(), Through: p.store.Vector().Beyond(s.told)}
+	s.told.Join(d.Through)
+	if !s.All {
+		d.Services = make(map[string]uint64, len(s.services))
+		for name := range s.services {
+			d.Services[name] = p.store.Digest(name)
+		}
+	}
+	return d
+}
+
+// ServiceDigests are those of all services, for a subscriber of all whose sum differs.
+func (p *Publisher) ServiceDigests() map[string]uint64 {
+	digests := make(map[string]uint64, len(p.store.services))
+	for name, of := range p.store.services {
+		digests[name] = of.digest
+	}
+	return digests
+}
+
+// Subscribers counts the subscriptions.
+func (p *Publisher) Subscribers() int { return len(p.subscriptions) }
+
+// sortedSet is names in order, each once.
+func sortedSet(names []string) []string {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return slices.Sorted(maps.Keys(set))
+}
--- /dev/null
+++ b/internal/distribution/receiver.go
@@ -0,0 +1,100 @@
+package distribution
+
+import (
+	"maps"
+	"slices"
+)
+
+// Receiver takes in the batches of one subscription. A subscriber whose services change ends its connection and subscribes
+// anew with a new Receiver.
+type Receiver struct {
+	store    *Store
+	services map[string]bool // that were missing when it subscribed
+	resets   map[string]bool // services that are being sent whole
+	all      bool            // all are
+	named    map[Key]bool    // what was named of them
+	through  Vector          // the server's vector as far as told
+	full     bool            // something found no room: the vector does not advance any more
+}
+
+// Received is what a batch has done.
+type Received struct {
+	Changed  []Entry // new winners, deletions included
+	Removed  []Entry // what ended without a deletion being told: for the listener as deleted, for a publisher to Resync
+	Rejected []Rejection
+	Complete bool // the vector has been advanced; it and the entries are to be on disk in one step or in the order entries, vector
+}
+
+// NewReceiver is for a subscription that begins now.
+func NewReceiver(store *Store) *Receiver {
+	r := &Receiver{store: store, services: map[string]bool{}, resets: map[string]bool{}, named: map[Key]bool{}, through: Vector{}}
+	for _, name := range store.Missing() {
+		r.services[name] = true
+	}
+	return r
+}
+
+// Receive merges a batch, and with a complete one advances the vector.
+func (r *Receiver) Receive(b Batch) (got Received) {
+	r.all = r.all || b.ResetAll
+	for _, name := range b.Reset {
+		r.resets[name] = true
+	}
+	r.store.MarkMissing(b.Reset)
+	for _, e := range b.Entries {
+		if r.all || r.resets[e.Key.Service] {
+			r.named[e.Key] = true
+		}
+	}
+	got.Changed, got.Rejected = r.store.Merge(b.Entries)
+	for _, refused := range got.Rejected {
+		r.full = r.full || refused.Full
+	}
+	if !b.Complete || r.full {
+		return got
+	}
+	services := slices.Sorted(maps.Keys(r.resets))
+	for _, name := range services {
+		r.store.arrived(name)
+	}
+	for name := range r.services {
+		r.store.arrived(name)
+	}
+	if r.all {
+		services = r.store.Services()
+	}
+	got.Removed = r.store.Reset(services, r.named, b.Through)
+	r.through.Join(b.Through)
+	r.store.Advance(b.Through)
+	r.store.AdvancePruned(b.Pruned)
+	r.all = false
+	clear(r.resets)
+	clear(r.named)
+	clear(r.services)
+	got.Complete = true
+	return got
+}
+
+// Compare takes in digests, which a server sends when nothing waits, so that the vector advances by them; it says which
+// services are to be asked for whole, or for a subscriber of all that the services' digests are to be asked for. A store
+// that covers what its server does not cannot be compared.
+func (r *Receiver) Compare(d Digests) (services []string, total, advanced bool) {
+	if r.full || r.all || len(r.resets) > 0 {
+		return nil, false, false
+	}
+	r.through.Join(d.Through)
+	advanced = r.store.Lacks(d.Through)
+	r.store.Advance(d.Through)
+	if !r.through.AtLeast(r.store.Vector()) {
+		return nil, false, advanced
+	}
+	if d.Services == nil {
+		return nil, d.Total != r.store.TotalDigest(), advanced
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Services)) {
+		if r.store.InScope(name) && d.Services[name] != r.store.Digest(name) {
+			services = append(services, name)
+		}
+	}
+	return services, false, advanced
+}
--- /dev/null
+++ b/internal/distribution/wire/wire_test.go
@@ -0,0 +1,122 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/frames"
+)
+
+const origin = distribution.Origin("root/0000000000000001")
+
+func anEntry(name string) distribution.Entry {
+	return distribution.Entry{Key: distribution.Key{Service: "ferries", Kind: distribution.Server, Name: name}, Clock: 7 << 16, Origin: origin,
+		Sequence: 3, Value: []byte("value")}
+}
+
+func status() distribution.NodeStatus {
+	return distribution.NodeStatus{Name: "n", Role: distribution.Node, Region: "r", Zone: "z", Revision: 4, Lag: 5, Rejected: []distribution.Rejection{{Reason: "no"}}}
+}
+
+func TestMessagesComeAsTheyWereSent(t *testing.T) {
+	vector := distribution.Vector{origin: 9}
+	for _, m := range []Message{
+		&Subscribe{Subscription: distribution.Subscription{Name: "n", Role: distribution.Node, Region: "r", Zone: "z", Services: []string{"", "a"},
+			Vector: vector, Missing: []string{"a"}}},
+		&Batch{distribution.Batch{Number: 4, Entries: []distribution.Entry{anEntry("a"), anEntry("b")}, Reset: []string{"a"}, ResetAll: true, Complete: true,
+			Through: vector, Pruned: vector}},
+		&Batch{distribution.Batch{Number: 5}},
+		&Acknowledge{Acknowledgement: distribution.Acknowledgement{Batch: 4, InForce: vector, Rejected: []distribution.Rejection{{Reason: "r"}}}, LagMs: 3},
+		&Digests{Digests: distribution.Digests{Total: 1 << 63, Services: map[string]uint64{"a": 1<<64 - 1}, Through: vector}, All: true},
+		&Want{Follow: true, Vector: vector, Services: []string{"a"}, Digests: true},
+		&Report{Nodes: []distribution.NodeStatus{status()}},
+		&Write{ID: 1, Changes: []distribution.Change{{Key: anEntry("a").Key, Value: []byte("v")}}},
+		&Written{ID: 1, Error: "no", Origin: origin, Clock: 5, Sequence: 6},
+		&Query{ID: 3},
+		&Answer{ID: 3, Self: status(), Nodes: []distribution.NodeStatus{status()}, Last: true},
+	} {
+		frame, err := Append(nil, m)
+		if err != nil {
+			t.Fatalf("%T: %v", m, err)
+		}
+		k, text, err := Protocol.Read(bytes.NewReader(frame), nil)
+		if err != nil {
+			t.Fatalf("%T: %v", m, err)
+		}
+		got, err := Decode(k, text)
+		if err != nil {
+			t.Fatalf("%T: %v", m, err)
+		}
+		if !reflect.DeepEqual(got, m) {
+			t.Errorf("%T came as\n%+v, was\n%+v", m, got, m)
+		}
+	}
+}
+
+func TestMessagesOutOfBoundsAreRefused(t *testing.T) {
+	long := strings.Repeat("x", 400)
+	many := make([]string, servicesMost)
+	tests := []struct {
+		name string
+		m    Message
+	}{
+		{"a subscriber without a name", &Subscribe{Subscription: distribution.Subscription{Role: distribution.Node}}},
+		{"a subscriber without a role", &Subscribe{Subscription: distribution.Subscription{Name: "n"}}},
+		{"a long name", &Subscribe{Subscription: distribution.Subscription{Name: long, Role: distribution.Node}}},
+		{"too many services", &Want{Services: append(many, "one more")}},
+		{"a long service", &Want{Services: []string{long}}},
+		{"a long origin", &Want{Vector: distribution.Vector{distribution.Origin(long): 1}}},
+		{"no origin", &Batch{distribution.Batch{Through: distribution.Vector{"": 1}}}},
+		{"a write of nothing", &Write{ID: 1}},
+		{"a long reason", &Acknowledge{Acknowledgement: distribution.Acknowledgement{Rejected: []distribution.Rejection{{Reason: long}}}}},
+		{"a long name in a report", &Report{Nodes: []distribution.NodeStatus{{Name: long}}}},
+		{"a long region in an answer", &Answer{Self: distribution.NodeStatus{Region: long}}},
+		{"a long service in digests", &Digests{Digests: distribution.Digests{Services: map[string]uint64{long: 1}}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			frame, err := Append(nil, test.m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			k, text, err := Protocol.Read(bytes.NewReader(frame), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := Decode(k, text); err == nil {
+				t.Fatal("was taken")
+			}
+		})
+	}
+	if _, err := Decode(kindsEnd, nil); !errors.Is(err, frames.ErrKind) {
+		t.Errorf("an unknown kind: %v", err)
+	}
+	body, _ := Append(nil, &Batch{distribution.Batch{Entries: []distribution.Entry{anEntry("a")}}})
+	for i := range body {
+		for _, flip := range []byte{1, 0x80} {
+			broken := bytes.Clone(body)
+			broken[i] ^= flip
+			if k, text, err := Protocol.Read(bytes.NewReader(broken), nil); err == nil {
+				t.Errorf("byte %d changed: %v %x was read", i, k, text)
+			}
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	frame, _ := Append(nil, &Batch{distribution.Batch{Number: 1, Entries: []distribution.Entry{anEntry("a")}}})
+	f.Add(uint8(batchKind), frame[5:len(frame)-4])
+	f.Fuzz(func(t *testing.T, k uint8, text []byte) {
+		m, err := Decode(frames.Kind(k), text)
+		if err != nil {
+			return
+		}
+		if _, err := Append(nil, m); err != nil && !errors.Is(err, frames.ErrTooLong) {
+			t.Fatalf("%T was read and cannot be written: %v", m, err)
+		}
+	})
+}
