Distribution: forgotten deletions stay so, origins are drawn at each start, whole sendings name all

Random trees of holders showed how a write or a deletion got lost: an old copy of a disk numbered other writes alike (an origin is now one run of a process; Restore with its own origin is stale until Renew); a deletion forgotten at one holder and learnt as forgotten at another was not made up for at those connected; a server that had lost its disk counted as whole for a service newly subscribed; a duplicate batch after a reset removed what it did not name; a change that came while all was sent whole was left out of what is named.

--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -62,13 +62,13 @@
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 }
 
-// Origin is a control process with one incarnation of its disk.
+// Origin is one run of a control process. It is not its disk's: an old copy of a disk would number other writes alike.
 type Origin string
 
-// NewOrigin names a process whose disk is new by digits that were drawn when the disk was created.
+// NewOrigin names a run of a process by digits that were drawn when it started.
 func NewOrigin(name string, drawn uint64) Origin { return Origin(fmt.Sprintf("%s/%016x", name, drawn)) }
 
-// Name is the process's, without its disk's incarnation.
+// Name is the process's, without the run.
 func (o Origin) Name() string {
 	name, _, _ := strings.Cut(string(o), "/")
 	return name
@@ -145,6 +145,20 @@
 	return true
 }
 
+// within tells whether the others together cover all of the vector.
+func (v Vector) within(others ...Vector) bool {
+	for origin, sequence := range v {
+		covered := false
+		for _, other := range others {
+			covered = covered || other[origin] >= sequence
+		}
+		if !covered {
+			return false
+		}
+	}
+	return true
+}
+
 // Beyond is the part of the vector that another does not cover.
 func (v Vector) Beyond(other Vector) Vector {
 	beyond := Vector{}
--- a/internal/distribution/limits.go
+++ b/internal/distribution/limits.go
@@ -10,14 +10,15 @@
 
 // Bounds of every entry, the same at each holder so that what one takes all can take.
 const (
-	NameMost    = 256       // bytes of a service's or an entry's name
-	OriginMost  = 128       // bytes of an origin's name
-	ValueMost   = 64 << 10  // bytes of a value
-	ChangesMost = 4096      // in one write
-	OriginsMost = 4096      // in a vector
-	entryBytes  = 128       // of an entry in memory beside its name and value, measured by BenchmarkStoreMemory
-	bytesMost   = 512 << 20 // of a store, unless its limits say otherwise
-	entriesMost = 2 << 20   // of a store, unless its limits say otherwise
+	NameMost     = 256       // bytes of a service's or an entry's name
+	OriginMost   = 128       // bytes of an origin's name
+	ValueMost    = 64 << 10  // bytes of a value
+	ChangesMost  = 4096      // in one write
+	OriginsMost  = 4096      // in a vector
+	ServicesMost = 8192      // of a store, so that their digests go into one message
+	entryBytes   = 128       // of an entry in memory beside its name and value, measured by BenchmarkStoreMemory
+	bytesMost    = 512 << 20 // of a store, unless its limits say otherwise
+	entriesMost  = 2 << 20   // of a store, unless its limits say otherwise
 
 	clockAhead = 10 * time.Second // that a write's clock may be ahead of the wall, unless limits say otherwise
 )
@@ -44,7 +45,7 @@
 	ErrCount  = errors.New("too many or no changes in one write")
 	ErrFull   = errors.New("store is full")
 	ErrClock  = errors.New("clock is too far ahead")
-	ErrStale  = errors.New("this disk is older than what others hold of its origin")
+	ErrStale  = errors.New("others may hold more of this origin than this disk")
 )
 
 // EntryError says why an entry is refused; it wraps one of the errors above.
--- a/internal/distribution/merge.go
+++ b/internal/distribution/merge.go
@@ -9,6 +9,11 @@
 // Merge takes in entries of other holders and returns those that won, and why others were refused, which is only where they
 // break a bound. An entry that the vector covers and whose key is not held was deleted and forgotten: it does not come back.
 func (s *Store) Merge(entries []Entry) (changed []Entry, refused []Rejection) {
+	return s.merge(entries, nil)
+}
+
+// merge takes forgotten entries too for services that are mended from a sender who covers all that this store covers.
+func (s *Store) merge(entries []Entry, mended map[string]bool) (changed []Entry, refused []Rejection) {
 	for _, e := range entries {
 		if !s.InScope(e.Key.Service) {
 			continue
@@ -23,10 +28,10 @@
 		if ok && Compare(held, e) >= 0 {
 			continue
 		}
-		if !ok && s.vector.Covers(e) && !s.missing[e.Key.Service] {
+		if !ok && s.covers(e) && !mended[e.Key.Service] {
 			continue
 		}
-		if err := s.room(s.growth(e.Key, len(e.Value))); err != nil {
+		if err := s.roomFor(e); err != nil {
 			refused = append(refused, Rejection{Key: e.Key, Reason: err.Error(), Full: true})
 			continue
 		}
@@ -36,6 +41,15 @@
 	return changed, refused
 }
 
+func (s *Store) roomFor(e Entry) error {
+	entries, size := s.growth(e.Key, len(e.Value))
+	services := 0
+	if s.services[e.Key.Service] == nil {
+		services = 1
+	}
+	return s.room(entries, size, services)
+}
+
 // Reset ends a service that was sent whole: what is held of it, was not named and is covered by the sender is gone.
 func (s *Store) Reset(services []string, named map[Key]bool, through Vector) (removed []Entry) {
 	for _, name := range services {
@@ -81,8 +95,8 @@
 	}
 }
 
-// Stale tells that others hold more of this origin than this disk, as after an old copy was put back: what it would write
-// has numbers that others take for known. No write is taken until Renew.
+// Stale tells that others hold or may hold more of this origin than this store, as after an old copy of a disk was put back:
+// what it would write has numbers that others take for known. No write is taken until Renew.
 func (s *Store) Stale() bool { return s.stale }
 
 // Renew gives the store another origin, and writes again under it what was written under the old one since the disk was
@@ -143,11 +157,11 @@
 	for _, name := range services {
 		scope[name] = true
 		if s.scope != nil && !s.scope[name] {
-			s.missing[name] = true
+			s.missing[name] = Vector{}
 		}
 	}
 	s.scope = scope
-	maps.DeleteFunc(s.missing, func(name string, _ bool) bool { return !scope[name] })
+	maps.DeleteFunc(s.missing, func(name string, _ Vector) bool { return !scope[name] })
 	for _, name := range s.Services() {
 		if scope[name] {
 			continue
@@ -169,14 +183,32 @@
 // Missing are the services for which the vector does not hold yet, in order.
 func (s *Store) Missing() []string { return slices.Sorted(maps.Keys(s.missing)) }
 
-// MarkMissing says that the vector does not hold for some services of the scope, as when their part of a disk was damaged.
+// MarkMissing says that the vector does not hold for some services of the scope, as after a restart before they came. A
+// control process, part of whose disk was damaged, restores what is left without a vector instead.
 func (s *Store) MarkMissing(services []string) {
 	for _, name := range services {
-		if s.InScope(name) {
-			s.missing[name] = true
+		if s.scope[name] && s.missing[name] == nil {
+			s.missing[name] = Vector{}
 		}
 	}
 }
 
-// arrived says that the vector holds for a service.
-func (s *Store) arrived(name string) { delete(s.missing, name) }
+// covers tells whether an entry is covered for its service.
+func (s *Store) covers(e Entry) bool {
+	if v, missing := s.missing[e.Key.Service]; missing {
+		return v.Covers(e)
+	}
+	return s.vector.Covers(e)
+}
+
+// arrived says that a service was sent whole up to a vector. It is missing until that tells as much as the store's: a server
+// that has lost its disk may have less.
+func (s *Store) arrived(name string, through Vector) {
+	v, missing := s.missing[name]
+	if !missing {
+		return
+	}
+	if v.Join(through); v.AtLeast(s.vector) {
+		delete(s.missing, name)
+	}
+}
--- a/internal/distribution/next.go
+++ b/internal/distribution/next.go
@@ -75,8 +75,10 @@
 	} else {
 		p.takeCatchUp(s, b, &sent)
 	}
-	b.ResetAll, s.resetAll = s.resetAll, false
-	if len(s.fresh) == 0 && len(s.keys) == 0 && len(s.scan) == 0 {
+	if s.resetAll {
+		b.ResetAll, s.resetAll, s.resetting = true, false, true
+	}
+	if len(s.fresh) == 0 && len(s.keys) == 0 && len(s.scan) == 0 && !p.resetForgotten(s) {
 		p.complete(s, b, &sent)
 	}
 	if len(s.sent) == 0 {
@@ -95,7 +97,7 @@
 		n++
 		sent.since = min(sent.since, s.freshSince[k])
 		delete(s.freshSince, k)
-		p.add(s, k, b, sent)
+		p.add(k, b, sent)
 	}
 	if s.fresh = s.fresh[n:]; len(s.fresh) == 0 {
 		s.fresh = nil
@@ -115,7 +117,7 @@
 		}
 		k := s.keys[0]
 		s.keys = s.keys[1:]
-		p.add(s, k, b, sent)
+		p.add(k, b, sent)
 	}
 }
 
@@ -125,7 +127,7 @@
 	s.scan = s.scan[1:]
 	delete(s.scanning, name)
 	lacks := s.Vector
-	if s.whole[name] {
+	if s.sendsWhole(name) {
 		lacks = nil
 		b.Reset = append(b.Reset, name)
 		sent.size += len(name) + 2
@@ -133,13 +135,11 @@
 	s.keys = p.store.sinceOf(lacks, name)
 }
 
-// add puts a key's winner into a batch. Where there is none its deletion was forgotten: the service is sent whole.
-func (p *Publisher) add(s *subscription, k Key, b *Batch, sent *sentBatch) {
+// add puts a key's winner into a batch. Where there is none its deletion was forgotten, or the key was removed: complete and
+// Resync see to that.
+func (p *Publisher) add(k Key, b *Batch, sent *sentBatch) {
 	e, ok := p.store.Entry(k)
 	if !ok {
-		if !s.partial {
-			s.reset(k.Service)
-		}
 		return
 	}
 	b.Entries = append(b.Entries, e)
@@ -154,15 +154,18 @@
 		return
 	}
 	b.Complete = true
-	if len(s.whole) > 0 {
-		s.told = Vector{}
-	}
 	b.Through = p.store.Vector().Beyond(s.told)
+	if len(s.whole) > 0 || s.resetting {
+		b.Through = p.store.Vector().Clone()
+	}
 	b.Pruned = p.store.Pruned().Beyond(s.pruned)
 	s.told.Join(b.Through)
 	s.pruned.Join(b.Pruned)
 	for origin := range b.Through {
 		sent.size += len(origin) + 10
 	}
-	clear(s.whole)
+	s.resetting = false
+	if p.store.Vector().AtLeast(s.Vector) { // else what the vector tells may still come here, and is to be sent on
+		clear(s.whole)
+	}
 }
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -43,14 +43,16 @@
 // subscription is one subscriber's state.
 type subscription struct {
 	Subscription
-	id       SubscriptionID
-	services map[string]bool
-	whole    map[string]bool // services of which the vector says nothing
-	resetAll bool            // all services are sent whole, also those that are not held here; to be said in the next batch
-	partial  bool            // the store holds some services only of what the subscriber holds: no batch is complete
-	told     Vector          // of this store's, in complete batches and digests
-	pruned   Vector          // likewise
-	started  time.Duration
+	id        SubscriptionID
+	services  map[string]bool
+	whole     map[string]bool // services of which the vector says nothing
+	resetAll  bool            // all services are sent whole, also those that are not held here; to be said in the next batch
+	resetting bool            // that was said, and is not complete
+	partial   bool            // the store holds some services only of what the subscriber holds: no batch is complete
+	told      Vector          // of this store's, in complete batches and digests
+	pruned    Vector          // likewise
+	resetFor  Vector          // deletions that the last sending of all makes up for
+	started   time.Duration
 
 	fresh      []Key                 // changes that wait, oldest first
 	freshSince map[Key]time.Duration // and since when
@@ -110,7 +112,7 @@
 	p.last++
 	asked.Vector = asked.Vector.Clone()
 	s := &subscription{Subscription: asked, id: p.last, partial: partial, services: map[string]bool{}, whole: map[string]bool{}, told: Vector{},
-		pruned: Vector{}, started: now, freshSince: map[Key]time.Duration{}, scanning: map[string]bool{}, owed: true, since: now, moved: now,
+		pruned: Vector{}, resetFor: Vector{}, started: now, freshSince: map[Key]time.Duration{}, scanning: map[string]bool{}, owed: true, since: now, moved: now,
 		digestAt: now + digestEvery}
 	s.bucket = newBucket(p.budget.of(asked.Role), nodeDepth)
 	s.bucket.at = now
@@ -154,13 +156,27 @@
 			s.reset(name)
 		}
 	}
-	if !p.store.Behind(s.Vector) {
-		return
+	p.resetForgotten(s)
+}
+
+// resetForgotten has all sent whole where deletions that a subscriber lacks may be forgotten here, and tells whether it did.
+// Their forgetting may have been learnt from another holder since it subscribed.
+func (p *Publisher) resetForgotten(s *subscription) bool {
+	pruned := p.store.Pruned()
+	if s.partial || pruned.within(s.Vector, s.told, s.resetFor) {
+		return false
+	}
+	s.resetFor = pruned.Clone()
+	s.resetAll, s.owed = true, true
+	names := s.Services
+	if s.All {
+		names = p.store.Services()
 	}
-	s.resetAll = true
-	for _, name := range s.scan {
-		s.whole[name] = true
+	s.keys = nil
+	for _, name := range names {
+		s.reset(name)
 	}
+	return true
 }
 
 // look has a service looked through.
@@ -209,7 +225,7 @@
 
 func (p *Publisher) mark(now time.Duration, s *subscription, e Entry) {
 	p.touched++
-	if s.Vector.Covers(e) && !s.whole[e.Key.Service] {
+	if s.Vector.Covers(e) && !s.sendsWhole(e.Key.Service) {
 		return
 	}
 	if _, waits := s.freshSince[e.Key]; waits {
@@ -220,6 +236,11 @@
 	p.place(now, s)
 }
 
+// sendsWhole tells whether all of a service is to be named, whatever the vector covers: what is not named ends.
+func (s *subscription) sendsWhole(name string) bool {
+	return s.resetAll || s.resetting || s.whole[name]
+}
+
 // Known says what a subscriber holds as it was learnt otherwise, as from its own batches in the other direction: that need
 // not be sent.
 func (p *Publisher) Known(id SubscriptionID, v Vector) {
@@ -240,15 +261,14 @@
 	}
 }
 
-// Pruned tells which deletions the store has forgotten: subscribers that have not had all yet are sent their services whole.
+// Pruned tells that the store has forgotten deletions of some keys. Who has not been told of them gets all whole.
 func (p *Publisher) Pruned(now time.Duration, keys []Key) {
-	for _, k := range keys {
-		for _, of := range []map[SubscriptionID]*subscription{p.byService[k.Service], p.ofAll} {
-			for _, s := range of {
-				if !s.partial && (s.owed || len(s.fresh) > 0) {
-					p.Whole(now, s.id, []string{k.Service})
-				}
-			}
+	if len(keys) == 0 {
+		return
+	}
+	for _, s := range p.subscriptions {
+		if p.resetForgotten(s) {
+			p.place(now, s)
 		}
 	}
 }
@@ -328,6 +348,11 @@
 		if s.partial || s.waits(freshLane) || s.waits(catchUpLane) || len(s.sent) > 0 {
 			continue
 		}
+		if p.resetForgotten(s) {
+			s.since = now
+			p.place(now, s)
+			continue
+		}
 		return s.id, p.digestsOf(s), true
 	}
 	return 0, Digests{}, false
--- a/internal/distribution/receiver.go
+++ b/internal/distribution/receiver.go
@@ -9,11 +9,13 @@
 // anew with a new Receiver.
 type Receiver struct {
 	store    *Store
-	services map[string]bool // that were missing when it subscribed
+	services map[string]bool // that were missing when it subscribed, or were sent whole
 	resets   map[string]bool // services that are being sent whole
 	all      bool            // all are
+	mended   map[string]bool // services that were asked for because their digests differed from those of a server that covers all
 	named    map[Key]bool    // what was named of them
 	through  Vector          // the server's vector as far as told
+	last     uint64          // number of the last batch
 	full     bool            // something found no room: the vector does not advance any more
 }
 
@@ -27,7 +29,7 @@
 
 // NewReceiver is for a subscription that begins now.
 func NewReceiver(store *Store) *Receiver {
-	r := &Receiver{store: store, services: map[string]bool{}, resets: map[string]bool{}, named: map[Key]bool{}, through: Vector{}}
+	r := &Receiver{store: store, services: map[string]bool{}, resets: map[string]bool{}, named: map[Key]bool{}, mended: map[string]bool{}, through: Vector{}}
 	for _, name := range store.Missing() {
 		r.services[name] = true
 	}
@@ -36,41 +38,44 @@
 
 // Receive merges a batch, and with a complete one advances the vector.
 func (r *Receiver) Receive(b Batch) (got Received) {
+	if b.Number <= r.last {
+		return Received{} // taken before
+	}
+	r.last = b.Number
 	r.all = r.all || b.ResetAll
 	for _, name := range b.Reset {
 		r.resets[name] = true
 	}
-	r.store.MarkMissing(b.Reset)
 	for _, e := range b.Entries {
 		if r.all || r.resets[e.Key.Service] {
 			r.named[e.Key] = true
 		}
 	}
-	got.Changed, got.Rejected = r.store.Merge(b.Entries)
+	got.Changed, got.Rejected = r.store.merge(b.Entries, r.mended)
 	for _, refused := range got.Rejected {
 		r.full = r.full || refused.Full
 	}
 	if !b.Complete || r.full {
 		return got
 	}
+	r.through.Join(b.Through)
 	services := slices.Sorted(maps.Keys(r.resets))
 	for _, name := range services {
-		r.store.arrived(name)
-	}
-	for name := range r.services {
-		r.store.arrived(name)
+		delete(r.mended, name)
+		r.services[name] = true
 	}
 	if r.all {
 		services = r.store.Services()
 	}
 	got.Removed = r.store.Reset(services, r.named, b.Through)
-	r.through.Join(b.Through)
 	r.store.Advance(b.Through)
 	r.store.AdvancePruned(b.Pruned)
+	for name := range r.services {
+		r.store.arrived(name, r.through)
+	}
 	r.all = false
 	clear(r.resets)
 	clear(r.named)
-	clear(r.services)
 	got.Complete = true
 	return got
 }
@@ -91,10 +96,24 @@
 	if d.Services == nil {
 		return nil, d.Total != r.store.TotalDigest(), advanced
 	}
-	for _, name := range slices.Sorted(maps.Keys(d.Services)) {
-		if r.store.InScope(name) && d.Services[name] != r.store.Digest(name) {
-			services = append(services, name)
+	for _, name := range r.compared(d) {
+		if d.Services[name] == r.store.Digest(name) {
+			r.store.arrived(name, r.through)
+			continue
 		}
+		services = append(services, name)
+		r.mended[name] = true
 	}
 	return services, false, advanced
 }
+
+// compared are the services of digests that are this store's. A store of all has all services' digests before it, so that
+// one which is not named has no entries at the server.
+func (r *Receiver) compared(d Digests) []string {
+	names := slices.Collect(maps.Keys(d.Services))
+	if r.store.scope == nil {
+		return sortedSet(append(names, r.store.Services()...))
+	}
+	names = slices.DeleteFunc(names, func(name string) bool { return !r.store.scope[name] })
+	return sortedSet(names)
+}
--- a/internal/distribution/store.go
+++ b/internal/distribution/store.go
@@ -23,9 +23,9 @@
 	digest   uint64         // of all services
 	entries  int
 	bytes    int
-	scope    map[string]bool // nil: all services
-	missing  map[string]bool // services of the scope for which the vector does not hold yet
-	stale    bool            // others hold more of this origin than this disk
+	scope    map[string]bool   // nil: all services
+	missing  map[string]Vector // services of the scope for which the vector does not hold yet, and what does
+	stale    bool              // others hold more of this origin than this disk
 }
 
 type itemID struct {
@@ -49,10 +49,12 @@
 // NewStore holds nothing. A node, which never writes, has no origin.
 func NewStore(origin Origin, limits Limits) *Store {
 	return &Store{origin: origin, limits: limits.withDefaults(), services: map[string]*service{}, numbers: map[Origin]uint32{},
-		vector: Vector{}, pruned: Vector{}, deleted: map[Key]uint64{}, missing: map[string]bool{}}
+		vector: Vector{}, pruned: Vector{}, deleted: map[Key]uint64{}, missing: map[string]Vector{}}
 }
 
-// Restore takes in what a disk held, before anything else.
+// Restore takes in what a disk held, before anything else. A control process draws its origin at each start, for the disk may
+// be an old copy, so that others may hold more of what was written from it; an origin stands in nobody's vector before the
+// first write under it. Where the store's own origin is found on the disk it is stale, and takes no write until Renew.
 func (s *Store) Restore(entries []Entry, vector, pruned Vector) {
 	for _, e := range entries {
 		if e.Check() == nil {
@@ -68,6 +70,7 @@
 	s.loaded = s.sequence
 	if s.sequence > 0 {
 		s.vector[s.origin] = s.sequence
+		s.stale = true
 	}
 }
 
@@ -105,14 +108,18 @@
 		return &ClockError{ahead}
 	}
 	entries, size := 0, 0
+	fresh := map[string]bool{}
 	for _, c := range changes {
 		if err := c.Check(); err != nil {
 			return err
 		}
 		n, b := s.growth(c.Key, len(c.Value))
 		entries, size = entries+n, size+b
+		if s.services[c.Key.Service] == nil {
+			fresh[c.Key.Service] = true
+		}
 	}
-	return s.room(entries, size)
+	return s.room(entries, size, len(fresh))
 }
 
 // growth is by how many entries and bytes the store grows when a key takes a value of so many bytes.
@@ -123,7 +130,10 @@
 	return 1, entryBytes + len(k.Name) + value
 }
 
-func (s *Store) room(entries, size int) error {
+func (s *Store) room(entries, size, services int) error {
+	if services > 0 && len(s.services)+services > ServicesMost {
+		return &LimitError{"services", len(s.services) + services, ServicesMost}
+	}
 	if entries > 0 && s.entries+entries > s.limits.Entries {
 		return &LimitError{"entries", s.entries + entries, s.limits.Entries}
 	}
--- a/internal/distribution/wire/check.go
+++ b/internal/distribution/wire/check.go
@@ -87,8 +87,8 @@
 }
 
 func services(names []string) error {
-	if len(names) > servicesMost {
-		return fmt.Errorf("%w: %d services, at most %d may be", ErrBounds, len(names), servicesMost)
+	if len(names) > distribution.ServicesMost {
+		return fmt.Errorf("%w: %d services, at most %d may be", ErrBounds, len(names), distribution.ServicesMost)
 	}
 	for _, name := range names {
 		if len(name) > distribution.NameMost || !utf8.ValidString(name) {
--- a/internal/distribution/wire/wire.go
+++ b/internal/distribution/wire/wire.go
@@ -30,7 +30,6 @@
 
 const (
 	bodyMost     = 1 << 20 // bytes of a body
-	servicesMost = 8192    // named in one message
 	nodesMost    = 8192    // statuses in one message
 	rejectedMost = 64      // rejections in one message
 	textMost     = 300     // bytes of a reason or a name
--- a/internal/distribution/wire/wire_test.go
+++ b/internal/distribution/wire/wire_test.go
@@ -59,7 +59,7 @@
 
 func TestMessagesOutOfBoundsAreRefused(t *testing.T) {
 	long := strings.Repeat("x", 400)
-	many := make([]string, servicesMost)
+	many := make([]string, distribution.ServicesMost)
 	tests := []struct {
 		name string
 		m    Message
--- /dev/null
+++ b/internal/distribution/world_test.go
@@ -0,0 +1,423 @@
+package distribution
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// world is a tree of holders and their connections in virtual time. Each connection keeps the order of its messages; one
+// that ends loses those under way.
+type world struct {
+	fail    func(format string, args ...any)
+	now     time.Duration
+	holders []*holder
+	links   []*link
+	drawn   uint64
+	pruned  map[Key]Entry // the greatest deletion of a key that somebody has forgotten
+	losses  int           // of writes that nobody held any more
+}
+
+// holder is a control process or a node.
+type holder struct {
+	w        *world
+	name     string
+	region   string
+	role     Role
+	services []string
+	store    *Store
+	pub      *Publisher
+	routes   map[SubscriptionID]route
+	floor    map[Key]Entry // the greatest version of each key that it has had
+	saved    []*disk
+}
+
+type route struct {
+	l  *link
+	up bool // the batches go from the subscriber to the server
+}
+
+// disk is what a holder has written.
+type disk struct {
+	entries  []Entry
+	vector   Vector
+	pruned   Vector
+	missing  []string
+	services []string
+}
+
+// link is where a subscriber may connect to a server.
+type link struct {
+	subscriber, server *holder
+	open               bool
+	down, up           direction
+	toSubscriber       []message
+	toServer           []message
+}
+
+// direction of batches on a link.
+type direction struct {
+	id       SubscriptionID
+	receiver *Receiver
+}
+
+// message is one of Subscription, Batch, Acknowledgement, Digests, []string (services wanted whole) and askDigests.
+type message struct {
+	up   bool // of the batches from the subscriber to the server
+	body any
+}
+
+type (
+	follow     struct{ vector Vector } // a server's wish for what lacks
+	askDigests struct{}
+)
+
+func newWorld(fail func(format string, args ...any)) *world {
+	return &world{fail: fail, pruned: map[Key]Entry{}}
+}
+
+func (w *world) wall() time.Time { return wall.Add(w.now) }
+
+func (w *world) add(name, region string, role Role, services ...string) *holder {
+	h := &holder{w: w, name: name, region: region, role: role, services: services}
+	h.start(nil)
+	w.holders = append(w.holders, h)
+	return h
+}
+
+func (w *world) connectable(subscriber *holder, servers ...*holder) {
+	for _, s := range servers {
+		w.links = append(w.links, &link{subscriber: subscriber, server: s})
+	}
+}
+
+// start begins a process on a disk, or on a new one.
+func (h *holder) start(d *disk) {
+	origin := Origin("")
+	if h.role == Control {
+		h.w.drawn++
+		origin = NewOrigin(h.name, h.w.drawn)
+	}
+	h.store = NewStore(origin, Limits{})
+	h.floor = map[Key]Entry{}
+	if d != nil {
+		h.store.Restore(d.entries, d.vector, d.pruned)
+	}
+	if h.role == Node {
+		if d != nil {
+			h.store.SetScope(d.services)
+			h.store.MarkMissing(d.missing)
+		}
+		h.store.SetScope(h.services)
+	}
+	for _, e := range held(h.store) {
+		h.floor[e.Key] = e
+	}
+	h.pub = NewPublisher(h.store, Budget{})
+	h.routes = map[SubscriptionID]route{}
+}
+
+func (h *holder) disk() *disk {
+	d := &disk{vector: h.store.Vector().Clone(), pruned: h.store.Pruned().Clone(), missing: h.store.Missing(),
+		services: slices.Clone(h.services)}
+	d.entries = held(h.store)
+	return d
+}
+
+// held is all entries of a store, deletions included.
+func held(s *Store) (entries []Entry) {
+	for _, k := range s.Since(nil, nil, true) {
+		e, _ := s.Entry(k)
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+func (h *holder) restart(d *disk) {
+	for _, l := range h.w.links {
+		if l.subscriber == h || l.server == h {
+			h.w.close(l)
+		}
+	}
+	h.start(d)
+}
+
+func (w *world) open(l *link) {
+	if l.open {
+		return
+	}
+	l.open = true
+	s := l.subscriber
+	l.down.receiver = NewReceiver(s.store)
+	l.toServer = append(l.toServer, message{body: Subscription{Name: s.name, Role: s.role, Services: s.services, All: s.role == Control,
+		Vector: s.store.Vector().Clone(), Missing: s.store.Missing()}})
+}
+
+func (w *world) close(l *link) {
+	if !l.open {
+		return
+	}
+	l.server.pub.Unsubscribe(l.down.id)
+	l.subscriber.pub.Unsubscribe(l.up.id)
+	delete(l.server.routes, l.down.id)
+	delete(l.subscriber.routes, l.up.id)
+	*l = link{subscriber: l.subscriber, server: l.server}
+}
+
+// write makes changes at a control process.
+func (h *holder) write(changes ...Change) {
+	entries, err := h.store.Write(h.w.wall(), changes)
+	if err != nil {
+		h.w.fail("%s: write: %v", h.name, err)
+		return
+	}
+	h.took(Received{Changed: entries})
+}
+
+// took is what a process does with what has changed in its store.
+func (h *holder) took(got Received) {
+	for _, e := range got.Changed {
+		before, ok := h.floor[e.Key]
+		if c := Compare(before, e); ok && (c > 0 || c == 0 && !e.Deleted) { // a forgotten deletion may be told again
+			h.w.fail("%s went back from %+v to %+v", h.name, before, e)
+		}
+		h.floor[e.Key] = e
+	}
+	h.pub.Changed(h.w.now, got.Changed)
+	var services []string
+	for _, e := range got.Removed {
+		services = append(services, e.Key.Service)
+	}
+	h.pub.Resync(h.w.now, sortedSet(services))
+	if h.store.Stale() {
+		h.w.fail("%s: its origin was drawn at its start, and somebody knows more of it", h.name)
+	}
+}
+
+// prune forgets deletions.
+func (h *holder) prune(olderThan uint64) {
+	before := map[Key]Entry{}
+	for _, e := range held(h.store) {
+		before[e.Key] = e
+	}
+	keys := h.store.Prune(olderThan)
+	for _, k := range keys {
+		if e := before[k]; Compare(h.w.pruned[k], e) < 0 {
+			h.w.pruned[k] = e
+		}
+	}
+	h.pub.Pruned(h.w.now, keys)
+}
+
+// pump has a holder hand out up to some batches, and its digests.
+func (h *holder) pump(most int) (moved bool) {
+	for range most {
+		id, b, ok, _ := h.pub.Next(h.w.now)
+		if !ok {
+			break
+		}
+		h.sendTo(id, b)
+		moved = true
+	}
+	for {
+		id, d, ok := h.pub.Digests(h.w.now)
+		if !ok {
+			return moved
+		}
+		h.sendTo(id, d)
+		moved = true
+	}
+}
+
+func (h *holder) sendTo(id SubscriptionID, body any) {
+	r, ok := h.routes[id]
+	if !ok {
+		h.w.fail("%s: a batch for nobody", h.name)
+		return
+	}
+	if r.up {
+		r.l.toServer = append(r.l.toServer, message{true, body})
+	} else {
+		r.l.toSubscriber = append(r.l.toSubscriber, message{false, body})
+	}
+}
+
+// deliver hands over the first message of one way of a link; again says that it comes twice.
+func (w *world) deliver(l *link, toServer, again bool) (moved bool) {
+	queue, at, other := &l.toSubscriber, l.subscriber, l.server
+	if toServer {
+		queue, at, other = &l.toServer, l.server, l.subscriber
+	}
+	if len(*queue) == 0 {
+		return false
+	}
+	m := (*queue)[0]
+	*queue = (*queue)[1:]
+	w.handle(l, at, other, m)
+	if _, isBatch := m.body.(Batch); isBatch && again && l.open {
+		w.handle(l, at, other, m)
+	}
+	return true
+}
+
+func (w *world) handle(l *link, at, other *holder, m message) {
+	way := &l.down
+	if m.up {
+		way = &l.up
+	}
+	answer := func(body any) {
+		if at == l.server {
+			l.toSubscriber = append(l.toSubscriber, message{m.up, body})
+		} else {
+			l.toServer = append(l.toServer, message{m.up, body})
+		}
+	}
+	switch body := m.body.(type) {
+	case Subscription:
+		w.subscribed(l, at, other, body)
+	case follow:
+		w.followed(l, at, other, body)
+	case Batch:
+		got := way.receiver.Receive(body)
+		if body.Complete {
+			back := l.up.id
+			if m.up {
+				back = l.down.id
+			}
+			at.pub.Known(back, body.Through)
+		}
+		at.took(got)
+		answer(Acknowledgement{Batch: body.Number, InForce: at.store.Vector().Clone()})
+	case Acknowledgement:
+		at.pub.Acknowledged(w.now, way.id, body)
+		at.took(Received{})
+	case Digests:
+		services, total, _ := way.receiver.Compare(body)
+		at.took(Received{})
+		if total {
+			answer(askDigests{})
+		} else if len(services) > 0 {
+			answer(services)
+		}
+	case []string:
+		at.pub.Whole(w.now, way.id, body)
+	case askDigests:
+		answer(Digests{Services: at.pub.ServiceDigests()})
+	}
+}
+
+func (w *world) subscribed(l *link, at, other *holder, asked Subscription) {
+	l.down.id = at.pub.Subscribe(w.now, asked)
+	at.routes[l.down.id] = route{l, false}
+	at.took(Received{})
+	if asked.Role == Node && !at.store.Lacks(asked.Vector) {
+		return
+	}
+	l.up.receiver = NewReceiver(at.store)
+	l.toSubscriber = append(l.toSubscriber, message{true, follow{at.store.Vector().Clone()}})
+}
+
+func (w *world) followed(l *link, at, other *holder, asked follow) {
+	s := Subscription{Name: other.name, Role: Control, All: true, Vector: asked.vector}
+	if at.role == Node {
+		l.up.id = at.pub.Offer(w.now, s)
+	} else {
+		l.up.id = at.pub.Subscribe(w.now, s)
+	}
+	at.routes[l.up.id] = route{l, true}
+	at.took(Received{})
+}
+
+// settle connects all and goes on until nobody has anything to say and all digests agree.
+func (w *world) settle() {
+	for _, l := range w.links {
+		w.open(l)
+	}
+	quiet := 0
+	for round := 0; quiet < 4; round++ {
+		if round > 3000 {
+			w.fail("it does not settle")
+			return
+		}
+		moved := false
+		for _, h := range w.holders {
+			moved = h.pump(100) || moved
+		}
+		if !moved {
+			w.now += time.Second
+		}
+		before := w.sum()
+		for _, l := range w.links {
+			for w.deliver(l, true, false) || w.deliver(l, false, false) {
+			}
+		}
+		if w.sum() != before || w.busy() {
+			quiet = 0
+			continue
+		}
+		w.now += digestEvery
+		quiet++
+	}
+}
+
+func (w *world) busy() bool {
+	for _, h := range w.holders {
+		for _, s := range h.pub.subscriptions {
+			if s.waits(freshLane) || s.waits(catchUpLane) || len(s.sent) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *world) sum() string {
+	text := ""
+	for _, h := range w.holders {
+		text += fmt.Sprintf("%x %d ", h.store.TotalDigest(), h.store.Vector().Total())
+	}
+	return text
+}
+
+// best is the greatest version of each key that anybody holds or has forgotten as deleted.
+func (w *world) best() map[Key]Entry {
+	best := maps.Clone(w.pruned)
+	for _, h := range w.holders {
+		for _, e := range held(h.store) {
+			if Compare(best[e.Key], e) < 0 {
+				best[e.Key] = e
+			}
+		}
+	}
+	return best
+}
+
+// check has each holder hold just the winners of its services.
+func (w *world) check(expected map[Key]Entry) {
+	for _, h := range w.holders {
+		for k, e := range expected {
+			if h.role == Node && !slices.Contains(h.services, k.Service) {
+				continue
+			}
+			got, ok := h.store.Entry(k)
+			if e.Deleted {
+				if ok && !got.Deleted {
+					w.fail("%s: %s is back: holds %+v after %+v", h.name, k, got, e)
+				}
+				continue
+			}
+			if !ok || got.Deleted || Compare(got, e) < 0 || string(got.Value) != string(e.Value) {
+				w.fail("%s: %s: holds %v %+v, want %+v", h.name, k, ok, got, e)
+			}
+		}
+		for _, e := range held(h.store) {
+			if h.role == Node && !slices.Contains(h.services, e.Key.Service) {
+				w.fail("%s: holds %s of another's", h.name, e.Key)
+			}
+			if _, ok := expected[e.Key]; !ok {
+				w.fail("%s: holds %+v that nobody wrote", h.name, e)
+			}
+		}
+	}
+}
