--- a/internal/distribution/messages.go
+++ b/internal/distribution/messages.go
@@ -95,3 +95,31 @@
 	Connected    bool
 	Rejected     []Rejection
 }
+
+const (
+	entryOnWire  = 40 // bytes of an entry in a batch beside its name and value, about
+	batchOnWire  = 40 // bytes of a batch beside its entries, about
+	originOnWire = 10 // bytes of an origin in a vector beside its name, about
+	nameOnWire   = 2  // bytes of a service's name beside it
+)
+
+func (e Entry) size() int { return entryOnWire + len(e.Key.Name) + len(e.Value) }
+
+func (v Vector) size() (n int) {
+	for origin := range v {
+		n += originOnWire + len(origin)
+	}
+	return n
+}
+
+// Size is about what the batch takes on the wire, as budgets count it.
+func (b Batch) Size() int {
+	n := batchOnWire + b.Through.size() + b.Pruned.size()
+	for _, name := range b.Reset {
+		n += nameOnWire + len(name)
+	}
+	for _, e := range b.Entries {
+		n += e.size()
+	}
+	return n
+}
--- a/internal/distribution/next.go
+++ b/internal/distribution/next.go
@@ -130,7 +130,7 @@
 	if s.sendsWhole(name) {
 		lacks = nil
 		b.Reset = append(b.Reset, name)
-		sent.size += len(name) + 2
+		sent.size += nameOnWire + len(name)
 	}
 	s.keys = p.store.sinceOf(lacks, name)
 }
@@ -143,7 +143,7 @@
 		return
 	}
 	b.Entries = append(b.Entries, e)
-	sent.size += entryOnWire + len(k.Name) + len(e.Value)
+	sent.size += e.size()
 	sent.clock = max(sent.clock, e.Clock)
 }
 
@@ -161,9 +161,7 @@
 	b.Pruned = p.store.Pruned().Beyond(s.pruned)
 	s.told.Join(b.Through)
 	s.pruned.Join(b.Pruned)
-	for origin := range b.Through {
-		sent.size += len(origin) + 10
-	}
+	sent.size += b.Through.size() + b.Pruned.size()
 	s.resetting = false
 	if p.store.Vector().AtLeast(s.Vector) { // else what the vector tells may still come here, and is to be sent on
 		clear(s.whole)
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -20,8 +20,6 @@
 	slowAfter   = 5 * time.Second  // without an acknowledgement of what was sent, a subscriber is cut off
 	digestEvery = 10 * time.Second // to a subscriber for which nothing waits
 	rejectMost  = 16               // rejections kept of a subscriber
-	entryOnWire = 40               // bytes of an entry in a batch beside its name and value, about
-	batchOnWire = 40               // bytes of a batch beside its entries, about
 )
 
 // Publisher decides what each subscriber of a store is sent and when. What waits for one is a set of keys; what is sent is
--- /dev/null
+++ b/internal/distribution/publisher_test.go
@@ -0,0 +1,330 @@
+package distribution
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+func filled(t testing.TB, services, each, value int) *Store {
+	s := NewStore(NewOrigin("root", 1), Limits{})
+	for i := range services {
+		for j := range each {
+			writeOne(t, s, wall, key("s"+strconv.Itoa(i), strconv.Itoa(j)), string(make([]byte, value)))
+		}
+	}
+	return s
+}
+
+func nodeOf(services ...string) Subscription {
+	return Subscription{Name: "n", Role: Node, Services: services}
+}
+
+func TestCatchUpKeepsToTheBudgetOfANode(t *testing.T) {
+	p := NewPublisher(filled(t, 1, 4000, 60), Budget{})
+	id := p.Subscribe(0, nodeOf("s0"))
+	now, sum, batches := time.Duration(0), 0, 0
+	for {
+		to, b, ok, wait := p.Next(now)
+		if !ok {
+			if wait == Never {
+				break
+			}
+			now += wait
+			continue
+		}
+		if b.Size() > nodeBytes {
+			t.Fatalf("a piece of %d bytes", b.Size())
+		}
+		sum += b.Size()
+		batches++
+		p.Acknowledged(now, to, Acknowledgement{Batch: b.Number})
+		if b.Complete {
+			break
+		}
+		if allowed := float64(nodeBytes) * (now.Seconds() + 1.6); float64(sum) > allowed {
+			t.Fatalf("%d bytes after %v", sum, now)
+		}
+	}
+	if rate := float64(sum) / now.Seconds(); rate < 0.9*nodeBytes || sum < 4000*60 {
+		t.Fatalf("%d bytes in %v by %d batches: the budget is not used", sum, now, batches)
+	}
+	if st, _ := p.StatusOf(now, id); st.CatchingUp || st.Lag != 0 || !st.Acknowledged {
+		t.Fatalf("status %+v", st)
+	}
+}
+
+// A fresh change does not wait for the catch-ups of all others, nor for that of its own node.
+func TestFreshChangesGoBeforeCatchUps(t *testing.T) {
+	store := filled(t, 50, 1000, 60)
+	p := NewPublisher(store, Budget{OutBytes: 256 << 10})
+	late := map[SubscriptionID]time.Duration{}
+	for i := range 50 {
+		p.Subscribe(0, nodeOf("", "s"+strconv.Itoa(i)))
+	}
+	now, wrote, catchUp := time.Duration(0), 3*time.Second, 0
+	written := false
+	for now < 10*time.Second {
+		if !written && now >= wrote {
+			wrote, written = now, true
+			p.Changed(now, []Entry{writeOne(t, store, wall, key("", "all"), "v")})
+		}
+		id, b, ok, wait := p.Next(now)
+		if !ok {
+			now += min(wait, 10*time.Millisecond)
+			continue
+		}
+		p.Acknowledged(now, id, Acknowledgement{Batch: b.Number})
+		for _, e := range b.Entries {
+			if e.Key.Name == "all" {
+				late[id] = now - wrote
+			}
+		}
+		if written && len(late) < 50 {
+			catchUp += b.Size()
+		}
+	}
+	if len(late) != 50 {
+		t.Fatalf("%d of 50 have the change", len(late))
+	}
+	for id, after := range late {
+		if after > 1500*time.Millisecond {
+			t.Errorf("subscription %d has it after %v", id, after)
+		}
+	}
+	if catchUp == 0 {
+		t.Error("catch-ups stood still meanwhile")
+	}
+}
+
+func TestTurnsAreFair(t *testing.T) {
+	store := filled(t, 2, 20_000, 60)
+	p := NewPublisher(store, Budget{OutBytes: 64 << 10, NodeBytes: 64 << 10, ControlBytes: 64 << 10})
+	p.Subscribe(0, nodeOf("s0"))
+	p.Subscribe(0, nodeOf("s1"))
+	p.Subscribe(0, Subscription{Name: "c", Role: Control, All: true})
+	sent := map[SubscriptionID]int{}
+	for now := time.Duration(0); now < 20*time.Second; {
+		id, b, ok, wait := p.Next(now)
+		if !ok {
+			now += wait
+			continue
+		}
+		sent[id] += b.Size()
+		p.Acknowledged(now, id, Acknowledgement{Batch: b.Number})
+	}
+	least, most := min(sent[1], sent[2], sent[3]), max(sent[1], sent[2], sent[3])
+	if float64(least) < 0.8*float64(most) {
+		t.Fatalf("sent %v", sent)
+	}
+}
+
+func TestChangesAreCoalesced(t *testing.T) {
+	store := filled(t, 1, 1, 1)
+	p := NewPublisher(store, Budget{})
+	node := NewStore("", Limits{})
+	r := NewReceiver(node)
+	id := p.Subscribe(0, nodeOf("s0"))
+	send(t, p, r, id, 0)
+	for i := range 1000 {
+		p.Changed(time.Duration(i), []Entry{writeOne(t, store, wall, key("s0", "0"), strconv.Itoa(i))})
+	}
+	if st, _ := p.StatusOf(time.Second, id); st.Pending != 1 || st.Lag != time.Second {
+		t.Fatalf("pending %d, lag %v", st.Pending, st.Lag)
+	}
+	if got := send(t, p, r, id, time.Second); len(got) != 1 || string(got[0].Changed[0].Value) != "999" {
+		t.Fatalf("sent %+v", got)
+	}
+}
+
+func TestSlowSubscribersAreCutOff(t *testing.T) {
+	p := NewPublisher(filled(t, 1, 1, 1), Budget{})
+	id := p.Subscribe(0, nodeOf("s0"))
+	_, b, _, _ := p.Next(time.Second)
+	if slow := p.Slow(time.Second + slowAfter - 1); len(slow) != 0 {
+		t.Fatalf("%v are slow too early", slow)
+	}
+	if slow := p.Slow(time.Second + slowAfter); len(slow) != 1 || slow[0] != id {
+		t.Fatalf("slow are %v", slow)
+	}
+	if st, _ := p.StatusOf(7*time.Second, id); st.Acknowledged || st.Lag < 6*time.Second || st.Unconfirmed == 0 {
+		t.Fatalf("status %+v", st)
+	}
+	p.Acknowledged(8*time.Second, id, Acknowledgement{Batch: b.Number, Rejected: []Rejection{{Key: key("s0", "0"), Reason: "no"}}})
+	if slow := p.Slow(time.Minute); len(slow) != 0 {
+		t.Fatalf("%v are slow with nothing sent", slow)
+	}
+	if st, _ := p.StatusOf(time.Minute, id); !st.Acknowledged || len(st.Rejected) != 1 || st.Lag != 0 {
+		t.Fatalf("status %+v", st)
+	}
+	p.Unsubscribe(id)
+	p.Changed(time.Minute, []Entry{{Key: key("s0", "0"), Clock: 1, Origin: "x/1", Sequence: 1}})
+	if _, _, ok, wait := p.Next(time.Minute); ok || wait != Never || len(p.byService) != 0 {
+		t.Fatal("something is left of a subscription")
+	}
+}
+
+func TestWhoDoesNotAcknowledgeIsSentNoMoreThanAWindow(t *testing.T) {
+	p := NewPublisher(filled(t, 1, 8000, 100), Budget{ControlBytes: 64 << 20})
+	p.Subscribe(0, Subscription{Name: "c", Role: Control, All: true})
+	sum := 0
+	for now := time.Duration(0); ; {
+		_, b, ok, wait := p.Next(now)
+		if ok {
+			sum += b.Size()
+			continue
+		}
+		if wait == Never {
+			break
+		}
+		now += wait
+	}
+	if sum < windowBytes || sum > windowBytes+2*batchBytes {
+		t.Fatalf("%d bytes under way", sum)
+	}
+}
+
+// A server that has lost its disk never has a subscriber go back, and gets from it what it lacks.
+func TestSubscriberAheadOfItsServer(t *testing.T) {
+	w := newWorld(t.Fatalf)
+	root := w.add("root", "", Control)
+	node := w.add("node", "", Node, "a")
+	w.connectable(node, root)
+	root.write(Change{Key: key("a", "1"), Value: []byte("first")}, Change{Key: key("a", "2"), Value: []byte("second")})
+	w.settle()
+	root.restart(nil)
+	w.settle()
+	for _, h := range w.holders {
+		if got := h.store.Service("a"); len(got) != 2 || string(got[0].Value) != "first" {
+			t.Fatalf("%s holds %+v", h.name, got)
+		}
+	}
+	root.write(Change{Key: key("a", "1"), Value: []byte("third")})
+	w.settle()
+	if e, _ := node.store.Entry(key("a", "1")); string(e.Value) != "third" {
+		t.Fatalf("the node holds %q", e.Value)
+	}
+}
+
+func TestFurtherServiceIsSentWhole(t *testing.T) {
+	w := newWorld(t.Fatalf)
+	root := w.add("root", "", Control)
+	node := w.add("node", "", Node, "a")
+	w.connectable(node, root)
+	root.write(Change{Key: key("a", "1")}, Change{Key: key("b", "1")})
+	w.settle()
+	w.close(w.links[0])
+	node.services = []string{"a", "b"}
+	node.store.SetScope(node.services)
+	if missing := node.store.Missing(); len(missing) != 1 || missing[0] != "b" {
+		t.Fatalf("missing %v", missing)
+	}
+	w.settle()
+	if len(node.store.Service("b")) != 1 || len(node.store.Missing()) != 0 {
+		t.Fatalf("holds %v, missing %v", node.store.Service("b"), node.store.Missing())
+	}
+}
+
+// What one holder has lost without knowing it comes back from the others, whichever side of the connection it is on; what a
+// node alone holds ends.
+func TestDigestsFindWhatDiffers(t *testing.T) {
+	for _, lost := range []string{"root", "relay", "node"} {
+		t.Run(lost, func(t *testing.T) {
+			w := newWorld(t.Fatalf)
+			root := w.add("root", "", Control)
+			relay := w.add("relay", "", Control)
+			node := w.add("node", "", Node, "a")
+			w.connectable(relay, root)
+			w.connectable(node, relay)
+			root.write(Change{Key: key("a", "1")}, Change{Key: key("a", "2")})
+			w.settle()
+			for _, h := range w.holders {
+				if h.name == lost {
+					h.store.remove(key("a", "1"))
+					delete(h.floor, key("a", "1"))
+				}
+			}
+			w.settle()
+			for _, h := range w.holders {
+				if len(h.store.Service("a")) != 2 {
+					t.Errorf("%s holds %v", h.name, h.store.Service("a"))
+				}
+			}
+			node.store.put(Entry{Key: key("a", "3"), Clock: 1, Origin: root.store.Origin(), Sequence: 1})
+			w.settle()
+			if held := node.store.Service("a"); len(held) != 2 {
+				t.Errorf("the node keeps %v", held)
+			}
+		})
+	}
+}
+
+// What a change costs is told by the subscriptions looked at and the entries of its service, not by the fleet.
+func TestAChangeCostsItsService(t *testing.T) {
+	cost := func(otherNodes, otherServices int) (touched, allocs float64) {
+		store := filled(t, 1+otherServices, 20, 20)
+		p := NewPublisher(store, Budget{OutBytes: 1 << 30, NodeBytes: 1 << 30})
+		for i := range otherNodes {
+			p.Subscribe(0, nodeOf("s"+strconv.Itoa(1+i%otherServices)))
+		}
+		for range 3 {
+			p.Subscribe(0, nodeOf("s0"))
+		}
+		now := time.Duration(0)
+		drain := func() {
+			for {
+				now += time.Millisecond
+				id, b, ok, wait := p.Next(now)
+				if !ok && wait == Never {
+					return
+				}
+				p.Acknowledged(now, id, Acknowledgement{Batch: b.Number})
+			}
+		}
+		drain()
+		p.touched = 0
+		const changes = 100
+		allocs = testing.AllocsPerRun(changes-1, func() {
+			p.Changed(now, []Entry{writeOne(t, store, wall, key("s0", "0"), "v")})
+			drain()
+		})
+		return float64(p.touched) / changes, allocs
+	}
+	touched, allocs := cost(10, 2)
+	manyTouched, manyAllocs := cost(3000, 300)
+	if touched != 3 || manyTouched != 3 {
+		t.Errorf("a change looks at %.0f and %.0f subscriptions, want 3", touched, manyTouched)
+	}
+	if manyAllocs > 1.2*allocs {
+		t.Errorf("a change makes %.0f allocations with few others, %.0f with many", allocs, manyAllocs)
+	}
+}
+
+// A whole sending looks at each entry once: its batches hold each just once and its work is the sort's.
+func TestWholeSendingIsEachEntryOnce(t *testing.T) {
+	count := func(entries int) (sent int, allocs float64) {
+		store := filled(t, 10, entries/10, 20)
+		allocs = testing.AllocsPerRun(1, func() {
+			sent = 0
+			p := NewPublisher(store, Budget{OutBytes: 1 << 40, ControlBytes: 1 << 40})
+			p.Subscribe(0, Subscription{Name: "c", Role: Control, All: true})
+			for {
+				id, b, ok, _ := p.Next(0)
+				if !ok {
+					return
+				}
+				sent += len(b.Entries)
+				p.Acknowledged(0, id, Acknowledgement{Batch: b.Number})
+			}
+		})
+		return sent, allocs
+	}
+	few, fewAllocs := count(2_000)
+	many, manyAllocs := count(20_000)
+	if few != 2_000 || many != 20_000 {
+		t.Fatalf("sent %d of 2,000 and %d of 20,000", few, many)
+	}
+	if manyAllocs > 12*fewAllocs {
+		t.Errorf("%.0f and %.0f allocations", fewAllocs, manyAllocs)
+	}
+}
--- /dev/null
+++ b/internal/distribution/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package distribution
+
+const raceEnabled = true
--- a/internal/distribution/receiver.go
+++ b/internal/distribution/receiver.go
@@ -14,6 +14,7 @@
 	all      bool            // all are
 	mended   map[string]bool // services that were asked for because their digests differed from those of a server that covers all
 	named    map[Key]bool    // what was named of them
+	tries    map[string]int  // how often in a row a service was asked for so
 	through  Vector          // the server's vector as far as told
 	last     uint64          // number of the last batch
 	full     bool            // something found no room: the vector does not advance any more
@@ -29,7 +30,7 @@
 
 // NewReceiver is for a subscription that begins now.
 func NewReceiver(store *Store) *Receiver {
-	r := &Receiver{store: store, services: map[string]bool{}, resets: map[string]bool{}, named: map[Key]bool{}, mended: map[string]bool{}, through: Vector{}}
+	r := &Receiver{store: store, services: map[string]bool{}, resets: map[string]bool{}, named: map[Key]bool{}, mended: map[string]bool{}, tries: map[string]int{}, through: Vector{}}
 	for _, name := range store.Missing() {
 		r.services[name] = true
 	}
@@ -59,14 +60,7 @@
 		return got
 	}
 	r.through.Join(b.Through)
-	services := slices.Sorted(maps.Keys(r.resets))
-	for _, name := range services {
-		delete(r.mended, name)
-		r.services[name] = true
-	}
-	if r.all {
-		services = r.store.Services()
-	}
+	services := r.replaced()
 	got.Removed = r.store.Reset(services, r.named, b.Through)
 	r.store.Advance(b.Through)
 	r.store.AdvancePruned(b.Pruned)
@@ -80,6 +74,24 @@
 	return got
 }
 
+// replaced are the services of which nothing stays that was not named. One that was asked for because of its digest keeps
+// what it holds, for either side may be the one that has lost something: the server is told in turn where it subscribes here.
+// A node, by which nobody goes, takes the server's for it at the second time.
+func (r *Receiver) replaced() []string {
+	var services []string
+	for _, name := range slices.Sorted(maps.Keys(r.resets)) {
+		if !r.mended[name] || r.store.scope != nil && r.tries[name] > 1 {
+			services = append(services, name)
+		}
+		delete(r.mended, name)
+		r.services[name] = true
+	}
+	if r.all {
+		return r.store.Services()
+	}
+	return services
+}
+
 // Compare takes in digests, which a server sends when nothing waits, so that the vector advances by them; it says which
 // services are to be asked for whole, or for a subscriber of all that the services' digests are to be asked for. A store
 // that covers what its server does not cannot be compared.
@@ -99,10 +111,12 @@
 	for _, name := range r.compared(d) {
 		if d.Services[name] == r.store.Digest(name) {
 			r.store.arrived(name, r.through)
+			delete(r.tries, name)
 			continue
 		}
 		services = append(services, name)
 		r.mended[name] = true
+		r.tries[name]++
 	}
 	return services, false, advanced
 }
--- a/internal/distribution/store_test.go
+++ b/internal/distribution/store_test.go
@@ -1,6 +1,12 @@
 package distribution
 
 import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -69,3 +75,259 @@
 		t.Fatal("digests differ")
 	}
 }
+
+func TestWriteIsAllOrNone(t *testing.T) {
+	full := Limits{Entries: 2}
+	good := Change{Key: key("a", "1"), Value: []byte("v")}
+	long := Key{Service: "a", Kind: Server, Name: strings.Repeat("x", NameMost+1)}
+	tests := []struct {
+		name    string
+		limits  Limits
+		changes []Change
+		at      time.Time
+		want    error
+	}{
+		{"none", Limits{}, nil, wall, ErrCount},
+		{"too many", Limits{}, make([]Change, ChangesMost+1), wall, ErrCount},
+		{"no name", Limits{}, []Change{good, {Key: key("a", "")}}, wall, ErrKey},
+		{"no kind", Limits{}, []Change{good, {Key: Key{Service: "a", Name: "1"}}}, wall, ErrKey},
+		{"a long name", Limits{}, []Change{good, {Key: long}}, wall, ErrKey},
+		{"not UTF-8", Limits{}, []Change{good, {Key: key("\xff", "1")}}, wall, ErrKey},
+		{"a long value", Limits{}, []Change{good, {Key: key("a", "2"), Value: make([]byte, ValueMost+1)}}, wall, ErrValue},
+		{"a deletion with a value", Limits{}, []Change{good, {Key: key("a", "2"), Deleted: true, Value: []byte("v")}}, wall, ErrValue},
+		{"too many entries", full, []Change{good, {Key: key("a", "2")}, {Key: key("a", "3")}}, wall, ErrFull},
+		{"too many bytes", Limits{Bytes: 300}, []Change{good, {Key: key("a", "2"), Value: make([]byte, 200)}}, wall, ErrFull},
+		{"a clock ahead", Limits{}, []Change{good}, wall.Add(-11 * time.Second), ErrClock},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := NewStore(NewOrigin("root", 1), test.limits)
+			writeOne(t, s, wall, key("z", "0"), "")
+			_, err := s.Write(test.at, test.changes)
+			if !errors.Is(err, test.want) {
+				t.Fatalf("error %v, want %v", err, test.want)
+			}
+			if entries, _ := s.Size(); entries != 1 || s.Vector().Total() != 1 {
+				t.Fatalf("holds %d entries, vector %v after a refused write", entries, s.Vector())
+			}
+		})
+	}
+	t.Run("a holder that never writes", func(t *testing.T) {
+		if _, err := NewStore("", Limits{}).Write(wall, []Change{good}); !errors.Is(err, ErrOrigin) {
+			t.Fatalf("error %v", err)
+		}
+	})
+	t.Run("too many services", func(t *testing.T) {
+		s := NewStore(NewOrigin("root", 1), Limits{})
+		for i := range ServicesMost {
+			writeOne(t, s, wall, key(strconv.Itoa(i), "1"), "")
+		}
+		if _, err := s.Write(wall, []Change{{Key: key("one more", "1")}}); !errors.Is(err, ErrFull) {
+			t.Fatalf("error %v", err)
+		}
+	})
+}
+
+func TestSizeAndDigestFollowTheEntries(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	s := NewStore(NewOrigin("root", 1), Limits{})
+	other := NewStore(NewOrigin("other", 2), Limits{})
+	var all []Entry
+	for range 2000 {
+		k := key(strconv.Itoa(rng.IntN(3)), strconv.Itoa(rng.IntN(30)))
+		c := Change{Key: k, Deleted: rng.IntN(4) == 0}
+		if !c.Deleted {
+			c.Value = make([]byte, rng.IntN(50))
+		}
+		entries, err := s.Write(wall, []Change{c})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, entries...)
+	}
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	other.Merge(all)
+	if s.TotalDigest() != other.TotalDigest() {
+		t.Error("the same entries in another order have another digest")
+	}
+	entries, size := s.Size()
+	otherEntries, otherSize := other.Size()
+	if entries != otherEntries || size != otherSize {
+		t.Errorf("size %d, %d, in another order %d, %d", entries, size, otherEntries, otherSize)
+	}
+	sum := uint64(0)
+	for _, name := range s.Services() {
+		sum += s.Digest(name)
+	}
+	if sum != s.TotalDigest() || sum == 0 {
+		t.Errorf("services' digests sum up to %x, in all %x", sum, s.TotalDigest())
+	}
+	s.Prune(^uint64(0))
+	if s.TotalDigest() != other.TotalDigest() {
+		t.Error("forgetting deletions changes the digest")
+	}
+	for _, e := range held(s) {
+		s.remove(e.Key)
+	}
+	if entries, size := s.Size(); entries != 0 || size != 0 || s.TotalDigest() != 0 {
+		t.Errorf("empty, yet %d entries, %d bytes, digest %x", entries, size, s.TotalDigest())
+	}
+}
+
+func TestMergeTakesTheGreaterInAnyOrder(t *testing.T) {
+	k := key("a", "1")
+	early := Entry{Key: k, Clock: 5, Origin: "x/1", Sequence: 1, Value: []byte("early")}
+	late := Entry{Key: k, Clock: 6, Origin: "a/1", Sequence: 1, Value: []byte("late")}
+	tied := Entry{Key: k, Clock: 6, Origin: "b/1", Sequence: 1, Deleted: true}
+	for i, order := range [][]Entry{{early, late, tied}, {tied, late, early}, {late, early, tied, late}, {tied, tied, early, late}} {
+		s := NewStore("", Limits{})
+		for _, e := range order {
+			s.Merge([]Entry{e})
+		}
+		if got, _ := s.Entry(k); Compare(got, tied) != 0 {
+			t.Errorf("order %d: holds %+v", i, got)
+		}
+	}
+}
+
+func TestMergeRefusesWhatBreaksBounds(t *testing.T) {
+	s := NewStore("", Limits{Entries: 1})
+	good := Entry{Key: key("a", "1"), Clock: 5, Origin: "x/1", Sequence: 1}
+	second := good
+	second.Key.Name = "2"
+	unnumbered := good
+	unnumbered.Sequence = 0
+	changed, refused := s.Merge([]Entry{good, second, unnumbered})
+	if len(changed) != 1 || len(refused) != 2 || !refused[0].Full || refused[1].Full {
+		t.Fatalf("changed %v, refused %+v", changed, refused)
+	}
+}
+
+// A store without room for an entry does not say that it has everything.
+func TestVectorStandsWhileThereIsNoRoom(t *testing.T) {
+	server := NewStore(NewOrigin("root", 1), Limits{})
+	writeOne(t, server, wall, key("a", "1"), "v")
+	writeOne(t, server, wall, key("a", "2"), "v")
+	node := NewStore("", Limits{Entries: 1})
+	p := NewPublisher(server, Budget{})
+	id := p.Subscribe(0, Subscription{Name: "n", Role: Node, Services: []string{"a"}})
+	send(t, p, NewReceiver(node), id, 0)
+	if node.Vector().Total() != 0 {
+		t.Fatalf("vector %v without room for all", node.Vector())
+	}
+}
+
+func TestClockIsGreaterThanAnySeen(t *testing.T) {
+	s := NewStore(NewOrigin("root", 1), Limits{})
+	ahead := ClockAt(wall.Add(9*time.Second)) + 7
+	s.Merge([]Entry{{Key: key("a", "1"), Clock: ahead, Origin: "x/1", Sequence: 1}})
+	if e := writeOne(t, s, wall, key("a", "1"), "v"); e.Clock <= ahead {
+		t.Fatalf("clock %d, seen was %d", e.Clock, ahead)
+	}
+}
+
+func TestResetKeepsWhatTheSenderDoesNotCover(t *testing.T) {
+	s := NewStore("", Limits{})
+	entry := func(name string, sequence uint64) Entry {
+		return Entry{Key: key("a", name), Clock: 5, Origin: "x/1", Sequence: sequence}
+	}
+	elsewhere := entry("4", 1)
+	elsewhere.Key.Service = "b"
+	s.Merge([]Entry{entry("1", 1), entry("2", 2), entry("3", 3), elsewhere})
+	removed := s.Reset([]string{"a"}, map[Key]bool{key("a", "1"): true}, Vector{"x/1": 2})
+	if len(removed) != 1 || removed[0].Key.Name != "2" {
+		t.Fatalf("removed %+v, want 2", removed)
+	}
+	if entries, _ := s.Size(); entries != 3 {
+		t.Fatalf("%d entries are left, want 3", entries)
+	}
+}
+
+func TestForgottenDeletionsDoNotComeBack(t *testing.T) {
+	s := NewStore(NewOrigin("root", 1), Limits{})
+	e := writeOne(t, s, wall, key("a", "1"), "v")
+	if _, err := s.Write(wall, []Change{{Key: key("a", "1"), Deleted: true}}); err != nil {
+		t.Fatal(err)
+	}
+	if dropped := s.Prune(ClockAt(wall)); len(dropped) != 0 {
+		t.Fatalf("forgot %v too early", dropped)
+	}
+	if dropped := s.Prune(ClockAt(wall.Add(time.Second))); len(dropped) != 1 {
+		t.Fatalf("forgot %v", dropped)
+	}
+	if changed, _ := s.Merge([]Entry{e}); len(changed) != 0 {
+		t.Fatalf("%v is back", changed)
+	}
+	if !s.Behind(Vector{s.Origin(): 1}) || s.Behind(s.Vector()) {
+		t.Fatal("who lacks the deletion is behind, who has it is not")
+	}
+	foreign := NewStore("", Limits{}) // it holds a deletion beyond its vector
+	foreign.Merge([]Entry{{Key: key("a", "1"), Clock: 5, Origin: "x/1", Sequence: 1, Deleted: true}})
+	if dropped := foreign.Prune(^uint64(0)); len(dropped) != 0 {
+		t.Fatalf("forgot %v, which its vector does not cover", dropped)
+	}
+}
+
+func TestStoreOnItsOwnOldDiskIsStale(t *testing.T) {
+	origin := NewOrigin("root", 1)
+	s := NewStore(origin, Limits{})
+	e := writeOne(t, s, wall, key("a", "1"), "v")
+	old := NewStore(origin, Limits{})
+	old.Restore([]Entry{e}, s.Vector(), nil)
+	if _, err := old.Write(wall, []Change{{Key: key("a", "2")}}); !errors.Is(err, ErrStale) {
+		t.Fatalf("a write by an origin that was on the disk: %v", err)
+	}
+	old.Renew(wall, NewOrigin("root", 2))
+	if e := writeOne(t, old, wall, key("a", "2"), "v"); e.Origin == origin || e.Sequence != 1 {
+		t.Fatalf("written as %s %d", e.Origin, e.Sequence)
+	}
+	if old.Vector()[origin] != 1 {
+		t.Fatalf("vector %v", old.Vector())
+	}
+	// A copy that wrote before it was known: its writes are told anew.
+	blind := NewStore(origin, Limits{})
+	writeOne(t, blind, wall, key("a", "3"), "mine")
+	blind.Observe(Vector{origin: 5})
+	if !blind.Stale() {
+		t.Fatal("not stale though others hold more")
+	}
+	again := blind.Renew(wall, NewOrigin("root", 3))
+	if len(again) != 1 || again[0].Origin == origin || string(again[0].Value) != "mine" || blind.Vector()[origin] != 0 {
+		t.Fatalf("again %+v, vector %v", again, blind.Vector())
+	}
+}
+
+// A write over an entry takes its sequence with it: no holder waits for it.
+func TestOverwrittenSequencesLeaveNoGap(t *testing.T) {
+	server := NewStore(NewOrigin("root", 1), Limits{})
+	for i := range 10 {
+		writeOne(t, server, wall, key("a", "1"), strconv.Itoa(i))
+	}
+	node := NewStore("", Limits{})
+	p := NewPublisher(server, Budget{})
+	got := send(t, p, NewReceiver(node), p.Subscribe(0, Subscription{Name: "n", Role: Node, Services: []string{"a"}}), 0)
+	if len(got[0].Changed) != 1 || node.Vector()[server.Origin()] != 10 {
+		t.Fatalf("%d entries, vector %v", len(got[0].Changed), node.Vector())
+	}
+	if keys := server.Since(node.Vector(), []string{"a"}, false); len(keys) != 0 {
+		t.Fatalf("lacks %v", keys)
+	}
+}
+
+// BenchmarkStoreMemory prints the bytes that an entry with a name of 16 and a value of 60 bytes takes.
+func BenchmarkStoreMemory(b *testing.B) {
+	const entries = 480_000
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s := NewStore(NewOrigin("root", 1), Limits{})
+		for i := range entries {
+			writeOne(b, s, wall, key("service-"+strconv.Itoa(i%6000), fmt.Sprintf("server-%09d", i)), string(make([]byte, 60)))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/entries, "B/entry")
+		runtime.KeepAlive(s)
+	}
+}
--- a/internal/distribution/wire/wire_test.go
+++ b/internal/distribution/wire/wire_test.go
@@ -120,3 +120,22 @@
 		}
 	})
 }
+
+// What budgets count of a batch is near what it takes on the wire.
+func TestSizeIsAsOnTheWire(t *testing.T) {
+	for _, entries := range []int{1, 50, 200} {
+		b := distribution.Batch{Number: 9, Complete: true, Through: distribution.Vector{origin: 1 << 40}, Reset: []string{"ferries"}}
+		for i := range entries {
+			e := anEntry("server-" + strings.Repeat("9", i%10))
+			e.Clock, e.Sequence, e.Value = 116153804390400000, uint64(100_000+i), make([]byte, 60)
+			b.Entries = append(b.Entries, e)
+		}
+		frame, err := Append(nil, &Batch{b})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := float64(b.Size()) / float64(len(frame)); got < 0.9 || got > 1.5 {
+			t.Errorf("%d entries: counted %d bytes, are %d", entries, b.Size(), len(frame))
+		}
+	}
+}
