--- /dev/null
+++ b/internal/distribution/forgotten_test.go
@@ -0,0 +1,144 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+)
+
+// forgets has a root write and delete an entry, a day pass and the root forget the deletion. Before the deletion each
+// holder's disk was saved.
+func forgets(w *world, root *holder) {
+	root.write(Change{Key: key("a", "1"), Value: []byte("v")}, Change{Key: key("a", "2"), Value: []byte("stays")})
+	w.settle()
+	for _, h := range w.holders {
+		h.saved = append(h.saved, h.disk())
+	}
+	root.write(Change{Key: key("a", "1"), Deleted: true})
+	w.settle()
+	w.now += 25 * time.Hour
+	for _, h := range w.holders {
+		h.prune(ClockAt(w.wall().Add(-24 * time.Hour)))
+	}
+}
+
+func wantOnly(t *testing.T, w *world, name string) {
+	t.Helper()
+	for _, h := range w.holders {
+		if got := h.store.Service("a"); len(got) != 1 || got[0].Key.Name != name {
+			t.Errorf("%s holds %+v, want %s alone", h.name, got, name)
+		}
+	}
+}
+
+// A disk that is older than deletions are kept learns of one by being sent all.
+func TestOldDiskLearnsOfForgottenDeletions(t *testing.T) {
+	for _, old := range []string{"relay", "node", "both"} {
+		t.Run(old, func(t *testing.T) {
+			w := newWorld(t.Fatalf)
+			root := w.add("root", "", Control)
+			relay := w.add("relay", "", Control)
+			node := w.add("node", "", Node, "a")
+			w.connectable(relay, root)
+			w.connectable(node, relay)
+			forgets(w, root)
+			for _, h := range []*holder{relay, node} {
+				if h.name == old || old == "both" {
+					h.restart(h.saved[0])
+				}
+			}
+			w.settle()
+			wantOnly(t, w, "2")
+		})
+	}
+}
+
+// The node is connected and current before its relay learns that a deletion was forgotten.
+func TestForgottenDeletionIsToldToThoseConnected(t *testing.T) {
+	w := newWorld(t.Fatalf)
+	root := w.add("root", "", Control)
+	relay := w.add("relay", "", Control)
+	node := w.add("node", "", Node, "a")
+	w.connectable(relay, root)
+	w.connectable(node, relay)
+	forgets(w, root)
+	relay.restart(relay.saved[0])
+	node.restart(node.saved[0])
+	up := w.links[0]
+	w.links = w.links[1:]
+	w.settle()
+	if len(node.store.Service("a")) != 2 {
+		t.Fatal("the node is not yet to know")
+	}
+	w.links = append(w.links, up)
+	w.settle()
+	wantOnly(t, w, "2")
+}
+
+// A service that its sender no longer holds anything of gets a change while all is sent whole: it is named too.
+func TestChangeWhileAllIsSentWhole(t *testing.T) {
+	w := newWorld(t.Fatalf)
+	root := w.add("root", "", Control)
+	relay := w.add("relay", "", Control)
+	w.connectable(relay, root)
+	forgets(w, root)
+	root.write(Change{Key: key("a", "2"), Deleted: true})
+	w.settle()
+	w.now += 25 * time.Hour
+	relay.prune(ClockAt(w.wall()))
+	root.restart(nil)
+	l := w.links[0]
+	w.open(l)
+	for w.deliver(l, true, false) || w.deliver(l, false, false) { // both have subscribed, nothing is sent
+	}
+	root.write(Change{Key: key("a", "3"), Value: []byte("new")})
+	root.pump(10)
+	for w.deliver(l, false, false) { // the relay has the change before it sends
+	}
+	w.settle()
+	wantOnly(t, w, "3")
+}
+
+// A server that has lost its disk has nothing of a service newly subscribed: the service is not whole by that.
+func TestFurtherServiceFromAServerThatLostItsDisk(t *testing.T) {
+	w := newWorld(t.Fatalf)
+	root := w.add("root", "", Control)
+	relay := w.add("relay", "", Control)
+	node := w.add("node", "", Node, "a")
+	w.connectable(node, relay)
+	w.connectable(relay, root)
+	root.write(Change{Key: key("b", "1")}, Change{Key: key("a", "1")})
+	w.settle()
+	relay.restart(nil)
+	w.close(w.links[0])
+	node.services = []string{"a", "b"}
+	node.store.SetScope(node.services)
+	up := w.links[1]
+	w.links = w.links[:1]
+	w.settle()
+	if missing := node.store.Missing(); len(missing) != 1 {
+		t.Fatalf("missing %v, want b", missing)
+	}
+	w.close(w.links[0])
+	w.links = append(w.links, up)
+	w.settle()
+	if len(node.store.Service("b")) != 1 || len(node.store.Missing()) != 0 {
+		t.Fatalf("holds %v, missing %v", node.store.Service("b"), node.store.Missing())
+	}
+}
+
+// A batch that comes twice does not begin a whole sending anew.
+func TestBatchTwice(t *testing.T) {
+	s := NewStore("", Limits{})
+	r := NewReceiver(s)
+	entry := func(name string, sequence uint64) []Entry {
+		return []Entry{{Key: key("a", name), Clock: 5, Origin: "x/1", Sequence: sequence}}
+	}
+	first := Batch{Number: 1, Reset: []string{"a"}, Entries: entry("1", 1)}
+	r.Receive(first)
+	r.Receive(Batch{Number: 2, Entries: entry("2", 2), Complete: true, Through: Vector{"x/1": 2}})
+	r.Receive(first)
+	r.Receive(Batch{Number: 3, Complete: true, Through: Vector{"x/1": 2}})
+	if got := s.Service("a"); len(got) != 2 {
+		t.Fatalf("holds %+v", got)
+	}
+}
