--- a/internal/distribution/publisher_test.go
+++ b/internal/distribution/publisher_test.go
@@ -97,6 +97,51 @@
 	}
 }
 
+// A node's own catch-up does not hold back a fresh change of it: that is sent at once.
+func TestFreshChangeDuringItsNodesCatchUp(t *testing.T) {
+	store := filled(t, 1, 4000, 60)
+	p := NewPublisher(store, Budget{})
+	p.Subscribe(0, nodeOf("", "s0"))
+	for now := time.Duration(0); now < 5*time.Second; {
+		id, b, ok, wait := p.Next(now)
+		if ok {
+			p.Acknowledged(now, id, Acknowledgement{Batch: b.Number})
+			continue
+		}
+		p.Changed(now, []Entry{writeOne(t, store, wall, key("", "all"), now.String())})
+		if _, b, ok, _ := p.Next(now); !ok || len(b.Entries) != 1 || b.Entries[0].Key.Name != "all" {
+			t.Fatalf("at %v: sent %v, %+v", now, ok, b)
+		}
+		now += wait
+	}
+}
+
+// Fresh changes that never end leave catch-ups their share.
+func TestCatchUpsGoOnBesideFreshChanges(t *testing.T) {
+	const out = 64 << 10
+	store := filled(t, 1, 20_000, 60)
+	p := NewPublisher(store, Budget{OutBytes: out, ControlBytes: 1 << 20})
+	fresh := p.Subscribe(0, Subscription{Name: "busy", Role: Control, Services: []string{"busy"}})
+	caught := p.Subscribe(0, Subscription{Name: "new", Role: Control, Services: []string{"s0"}})
+	sent := map[SubscriptionID]int{}
+	for now := time.Duration(0); now < 10*time.Second; {
+		for i := range 200 {
+			p.Changed(now, []Entry{writeOne(t, store, wall, key("busy", strconv.Itoa(i)), string(make([]byte, 100)))})
+		}
+		id, b, ok, wait := p.Next(now)
+		if !ok {
+			now += wait
+			continue
+		}
+		sent[id] += b.Size()
+		p.Acknowledged(now, id, Acknowledgement{Batch: b.Number})
+	}
+	share := float64(sent[caught]) / float64(sent[caught]+sent[fresh])
+	if share < 0.2 || share > 0.3 {
+		t.Fatalf("catch-ups have %.2f of what was sent, want a quarter: %v", share, sent)
+	}
+}
+
 func TestTurnsAreFair(t *testing.T) {
 	store := filled(t, 2, 20_000, 60)
 	p := NewPublisher(store, Budget{OutBytes: 64 << 10, NodeBytes: 64 << 10, ControlBytes: 64 << 10})
