--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -21,21 +21,23 @@
 type Fate uint8
 
 const (
-	Handled    Fate = iota
-	InTarget        // handled within its target time; counted in Handled as well
-	Denied          // the last try was
-	WrittenOff      // the last try was, or its connection ended
-	NoAnswer        // the last try got none in time
-	Unreached       // the last try found no node to send to
-	LeftEarly       // its client went before its time was up: nothing was to be gained
+	Handled    Fate = iota // answered with success in the client's time
+	InTarget               // handled within its target time; counted in Handled as well
+	Denied                 // the last try was
+	WrittenOff             // the last try was, or its connection ended
+	NoAnswer               // the last try got none in time
+	Unreached              // the last try found no node to send to
+	LeftEarly              // its client went before its time was up: nothing was to be gained
 	fates
 )
 
 // Point is one span of a Series.
 type Point struct {
-	Asked, Gained  float64 // revenue asked for, and answered within the target time, by when it was asked
-	Denied, Failed int     // operations
-	Latency        *hdrhistogram.Histogram
+	Asked   float64 // revenue asked for
+	Gained  float64 // of it, answered within the target time, by when it was asked
+	Denied  int     // operations
+	Failed  int     // likewise
+	Latency *hdrhistogram.Histogram
 }
 
 // Result is what a schedule met.
@@ -45,21 +47,23 @@
 	shift    time.Duration
 	started  int
 
-	Fates         [fates]int
-	Tries         int
-	Denials       int     // of tries
-	Asked, Gained float64 // revenue
-	ByType        []Share
-	ByTenant      []Share
-	BySite        []Share
-	Series        []Point
+	Fates    [fates]int
+	Tries    int
+	Denials  int     // of tries
+	Asked    float64 // revenue asked for
+	Gained   float64 // of it, answered within the target time
+	ByType   []Share
+	ByTenant []Share
+	BySite   []Share
+	Series   []Point
 }
 
 // Share is the part of a result that one type, tenant or site has.
 type Share struct {
-	Name          string
-	Asked, Gained float64
-	Latency       *hdrhistogram.Histogram // microseconds from the scheduled moment, of operations handled or not answered
+	Name    string
+	Asked   float64                 // revenue asked for
+	Gained  float64                 // of it, answered within the target time
+	Latency *hdrhistogram.Histogram // microseconds from the scheduled moment, of operations handled or not answered
 }
 
 func newHistogram() *hdrhistogram.Histogram {
