--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -50,7 +50,6 @@
 	told      Vector          // of this store's, in complete batches and digests
 	pruned    Vector          // likewise
 	resetFor  Vector          // deletions that the last sending of all makes up for
-	started   time.Duration
 
 	fresh      []Key                 // changes that wait, oldest first
 	freshSince map[Key]time.Duration // and since when
@@ -72,7 +71,6 @@
 	digestAt time.Duration
 
 	acknowledged bool
-	inForce      Vector
 	clock        uint64
 	rejected     []Rejection
 }
@@ -109,9 +107,9 @@
 	p.store.Observe(asked.Vector)
 	p.last++
 	asked.Vector = asked.Vector.Clone()
-	s := &subscription{Subscription: asked, id: p.last, partial: partial, services: map[string]bool{}, whole: map[string]bool{}, told: Vector{},
-		pruned: Vector{}, resetFor: Vector{}, started: now, freshSince: map[Key]time.Duration{}, scanning: map[string]bool{}, owed: true, since: now, moved: now,
-		digestAt: now + digestEvery}
+	s := &subscription{Subscription: asked, id: p.last, partial: partial, owed: true, since: now, moved: now, digestAt: now + digestEvery,
+		services: map[string]bool{}, whole: map[string]bool{}, scanning: map[string]bool{}, freshSince: map[Key]time.Duration{},
+		told: Vector{}, pruned: Vector{}, resetFor: Vector{}}
 	s.bucket = newBucket(p.budget.of(asked.Role), nodeDepth)
 	s.bucket.at = now
 	p.subscriptions[s.id] = s
--- a/internal/distribution/receiver.go
+++ b/internal/distribution/receiver.go
@@ -22,15 +22,17 @@
 
 // Received is what a batch has done.
 type Received struct {
-	Changed  []Entry // new winners, deletions included
-	Removed  []Entry // what ended without a deletion being told: for the listener as deleted, for a publisher to Resync
+	Changed  []Entry  // new winners, deletions included
+	Removed  []Entry  // what ended without a deletion being told: for the listener as deleted
+	Resync   []string // services in which something came or ended that vectors do not tell of: for Publisher.Resync
 	Rejected []Rejection
 	Complete bool // the vector has been advanced; it and the entries are to be on disk in one step or in the order entries, vector
 }
 
 // NewReceiver is for a subscription that begins now.
 func NewReceiver(store *Store) *Receiver {
-	r := &Receiver{store: store, services: map[string]bool{}, resets: map[string]bool{}, named: map[Key]bool{}, mended: map[string]bool{}, tries: map[string]int{}, through: Vector{}}
+	r := &Receiver{store: store, services: map[string]bool{}, resets: map[string]bool{}, named: map[Key]bool{},
+		mended: map[string]bool{}, tries: map[string]int{}, through: Vector{}}
 	for _, name := range store.Missing() {
 		r.services[name] = true
 	}
@@ -53,6 +55,11 @@
 		}
 	}
 	got.Changed, got.Rejected = r.store.merge(b.Entries, r.mended)
+	for _, e := range got.Changed {
+		if r.mended[e.Key.Service] {
+			got.Resync = append(got.Resync, e.Key.Service)
+		}
+	}
 	for _, refused := range got.Rejected {
 		r.full = r.full || refused.Full
 	}
@@ -62,6 +69,10 @@
 	r.through.Join(b.Through)
 	services := r.replaced()
 	got.Removed = r.store.Reset(services, r.named, b.Through)
+	for _, e := range got.Removed {
+		got.Resync = append(got.Resync, e.Key.Service)
+	}
+	got.Resync = sortedSet(got.Resync)
 	r.store.Advance(b.Through)
 	r.store.AdvancePruned(b.Pruned)
 	for name := range r.services {
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -79,7 +79,6 @@
 type Subscriber struct {
 	following Following
 	state     State
-	since     time.Duration // of the state
 	started   time.Duration
 	upstream  int  // followed, tried, or to be tried next
 	dialing   bool // an attempt is in hand
@@ -100,7 +99,7 @@
 func NewSubscriber(now time.Duration, f Following) *Subscriber {
 	f.StartWithin = cmp.Or(f.StartWithin, startWithin)
 	f.Upstreams = max(f.Upstreams, 1)
-	return &Subscriber{following: f, started: now, since: now, alone: now, retryAt: now}
+	return &Subscriber{following: f, started: now, alone: now, retryAt: now}
 }
 
 // State is the subscriber's.
@@ -124,7 +123,7 @@
 func (s *Subscriber) Connected(now time.Duration) {
 	s.dialing, s.connected = false, true
 	s.heard, s.begun = now, now
-	s.step(now, connected)
+	s.step(connected)
 }
 
 // Received tells that the upstream has sent something; complete that all it has was received.
@@ -141,7 +140,7 @@
 	}
 	s.open = false
 	s.current, s.was = now, true
-	s.step(now, complete)
+	s.step(complete)
 }
 
 // Lost tells that the connection or the attempt in hand has ended, by a refusal too.
@@ -162,7 +161,7 @@
 	if rounds := s.failures / s.following.Upstreams; s.failures%s.following.Upstreams == 0 {
 		s.retryAt = now + s.backOff(rounds)
 	}
-	s.step(now, lost)
+	s.step(lost)
 }
 
 // backOff after so many rounds of all upstreams, spread by chance over its upper half.
@@ -176,7 +175,7 @@
 // Passed looks at what time changes and says what is to be done, and when to look again at the latest.
 func (s *Subscriber) Passed(now time.Duration) (do Attempt, again time.Duration) {
 	if now-s.started >= s.following.StartWithin {
-		s.step(now, startEnds)
+		s.step(startEnds)
 	}
 	switch {
 	case s.dialing && now-s.begun >= answerWithin, s.connected && now-s.heard >= silentAfter:
@@ -184,10 +183,10 @@
 		s.Lost(now)
 	}
 	if s.open && now-s.opened >= behindAfter {
-		s.step(now, fellBehind)
+		s.step(fellBehind)
 	}
 	if !s.connected && now-s.alone >= isolatedAfter {
-		s.step(now, longAlone)
+		s.step(longAlone)
 	}
 	if !s.connected && !s.dialing && now >= s.retryAt {
 		do.Dial, do.Upstream = true, s.upstream
@@ -210,8 +209,6 @@
 	return max(again, now)
 }
 
-func (s *Subscriber) step(now time.Duration, in input) {
-	if next := transitions[s.state][in]; next != s.state {
-		s.state, s.since = next, now
-	}
+func (s *Subscriber) step(in input) {
+	s.state = transitions[s.state][in]
 }
