Distribution: tests of digests' parts, ties, missing services and what is told of vectors

Three changes to the code had gone unseen by tests (a digest without the sequence, ties by anything, a vector told again).

--- a/internal/distribution/publisher_test.go
+++ b/internal/distribution/publisher_test.go
@@ -270,6 +270,40 @@
 	}
 }
 
+// What a subscriber's vector tells, and its server has not had yet, is sent for a missing service when it comes.
+func TestMissingServiceFromAServerThatIsCaughtUp(t *testing.T) {
+	store := NewStore(NewOrigin("root", 2), Limits{})
+	p := NewPublisher(store, Budget{})
+	p.Subscribe(0, Subscription{Name: "n", Role: Node, Services: []string{"b"}, Missing: []string{"b"}, Vector: Vector{"x/1": 5}})
+	if _, b, ok, _ := p.Next(0); !ok || !b.Complete {
+		t.Fatalf("sent %+v", b)
+	}
+	changed, _ := store.Merge([]Entry{{Key: key("b", "1"), Clock: 5, Origin: "x/1", Sequence: 3}})
+	p.Changed(0, changed)
+	if _, b, ok, _ := p.Next(0); !ok || len(b.Entries) != 1 {
+		t.Fatalf("sent %+v", b)
+	}
+}
+
+// A vector is told as far as it has moved.
+func TestVectorIsToldOnce(t *testing.T) {
+	store := filled(t, 1, 1, 1)
+	p := NewPublisher(store, Budget{})
+	id := p.Subscribe(0, nodeOf("s0"))
+	_, b, _, _ := p.Next(0)
+	if len(b.Through) != 1 {
+		t.Fatalf("told %v", b.Through)
+	}
+	p.Acknowledged(0, id, Acknowledgement{Batch: b.Number})
+	if _, d, ok := p.Digests(digestEvery); !ok || len(d.Through) != 0 || len(d.Services) != 1 {
+		t.Fatalf("digests %+v", d)
+	}
+	writeOne(t, store, wall, key("other", "1"), "v")
+	if _, d, ok := p.Digests(2 * digestEvery); !ok || d.Through[store.Origin()] != 2 {
+		t.Fatalf("digests %+v", d)
+	}
+}
+
 // What one holder has lost without knowing it comes back from the others, whichever side of the connection it is on; what a
 // node alone holds ends.
 func TestDigestsFindWhatDiffers(t *testing.T) {
--- a/internal/distribution/store_test.go
+++ b/internal/distribution/store_test.go
@@ -174,11 +174,33 @@
 	}
 }
 
+func TestDigestTellsEachPartOfAnEntry(t *testing.T) {
+	seen := map[uint64]bool{}
+	for _, e := range []Entry{
+		{Key: key("a", "1"), Clock: 5, Origin: "x/1", Sequence: 1},
+		{Key: key("b", "1"), Clock: 5, Origin: "x/1", Sequence: 1},
+		{Key: key("a", "2"), Clock: 5, Origin: "x/1", Sequence: 1},
+		{Key: key("a1", "1"), Clock: 5, Origin: "x/1", Sequence: 1},
+		{Key: key("a", "11"), Clock: 5, Origin: "x/1", Sequence: 1},
+		{Key: Key{Service: "a", Kind: Route, Name: "1"}, Clock: 5, Origin: "x/1", Sequence: 1},
+		{Key: key("a", "1"), Clock: 6, Origin: "x/1", Sequence: 1},
+		{Key: key("a", "1"), Clock: 5, Origin: "x/2", Sequence: 1},
+		{Key: key("a", "1"), Clock: 5, Origin: "x/1", Sequence: 2},
+	} {
+		s := NewStore("", Limits{})
+		s.Merge([]Entry{e})
+		if seen[s.TotalDigest()] {
+			t.Errorf("%+v has the digest of another", e)
+		}
+		seen[s.TotalDigest()] = true
+	}
+}
+
 func TestMergeTakesTheGreaterInAnyOrder(t *testing.T) {
 	k := key("a", "1")
 	early := Entry{Key: k, Clock: 5, Origin: "x/1", Sequence: 1, Value: []byte("early")}
-	late := Entry{Key: k, Clock: 6, Origin: "a/1", Sequence: 1, Value: []byte("late")}
-	tied := Entry{Key: k, Clock: 6, Origin: "b/1", Sequence: 1, Deleted: true}
+	late := Entry{Key: k, Clock: 6, Origin: "a/1", Sequence: 2, Value: []byte("z")}
+	tied := Entry{Key: k, Clock: 6, Origin: "b/1", Sequence: 1, Value: []byte("a")}
 	for i, order := range [][]Entry{{early, late, tied}, {tied, late, early}, {late, early, tied, late}, {tied, tied, early, late}} {
 		s := NewStore("", Limits{})
 		for _, e := range order {
