--- /dev/null
+++ b/cmd/fernvane/control.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"fernvane/internal/distribution/control"
+)
+
+func controlCommand(errs io.Writer, getenv func(string) string) *cobra.Command {
+	var path string
+	c := &cobra.Command{Use: "control", Short: "Run a control process until SIGTERM: it holds configuration and distributes it",
+		Example: "  fernvane control --file control.toml", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			config, err := control.Load(path)
+			if err != nil {
+				return unusable{err}
+			}
+			return ended(control.Process(config, errs))
+		}}
+	c.Flags().StringVar(&path, "file", getenv("PROXY_CONTROL"), "the control process's TOML `file`; or PROXY_CONTROL")
+	return c
+}
--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -41,7 +41,7 @@
 discovery or a registry names, and tells the client how it ended.
 
 Files are named by flags or by the environment: PROXY_CONFIG, PROXY_OPERATOR, PROXY_PLANNERS, PROXY_BINDINGS, PROXY_REGISTRY,
-PROXY_SNAPSHOT, PROXY_PEERS, PROXY_PLAN. Exit codes: 0 done, 1 it could not serve, a journal or a kept list is damaged, or too few
+PROXY_SNAPSHOT, PROXY_PEERS, PROXY_PLAN, PROXY_CONTROL. Exit codes: 0 done, 1 it could not serve, a journal or a kept list is damaged, or too few
 nodes answer or hold what is kept, 2 a file or the command line is of no use.`,
 		Example: `  fernvane serve --config config.json
   fernvane check --operator deploy/operator.example.toml
@@ -52,7 +52,7 @@
 	root.SetArgs(doubled(args))
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.AddCommand(serveCommand(errs, getenv), checkCommand(errs, getenv), explainCommand(getenv), planCommand(errs, getenv),
+	root.AddCommand(serveCommand(errs, getenv), checkCommand(errs, getenv), explainCommand(getenv), planCommand(errs, getenv), controlCommand(errs, getenv),
 		bindingsCommand(getenv), snapshotCommand(getenv), replicasCommand(getenv), versionCommand())
 	if len(args) == 0 {
 		root.SetOut(errs)
--- a/cmd/fernvane/main_test.go
+++ b/cmd/fernvane/main_test.go
@@ -139,6 +139,8 @@
 		"serve, watched: no bool":            {[]string{"serve", "-config", good, "--watch", watched(fmt.Sprintf(kind, "2", "a", "0.5"))}, exitUsage, 1},
 		"serve, watched: other types":        {[]string{"serve", "-config", good, "--watch", watched(fmt.Sprintf(kind, "true", "b", "0.5"))}, exitUsage, 1},
 		"serve, watched: no such file":       {[]string{"serve", "-config", good, "--watch", path + "x"}, exitUsage, 1},
+		"control, no such file":              {[]string{"control", "--file", path + "x"}, exitUsage, 1},
+		"control, a file of another kind":    {[]string{"control", "--file", path}, exitUsage, 1},
 		"completion":                         {[]string{"completion", "bash"}, 0, 0},
 		"explain, no path":                   {[]string{"explain", "GET", "-config", good}, exitUsage, 1},
 		"help":                               {[]string{"help"}, 0, 0},
--- a/cmd/fernvane/pages_test.go
+++ b/cmd/fernvane/pages_test.go
@@ -77,6 +77,7 @@
 		"planners.toml": put("planners.toml", "planners = [\"127.0.0.1:1\"]\nplaintext = true\n"),
 		"planner.toml":  put("planner.toml", fmt.Sprintf("name = \"p\"\nlisten = %q\ndiscovery = \"127.0.0.1:1\"\nplaintext = true\n", free(t))),
 	}
+	stands["control.toml"] = put("control.toml", fmt.Sprintf("name = \"c\"\nlisten = %q\ndisk = %q\nplaintext = true\n", free(t), filepath.Join(dir, "control.db")))
 	first, _ := node(t, "n0")
 	tier, err := peers.Load(first)
 	if err != nil {
@@ -129,10 +130,12 @@
 				switch {
 				case args[0] == "plan":
 					cmd.Env = append(cmd.Env, "PROXY_PLAN="+stands["planner.toml"])
+				case args[0] == "control":
+					cmd.Env = append(cmd.Env, "PROXY_CONTROL="+stands["control.toml"])
 				case args[0] == "serve", len(args) == 1: // the others as a newcomer has them, without a configuration
 					cmd.Env = append(cmd.Env, "PROXY_CONFIG="+config())
 				}
-				out, errs := &bytes.Buffer{}, &watched{word: map[string]string{"serve": `"serving"`, "plan": `"planning"`}[args[0]], found: make(chan struct{})}
+				out, errs := &bytes.Buffer{}, &watched{word: map[string]string{"serve": `"serving"`, "plan": `"planning"`, "control": `"controlling"`}[args[0]], found: make(chan struct{})}
 				cmd.Stdout, cmd.Stderr = out, errs
 				if err := cmd.Start(); err != nil {
 					t.Fatal(err)
--- /dev/null
+++ b/internal/distribution/control/config.go
@@ -0,0 +1,180 @@
+// Package control runs one control process: a replica of all configuration that serves nodes and other control processes,
+// follows its own upstreams, takes writes and, where its file says so, tells what discovery or a registry lists. What is
+// decided is in package distribution; here are sockets, the disk and clocks.
+package control
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"time"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/mtls"
+	"fernvane/internal/registry"
+	"fernvane/internal/tomlfile"
+)
+
+const (
+	upstreamsMost   = 16
+	leastOut        = 64 << 10  // bytes a second
+	leastOne        = 1 << 10   // bytes a second
+	mostOut         = 1 << 30   // bytes a second
+	leastDisk       = 256 << 10 // bytes
+	connectionsMost = 65536
+	leastDeleted    = time.Minute
+)
+
+// Config is a control process's file.
+type Config struct {
+	Name        string        `toml:"name"`
+	Region      string        `toml:"region"`
+	Zone        string        `toml:"zone"`
+	Listen      string        `toml:"listen"`
+	Disk        string        `toml:"disk"`       // file of what this process holds
+	DiskBytes   int           `toml:"disk_bytes"` // largest size of it; 0 for any
+	Upstreams   []string      `toml:"upstreams"`
+	Follow      string        `toml:"follow"` // all upstreams, or one at a time
+	OutBytes    int           `toml:"out_bytes"`
+	NodeBytes   int           `toml:"node_bytes"`
+	PeerBytes   int           `toml:"control_bytes"`
+	Connections int           `toml:"connections"`
+	KeepDeleted tomlfile.Span `toml:"keep_deleted"`
+	Discovery   string        `toml:"discovery"` // servers come from here
+	Registry    string        `toml:"registry"`  // or from the registry that this file names
+	Service     string        `toml:"service"`   // and are of this service
+	TLSName     string        `toml:"tls_name"`  // that the upstreams' certificates are for
+	Cert        string        `toml:"cert"`
+	Key         string        `toml:"key"`
+	CA          string        `toml:"ca"`
+	Plaintext   bool          `toml:"plaintext"` // without TLS, on loopback only
+
+	ListenAt    netip.AddrPort   `toml:"-"`
+	UpstreamsAt []netip.AddrPort `toml:"-"`
+	DiscoveryAt netip.AddrPort   `toml:"-"`
+	Ensemble    *registry.Config `toml:"-"`
+	Keys        *mtls.Keys       `toml:"-"` // nil: plaintext
+}
+
+// The two ways to follow several upstreams.
+const (
+	followAll = "all"
+	followOne = "one"
+)
+
+var names = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Load reads the file; each fault is named by file and line.
+func Load(path string) (*Config, error) {
+	text, err := tomlfile.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{Follow: followOne, OutBytes: 8 << 20, NodeBytes: 16 << 10, PeerBytes: 4 << 20, Connections: 8192,
+		KeepDeleted: tomlfile.Span(24 * time.Hour)}
+	f, err := tomlfile.Parse(path, text, c)
+	if err != nil {
+		return nil, err
+	}
+	c.checkNames(f)
+	c.checkAddresses(f)
+	c.checkDisk(f)
+	c.checkBudgets(f)
+	c.checkSource(f)
+	return c, f.Err()
+}
+
+func (c *Config) checkNames(f *tomlfile.File) {
+	if !names.MatchString(c.Name) {
+		f.Wrong("name", "name %q: letters, digits, dots and dashes, 64 at most", c.Name)
+	}
+	for key, text := range map[string]string{"region": c.Region, "zone": c.Zone} {
+		if text != "" && !names.MatchString(text) {
+			f.Wrong(key, "%s %q: letters, digits, dots and dashes, 64 at most", key, text)
+		}
+	}
+	if c.Follow != followAll && c.Follow != followOne {
+		f.Wrong("follow", "follow %q: all for roots, one for relays", c.Follow)
+	}
+}
+
+func (c *Config) checkAddresses(f *tomlfile.File) {
+	var err error
+	if c.ListenAt, err = netip.ParseAddrPort(c.Listen); err != nil {
+		f.Wrong("listen", "listen %q: an address and a port are wanted", c.Listen)
+	}
+	if len(c.Upstreams) > upstreamsMost {
+		f.Wrong("upstreams", "%d upstreams: %d at most", len(c.Upstreams), upstreamsMost)
+	}
+	addresses := []netip.AddrPort{c.ListenAt}
+	for i, text := range c.Upstreams {
+		at, err := netip.ParseAddrPort(text)
+		switch {
+		case err != nil:
+			f.Wrong("upstreams."+strconv.Itoa(i), "upstream %q: an address and a port are wanted", text)
+		case at == c.ListenAt:
+			f.Wrong("upstreams."+strconv.Itoa(i), "upstream %q is this process itself", text)
+		}
+		c.UpstreamsAt = append(c.UpstreamsAt, at)
+	}
+	if !c.Plaintext && c.TLSName == "" && len(c.Upstreams) > 0 {
+		f.Wrong("tls_name", "tls_name says what the upstreams' certificates are for")
+	}
+	c.Keys = mtls.Configured(f, mtls.Files{Cert: c.Cert, Key: c.Key, CA: c.CA}, c.Plaintext, append(addresses, c.UpstreamsAt...))
+}
+
+func (c *Config) checkDisk(f *tomlfile.File) {
+	if c.Disk == "" {
+		f.Wrong("disk", "disk names no file")
+	} else if st, err := os.Stat(filepath.Dir(c.Disk)); err != nil || !st.IsDir() {
+		f.Wrong("disk", "disk %q is in no folder that is there", c.Disk)
+	}
+	if c.DiskBytes != 0 && c.DiskBytes < leastDisk {
+		f.Wrong("disk_bytes", "disk_bytes %d: %d at least, or 0 for any size", c.DiskBytes, leastDisk)
+	}
+	if c.KeepDeleted.D() < leastDeleted {
+		f.Wrong("keep_deleted", "keep_deleted %s: %s at least, longer than any process is away", c.KeepDeleted.D(), leastDeleted)
+	}
+}
+
+func (c *Config) checkBudgets(f *tomlfile.File) {
+	for key, b := range map[string]struct{ bytes, least int }{"out_bytes": {c.OutBytes, leastOut}, "node_bytes": {c.NodeBytes, leastOne},
+		"control_bytes": {c.PeerBytes, leastOne}} {
+		if b.bytes < b.least || b.bytes > mostOut {
+			f.Wrong(key, "%s %d: from %d to %d a second", key, b.bytes, b.least, mostOut)
+		}
+	}
+	if c.Connections < 1 || c.Connections > connectionsMost {
+		f.Wrong("connections", "connections %d: from 1 to %d", c.Connections, connectionsMost)
+	}
+}
+
+func (c *Config) checkSource(f *tomlfile.File) {
+	var err error
+	switch {
+	case c.Discovery != "" && c.Registry != "":
+		f.Wrong("registry", "either discovery or a registry")
+	case c.Registry != "":
+		if c.Ensemble, err = registry.Load(c.Registry); err != nil {
+			f.Wrong("registry", "%v", err)
+		}
+	case c.Discovery != "":
+		if c.DiscoveryAt, err = netip.ParseAddrPort(c.Discovery); err != nil {
+			f.Wrong("discovery", "discovery %q: an address and a port are wanted", c.Discovery)
+		}
+	case c.Service != "":
+		f.Wrong("service", "service says whose servers discovery or a registry lists, and neither is named")
+	}
+	if c.sourced() && (c.Service == "" || len(c.Service) > distribution.NameMost) {
+		f.Wrong("service", "service %q: whose servers the source lists, %d bytes at most", c.Service, distribution.NameMost)
+	}
+}
+
+// sourced tells whether this process writes the servers of a source.
+func (c *Config) sourced() bool { return c.Discovery != "" || c.Registry != "" }
+
+func (c *Config) budget() distribution.Budget {
+	return distribution.Budget{OutBytes: c.OutBytes, NodeBytes: c.NodeBytes, ControlBytes: c.PeerBytes}
+}
--- /dev/null
+++ b/internal/distribution/control/config_test.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"fernvane/internal/standin/keys"
+	"fernvane/internal/tomlfile"
+)
+
+// Each fault of a file is told by its line.
+func TestFileFaults(t *testing.T) {
+	t.Parallel()
+	const good = "name = \"r\"\nlisten = \"127.0.0.1:7461\"\ndisk = \"DIR/control.db\"\nplaintext = true\n"
+	dir := t.TempDir()
+	for name, c := range map[string]struct{ text, want string }{
+		"well":                {good, ""},
+		"a root":              {good + "upstreams = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\nfollow = \"all\"\n", ""},
+		"a source":            {good + "discovery = \"127.0.0.1:1\"\nservice = \"hire\"\n", ""},
+		"no name":             {strings.Replace(good, `"r"`, `"a b"`, 1), ":1: name"},
+		"no address":          {strings.Replace(good, "127.0.0.1:7461", "here", 1), ":2: listen"},
+		"no folder":           {strings.Replace(good, "DIR", "DIR/nowhere", 1), ":3: disk"},
+		"an unknown key":      {good + "upstream = \"127.0.0.1:1\"\n", ":5: unknown key"},
+		"not on loopback":     {strings.Replace(good, "127.0.0.1", "10.0.0.1", 1), ":4: 10.0.0.1"},
+		"a bad upstream":      {good + "upstreams = [\"127.0.0.1:1\",\n  \"there\"]\n", "upstream \"there\""},
+		"itself":              {good + "upstreams = [\"127.0.0.1:7461\"]\n", "this process itself"},
+		"follow":              {good + "follow = \"some\"\n", ":5: follow"},
+		"a small budget":      {good + "out_bytes = 10\n", ":5: out_bytes"},
+		"no connections":      {good + "connections = 0\n", ":5: connections"},
+		"a small disk":        {good + "disk_bytes = 10\n", ":5: disk_bytes"},
+		"short deletions":     {good + "keep_deleted = \"1s\"\n", ":5: keep_deleted"},
+		"a region's name":     {good + "region = \"no rth\"\n", ":5: region"},
+		"two sources":         {good + "discovery = \"127.0.0.1:1\"\nregistry = \"x\"\nservice = \"s\"\n", ":6: either"},
+		"a source of nothing": {good + "discovery = \"127.0.0.1:1\"\n", "service"},
+		"a service alone":     {good + "service = \"s\"\n", ":5: service"},
+		"no keys":             {strings.Replace(good, "plaintext = true\n", "", 1), "cert"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "control.toml")
+			if err := os.WriteFile(path, []byte(strings.ReplaceAll(c.text, "DIR", dir)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, err := Load(path)
+			var faults tomlfile.Faults
+			switch {
+			case c.want == "" && err != nil:
+				t.Error(err)
+			case c.want == "":
+			case !errors.As(err, &faults) || !strings.Contains(faults[0].Error(), c.want):
+				t.Errorf("%v, not %q", err, c.want)
+			}
+		})
+	}
+}
+
+// The example file is taken as it stands, but for what must be there on this machine.
+func TestExampleFile(t *testing.T) {
+	t.Parallel()
+	text, err := os.ReadFile(filepath.Join("..", "..", "..", "deploy", "control.example.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	authority, err := keys.New("authority")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	cert, key, ca, err := authority.Write(dir, "control", time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "control.toml")
+	stands := strings.NewReplacer("/var/lib/fernvane", dir, "/etc/fernvane/control.crt", cert, "/etc/fernvane/control.key", key, "/etc/fernvane/ca.crt", ca)
+	if err := os.WriteFile(path, []byte(stands.Replace(string(text))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "root-1" || c.Follow != followAll || len(c.UpstreamsAt) != 2 || c.Keys == nil || c.budget().NodeBytes != 16<<10 {
+		t.Errorf("%+v", c)
+	}
+}
--- /dev/null
+++ b/internal/distribution/control/control_test.go
@@ -0,0 +1,369 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/frames"
+	"fernvane/internal/standin/cable"
+)
+
+// tree is two roots that follow each other and a relay below them.
+func tree(t *testing.T) (a, b, r *member) {
+	t.Helper()
+	disk := disks(t)
+	at := map[string]string{"a": address(t), "b": address(t), "r": address(t)}
+	first, second := settings(t, "a", at["a"], disk("a"), at["b"]), settings(t, "b", at["b"], disk("b"), at["a"])
+	first.Follow, second.Follow = followAll, followAll
+	a, b = start(t, first), start(t, second)
+	r = start(t, settings(t, "r", at["r"], disk("r"), at["a"], at["b"]))
+	wait(t, "all current", func() bool { return a.isCurrent() && b.isCurrent() && r.isCurrent() })
+	return a, b, r
+}
+
+// What is written anywhere reaches every control process, and a node below gets what is of its services.
+func TestWritesReachAll(t *testing.T) {
+	t.Parallel()
+	a, b, r := tree(t)
+	n := node("n", "", "s")
+	n.subscribe(t, r.at)
+	for i, m := range []*member{a, b, r} {
+		write(t, m.at, route("s", fmt.Sprint("at-", i)), route("", fmt.Sprint("for-all-", i)), route("other", fmt.Sprint("not-for-n-", i)))
+	}
+	agree(t, a, b, r)
+	for i := range 3 {
+		for service, name := range map[string]string{"s": "at-", "": "for-all-"} {
+			wait(t, name, func() bool { return n.holds(route(service, fmt.Sprint(name, i))) })
+		}
+		if n.holds(route("other", fmt.Sprint("not-for-n-", i))) {
+			t.Error("a node has what is of a service that it does not serve")
+		}
+	}
+	gone := route("s", "at-1")
+	gone.Value, gone.Deleted = nil, true
+	write(t, r.at, gone)
+	wait(t, "a deletion everywhere", func() bool {
+		return !a.holds("at-1") && !b.holds("at-1") && !n.holds(route("s", "at-1"))
+	})
+	agree(t, a, b, r)
+}
+
+// A write is answered by an error where it breaks a bound, and changes nothing.
+func TestWritesRefused(t *testing.T) {
+	t.Parallel()
+	a, _, _ := tree(t)
+	before := a.state()
+	for name, changes := range map[string][]distribution.Change{
+		"no name":         {{Key: distribution.Key{Service: "s", Kind: distribution.Route}}},
+		"no kind":         {{Key: distribution.Key{Service: "s", Name: "x"}}},
+		"one of two":      {route("s", "good"), {Key: distribution.Key{Kind: 99, Name: "x"}}},
+		"a large value":   {{Key: route("s", "x").Key, Value: make([]byte, distribution.ValueMost+1)}},
+		"a value deleted": {{Key: route("s", "x").Key, Value: []byte("v"), Deleted: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if written, err := tryWrite(a.at, changes...); err == nil || strings.Contains(err.Error(), "\n") || written == nil {
+				t.Errorf("%+v, %v", written, err)
+			}
+		})
+	}
+	if a.state() != before {
+		t.Error("something was written")
+	}
+}
+
+// A process whose upstreams are not to be had takes no write and serves nobody as current until it has waited for them.
+func TestNotCurrentAtFirst(t *testing.T) {
+	t.Parallel()
+	m := startAlone(t, settings(t, "r", address(t), disks(t)("r"), address(t)), zerolog.Nop(), aloneMost)
+	n := node("n", "s")
+	n.subscribe(t, m.at)
+	if _, err := tryWrite(m.at, route("s", "x")); err == nil || err.Error() != errNotCurrent.Error() {
+		t.Errorf("a write: %v", err)
+	}
+	if self, _, err := query(m.at); err != nil || !self.CatchingUp || self.Acknowledged {
+		t.Errorf("it says that it is %+v, %v", self, err)
+	}
+	wait(t, "current", m.isCurrent)
+	if m.now() < aloneMost {
+		t.Errorf("current after %v", m.now())
+	}
+	wait(t, "a complete batch", func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.complete })
+	write(t, m.at, route("s", "x"))
+	wait(t, "the write", func() bool { return n.holds(route("s", "x")) })
+}
+
+// Without upstreams and after an end in good order nothing is waited for.
+func TestCurrentAtOnce(t *testing.T) {
+	t.Parallel()
+	disk, at := disks(t), address(t)
+	m := start(t, settings(t, "a", at, disk("a")))
+	wait(t, "current", m.isCurrent)
+	origin := write(t, m.at, route("s", "x")).Origin
+	m.stop(t)
+	m = start(t, settings(t, "a", at, disk("a")))
+	if !m.isCurrent() || !m.holds("x") {
+		t.Errorf("current %t, holds what was written %t", m.isCurrent(), m.holds("x"))
+	}
+	if again := write(t, m.at, route("s", "y")); again.Origin == origin || again.Origin.Name() != "a" || again.Sequence != 1 {
+		t.Errorf("written as %+v", again)
+	}
+}
+
+// What a control process with a new disk lacks comes back from the nodes that hold it.
+func TestLostDiskComesBackFromNodes(t *testing.T) {
+	t.Parallel()
+	disk, at := disks(t), address(t)
+	m := start(t, settings(t, "a", at, disk("a")))
+	n := node("n", "", "s")
+	n.subscribe(t, m.at)
+	wait(t, "current", m.isCurrent)
+	write(t, m.at, routes("s", 0, 500)...)
+	wait(t, "all at the node", func() bool { return n.holds(route("s", "route-499")) })
+	before := m.state()
+	m.stop(t)
+	n.leave()
+	if err := os.Remove(disk("a")); err != nil {
+		t.Fatal(err)
+	}
+	m = start(t, settings(t, "a", at, disk("a")))
+	n.subscribe(t, m.at)
+	wait(t, "all back", func() bool { return m.state() == before })
+	for i := range 500 {
+		if !n.holds(route("s", fmt.Sprint("route-", i))) {
+			t.Fatalf("the node has lost route-%d", i)
+		}
+	}
+}
+
+// A disk of some time ago put back: the process writes under another origin, so that nobody takes what is new for known.
+func TestOldDisk(t *testing.T) {
+	t.Parallel()
+	for name, clean := range map[string]bool{"copied while in use": false, "copied at rest": true} {
+		t.Run(name, func(t *testing.T) {
+			disk := disks(t)
+			at, bt := address(t), address(t)
+			first, second := settings(t, "a", at, disk("a"), bt), settings(t, "b", bt, disk("b"), at)
+			a, b := start(t, first), start(t, second)
+			wait(t, "current", func() bool { return a.isCurrent() && b.isCurrent() })
+			write(t, a.at, routes("s", 0, 10)...)
+			if clean {
+				a.stop(t)
+			}
+			old, err := os.ReadFile(disk("a"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if clean {
+				a = start(t, first)
+				wait(t, "current", a.isCurrent)
+			}
+			origin := write(t, a.at, routes("s", 10, 20)...).Origin
+			agree(t, a, b)
+			a.stop(t)
+			if err := os.WriteFile(disk("a"), old, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			a = start(t, first)
+			wait(t, "current", a.isCurrent)
+			again := write(t, a.at, routes("s", 20, 30)...)
+			if again.Origin == origin {
+				t.Errorf("written under the same origin %q", origin)
+			}
+			agree(t, a, b)
+			if a.size() != 30 || b.size() != 30 {
+				t.Errorf("%d and %d entries of 30", a.size(), b.size())
+			}
+		})
+	}
+}
+
+// A disk that has no room: the writer is told, the change spreads all the same, and the process serves on.
+func TestFullDisk(t *testing.T) {
+	t.Parallel()
+	disk := disks(t)
+	at, bt := address(t), address(t)
+	first := settings(t, "a", at, disk("a"), bt)
+	first.DiskBytes = 256 << 10
+	a, b := start(t, first), start(t, settings(t, "b", bt, disk("b"), at))
+	wait(t, "current", func() bool { return a.isCurrent() && b.isCurrent() })
+	var err error
+	for n := 0; err == nil && n < 20_000; n += 1000 {
+		_, err = tryWrite(a.at, routes("s", n, n+1000)...)
+	}
+	if err == nil || !strings.Contains(err.Error(), "in force from memory") {
+		t.Fatalf("told: %v", err)
+	}
+	agree(t, a, b)
+	if _, err := tryWrite(b.at, route("s", "later")); err != nil {
+		t.Error(err)
+	}
+	agree(t, a, b)
+}
+
+// Each node's state is seen at every root: what it has in force, by way of whom, and that it has gone.
+func TestStatusGoesUp(t *testing.T) {
+	t.Parallel()
+	a, b, r := tree(t)
+	n := node("n", "s")
+	n.subscribe(t, r.at)
+	written := write(t, b.at, route("s", "x"))
+	for _, m := range []*member{a, b, r} {
+		wait(t, "the node's state at "+m.config.Name, func() bool {
+			self, nodes, err := query(m.at)
+			status := nodes["n"]
+			return err == nil && self.Acknowledged && status.Connected && status.Via == "r" && status.Clock == written.Clock && status.Lag == 0 &&
+				status.Role == distribution.Node && status.Revision == self.Revision && (m == r || nodes["r"].Role == distribution.Control)
+		})
+	}
+	n.leave()
+	for _, m := range []*member{a, b, r} {
+		wait(t, "it has gone at "+m.config.Name, func() bool {
+			_, nodes, err := query(m.at)
+			status, known := nodes["n"]
+			return err == nil && known && !status.Connected
+		})
+	}
+}
+
+// Holders that differ under equal vectors find it out by digests, and only what differs is sent.
+func TestDigestsMend(t *testing.T) {
+	t.Parallel()
+	a, b, r := tree(t)
+	write(t, a.at, routes("s", 0, 50)...)
+	write(t, a.at, routes("other", 0, 50)...)
+	agree(t, a, b, r)
+	r.mu.Lock()
+	r.store.Reset([]string{"s"}, nil, r.store.Vector()) // as a fault of the disk or of this program might
+	received := r.Entries
+	r.mu.Unlock()
+	if r.state() == a.state() {
+		t.Fatal("no difference")
+	}
+	agree(t, a, b, r)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.Entries - received; n != 50 && received > 0 && n > 50 {
+		t.Errorf("%d entries came anew", n)
+	}
+}
+
+// A connection on which nothing comes any more is left within seconds, and what was written meanwhile comes by another.
+func TestSilentUpstreamIsLeft(t *testing.T) {
+	t.Parallel()
+	disk := disks(t)
+	at, bt := address(t), address(t)
+	first, second := settings(t, "a", at, disk("a"), bt), settings(t, "b", bt, disk("b"), at)
+	a, b := start(t, first), start(t, second)
+	wait(t, "current", func() bool { return a.isCurrent() && b.isCurrent() })
+	wires, err := cable.Listen(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer wires.Close()
+	r := start(t, settings(t, "r", address(t), disk("r"), wires.Address(), bt))
+	wait(t, "it follows", r.isCurrent)
+	wires.Cut(cable.Down, true)
+	write(t, a.at, route("s", "x"))
+	wait(t, "it comes by the other", func() bool { return r.holds("x") })
+	agree(t, a, b, r)
+}
+
+// Regions that are apart both change things: the later change of one key wins everywhere, and changes of different keys
+// both hold.
+func TestTwoRegionsApart(t *testing.T) {
+	t.Parallel()
+	disk := disks(t)
+	at, bt := address(t), address(t)
+	var wires [2]*cable.Cable
+	for i, to := range []string{bt, at} {
+		var err error
+		if wires[i], err = cable.Listen(to); err != nil {
+			t.Fatal(err)
+		}
+		defer wires[i].Close()
+	}
+	a := start(t, settings(t, "a", at, disk("a"), wires[0].Address()))
+	b := start(t, settings(t, "b", bt, disk("b"), wires[1].Address()))
+	wait(t, "current", func() bool { return a.isCurrent() && b.isCurrent() })
+	write(t, a.at, route("s", "both"))
+	agree(t, a, b)
+	for _, w := range wires {
+		w.Cut(cable.Up, true)
+		w.Cut(cable.Down, true)
+	}
+	of := func(value string) distribution.Change {
+		c := route("s", "both")
+		c.Value = []byte(value)
+		return c
+	}
+	write(t, a.at, of("first"), route("s", "of-a"))
+	write(t, b.at, of("second"), route("s", "of-b"))
+	if a.state() == b.state() {
+		t.Fatal("not apart")
+	}
+	for _, w := range wires {
+		w.Cut(cable.Up, false)
+		w.Cut(cable.Down, false)
+	}
+	agree(t, a, b)
+	for _, m := range []*member{a, b} {
+		m.mu.Lock()
+		e, _ := m.store.Entry(of("").Key)
+		m.mu.Unlock()
+		if string(e.Value) != "second" || !m.holds("of-a") || !m.holds("of-b") {
+			t.Errorf("%s holds %q, of a %t, of b %t", m.config.Name, e.Value, m.holds("of-a"), m.holds("of-b"))
+		}
+	}
+}
+
+// A relay that is ahead of its upstream after that one lost its disk gives it back what it lacks.
+func TestRelayAheadOfItsRoot(t *testing.T) {
+	t.Parallel()
+	disk, at := disks(t), address(t)
+	a := start(t, settings(t, "a", at, disk("a")))
+	r := start(t, settings(t, "r", address(t), disk("r"), at))
+	wait(t, "current", func() bool { return a.isCurrent() && r.isCurrent() })
+	write(t, a.at, routes("s", 0, 300)...)
+	agree(t, a, r)
+	before := r.state()
+	a.stop(t)
+	if err := os.Remove(disk("a")); err != nil {
+		t.Fatal(err)
+	}
+	a = start(t, settings(t, "a", at, disk("a")))
+	wait(t, "all back", func() bool { return a.state() == before })
+	if r.state() != before {
+		t.Error("the relay has gone back")
+	}
+	wait(t, "current again", a.isCurrent)
+	write(t, a.at, route("s", "later"))
+	agree(t, a, r)
+}
+
+// A process ends at once, with everything on its disk.
+func TestEnd(t *testing.T) {
+	t.Parallel()
+	disk, at := disks(t), address(t)
+	m := start(t, settings(t, "a", at, disk("a")))
+	wait(t, "current", m.isCurrent)
+	conns := []*frames.Conn{command(t, at, nil), command(t, at, nil)}
+	n := node("n", "s")
+	n.subscribe(t, at)
+	write(t, at, routes("s", 0, 100)...)
+	before := m.state()
+	m.stop(t)
+	for _, conn := range conns {
+		if _, err := next(conn, patience); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("a connection: %v", err)
+		}
+	}
+	if m = start(t, settings(t, "a", at, disk("a"))); m.state() != before || !m.isCurrent() {
+		t.Errorf("after the next start it holds %s, not %s; current %t", m.state(), before, m.isCurrent())
+	}
+}
--- /dev/null
+++ b/internal/distribution/control/helpers_test.go
@@ -0,0 +1,378 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/wire"
+	"fernvane/internal/frames"
+	"fernvane/internal/mtls"
+	"fernvane/internal/tomlfile"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const aloneInTests = 500 * time.Millisecond // in place of aloneMost
+
+const patience = 30 * time.Second // of a test for what must come; no verdict hangs on it
+
+// wait polls until something holds.
+func wait(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for by := time.Now().Add(patience); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(by) {
+			t.Fatal("never: ", what)
+		}
+	}
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// member is a control process within this one.
+type member struct {
+	*Server
+	at     string
+	cancel func()
+	done   chan error
+}
+
+// settings of a member, as its file would have them.
+func settings(t *testing.T, name, at, path string, upstreams ...string) *Config {
+	t.Helper()
+	c := &Config{Name: name, Region: "region", Zone: "zone-" + name, Disk: path, Follow: followOne, OutBytes: 8 << 20, NodeBytes: 1 << 20,
+		PeerBytes: 4 << 20, Connections: 100, KeepDeleted: tomlfile.Span(time.Hour), ListenAt: netip.MustParseAddrPort(at)}
+	for _, upstream := range upstreams {
+		c.UpstreamsAt = append(c.UpstreamsAt, netip.MustParseAddrPort(upstream))
+	}
+	return c
+}
+
+func start(t *testing.T, config *Config) *member {
+	t.Helper()
+	return startAlone(t, config, zerolog.Nop(), aloneInTests)
+}
+
+// startAlone has one wait for upstreams at its start as long as told.
+func startAlone(t *testing.T, config *Config, log zerolog.Logger, alone time.Duration) *member {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(config.ListenAt))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := open(config, log)
+	if err != nil {
+		listener.Close()
+		t.Fatal(err)
+	}
+	s.alone = alone
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{Server: s, at: config.ListenAt.String(), cancel: cancel, done: make(chan error, 1)}
+	go func() { m.done <- s.run(ctx, listener) }()
+	t.Cleanup(func() { m.stop(t) })
+	return m
+}
+
+// stop ends a member in good order; again it does nothing.
+func (m *member) stop(t *testing.T) {
+	t.Helper()
+	m.cancel()
+	if err, ok := <-m.done; ok {
+		if err != nil {
+			t.Error(err)
+		}
+		close(m.done)
+	}
+}
+
+func (m *member) isCurrent() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current
+}
+
+// state is what a member holds, in one text.
+func (m *member) state() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return fmt.Sprintf("%016x", m.store.TotalDigest())
+}
+
+func (m *member) holds(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.store.Entry(route("s", name).Key)
+	return ok && !e.Deleted
+}
+
+func (m *member) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, _ := m.store.Size()
+	return n
+}
+
+func agree(t *testing.T, members ...*member) {
+	t.Helper()
+	wait(t, "equal digests", func() bool {
+		for _, m := range members {
+			if m.state() != members[0].state() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// route is a change of one entry.
+func route(service, name string) distribution.Change {
+	return distribution.Change{Key: distribution.Key{Service: service, Kind: distribution.Route, Name: name}, Value: []byte("value of " + name)}
+}
+
+func routes(service string, from, to int) (all []distribution.Change) {
+	for n := from; n < to; n++ {
+		all = append(all, route(service, fmt.Sprint("route-", n)))
+	}
+	return all
+}
+
+// command is a connection of an operator's.
+func command(t *testing.T, at string, keys *mtls.Keys) *frames.Conn {
+	t.Helper()
+	conn, err := greeted(at, "operator", keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func greeted(at, name string, keys *mtls.Keys) (*frames.Conn, error) {
+	nc, err := net.DialTimeout("tcp", at, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	if keys != nil {
+		nc = keys.Client(nc, "control")
+	}
+	conn := wire.Protocol.New(nc)
+	if _, err := conn.Greet(name, time.Now().Add(2*time.Second)); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// next is a message, but signs of life.
+func next(conn *frames.Conn, within time.Duration) (wire.Message, error) {
+	kind, body, err := conn.Receive(time.Now().Add(within))
+	if err != nil {
+		return nil, err
+	}
+	if kind == frames.Refusals {
+		return nil, frames.Refused(body)
+	}
+	return wire.Decode(kind, body)
+}
+
+// tryWrite writes at an address and returns what it was told.
+func tryWrite(at string, changes ...distribution.Change) (*wire.Written, error) {
+	conn, err := greeted(at, "operator", nil)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	if err := wire.Send(conn, &wire.Write{ID: 7, Changes: changes}); err != nil {
+		return nil, err
+	}
+	m, err := next(conn, 10*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	written, ok := m.(*wire.Written)
+	if !ok || written.ID != 7 {
+		return nil, fmt.Errorf("answered by %T", m)
+	}
+	if written.Error != "" {
+		return written, errors.New(written.Error)
+	}
+	return written, nil
+}
+
+func write(t *testing.T, at string, changes ...distribution.Change) *wire.Written {
+	t.Helper()
+	written, err := tryWrite(at, changes...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return written
+}
+
+// query asks for the state of all.
+func query(at string) (self distribution.NodeStatus, nodes map[string]distribution.NodeStatus, err error) {
+	conn, err := greeted(at, "operator", nil)
+	if err != nil {
+		return self, nil, err
+	}
+	defer conn.Close()
+	if err := wire.Send(conn, &wire.Query{ID: 3}); err != nil {
+		return self, nil, err
+	}
+	nodes = map[string]distribution.NodeStatus{}
+	for {
+		m, err := next(conn, 10*time.Second)
+		if err != nil {
+			return self, nil, err
+		}
+		answer, ok := m.(*wire.Answer)
+		if !ok {
+			return self, nil, fmt.Errorf("answered by %T", m)
+		}
+		for _, status := range answer.Nodes {
+			nodes[status.Name] = status
+		}
+		if answer.Last {
+			return answer.Self, nodes, nil
+		}
+	}
+}
+
+// subscriber is a node, or another holder, that speaks the protocol from this test.
+type subscriber struct {
+	name     string
+	role     distribution.Role
+	services []string
+
+	mu        sync.Mutex
+	store     *distribution.Store
+	publisher *distribution.Publisher
+	older     int // entries that came in an older version than what is held
+	complete  bool
+	err       error
+
+	conn *frames.Conn
+	send sync.Mutex
+	done chan struct{}
+}
+
+func node(name string, services ...string) *subscriber {
+	s := &subscriber{name: name, role: distribution.Node, services: services, store: distribution.NewStore("", distribution.Limits{})}
+	s.store.SetScope(services)
+	s.publisher = distribution.NewPublisher(s.store, distribution.Budget{})
+	return s
+}
+
+// subscribe connects and follows until it is left or the connection ends.
+func (s *subscriber) subscribe(t *testing.T, at string) {
+	t.Helper()
+	conn, err := greeted(at, s.name, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.conn, s.done = conn, make(chan struct{})
+	s.mu.Lock()
+	s.complete, s.err = false, nil
+	subscription := distribution.Subscription{Name: s.name, Role: s.role, Services: s.services, All: s.services == nil, Vector: s.store.Vector().Clone(),
+		Missing: s.store.Missing()}
+	receiver := distribution.NewReceiver(s.store)
+	s.mu.Unlock()
+	s.tell(&wire.Subscribe{Subscription: subscription})
+	go func() {
+		defer close(s.done)
+		for {
+			m, err := next(conn, time.Hour)
+			if err != nil {
+				s.mu.Lock()
+				s.err = err
+				s.mu.Unlock()
+				return
+			}
+			s.take(receiver, m)
+		}
+	}()
+	t.Cleanup(s.leave)
+}
+
+func (s *subscriber) leave() {
+	if s.conn != nil {
+		s.conn.Close()
+		<-s.done
+	}
+}
+
+func (s *subscriber) tell(m wire.Message) {
+	s.send.Lock()
+	defer s.send.Unlock()
+	wire.Send(s.conn, m)
+}
+
+func (s *subscriber) take(receiver *distribution.Receiver, m wire.Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch m := m.(type) {
+	case *wire.Batch:
+		got := receiver.Receive(m.Batch)
+		s.complete = s.complete || got.Complete
+		a := distribution.Acknowledgement{Batch: m.Number}
+		if got.Complete {
+			a.InForce = s.store.Vector().Clone()
+		}
+		s.tell(&wire.Acknowledge{Acknowledgement: a})
+	case *wire.Want:
+		if m.Follow {
+			s.offer(m)
+		}
+	case *wire.Digests:
+		if services, _, _ := receiver.Compare(m.Digests); len(services) > 0 {
+			s.tell(&wire.Want{Services: services})
+		}
+	}
+}
+
+// offer sends at once all that the other side lacks.
+func (s *subscriber) offer(m *wire.Want) {
+	s.publisher.Offer(0, distribution.Subscription{Name: "upstream", Role: distribution.Control, Services: s.services, Vector: m.Vector})
+	for {
+		_, batch, ok, _ := s.publisher.Next(0)
+		if !ok {
+			return
+		}
+		s.tell(&wire.Batch{Batch: batch})
+	}
+}
+
+func (s *subscriber) holds(c distribution.Change) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.store.Entry(c.Key)
+	return ok && !e.Deleted && string(e.Value) == string(c.Value)
+}
+
+func (s *subscriber) ended() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
+func disks(t *testing.T) func(name string) string {
+	dir := t.TempDir()
+	return func(name string) string { return filepath.Join(dir, name+".db") }
+}
--- /dev/null
+++ b/internal/distribution/control/peers_test.go
@@ -0,0 +1,208 @@
+package control
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/wire"
+	"fernvane/internal/frames"
+	"fernvane/internal/mtls"
+	"fernvane/internal/standin/keys"
+)
+
+// Who takes nothing is cut off, and others are served meanwhile.
+func TestSlowSubscriberIsCutOff(t *testing.T) {
+	t.Parallel()
+	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	wait(t, "current", m.isCurrent)
+	conn := command(t, m.at, nil)
+	wire.Send(conn, &wire.Subscribe{Subscription: distribution.Subscription{Name: "operator", Role: distribution.Node, Services: []string{"s"}}})
+	n := node("n", "s")
+	n.subscribe(t, m.at)
+	wait(t, "two subscribers", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return len(m.subscribers) == 2 })
+	cut := func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.subscribers) == 1 && m.subscribers["n"] != nil
+	}
+	for i := 0; !cut(); i++ {
+		c := route("s", fmt.Sprint("route-", i%100))
+		c.Value = []byte(strings.Repeat("v", 8000+i))
+		write(t, m.at, c)
+		wait(t, "the other is served", func() bool { return n.holds(c) })
+		if m.now() > patience {
+			t.Fatal("never cut off")
+		}
+	}
+	if n.ended() != nil {
+		t.Errorf("the other was cut off: %v", n.ended())
+	}
+}
+
+// What no peer may say ends its connection with one line, and nobody else's.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	wait(t, "current", m.isCurrent)
+	n := node("n", "s")
+	n.subscribe(t, m.at)
+	subscribe := &wire.Subscribe{Subscription: distribution.Subscription{Name: "x", Role: distribution.Node, Services: []string{"s"}}}
+	sent := func(messages ...wire.Message) (b []byte) {
+		for _, m := range messages {
+			var err error
+			if b, err = wire.Append(b, m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return b
+	}
+	garbled := sent(subscribe)
+	garbled[12] ^= 1
+	for name, c := range map[string]struct {
+		name string
+		text []byte
+		want string
+	}{
+		"a second subscription": {"x", sent(subscribe, subscribe), errSubscribed.Error()},
+		"a batch":               {"x", sent(&wire.Batch{}), errUnasked.Error()},
+		"an answer":             {"x", sent(&wire.Answer{}), "Answer"},
+		"a changed byte":        {"x", garbled, frames.ErrSum.Error()},
+		"an unknown kind":       {"x", []byte{0, 0, 0, 4, 99, 0, 0, 0, 0}, frames.ErrKind.Error()},
+		"a long frame":          {"x", []byte{255, 0, 0, 4, 5, 0, 0, 0, 0}, frames.ErrTooLong.Error()},
+		"its own name": {"a", sent(&wire.Subscribe{Subscription: distribution.Subscription{Name: "a", Role: distribution.Control, All: true}}),
+			errSelf.Error()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := greeted(m.at, c.name, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := conn.Write(c.text); err != nil {
+				t.Fatal(err)
+			}
+			for err == nil {
+				_, err = next(conn, patience)
+			}
+			if !strings.Contains(err.Error(), c.want) || !strings.HasPrefix(err.Error(), "refused by the peer") || strings.Contains(err.Error(), "\n") {
+				t.Error(err)
+			}
+		})
+	}
+	t.Run("no greeting", func(t *testing.T) {
+		conn, err := net.Dial("tcp", m.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		conn.SetReadDeadline(time.Now().Add(patience))
+		for b := make([]byte, 100); err == nil; {
+			_, err = conn.Read(b)
+		}
+		if os.IsTimeout(err) {
+			t.Error("it is left open")
+		}
+	})
+	write(t, m.at, route("s", "x"))
+	wait(t, "others are served", func() bool { return n.holds(route("s", "x")) })
+}
+
+// More connections than the file allows are refused, and those that are there go on.
+func TestConnectionsAreBounded(t *testing.T) {
+	t.Parallel()
+	config := settings(t, "a", address(t), disks(t)("a"))
+	config.Connections = 2
+	m := start(t, config)
+	wait(t, "current", m.isCurrent)
+	n := node("n", "s")
+	n.subscribe(t, m.at)
+	conn := command(t, m.at, nil)
+	if _, err := greeted(m.at, "third", nil); err == nil || !strings.Contains(err.Error(), errCrowded.Error()) {
+		t.Errorf("a third: %v", err)
+	}
+	wire.Send(conn, &wire.Write{ID: 1, Changes: []distribution.Change{route("s", "x")}})
+	wait(t, "the first is served", func() bool { return n.holds(route("s", "x")) })
+	conn.Close()
+	wait(t, "room again", func() bool {
+		conn, err := greeted(m.at, "third", nil)
+		if err == nil {
+			conn.Close()
+		}
+		return err == nil
+	})
+}
+
+// Commands and those that never subscribe leave room for subscribers.
+func TestIdleCommandsAreBounded(t *testing.T) {
+	t.Parallel()
+	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	for range commandsMost {
+		command(t, m.at, nil)
+	}
+	wait(t, "all are there", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.commands == commandsMost })
+	conn := command(t, m.at, nil)
+	if _, err := next(conn, patience); err == nil || !strings.Contains(err.Error(), errCrowded.Error()) {
+		t.Errorf("one more: %v", err)
+	}
+}
+
+// A node that comes again under its name ends its older connection.
+func TestComesAgain(t *testing.T) {
+	t.Parallel()
+	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	wait(t, "current", m.isCurrent)
+	first, second := node("n", "s"), node("n", "s")
+	first.subscribe(t, m.at)
+	wait(t, "one", func() bool { m.mu.Lock(); defer m.mu.Unlock(); return m.subscribers["n"] != nil })
+	second.subscribe(t, m.at)
+	wait(t, "the older has ended", func() bool { return first.ended() != nil })
+	write(t, m.at, route("s", "x"))
+	wait(t, "the newer is served", func() bool { return second.holds(route("s", "x")) })
+}
+
+// Over TLS, with keys of one authority; others come to nothing.
+func TestKeys(t *testing.T) {
+	t.Parallel()
+	authority := func() *keys.Authority {
+		a, err := keys.New("authority")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	ours, theirs := authority(), authority()
+	load := func(a *keys.Authority, name string) *mtls.Keys {
+		cert, key, ca, err := a.Write(t.TempDir(), name, time.Now().Add(time.Hour))
+		if err != nil {
+			t.Fatal(err)
+		}
+		k, err := mtls.Load(mtls.Files{Cert: cert, Key: key, CA: ca})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k
+	}
+	disk, at := disks(t), address(t)
+	first := settings(t, "a", at, disk("a"))
+	first.Keys = load(ours, "control")
+	a := start(t, first)
+	second := settings(t, "b", address(t), disk("b"), at)
+	second.Keys, second.TLSName = load(ours, "control"), "control"
+	b := start(t, second)
+	wait(t, "current", func() bool { return a.isCurrent() && b.isCurrent() })
+	conn := command(t, a.at, load(ours, "operator"))
+	wire.Send(conn, &wire.Write{ID: 1, Changes: []distribution.Change{route("s", "x")}})
+	wait(t, "the other has it", func() bool { return b.holds("x") })
+	for name, k := range map[string]*mtls.Keys{"of another authority": load(theirs, "operator"), "none": nil} {
+		if conn, err := greeted(a.at, "operator", k); err == nil {
+			conn.Close()
+			t.Errorf("keys %s are taken", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/distribution/control/source.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/life"
+	"fernvane/internal/registry"
+	"fernvane/internal/watch"
+)
+
+const (
+	askFirst    = 250 * time.Millisecond
+	askMost     = 4 * time.Second // between two tries to reach discovery
+	sourceAgain = time.Second     // after changes that could not be written
+	sourceMost  = 1024            // changes in one write of a source's
+)
+
+// source writes what discovery or a registry tells of servers. Only one control process does so for a source.
+func (s *Server) source(ctx context.Context) error {
+	told := &sourced{server: s, servers: map[string]life.Entry{}, wake: make(chan struct{}, 1)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		told.write(ctx)
+	}()
+	defer func() { <-done }()
+	if s.config.Ensemble == nil {
+		s.watchDiscovery(ctx, told)
+		return nil
+	}
+	return registry.Follow(ctx, s.config.Ensemble, registry.Listener{
+		Now:     s.now,
+		Changed: func(changed []life.Entry, _ bool) { told.listed(changed, false) },
+		Fault:   func(err error) { s.log.Warn().Err(err).Msg("registry") },
+		Doubted: func(is bool) {
+			s.log.Error().Bool("doubted", is).Msg("most servers have vanished from the registry together, or are back")
+		},
+	})
+}
+
+// watchDiscovery follows discovery's list, whole at first.
+func (s *Server) watchDiscovery(ctx context.Context, told *sourced) {
+	w := watch.Watcher{Place: watch.NewPlace(s.config.DiscoveryAt), Whole: true}
+	defer w.Close()
+	for wait := askFirst; ctx.Err() == nil; {
+		began := time.Now()
+		list, err := w.Call(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.log.Warn().Err(err).Msg("discovery failed")
+			pause(ctx, time.Duration((0.5+rand.Float64())*float64(wait)))
+			wait = min(2*wait, askMost)
+			continue
+		}
+		wait = askFirst
+		if !list.Complete && list.Revision < w.Revision { // it counts from elsewhere now
+			w.Whole = true
+			continue
+		}
+		w.Whole, w.Revision = false, list.Revision
+		for _, err := range list.Skipped {
+			s.log.Warn().Err(err).Msg("list entry skipped")
+		}
+		told.listed(watch.Entries(list), list.Complete)
+		pause(ctx, watch.Pace-time.Since(began))
+	}
+}
+
+// sourced is what a source has told, on its way into the store.
+type sourced struct {
+	server *Server
+	wake   chan struct{}
+
+	// under the server's lock
+	servers map[string]life.Entry
+	whole   bool            // all of them were told: others of the service are gone
+	changed map[string]bool // names to be looked at; nil for all
+}
+
+// listed takes in what a source tells.
+func (t *sourced) listed(entries []life.Entry, whole bool) {
+	s := t.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if whole {
+		clear(t.servers)
+		t.whole, t.changed = true, nil
+	}
+	for _, e := range entries {
+		t.servers[e.ID] = e
+		if t.changed != nil {
+			t.changed[e.ID] = true
+		}
+	}
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write writes what has changed, and tries again what could not be written.
+func (t *sourced) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		}
+		for ctx.Err() == nil {
+			changes := t.due()
+			if len(changes) == 0 {
+				break
+			}
+			if _, err := t.server.change(changes); err != nil {
+				t.server.log.Warn().Err(err).Int("changes", len(changes)).Msg("servers not written")
+				if !pause(ctx, sourceAgain) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// due is the next changes: what the store holds otherwise than the source tells.
+func (t *sourced) due() []distribution.Change {
+	s := t.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changes []distribution.Change
+	if t.changed == nil {
+		t.changed = map[string]bool{}
+		for name := range t.servers {
+			t.changed[name] = true
+		}
+		for _, e := range s.store.Service(s.config.Service) {
+			if e.Key.Kind == distribution.Server && t.whole {
+				t.changed[e.Key.Name] = true
+			}
+		}
+	}
+	for name := range t.changed {
+		if len(changes) >= sourceMost {
+			break
+		}
+		if c, differs := t.change(name); differs {
+			changes = append(changes, c)
+			continue // looked at once more, when it is written
+		}
+		delete(t.changed, name)
+	}
+	return changes
+}
+
+// change is what brings a server's entry to what the source tells.
+func (t *sourced) change(name string) (distribution.Change, bool) {
+	c := distribution.Change{Key: distribution.Key{Service: t.server.config.Service, Kind: distribution.Server, Name: name}}
+	held, ok := t.server.store.Entry(c.Key)
+	ok = ok && !held.Deleted
+	told, known := t.servers[name]
+	if !known || told.Condition == life.Gone {
+		c.Deleted = true
+		return c, ok
+	}
+	var before life.Entry
+	if ok && cbor.Unmarshal(held.Value, &before) == nil {
+		told = turned(before, told)
+		before.Revision = told.Revision // a list that is told again is no change
+		if before == told {
+			return c, false
+		}
+	} else if held.Deleted { // it is back: a turn beyond all that it had
+		told.Turn = max(told.Turn, uint32(distribution.ClockTime(held.Clock).Unix()))
+	}
+	value, err := cbor.Marshal(told)
+	if err != nil {
+		t.server.log.Error().Err(err).Str("server", name).Msg("server left out")
+		return c, false
+	}
+	c.Value = value
+	return c, true
+}
+
+// turned is a source's word about a server as a later one than what was written before: within one start a server goes
+// back, as when a drain is called off, by a new turn.
+func turned(before, told life.Entry) life.Entry {
+	if told.Up > before.Up {
+		return told
+	}
+	told.Up, told.Turn = before.Up, before.Turn
+	if told.Condition < before.Condition {
+		told.Turn++
+	}
+	return told
+}
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -66,6 +66,7 @@
 	Upstreams   int // how many there are, in the order in which they are tried
 	StartWithin time.Duration
 	Seed        string // of the spread of back-offs: the subscriber's name
+	BackOffMost time.Duration
 }
 
 // Attempt is what the caller is to do about connections.
@@ -99,6 +100,7 @@
 // NewSubscriber begins at a moment.
 func NewSubscriber(now time.Duration, f Following) *Subscriber {
 	f.StartWithin = cmp.Or(f.StartWithin, startWithin)
+	f.BackOffMost = cmp.Or(f.BackOffMost, backOffMost)
 	f.Upstreams = max(f.Upstreams, 1)
 	return &Subscriber{following: f, started: now, since: now, alone: now, retryAt: now}
 }
@@ -167,7 +169,7 @@
 
 // backOff after so many rounds of all upstreams, spread by chance over its upper half.
 func (s *Subscriber) backOff(rounds int) time.Duration {
-	most := min(backOffFirst<<min(rounds, backOffGrowth), backOffMost)
+	most := min(backOffFirst<<min(rounds, backOffGrowth), s.following.BackOffMost)
 	s.counter++
 	chance := float64(crc32.ChecksumIEEE([]byte(s.following.Seed+" "+strconv.Itoa(s.counter)))) / spreadOf
 	return most/2 + time.Duration(chance*float64(most/2))
--- /dev/null
+++ b/internal/standin/cable/cable_test.go
@@ -0,0 +1,89 @@
+package cable
+
+import (
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo answers each byte by itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestWhatPasses(t *testing.T) {
+	for name, test := range map[string]struct {
+		do     func(*Cable)
+		undo   func(*Cable)
+		got    byte
+		passes bool
+	}{
+		"well":         {func(*Cable) {}, func(*Cable) {}, 'x', true},
+		"cut up":       {func(c *Cable) { c.Cut(Up, true) }, func(c *Cable) { c.Cut(Up, false) }, 'x', false},
+		"cut down":     {func(c *Cable) { c.Cut(Down, true) }, func(c *Cable) { c.Cut(Down, false) }, 'x', false},
+		"garbled up":   {func(c *Cable) { c.Garble(Up, 1) }, func(*Cable) {}, 'x' ^ 0x55, true},
+		"garbled down": {func(c *Cable) { c.Garble(Down, 1) }, func(*Cable) {}, 'x' ^ 0x55, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := Listen(echo(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			conn, err := net.Dial("tcp", c.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			b := make([]byte, 1)
+			ask := func(within time.Duration) (byte, error) {
+				conn.SetReadDeadline(time.Now().Add(within))
+				_, err := io.ReadFull(conn, b)
+				return b[0], err
+			}
+			conn.Write([]byte("x"))
+			if got, err := ask(10 * time.Second); err != nil || got != 'x' {
+				t.Fatalf("%c, %v", got, err)
+			}
+			test.do(c)
+			conn.Write([]byte("x"))
+			if !test.passes {
+				if _, err := ask(100 * time.Millisecond); !os.IsTimeout(err) {
+					t.Errorf("it passes: %v", err)
+				}
+			}
+			test.undo(c)
+			if got, err := ask(10 * time.Second); err != nil || got != test.got {
+				t.Errorf("%q, %v", got, err)
+			}
+			c.Break()
+			if _, err := ask(10 * time.Second); err == nil || os.IsTimeout(err) {
+				t.Errorf("not broken: %v", err)
+			}
+		})
+	}
+}
