--- a/internal/route/live.go
+++ b/internal/route/live.go
@@ -17,10 +17,10 @@
 type Denial uint8
 
 const (
-	Taken      Denial = iota
-	OverRate          // more a second than the route takes
-	NoPlace           // as many in hand as may have a hop out and wait
-	OverTenant        // the tenant has used up its part of either
+	Taken      Denial = iota // no denial: the route takes it
+	OverRate                 // more a second than the route takes
+	NoPlace                  // as many in hand as may have a hop out and wait
+	OverTenant               // the tenant has used up its part of either
 )
 
 func (d Denial) String() string {
@@ -29,15 +29,17 @@
 
 // Grant is what an operation holds from its taking to its answer.
 type Grant struct {
-	Kind, Room int // as the module knows them
-	tenant     int
+	Kind   int // as the module knows it
+	Room   int // likewise
+	tenant int
 }
 
 // Update is what the module and the fleet must be told after a swap.
 type Update struct {
-	Types []policy.TrafficType
-	Like  []int
-	Rooms []int
+	Types   []policy.TrafficType
+	Like    []int
+	Rooms   []int
+	Chooses bool // servers otherwise than before: their labels or what they speak may be others
 }
 
 // kind is a traffic type of the module.
@@ -70,7 +72,10 @@
 
 // GateCounts is what became of operations at a gate.
 type GateCounts struct {
-	Taken, OverRate, NoPlace, OverTenant int
+	Taken      int
+	OverRate   int
+	NoPlace    int
+	OverTenant int
 }
 
 // Live holds the routes of a running node over all reloads. It is for one caller at a time.
@@ -103,7 +108,7 @@
 // operation has its answer. Counters and what is left of rates go on under the route's name.
 func (l *Live) Swap(now time.Duration, set *Set) Update {
 	old := l.set
-	oldKindOf := l.kindOf
+	oldKindOf, oldBitOf := l.kindOf, l.bitOf
 	l.set = set
 	l.bitOf = l.assignPools(set)
 	var profiles []Profile
@@ -140,7 +145,7 @@
 		l.kindOf[i] = at
 	}
 	l.assignGates(now, set)
-	u := Update{Like: like}
+	u := Update{Like: like, Chooses: !slices.Equal(oldBitOf, l.bitOf) || !choosesAs(old, set)}
 	for i := range l.kinds {
 		l.kinds[i].free = !l.kinds[i].used && l.kinds[i].inHand == 0
 		t := l.kinds[i].profile.Type
@@ -153,6 +158,18 @@
 	return u
 }
 
+// choosesAs tells whether two sets put every server into the same pools, as they number them, and have it speak the same.
+func choosesAs(a, b *Set) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	same := func(p, q Pool) bool {
+		return slices.Equal(p.Sites, q.Sites) && slices.Equal(p.Flavors, q.Flavors) && slices.Equal(p.Servers, q.Servers)
+	}
+	speaks := func(f FastCGI) Pool { return Pool{Sites: f.Sites, Flavors: f.Flavors, Servers: f.Servers} }
+	return slices.EqualFunc(a.Pools, b.Pools, same) && same(speaks(a.FastCGI), speaks(b.FastCGI))
+}
+
 // ancestor is the module's index of what the first route of a profile was before, -1 for nothing.
 func ancestor(old *Set, kindOf []int, set *Set, profile int) int {
 	if old == nil {
