--- a/internal/route/check.go
+++ b/internal/route/check.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := checker{File: f, file: &file, settings: s, pools: map[string]uint64{}, routes: map[string]int{}}
+	c := newChecker(f, &file, s)
 	set := c.compile()
 	if err := f.Err(); err != nil {
 		return nil, err
@@ -57,11 +57,31 @@
 	settings *settings.Settings
 	pools    map[string]uint64
 	routes   map[string]int
+	parts    *partFaults // nil: all of it comes from the operator's file
+}
+
+func newChecker(f *tomlfile.File, file *File, s *settings.Settings) checker {
+	return checker{File: f, file: file, settings: s, pools: map[string]uint64{}, routes: map[string]int{}}
+}
+
+// Wrong notes a fault: of the part that is looked at, where it is one, or of the operator's file.
+func (c *checker) Wrong(path, format string, args ...any) {
+	if !c.parts.note(format, args...) {
+		c.File.Wrong(path, format, args...)
+	}
+}
+
+// besides tells the line of another route, for a fault that is of both.
+func (c *checker) besides(i int) string {
+	if line := c.Line("routes." + strconv.Itoa(i)); line > 0 {
+		return fmt.Sprintf(" of line %d", line)
+	}
+	return ""
 }
 
 func (c *checker) compile() *Set {
 	set := &Set{Name: c.Name, tree: &tree{}, types: map[string]int{}, tenants: map[string]int{},
-		byFigures: map[Profile]int{}, byName: c.routes, file: c.File}
+		byFigures: map[Profile]int{}, byName: c.routes, file: c.File, source: c.file}
 	for i, name := range c.settings.TypeNames {
 		set.types[name] = i
 		set.profile(Profile{Kind: i, Type: c.settings.Types[i]}, -1)
@@ -92,19 +112,26 @@
 		return set
 	}
 	for i := range c.file.Routes {
+		c.parts.route(i)
 		r := &c.file.Routes[i]
 		if _, twice := c.routes[r.Name]; r.Name == "" {
 			c.Wrong(at(i, "name"), "a route without a name")
 		} else if twice {
-			c.Wrong(at(i, "name"), "a second route %q; the first is in line %d", r.Name, c.Line(at(c.routes[r.Name], "name")))
+			first := ""
+			if line := c.Line(at(c.routes[r.Name], "name")); line > 0 {
+				first = fmt.Sprintf("; the first is in line %d", line)
+			}
+			c.Wrong(at(i, "name"), "a second route %q%s", r.Name, first)
 		} else {
 			c.routes[r.Name] = i
 		}
 	}
 	for i := range c.file.Routes {
+		c.parts.route(i)
 		c.route(set, i)
 	}
 	c.checkFallbacks(set)
+	c.parts.own()
 	if n := len(set.Profiles); n > mostProfiles {
 		c.Wrong("routes", "%d different sets of figures: %d at most; routes with the same figures share one", n, mostProfiles)
 	}
@@ -114,7 +141,9 @@
 func at(route int, key string) string { return "routes." + strconv.Itoa(route) + "." + key }
 
 func (c *checker) checkPools(set *Set) {
+	defer c.parts.own()
 	for i, p := range c.file.Pools {
+		c.parts.pool(i)
 		key := "pools." + strconv.Itoa(i)
 		if _, twice := c.pools[p.Name]; p.Name == "" || twice {
 			c.Wrong(key+".name", "each pool needs a name of its own")
@@ -174,8 +203,8 @@
 	}
 	if ok {
 		if clash := set.tree.add(path, r, i); clash >= 0 {
-			c.Wrong("routes."+strconv.Itoa(i), "route %q and route %q of line %d fit the same requests, and neither is more specific", r.Name,
-				c.file.Routes[clash].Name, c.Line("routes."+strconv.Itoa(clash)))
+			c.Wrong("routes."+strconv.Itoa(i), "route %q and route %q%s fit the same requests, and neither is more specific", r.Name,
+				c.file.Routes[clash].Name, c.besides(clash))
 		}
 	}
 }
@@ -424,6 +453,7 @@
 // checkFallbacks looks for those that lead nowhere, to another class, or back.
 func (c *checker) checkFallbacks(set *Set) {
 	for i := range set.Routes {
+		c.parts.route(i)
 		l := c.fallback(i)
 		if l == "" {
 			continue
@@ -442,6 +472,7 @@
 		}
 	}
 	for i := range set.Routes {
+		c.parts.route(i)
 		seen := []string{set.Routes[i].Name}
 		for at := set.Routes[i].fallback; at >= 0; at = set.Routes[at].fallback {
 			seen = append(seen, set.Routes[at].Name)
--- /dev/null
+++ b/internal/route/part.go
@@ -0,0 +1,118 @@
+package route
+
+import (
+	"bytes"
+	"fmt"
+
+	"fernvane/internal/tomlfile"
+)
+
+// Part is a route or a pool that comes from outside the operator's file. It belongs to a service, or to all of them
+// where the service is "".
+type Part struct {
+	Service, Name string
+	route         *Route
+	pool          *Pool
+}
+
+// qualified is the name of a service's part among all that a node holds.
+func qualified(service, name string) string {
+	if service == "" {
+		return name
+	}
+	return service + "/" + name
+}
+
+// ParseRoute reads the text of one route, as it stands in the operator's file; its [[routes]] line may be left out.
+func ParseRoute(service, name string, text []byte) (Part, error) {
+	label := "route " + qualified(service, name)
+	var one Route
+	if !hasHeader(text, "[[routes]]") {
+		if err := parseAlone(label, text, &one); err != nil {
+			return Part{}, err
+		}
+	} else {
+		var file struct {
+			Routes []Route `toml:"routes"`
+		}
+		if err := parseAlone(label, text, &file); err != nil {
+			return Part{}, err
+		}
+		if len(file.Routes) != 1 {
+			return Part{}, tomlfile.Faults{{File: label, Why: fmt.Sprintf("%d routes: one is wanted", len(file.Routes))}}
+		}
+		one = file.Routes[0]
+	}
+	if err := named(label, name, one.Name); err != nil {
+		return Part{}, err
+	}
+	one.Name = qualified(service, name)
+	return Part{Service: service, Name: name, route: &one}, nil
+}
+
+// ParsePool reads the text of one pool, as it stands in the operator's file; its [[pools]] line may be left out.
+func ParsePool(service, name string, text []byte) (Part, error) {
+	label := "pool " + qualified(service, name)
+	var one Pool
+	if !hasHeader(text, "[[pools]]") {
+		if err := parseAlone(label, text, &one); err != nil {
+			return Part{}, err
+		}
+	} else {
+		var file struct {
+			Pools []Pool `toml:"pools"`
+		}
+		if err := parseAlone(label, text, &file); err != nil {
+			return Part{}, err
+		}
+		if len(file.Pools) != 1 {
+			return Part{}, tomlfile.Faults{{File: label, Why: fmt.Sprintf("%d pools: one is wanted", len(file.Pools))}}
+		}
+		one = file.Pools[0]
+	}
+	if err := named(label, name, one.Name); err != nil {
+		return Part{}, err
+	}
+	one.Name = qualified(service, name)
+	return Part{Service: service, Name: name, pool: &one}, nil
+}
+
+// hasHeader tells whether a line of the text begins an entry of an array of tables.
+func hasHeader(text []byte, header string) bool {
+	for line := range bytes.Lines(text) {
+		if bytes.HasPrefix(bytes.TrimSpace(line), []byte(header)) {
+			return true
+		}
+	}
+	return false
+}
+
+func parseAlone(label string, text []byte, into any) error {
+	f, err := tomlfile.Parse(label, text, into)
+	if err != nil {
+		return err
+	}
+	return f.Err()
+}
+
+// named checks that a text, if it names its part, names it as its key does.
+func named(label, key, text string) error {
+	switch {
+	case key == "":
+		return tomlfile.Faults{{File: label, Why: "a part without a name"}}
+	case text != "" && text != key:
+		return tomlfile.Faults{{File: label, Why: fmt.Sprintf("its text names it %q", text)}}
+	}
+	return nil
+}
+
+// isPool tells a pool from a route.
+func (p Part) isPool() bool { return p.pool != nil }
+
+// String names the part as people know it.
+func (p Part) String() string {
+	if p.isPool() {
+		return "pool " + qualified(p.Service, p.Name)
+	}
+	return "route " + qualified(p.Service, p.Name)
+}
--- a/internal/route/set.go
+++ b/internal/route/set.go
@@ -45,6 +45,7 @@
 	firstOf   []int // by profile: the first route that has it; -1 for the settings' own
 	byName    map[string]int
 	file      *tomlfile.File // the places of its keys
+	source    *File          // what the set was made of
 }
 
 // profile finds a profile with these figures, or adds it.
