distribution/client: a node's end follows control processes and hands on what may be in force

A node must get what changed of its services, hold it over restarts, and never go back. The client subscribes with the vector that its disk holds, puts batches in force through a Listener and acknowledges them then; routes and tenants are put in force at most every 200 ms. What cannot be used is left out by itself, logged once and told upstream until it is over: a rejection without a reason withdraws one (publisher.reject).

A silent control process is asked by an empty Want, which it has to answer by any frame.

--- /dev/null
+++ b/internal/distribution/client/client_test.go
@@ -0,0 +1,457 @@
+package client
+
+import (
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/wire"
+	"fernvane/internal/frames"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func writeFile(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func started(t *testing.T, n *node) {
+	t.Helper()
+	select {
+	case <-n.Started():
+	case <-time.After(patience):
+		t.Fatal("it never starts")
+	}
+}
+
+// What is written at a control process is in force at all nodes of the service, and seen there to be so.
+func TestChangesComeInForce(t *testing.T) {
+	c := newControl(t, "root/1")
+	c.write(put("hire", distribution.Server, "s1", "up"), put("hire", distribution.Route, "r1", "first"), put("", distribution.Tenant, "dairy", "5"))
+	var nodes []*node
+	names := []string{"n1", "n2", "n3"}
+	for _, name := range names {
+		nodes = append(nodes, startNode(t, config(t, name, []string{"hire"}, c.address())))
+	}
+	for _, n := range nodes {
+		started(t, n)
+		if s := n.Status(); s.State != distribution.Current || s.Revision != 3 {
+			t.Errorf("starts as %+v", s)
+		}
+		if n.value(key("hire", distribution.Server, "s1")) != "up" || n.value(key("hire", distribution.Route, "r1")) != "first" ||
+			n.value(key("", distribution.Tenant, "dairy")) != "5" || n.count("whole") != 1 {
+			t.Errorf("at its start holds %v", n.all())
+		}
+	}
+	c.write(put("hire", distribution.Route, "r1", "second"), distribution.Change{Key: key("hire", distribution.Server, "s1"), Deleted: true},
+		put("hire", distribution.Server, "s2", "up"), distribution.Change{Key: key("", distribution.Tenant, "dairy"), Deleted: true})
+	for i, n := range nodes {
+		c.inForce(names[i])
+		if n.value(key("hire", distribution.Route, "r1")) != "second" || n.value(key("hire", distribution.Server, "s2")) != "up" || n.size() != 2 {
+			t.Errorf("%s has in force %v", names[i], n.all())
+		}
+		if s, _ := c.status(names[i]); s.Region != "r" || s.Zone != "z" || len(s.Rejected) > 0 || s.Lag > 0 {
+			t.Errorf("seen as %+v", s)
+		}
+	}
+}
+
+// A node gets what its services hold and nothing of others, by the bytes that leave.
+func TestNodesGetTheirServicesOnly(t *testing.T) {
+	c := newControl(t, "root/1")
+	const size = 40 << 10
+	c.write(put("hire", distribution.Route, "small", "x"), put("yard", distribution.Route, "large", strings.Repeat("y", size)))
+	small, large := startNode(t, config(t, "small", []string{"hire"}, c.address())), startNode(t, config(t, "large", []string{"yard"}, c.address()))
+	started(t, small)
+	started(t, large)
+	c.write(put("yard", distribution.Route, "large", strings.Repeat("z", size)))
+	c.inForce("large")
+	c.mu.Lock()
+	few, many := c.names["small"], c.names["large"]
+	c.mu.Unlock()
+	if few > 1<<10 || many < 2*size {
+		t.Errorf("%d bytes to the one, %d to the other", few, many)
+	}
+	if small.value(key("yard", distribution.Route, "large")) != "" || large.value(key("hire", distribution.Route, "small")) != "" {
+		t.Error("a node holds what is not of its services")
+	}
+}
+
+// An entry that cannot be used is left out by itself, told upstream and logged once; the last good value stays, others hold,
+// and a value that can be used ends it.
+func TestBadEntries(t *testing.T) {
+	for name, kind := range map[string]distribution.Kind{"server": distribution.Server, "route": distribution.Route, "tenant": distribution.Tenant} {
+		t.Run(name, func(t *testing.T) {
+			c := newControl(t, "root/1")
+			c.write(put("hire", kind, "a", "good"))
+			n := startNode(t, config(t, "n", []string{"hire"}, c.address()))
+			started(t, n)
+			c.write(put("hire", kind, "a", "bad"), put("hire", kind, "b", "good"))
+			c.inForce("n")
+			c.write(put("hire", distribution.Pool, "p", "more")) // what else comes does not tell of it again
+			c.inForce("n")
+			if n.value(key("hire", kind, "a")) != "good" || n.value(key("hire", kind, "b")) != "good" {
+				t.Errorf("in force: %v", n.all())
+			}
+			s, _ := c.status("n")
+			if len(s.Rejected) != 1 || s.Rejected[0].Key != key("hire", kind, "a") || s.Rejected[0].Reason != "a bad value" {
+				t.Errorf("rejected, as seen upstream: %v", s.Rejected)
+			}
+			if got := n.Status().Rejected; len(got) != 1 {
+				t.Errorf("rejected, as the node knows: %v", got)
+			}
+			n.log.mu.Lock()
+			if told := strings.Count(strings.Join(n.log.lines, ""), "cannot be used"); told != 1 {
+				t.Errorf("logged %d times: %q", told, n.log.lines)
+			}
+			n.log.mu.Unlock()
+			c.write(put("hire", kind, "a", "better"))
+			c.inForce("n")
+			if s, _ := c.status("n"); len(s.Rejected) != 0 || n.value(key("hire", kind, "a")) != "better" {
+				t.Errorf("after a good value: %v in force, rejected %v", n.force, s.Rejected)
+			}
+		})
+	}
+}
+
+// Changes that come one after the other cost one rebuild of routes in each flushEvery, not one each.
+func TestRebuildsAreCoalesced(t *testing.T) {
+	c := newControl(t, "root/1")
+	n := startNode(t, config(t, "n", []string{"hire"}, c.address()))
+	started(t, n)
+	before, began := n.count("routes"), time.Now()
+	for range 100 {
+		c.write(put("hire", distribution.Route, "a", time.Now().String()))
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.inForce("n")
+	if rebuilds, most := n.count("routes")-before, int(time.Since(began)/flushEvery)+2; rebuilds < 2 || rebuilds > most {
+		t.Errorf("%d rebuilds, %d at most", rebuilds, most)
+	}
+}
+
+// Without any control process a node starts from its disk, by the start's wait, and says that it is behind; a control
+// process that is there later brings it on.
+func TestStartsFromDisk(t *testing.T) {
+	c := newControl(t, "root/1")
+	c.write(put("hire", distribution.Server, "s1", "up"), put("hire", distribution.Route, "r1", "first"))
+	cfg := config(t, "n", []string{"hire"}, c.address())
+	n := startNode(t, cfg)
+	started(t, n)
+	n.stop()
+	store, at := c.store, c.address()
+	c.die()
+
+	cfg.StartWithin = 0
+	n = startNode(t, cfg)
+	started(t, n)
+	if s := n.Status(); s.State != distribution.Isolated || s.Revision != 2 || !s.Known || s.Upstream != "" {
+		t.Errorf("starts as %+v", s)
+	}
+	if n.value(key("hire", distribution.Server, "s1")) != "up" || n.value(key("hire", distribution.Route, "r1")) != "first" {
+		t.Errorf("in force: %v", n.all())
+	}
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c = controlAt(t, ln, store)
+	c.write(put("hire", distribution.Route, "r1", "second"))
+	c.inForce("n")
+	if n.value(key("hire", distribution.Route, "r1")) != "second" || n.Status().State != distribution.Current {
+		t.Errorf("in force: %v, %+v", n.force, n.Status())
+	}
+	if c.names["n"] > 500 { // what its disk holds is not sent again
+		t.Errorf("%d bytes for one change", c.names["n"])
+	}
+}
+
+// A control process with an older state, and one that calls old entries whole, do not bring a node back.
+func TestNeverBack(t *testing.T) {
+	early := newControl(t, "root/1")
+	early.write(put("hire", distribution.Server, "s1", "v1"))
+	late := newControl(t, "other/1")
+	first, _ := early.store.Entry(key("hire", distribution.Server, "s1"))
+	late.store.Merge([]distribution.Entry{first})
+	late.store.Advance(early.store.Vector())
+	second, err := late.store.Write(time.Now(), []distribution.Change{put("hire", distribution.Server, "s1", "v2"), put("hire", distribution.Server, "s2", "v1")})
+	if err != nil || len(second) != 2 {
+		t.Fatal(err)
+	}
+	cfg := config(t, "n", []string{"hire"}, late.address(), early.address())
+	n := startNode(t, cfg)
+	started(t, n)
+	late.die()
+	until(t, func() bool { return n.Status().Upstream == early.address() }, "the older one is followed")
+	early.mu.Lock()
+	for id, p := range early.conns {
+		wire.Send(p.conn, &wire.Batch{Batch: distribution.Batch{Number: 90, Entries: []distribution.Entry{first}, Reset: []string{"hire"}, Complete: true,
+			Through: distribution.Vector{first.Origin: 1}}})
+		_ = id
+	}
+	early.mu.Unlock()
+	early.write(put("hire", distribution.Route, "after", "x"))
+	until(t, func() bool { return n.value(key("hire", distribution.Route, "after")) == "x" }, "it is told of what comes after")
+	if n.value(key("hire", distribution.Server, "s1")) != "v2" || n.value(key("hire", distribution.Server, "s2")) != "v1" || n.Status().Revision < 3 {
+		t.Errorf("in force: %v, %+v", n.force, n.Status())
+	}
+}
+
+// An older copy of the disk, a garbled one and one with entries of an unknown extent are good for a start, or are set aside,
+// and all end with what the control process has.
+func TestDisksOfEarlierTimes(t *testing.T) {
+	copyOf := func(t *testing.T, from, to string) {
+		t.Helper()
+		text, err := os.ReadFile(from)
+		if err != nil {
+			t.Fatal(err)
+		}
+		writeFile(t, to, string(text))
+	}
+	for name, c := range map[string]struct {
+		damage func(t *testing.T, dir, old string)
+		aside  bool
+	}{
+		"as it was": {func(*testing.T, string, string) {}, false},
+		"an older copy": {func(t *testing.T, dir, old string) {
+			copyOf(t, filepath.Join(old, diskFile), filepath.Join(dir, diskFile))
+		}, false},
+		"empty": {func(t *testing.T, dir, _ string) { os.Remove(filepath.Join(dir, diskFile)) }, false},
+		"garbled": {func(t *testing.T, dir, _ string) {
+			writeFile(t, filepath.Join(dir, diskFile), strings.Repeat("garbled", 9000))
+		}, true},
+		"no mark":        {func(t *testing.T, dir, _ string) { os.Remove(filepath.Join(dir, markFile)) }, false},
+		"a garbled mark": {func(t *testing.T, dir, _ string) { writeFile(t, filepath.Join(dir, markFile), "{\"Servi") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctl := newControl(t, "root/1")
+			ctl.write(put("hire", distribution.Server, "s1", "v1"), put("hire", distribution.Server, "s2", "v1"))
+			cfg, old := config(t, "n", []string{"hire"}, ctl.address()), t.TempDir()
+			n := startNode(t, cfg)
+			started(t, n)
+			n.stop()
+			copyOf(t, filepath.Join(cfg.Directory, diskFile), filepath.Join(old, diskFile))
+			ctl.write(put("hire", distribution.Server, "s1", "v2"), distribution.Change{Key: key("hire", distribution.Server, "s2"), Deleted: true})
+			n = startNode(t, cfg)
+			ctl.inForce("n")
+			n.stop()
+			c.damage(t, cfg.Directory, old)
+			ctl.write(put("hire", distribution.Server, "s3", "v1"))
+			n = startNode(t, cfg)
+			started(t, n)
+			ctl.inForce("n")
+			if n.value(key("hire", distribution.Server, "s1")) != "v2" || n.value(key("hire", distribution.Server, "s2")) != "" ||
+				n.value(key("hire", distribution.Server, "s3")) != "v1" {
+				t.Errorf("in force: %v", n.all())
+			}
+			files, _ := filepath.Glob(filepath.Join(cfg.Directory, diskFile+".damaged-*"))
+			if (len(files) > 0) != c.aside {
+				t.Errorf("set aside: %v", files)
+			}
+		})
+	}
+}
+
+// A node that comes to serve another service is sent that one whole, and drops what it does not serve any more.
+func TestServicesChange(t *testing.T) {
+	c := newControl(t, "root/1")
+	c.write(put("hire", distribution.Server, "s1", "up"), put("yard", distribution.Server, "s2", "up"))
+	cfg := config(t, "n", []string{"hire"}, c.address())
+	n := startNode(t, cfg)
+	started(t, n)
+	n.stop()
+	for _, services := range [][]string{{"hire", "yard"}, {"yard"}, {"hire"}} {
+		cfg.Services = services
+		n = startNode(t, cfg)
+		started(t, n)
+		c.inForce("n")
+		if n.size() != len(services) {
+			t.Errorf("with %v in force: %v", services, n.all())
+		}
+		n.stop()
+	}
+}
+
+// A control process that is ahead in nothing is asked for nothing; one that lost its disk is given what the node holds.
+func TestGivesWhatAnEmptiedControlLacks(t *testing.T) {
+	c := newControl(t, "root/1")
+	c.write(put("hire", distribution.Server, "s1", "up"), put("", distribution.Tenant, "dairy", "5"), distribution.Change{Key: key("hire", distribution.Route, "r"), Deleted: true})
+	emptied := newControl(t, "root/2")
+	n := startNode(t, config(t, "n", []string{"hire"}, c.address(), emptied.address()))
+	started(t, n)
+	c.die()
+	until(t, func() bool {
+		emptied.mu.Lock()
+		defer emptied.mu.Unlock()
+		_, server := emptied.store.Entry(key("hire", distribution.Server, "s1"))
+		_, tenant := emptied.store.Entry(key("", distribution.Tenant, "dairy"))
+		gone, known := emptied.store.Entry(key("hire", distribution.Route, "r"))
+		return server && tenant && known && gone.Deleted
+	}, "the emptied one holds all")
+	emptied.write(put("hire", distribution.Server, "s2", "up"))
+	until(t, func() bool { return n.value(key("hire", distribution.Server, "s2")) == "up" }, "its own changes are in force")
+	if n.value(key("hire", distribution.Server, "s1")) != "up" {
+		t.Errorf("in force: %v", n.all())
+	}
+}
+
+// Digests that differ bring a service whole.
+func TestDigestsMend(t *testing.T) {
+	c := newControl(t, "root/1")
+	c.write(put("hire", distribution.Server, "s1", "up"))
+	n := startNode(t, config(t, "n", []string{"hire"}, c.address()))
+	started(t, n)
+	c.mu.Lock() // an entry that was lost on the way, as by a fault of either side
+	lost := distribution.Entry{Key: key("hire", distribution.Server, "s2"), Clock: 1 << 40, Origin: "other/1", Sequence: 1, Value: []byte("up")}
+	c.store.Merge([]distribution.Entry{lost})
+	c.store.Advance(distribution.Vector{"other/1": 1})
+	for _, p := range c.conns {
+		wire.Send(p.conn, &wire.Digests{Digests: distribution.Digests{Services: map[string]uint64{"": c.store.Digest(""), "hire": c.store.Digest("hire")},
+			Through: c.store.Vector().Clone()}})
+	}
+	c.mu.Unlock()
+	until(t, func() bool { return n.value(key("hire", distribution.Server, "s2")) == "up" }, "the lost one is in force")
+}
+
+// Whatever comes in place of a frame ends that connection with one line, and the next control process is followed.
+func TestGarbledFrames(t *testing.T) {
+	frame, err := wire.Append(nil, &wire.Batch{Batch: distribution.Batch{Number: 1, Entries: []distribution.Entry{{Key: key("hire", distribution.Server, "evil"),
+		Clock: 1 << 60, Origin: "evil/1", Sequence: 1, Value: []byte("x")}}, Complete: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	greeting, err := wire.Protocol.Append(nil, frames.Greeting, frames.Hello{Version: wire.Version, Name: "evil"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := wire.Protocol.Append(nil, frames.Greeting, frames.Hello{Version: wire.Version + 1, Name: "evil"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusal, err := wire.Protocol.Append(nil, frames.Refusals, frames.Refusal{Reason: "no room"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	write, err := wire.Append(nil, &wire.Write{ID: 1, Changes: []distribution.Change{put("hire", distribution.Server, "evil", "x")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	flipped := slices.Clone(frame)
+	flipped[len(flipped)/2] ^= 0x20
+	for name, c := range map[string]struct {
+		sends []byte
+		why   string
+	}{
+		"a flipped bit":        {append(slices.Clone(greeting), flipped...), "came as something else"},
+		"half a frame":         {append(slices.Clone(greeting), frame[:len(frame)/2]...), "EOF"},
+		"too long":             {append(slices.Clone(greeting), 0xff, 0xff, 0xff, 0xff, 5), "longer than any may be"},
+		"an unknown kind":      {append(slices.Clone(greeting), 0, 0, 0, 4, 99), "unknown kind"},
+		"no greeting":          {frame, "before the greeting"},
+		"another version":      {other, "version 1 is spoken here"},
+		"HTTP":                 {[]byte("HTTP/1.1 400 Bad Request\r\n\r\n"), "longer than any may be"},
+		"refused":              {append(slices.Clone(greeting), refusal...), "refused by the peer: no room"},
+		"a message of others'": {append(slices.Clone(greeting), write...), "a *wire.Write from a control process"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			go func() {
+				for {
+					nc, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					nc.Write(c.sends)
+					go io.Copy(io.Discard, nc)
+					time.AfterFunc(50*time.Millisecond, func() { nc.Close() })
+				}
+			}()
+			good := newControl(t, "root/1")
+			good.write(put("hire", distribution.Server, "s1", "up"))
+			n := startNode(t, config(t, "n", []string{"hire"}, ln.Addr().String(), good.address()))
+			started(t, n)
+			if n.size() != 1 || n.value(key("hire", distribution.Server, "s1")) != "up" {
+				t.Errorf("in force: %v", n.all())
+			}
+			n.log.mu.Lock()
+			defer n.log.mu.Unlock()
+			if told := strings.Count(strings.Join(n.log.lines, ""), c.why); told != 1 {
+				t.Errorf("%q told %d times: %q", c.why, told, n.log.lines)
+			}
+		})
+	}
+}
+
+// A control process that is there but says nothing, as one that was stopped, is left for the next.
+func TestSilentControlIsLeft(t *testing.T) {
+	c, next := newControl(t, "root/1"), newControl(t, "root/2")
+	n := startNode(t, config(t, "n", []string{"hire"}, c.address(), next.address()))
+	started(t, n)
+	if n.Status().Upstream != c.address() {
+		t.Fatalf("follows %s", n.Status().Upstream)
+	}
+	until(t, func() bool { // one that answers is kept
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.wants) >= 2
+	}, "it is asked twice whether it is there")
+	if n.Status().Upstream != c.address() {
+		t.Fatal("a control process that answers was left")
+	}
+	c.mu.Lock()
+	c.quiet = true
+	c.mu.Unlock()
+	until(t, func() bool { return n.Status().Upstream == next.address() }, "the next is followed")
+	next.write(put("hire", distribution.Server, "s1", "up"))
+	next.inForce("n")
+}
+
+// Commands and nodes read one file; each fault is told by its line.
+func TestConfigFaults(t *testing.T) {
+	dir := t.TempDir()
+	base := "control = [\"127.0.0.1:7560\"]\nservices = [\"hire\"]\ndirectory = \"" + dir + "\"\nplaintext = true\n"
+	for name, c := range map[string]struct{ text, node, command string }{
+		"well":                 {base, "", ""},
+		"for commands alone":   {"control = [\"127.0.0.1:7560\"]\nplaintext = true\n", "0 services", ""},
+		"nobody to follow":     {strings.Replace(base, "\"127.0.0.1:7560\"", "", 1), ":1: 0 control processes", ":1: 0 control processes"},
+		"no address":           {strings.Replace(base, ":7560", "", 1), ":1: control process \"127.0.0.1\"", ":1: control process"},
+		"no port":              {strings.Replace(base, ":7560", ":0", 1), ":1: control process \"127.0.0.1:0\"", ":1: control process"},
+		"plain beyond":         {strings.Replace(base, "127.0.0.1", "10.0.0.1", 1), "loopback", "loopback"},
+		"no folder":            {strings.Replace(base, dir, dir+"/none", 1), ":3: directory", ""},
+		"a service twice":      {strings.Replace(base, "\"hire\"", "\"hire\", \"hire\"", 1), ":2: service \"hire\" is named twice", ""},
+		"a service of nothing": {strings.Replace(base, "\"hire\"", "\"\"", 1), ":2: service \"\"", ""},
+		"too long a start":     {base + "start_within = \"2m\"\n", ":5: start_within 2m0s", ""},
+		"an unknown key":       {base + "zones = 2\n", ":5: unknown key \"zones\"", ":5: unknown key"},
+		"no keys":              {strings.Replace(base, "plaintext = true\n", "", 1), "tls_name", "tls_name"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "f.toml")
+			writeFile(t, path, c.text)
+			_, node := Load(path)
+			_, command := LoadAccess(path)
+			for _, v := range []struct {
+				err  error
+				want string
+			}{{node, c.node}, {command, c.command}} {
+				if (v.err == nil) != (v.want == "") || v.err != nil && !strings.Contains(v.err.Error(), v.want) {
+					t.Errorf("%v, not %q", v.err, v.want)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/distribution/client/config.go
@@ -0,0 +1,123 @@
+// Package client is a node's end of the distribution: it follows one of its zone's control processes, keeps what it is
+// told on disk, and hands what may be put in force to a listener. The same file leads commands to a control process.
+package client
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/mtls"
+	"fernvane/internal/tomlfile"
+)
+
+const (
+	controlsMost    = 8
+	servicesMost    = 1000
+	startWithinBase = 2 * time.Second
+	startWithinMost = time.Minute
+)
+
+// Config is an operator's file of the distribution, of a node or of a command.
+type Config struct {
+	Control     []string      `toml:"control"`      // addresses of control processes, the preferred one first
+	Services    []string      `toml:"services"`     // that the node serves
+	Region      string        `toml:"region"`       // where it stands, for the status
+	Zone        string        `toml:"zone"`         // likewise
+	Directory   string        `toml:"directory"`    // a folder that is there, for what the node holds
+	StartWithin tomlfile.Span `toml:"start_within"` // how long a start waits to be current
+	TLSName     string        `toml:"tls_name"`     // that the control processes' certificates are for
+	Cert        string        `toml:"cert"`
+	Key         string        `toml:"key"`
+	CA          string        `toml:"ca"`
+	Plaintext   bool          `toml:"plaintext"` // without TLS, on loopback only
+
+	Name      string           `toml:"-"` // of the node
+	Addresses []netip.AddrPort `toml:"-"`
+	Keys      *mtls.Keys       `toml:"-"` // nil: plaintext
+}
+
+// Load reads the file of a node; each fault is named by file and line.
+func Load(path string) (*Config, error) {
+	c, f, err := parse(path)
+	if err != nil {
+		return nil, err
+	}
+	if len(c.Services) == 0 || len(c.Services) > servicesMost {
+		f.Wrong("services", "%d services: from 1 to %d", len(c.Services), servicesMost)
+	}
+	for i, name := range c.Services {
+		switch {
+		case name == "" || len(name) > distribution.NameMost:
+			f.Wrong("services."+strconv.Itoa(i), "service %.40q: a name of 1 to %d bytes is wanted", name, distribution.NameMost)
+		case slices.Contains(c.Services[:i], name):
+			f.Wrong("services."+strconv.Itoa(i), "service %q is named twice", name)
+		}
+	}
+	if st, err := os.Stat(c.Directory); c.Directory == "" || err != nil || !st.IsDir() {
+		f.Wrong("directory", "directory %q is no folder that is there", c.Directory)
+	}
+	if d := c.StartWithin.D(); d < 0 || d > startWithinMost {
+		f.Wrong("start_within", "start_within %s: from 0s to %s", d, startWithinMost)
+	}
+	return c, f.Err()
+}
+
+// LoadAccess reads as much of the file as a command needs: where control processes are, and the keys.
+func LoadAccess(path string) (*Config, error) {
+	c, f, err := parse(path)
+	if err != nil {
+		return nil, err
+	}
+	return c, f.Err()
+}
+
+func parse(path string) (*Config, *tomlfile.File, error) {
+	text, err := tomlfile.Read(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	c := &Config{StartWithin: tomlfile.Span(startWithinBase)}
+	f, err := tomlfile.Parse(path, text, c)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(c.Control) == 0 || len(c.Control) > controlsMost {
+		f.Wrong("control", "%d control processes: from 1 to %d", len(c.Control), controlsMost)
+	}
+	for i, address := range c.Control {
+		at, err := netip.ParseAddrPort(address)
+		if err != nil || at.Port() == 0 {
+			f.Wrong("control."+strconv.Itoa(i), "control process %q: an address and a port are wanted", address)
+		}
+		c.Addresses = append(c.Addresses, at)
+	}
+	if !c.Plaintext && c.TLSName == "" {
+		f.Wrong("tls_name", "tls_name says what the control processes' certificates are for")
+	}
+	c.Keys = mtls.Configured(f, mtls.Files{Cert: c.Cert, Key: c.Key, CA: c.CA}, c.Plaintext, c.Addresses)
+	return c, f, nil
+}
+
+// scope is the services that the node holds entries of: its own, and what is for every node.
+func (c *Config) scope() []string { return append([]string{""}, c.Services...) }
+
+// secure wraps a connection to a control process in TLS, where the file names keys. Keys that could not be read again are
+// a fault that ends nothing.
+func (c *Config) secure(connection net.Conn) (net.Conn, error) {
+	if c.Keys == nil {
+		return connection, nil
+	}
+	secured := c.Keys.Client(connection, c.TLSName)
+	if err := c.Keys.Fault(); err != nil {
+		return secured, errors.Join(errKeys, err)
+	}
+	return secured, nil
+}
+
+var errKeys = errors.New("keys not read again")
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -293,11 +293,13 @@
 	p.place(now, s)
 }
 
-// reject keeps the newest rejections, one of a key.
+// reject keeps the newest rejections, one of a key; one without a reason is over.
 func (s *subscription) reject(rejected []Rejection) {
 	for _, r := range rejected {
 		s.rejected = slices.DeleteFunc(s.rejected, func(other Rejection) bool { return other.Key == r.Key })
-		s.rejected = append(s.rejected, r)
+		if r.Reason != "" {
+			s.rejected = append(s.rejected, r)
+		}
 	}
 	if n := len(s.rejected) - rejectMost; n > 0 {
 		s.rejected = slices.Delete(s.rejected, 0, n)
--- /dev/null
+++ b/internal/distribution/value/value.go
@@ -0,0 +1,100 @@
+// Package value is what the values of distributed entries hold: for people as TOML, for those who hold them in bytes. A
+// server's value is its life, a tenant's its allowance, a route's and a pool's the text that an operator's file has of it.
+package value
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/life"
+)
+
+// Tenant is what a tenant's entry holds.
+type Tenant struct {
+	_ struct{} `cbor:",toarray"`
+
+	Allowance float64 // requests a second
+}
+
+var (
+	encoding = must(cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode())
+	decoding = must(cbor.DecOptions{IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden, MaxNestedLevels: 4}.DecMode())
+)
+
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err) // the options are this file's own
+	}
+	return mode
+}
+
+// EncodeServer writes a server's value. Its revision is that of the entry, so it is left out.
+func EncodeServer(e life.Entry) ([]byte, error) {
+	e.Revision = 0
+	if err := checkServer(e); err != nil {
+		return nil, err
+	}
+	return encoding.Marshal(e)
+}
+
+// DecodeServer reads a server's entry, a deletion too, as a life at the entry's revision.
+func DecodeServer(e distribution.Entry) (life.Entry, error) {
+	if e.Deleted {
+		return life.Entry{ID: e.Key.Name, Condition: life.Gone, Revision: e.Clock}, nil
+	}
+	var server life.Entry
+	if err := decoding.Unmarshal(e.Value, &server); err != nil {
+		return server, errors.New("the value of a server cannot be read")
+	}
+	if server.ID != e.Key.Name {
+		return server, fmt.Errorf("its value is of server %.40q", server.ID)
+	}
+	server.Revision = e.Clock
+	return server, checkServer(server)
+}
+
+func checkServer(e life.Entry) error {
+	switch {
+	case e.ID == "":
+		return errors.New("a server without an id")
+	case e.Condition > life.Gone:
+		return fmt.Errorf("unknown condition %d", e.Condition)
+	case math.IsNaN(e.Size) || math.IsInf(e.Size, 0) || e.Size < 0:
+		return fmt.Errorf("size %v: a number of 0 or more is wanted", e.Size)
+	case e.Up < 0:
+		return fmt.Errorf("up %d: Unix time in ms is wanted", e.Up)
+	}
+	if at, err := netip.ParseAddrPort(e.Address); (err != nil || at.Port() == 0) && e.Condition == life.Up {
+		return fmt.Errorf("address %.60q: an address and a port are wanted", e.Address)
+	}
+	return nil
+}
+
+// EncodeTenant writes a tenant's value.
+func EncodeTenant(t Tenant) ([]byte, error) {
+	if err := checkTenant(t); err != nil {
+		return nil, err
+	}
+	return encoding.Marshal(t)
+}
+
+// DecodeTenant reads a tenant's entry that is not deleted.
+func DecodeTenant(e distribution.Entry) (Tenant, error) {
+	var t Tenant
+	if err := decoding.Unmarshal(e.Value, &t); err != nil {
+		return t, errors.New("the value of a tenant cannot be read")
+	}
+	return t, checkTenant(t)
+}
+
+func checkTenant(t Tenant) error {
+	if math.IsNaN(t.Allowance) || math.IsInf(t.Allowance, 0) || t.Allowance < 0 {
+		return fmt.Errorf("allowance %v: a number of 0 or more is wanted", t.Allowance)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/serve/distribution.go
@@ -0,0 +1,247 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/client"
+	"fernvane/internal/distribution/value"
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/life"
+	"fernvane/internal/roster"
+	"fernvane/internal/route"
+	"fernvane/internal/settings"
+	"fernvane/internal/watch"
+)
+
+const fallbackLook = 500 * time.Millisecond // between two looks whether discovery is to be asked
+
+// distributed puts in force what the node is told of the distribution: servers, routes and pools, tenants.
+type distributed struct {
+	client   *client.Client
+	fleet    *fleet.Fleet
+	settings *settings.Settings
+	log      zerolog.Logger
+
+	mu    sync.Mutex // never held over a socket or the disk; may be held while the fleet's lock is taken
+	lives *life.Table
+	told  bool                       // the fleet has been told of servers from here
+	own   *route.Set                 // what the operator's file says; nil for none
+	held  []distribution.Entry       // routes and pools
+	parts map[distribution.Key]parts // what was made of them
+
+	allowances map[distribution.Key]float64 // of tenants, as they are in force
+}
+
+// parts is what became of one entry.
+type parts struct {
+	version distribution.Entry
+	part    route.Part
+	err     error       // why it could not be read
+	last    *route.Part // that holds, of this version or an earlier one
+}
+
+func newDistributed(cfg Config, f *fleet.Fleet, log zerolog.Logger) (*distributed, error) {
+	d := &distributed{fleet: f, settings: &cfg.Settings, log: log, lives: life.NewTable(), own: cfg.Routes, parts: map[distribution.Key]parts{}}
+	config := *cfg.Distribution
+	config.Name = cfg.Name
+	var err error
+	d.client, err = client.New(&config, d, log)
+	return d, err
+}
+
+// Servers has the fleet take servers in; one that was told to drain or to be gone does not come back by an older word.
+func (d *distributed) Servers(changed []distribution.Entry, whole bool) (rejected []distribution.Rejection) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entries := make([]life.Entry, 0, len(changed))
+	for _, e := range changed {
+		server, err := value.DecodeServer(e)
+		if err != nil {
+			rejected = append(rejected, distribution.Rejection{Key: e.Key, Reason: err.Error()})
+			continue
+		}
+		entries = append(entries, server)
+	}
+	now := d.fleet.Now()
+	d.lives.Forget(now)
+	news := d.lives.Told(now, entries, false)
+	for _, e := range entries {
+		if _, known := d.lives.Get(e.ID); !known {
+			rejected = append(rejected, distribution.Rejection{Key: keyOf(changed, e.ID), Reason: "more servers than a node takes"})
+		}
+	}
+	if len(news) == 0 && !whole {
+		return rejected
+	}
+	l := watch.List(news)
+	l.Complete = whole
+	for _, err := range l.Skipped {
+		d.log.Warn().Err(err).Msg("list entry skipped")
+	}
+	d.fleet.Listed(l, roster.Distribution)
+	d.told = true
+	return rejected
+}
+
+// keyOf finds the key of a server among entries.
+func keyOf(entries []distribution.Entry, id string) distribution.Key {
+	for _, e := range entries {
+		if e.Key.Name == id {
+			return e.Key
+		}
+	}
+	return distribution.Key{}
+}
+
+// Routes has the fleet go by the operator's file and all routes and pools that can be used.
+func (d *distributed) Routes(all []distribution.Entry) []distribution.Rejection {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held = all
+	return d.assemble()
+}
+
+// reroute has another operator's file beneath the entries, nil for none.
+func (d *distributed) reroute(own *route.Set) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.own = own
+	for _, r := range d.assemble() {
+		d.log.Error().Err(errors.New(r.Reason)).Stringer("entry", r.Key).Msg("distribution: entry does not fit the operator's file")
+	}
+}
+
+// assemble makes one set of all and puts it in force. It costs what all routes of the node's services cost, 11 ms for a
+// thousand, and is therefore asked for at most every 200 ms. Texts that have not changed are not read again.
+func (d *distributed) assemble() (rejected []distribution.Rejection) {
+	next := make(map[distribution.Key]parts, len(d.held))
+	candidates := make([]route.Candidate, len(d.held))
+	for i, e := range d.held {
+		p := d.parts[e.Key]
+		if distribution.Compare(p.version, e) != 0 {
+			p.version = e
+			parse := route.ParseRoute
+			if e.Key.Kind == distribution.Pool {
+				parse = route.ParsePool
+			}
+			p.part, p.err = parse(e.Key.Service, e.Key.Name, e.Value)
+		}
+		next[e.Key] = p
+		candidates[i] = route.Candidate{Part: p.part, Last: p.last}
+	}
+	assembled, err := route.Assemble(d.own, d.settings, candidates)
+	if err != nil {
+		d.log.Error().Err(err).Msg("distribution: routes cannot be put together: those before hold")
+	}
+	for i, e := range d.held {
+		p := next[e.Key]
+		why := p.err
+		if why == nil {
+			why = assembled.Unusable[i]
+		}
+		if why == nil && err != nil {
+			why = err
+		}
+		if why != nil {
+			rejected = append(rejected, distribution.Rejection{Key: e.Key, Reason: why.Error()})
+		}
+		if err == nil {
+			p.last = assembled.Used[i]
+			next[e.Key] = p
+		}
+	}
+	d.parts = next
+	if err == nil {
+		d.fleet.Reroute(assembled.Set)
+	}
+	return rejected
+}
+
+// Tenants has the fleet go by the allowances that are told beside those of the settings. One that several services name
+// may use the sum.
+func (d *distributed) Tenants(all []distribution.Entry) (rejected []distribution.Rejection) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next, sums := make(map[distribution.Key]float64, len(all)), map[string]float64{}
+	for _, e := range all {
+		tenant, err := value.DecodeTenant(e)
+		if err != nil {
+			rejected = append(rejected, distribution.Rejection{Key: e.Key, Reason: err.Error()})
+			before, had := d.allowances[e.Key]
+			if !had {
+				continue
+			}
+			tenant.Allowance = before
+		}
+		next[e.Key] = tenant.Allowance
+		sums[e.Key.Name] += tenant.Allowance
+	}
+	d.allowances = next
+	d.allow(sums)
+	return rejected
+}
+
+// allow hands allowances to the fleet.
+func (d *distributed) allow(sums map[string]float64) {
+	if f, ok := any(d.fleet).(interface{ SetAllowances(map[string]float64) }); ok {
+		f.SetAllowances(sums)
+	}
+}
+
+// lacks tells whether discovery is to be asked in place of control processes: none could be reached for a while, and no
+// server is held of an earlier time.
+func (d *distributed) lacks() bool {
+	d.mu.Lock()
+	told := d.told
+	d.mu.Unlock()
+	return !told && d.client.Status().State == distribution.Isolated
+}
+
+// discovered takes in what discovery has told, unless control processes have told of servers meanwhile.
+func (d *distributed) discovered(l http1.List) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.told {
+		d.fleet.Listed(l, roster.Discovery)
+	}
+}
+
+// await returns when discovery is to be asked.
+func (d *distributed) await(ctx context.Context) bool {
+	look := time.NewTicker(fallbackLook)
+	defer look.Stop()
+	for !d.lacks() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-look.C:
+		}
+	}
+	return true
+}
+
+// awaitStart waits until the node may serve, or is told to stop.
+func (d *distributed) awaitStart(ctx context.Context, stop <-chan struct{}) {
+	select {
+	case <-d.client.Started():
+	case <-ctx.Done():
+	case <-stop:
+	}
+}
+
+// report adds to a line of counts how the node stands.
+func (d *distributed) report(line *zerolog.Event) {
+	s := d.client.Status()
+	of := zerolog.Dict().Stringer("state", s.State).Uint64("revision", s.Revision).Int("rejected", len(s.Rejected))
+	if s.Known {
+		of.Float64("lag_s", s.Behind.Round(time.Second/10).Seconds())
+	}
+	line.Dict("distribution", of)
+}
