--- a/cmd/fernvane/check.go
+++ b/cmd/fernvane/check.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"fernvane/internal/bindlog"
+	"fernvane/internal/distribution/client"
 	"fernvane/internal/peers"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/registry"
@@ -50,7 +51,7 @@
 				return e.Encode(route.Schema())
 			case f.config != "":
 				return checkAll(out, errs, &f)
-			case f.operator+f.planners+f.bindings+f.registries+f.snapshot+f.peers+planFile == "":
+			case f.operator+f.planners+f.bindings+f.registries+f.snapshot+f.peers+f.distribution+planFile == "":
 				return unusable{errors.New("no configuration is named: --config FILE; or name a file to check by itself")}
 			}
 			return checkEach(out, &f, planFile, set)
@@ -82,6 +83,7 @@
 	tellRegistry(out, cfg.Registry)
 	tellSnapshot(out, cfg.Snapshot)
 	tellPeers(out, cfg.Peers)
+	tellDistribution(out, cfg.Distribution)
 	if cfg.Watch != nil {
 		fmt.Fprintln(out, "watches other settings beside its own; decides by its own")
 	}
@@ -127,6 +129,12 @@
 			tellPeers(out, p)
 		}
 	}
+	if f.distribution != "" {
+		d, err := client.Load(f.distribution)
+		if all = errors.Join(all, err); err == nil {
+			tellDistribution(out, d)
+		}
+	}
 	if planFile != "" {
 		p, err := plancfg.LoadPlanner(planFile)
 		if all = errors.Join(all, err); err == nil {
@@ -235,6 +243,13 @@
 	}
 }
 
+func tellDistribution(out io.Writer, d *client.Config) {
+	if d != nil {
+		fmt.Fprintf(out, "follows the control processes %s for %d services, TLS %v; holds entries in %s, waits %s at a start to be current\n",
+			strings.Join(d.Control, ", "), len(d.Services), d.Keys != nil, d.Directory, d.StartWithin.D())
+	}
+}
+
 func tellRegistry(out io.Writer, r *registry.Config) {
 	if r != nil {
 		fmt.Fprintf(out, "reads servers under %s%s of the registry at %s\n", strings.TrimSuffix(r.Chroot, "/"), r.Path, strings.Join(r.Servers, ", "))
--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -41,7 +41,7 @@
 discovery or a registry names, and tells the client how it ended.
 
 Files are named by flags or by the environment: PROXY_CONFIG, PROXY_OPERATOR, PROXY_PLANNERS, PROXY_BINDINGS, PROXY_REGISTRY,
-PROXY_SNAPSHOT, PROXY_PEERS, PROXY_PLAN. Exit codes: 0 done, 1 it could not serve, a journal or a kept list is damaged, or too few
+PROXY_SNAPSHOT, PROXY_PEERS, PROXY_DISTRIBUTION, PROXY_PLAN. Exit codes: 0 done, 1 it could not serve, a journal or a kept list is damaged, or too few
 nodes answer or hold what is kept, 2 a file or the command line is of no use.`,
 		Example: `  fernvane serve --config config.json
   fernvane check --operator deploy/operator.example.toml
--- a/cmd/fernvane/pages_test.go
+++ b/cmd/fernvane/pages_test.go
@@ -77,6 +77,7 @@
 		"planners.toml": put("planners.toml", "planners = [\"127.0.0.1:1\"]\nplaintext = true\n"),
 		"planner.toml":  put("planner.toml", fmt.Sprintf("name = \"p\"\nlisten = %q\ndiscovery = \"127.0.0.1:1\"\nplaintext = true\n", free(t))),
 	}
+	stands["distribution.toml"] = put("distribution.toml", fmt.Sprintf("control = [\"127.0.0.1:1\"]\nservices = [\"hire\"]\ndirectory = %q\nplaintext = true\n", t.TempDir()))
 	first, _ := node(t, "n0")
 	tier, err := peers.Load(first)
 	if err != nil {
--- a/cmd/fernvane/serve.go
+++ b/cmd/fernvane/serve.go
@@ -16,6 +16,7 @@
 type files struct {
 	getenv                                                                   func(string) string
 	config, operator, planners, bindings, registries, snapshot, peers, watch string
+	distribution                                                             string
 }
 
 func (f *files) flags(set *pflag.FlagSet) {
@@ -30,6 +31,7 @@
 		{&f.registries, "registry", "PROXY_REGISTRY", "read servers from a registry of ephemeral nodes, by this TOML `file`"},
 		{&f.snapshot, "snapshot", "PROXY_SNAPSHOT", "keep the list of servers on disk for the next start, by this TOML `file`"},
 		{&f.peers, "peers", "PROXY_PEERS", "know the other nodes of the tier and hold replicas for them, by this TOML `file`"},
+		{&f.distribution, "distribution", "PROXY_DISTRIBUTION", "follow control processes for servers, routes and tenants, by this TOML `file`"},
 		{&f.watch, "watch", "PROXY_WATCH", "count where these settings would decide otherwise, a JSON `file`"},
 	} {
 		set.StringVar(v.to, v.name, f.getenv(v.env), v.help+"; or "+v.env)
@@ -53,6 +55,8 @@
 			return f.peers
 		case "PROXY_WATCH":
 			return f.watch
+		case "PROXY_DISTRIBUTION":
+			return f.distribution
 		}
 		return f.getenv(name)
 	})
--- a/internal/roster/book.go
+++ b/internal/roster/book.go
@@ -17,10 +17,12 @@
 	Discovery               // asked by this node
 	Registry                // read by this node
 	Planners                // they have asked
+
+	Distribution // control processes, or what this node holds of their entries
 )
 
 func (s Source) String() string {
-	return [...]string{"the saved list", "the disk", "discovery", "a registry", "planners"}[s]
+	return [...]string{"the saved list", "the disk", "discovery", "a registry", "planners", "the distribution"}[s]
 }
 
 // Word is what a source says of a server.
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fernvane/internal/bindlog"
+	"fernvane/internal/distribution/client"
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
 	"fernvane/internal/node"
@@ -32,31 +33,32 @@
 
 // Config is what a node is told at its start.
 type Config struct {
-	Name      string
-	Listen    netip.AddrPort
-	Discovery netip.AddrPort
-	Seed      uint32
-	Cores     float64
-	Limits    fleet.Limits
-	Known     http1.List
-	KnownErr  error // a saved list of no use; the node starts without
-	Settings  settings.Settings
-	Operator  string             // the operator's file; "" for none
-	Routes    *route.Set         // what it says; nil for none
-	Module    node.Maker         // nil: the project's own
-	Unguarded bool               // what the module decides is sent as it is: for modules that are broken on purpose
-	Deaf      bool               // clients' leaving is not looked at: likewise
-	Planners  *plancfg.Forwarder // nil: the node decides by itself
-	Bindings  *bindlog.Config    // nil: no journal of bindings is kept
-	Registry  *registry.Config   // nil: discovery tells of servers
-	Snapshot  *snapshot.Config   // nil: no list is kept on disk
-	Peers     *peers.Config      // nil: the node knows of no other one
-	Watch     *shadow.Watch      // nil: no other settings are watched beside the node's own
-	Disk      bindlog.Files      // beneath it; nil: the system's
-	path      string
-	getenv    func(string) string
-	told      string // discovery's address as the file names it
-	stop      unhurried
+	Name         string
+	Listen       netip.AddrPort
+	Discovery    netip.AddrPort
+	Seed         uint32
+	Cores        float64
+	Limits       fleet.Limits
+	Known        http1.List
+	KnownErr     error // a saved list of no use; the node starts without
+	Settings     settings.Settings
+	Operator     string             // the operator's file; "" for none
+	Routes       *route.Set         // what it says; nil for none
+	Module       node.Maker         // nil: the project's own
+	Unguarded    bool               // what the module decides is sent as it is: for modules that are broken on purpose
+	Deaf         bool               // clients' leaving is not looked at: likewise
+	Planners     *plancfg.Forwarder // nil: the node decides by itself
+	Bindings     *bindlog.Config    // nil: no journal of bindings is kept
+	Registry     *registry.Config   // nil: discovery tells of servers
+	Snapshot     *snapshot.Config   // nil: no list is kept on disk
+	Peers        *peers.Config      // nil: the node knows of no other one
+	Distribution *client.Config     // nil: the list and the limits come from elsewhere
+	Watch        *shadow.Watch      // nil: no other settings are watched beside the node's own
+	Disk         bindlog.Files      // beneath it; nil: the system's
+	path         string
+	getenv       func(string) string
+	told         string // discovery's address as the file names it
+	stop         unhurried
 }
 
 // unhurried has a stop wait for what a test does meanwhile; its zero is the usual haste.
@@ -93,6 +95,11 @@
 	if err == nil && c.Bindings != nil && c.Bindings.Promise == bindlog.Machines && c.Peers == nil {
 		err = errors.New("the promise machines needs other nodes to hold what is kept: name them with --peers FILE")
 	}
+	if path := getenv("PROXY_DISTRIBUTION"); err == nil && path != "" {
+		if c.Distribution, err = client.Load(path); err == nil {
+			err = c.oneList()
+		}
+	}
 	if path := getenv("PROXY_WATCH"); err == nil && path != "" {
 		var s *settings.Settings
 		if s, err = readWatch(path, &c.Settings); err == nil {
@@ -102,6 +109,16 @@
 	return c, err
 }
 
+// oneList says why the distribution cannot go with another part that tells of servers.
+func (c *Config) oneList() error {
+	for name, told := range map[string]bool{"registry": c.Registry != nil, "planners": c.Planners != nil, "snapshot": c.Snapshot != nil} {
+		if told {
+			return fmt.Errorf("--distribution brings the list of servers and keeps it: it does not go with --%s", name)
+		}
+	}
+	return nil
+}
+
 // readWatch reads the settings that are to be watched beside a node's own.
 func readWatch(path string, own *settings.Settings) (*settings.Settings, error) {
 	s, err := ReadSettings(path)
--- a/internal/serve/discovery.go
+++ b/internal/serve/discovery.go
@@ -40,6 +40,14 @@
 				}
 				w.Revision = max(w.Revision, told) // only what they have not told is asked for
 			}
+			if s.distribution != nil {
+				if !s.distribution.lacks() {
+					w.Close()
+				}
+				if !s.distribution.await(ctx) {
+					return nil
+				}
+			}
 			began := time.Now()
 			list, err := w.Call(ctx)
 			if ctx.Err() != nil {
@@ -87,6 +95,8 @@
 	}
 	if s.planners != nil {
 		s.planners.discovered(list)
+	} else if s.distribution != nil {
+		s.distribution.discovered(list)
 	} else {
 		s.fleet.Listed(list, roster.Discovery)
 	}
--- /dev/null
+++ b/internal/serve/distribution_test.go
@@ -0,0 +1,219 @@
+package serve
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/value"
+	"fernvane/internal/fleet"
+	"fernvane/internal/http1"
+	"fernvane/internal/life"
+	"fernvane/internal/node"
+	"fernvane/internal/plancfg"
+	"fernvane/internal/registry"
+	"fernvane/internal/roster"
+	"fernvane/internal/route"
+	"fernvane/internal/snapshot"
+)
+
+// distributedTo is the part of a node that takes entries, before any socket.
+func distributedTo(t *testing.T) *distributed {
+	t.Helper()
+	cfg := config()
+	f := fleet.New(cfg.Settings, 1, cfg.Limits, node.Policy)
+	t.Cleanup(f.Stop)
+	return &distributed{fleet: f, settings: &cfg.Settings, log: zerolog.Nop(), lives: life.NewTable(), parts: map[distribution.Key]parts{}}
+}
+
+func entryOf(kind distribution.Kind, name string, clock uint64, val []byte) distribution.Entry {
+	return distribution.Entry{Key: distribution.Key{Service: "hire", Kind: kind, Name: name}, Clock: clock, Origin: "root/1", Sequence: clock, Value: val,
+		Deleted: val == nil}
+}
+
+func serverEntry(t *testing.T, clock uint64, e life.Entry) distribution.Entry {
+	t.Helper()
+	val, err := value.EncodeServer(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return entryOf(distribution.Server, e.ID, clock, val)
+}
+
+// What comes of servers, in the order in which it is told; clocks are those of the writes.
+func TestDistributedServers(t *testing.T) {
+	up := life.Entry{ID: "s", Address: "127.0.0.1:80", Up: 1000, Size: 1}
+	draining := up
+	draining.Condition = life.Draining
+	restarted := up
+	restarted.Up = 2000
+	moved := up
+	moved.Address = "127.0.0.1:81"
+	for name, c := range map[string]struct {
+		told      []distribution.Entry
+		used      bool
+		condition life.Condition
+		at        string
+	}{
+		"up":                           {[]distribution.Entry{serverEntry(t, 1, up)}, true, life.Up, "127.0.0.1:80"},
+		"moved":                        {[]distribution.Entry{serverEntry(t, 1, up), serverEntry(t, 2, moved)}, true, life.Up, "127.0.0.1:81"},
+		"draining":                     {[]distribution.Entry{serverEntry(t, 1, up), serverEntry(t, 2, draining)}, false, life.Draining, "127.0.0.1:80"},
+		"an older up after the drain":  {[]distribution.Entry{serverEntry(t, 1, up), serverEntry(t, 3, draining), serverEntry(t, 2, up)}, false, life.Draining, "127.0.0.1:80"},
+		"the drain is called off":      {[]distribution.Entry{serverEntry(t, 1, up), serverEntry(t, 2, draining), serverEntry(t, 3, up)}, true, life.Up, "127.0.0.1:80"},
+		"deleted":                      {[]distribution.Entry{serverEntry(t, 1, up), entryOf(distribution.Server, "s", 2, nil)}, false, life.Gone, "127.0.0.1:80"},
+		"an older up after the end":    {[]distribution.Entry{serverEntry(t, 1, up), entryOf(distribution.Server, "s", 3, nil), serverEntry(t, 2, up)}, false, life.Gone, "127.0.0.1:80"},
+		"written again":                {[]distribution.Entry{serverEntry(t, 1, up), entryOf(distribution.Server, "s", 2, nil), serverEntry(t, 3, up)}, true, life.Up, "127.0.0.1:80"},
+		"the next start":               {[]distribution.Entry{serverEntry(t, 1, draining), serverEntry(t, 2, restarted)}, true, life.Up, "127.0.0.1:80"},
+		"a bad value, what was stands": {[]distribution.Entry{serverEntry(t, 1, up), entryOf(distribution.Server, "s", 2, []byte("bad"))}, true, life.Up, "127.0.0.1:80"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := distributedTo(t)
+			d.Servers(nil, true)
+			for _, e := range c.told {
+				d.Servers([]distribution.Entry{e}, false)
+			}
+			lines, from, _, _ := d.fleet.Lines()
+			if len(lines) == 0 && c.condition == life.Gone { // it is forgotten
+				return
+			}
+			if len(lines) != 1 || lines[0].Used != c.used || lines[0].Condition != c.condition || lines[0].Address.String() != c.at || from != roster.Distribution {
+				t.Errorf("%+v by %v", lines, from)
+			}
+		})
+	}
+}
+
+// The first whole list takes out what an earlier source had told.
+func TestDistributedServersWhole(t *testing.T) {
+	d := distributedTo(t)
+	d.fleet.Listed(http1.List{Hosts: []http1.Host{{ID: "old", Address: netip.MustParseAddrPort("127.0.0.1:9"), Size: 1}}, Complete: true}, roster.Saved)
+	d.Servers([]distribution.Entry{serverEntry(t, 1, life.Entry{ID: "s", Address: "127.0.0.1:80", Size: 1})}, true)
+	lines, _, _, _ := d.fleet.Lines()
+	for _, l := range lines {
+		if l.Used != (l.ID == "s") {
+			t.Errorf("%+v", l)
+		}
+	}
+	d.discovered(http1.List{Hosts: []http1.Host{{ID: "late", Address: netip.MustParseAddrPort("127.0.0.1:10"), Size: 1}}})
+	if lines, from, _, _ := d.fleet.Lines(); from != roster.Distribution || len(lines) > 2 {
+		t.Errorf("discovery's word counts beside: %+v by %v", lines, from)
+	}
+}
+
+// Servers, routes and tenants that cannot be used are named with the reason; all others hold, with the last good value.
+func TestDistributedRejections(t *testing.T) {
+	text := func(kind distribution.Kind, name string, clock uint64, text string) distribution.Entry {
+		return entryOf(kind, name, clock, []byte(text))
+	}
+	tenant := func(name string, clock uint64, allowance string) distribution.Entry {
+		return text(distribution.Tenant, name, clock, allowance)
+	}
+	const ten, minus = "\x81\xf9\x49\x00", "\x81\xf9\xc9\x00" // [10.0], [-10.0]
+	d := distributedTo(t)
+	for _, c := range []struct {
+		what     string
+		give     func() []distribution.Rejection
+		rejected string
+		want     string // routes in force
+	}{
+		{"servers", func() []distribution.Rejection {
+			return d.Servers([]distribution.Entry{text(distribution.Server, "s", 1, "x"), serverEntry(t, 1, life.Entry{ID: "t", Address: "127.0.0.1:80", Size: 1})}, true)
+		}, "hire/server/s: the value of a server cannot be read", ""},
+		{"a server of another name", func() []distribution.Rejection {
+			e := serverEntry(t, 1, life.Entry{ID: "t", Address: "127.0.0.1:80", Size: 1})
+			e.Key.Name = "u"
+			return d.Servers([]distribution.Entry{e}, false)
+		}, "hire/server/u: its value is of server \"t\"", ""},
+		{"routes", func() []distribution.Rejection {
+			return d.Routes([]distribution.Entry{text(distribution.Route, "a", 1, "type = \"check\"\nhops = 2"), text(distribution.Route, "b", 2, "type = \"dance\""),
+				text(distribution.Pool, "p", 3, "servers = [\"s*\"]")})
+		}, "hire/route/b: no traffic type \"dance\": there are check, book", "hire/a"},
+		{"a route's next value", func() []distribution.Rejection {
+			return d.Routes([]distribution.Entry{text(distribution.Route, "a", 4, "type = \"check\"\nhops = 9"), text(distribution.Route, "b", 5, "type = \"book\"")})
+		}, "hire/route/a: route \"hire/a\", type check: 9 hops, but the settings allow 4", "hire/a hire/b"},
+		{"the same again", func() []distribution.Rejection {
+			return d.Routes([]distribution.Entry{text(distribution.Route, "a", 4, "type = \"check\"\nhops = 9"), text(distribution.Route, "b", 6, "hops = ")})
+		}, "hire/route/a: route \"hire/a\", type check: 9 hops, but the settings allow 4; hire/route/b: route hire/b:1: ", "hire/a hire/b"},
+		{"deleted", func() []distribution.Rejection {
+			return d.Routes([]distribution.Entry{text(distribution.Route, "b", 7, "type = \"book\"")})
+		}, "", "hire/b"},
+		{"tenants", func() []distribution.Rejection {
+			return d.Tenants([]distribution.Entry{tenant("dairy", 1, ten), tenant("orchards", 1, minus), tenant("mill", 1, "x")})
+		}, "hire/tenant/orchards: allowance -10: a number of 0 or more is wanted; hire/tenant/mill: the value of a tenant cannot be read", "hire/b"},
+		{"a tenant's next value", func() []distribution.Rejection { return d.Tenants([]distribution.Entry{tenant("dairy", 2, minus)}) },
+			"hire/tenant/dairy: allowance -10", "hire/b"},
+	} {
+		var got []string
+		for _, r := range c.give() {
+			got = append(got, r.Key.String()+": "+r.Reason)
+		}
+		all := strings.Join(got, "; ")
+		if (all == "") != (c.rejected == "") || !strings.HasPrefix(all, c.rejected) {
+			t.Errorf("%s: rejected %q, not %q", c.what, all, c.rejected)
+		}
+		var routes []string
+		if set := d.fleet.Routes(); set != nil {
+			for _, r := range set.Routes {
+				routes = append(routes, r.Name)
+			}
+		}
+		if strings.Join(routes, " ") != c.want {
+			t.Errorf("%s: routes in force: %q, not %q", c.what, routes, c.want)
+		}
+	}
+	if d.allowances[distribution.Key{Service: "hire", Kind: distribution.Tenant, Name: "dairy"}] != 10 || len(d.allowances) != 1 {
+		t.Errorf("allowances in force: %v", d.allowances)
+	}
+}
+
+// The operator's file lies beneath the entries, also after it has changed.
+func TestDistributedOverTheFile(t *testing.T) {
+	d := distributedTo(t)
+	file := func(text string) *route.Set {
+		set, err := route.Parse("f", []byte(text), d.settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return set
+	}
+	d.own = file("[defaults]\nbody_bytes = 7\n[[routes]]\nname = \"own\"\ntype = \"book\"\n")
+	d.Routes([]distribution.Entry{entryOf(distribution.Route, "a", 1, []byte("type = \"check\""))})
+	most := func() string {
+		set, sizes := d.fleet.Routes(), []string{}
+		for i, r := range set.Routes {
+			kind := 0
+			if r.Type == "book" {
+				kind = 1
+			}
+			sizes = append(sizes, fmt.Sprint(r.Name, " ", set.BodyMost(i, kind, 99)))
+		}
+		return strings.Join(sizes, ", ")
+	}
+	if got := most(); got != "own 7, hire/a 7" {
+		t.Error(got)
+	}
+	d.reroute(file("[defaults]\nbody_bytes = 8\n"))
+	if got := most(); got != "hire/a 8" {
+		t.Error(got)
+	}
+	d.reroute(nil)
+	if got := most(); got != "hire/a 99" {
+		t.Error(got)
+	}
+}
+
+// A node knows one teller of servers.
+func TestDistributionGoesAlone(t *testing.T) {
+	for name, c := range map[string]Config{"registry": {Registry: &registry.Config{}}, "planners": {Planners: &plancfg.Forwarder{}}, "snapshot": {Snapshot: &snapshot.Config{}}} {
+		if err := c.oneList(); err == nil || !strings.Contains(err.Error(), "--"+name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := (&Config{}).oneList(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -67,7 +67,11 @@
 	case err != nil:
 		s.log.Error().Err(err).Msg("routes not reloaded")
 	default:
-		s.fleet.Reroute(routes)
+		if s.distribution != nil {
+			s.distribution.reroute(routes)
+		} else {
+			s.fleet.Reroute(routes)
+		}
 		s.log.Info().Int("routes", len(routes.Routes)).Msg("routes reloaded")
 	}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -37,22 +37,23 @@
 
 // Server is a running node.
 type Server struct {
-	cfg       Config
-	log       zerolog.Logger
-	fleet     *fleet.Fleet
-	discovery atomic.Pointer[watch.Place]
-	planners  *planners    // nil: there are none
-	journal   *journal     // nil: none is kept
-	kept      *listKeeper  // nil: no list of servers is kept on disk
-	peers     *peers.Peers // nil: no other node is known
-	dialer    net.Dialer
-	draining  atomic.Bool    // answers end their connections
-	closing   atomic.Bool    // listening ends as soon as no connection comes
-	late      atomic.Bool    // connections that requests share take none any more
-	enough    time.Time      // when listening ends at the latest; set before draining, as the next two
-	gone      time.Time      // when what is taken from then on must have its answer, for the node may be killed
-	over      time.Time      // when all that was taken before has its answer
-	clients   errgroup.Group // one for each connection
+	cfg          Config
+	log          zerolog.Logger
+	fleet        *fleet.Fleet
+	discovery    atomic.Pointer[watch.Place]
+	planners     *planners    // nil: there are none
+	journal      *journal     // nil: none is kept
+	kept         *listKeeper  // nil: no list of servers is kept on disk
+	peers        *peers.Peers // nil: no other node is known
+	distribution *distributed // nil: nothing is distributed to this node
+	dialer       net.Dialer
+	draining     atomic.Bool    // answers end their connections
+	closing      atomic.Bool    // listening ends as soon as no connection comes
+	late         atomic.Bool    // connections that requests share take none any more
+	enough       time.Time      // when listening ends at the latest; set before draining, as the next two
+	gone         time.Time      // when what is taken from then on must have its answer, for the node may be killed
+	over         time.Time      // when all that was taken before has its answer
+	clients      errgroup.Group // one for each connection
 }
 
 // Signals are what a node is told from outside: to read its configuration again, and to stop, by a close.
@@ -125,9 +126,13 @@
 	if s.planners != nil {
 		s.planners.kept = s.kept
 	}
+	if cfg.Distribution != nil {
+		var err error
+		if s.distribution, err = newDistributed(cfg, s.fleet, log); err != nil {
+			return err
+		}
+	}
 	s.known()
-	log.Info().Str("node", cfg.Name).Stringer("listen", cfg.Listen).Int("connections", cfg.Limits.Connections()).
-		Int("servers", len(cfg.Known.Hosts)).Msg("serving")
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -140,10 +145,16 @@
 	if s.planners != nil {
 		g.Go(func() error { return s.planners.run(ctx) })
 	}
+	if s.distribution != nil {
+		g.Go(func() error { return s.distribution.client.Run(ctx) })
+		s.distribution.awaitStart(ctx, tell.Stop)
+	}
 	if s.kept != nil {
 		g.Go(func() error { return s.kept.run(ctx) })
 		g.Go(func() error { return s.kept.keep(ctx) })
 	}
+	log.Info().Str("node", cfg.Name).Stringer("listen", cfg.Listen).Int("connections", cfg.Limits.Connections()).
+		Int("servers", len(cfg.Known.Hosts)).Msg("serving")
 	g.Go(func() error { return s.report(ctx) })
 	g.Go(func() error { return s.reload(ctx, tell.Reload) })
 	g.Go(func() error {
@@ -295,6 +306,9 @@
 			seen.Each(func(k shadow.Kind, n int) { watched.Int(k.String(), n) })
 			line.Dict("watch", watched)
 		}
+		if s.distribution != nil {
+			s.distribution.report(line)
+		}
 		line.Int("handled", c.Handled).Int("denied", c.Denied).Int("written_off", c.WrittenOff).
 			Int("left", c.Left).Int("no_room", c.NoRoom).Int("limited", c.Limited).Int("copies", c.Copies).Dict("hops", hops).
 			Int("open", c.Open).Int("clients", c.Clients).Int("servers", c.Servers).
