--- /dev/null
+++ b/cmd/fernvane/config_status.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/client"
+)
+
+const (
+	statusLook = 200 * time.Millisecond // between two looks while nodes are waited for
+	// What a control process tells of nodes at others may be a second old: waiting ends when all were current at two looks
+	// that are further apart.
+	statusSettled = 1300 * time.Millisecond
+)
+
+var errBehind = errors.New("not all nodes have in force what is held")
+
+// nodeView is a node as the command tells of it.
+type nodeView struct {
+	Name        string   `json:"name"`
+	Role        string   `json:"role"`
+	Region      string   `json:"region,omitempty"`
+	Zone        string   `json:"zone,omitempty"`
+	Via         string   `json:"via,omitempty"`
+	State       string   `json:"state"` // current, behind, rejecting or unreachable
+	Revision    uint64   `json:"revision"`
+	LagSeconds  float64  `json:"lag_s"`
+	Pending     int      `json:"pending"`
+	Rejected    []string `json:"rejected,omitempty"`
+	Unreachable string   `json:"unreachable_since,omitempty"`
+}
+
+// view is what one control process tells.
+type view struct {
+	Control  string     `json:"control"`
+	Revision uint64     `json:"revision"`
+	Current  bool       `json:"current"`
+	Nodes    []nodeView `json:"nodes"`
+}
+
+func configStatus(a *configAccess) *cobra.Command {
+	var asJSON bool
+	var within time.Duration
+	var expect int
+	c := &cobra.Command{Use: "status", Short: "Tell of every node whether it has in force what is held",
+		Long: `status asks a control process for all nodes that it knows of: a root knows all, a relay those below it. What it tells of nodes at
+other control processes may be a second old; with --within the command waits until all were current for longer than that.`,
+		Example: "  fernvane config --file distribution.toml status --within 6s --expect 12",
+		Args:    exactly("status takes flags alone", 0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			config, err := a.load()
+			if err != nil {
+				return err
+			}
+			v, err := lookWithin(c.Context(), config, within, expect)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				err = json.NewEncoder(c.OutOrStdout()).Encode(v)
+			} else {
+				v.tell(c.OutOrStdout())
+			}
+			if err == nil && !v.Current {
+				err = errBehind
+			}
+			return err
+		}}
+	c.Flags().BoolVar(&asJSON, "json", false, "JSON, for programs")
+	c.Flags().DurationVar(&within, "within", 0, "wait so long at most until all nodes are current")
+	c.Flags().IntVar(&expect, "expect", 0, "so many nodes at least must be known")
+	return c
+}
+
+// lookWithin looks until all nodes are current, or for as long as it may.
+func lookWithin(ctx context.Context, config *client.Config, within time.Duration, expect int) (v *view, err error) {
+	by, since := time.Now().Add(within), time.Time{}
+	for {
+		v, err = look(ctx, config, expect)
+		now := time.Now()
+		switch {
+		case err != nil || !v.Current:
+			since = time.Time{}
+		case since.IsZero():
+			since = now
+		}
+		if within <= 0 || !since.IsZero() && now.Sub(since) >= statusSettled {
+			return v, err
+		}
+		if now.After(by) {
+			if err == nil { // all current, but not for long enough to be sure of it
+				v.Current = false
+			}
+			return v, err
+		}
+		time.Sleep(statusLook)
+	}
+}
+
+func look(ctx context.Context, config *client.Config, expect int) (*view, error) {
+	s, err := client.Open(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	self, nodes, err := s.Status()
+	if err != nil {
+		return nil, err
+	}
+	return viewOf(s.Control, self, nodes, expect), nil
+}
+
+// viewOf judges each node. A control process must hold what the one asked holds; a node must have put in force all that
+// its control process has for it.
+func viewOf(control string, self distribution.NodeStatus, nodes []distribution.NodeStatus, expect int) *view {
+	v := &view{Control: control, Revision: self.Revision, Current: !self.CatchingUp}
+	count := 0
+	for _, s := range nodes {
+		if s.Name == self.Name {
+			continue
+		}
+		n := nodeView{Name: s.Name, Role: s.Role.String(), Region: s.Region, Zone: s.Zone, Via: s.Via, State: stateOf(self, s), Revision: s.Revision,
+			LagSeconds: s.Lag.Round(time.Millisecond).Seconds(), Pending: s.Pending}
+		for _, r := range s.Rejected {
+			n.Rejected = append(n.Rejected, r.Key.String()+": "+r.Reason)
+		}
+		if !s.Connected && s.Lost > 0 {
+			n.Unreachable = time.UnixMilli(s.Lost).UTC().Format(time.RFC3339)
+		}
+		if s.Role == distribution.Node {
+			count++
+		}
+		v.Current = v.Current && n.State == "current"
+		v.Nodes = append(v.Nodes, n)
+	}
+	v.Current = v.Current && count >= expect
+	slices.SortFunc(v.Nodes, func(a, b nodeView) int { return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Name, b.Name)) })
+	return v
+}
+
+func stateOf(self, s distribution.NodeStatus) string {
+	switch {
+	case !s.Connected:
+		return "unreachable"
+	case s.CatchingUp, !s.Acknowledged, s.Pending > 0, s.Unconfirmed > 0, s.Role == distribution.Control && s.Revision < self.Revision:
+		return "behind"
+	case len(s.Rejected) > 0:
+		return "rejecting"
+	}
+	return "current"
+}
+
+func (v *view) tell(out io.Writer) {
+	fmt.Fprintf(out, "%s holds revision %d\n", v.Control, v.Revision)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(v.Nodes) > 0 {
+		fmt.Fprintln(w, "name\trole\tregion\tzone\tvia\tstate\trevision\tlag\twaiting")
+	}
+	sums := map[string]int{}
+	for _, n := range v.Nodes {
+		sums[n.State]++
+		state := n.State
+		if n.Unreachable != "" {
+			state += " since " + n.Unreachable
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%.3gs\t%d\n", n.Name, n.Role, n.Region, n.Zone, n.Via, state, n.Revision, n.LagSeconds, n.Pending)
+	}
+	w.Flush()
+	for _, n := range v.Nodes {
+		for _, r := range n.Rejected {
+			fmt.Fprintf(out, "%s cannot use %s\n", n.Name, r)
+		}
+	}
+	fmt.Fprintf(out, "%d current, %d behind, %d rejecting, %d unreachable\n", sums["current"], sums["behind"], sums["rejecting"], sums["unreachable"])
+}
--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"fernvane/internal/distribution/client"
 	"fernvane/internal/serve"
 	"fernvane/internal/tomlfile"
 )
@@ -53,7 +54,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.AddCommand(serveCommand(errs, getenv), checkCommand(errs, getenv), explainCommand(getenv), planCommand(errs, getenv),
-		bindingsCommand(getenv), snapshotCommand(getenv), replicasCommand(getenv), versionCommand())
+		bindingsCommand(getenv), snapshotCommand(getenv), replicasCommand(getenv), configCommand(getenv), versionCommand())
 	if len(args) == 0 {
 		root.SetOut(errs)
 		root.SetArgs([]string{"--help"})
@@ -69,7 +70,8 @@
 		return 0
 	case errors.As(err, &code):
 		return int(code)
-	case errors.Is(err, errDamaged), errors.Is(err, errSpoilt), errors.Is(err, errTooFew), errors.Is(err, errLacking):
+	case errors.Is(err, errDamaged), errors.Is(err, errSpoilt), errors.Is(err, errTooFew), errors.Is(err, errLacking),
+		errors.Is(err, errBehind), errors.Is(err, errNotHeld), errors.As(err, new(*client.RefusedError)):
 		fmt.Fprintf(errs, "fernvane: %v\n", err)
 		return 1
 	case errors.As(err, &faults): // each with its own file and line
--- a/internal/distribution/client/offer.go
+++ b/internal/distribution/client/offer.go
@@ -11,6 +11,9 @@
 // wanted gives a control process what it lacks, as after it lost its disk: in batches of a bounded rate, which it
 // acknowledges.
 func (c *Client) wanted(m *wire.Want) {
+	if !m.Follow && len(m.Services) == 0 { // a sign of life
+		return
+	}
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -18,9 +21,6 @@
 	if l.publisher == nil {
 		l.publisher = distribution.NewPublisher(c.store, distribution.Budget{OutBytes: offerBudget, ControlBytes: offerBudget})
 	}
-	if !m.Follow && len(m.Services) == 0 {
-		return
-	}
 	vector, services := m.Vector, m.Services
 	if m.Follow {
 		services = c.config.scope()
--- a/internal/distribution/messages.go
+++ b/internal/distribution/messages.go
@@ -9,6 +9,7 @@
 const (
 	Node Role = 1 + iota
 	Control
+	Reader // a command that reads what is held, and is in no status
 )
 
 // String is the role's name.
@@ -18,6 +19,8 @@
 		return "node"
 	case Control:
 		return "control"
+	case Reader:
+		return "reader"
 	}
 	return "unknown"
 }
@@ -93,5 +96,6 @@
 	Acknowledged bool
 	CatchingUp   bool
 	Connected    bool
+	Lost         int64 // Unix time in ms when its connection ended; 0 while it is connected, or where nobody saw it end
 	Rejected     []Rejection
 }
--- a/internal/distribution/pace.go
+++ b/internal/distribution/pace.go
@@ -27,7 +27,7 @@
 type Budget struct {
 	OutBytes     int // in all
 	NodeBytes    int // to one node
-	ControlBytes int // to one control process
+	ControlBytes int // to one control process, or a command that reads
 }
 
 func (b Budget) withDefaults() Budget {
@@ -38,7 +38,7 @@
 }
 
 func (b Budget) of(r Role) int {
-	if r == Control {
+	if r == Control || r == Reader {
 		return b.ControlBytes
 	}
 	return b.NodeBytes
--- /dev/null
+++ b/internal/distribution/tree/tree_test.go
@@ -0,0 +1,222 @@
+package tree
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/value"
+)
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const hire = `[tenants]
+dairy = 40.5
+[[servers]]
+id = "s1"
+address = "127.0.0.1:80"
+started = 2026-01-02T03:04:05Z
+[[servers]]
+id = "s2"
+address = "127.0.0.1:81"
+size = 0.5
+draining = true
+[[pools]]
+name = "quick"
+sites = ["north"]
+[[routes]]
+name = "checks"
+type   =   "check"
+hop_time = "250ms"
+headers = {x = "1"}
+`
+
+// A folder's files are entries of the services that they name or are named by.
+func TestLoad(t *testing.T) {
+	dir := t.TempDir()
+	write(t, filepath.Join(dir, "hire.toml"), hire)
+	write(t, filepath.Join(dir, "all.toml"), "service = \"\"\n[[routes]]\nname = \"checks\"\ntype = \"check\"\n")
+	write(t, filepath.Join(dir, "notes.txt"), "not of these")
+	tr, err := Load(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for key, v := range tr.Values {
+		got = append(got, key.String()+": "+strings.Join(Lines(key.Kind, v), ", "))
+	}
+	slices.Sort(got)
+	want := []string{
+		"/route/checks: type = 'check'",
+		"hire/pool/quick: sites = ['north']",
+		"hire/route/checks: hop_time = '250ms', type = 'check', , [headers], x = '1'",
+		"hire/server/s1: address = \"127.0.0.1:80\", condition = up, size = 1, started = 2026-01-02T03:04:05Z",
+		"hire/server/s2: address = \"127.0.0.1:81\", condition = draining, size = 0.5",
+		"hire/tenant/dairy: allowance = 40.5",
+	}
+	if !slices.Equal(got, want) || !slices.Equal(tr.Services, []string{"", "hire"}) || !tr.Servers {
+		t.Errorf("%q of %q", got, tr.Services)
+	}
+}
+
+// Each fault is told by its file and line.
+func TestLoadFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		want []string
+	}{
+		"an unknown key":        {"hires = 1", []string{"a.toml:1: unknown key \"hires\""}},
+		"a route's unknown key": {"[[routes]]\nname = \"r\"\nhop = 2", []string{"a.toml:3: unknown key"}},
+		"a wrong type":          {"[[routes]]\nname = \"r\"\nhops = \"two\"", []string{"a.toml:3: "}},
+		"no name":               {"[[routes]]\ntype = \"check\"", []string{"a.toml:1: "}},
+		"twice":                 {"[[pools]]\nname = \"p\"\nsites = [\"a\"]\n[[pools]]\nname = \"p\"\nsites = [\"b\"]", []string{"a.toml:4: a second pool \"p\""}},
+		"no address":            {"[[servers]]\nid = \"s\"", []string{"a.toml:1: address \"\""}},
+		"no id":                 {"[[servers]]\naddress = \"127.0.0.1:1\"", []string{"a.toml:1: a server without an id"}},
+		"below 0":               {"[tenants]\ndairy = 1.0\nmill = -1.0", []string{"a.toml:3: allowance -1"}},
+		"two faults":            {"[tenants]\nmill = -1.0\n[[servers]]\nid = \"s\"", []string{"a.toml:2: ", "a.toml:3: "}},
+		"a long name":           {"[tenants]\n" + strings.Repeat("x", 300) + " = 1.0", []string{"a.toml:2: "}},
+		"no TOML":               {"[[routes", []string{"a.toml:1: "}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "a.toml")
+			write(t, path, c.text)
+			_, err := Load(path)
+			if err == nil {
+				t.Fatal("taken")
+			}
+			lines := strings.Split(err.Error(), "\n")
+			if len(lines) != len(c.want) {
+				t.Fatalf("%q", lines)
+			}
+			for i, want := range c.want {
+				if !strings.Contains(lines[i], want) {
+					t.Errorf("%q, not %q", lines[i], want)
+				}
+			}
+		})
+	}
+	if _, err := Load(t.TempDir()); err == nil || !strings.Contains(err.Error(), "no file in it ends in .toml") {
+		t.Errorf("an empty folder: %v", err)
+	}
+	dir := t.TempDir()
+	write(t, filepath.Join(dir, "a.toml"), "")
+	write(t, filepath.Join(dir, "b.toml"), "service = \"a\"")
+	if _, err := Load(dir); err == nil || !strings.Contains(err.Error(), "b.toml:1: service \"a\" stands in another file too") {
+		t.Errorf("a service twice: %v", err)
+	}
+}
+
+// What differs is what the tree says otherwise, of its services and the kinds asked for; what says the same does not differ.
+func TestDifferences(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "hire.toml")
+	write(t, path, hire)
+	tr, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := []distribution.Kind{distribution.Server, distribution.Route, distribution.Tenant, distribution.Pool}
+	entry := func(service string, kind distribution.Kind, name string, v []byte) distribution.Entry {
+		return distribution.Entry{Key: distribution.Key{Service: service, Kind: kind, Name: name}, Value: v}
+	}
+	one := func(kind distribution.Kind, name, text string) distribution.Entry {
+		v, err := One("f", []byte(text), distribution.Key{Service: "hire", Kind: kind, Name: name})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return entry("hire", kind, name, v)
+	}
+	var held []distribution.Entry
+	for key, v := range tr.Values {
+		held = append(held, distribution.Entry{Key: key, Value: v})
+	}
+	turned, err := value.DecodeServerValue(tr.Values[distribution.Key{Service: "hire", Kind: distribution.Server, Name: "s1"}])
+	if err != nil {
+		t.Fatal(err)
+	}
+	turned.Turn = 3
+	back, err := value.EncodeServer(turned)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		change func([]distribution.Entry) []distribution.Entry
+		kinds  []distribution.Kind
+		want   string
+	}{
+		"nothing": {func(h []distribution.Entry) []distribution.Entry { return h }, all, ""},
+		"another form of the same": {func(h []distribution.Entry) []distribution.Entry {
+			return append(without(h, "checks"), one(distribution.Route, "checks", "[[routes]]\nheaders = {\"x\"=\"1\"}\nhop_time=\"250ms\"\ntype=\"check\""))
+		}, all, ""},
+		"a server's turns": {func(h []distribution.Entry) []distribution.Entry {
+			return append(without(h, "s1"), entry("hire", distribution.Server, "s1", back))
+		}, all, ""},
+		"another value": {func(h []distribution.Entry) []distribution.Entry {
+			return append(without(h, "dairy"), one(distribution.Tenant, "dairy", "allowance = 7.0"))
+		}, all, "~ hire/tenant/dairy\n    - allowance = 7\n    + allowance = 40.5\n"},
+		"one that lacks": {func(h []distribution.Entry) []distribution.Entry { return without(h, "quick") }, all,
+			"+ hire/pool/quick\n    + sites = ['north']\n"},
+		"one too many": {func(h []distribution.Entry) []distribution.Entry {
+			return append(h, one(distribution.Route, "old", "type = \"book\""))
+		}, all, "- hire/route/old\n    - type = 'book'\n"},
+		"of another service": {func(h []distribution.Entry) []distribution.Entry {
+			return append(h, entry("yard", distribution.Route, "old", nil))
+		}, all, ""},
+		"of another kind": {func(h []distribution.Entry) []distribution.Entry { return without(h, "s1") }, all[1:], ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			for _, d := range tr.Differences(c.change(slices.Clone(held)), c.kinds) {
+				got += d.String()
+			}
+			if got != c.want {
+				t.Errorf("%q, not %q", got, c.want)
+			}
+		})
+	}
+}
+
+func without(held []distribution.Entry, name string) []distribution.Entry {
+	return slices.DeleteFunc(held, func(e distribution.Entry) bool { return e.Key.Name == name })
+}
+
+// The text of one entry is taken, or refused by its line.
+func TestOne(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind       distribution.Kind
+		text, want string
+		fault      string
+	}{
+		"a route":                 {distribution.Route, "type = \"check\"\nhops = 2", "hops = 2, type = 'check'", ""},
+		"a route with its header": {distribution.Route, "[[routes]]\nname = \"n\"\ntype = \"check\"", "type = 'check'", ""},
+		"another's":               {distribution.Route, "name = \"m\"", "", "f: its text names it \"m\""},
+		"an unknown key":          {distribution.Route, "type = \"check\"\nhop = 2", "", "f:2: unknown key"},
+		"a pool":                  {distribution.Pool, "servers = [\"s*\"]", "servers = ['s*']", ""},
+		"a tenant":                {distribution.Tenant, "allowance = 0", "allowance = 0", ""},
+		"a tenant of nothing":     {distribution.Tenant, "", "", "f: allowance is missing"},
+		"a tenant below 0":        {distribution.Tenant, "\nallowance = -2.0", "", "f:2: allowance -2"},
+		"a server":                {distribution.Server, "address = \"127.0.0.1:1\"", "address = \"127.0.0.1:1\", condition = up, size = 1", ""},
+		"a server without":        {distribution.Server, "size = 2.0", "", "f: address \"\""},
+		"another's server":        {distribution.Server, "id = \"m\"\naddress = \"127.0.0.1:1\"", "", "f:1: the text is of server \"m\", not \"n\""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v, err := One("f", []byte(c.text), distribution.Key{Service: "s", Kind: c.kind, Name: "n"})
+			if c.fault != "" {
+				if err == nil || !strings.HasPrefix(err.Error(), c.fault) {
+					t.Errorf("%v, not %q", err, c.fault)
+				}
+				return
+			}
+			if got := strings.Join(Lines(c.kind, v), ", "); err != nil || got != c.want {
+				t.Errorf("%q, %v", got, err)
+			}
+		})
+	}
+}
--- a/internal/distribution/value/value.go
+++ b/internal/distribution/value/value.go
@@ -47,14 +47,19 @@
 	if e.Deleted {
 		return life.Entry{ID: e.Key.Name, Condition: life.Gone, Revision: e.Clock}, nil
 	}
-	var server life.Entry
-	if err := decoding.Unmarshal(e.Value, &server); err != nil {
-		return server, errors.New("the value of a server cannot be read")
-	}
-	if server.ID != e.Key.Name {
-		return server, fmt.Errorf("its value is of server %.40q", server.ID)
+	server, err := DecodeServerValue(e.Value)
+	if err == nil && server.ID != e.Key.Name {
+		err = fmt.Errorf("its value is of server %.40q", server.ID)
 	}
 	server.Revision = e.Clock
+	return server, err
+}
+
+// DecodeServerValue reads a server's value alone.
+func DecodeServerValue(v []byte) (server life.Entry, err error) {
+	if err := decoding.Unmarshal(v, &server); err != nil {
+		return server, errors.New("the value of a server cannot be read")
+	}
 	return server, checkServer(server)
 }
 
--- a/internal/distribution/wire/check.go
+++ b/internal/distribution/wire/check.go
@@ -9,7 +9,7 @@
 
 func (m *Subscribe) check() error {
 	s := &m.Subscription
-	if s.Name == "" || s.Role != distribution.Node && s.Role != distribution.Control {
+	if s.Name == "" || s.Role < distribution.Node || s.Role > distribution.Reader {
 		return fmt.Errorf("%w: a subscriber without a name or a role", ErrBounds)
 	}
 	if err := texts("name", s.Name, s.Region, s.Zone); err != nil {
