--- a/cmd/fernvane/config_status.go
+++ b/cmd/fernvane/config_status.go
@@ -49,10 +49,16 @@
 	Nodes    []nodeView `json:"nodes"`
 }
 
+// statusAsked is what is asked of a look.
+type statusAsked struct {
+	within    time.Duration
+	expect    int
+	reachable bool
+}
+
 func configStatus(a *configAccess) *cobra.Command {
 	var asJSON bool
-	var within time.Duration
-	var expect int
+	var asked statusAsked
 	c := &cobra.Command{Use: "status", Short: "Tell of every node whether it has in force what is held",
 		Long: `status asks a control process for all nodes that it knows of: a root knows all, a relay those below it. What it tells of nodes at
 other control processes may be a second old; with --within the command waits until all were current for longer than that.`,
@@ -63,7 +69,7 @@
 			if err != nil {
 				return err
 			}
-			v, err := lookWithin(c.Context(), config, within, expect)
+			v, err := lookWithin(c.Context(), config, asked)
 			if err != nil {
 				return err
 			}
@@ -78,16 +84,17 @@
 			return err
 		}}
 	c.Flags().BoolVar(&asJSON, "json", false, "JSON, for programs")
-	c.Flags().DurationVar(&within, "within", 0, "wait so long at most until all nodes are current")
-	c.Flags().IntVar(&expect, "expect", 0, "so many nodes at least must be known")
+	c.Flags().DurationVar(&asked.within, "within", 0, "wait so long at most until all nodes are current")
+	c.Flags().IntVar(&asked.expect, "expect", 0, "so many nodes at least must be current")
+	c.Flags().BoolVar(&asked.reachable, "reachable", false, "leave out who cannot be reached, as nodes that are down")
 	return c
 }
 
 // lookWithin looks until all nodes are current, or for as long as it may.
-func lookWithin(ctx context.Context, config *client.Config, within time.Duration, expect int) (v *view, err error) {
-	by, since := time.Now().Add(within), time.Time{}
+func lookWithin(ctx context.Context, config *client.Config, asked statusAsked) (v *view, err error) {
+	by, since := time.Now().Add(asked.within), time.Time{}
 	for {
-		v, err = look(ctx, config, expect)
+		v, err = look(ctx, config, asked)
 		now := time.Now()
 		switch {
 		case err != nil || !v.Current:
@@ -95,7 +102,7 @@
 		case since.IsZero():
 			since = now
 		}
-		if within <= 0 || !since.IsZero() && now.Sub(since) >= statusSettled {
+		if asked.within <= 0 || !since.IsZero() && now.Sub(since) >= statusSettled {
 			return v, err
 		}
 		if now.After(by) {
@@ -108,7 +115,7 @@
 	}
 }
 
-func look(ctx context.Context, config *client.Config, expect int) (*view, error) {
+func look(ctx context.Context, config *client.Config, asked statusAsked) (*view, error) {
 	s, err := client.Open(ctx, config)
 	if err != nil {
 		return nil, err
@@ -118,12 +125,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return viewOf(s.Control, self, nodes, expect), nil
+	return viewOf(s.Control, self, nodes, asked), nil
 }
 
 // viewOf judges each node. A control process must hold what the one asked holds; a node must have put in force all that
 // its control process has for it.
-func viewOf(control string, self distribution.NodeStatus, nodes []distribution.NodeStatus, expect int) *view {
+func viewOf(control string, self distribution.NodeStatus, nodes []distribution.NodeStatus, asked statusAsked) *view {
 	v := &view{Control: control, Revision: self.Revision, Current: !self.CatchingUp}
 	count := 0
 	for _, s := range nodes {
@@ -138,13 +145,15 @@
 		if !s.Connected && s.Lost > 0 {
 			n.Unreachable = time.UnixMilli(s.Lost).UTC().Format(time.RFC3339)
 		}
-		if s.Role == distribution.Node {
+		if s.Role == distribution.Node && n.State == "current" {
 			count++
 		}
-		v.Current = v.Current && n.State == "current"
+		if s.Connected || !asked.reachable {
+			v.Current = v.Current && n.State == "current"
+		}
 		v.Nodes = append(v.Nodes, n)
 	}
-	v.Current = v.Current && count >= expect
+	v.Current = v.Current && count >= asked.expect
 	slices.SortFunc(v.Nodes, func(a, b nodeView) int { return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Name, b.Name)) })
 	return v
 }
