--- a/cmd/fernvane/config_test.go
+++ b/cmd/fernvane/config_test.go
@@ -16,7 +16,9 @@
 		return s
 	}
 	relay := with(node, func(s *distribution.NodeStatus) { s.Name, s.Role, s.Revision = "r", distribution.Control, 9 })
-	lost := with(node, func(s *distribution.NodeStatus) { s.Connected, s.Lost = false, time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC).UnixMilli() })
+	lost := with(node, func(s *distribution.NodeStatus) {
+		s.Connected, s.Lost = false, time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC).UnixMilli()
+	})
 	for name, c := range map[string]struct {
 		self    distribution.NodeStatus
 		nodes   []distribution.NodeStatus
