--- a/internal/distribution/client/client_test.go
+++ b/internal/distribution/client/client_test.go
@@ -194,15 +194,20 @@
 	started(t, n)
 	late.die()
 	until(t, func() bool { return n.Status().Upstream == early.address() }, "the older one is followed")
+	early.write(put("hire", distribution.Route, "after", "x"))
+	until(t, func() bool { return n.value(key("hire", distribution.Route, "after")) == "x" }, "it is told of what comes after")
+	const last = 90 // number of a batch that is the last
 	early.mu.Lock()
-	for id, p := range early.conns {
-		wire.Send(p.conn, &wire.Batch{Batch: distribution.Batch{Number: 90, Entries: []distribution.Entry{first}, Reset: []string{"hire"}, Complete: true,
+	for _, p := range early.conns {
+		wire.Send(p.conn, &wire.Batch{Batch: distribution.Batch{Number: last, Entries: []distribution.Entry{first}, Reset: []string{"hire"}, Complete: true,
 			Through: distribution.Vector{first.Origin: 1}}})
-		_ = id
 	}
 	early.mu.Unlock()
-	early.write(put("hire", distribution.Route, "after", "x"))
-	until(t, func() bool { return n.value(key("hire", distribution.Route, "after")) == "x" }, "it is told of what comes after")
+	until(t, func() bool {
+		early.mu.Lock()
+		defer early.mu.Unlock()
+		return early.acknowledged == last
+	}, "the last batch is in force")
 	if n.value(key("hire", distribution.Server, "s1")) != "v2" || n.value(key("hire", distribution.Server, "s2")) != "v1" || n.Status().Revision < 3 {
 		t.Errorf("in force: %v, %+v", n.force, n.Status())
 	}
--- a/internal/distribution/client/control_test.go
+++ b/internal/distribution/client/control_test.go
@@ -32,11 +32,12 @@
 	names     map[string]int // bytes sent, by node
 	wants     []wire.Want
 	offered   []distribution.Entry
-	wake      chan struct{}
-	quiet     bool // answers nothing
-	silentTo  map[string]bool
-	done      sync.WaitGroup
-	stop      context.CancelFunc
+
+	acknowledged uint64 // newest batch that any node has
+	wake         chan struct{}
+	quiet        bool // answers nothing
+	done         sync.WaitGroup
+	stop         context.CancelFunc
 }
 
 type peer struct {
@@ -141,6 +142,7 @@
 	switch m := m.(type) {
 	case *wire.Acknowledge:
 		c.publisher.Acknowledged(c.now(), id, m.Acknowledgement)
+		c.acknowledged = max(c.acknowledged, m.Acknowledgement.Batch)
 	case *wire.Want:
 		c.wants = append(c.wants, *m)
 		c.publisher.Whole(c.now(), id, m.Services)
