Nodes under control processes: tests on the shipped program, the page's half, status without readers

The control process leaves readers out of its status and tells when a connection ended (NodeStatus.Lost). The page has the nodes' and the commands' half; its commands run in TestCommandsOfPages.

Seen to fail: TestConfigCommands without the time of a connection's end.

--- a/cmd/fernvane/pages_test.go
+++ b/cmd/fernvane/pages_test.go
@@ -77,7 +77,16 @@
 		"planners.toml": put("planners.toml", "planners = [\"127.0.0.1:1\"]\nplaintext = true\n"),
 		"planner.toml":  put("planner.toml", fmt.Sprintf("name = \"p\"\nlisten = %q\ndiscovery = \"127.0.0.1:1\"\nplaintext = true\n", free(t))),
 	}
-	stands["distribution.toml"] = put("distribution.toml", fmt.Sprintf("control = [\"127.0.0.1:1\"]\nservices = [\"hire\"]\ndirectory = %q\nplaintext = true\n", t.TempDir()))
+	distributed := newControlled(t, 1)
+	distributed.must(0, "apply", distributed.tree("127.0.0.1:1", 10))
+	distribution := func(control string) string {
+		return fmt.Sprintf("control = [%q]\nservices = [\"hire\"]\ndirectory = %q\nplaintext = true\nstart_within = \"100ms\"\n", control, t.TempDir())
+	}
+	stands["distribution.toml"], stands["services"] = put("distribution.toml", distribution(distributed.at[0])), t.TempDir()
+	stands["route.toml"] = put("route.toml", "type = \"hire-book\"\n")
+	if err := os.WriteFile(filepath.Join(stands["services"], "hire.toml"), []byte("[[routes]]\nname = \"checks\"\ntype = \"hire-check\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	stands["control.toml"] = put("control.toml", fmt.Sprintf("name = \"c\"\nlisten = %q\ndisk = %q\nplaintext = true\n", free(t), filepath.Join(dir, "control.db")))
 	first, _ := node(t, "n0")
 	tier, err := peers.Load(first)
@@ -126,6 +135,9 @@
 				if i := slices.Index(args, stands["peers.toml"]); i >= 0 && args[0] == "serve" { // its address is taken
 					args[i] = put("own.toml", fmt.Sprintf("listen = %q\ndeployment = \"own\"\nheld = %q\nplaintext = true\n", free(t), t.TempDir()))
 				}
+				if i := slices.Index(args, stands["distribution.toml"]); i >= 0 && args[0] == "serve" { // or it would count as a node that is gone
+					args[i] = put("nobody.toml", distribution("127.0.0.1:1"))
+				}
 				cmd := exec.Command(built, args...)
 				cmd.Env = os.Environ()
 				switch {
--- a/internal/distribution/client/mark.go
+++ b/internal/distribution/client/mark.go
@@ -23,7 +23,7 @@
 // serves until then.
 func (c *Client) restore(loaded disk.Loaded) {
 	services := c.config.scope()
-	c.store.Restore(loaded.Entries, loaded.Vector, nil)
+	c.store.Restore(loaded.Entries, loaded.Vector, loaded.Pruned)
 	var dropped []distribution.Key
 	for _, e := range c.store.SetScope(services) {
 		dropped = append(dropped, e.Key)
--- a/internal/distribution/client/session.go
+++ b/internal/distribution/client/session.go
@@ -22,10 +22,10 @@
 // ErrNobody says that no control process has answered.
 var ErrNobody = errors.New("no control process answers")
 
-// RefusedError is a control process's answer to a write that it did not take.
+// RefusedError is a control process's answer to a write that it did not take, or that is not on its disk.
 type RefusedError struct{ Reason string }
 
-func (e *RefusedError) Error() string { return "the control process refuses: " + e.Reason }
+func (e *RefusedError) Error() string { return "the control process answers: " + e.Reason }
 
 // Session is a command's connection to the first control process that answers.
 type Session struct {
--- a/internal/distribution/control/status.go
+++ b/internal/distribution/control/status.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -45,6 +46,7 @@
 	}
 	if !r.status.Connected {
 		r.lost = time.Now()
+		r.status.Lost = cmp.Or(r.status.Lost, r.lost.UnixMilli())
 	}
 	t[r.status.Name] = r
 }
@@ -54,8 +56,9 @@
 	for name, r := range t {
 		if r.by == l || r.by == nil && own && name == l.peer {
 			status := r.status
-			status.Connected = false
-			t[name] = &nodeRecord{status: status, lost: time.Now()}
+			now := time.Now()
+			status.Connected, status.Lost = false, now.UnixMilli()
+			t[name] = &nodeRecord{status: status, lost: now}
 		}
 	}
 }
@@ -98,6 +101,9 @@
 // look notes how this process's own subscribers are.
 func (s *Server) look() {
 	for name, l := range s.subscribers {
+		if l.subscription.Role == distribution.Reader {
+			continue
+		}
 		status, ok := s.publisher.StatusOf(s.now(), l.sending)
 		if !ok {
 			status = distribution.NodeStatus{Role: l.subscription.Role, Region: l.subscription.Region, Zone: l.subscription.Zone,
@@ -135,7 +141,7 @@
 	a.Rejected, b.Rejected = nil, nil
 	return a.Name == b.Name && a.Role == b.Role && a.Region == b.Region && a.Zone == b.Zone && a.Via == b.Via && a.Revision == b.Revision &&
 		a.Clock == b.Clock && a.Lag == b.Lag && a.Pending == b.Pending && a.Unconfirmed == b.Unconfirmed && a.Acknowledged == b.Acknowledged &&
-		a.CatchingUp == b.CatchingUp && a.Connected == b.Connected
+		a.CatchingUp == b.CatchingUp && a.Connected == b.Connected && a.Lost == b.Lost
 }
 
 // self is this process's own state.
