serve: tenants' allowances that are distributed come in force

With the fleet's SetAllowances, which keeps what is not named: a tenant whose entry has gone has the settings' allowance again, and only what has changed is told. TestDistributedTenants; it fails where the settings' are not given back.

--- a/internal/serve/distribution.go
+++ b/internal/serve/distribution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,7 @@
 	parts map[distribution.Key]parts // what was made of them
 
 	allowances map[distribution.Key]float64 // of tenants, as they are in force
+	sums       map[string]float64           // the same by name
 }
 
 // parts is what became of one entry.
@@ -188,11 +190,31 @@
 	return rejected
 }
 
-// allow hands allowances to the fleet.
+// allow tells the fleet what has changed. A tenant of whom nothing is told any more has again what the settings say.
 func (d *distributed) allow(sums map[string]float64) {
-	if f, ok := any(d.fleet).(interface{ SetAllowances(map[string]float64) }); ok {
-		f.SetAllowances(sums)
+	changed := map[string]float64{}
+	for name, allowance := range sums {
+		if before, told := d.sums[name]; !told || before != allowance {
+			changed[name] = allowance
+		}
+	}
+	for name := range d.sums {
+		if _, stays := sums[name]; !stays {
+			changed[name] = d.settled(name)
+		}
+	}
+	d.sums = sums
+	if len(changed) > 0 {
+		d.fleet.SetAllowances(changed)
+	}
+}
+
+// settled is a tenant's allowance by the settings, 0 where they do not name it.
+func (d *distributed) settled(name string) float64 {
+	if i := slices.Index(d.settings.TenantNames, name); i >= 0 {
+		return d.settings.AllowancePerS[i]
 	}
+	return 0
 }
 
 // lacks tells whether discovery is to be asked in place of control processes: none could be reached for a while, and no
--- a/internal/serve/distribution_test.go
+++ b/internal/serve/distribution_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -217,3 +218,45 @@
 		t.Error(err)
 	}
 }
+
+// Allowances come in force in place of the settings', add up over services, and end with their entries.
+func TestDistributedTenants(t *testing.T) {
+	d := distributedTo(t)
+	d.settings.TenantNames, d.settings.AllowancePerS = []string{"dairy"}, []float64{5}
+	cfg := config()
+	cfg.Settings.TenantNames, cfg.Settings.AllowancePerS = d.settings.TenantNames, d.settings.AllowancePerS
+	d.fleet = fleet.New(cfg.Settings, 1, cfg.Limits, node.Policy)
+	t.Cleanup(d.fleet.Stop)
+	d.fleet.Digest()
+	of := func(service, name string, allowance float64) distribution.Entry {
+		v, err := value.EncodeTenant(value.Tenant{Allowance: allowance})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := entryOf(distribution.Tenant, name, 1, v)
+		e.Key.Service = service
+		return e
+	}
+	for _, c := range []struct {
+		told []distribution.Entry
+		want string
+	}{
+		{nil, "dairy 5"},
+		{[]distribution.Entry{of("hire", "dairy", 10)}, "dairy 10"},
+		{[]distribution.Entry{of("hire", "dairy", 10), of("yard", "dairy", 2.5), of("hire", "mill", 3)}, "dairy 12.5, mill 3"},
+		{[]distribution.Entry{of("hire", "mill", 4)}, "dairy 5, mill 4"},
+		{nil, "dairy 5"},
+	} {
+		if rejected := d.Tenants(c.told); len(rejected) > 0 {
+			t.Error(rejected)
+		}
+		var got []string
+		for _, tenant := range d.fleet.Report().Tenants {
+			got = append(got, fmt.Sprint(tenant.Name, " ", tenant.Allowance))
+		}
+		slices.Sort(got)
+		if strings.Join(got, ", ") != c.want {
+			t.Errorf("in force: %q, not %q", got, c.want)
+		}
+	}
+}
