--- a/internal/scale/plane.go
+++ b/internal/scale/plane.go
@@ -43,7 +43,7 @@
 	Close()
 }
 
-var planes = map[string]Plane{"discovery": discoveryPlane{}, "planners": plannersPlane{}}
+var planes = map[string]Plane{"discovery": discoveryPlane{}, "planners": plannersPlane{}, "distribution": distributionPlane{}}
 
 // Planes are the names of those that can be played.
 func Planes() []string { return slices.Sorted(maps.Keys(planes)) }
--- a/internal/scale/records.go
+++ b/internal/scale/records.go
@@ -15,6 +15,7 @@
 const (
 	markerTaken recordKind = iota // a changed server
 	wholeTaken                    // as many servers as there are of its services, a source having told
+	wholeLost                     // fewer again
 	routesTaken                   // routes of the operator's file
 	nodeStarted
 )
@@ -74,14 +75,14 @@
 	node.Module
 	recorder *recorder
 	node     int
-	servers  int // that it is to know
-	known    int // that it was ever told of, by their dense indices
+	servers  int          // that it is to know
+	known    map[int]bool // those that have not gone, by their dense indices
 	whole    bool
 }
 
 func (r *recorder) observe(number int, maker node.Maker) node.Maker {
 	return func(s policy.Settings, seed uint32) node.Module {
-		return &observed{Module: maker(s, seed), recorder: r, node: number, servers: r.layout.serversOf(number)}
+		return &observed{Module: maker(s, seed), recorder: r, node: number, servers: r.layout.serversOf(number), known: map[int]bool{}}
 	}
 }
 
@@ -107,17 +108,28 @@
 
 func (o *observed) listed(in *policy.Input, at int64) {
 	r := o.recorder
+	if in.Scope == policy.Whole {
+		clear(o.known) // whom it does not name has gone
+	}
 	for _, m := range in.Members {
-		o.known = max(o.known, m.Server+1)
+		if m.Condition == policy.Gone {
+			delete(o.known, m.Server)
+		} else {
+			o.known[m.Server] = true
+		}
 	}
 	if in.Scope == policy.Saved || in.Scope == policy.Unavailable {
 		return
 	}
 	r.counts.Lists++
 	r.counts.Elements += len(in.Members)
-	if !o.whole && o.known >= o.servers {
-		o.whole = true
-		r.records = append(r.records, record{Kind: wholeTaken, Node: o.node, At: at})
+	if whole := len(o.known) >= o.servers; whole != o.whole {
+		o.whole = whole
+		kind := wholeTaken
+		if !whole {
+			kind = wholeLost
+		}
+		r.records = append(r.records, record{Kind: kind, Node: o.node, At: at})
 	}
 	for _, m := range in.Members {
 		if marker, ok := r.markers[m.Rank]; ok {
