--- /dev/null
+++ b/internal/distribution/control/command_test.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/wire"
+	"fernvane/internal/frames"
+	"fernvane/internal/mtls"
+)
+
+// command is a connection of an operator's.
+func command(t *testing.T, at string, keys *mtls.Keys) *frames.Conn {
+	t.Helper()
+	conn, err := greeted(at, "operator", keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func greeted(at, name string, keys *mtls.Keys) (*frames.Conn, error) {
+	nc, err := net.DialTimeout("tcp", at, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	if keys != nil {
+		nc = keys.Client(nc, "control")
+	}
+	conn := wire.Protocol.New(nc)
+	if _, err := conn.Greet(name, time.Now().Add(2*time.Second)); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// next is a message, but signs of life.
+func next(conn *frames.Conn, within time.Duration) (wire.Message, error) {
+	kind, body, err := conn.Receive(time.Now().Add(within))
+	if err != nil {
+		return nil, err
+	}
+	if kind == frames.Refusals {
+		return nil, frames.Refused(body)
+	}
+	return wire.Decode(kind, body)
+}
+
+// tryWrite writes at an address and returns what it was told.
+func tryWrite(at string, changes ...distribution.Change) (*wire.Written, error) {
+	return tryWriteWithin(at, 10*time.Second, changes...)
+}
+
+func tryWriteWithin(at string, within time.Duration, changes ...distribution.Change) (*wire.Written, error) {
+	conn, err := greeted(at, "operator", nil)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	if err := wire.Send(conn, &wire.Write{ID: 7, Changes: changes}); err != nil {
+		return nil, err
+	}
+	m, err := next(conn, within)
+	if err != nil {
+		return nil, err
+	}
+	written, ok := m.(*wire.Written)
+	if !ok || written.ID != 7 {
+		return nil, fmt.Errorf("answered by %T", m)
+	}
+	if written.Error != "" {
+		return written, errors.New(written.Error)
+	}
+	return written, nil
+}
+
+func write(t *testing.T, at string, changes ...distribution.Change) *wire.Written {
+	t.Helper()
+	written, err := tryWrite(at, changes...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return written
+}
+
+// query asks for the state of all.
+func query(at string) (self distribution.NodeStatus, nodes map[string]distribution.NodeStatus, err error) {
+	conn, err := greeted(at, "operator", nil)
+	if err != nil {
+		return self, nil, err
+	}
+	defer conn.Close()
+	if err := wire.Send(conn, &wire.Query{ID: 3}); err != nil {
+		return self, nil, err
+	}
+	nodes = map[string]distribution.NodeStatus{}
+	for {
+		m, err := next(conn, 10*time.Second)
+		if err != nil {
+			return self, nil, err
+		}
+		answer, ok := m.(*wire.Answer)
+		if !ok {
+			return self, nil, fmt.Errorf("answered by %T", m)
+		}
+		for _, status := range answer.Nodes {
+			nodes[status.Name] = status
+		}
+		if answer.Last {
+			return answer.Self, nodes, nil
+		}
+	}
+}
--- a/internal/distribution/control/control_test.go
+++ b/internal/distribution/control/control_test.go
@@ -89,7 +89,18 @@
 	if self, _, err := query(m.at); err != nil || !self.CatchingUp || self.Acknowledged {
 		t.Errorf("it says that it is %+v, %v", self, err)
 	}
-	wait(t, "current", m.isCurrent)
+	early := false
+	wait(t, "current", func() bool {
+		n.mu.Lock()
+		complete := n.complete
+		n.mu.Unlock()
+		current := m.isCurrent()
+		early = early || complete && !current
+		return current
+	})
+	if early {
+		t.Error("it serves a node as if it were current")
+	}
 	if m.now() < aloneMost {
 		t.Errorf("current after %v", m.now())
 	}
--- a/internal/distribution/control/helpers_test.go
+++ b/internal/distribution/control/helpers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -17,7 +16,6 @@
 	"fernvane/internal/distribution"
 	"fernvane/internal/distribution/wire"
 	"fernvane/internal/frames"
-	"fernvane/internal/mtls"
 	"fernvane/internal/tomlfile"
 )
 
@@ -154,107 +152,6 @@
 	return all
 }
 
-// command is a connection of an operator's.
-func command(t *testing.T, at string, keys *mtls.Keys) *frames.Conn {
-	t.Helper()
-	conn, err := greeted(at, "operator", keys)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
-	return conn
-}
-
-func greeted(at, name string, keys *mtls.Keys) (*frames.Conn, error) {
-	nc, err := net.DialTimeout("tcp", at, time.Second)
-	if err != nil {
-		return nil, err
-	}
-	if keys != nil {
-		nc = keys.Client(nc, "control")
-	}
-	conn := wire.Protocol.New(nc)
-	if _, err := conn.Greet(name, time.Now().Add(2*time.Second)); err != nil {
-		nc.Close()
-		return nil, err
-	}
-	return conn, nil
-}
-
-// next is a message, but signs of life.
-func next(conn *frames.Conn, within time.Duration) (wire.Message, error) {
-	kind, body, err := conn.Receive(time.Now().Add(within))
-	if err != nil {
-		return nil, err
-	}
-	if kind == frames.Refusals {
-		return nil, frames.Refused(body)
-	}
-	return wire.Decode(kind, body)
-}
-
-// tryWrite writes at an address and returns what it was told.
-func tryWrite(at string, changes ...distribution.Change) (*wire.Written, error) {
-	conn, err := greeted(at, "operator", nil)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	if err := wire.Send(conn, &wire.Write{ID: 7, Changes: changes}); err != nil {
-		return nil, err
-	}
-	m, err := next(conn, 10*time.Second)
-	if err != nil {
-		return nil, err
-	}
-	written, ok := m.(*wire.Written)
-	if !ok || written.ID != 7 {
-		return nil, fmt.Errorf("answered by %T", m)
-	}
-	if written.Error != "" {
-		return written, errors.New(written.Error)
-	}
-	return written, nil
-}
-
-func write(t *testing.T, at string, changes ...distribution.Change) *wire.Written {
-	t.Helper()
-	written, err := tryWrite(at, changes...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return written
-}
-
-// query asks for the state of all.
-func query(at string) (self distribution.NodeStatus, nodes map[string]distribution.NodeStatus, err error) {
-	conn, err := greeted(at, "operator", nil)
-	if err != nil {
-		return self, nil, err
-	}
-	defer conn.Close()
-	if err := wire.Send(conn, &wire.Query{ID: 3}); err != nil {
-		return self, nil, err
-	}
-	nodes = map[string]distribution.NodeStatus{}
-	for {
-		m, err := next(conn, 10*time.Second)
-		if err != nil {
-			return self, nil, err
-		}
-		answer, ok := m.(*wire.Answer)
-		if !ok {
-			return self, nil, fmt.Errorf("answered by %T", m)
-		}
-		for _, status := range answer.Nodes {
-			nodes[status.Name] = status
-		}
-		if answer.Last {
-			return answer.Self, nodes, nil
-		}
-	}
-}
-
 // subscriber is a node, or another holder, that speaks the protocol from this test.
 type subscriber struct {
 	name     string
@@ -264,7 +161,8 @@
 	mu        sync.Mutex
 	store     *distribution.Store
 	publisher *distribution.Publisher
-	older     int // entries that came in an older version than what is held
+	newest    map[distribution.Key]uint64 // clocks of what it has held
+	back      error                       // it was led back to an older version
 	complete  bool
 	err       error
 
@@ -283,9 +181,16 @@
 // subscribe connects and follows until it is left or the connection ends.
 func (s *subscriber) subscribe(t *testing.T, at string) {
 	t.Helper()
+	if err := s.connect(at); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.leave)
+}
+
+func (s *subscriber) connect(at string) error {
 	conn, err := greeted(at, s.name, nil)
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
 	s.conn, s.done = conn, make(chan struct{})
 	s.mu.Lock()
@@ -308,7 +213,7 @@
 			s.take(receiver, m)
 		}
 	}()
-	t.Cleanup(s.leave)
+	return nil
 }
 
 func (s *subscriber) leave() {
@@ -330,6 +235,7 @@
 	switch m := m.(type) {
 	case *wire.Batch:
 		got := receiver.Receive(m.Batch)
+		s.note(got.Changed)
 		s.complete = s.complete || got.Complete
 		a := distribution.Acknowledgement{Batch: m.Number}
 		if got.Complete {
@@ -347,6 +253,19 @@
 	}
 }
 
+// note sees that no key goes back.
+func (s *subscriber) note(changed []distribution.Entry) {
+	if s.newest == nil {
+		s.newest = map[distribution.Key]uint64{}
+	}
+	for _, e := range changed {
+		if e.Clock < s.newest[e.Key] {
+			s.back = fmt.Errorf("%v goes back by %v", e.Key, distribution.ClockTime(s.newest[e.Key]).Sub(distribution.ClockTime(e.Clock)))
+		}
+		s.newest[e.Key] = e.Clock
+	}
+}
+
 // offer sends at once all that the other side lacks.
 func (s *subscriber) offer(m *wire.Want) {
 	s.publisher.Offer(0, distribution.Subscription{Name: "upstream", Role: distribution.Control, Services: s.services, Vector: m.Vector})
