--- a/internal/distribution/control/helpers_test.go
+++ b/internal/distribution/control/helpers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -19,7 +20,16 @@
 	"fernvane/internal/tomlfile"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
+		if built.Load() {
+			if path, err := fernvane(); err == nil {
+				os.RemoveAll(filepath.Dir(path))
+			}
+		}
+		os.Exit(code)
+	}))
+}
 
 const aloneInTests = 500 * time.Millisecond // in place of aloneMost
 
--- a/internal/distribution/control/process_test.go
+++ b/internal/distribution/control/process_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,8 +20,14 @@
 	"fernvane/internal/standin/cable"
 )
 
-// fernvane is the program, built once for all tests.
-var fernvane = sync.OnceValues(func() (string, error) {
+// fernvane is the program, built once for all tests that need it; the folder that it is in goes with them.
+var (
+	built    atomic.Bool
+	fernvane = sync.OnceValues(build)
+)
+
+func build() (string, error) {
+	built.Store(true)
 	dir, err := os.MkdirTemp("", "fernvane")
 	if err != nil {
 		return "", err
@@ -30,7 +37,7 @@
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
 	return path, nil
-})
+}
 
 // turns bounds how many fleets run at a time.
 var turns = make(chan struct{}, 4)
--- a/internal/distribution/control/receive.go
+++ b/internal/distribution/control/receive.go
@@ -44,15 +44,11 @@
 	now := s.now()
 	s.publisher.Changed(now, got.Changed)
 	var removed []distribution.Key
-	var services []string
 	for _, e := range got.Removed {
 		removed = append(removed, e.Key)
-		if n := len(services); n == 0 || services[n-1] != e.Key.Service { // they come by service
-			services = append(services, e.Key.Service)
-		}
 	}
-	if len(services) > 0 {
-		s.publisher.Resync(now, services)
+	if len(got.Resync) > 0 {
+		s.publisher.Resync(now, got.Resync)
 	}
 	var vector distribution.Vector
 	if got.Complete {
