A node's end against control processes: links cut one way, garbled, broken, disks lost; silence is noticed in 3.5 s

With 4.5 s of silence a node under a control process that stands still had a change in force after 6 s at times. TestFaultsBetween has a node's way to its control process cut in each direction, garbled and broken; what is written at the other is in force and no value goes back.

--- a/cmd/fernvane/distribution_test.go
+++ b/cmd/fernvane/distribution_test.go
@@ -201,13 +201,31 @@
 	c.inForce(1, nodes)
 	check("the one that took the write died", 40)
 
+	c.controls[0].cmd.Process.Signal(syscall.SIGSTOP) // its connections stand, and say nothing
+	c.must(1, "apply", c.tree(at, 50))
+	for by := time.Now().Add(fleetPatience); ; time.Sleep(20 * time.Millisecond) {
+		behind := 0
+		for i := range nodes {
+			if c.takes(i, 50) != 200 {
+				behind++
+			}
+		}
+		if behind == 0 {
+			break
+		}
+		if time.Now().After(by) {
+			t.Fatalf("%d nodes never hear of a change while a control process stands still", behind)
+		}
+	}
+	check("one that stands still", 50)
+
 	for _, p := range c.controls {
 		p.kill()
 	}
 	c.nodes[0].kill()
 	c.file("node-0.toml", strings.Replace(mustRead(t, filepath.Join(c.dir, "node-0.toml")), "20s", "100ms", 1))
 	c.nodes[0].start(`"serving"`)
-	check("started without any control process", 40)
+	check("started without any control process", 50)
 }
 
 func mustRead(t *testing.T, path string) string {
--- /dev/null
+++ b/internal/distribution/client/faults_test.go
@@ -0,0 +1,229 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/distribution"
+	process "fernvane/internal/distribution/control"
+	"fernvane/internal/standin/cable"
+)
+
+// running is a control process of the program within this one.
+type running struct {
+	t    *testing.T
+	file string
+	at   string
+	stop func()
+}
+
+// freeAt is an address on which nothing listens.
+func freeAt(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func startControl(t *testing.T, name, at, dir string, upstreams ...string) *running {
+	t.Helper()
+	r := &running{t: t, at: at, file: filepath.Join(t.TempDir(), name+".toml")}
+	text := fmt.Sprintf("name = %q\nlisten = %q\ndisk = %q\nupstreams = %s\nfollow = \"all\"\nplaintext = true\nnode_bytes = 1000000\n",
+		name, at, filepath.Join(dir, name+".db"), list(upstreams))
+	writeFile(t, r.file, text)
+	r.start()
+	t.Cleanup(func() { r.stop() })
+	return r
+}
+
+func (r *running) start() {
+	r.t.Helper()
+	c, err := process.Load(r.file)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- process.Run(ctx, c, zerolog.Nop()) }()
+	r.stop = sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			r.t.Error(err)
+		}
+	})
+}
+
+// write makes a change there, once the process takes one.
+func (r *running) write(changes ...distribution.Change) {
+	r.t.Helper()
+	access := accessTo(r.t, r.at)
+	until(r.t, func() bool {
+		s, err := Open(context.Background(), access)
+		if err != nil {
+			return false
+		}
+		defer s.Close()
+		_, err = s.Write(changes)
+		return err == nil
+	}, "%s takes a write", r.at)
+}
+
+// accessTo is a command's file.
+func accessTo(t *testing.T, at string) *Config {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "ask.toml")
+	writeFile(t, path, fmt.Sprintf("control = [%q]\nplaintext = true\n", at))
+	c, err := LoadAccess(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// pair is two control processes that follow each other.
+func pair(t *testing.T) (a, b *running) {
+	t.Helper()
+	dir, at := t.TempDir(), []string{freeAt(t), freeAt(t)}
+	return startControl(t, "a", at[0], dir, at[1]), startControl(t, "b", at[1], dir, at[0])
+}
+
+// Whatever happens to the control process that a node follows, or to the way there, what is written at the other is in
+// force, and so is what is written when all is well again.
+func TestFaultsBetween(t *testing.T) {
+	for name, c := range map[string]struct{ fault, mend func(*cable.Cable) }{
+		"cut towards the node": {func(w *cable.Cable) { w.Cut(cable.Down, true) }, func(w *cable.Cable) { w.Cut(cable.Down, false) }},
+		"cut towards control":  {func(w *cable.Cable) { w.Cut(cable.Up, true) }, func(w *cable.Cable) { w.Cut(cable.Up, false) }},
+		"cut both ways": {func(w *cable.Cable) { w.Cut(cable.Up, true); w.Cut(cable.Down, true) },
+			func(w *cable.Cable) { w.Cut(cable.Up, false); w.Cut(cable.Down, false) }},
+		"garbled":    {func(w *cable.Cable) { w.Garble(cable.Down, 3) }, func(*cable.Cable) {}},
+		"broken off": {func(w *cable.Cable) { w.Break() }, func(*cable.Cable) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := pair(t)
+			wires, err := cable.Listen(a.at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer wires.Close()
+			b.write(put("hire", distribution.Server, "s", "v1"), put("hire", distribution.Route, "r", "v1"))
+			n := startNode(t, config(t, "n", []string{"hire"}, wires.Address(), b.at))
+			started(t, n)
+			holds := func(v string) {
+				t.Helper()
+				until(t, func() bool {
+					return n.value(key("hire", distribution.Server, "s")) == v && n.value(key("hire", distribution.Route, "r")) == v
+				}, "%s is in force", v)
+			}
+			holds("v1")
+			c.fault(wires)
+			b.write(put("hire", distribution.Server, "s", "v2"), put("hire", distribution.Route, "r", "v2"))
+			holds("v2")
+			c.mend(wires)
+			a.write(put("hire", distribution.Server, "s", "v3"), put("hire", distribution.Route, "r", "v3"))
+			holds("v3")
+			n.listener.mu.Lock()
+			defer n.listener.mu.Unlock()
+			for i, v := range n.history[1:] {
+				if v < n.history[i] {
+					t.Errorf("went back: %v", n.history)
+				}
+			}
+		})
+	}
+}
+
+// A node that is ahead of all control processes, which have lost their disks, gives them back what it holds.
+func TestControlProcessesLoseTheirDisks(t *testing.T) {
+	dir, at := t.TempDir(), freeAt(t)
+	a := startControl(t, "a", at, dir)
+	a.write(put("hire", distribution.Server, "s", "v1"), put("", distribution.Tenant, "dairy", "5"))
+	n := startNode(t, config(t, "n", []string{"hire"}, at))
+	started(t, n)
+	until(t, func() bool { return n.size() == 2 }, "all is in force")
+	a.stop()
+	if err := os.Remove(filepath.Join(dir, "a.db")); err != nil {
+		t.Fatal(err)
+	}
+	a.start()
+	other := startNode(t, config(t, "other", []string{"hire"}, at))
+	started(t, other)
+	until(t, func() bool { return other.size() == 2 && other.value(key("hire", distribution.Server, "s")) == "v1" }, "another node gets what the first held")
+	a.write(put("hire", distribution.Server, "s", "v2"))
+	for _, m := range []*node{n, other} {
+		until(t, func() bool { return m.value(key("hire", distribution.Server, "s")) == "v2" }, "the next change is in force")
+		if m.size() != 2 {
+			t.Errorf("in force: %v", m.all())
+		}
+	}
+}
+
+// The state of nodes is seen at their control process, with what they reject.
+func TestStatusAtControl(t *testing.T) {
+	a, b := pair(t)
+	n := startNode(t, config(t, "n", []string{"hire"}, a.at))
+	a.write(put("hire", distribution.Route, "r", "bad"))
+	started(t, n)
+	for _, r := range []*running{a, b} {
+		until(t, func() bool {
+			s, err := Open(context.Background(), accessTo(t, r.at))
+			if err != nil {
+				return false
+			}
+			defer s.Close()
+			_, nodes, err := s.Status()
+			for _, status := range nodes {
+				if status.Name == "n" && status.Connected && len(status.Rejected) == 1 && status.Rejected[0].Reason == "a bad value" && status.Via == "a" {
+					return err == nil
+				}
+			}
+			return false
+		}, "%s tells of the node", r.at)
+	}
+	n.stop()
+	until(t, func() bool {
+		s, err := Open(context.Background(), accessTo(t, b.at))
+		if err != nil {
+			return false
+		}
+		defer s.Close()
+		self, nodes, err := s.Status()
+		for _, status := range nodes {
+			if status.Name == "n" && !status.Connected && time.Since(time.UnixMilli(status.Lost)) < patience && len(nodes) == 2 {
+				return err == nil && self.Acknowledged
+			}
+		}
+		return false
+	}, "the other tells since when it is gone")
+}
+
+// Entries of a session are those of the services asked for, many more than one batch takes.
+func TestSessionReads(t *testing.T) {
+	a := startControl(t, "a", freeAt(t), t.TempDir())
+	var changes []distribution.Change
+	for i := range 5000 {
+		changes = append(changes, put("hire", distribution.Route, fmt.Sprint("r", i), fmt.Sprintf("%0100d", i)))
+	}
+	a.write(changes...)
+	a.write(put("yard", distribution.Route, "r", "x"), distribution.Change{Key: key("hire", distribution.Route, "r7"), Deleted: true})
+	s, err := Open(context.Background(), accessTo(t, a.at))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	all, err := s.Read([]string{"hire"})
+	if err != nil || len(all) != 4999 {
+		t.Errorf("%d entries, %v", len(all), err)
+	}
+}
--- a/internal/distribution/client/link.go
+++ b/internal/distribution/client/link.go
@@ -19,7 +19,7 @@
 	silentMost  = 25 * time.Second // without a frame; a look at the state ends a silent connection sooner
 	queueMost   = 64               // messages that wait for a control process to take them
 	pingAfter   = 2 * time.Second  // of silence; an empty Want is sent, and a control process that lives answers it
-	pingWithin  = 2500 * time.Millisecond
+	pingWithin  = 1500 * time.Millisecond
 	offerBudget = 16 << 10 // bytes a second to a control process that lacks what this node holds: the operators' figure
 
 	// A machine that is gone without a word is noticed by the system within five seconds.
