fernlab scale plays the distribution: each node its own services, roots and relays by region

The plane starts control processes as fernvane control does, a root in each region and relays below it, writes servers at one of them and has nodes follow relays of their region. TestRuns has regions apart and a control process killed under it; all nodes come to know all servers and every change.

--- a/internal/scale/ledger_test.go
+++ b/internal/scale/ledger_test.go
@@ -40,6 +40,11 @@
 				take(l, n, 0, true, 900)
 			}
 		}, InForce{Changes: 1, Taken: 3, P50: 10, P99: 10, Last: 10}},
+		"a server that a node does not serve": {func(l *ledger) {
+			l.changed(1, true, began)
+			take(l, 0, 1, true, 10)
+			take(l, 1, 1, true, 10)
+		}, InForce{Changes: 1, Taken: 2, P50: 10, P99: 10, Last: 10}},
 		"a node that was down meanwhile is left out": {func(l *ledger) {
 			l.changed(0, true, began)
 			take(l, 0, 0, true, 10)
@@ -70,7 +75,7 @@
 		}, InForce{Changes: 1, Taken: 3, P50: 50, P99: 50, Last: 50}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := newLedger(3, func(int, int) bool { return true })
+			l := newLedger(3, func(node, server int) bool { return node < 2 || server == 0 })
 			c.play(l)
 			if got := l.inForce(0); *got != c.want {
 				t.Errorf("%+v, want %+v", *got, c.want)
@@ -90,8 +95,10 @@
 		"well":                   {func(*Size) {}, 24e9, ""},
 		"no nodes":               {func(s *Size) { s.Nodes = 0 }, 24e9, "--nodes 0: from 1 to 60000"},
 		"fewer zones":            {func(s *Size) { s.Zones = 2 }, 24e9, "--zones 2: from 3 to 64"},
-		"an unknown plane":       {func(s *Size) { s.Plane = "x" }, 24e9, "--plane x: one of discovery, planners"},
+		"an unknown plane":       {func(s *Size) { s.Plane = "x" }, 24e9, "--plane x: one of discovery, distribution, planners"},
 		"an unknown event":       {func(s *Size) { s.Event = "x" }, 24e9, "--event x: one of restart-tenth, rack, zone, regions-apart, control-killed, discovery-away, start-all"},
+		"no root in a region":    {func(s *Size) { s.Plane, s.Control = "distribution", 2 }, 24e9, "--control 2: each of 3 regions wants a root"},
+		"too many services":      {func(s *Size) { s.Plane, s.Services, s.Servers = "distribution", 2000, 2000 }, 24e9, "--serves 0: a node names 1000 services at most"},
 		"an event of no control": {func(s *Size) { s.Plane, s.Event = "discovery", ControlKilled }, 24e9, "--event control-killed: plane discovery has no control processes"},
 		"too many processes":     {func(s *Size) { s.Nodes = 8000 }, 1e12, "209 processes are needed: 200 at most"},
 		"too much memory":        {func(s *Size) { s.Servers = 100_000 }, 24e9, "about 20.2 GB of memory are needed: half of this machine's are 12.0"},
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -19,6 +19,13 @@
 		For: time.Second, Seed: 1}
 }
 
+// scoped has each node serve half of the services.
+func scoped(event string) Size {
+	s := small("distribution", event)
+	s.Serves, s.Control = s.Services/2, 3
+	return s
+}
+
 // Each plane and event, played by real processes: in the end every node that is up has every change, and knows all servers.
 func TestRuns(t *testing.T) {
 	if testing.Short() {
@@ -36,6 +43,8 @@
 		{"planners, a rack", small("planners", Rack), []string{"start", "rest", "changes", "reload", Rack}},
 		{"planners, regions apart", small("planners", RegionsApart), []string{"start", "rest", "changes", "reload", RegionsApart}},
 		{"planners, one killed", small("planners", ControlKilled), []string{"start", "rest", "changes", "reload", ControlKilled}},
+		{"distribution, regions apart", scoped(RegionsApart), []string{"start", "rest", "changes", "reload", RegionsApart}},
+		{"distribution, one killed", scoped(ControlKilled), []string{"start", "rest", "changes", "reload", ControlKilled}},
 		{"discovery, away", small("discovery", DiscoveryAway), []string{"start", "rest", "changes", "reload", DiscoveryAway}},
 		{"discovery, all started at once", small("discovery", StartAll), []string{"start", "rest", "changes", "reload", StartAll}},
 	} {
