--- a/cmd/fernlab/scale.go
+++ b/cmd/fernlab/scale.go
@@ -69,8 +69,8 @@
 
 // told is the command as it was given, without where it stands and where its result goes.
 func told(c *cobra.Command) string {
-	words := []string{c.CommandPath()}
-	args := os.Args[min(2, len(os.Args)):]
+	words := []string{c.Root().Name()}
+	args := os.Args[1:]
 	for i := 0; i < len(args); i++ {
 		if args[i] == "--json" {
 			i++
