--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"math/bits"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// server is what a walk of all servers would find.
+type server struct {
+	ready, listed bool
+	labels        uint64
+}
+
+func compare(t *rapid.T, table *Table, model []server) {
+	ready, listed := 0, 0
+	labelled := [labelCount]int{}
+	var unlisted []int
+	for s, m := range model {
+		if table.Ready(s) != m.ready || table.Listed(s) != m.listed || table.Labels(s) != m.labels {
+			t.Fatalf("server %d: ready %v, listed %v, labels %x, want %v", s, table.Ready(s), table.Listed(s), table.Labels(s), m)
+		}
+		if m.listed {
+			listed++
+		}
+		if !m.ready {
+			continue
+		}
+		ready++
+		if !m.listed {
+			unlisted = append(unlisted, s)
+		}
+		for l := m.labels; l != 0; l &= l - 1 {
+			labelled[bits.TrailingZeros64(l)]++
+		}
+	}
+	if table.Len() != len(model) || table.ReadyCount() != ready || table.ListedCount() != listed || table.labelled != labelled {
+		t.Fatalf("%d servers, %d ready, %d listed, labels %v; want %d, %d, %d, %v", table.Len(), table.ReadyCount(),
+			table.ListedCount(), table.labelled, len(model), ready, listed, labelled)
+	}
+	if got := slices.Collect(table.Unlisted().All()); !slices.Equal(got, unlisted) {
+		t.Fatalf("ready and not listed: %v, want %v", got, unlisted)
+	}
+}
+
+// Whatever is changed, the counts are those of a walk.
+func TestCountsAreThoseOfAWalk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table Table
+		var model []server
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			s := rapid.IntRange(0, len(model)).Draw(t, "server")
+			copied, before := table.Clone(), slices.Clone(model)
+			change := rapid.IntRange(0, 4).Draw(t, "change")
+			switch {
+			case s == len(model):
+				table.Add(s)
+				model = append(model, server{})
+			case change == 0:
+				table.Add(s)
+				model[s] = server{}
+			case change == 1:
+				model[s].ready = rapid.Bool().Draw(t, "ready")
+				table.SetReady(s, model[s].ready)
+			case change == 2:
+				model[s].listed = rapid.Bool().Draw(t, "listed")
+				table.SetListed(s, model[s].listed)
+			case change == 3:
+				model[s].labels = rapid.SampledFrom([]uint64{0, 1, 1<<63 | 6, 4}).Draw(t, "labels")
+				table.SetLabels(s, model[s].labels)
+			default:
+				table.BeginList()
+				table.UnlistAll()
+				for i := range model {
+					model[i].listed = false
+				}
+			}
+			compare(t, &table, model)
+			compare(t, &copied, before)
+		}
+	})
+}
+
+func TestLabelCount(t *testing.T) {
+	var table Table
+	for s, labels := range []uint64{1, 2, 3, 8} {
+		table.Add(s)
+		table.SetReady(s, s < 3)
+		table.SetLabels(s, labels)
+	}
+	for labels, want := range map[uint64]int{0: 0, 1: 2, 2: 2, 3: 4, 8: 0, 9: 2} {
+		if got := table.LabelCount(labels); got != want {
+			t.Errorf("of labels %b: %d, want %d", labels, got, want)
+		}
+	}
+}
+
+// WasListed tells of the moment before a list, however often the list has a server come and go.
+func TestWasListed(t *testing.T) {
+	for name, c := range map[string]struct {
+		before bool // listed before
+		list   func(*Table)
+		want   bool
+	}{
+		"listed, named again":       {true, func(t *Table) { t.SetListed(0, true) }, true},
+		"listed, gone":              {true, func(t *Table) { t.SetListed(0, false) }, true},
+		"listed, absent":            {true, func(t *Table) { t.UnlistAll() }, true},
+		"listed, absent, named":     {true, func(t *Table) { t.UnlistAll(); t.SetListed(0, true) }, true},
+		"listed, another's number":  {true, func(t *Table) { t.Add(0) }, true},
+		"not listed, named":         {false, func(t *Table) { t.SetListed(0, true) }, false},
+		"not listed, named, absent": {false, func(t *Table) { t.SetListed(0, true); t.SetListed(0, false) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var table Table
+			table.Add(0)
+			table.SetListed(0, c.before)
+			table.BeginList()
+			if got := table.WasListed(0); got != c.before {
+				t.Errorf("as the list begins: %v", got)
+			}
+			if c.list(&table); table.WasListed(0) != c.want {
+				t.Errorf("%v, want %v", table.WasListed(0), c.want)
+			}
+			listed := table.Listed(0)
+			if table.BeginList(); table.WasListed(0) != listed || table.WasListed(1) {
+				t.Errorf("in the next list: %v, want %v", table.WasListed(0), listed)
+			}
+		})
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -169,7 +169,7 @@
 	Nodes      int           // of a plan: how many share the load
 	Admit      float64       // of a plan: the most of the offered work that is let in; 0: all
 	Allowances []Allowance   // those that have changed
-	Within     []float64     // of a plan, by tenant: the share of its operations within its allowance; none: by own figures
+	Within     []float64     // of a plan, by tenant: its share within its allowance; none: by own figures
 }
 
 // Allowance is a tenant's, a second over all nodes. A tenant beyond those known so far is known from then on, as are all
@@ -179,7 +179,7 @@
 	PerS   float64
 }
 
-// Share is what a plan says of one server for this node. Those with a part are the node's part of the servers.
+// Share is what a plan says of one server for this node. Those with a part are the node's part of them.
 type Share struct {
 	Server int
 	Part   float64       // how soon it joins, over the largest; 0: not in its part; below: to be avoided
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,8 +9,15 @@
 	"encoding/binary"
 	"hash/crc32"
 	"math"
+	"math/bits"
 	"slices"
 	"time"
+
+	"fernvane/internal/columns"
+	"fernvane/internal/decay"
+	"fernvane/internal/failures"
+	"fernvane/internal/leastsquares"
+	"fernvane/internal/tenants"
 )
 
 const (
@@ -119,30 +126,14 @@
 	}
 }
 
-// record is how many hops ended lately, and failed.
-type record struct {
-	failed, all float64
-	at          int // server of the last failure, and one
-}
-
-func (r *record) rate() float64 { return r.failed / (r.all + causeLeast) }
-
-func (r *record) fade(kept float64) {
-	r.failed, r.all = faded(r.failed*kept, negligible), faded(r.all*kept, negligible)
-}
-
-func (r *record) add(failed, memory float64) {
-	r.failed, r.all = r.failed*(1-1/memory)+failed, r.all*(1-1/memory)+1
-}
-
 // New returns an instance that draws its chance from seed.
 func New(s Settings, seed uint32) *Policy {
 	p := &Policy{set: s, seed: seed, admit: 1, askWait: askFirst}
 	for _, r := range lifecycle() {
 		p.rows[r.in][r.on] = append(p.rows[r.in][r.on], r)
 	}
-	p.byKey = make([]record, causeKeys)
-	p.tenants.named, p.allowances = len(s.AllowancePerS), sum(s.AllowancePerS)
+	p.byKey = make([]decay.Record, causeKeys)
+	p.named, p.allowances = len(s.AllowancePerS), columns.Sum(s.AllowancePerS)
 	p.retype(&Input{Types: s.Types, Like: slices.Repeat([]int{-1}, len(s.Types)), Rooms: []int{0}})
 	return p
 }
@@ -173,6 +164,19 @@
 	return p.effects
 }
 
+// setAllowances takes over allowances and their sum. The settings that the module was given stay as they are.
+func (p *Policy) setAllowances(changed []Allowance) {
+	if !p.reallowed {
+		p.set.AllowancePerS, p.reallowed = slices.Clone(p.set.AllowancePerS), true
+	}
+	for _, a := range changed {
+		columns.Extend(a.Tenant+1, &p.set.AllowancePerS)
+		p.allowances += a.PerS - p.set.AllowancePerS[a.Tenant]
+		p.set.AllowancePerS[a.Tenant] = a.PerS
+	}
+	p.named = len(p.set.AllowancePerS)
+}
+
 // planned takes over a plan. A server that left the part or is to be avoided is let go while no hop is out.
 func (p *Policy) planned(in *Input) {
 	p.set.Nodes, p.within, p.admitMost = in.Nodes, in.Within, in.Admit
@@ -185,8 +189,8 @@
 		p.part[s.Server], p.pace[s.Server] = s.Part, s.Pace
 		p.shared.Add(s.Server)
 		if s.Rest > 0 { // then one hop on trial, as after a rest of its own
-			until := p.untilOf(s.Server, allTypes)
-			*until = max(*until, p.now+s.Rest)
+			until := max(p.failures.Until(s.Server, failures.AllTypes), p.now+s.Rest)
+			p.failures.SetUntil(s.Server, failures.AllTypes, until)
 			p.strikes[s.Server] = max(p.strikes[s.Server], 1)
 		}
 	}
@@ -210,20 +214,19 @@
 		if from >= 0 {
 			usual, base, samples = p.usual[from], p.base[from], p.samples[from]
 		}
-		put(k, usual, &p.usual)
-		put(k, base, &p.base)
-		put(k, samples, &p.samples)
+		columns.Put(k, usual, &p.usual)
+		columns.Put(k, base, &p.base)
+		columns.Put(k, samples, &p.samples)
 		p.activate(k)
-		put(k, 0, &p.retries, &p.copies)
-		put(k, record{}, &p.breaks)
-		put(2*k, record{}, &p.byType)
-		put(2*k+1, record{}, &p.byType)
+		columns.Put(k, 0, &p.retries, &p.copies)
+		columns.Put(k, decay.Record{}, &p.breaks)
 		p.dearest = max(p.dearest, in.Types[k].Revenue)
 		for b := 2 * k; b < 2*k+2; b++ {
-			put(b, 0, &p.denyShare, &p.rates)
+			columns.Put(b, 0, &p.denyShare, &p.rates)
+			columns.Put(b, decay.Record{}, &p.byType)
 		}
-		for s := range p.troubled.All() {
-			p.forgetTrouble(s, k)
+		for s := range p.failures.Active().All() {
+			p.failures.DeleteFunc(s, func(e failures.Entry) bool { return e.Kind == k })
 		}
 	}
 }
@@ -243,12 +246,9 @@
 func (p *Policy) enter(op int, next state) {
 	o := &p.ops[op]
 	if was := o.state; was == fresh && next != closed {
-		o.place = len(p.open)
-		p.open = append(p.open, op)
+		p.open.Add(op)
 	} else if was != fresh && next == closed {
-		moved := p.open[len(p.open)-1]
-		p.open[o.place], p.ops[moved].place = moved, o.place
-		p.open = p.open[:len(p.open)-1]
+		p.open.Remove(op)
 	}
 	if next == out && o.state != out {
 		p.rooms[o.room]++
@@ -286,10 +286,10 @@
 		room: in.Room, bucket: 2 * in.Type, hops: o.hops[:0], group: -1,
 		came: p.now, limit: p.now + in.Budget, target: p.now + min(t.TargetTime-2*p.set.Tick, in.Budget)}
 	p.activate(in.Type)
-	if in.Tenant >= p.tenants.named {
-		o.tenant = unknownTenant
+	if in.Tenant >= p.named {
+		o.tenant = tenants.Unknown
 	} else {
-		within := p.fair(in.Tenant) / p.tenants.arrive(in.Tenant)
+		within := p.fair(in.Tenant) / p.tenants.Arrive(in.Tenant, 1/rateSpan.Seconds())
 		if in.Tenant < len(p.within) {
 			within = p.within[in.Tenant]
 		}
@@ -306,7 +306,7 @@
 // their shares, for nodes do not get traffic alike, and has slack for the chance of a few arrivals.
 func (p *Policy) fair(tenant int) float64 {
 	nodes, own := float64(p.set.Nodes), p.set.AllowancePerS[tenant]
-	shares, others := (p.allowances-own)/nodes, p.tenants.total-p.tenants.rate(tenant)
+	shares, others := (p.allowances-own)/nodes, p.tenants.Total()-p.tenants.Rate(tenant)
 	fair := own / nodes * max(1, others/max(shares, 1e-9))
 	return fair + math.Sqrt(fair/rateSpan.Seconds())
 }
@@ -365,9 +365,9 @@
 func (p *Policy) doom(o *operation) float64 {
 	most := 0.0
 	for _, c := range p.sorts(o) {
-		most = max(most, c.rate())
+		most = max(most, c.Rate(causeLeast))
 	}
-	least := min(max(doomDoor, p.overall.rate()), doomAll-causeServer)
+	least := min(max(doomDoor, p.overall.Rate(causeLeast)), doomAll-causeServer)
 	return (most - least) / (doomAll - least)
 }
 
@@ -408,7 +408,7 @@
 		return false
 	}
 	if first := len(o.hops) == 1 && t.Revenue >= p.dearest; !first && (o.mayRun && p.full() ||
-		o.ended == Overloaded && p.chance() < p.turned.rate()) { // repeats add no load when there is no room
+		o.ended == Overloaded && p.chance() < p.turned.Rate(causeLeast)) { // no load without room
 		return false
 	}
 	return p.routed(op)
@@ -485,8 +485,8 @@
 	if p.inFlight[s] == 0 {
 		p.answered[s] = p.now
 	}
-	if p.trouble(s, o.kind).faults > 0 {
-		*p.untilOf(s, o.kind) = o.target // on trial, alone
+	if p.failures.Get(s, o.kind).Count > 0 {
+		p.failures.SetUntil(s, o.kind, o.target) // on trial, alone
 	}
 	p.inFlight[s]++
 	if p.flying++; p.doom(o) > 0 { // takes none of the window from those that can be handled
@@ -537,7 +537,7 @@
 // learn keeps the figures about a server from the end of one hop.
 func (p *Policy) learn(s int, o *operation, sent time.Duration, how Outcome) {
 	spent, usual := p.now-sent, p.usual[o.kind]
-	p.turned.add(0, 2*causeMemory)
+	p.turned.Add(0, 2*causeMemory)
 	if how == TimedOut { // the server may still work on it, and looks idle if that is not counted
 		p.ghosts[s], p.ghostSent[s] = p.ghosts[s]+1, max(p.ghostSent[s], sent)
 	}
@@ -549,8 +549,8 @@
 	}
 	switch how {
 	case Success:
-		p.spike(s, sent, float64(spent) > spikeFactor*float64(p.smoothed[s]))
-		p.smooth(s, p.smoothed[s]+time.Duration(smoothing*float64(spent-p.smoothed[s])))
+		p.spike(s, sent, float64(spent) > spikeFactor*float64(p.smoothed.At(s)))
+		p.smoothed.Set(s, p.smoothed.At(s)+time.Duration(smoothing*float64(spent-p.smoothed.At(s))))
 		p.samples[o.kind]++
 		p.answers = true
 		p.usual[o.kind] += time.Duration(max(typeSmooth, 1/p.samples[o.kind]) * float64(spent-usual))
@@ -561,7 +561,7 @@
 		p.finished += p.allowed(o.kind) / windowSpan.Seconds()
 		p.alive(s)
 		p.refused[s] = 0
-		p.endTrouble(s, o.kind)
+		p.failures.Succeed(s, o.kind)
 		if sent >= p.ghostSent[s] {
 			p.ghosts[s] = 0 // servers work in turn: what was sent before this hop is done
 		}
@@ -578,11 +578,12 @@
 			p.strike(s, 1)
 		}
 	case Overloaded: // servers may refuse one type and serve the others: the rest is for that type only
-		p.answered[s], *p.untilOf(s, o.kind) = p.now, p.now+restFirst
-		p.turned.failed++
+		p.answered[s] = p.now
+		p.failures.SetUntil(s, o.kind, p.now+restFirst)
+		p.turned.Failed++
 		p.slowness[s] += smoothing * (spikeFactor - p.slowness[s])
-		if p.refused[s]++; p.refused[s] >= restStrikes && p.now >= p.restUntil[s] {
-			p.rest(s, allTypes, p.refused[s]-restStrikes, restServers)
+		if p.refused[s]++; p.refused[s] >= restStrikes && p.now >= p.failures.Until(s, failures.AllTypes) {
+			p.rest(s, failures.AllTypes, p.refused[s]-restStrikes, restServers)
 		}
 	case Unreachable:
 		enough := 1
@@ -599,12 +600,12 @@
 }
 
 // sorts are the records of what an operation shares with others: type and repeat, tenant, key.
-func (p *Policy) sorts(o *operation) []*record {
+func (p *Policy) sorts(o *operation) []*decay.Record {
 	kind := 2 * o.kind
 	if o.again {
 		kind++
 	}
-	all := [...]*record{&p.byType[kind], p.tenants.record(o.tenant), &p.byKey[o.key%causeKeys]}
+	all := [...]*decay.Record{&p.byType[kind], p.tenants.Record(o.tenant), &p.byKey[o.key%causeKeys]}
 	if o.key == 0 {
 		return all[:2]
 	}
@@ -620,33 +621,32 @@
 		failed = 0
 	}
 	for _, c := range p.sorts(o) {
-		if failed == 0 || c.at != s+1 { // of a row at one server one counts: it tells of the server
-			c.add(failed, 3*causeMemory)
+		if failed == 0 || c.Last != s+1 { // of a row at one server one counts: it tells of the server
+			c.Add(failed, 3*causeMemory)
 		}
 		if failed > 0 {
-			c.at = s + 1
+			c.Last = s + 1
 		}
-		worst = max(worst, c.rate())
+		worst = max(worst, c.Rate(causeLeast))
 	}
 	if b := &p.breaks[o.kind]; how == Broken {
-		if b.at != s+1 {
-			b.failed, b.at = b.failed+1, s+1
+		if b.Last != s+1 {
+			b.Failed, b.Last = b.Failed+1, s+1
 		}
-		if b.failed >= breaksMost && p.set.Types[o.kind].Revenue < p.dearest {
+		if b.Failed >= breaksMost && p.set.Types[o.kind].Revenue < p.dearest {
 			return true
 		}
 	}
-	p.records[s].add(failed, causeMemory)
-	p.judged.Add(s)
-	p.overall.add(failed, 3*causeMemory)
-	return failed > 0 && worst > max(p.records[s].rate()+causeServer, p.overall.rate())
+	p.records.Add(s, failed, causeMemory)
+	p.overall.Add(failed, 3*causeMemory)
+	return failed > 0 && worst > max(p.records.At(s).Rate(causeLeast)+causeServer, p.overall.Rate(causeLeast))
 }
 
 // pump gives freed room to the operations that wait here, the dearest first.
 func (p *Policy) pump() {
 	for p.pumps++; !p.full(); {
 		best := -1
-		for _, op := range p.open {
+		for _, op := range p.open.Items() {
 			if o := &p.ops[op]; o.state == waiting && o.pumped != p.pumps && p.hasRoom(o) &&
 				(best < 0 || p.worth(o.bucket) > p.worth(p.ops[best].bucket)) {
 				best = op
@@ -669,46 +669,57 @@
 	if p.lost[s] && p.now-p.answered[s] > silentDeath {
 		p.chill(s, p.now)
 	}
-	p.answered[s], p.strikes[s], p.restUntil[s], p.soft[s], p.lost[s] = p.now, 0, 0, 0, false
+	p.answered[s], p.strikes[s], p.soft[s], p.lost[s] = p.now, 0, 0, false
+	p.failures.ClearUntil(s)
 	p.doubt[s], p.droppedAt[s] = max(p.doubt[s]-1, 0), p.now
 }
 
 // strike counts a failure and sends the server to rest after enough in a row.
 func (p *Policy) strike(s, enough int) {
 	p.strikes[s]++
-	if !p.listed[s] {
+	if !p.members.Listed(s) {
 		p.doubt[s] = min(p.doubt[s]+1, doubtMost)
 	}
-	if p.strikes[s] >= enough && p.now >= p.restUntil[s] {
-		p.rest(s, allTypes, p.strikes[s]-enough, restServers)
+	if p.strikes[s] >= enough && p.now >= p.failures.Until(s, failures.AllTypes) {
+		p.rest(s, failures.AllTypes, p.strikes[s]-enough, restServers)
 	}
 }
 
 // fault counts the failures of one type; answers to others take a server's strikes back. One hop at a time
 // then tries it, and after a row it rests for that type. Of a queue that fails whole one counts.
 func (p *Policy) fault(s, kind int, sent time.Duration) {
-	if sent < p.trouble(s, kind).faulted {
+	if sent < p.failures.Get(s, kind).Last {
 		return
 	}
-	t := p.troubleOf(s, kind)
-	t.faulted = p.now
-	if t.faults++; t.faults >= typeStrikes {
-		p.rest(s, kind, t.faults-typeStrikes, restTypes)
+	t := p.failures.Of(s, kind)
+	t.Last = p.now
+	if t.Count++; t.Count >= typeStrikes {
+		p.rest(s, kind, t.Count-typeStrikes, restTypes)
 	}
 }
 
 // rest sets the end of a rest that doubles, unless too large a share of the ready servers would be resting.
 func (p *Policy) rest(s, kind, doubled int, share float64) {
 	n := 1.0
-	for other := range p.troubled.All() {
-		if p.ready[other] && p.listed[other] && p.now < p.until(other, kind) {
+	for other := range p.failures.Active().All() {
+		if p.members.Ready(other) && p.members.Listed(other) && p.now < p.failures.Until(other, kind) {
 			n++
 		}
-		p.dropTroubles(other)
+		p.forgetFailures(other)
 	}
-	if n <= share*float64(p.readyCount) || !p.listed[s] { // for those dropped the list bears it out
+	if n <= share*float64(p.readyCount) || !p.members.Listed(s) { // for those dropped the list bears it out
 		wait := min(restFirst<<min(doubled, 3), restMost)
-		*p.untilOf(s, kind) = p.now + time.Duration(float64(wait)*(0.75+0.5*p.chance()))
+		p.failures.SetUntil(s, kind, p.now+time.Duration(float64(wait)*(0.75+0.5*p.chance())))
+	}
+}
+
+// forgetFailures drops those that bear on nothing now: when the last came matters to hops then out only.
+func (p *Policy) forgetFailures(s int) {
+	if p.inFlight[s] == 0 {
+		p.failures.DeleteFunc(s, func(e failures.Entry) bool { return e.Count == 0 && p.now >= e.Until })
+	}
+	if p.failures.Len(s) == 0 && p.now >= p.failures.Until(s, failures.AllTypes) {
+		p.failures.Release(s)
 	}
 }
 
@@ -722,7 +733,7 @@
 		p.runStart[s] = max(sent, p.answered[s])
 	}
 	p.streak[s]++
-	merged := p.pauses[s] > 0 && p.runStart[s]-p.lastSpike[s] < p.smoothed[s]
+	merged := p.pauses[s] > 0 && p.runStart[s]-p.lastSpike[s] < p.smoothed.At(s)
 	if p.streak[s] == spikeRun && !merged {
 		n := min(p.pauses[s], forecastWindow)
 		if n == forecastWindow {
@@ -743,20 +754,14 @@
 func (p *Policy) fit(s int) {
 	p.forecast[s] = 0
 	n := min(p.pauses[s], forecastWindow)
-	var sx, sy, sxx, sxy float64 // of onsets and counts since the first of the window
-	for i := range n {
-		x, y := p.onsets[s][i]-p.onsets[s][0], float64(i)
-		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
-	}
-	k := float64(n)
-	run, rise := k*sxx-sx*sx, k*sxy-sx*sy
-	if run <= 0 || rise <= 0 {
+	line := leastsquares.Fit(p.onsets[s][:n])
+	if line.Run <= 0 || line.Rise <= 0 {
 		return
 	}
-	at := p.onsets[s][0] + sx/k + (k-sy/k)*run/rise
-	if at > 0 && at < math.MaxInt32 && run/rise < math.MaxInt32 {
+	at, interval := line.At(float64(n)), line.Run/line.Rise
+	if at > 0 && at < math.MaxInt32 && interval < math.MaxInt32 {
 		p.forecast[s] = time.Duration(at * float64(time.Second))
-		p.interval[s] = time.Duration(run / rise * float64(time.Second))
+		p.interval[s] = time.Duration(interval * float64(time.Second))
 	}
 }
 
@@ -775,17 +780,17 @@
 // unwell: resting, be it for this type, or on trial with a hop out; binding operations go to none on trial.
 func (p *Policy) unwell(s int, o *operation) bool {
 	trial := p.strikes[s] > 0 && (p.inFlight[s] > 0 || p.set.Types[o.kind].Repeat == Binding)
-	return trial || p.now < max(p.restUntil[s], p.trouble(s, o.kind).shy)
+	return trial || p.now < max(p.failures.Until(s, failures.AllTypes), p.failures.Get(s, o.kind).Until)
 }
 
 // barred: the rules or the cold budget forbid this server for this operation.
 func (p *Policy) barred(s int, o *operation) bool {
-	if !p.ready[s] || p.cold.Has(s) && p.coldPace[s] < 1 {
+	if !p.members.Ready(s) || p.cold.Has(s) && p.coldPace[s] < 1 {
 		return true
 	}
 	t := &p.set.Types[o.kind]
 	kept := o.mayRun && t.Repeat == Fingerprinted // to its group
-	return t.Pool != 0 && t.Pool&p.labels[s] == 0 || kept && (t.Group == GroupZone &&
+	return t.Pool != 0 && t.Pool&p.members.Labels(s) == 0 || kept && (t.Group == GroupZone &&
 		p.zone[s] != p.zone[o.group] || t.Group == GroupCell && p.cell[s] != p.cell[o.group])
 }
 
@@ -880,6 +885,15 @@
 	return best > 0
 }
 
+// allTaken: every ready server with one of some labels is taken in, so that a walk for another finds none.
+func (p *Policy) allTaken(labels uint64) bool {
+	others := p.members.LabelCount(labels)
+	for _, s := range p.pool {
+		others -= bits.OnesCount64(p.members.Labels(s) & labels)
+	}
+	return others == 0
+}
+
 func (p *Policy) take(s int) {
 	p.admitServer(s)
 	p.weigh()
@@ -926,17 +940,14 @@
 	if in.Scope != Saved {
 		p.askWait = askFirst
 	}
-	known := len(p.listed) > 0
-	p.lists++
+	known := p.members.Len() > 0
+	p.members.BeginList()
 	if in.Scope != Changes { // absent from a full list: gone
-		for s := range p.listed {
-			p.wasListed(s)
-			p.setListed(s, false)
-		}
+		p.members.UnlistAll()
 	}
 	for _, m := range in.Members {
 		s := m.Server
-		isNew, wasListed := m.Other || s == len(p.ready), p.wasListed(s)
+		isNew, wasListed := m.Other || s == p.members.Len(), p.members.WasListed(s)
 		if isNew {
 			p.enrol(s)
 		}
@@ -944,31 +955,31 @@
 			p.rotate(s, int(m.Rank))
 		}
 		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, cmp.Or(max(m.Scale, 0), 1)
-		p.setLabels(s, m.Labels)
-		p.setReady(s, m.Condition == Up || m.Condition == Gone && p.ready[s] && !m.Replaced)
+		p.members.SetLabels(s, m.Labels)
+		p.members.SetReady(s, m.Condition == Up || m.Condition == Gone && p.members.Ready(s) && !m.Replaced)
 		if m.Condition == Up && !wasListed && known && !p.member[s] &&
 			p.chance()*float64(p.readyCount+1) < float64(len(p.pool)) {
 			p.admitServer(s) // as often as it has any other: not left out, and not taken in by all at once
-			p.readyCount = p.readyNow
+			p.readyCount = p.members.ReadyCount()
 		}
-		p.setListed(s, m.Condition != Gone)
+		p.members.SetListed(s, m.Condition != Gone)
 		switch {
 		case m.HasStart && p.now-m.Started < p.set.ColdFor:
 			if !p.cold.Has(s) || m.Started > p.coldSince[s] {
 				p.chill(s, m.Started)
 			}
-		case !m.HasStart && known && !wasListed && in.Scope != Saved && p.ready[s] &&
+		case !m.HasStart && known && !wasListed && in.Scope != Saved && p.members.Ready(s) &&
 			(isNew || !p.set.OnlyDraining):
 			p.chill(s, p.now) // no start time told, but it was not there before
 		}
 	}
-	for s := range p.dropped.All() {
-		p.unlist(s, p.wasListed(s))
+	for s := range p.members.Unlisted().All() {
+		p.unlist(s, p.members.WasListed(s))
 	}
-	p.listedMost = max(p.listedMost, p.listedNow)
+	p.listedMost = max(p.listedMost, p.members.ListedCount())
 	p.pool = slices.DeleteFunc(p.pool, func(s int) bool {
-		p.member[s] = p.ready[s]
-		return !p.ready[s]
+		p.member[s] = p.members.Ready(s)
+		return !p.members.Ready(s)
 	})
 	p.turn = min(p.turn, max(len(p.pool)-1, 0))
 	p.weigh()
@@ -982,7 +993,7 @@
 // proves nothing: its turns go down by a step, and from then on by what its hops find. This guards against
 // lists that are wrong, old or cut short; where all that vanish are dead, each costs a few failed connects.
 func (p *Policy) unlist(s int, now bool) {
-	if p.setReady(s, p.set.OnlyDraining); !p.ready[s] {
+	if p.members.SetReady(s, p.set.OnlyDraining); !p.members.Ready(s) {
 		return
 	}
 	if now {
@@ -994,14 +1005,14 @@
 // giveUpDropped lets go of servers that the list dropped and that have not answered for long, the longest
 // silent also when more are kept than are listed at most, so that what is kept stays bounded.
 func (p *Policy) giveUpDropped() {
-	kept, oldest := p.dropped.Len(), -1
-	for s := range p.dropped.All() {
+	kept, oldest := p.members.Unlisted().Len(), -1
+	for s := range p.members.Unlisted().All() {
 		if oldest < 0 || p.droppedAt[s] < p.droppedAt[oldest] {
 			oldest = s
 		}
 	}
 	if kept > 0 && (kept > p.listedMost || p.now-p.droppedAt[oldest] > dropKept) && p.inFlight[oldest] == 0 {
-		p.setReady(oldest, false)
+		p.members.SetReady(oldest, false)
 		if i := slices.Index(p.pool, oldest); i >= 0 {
 			p.drop(i)
 		}
@@ -1013,10 +1024,8 @@
 func (p *Policy) chill(s int, since time.Duration) {
 	p.cold.Add(s)
 	p.coldSince[s], p.coldPace[s] = since, 0
-	p.strikes[s], p.restUntil[s], p.lost[s], p.soft[s] = 0, 0, false, 0
-	for i := range p.troubles[s] {
-		p.troubles[s][i].faults = 0
-	}
+	p.strikes[s], p.lost[s], p.soft[s] = 0, false, 0
+	p.failures.Clear(s)
 }
 
 // rotate puts a server into the rotation by its rank, which is the same at every node.
@@ -1029,10 +1038,8 @@
 
 // enrol sets all figures of a server, also under the index of another; smoothed latency is the others' mean.
 func (p *Policy) enrol(s int) {
-	mean, wasListed := time.Duration(0), p.wasListed(s)
-	if n := len(p.smoothed); n > 0 {
-		mean = p.smoothedSum / time.Duration(n)
-	} else {
+	mean := p.smoothed.Sum() / time.Duration(max(p.smoothed.Len(), 1))
+	if p.smoothed.Len() == 0 {
 		for _, latency := range p.usual {
 			mean += latency / time.Duration(len(p.usual))
 		}
@@ -1040,41 +1047,21 @@
 	if p.rotation.Has(s) && p.rotation.Delete(s) < p.next {
 		p.next--
 	}
-	if s < len(p.ready) {
-		p.setReady(s, false)
-		p.setListed(s, false)
-		p.smooth(s, 0)
-		p.troubled.Remove(s)
-	}
 	p.cold.Remove(s)
 	p.shared.Remove(s)
-	p.judged.Remove(s)
-	put(s, false, &p.ready, &p.listed, &p.member, &p.lost)
-	put(s, wasListed, &p.before)
-	put(s, p.lists, &p.heard)
-	put(s, record{}, &p.records)
-	put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft, &p.doubt,
-		&p.refused)
-	put(s, 0.0, &p.due, &p.coldPace, &p.ghosts, &p.part, &p.pace)
-	put(s, 1.0, &p.scale, &p.weight, &p.slowness)
-	put(s, 0, &p.labels)
-	put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.restUntil,
-		&p.forecast, &p.interval, &p.droppedAt)
-	put(s, 0, &p.smoothed)
-	p.smooth(s, mean)
-	put(s, p.now, &p.answered)
-	put(s, [forecastWindow]float64{}, &p.onsets)
-	put(s, nil, &p.troubles)
-}
-
-func put[T any](s int, v T, figures ...*[]T) {
-	for _, f := range figures {
-		if s >= cap(*f) { // doubled, for a list brings many at once
-			*f = slices.Grow(*f, s+1)
-		}
-		*f = append(*f, v)[:max(len(*f), s+1)]
-		(*f)[s] = v
-	}
+	p.members.Add(s)
+	p.failures.Add(s)
+	columns.Put(s, false, &p.member, &p.lost)
+	p.records.Reset(s)
+	columns.Put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft,
+		&p.doubt, &p.refused)
+	columns.Put(s, 0.0, &p.due, &p.coldPace, &p.ghosts, &p.part, &p.pace)
+	columns.Put(s, 1.0, &p.scale, &p.weight, &p.slowness)
+	columns.Put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.forecast,
+		&p.interval, &p.droppedAt)
+	p.smoothed.Set(s, mean)
+	columns.Put(s, p.now, &p.answered)
+	columns.Put(s, [forecastWindow]float64{}, &p.onsets)
 }
 
 // capacity is the share of its full capacity that a server surely has: it warms evenly at the slowest.
@@ -1090,7 +1077,7 @@
 }
 
 func (p *Policy) weigh() {
-	p.weights, p.scales, p.readyCount = 0, 0, p.readyNow
+	p.weights, p.scales, p.readyCount = 0, 0, p.members.ReadyCount()
 	for _, s := range p.pool {
 		able := p.scale[s] * p.capacity(s)
 		p.weight[s] = able / max(p.slowness[s]*p.slowness[s], slowLeast) / float64(int(1)<<(2*p.doubt[s]))
@@ -1108,15 +1095,11 @@
 	fade := math.Exp(-passed.Seconds() / rateSpan.Seconds())
 	p.successes *= fade
 	kept := math.Exp(-passed.Seconds() / causeFade.Seconds())
-	p.tenants.fade(fade, kept)
-	p.turned.fade(fade)
-	for s := range p.judged.All() {
-		if p.records[s].fade(kept); p.records[s].all == 0 {
-			p.judged.Remove(s)
-		}
-	}
+	p.tenants.Fade(fade, rateLeast, kept, negligible)
+	p.turned.Fade(fade, negligible)
+	p.records.Fade(kept, negligible)
 	for i := range p.byKey {
-		p.byKey[i].fade(kept)
+		p.byKey[i].Fade(kept, negligible)
 	}
 	relax := 1 - math.Exp(-passed.Seconds()/baseSpan.Seconds())
 	for kind := range p.busy.All() {
@@ -1128,15 +1111,15 @@
 	p.weigh()
 	p.paceCold(passed)
 	for _, s := range p.pool {
-		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed[s], 1))))
+		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed.At(s), 1))))
 	}
 	p.letGo(passed)
 	p.giveUpDropped()
 	p.adjustShed(passed)
 	p.pump()
-	for i := len(p.open) - 1; i >= 0; i-- {
-		if i < len(p.open) {
-			p.step(p.open[i], swept)
+	for i := p.open.Len() - 1; i >= 0; i-- {
+		if i < p.open.Len() {
+			p.step(p.open.Items()[i], swept)
 		}
 	}
 	if p.set.OnRequest && !p.asked && p.now >= p.askAt {
@@ -1149,16 +1132,16 @@
 func (p *Policy) age(kind int, passed time.Duration, fade, kept, relax float64) bool {
 	rates, records, breaks := p.rates[2*kind:2*kind+2], p.byType[2*kind:2*kind+2], &p.breaks[kind]
 	for i := range rates {
-		rates[i] = faded(rates[i]*fade, rateLeast)
-		records[i].fade(kept)
+		rates[i] = decay.Floor(rates[i]*fade, rateLeast)
+		records[i].Fade(kept, negligible)
 	}
-	breaks.fade(kept)
+	breaks.Fade(kept, negligible)
 	step := time.Duration(relax * float64(p.usual[kind]-p.base[kind]))
 	p.base[kind] += step
 	retries, copies := p.retries[kind], p.copies[kind]
 	p.grant(kind, 0, passed.Seconds())
 	still := step == 0 && p.retries[kind] == retries && p.copies[kind] == copies && passed > 0
-	return !still || rates[0]+rates[1]+records[0].all+records[1].all+breaks.failed > 0
+	return !still || rates[0]+rates[1]+records[0].All+records[1].All+breaks.Failed > 0
 }
 
 // paceCold refills the cold budgets. The fall is counted over all nodes, so each node gives a cold
@@ -1187,7 +1170,7 @@
 	if p.blocked *= kept; p.full() {
 		p.blocked += 1 - kept
 	}
-	off := max(1-max(p.blocked/blockedAim, p.turned.rate()/refusedAim), -2)
+	off := max(1-max(p.blocked/blockedAim, p.turned.Rate(causeLeast)/refusedAim), -2)
 	p.admit = min(max(p.admit*math.Exp(admitPace*off*passed.Seconds()), admitLeast), cmp.Or(p.admitMost, 1))
 	p.order = slices.DeleteFunc(p.order, func(b int) bool { return !p.busy.Has(b / 2) })
 	slices.SortFunc(p.order, func(a, b int) int { return cmp.Or(cmp.Compare(p.worth(a), p.worth(b)), a-b) })
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"fernvane/internal/failures"
 )
 
 const ms = time.Millisecond
@@ -42,7 +44,7 @@
 
 // takeAll takes in every server, in the order of their indices.
 func (r *rig) takeAll() *rig {
-	for s := range r.ready {
+	for s := range r.members.Len() {
 		if !r.member[s] {
 			r.take(s)
 		}
@@ -118,7 +120,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 1, nil)
-			r.smooth(0, 100*ms)
+			r.smoothed.Set(0, 100*ms)
 			for i, is := range c.spikes {
 				r.now = time.Second + time.Duration(i)*c.gap
 				r.spike(0, r.now, is)
@@ -186,7 +188,7 @@
 				}
 				if c.resting {
 					r.end(time.Second, r.ops-1, 0, Success)
-					r.restUntil[r.pool[0]] = 2 * time.Second
+					r.failures.SetUntil(r.pool[0], failures.AllTypes, 2*time.Second)
 					r.arriveAt(time.Second, 0, time.Second)
 				}
 			}
@@ -237,11 +239,11 @@
 
 func TestNewServerStartsAtTheOthersMean(t *testing.T) {
 	r := newRig(t, 2, nil)
-	r.smooth(0, 100*ms)
-	r.smooth(1, 300*ms)
+	r.smoothed.Set(0, 100*ms)
+	r.smoothed.Set(1, 300*ms)
 	r.at(time.Second, Input{Kind: List, Scope: Changes, Members: []Member{{Server: 2, Scale: 1}}})
-	if r.smoothed[2] != 200*ms {
-		t.Errorf("starts at %v", r.smoothed[2])
+	if r.smoothed.At(2) != 200*ms {
+		t.Errorf("starts at %v", r.smoothed.At(2))
 	}
 }
 
@@ -309,8 +311,8 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 8, func(s *Settings) { s.Types[1].Group, s.Types[1].Window = c.group, c.window })
 			if c.group == GroupCell { // two a cell: a third hop finds only those it has tried, resting
-				for s := range r.ready {
-					r.setReady(s, s < 2)
+				for s := range r.members.Len() {
+					r.members.SetReady(s, s < 2)
 				}
 			}
 			op, _ := r.arriveAt(time.Second, 1, 2*time.Second)
@@ -319,9 +321,9 @@
 				t.Fatalf("no second hop: %v", second)
 			}
 			if c.group == GroupCell {
-				r.setReady(0, false)
-				r.setReady(1, false)
-				r.setReady(4, true)
+				r.members.SetReady(0, false)
+				r.members.SetReady(1, false)
+				r.members.SetReady(4, true)
 			}
 			third := r.end(time.Second+90*ms, op, 1, Failure)
 			if got := kinds(third); !reflect.DeepEqual(got, c.want) {
@@ -383,8 +385,12 @@
 			r := newRig(t, 3, nil)
 			c.in.Kind = List
 			r.at(time.Second, c.in)
-			if !reflect.DeepEqual(r.ready, c.want) {
-				t.Errorf("ready %v, want %v", r.ready, c.want)
+			var ready []bool
+			for s := range r.members.Len() {
+				ready = append(ready, r.members.Ready(s))
+			}
+			if !reflect.DeepEqual(ready, c.want) {
+				t.Errorf("ready %v, want %v", ready, c.want)
 			}
 		})
 	}
@@ -641,10 +647,10 @@
 			t.Errorf("type %d: unwell", kind)
 		}
 	}
-	if r.cold.Has(1) || r.slowness[1] != 1 || r.pauses[1] != 0 || r.cell[1] != 5 || !r.ready[1] || r.soft[1] != 0 {
+	if r.cold.Has(1) || r.slowness[1] != 1 || r.pauses[1] != 0 || r.cell[1] != 5 || !r.members.Ready(1) || r.soft[1] != 0 {
 		t.Error("something is left of the one before")
 	}
-	if want := []int{0, 2, 1}; !slices.Equal(slices.Collect(r.rotation.From(0)), want) || len(r.ready) != len(untouched.ready) {
+	if want := []int{0, 2, 1}; !slices.Equal(slices.Collect(r.rotation.From(0)), want) || r.members.Len() != untouched.members.Len() {
 		t.Errorf("rotation %v", slices.Collect(r.rotation.From(0)))
 	}
 }
@@ -665,11 +671,10 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 2, func(s *Settings) { s.Nodes, s.AllowancePerS = c.nodes, []float64{10, 10} })
 			for tenant, rate := range c.rates {
-				r.tenants.of(tenant).rate = rate
-				r.tenants.total += rate
+				r.tenants.Arrive(tenant, rate)
 			}
-			if got := r.tenants.rate(0) > r.fair(0); got != c.beyond {
-				t.Errorf("beyond %v: %.2f of %.2f", got, r.tenants.rate(0), r.fair(0))
+			if got := r.tenants.Rate(0) > r.fair(0); got != c.beyond {
+				t.Errorf("beyond %v: %.2f of %.2f", got, r.tenants.Rate(0), r.fair(0))
 			}
 		})
 	}
@@ -689,7 +694,8 @@
 				r.strike(s, 1)
 			}
 			resting := 0
-			for _, until := range r.restUntil {
+			for s := range r.members.Len() {
+				until := r.failures.Until(s, failures.AllTypes)
 				if until > r.now {
 					resting++
 				}
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"fernvane/internal/activeset"
+	"fernvane/internal/columns"
+	"fernvane/internal/failures"
 )
 
 // visits is how many elements of the module's sets and steps of its rotation were come to.
 func visits(p *Policy) int {
-	sum := p.rotation.Steps() + p.tenants.visits
-	for _, s := range []*activeset.Set{&p.cold, &p.dropped, &p.shared, &p.troubled, &p.judged, &p.busy} {
+	sum := p.rotation.Steps() + p.tenants.Visits()
+	for _, s := range []*activeset.Set{&p.cold, p.members.Unlisted(), &p.shared, p.failures.Active(), p.records.Active(), &p.busy} {
 		sum += s.Visits()
 	}
 	return sum
@@ -118,32 +120,34 @@
 	ready, listed, sum := 0, 0, time.Duration(0)
 	var dropped []int
 	var labelled [64]int
-	for s := range r.ready {
-		if r.ready[s] {
+	for s := range r.members.Len() {
+		if r.members.Ready(s) {
 			ready++
 		}
-		if r.listed[s] {
+		if r.members.Listed(s) {
 			listed++
 		}
-		if r.ready[s] && !r.listed[s] {
+		if r.members.Ready(s) && !r.members.Listed(s) {
 			dropped = append(dropped, s)
 		}
-		if (len(r.troubles[s]) > 0 || r.restUntil[s] > r.now) && !r.troubled.Has(s) {
+		if (r.failures.Len(s) > 0 || r.failures.Until(s, failures.AllTypes) > r.now) && !r.failures.Active().Has(s) {
 			t.Fatalf("server %d has troubles that no walk comes to", s)
 		}
-		sum += r.smoothed[s]
+		sum += r.smoothed.At(s)
 		for bit := range labelled {
-			if r.ready[s] && r.labels[s]&(1<<bit) != 0 {
+			if r.members.Ready(s) && r.members.Labels(s)&(1<<bit) != 0 {
 				labelled[bit]++
 			}
 		}
 	}
-	if labelled != r.labelled {
-		t.Fatalf("at %v: by label %v, counted %v", r.now, labelled, r.labelled)
+	for bit, want := range labelled {
+		if got := r.members.LabelCount(1 << bit); got != want {
+			t.Fatalf("at %v: %d with label %d, counted %d", r.now, want, bit, got)
+		}
 	}
-	if ready != r.readyNow || listed != r.listedNow || sum != r.smoothedSum || !slices.Equal(dropped, slices.Collect(r.dropped.All())) {
+	if ready != r.members.ReadyCount() || listed != r.members.ListedCount() || sum != r.smoothed.Sum() || !slices.Equal(dropped, slices.Collect(r.members.Unlisted().All())) {
 		t.Fatalf("at %v: %d ready, counted %d; %d listed, counted %d; sum %v, kept %v; dropped %v, kept %v", r.now,
-			ready, r.readyNow, listed, r.listedNow, sum, r.smoothedSum, dropped, slices.Collect(r.dropped.All()))
+			ready, r.members.ReadyCount(), listed, r.members.ListedCount(), sum, r.smoothed.Sum(), dropped, slices.Collect(r.members.Unlisted().All()))
 	}
 }
 
@@ -177,17 +181,17 @@
 		t.Errorf("%g allocations a tick", got)
 	}
 	const marked, idle = 0.5, 7 // what a tick walks, it fades
-	p.rates[2*idle], p.byType[2*idle].all, p.records[idle].all, p.base[idle+1] = marked, marked, marked, 1
+	p.rates[2*idle], p.byType[2*idle].All, p.records.At(idle).All, p.base[idle+1] = marked, marked, marked, 1
 	tick(1)
-	if p.rates[2*idle] != marked || p.byType[2*idle].all != marked || p.records[idle].all != marked || p.base[idle+1] != 1 {
+	if p.rates[2*idle] != marked || p.byType[2*idle].All != marked || p.records.At(idle).All != marked || p.base[idle+1] != 1 {
 		t.Error("a tick comes to a type or a server without traffic")
 	}
 	for range 300 { // a second each: what has had no traffic for five minutes is let go of
 		now += time.Second
 		p.Handle(now, &Input{Kind: Woken}, nil)
 	}
-	if got := tick(10); got != 0 || len(p.tenants.active) != 0 || p.judged.Len() != 0 || len(p.order) != 0 {
-		t.Errorf("%d elements come to long after, %d tenants, %d servers, %d buckets held", got, len(p.tenants.active), p.judged.Len(), len(p.order))
+	if got := tick(10); got != 0 || p.tenants.Len() != 0 || p.records.Active().Len() != 0 || len(p.order) != 0 {
+		t.Errorf("%d elements come to long after, %d tenants, %d servers, %d buckets held", got, p.tenants.Len(), p.records.Active().Len(), len(p.order))
 	}
 }
 
@@ -255,7 +259,7 @@
 			if beyond != c.beyond {
 				t.Errorf("beyond its share: %v", beyond)
 			}
-			if got := sum(r.set.AllowancePerS); got != r.allowances || !slices.Equal(given, []float64{1, 1}) {
+			if got := columns.Sum(r.set.AllowancePerS); got != r.allowances || !slices.Equal(given, []float64{1, 1}) {
 				t.Errorf("the sum is %g, kept %g; given %v", got, r.allowances, given)
 			}
 		})
@@ -276,8 +280,8 @@
 	for op := range 2 * pooled { // the first ones take them in
 		p.Handle(0, &Input{Kind: Arrival, Op: op, Budget: time.Second}, nil)
 	}
-	if len(p.pool) != pooled || p.labelled[9] != pooled {
-		t.Fatalf("%d of %d taken in, counted %d", len(p.pool), pooled, p.labelled[9])
+	if len(p.pool) != pooled || p.members.LabelCount(label) != pooled {
+		t.Fatalf("%d of %d taken in, counted %d", len(p.pool), pooled, p.members.LabelCount(label))
 	}
 	from := p.rotation.Steps()
 	effects := p.Handle(0, &Input{Kind: Arrival, Op: 2 * pooled, Budget: time.Second}, nil)
@@ -289,7 +293,7 @@
 		t.Error("one that has come to the pool is not taken in")
 	}
 	p.Handle(0, &Input{Kind: List, Members: []Member{{Server: 7, Condition: Draining, Labels: label}}}, nil)
-	if p.labelled[9] != pooled || !p.allTaken(label) {
-		t.Errorf("counted %d of the pool", p.labelled[9])
+	if p.members.LabelCount(label) != pooled || !p.allTaken(label) {
+		t.Errorf("counted %d of the pool", p.members.LabelCount(label))
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,7 +4,13 @@
 	"time"
 
 	"fernvane/internal/activeset"
+	"fernvane/internal/bag"
+	"fernvane/internal/columns"
+	"fernvane/internal/decay"
+	"fernvane/internal/failures"
+	"fernvane/internal/membership"
 	"fernvane/internal/ordered"
+	"fernvane/internal/tenants"
 )
 
 type hop struct {
@@ -26,7 +32,7 @@
 	group              int           // server whose group must be kept, once mayRun
 	firstRun           time.Duration // send of the first hop that may have run
 	ended              Outcome       // of its last hop
-	place, pumped      int           // in Policy.open; the last pump that looked at it
+	pumped             int           // the last pump that looked at it
 }
 
 // shed is what was left to be denied when a bucket's turn came.
@@ -43,12 +49,14 @@
 	now         time.Duration
 	effects     []Effect
 
-	ops         []operation
-	open, order []int // operations in hand; buckets, the cheapest first
+	ops   []operation
+	open  bag.Bag // operations in hand
+	order []int   // buckets, the cheapest first
 
 	// Servers, in parallel arrays under their index.
-	ready, listed, member, lost   []bool // ready: may be sent to; member: taken in; lost: a connect failed
-	labels                        []uint64
+	members                       membership.Table // which may be sent to, which are listed
+	failures                      failures.Table   // by type; servers rest for one, or for all
+	member, lost                  []bool           // member: taken in; lost: a connect failed
 	rank, zone, cell              []int
 	inFlight, streak, pauses      []int
 	strikes, soft, refused        []int     // failures in a row; what softRun counts; refusals in a row
@@ -57,29 +65,21 @@
 	slowness                      []float64 // latency over what is usual for the type
 	coldPace, part, pace          []float64 // hops a cold server may have; by a plan, see Share
 	ghosts                        []float64 // hops given up that the server may still work on
-	smoothed, runStart, lastSpike []time.Duration
+	smoothed                      columns.Durations
+	runStart, lastSpike           []time.Duration
 	coldSince, interval, forecast []time.Duration // forecast: 0 if none
-	ghostSent, restUntil          []time.Duration // the last ghost
+	ghostSent                     []time.Duration // the last ghost
 	answered                      []time.Duration // last sign of life while hops were out
 	droppedAt                     []time.Duration // or its last answer since
-	troubles                      [][]trouble     // by type, in no order
 	onsets                        [][forecastWindow]float64
-	records, byType, byKey        []record // how often hops to it failed, or of a sort
-	breaks                        []record // by type: servers that broke off a hop
-	overall, turned               record   // how often all failed; were turned away as full
+	records                       decay.Table    // how often hops to it failed
+	byType, byKey                 []decay.Record // the same of a sort
+	breaks                        []decay.Record // by type: servers that broke off a hop
+	overall, turned               decay.Record   // how often all failed; were turned away as full
 
 	// What a walk over all servers would find.
-	cold, dropped    activeset.Set // dropped: not listed, and may yet be sent to
-	shared, troubled activeset.Set // a plan names them; they have troubles, or rest
-	judged           activeset.Set // something is on record of them
-	rotation         ordered.Index // all, in the order that all nodes share
-	before           []bool        // whether it was listed before the list numbered in heard
-	heard            []int
-	lists            int
-	readyNow         int     // readyCount is as of the last weighing
-	labelled         [64]int // ready servers by label
-	listedNow        int
-	smoothedSum      time.Duration
+	cold, shared activeset.Set // shared: a plan names them
+	rotation     ordered.Index // all, in the order that all nodes share
 
 	pool                          []int   // the servers taken in
 	next, listedMost              int     // place in rotation where the next joins; servers listed at a time
@@ -97,8 +97,9 @@
 	rates, within             []float64     // arrivals per second by bucket; by a plan, by tenant
 	busy                      activeset.Set // types that time changes something of: they had traffic lately
 	shed                      []shed        // by the last tick, the cheapest first
-	tenants                   tenantTable
+	tenants                   tenants.Table
 	allowances                float64   // of all tenants
+	named                     int       // tenants from here on are unknown
 	reallowed                 bool      // they are not those of the settings any more
 	retries, copies           []float64 // by type: what is left of the budgets
 	rooms, roomMost           []int     // operations with a hop out, and allowed, by room
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"fernvane/internal/failures"
 )
 
 // A list that drops servers that serve. The old code took it for proof: 99% denied while all serve (red-puntos rough-2).
@@ -31,8 +33,8 @@
 				}
 				r.at(time.Second, Input{Kind: List, Scope: Whole, Members: list})
 			}
-			if r.ready[0] != c.ready || r.barred(0, &operation{group: -1}) == c.ready || r.cold.Has(0) && c.only {
-				t.Errorf("may be sent to: %v, cold %v", r.ready[0], r.cold.Has(0))
+			if r.members.Ready(0) != c.ready || r.barred(0, &operation{group: -1}) == c.ready || r.cold.Has(0) && c.only {
+				t.Errorf("may be sent to: %v, cold %v", r.members.Ready(0), r.cold.Has(0))
 			}
 		})
 	}
@@ -58,7 +60,7 @@
 		t.Errorf("weight %g beside %g, cold %v", r.weight[0], r.weight[1], r.cold.Has(0))
 	}
 	tell(Gone)
-	if r.at(r.now+dropKept+time.Second, Input{Kind: Woken}); r.ready[0] {
+	if r.at(r.now+dropKept+time.Second, Input{Kind: Woken}); r.members.Ready(0) {
 		t.Error("kept for ever")
 	}
 }
@@ -85,7 +87,7 @@
 				o := &operation{kind: i % 3, tenant: i / 4 % 2, target: r.now + 400*ms, key: uint32(1 + i/8%9)}
 				how := map[bool]Outcome{true: c.how}[c.bad(o, i*7/3%4)] // else Success
 				r.learn(i*7/3%4, o, r.now-40*ms, how)
-				rested = rested || i > 200 && r.now < r.restUntil[0]
+				rested = rested || i > 200 && r.now < r.failures.Until(0, failures.AllTypes)
 			}
 			sent := [2]int{} // by tenant
 			for op := range 200 {
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -3,15 +3,18 @@
 import (
 	"slices"
 	"time"
+
+	"fernvane/internal/columns"
 )
 
-// WhatIf tells what an instance that knows all that this one knows would decide on an input under other settings,
-// which name the same types and tenants. Nothing of this one changes, so a difference is told once and not carried
-// on: what the other decisions would have led to is not known. Types of an operator's routes keep their figures.
+// WhatIf tells what an instance that knows all that this one knows would decide on an input under other
+// settings, which name the same types and tenants. Nothing of this one changes, so a difference is told once
+// and not carried on: what the other decisions would have led to is not known. Types of an operator's routes
+// keep their figures.
 func (p *Policy) WhatIf(s *Settings, now time.Duration, in *Input, effects []Effect) []Effect {
 	c := p.copied(in.Op)
 	c.set = *s
-	if c.allowances = sum(s.AllowancePerS); p.reallowed { // what has changed since the start is no setting
+	if c.allowances = columns.Sum(s.AllowancePerS); p.reallowed { // changed since the start: no setting
 		c.set.AllowancePerS, c.allowances = p.set.AllowancePerS, p.allowances
 	}
 	c.set.OnRequest, c.set.Types = p.set.OnRequest, slices.Clone(p.set.Types)
@@ -32,43 +35,34 @@
 }
 
 // Servers is how many the instance keeps figures of.
-func (p *Policy) Servers() int { return len(p.ready) }
+func (p *Policy) Servers() int { return p.members.Len() }
 
 // copied shares no memory with p that an input for the operation could write to; a test looks at each field.
 func (p *Policy) copied(op int) *Policy {
 	c := *p
 	c.effects = nil
-	dup(&c.ready, &c.listed, &c.before, &c.member, &c.lost)
-	dup(&c.doubt, &c.refused, &c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses, &c.strikes, &c.soft, &c.heard, &c.pool,
-		&c.open, &c.order, &c.rooms, &c.roomMost)
-	dup(&c.scale, &c.weight, &c.due, &c.coldPace, &c.ghosts, &c.slowness, &c.part, &c.pace, &c.samples, &c.denyShare,
-		&c.rates, &c.retries, &c.copies, &c.within)
-	dup(&c.ghostSent, &c.smoothed, &c.runStart, &c.lastSpike, &c.answered, &c.restUntil, &c.forecast,
+	columns.Clone(&c.member, &c.lost)
+	columns.Clone(&c.doubt, &c.refused, &c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses,
+		&c.strikes, &c.soft, &c.pool, &c.order, &c.rooms, &c.roomMost)
+	columns.Clone(&c.scale, &c.weight, &c.due, &c.coldPace, &c.ghosts, &c.slowness, &c.part, &c.pace, &c.samples,
+		&c.denyShare, &c.rates, &c.retries, &c.copies, &c.within)
+	columns.Clone(&c.ghostSent, &c.runStart, &c.lastSpike, &c.answered, &c.forecast,
 		&c.coldSince, &c.interval, &c.usual, &c.base, &c.droppedAt)
-	dup(&c.labels)
-	dup(&c.breaks, &c.records, &c.byType, &c.byKey)
-	dup(&c.shed)
-	c.tenants = p.tenants.clone()
-	dup(&c.onsets)
-	dup(&c.ops)
+	columns.Clone(&c.breaks, &c.byType, &c.byKey)
+	columns.Clone(&c.shed)
+	c.members, c.failures, c.tenants = p.members.Clone(), p.failures.Clone(), p.tenants.Clone()
+	c.smoothed = p.smoothed.Clone()
+	columns.Clone(&c.onsets)
+	columns.Clone(&c.ops)
 	c.rotation = p.rotation.Clone()
-	c.judged, c.busy = p.judged.Clone(), p.busy.Clone()
-	c.cold, c.dropped, c.shared, c.troubled = p.cold.Clone(), p.dropped.Clone(), p.shared.Clone(), p.troubled.Clone()
-	dup(&c.troubles)
-	for s := range c.troubled.All() {
-		dup(&c.troubles[s])
-	}
-	for _, open := range c.open {
-		dup(&c.ops[open].hops)
+	c.records, c.busy = p.records.Clone(), p.busy.Clone()
+	c.cold, c.shared = p.cold.Clone(), p.shared.Clone()
+	c.open = p.open.Clone()
+	for _, open := range c.open.Items() {
+		columns.Clone(&c.ops[open].hops)
 	}
 	if op < len(c.ops) && c.ops[op].state == closed { // a hop of it may still end
-		dup(&c.ops[op].hops)
+		columns.Clone(&c.ops[op].hops)
 	}
 	return &c
 }
-
-func dup[T any](figures ...*[]T) {
-	for _, f := range figures {
-		*f = slices.Clone(*f)
-	}
-}
--- a/policy/whatif_test.go
+++ b/policy/whatif_test.go
@@ -63,7 +63,8 @@
 // A copy shares no memory that may be written to, whatever fields are added: a field forgotten in copied is found here.
 func TestCopiedSharesNothing(t *testing.T) {
 	r := newRig(t, 3, func(s *Settings) { s.AllowancePerS = []float64{1} }).takeAll()
-	r.within, r.labels[0] = []float64{1}, 1
+	r.within = []float64{1}
+	r.members.SetLabels(0, 1)
 	op, _ := r.arriveAt(0, 0, time.Second)
 	c := r.copied(op)
 	var look func(name string, a, b reflect.Value)
