--- a/cmd/fernvane/bindings.go
+++ b/cmd/fernvane/bindings.go
@@ -198,7 +198,11 @@
 	return c
 }
 
-type settled struct{ ran, not, open int }
+type settled struct {
+	ran  int
+	not  int // provably never ran
+	open int // not settled by the dockets
+}
 
 // reconcile adds what the dockets settle, in a segment of its own; nothing is edited.
 func reconcile(from *source, all map[string]*bindings.Dockets, slack time.Duration, errs io.Writer) (n settled, err error) {
--- a/cmd/fernvane/replicas.go
+++ b/cmd/fernvane/replicas.go
@@ -38,12 +38,6 @@
 		}
 		return peers.Ask(c.Context(), cfg, verify), nil
 	}
-	verdict := func(t *peers.Client) error {
-		if t.Lacking() != "" || len(t.Missed) > 0 || len(t.Asked) == 0 {
-			return errLacking
-		}
-		return nil
-	}
 	var most time.Duration
 	repair := &cobra.Command{Use: "repair", Short: "Have all nodes read what they hold, and wait until it stands as often as it should", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -83,6 +77,14 @@
 	return root
 }
 
+// verdict is an error where something lacks, or a node could not be asked.
+func verdict(t *peers.Client) error {
+	if t.Lacking() != "" || len(t.Missed) > 0 || len(t.Asked) == 0 {
+		return errLacking
+	}
+	return nil
+}
+
 // tellTier writes how each node stands, and what lacks.
 func tellTier(out io.Writer, t *peers.Client, lines bool) {
 	if lines {
