--- a/cmd/fernvane/main.go
+++ b/cmd/fernvane/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"fernvane/internal/distribution/client"
 	"fernvane/internal/serve"
 	"fernvane/internal/tomlfile"
 )
@@ -41,8 +42,8 @@
 discovery or a registry names, and tells the client how it ended.
 
 Files are named by flags or by the environment: PROXY_CONFIG, PROXY_OPERATOR, PROXY_PLANNERS, PROXY_BINDINGS, PROXY_REGISTRY,
-PROXY_SNAPSHOT, PROXY_PEERS, PROXY_PLAN. Exit codes: 0 done, 1 it could not serve, a journal or a kept list is damaged, or too few
-nodes answer or hold what is kept, 2 a file or the command line is of no use.`,
+PROXY_SNAPSHOT, PROXY_PEERS, PROXY_DISTRIBUTION, PROXY_PLAN, PROXY_CONTROL. Exit codes: 0 done, 1 it could not serve, a journal or a kept list is
+damaged, a node is behind, or too few nodes answer or hold what is kept, 2 a file or the command line is of no use.`,
 		Example: `  fernvane serve --config config.json
   fernvane check --operator deploy/operator.example.toml
   fernvane explain --operator deploy/operator.example.toml POST /hire-book/baler --tenant dorset-dairy
@@ -52,8 +53,8 @@
 	root.SetArgs(doubled(args))
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.AddCommand(serveCommand(errs, getenv), checkCommand(errs, getenv), explainCommand(getenv), planCommand(errs, getenv),
-		bindingsCommand(getenv), snapshotCommand(getenv), replicasCommand(getenv), versionCommand())
+	root.AddCommand(serveCommand(errs, getenv), checkCommand(errs, getenv), explainCommand(getenv), planCommand(errs, getenv), controlCommand(errs, getenv),
+		bindingsCommand(getenv), snapshotCommand(getenv), replicasCommand(getenv), configCommand(getenv), versionCommand())
 	if len(args) == 0 {
 		root.SetOut(errs)
 		root.SetArgs([]string{"--help"})
@@ -69,7 +70,8 @@
 		return 0
 	case errors.As(err, &code):
 		return int(code)
-	case errors.Is(err, errDamaged), errors.Is(err, errSpoilt), errors.Is(err, errTooFew), errors.Is(err, errLacking):
+	case errors.Is(err, errDamaged), errors.Is(err, errSpoilt), errors.Is(err, errTooFew), errors.Is(err, errLacking),
+		errors.Is(err, errBehind), errors.Is(err, errNotHeld), errors.As(err, new(*client.RefusedError)):
 		fmt.Fprintf(errs, "fernvane: %v\n", err)
 		return 1
 	case errors.As(err, &faults): // each with its own file and line
