Control processes bound what waits for a peer that asks and takes no answers

Cause: 4,096 messages might wait for one connection, and pages of an answer are large. Now 400 beside batches, which the window of what is not acknowledged bounds; one more ends the connection. TestAnswersAreBounded fails without the bound.

--- a/internal/distribution/control/link.go
+++ b/internal/distribution/control/link.go
@@ -19,7 +19,7 @@
 const (
 	greetMost    = 2 * time.Second  // for a peer's TLS and greeting
 	silentMost   = 30 * time.Second // of a peer, which asks for a word after two
-	queueMost    = 4096             // messages that wait for a peer; batches are also bounded by what it has not acknowledged
+	queueMost    = 400              // messages that wait for a peer beside batches, which are bounded by what it has not acknowledged
 	drainMost    = 300 * time.Millisecond
 	commandsMost = 64 // connections that have not subscribed, so that they take no subscriber's place
 )
@@ -44,6 +44,7 @@
 
 	mu     sync.Mutex
 	queue  []any // wire.Message, or an error that is the refusal and the last
+	others int   // of them that are no batches
 	wake   chan struct{}
 	closed bool
 	why    error // why it was ended from here
@@ -72,9 +73,11 @@
 	if l.closed {
 		return
 	}
-	if len(l.queue) >= queueMost {
-		l.endLocked(errQueue)
-		return
+	if _, batch := m.(*wire.Batch); !batch {
+		if l.others++; l.others > queueMost {
+			l.endLocked(errQueue)
+			return
+		}
 	}
 	l.queue = append(l.queue, m)
 	select {
@@ -116,7 +119,7 @@
 		}
 		l.mu.Lock()
 		queue, closed := l.queue, l.closed
-		l.queue = nil
+		l.queue, l.others = nil, 0
 		l.mu.Unlock()
 		if closed {
 			return
--- a/internal/distribution/control/peers_test.go
+++ b/internal/distribution/control/peers_test.go
@@ -206,3 +206,32 @@
 		}
 	}
 }
+
+// Who asks again and again and takes no answer is cut off before much waits for it.
+func TestAnswersAreBounded(t *testing.T) {
+	t.Parallel()
+	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	wait(t, "current", m.isCurrent)
+	m.mu.Lock()
+	for n := range 2000 {
+		m.nodes.own(distribution.NodeStatus{Name: fmt.Sprint("node-", n), Role: distribution.Node, Connected: true})
+	}
+	m.mu.Unlock()
+	conn := command(t, m.at, nil)
+	var err error
+	for n := 0; err == nil && n < 100_000; n++ {
+		err = wire.Send(conn, &wire.Query{ID: uint64(n)})
+		m.mu.Lock()
+		for l := range m.links {
+			l.mu.Lock()
+			if len(l.queue) > queueMost {
+				t.Errorf("%d messages wait", len(l.queue))
+			}
+			l.mu.Unlock()
+		}
+		m.mu.Unlock()
+	}
+	if err == nil {
+		t.Fatal("never cut off")
+	}
+}
--- a/internal/distribution/control/source_test.go
+++ b/internal/distribution/control/source_test.go
@@ -90,6 +90,7 @@
 	t.Parallel()
 	_, m := listed(t)
 	wait(t, "both servers", func() bool { e, _ := m.server(t, "s1"); f, _ := m.server(t, "s2"); return e.ID+f.ID == "s1s2" })
+	_, before := m.server(t, "s2")
 	config := *m.config
 	m.stop(t)
 	rest := discovery.New(discovery.Figures{LinesPerS: 1e6, Timeout: time.Second}, 1, deaf{})
@@ -102,8 +103,12 @@
 	config.DiscoveryAt = netip.MustParseAddrPort(at)
 	m = start(t, &config)
 	wait(t, "one is gone", func() bool { _, held := m.server(t, "s1"); return held.Deleted })
-	if e, _ := m.server(t, "s2"); e.ID != "s2" {
+	e, held := m.server(t, "s2")
+	if e.ID != "s2" {
 		t.Error("the other is gone too")
 	}
+	if held.Clock != before.Clock {
+		t.Error("the other is written again, and nothing is new of it but the list's revision")
+	}
 	m.stop(t) // ahead of its discovery
 }
