--- a/internal/serve/distribution.go
+++ b/internal/serve/distribution.go
@@ -62,21 +62,21 @@
 func (d *distributed) Servers(changed []distribution.Entry, whole bool) (rejected []distribution.Rejection) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	entries := make([]life.Entry, 0, len(changed))
+	entries, keys := make([]life.Entry, 0, len(changed)), make([]distribution.Key, 0, len(changed))
 	for _, e := range changed {
 		server, err := value.DecodeServer(e)
 		if err != nil {
 			rejected = append(rejected, distribution.Rejection{Key: e.Key, Reason: err.Error()})
 			continue
 		}
-		entries = append(entries, server)
+		entries, keys = append(entries, server), append(keys, e.Key)
 	}
 	now := d.fleet.Now()
 	d.lives.Forget(now)
 	news := d.lives.Told(now, entries, false)
-	for _, e := range entries {
+	for i, e := range entries {
 		if _, known := d.lives.Get(e.ID); !known {
-			rejected = append(rejected, distribution.Rejection{Key: keyOf(changed, e.ID), Reason: "more servers than a node takes"})
+			rejected = append(rejected, distribution.Rejection{Key: keys[i], Reason: "more servers than a node takes"})
 		}
 	}
 	if len(news) == 0 && !whole {
@@ -92,16 +92,6 @@
 	return rejected
 }
 
-// keyOf finds the key of a server among entries.
-func keyOf(entries []distribution.Entry, id string) distribution.Key {
-	for _, e := range entries {
-		if e.Key.Name == id {
-			return e.Key
-		}
-	}
-	return distribution.Key{}
-}
-
 // Routes has the fleet go by the operator's file and all routes and pools that can be used.
 func (d *distributed) Routes(all []distribution.Entry) []distribution.Rejection {
 	d.mu.Lock()
--- a/internal/serve/distribution_test.go
+++ b/internal/serve/distribution_test.go
@@ -1,15 +1,21 @@
 package serve
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/netip"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/client"
+	"fernvane/internal/distribution/control"
 	"fernvane/internal/distribution/value"
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
@@ -20,6 +26,7 @@
 	"fernvane/internal/roster"
 	"fernvane/internal/route"
 	"fernvane/internal/snapshot"
+	"fernvane/internal/tomlfile"
 )
 
 // distributedTo is the part of a node that takes entries, before any socket.
@@ -260,3 +267,73 @@
 		}
 	}
 }
+
+// A new node that reaches no control process asks discovery, and goes by control processes alone once there are some.
+func TestDiscoveryStandsIn(t *testing.T) {
+	t.Parallel()
+	hosts, used := servers(t, 1, whole)
+	others, taken := servers(t, 1, whole)
+	cfg := config()
+	calls := make(chan struct{}, 999)
+	cfg.Discovery = standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		var r http1.Request
+		for c := http1.NewConn(nc); c.ReadRequest(&r) == nil; time.Sleep(10 * time.Millisecond) {
+			calls <- struct{}{}
+			body := fmt.Sprintf(`{"revision":7,"complete":true,"members":[{"id":"of-discovery","host_port":"%s","phase":"SERVING","size":1}]}`, others[0].Address)
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := held.Addr().(*net.TCPAddr).AddrPort()
+	held.Close()
+	cfg.Distribution = &client.Config{Control: []string{at.String()}, Addresses: []netip.AddrPort{at}, Services: []string{"hire"}, Directory: t.TempDir()}
+	node, _ := startNode(t, cfg)
+	<-calls
+	await(t, "request at the server that discovery names", func() bool { ask1(t, dial(t, node), "/check/1"); return taken.Load() > 0 })
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- control.Run(ctx, &control.Config{Name: "c", ListenAt: at, Disk: filepath.Join(t.TempDir(), "c.db"), Follow: "one", OutBytes: 1 << 20,
+			NodeBytes: 1 << 20, PeerBytes: 1 << 20, Connections: 9, KeepDeleted: tomlfile.Span(time.Hour)}, zerolog.Nop())
+	}()
+	defer func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}()
+	entry := serverEntry(t, 1, life.Entry{ID: hosts[0].ID, Address: hosts[0].Address.String(), Size: 1})
+	for by := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		s, err := client.Open(ctx, cfg.Distribution)
+		if err == nil {
+			_, err = s.Write([]distribution.Change{{Key: entry.Key, Value: entry.Value}})
+			s.Close()
+		}
+		if err == nil {
+			break
+		}
+		if time.Now().After(by) {
+			t.Fatal(err)
+		}
+	}
+	for by := time.Now().Add(20 * time.Second); used.Load() == 0; time.Sleep(20 * time.Millisecond) {
+		ask1(t, dial(t, node), "/check/1")
+		if time.Now().After(by) {
+			t.Fatal("the server of the distribution is never used")
+		}
+	}
+	before := taken.Load()
+	for range 20 {
+		if r := ask1(t, dial(t, node), "/check/1"); r.Status != 200 {
+			t.Errorf("answered %d", r.Status)
+		}
+	}
+	if n := taken.Load() - before; n > 0 {
+		t.Errorf("%d requests to the server that only discovery names", n)
+	}
+}
