serve: the last good value of an entry that cannot be used holds over restarts

The disk of the distribution holds the newest version alone, so that a route whose newest text cannot be used was gone after a restart. What holds in its place is kept beside it, last-good.cbor. TestLastGoodOutlivesARestart; it fails without what restore takes in.

--- a/internal/serve/distribution.go
+++ b/internal/serve/distribution.go
@@ -37,27 +37,80 @@
 	held  []distribution.Entry       // routes and pools
 	parts map[distribution.Key]parts // what was made of them
 
-	allowances map[distribution.Key]float64 // of tenants, as they are in force
-	sums       map[string]float64           // the same by name
+	tenants map[distribution.Key]distribution.Entry // in force
+	newer   map[distribution.Key]bool               // of them, those of which a newer version cannot be used
+	sums    map[string]float64                      // allowances in force, by tenant
+
+	kept *lastGood // what holds in place of newer versions; nil: it is not kept
 }
 
 // parts is what became of one entry.
 type parts struct {
 	version distribution.Entry
 	part    route.Part
-	err     error       // why it could not be read
-	last    *route.Part // that holds, of this version or an earlier one
+	err     error              // why it could not be read
+	last    *route.Part        // that holds, of this version or an earlier one
+	good    distribution.Entry // that last is of
 }
 
 func newDistributed(cfg Config, f *fleet.Fleet, log zerolog.Logger) (*distributed, error) {
-	d := &distributed{fleet: f, settings: &cfg.Settings, log: log, lives: life.NewTable(), own: cfg.Routes, parts: map[distribution.Key]parts{}}
+	d := &distributed{fleet: f, settings: &cfg.Settings, log: log, lives: life.NewTable(), own: cfg.Routes, parts: map[distribution.Key]parts{},
+		tenants: map[distribution.Key]distribution.Entry{}}
 	config := *cfg.Distribution
 	config.Name = cfg.Name
+	var good []distribution.Entry
 	var err error
+	if d.kept, good, err = openLastGood(config.Directory); err != nil {
+		log.Error().Err(err).Msg("distribution: what held before cannot be read")
+	}
+	d.restore(good)
 	d.client, err = client.New(&config, d, log)
 	return d, err
 }
 
+// restore takes in what held before the start in place of newer versions.
+func (d *distributed) restore(good []distribution.Entry) {
+	for _, e := range good {
+		if e.Key.Kind == distribution.Tenant {
+			d.tenants[e.Key] = e
+			continue
+		}
+		if part, err := parsePart(e); err == nil {
+			d.parts[e.Key] = parts{last: &part, good: e}
+		}
+	}
+}
+
+func parsePart(e distribution.Entry) (route.Part, error) {
+	if e.Key.Kind == distribution.Pool {
+		return route.ParsePool(e.Key.Service, e.Key.Name, e.Value)
+	}
+	return route.ParseRoute(e.Key.Service, e.Key.Name, e.Value)
+}
+
+// keep has what holds in place of newer versions on disk.
+func (d *distributed) keep() {
+	if d.kept == nil {
+		return
+	}
+	d.mu.Lock()
+	var good []distribution.Entry
+	for _, p := range d.parts {
+		if p.last != nil && distribution.Compare(p.good, p.version) != 0 {
+			good = append(good, p.good)
+		}
+	}
+	for key := range d.newer {
+		if e, holds := d.tenants[key]; holds {
+			good = append(good, e)
+		}
+	}
+	d.mu.Unlock()
+	if err := d.kept.keep(good); err != nil {
+		d.log.Error().Err(err).Msg("distribution: what holds in place of unusable entries is not kept")
+	}
+}
+
 // Servers has the fleet take servers in; one that was told to drain or to be gone does not come back by an older word.
 func (d *distributed) Servers(changed []distribution.Entry, whole bool) (rejected []distribution.Rejection) {
 	d.mu.Lock()
@@ -94,6 +147,7 @@
 
 // Routes has the fleet go by the operator's file and all routes and pools that can be used.
 func (d *distributed) Routes(all []distribution.Entry) []distribution.Rejection {
+	defer d.keep()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.held = all
@@ -102,6 +156,7 @@
 
 // reroute has another operator's file beneath the entries, nil for none.
 func (d *distributed) reroute(own *route.Set) {
+	defer d.keep()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.own = own
@@ -119,11 +174,7 @@
 		p := d.parts[e.Key]
 		if distribution.Compare(p.version, e) != 0 {
 			p.version = e
-			parse := route.ParseRoute
-			if e.Key.Kind == distribution.Pool {
-				parse = route.ParsePool
-			}
-			p.part, p.err = parse(e.Key.Service, e.Key.Name, e.Value)
+			p.part, p.err = parsePart(e)
 		}
 		next[e.Key] = p
 		candidates[i] = route.Candidate{Part: p.part, Last: p.last}
@@ -145,7 +196,12 @@
 			rejected = append(rejected, distribution.Rejection{Key: e.Key, Reason: why.Error()})
 		}
 		if err == nil {
-			p.last = assembled.Used[i]
+			switch p.last = assembled.Used[i]; {
+			case p.last == nil:
+				p.good = distribution.Entry{}
+			case why == nil:
+				p.good = e
+			}
 			next[e.Key] = p
 		}
 	}
@@ -159,23 +215,25 @@
 // Tenants has the fleet go by the allowances that are told beside those of the settings. One that several services name
 // may use the sum.
 func (d *distributed) Tenants(all []distribution.Entry) (rejected []distribution.Rejection) {
+	defer d.keep()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	next, sums := make(map[distribution.Key]float64, len(all)), map[string]float64{}
+	next, newer, sums := make(map[distribution.Key]distribution.Entry, len(all)), map[distribution.Key]bool{}, map[string]float64{}
 	for _, e := range all {
 		tenant, err := value.DecodeTenant(e)
 		if err != nil {
 			rejected = append(rejected, distribution.Rejection{Key: e.Key, Reason: err.Error()})
-			before, had := d.allowances[e.Key]
-			if !had {
+			newer[e.Key] = true
+			before, held := d.tenants[e.Key]
+			if tenant, err = value.DecodeTenant(before); !held || err != nil {
 				continue
 			}
-			tenant.Allowance = before
+			e = before
 		}
-		next[e.Key] = tenant.Allowance
+		next[e.Key] = e
 		sums[e.Key.Name] += tenant.Allowance
 	}
-	d.allowances = next
+	d.tenants, d.newer = next, newer
 	d.allow(sums)
 	return rejected
 }
--- a/internal/serve/distribution_test.go
+++ b/internal/serve/distribution_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -173,8 +174,8 @@
 			t.Errorf("%s: routes in force: %q, not %q", c.what, routes, c.want)
 		}
 	}
-	if d.allowances[distribution.Key{Service: "hire", Kind: distribution.Tenant, Name: "dairy"}] != 10 || len(d.allowances) != 1 {
-		t.Errorf("allowances in force: %v", d.allowances)
+	if d.sums["dairy"] != 10 || len(d.sums) != 1 {
+		t.Errorf("allowances in force: %v", d.sums)
 	}
 }
 
@@ -214,6 +215,67 @@
 	}
 }
 
+// What holds in place of a newer version that cannot be used holds after a restart too, and is forgotten with it.
+func TestLastGoodOutlivesARestart(t *testing.T) {
+	dir := t.TempDir()
+	begin := func() *distributed {
+		d := distributedTo(t)
+		var good []distribution.Entry
+		var err error
+		if d.kept, good, err = openLastGood(dir); err != nil {
+			t.Fatal(err)
+		}
+		d.tenants = map[distribution.Key]distribution.Entry{}
+		d.restore(good)
+		return d
+	}
+	entry := func(kind distribution.Kind, name string, clock uint64, v string) distribution.Entry {
+		return entryOf(kind, name, clock, []byte(v))
+	}
+	const ten, minus = "\x81\xf9\x49\x00", "\x81\xf9\xc9\x00" // [10.0], [-10.0]
+	first := []distribution.Entry{entry(distribution.Route, "a", 1, "type = \"check\"\nbody_bytes = 7"), entry(distribution.Route, "b", 2, "type = \"book\"")}
+	second := []distribution.Entry{first[1], entry(distribution.Route, "a", 3, "type = \"dance\"")}
+	check := func(d *distributed, what string, want int) {
+		t.Helper()
+		set, most := d.fleet.Routes(), 0
+		for i, r := range set.Routes {
+			if r.Name == "hire/a" {
+				most = set.BodyMost(i, 0, 99)
+			}
+		}
+		if most != want || want > 0 && d.sums["dairy"] != 10 {
+			t.Errorf("%s: a body of %d bytes, not %d; allowances %v", what, most, want, d.sums)
+		}
+	}
+	d := begin()
+	d.Routes(first)
+	d.Tenants([]distribution.Entry{entry(distribution.Tenant, "dairy", 1, ten)})
+	d.Routes(second)
+	d.Tenants([]distribution.Entry{entry(distribution.Tenant, "dairy", 2, minus)})
+	check(d, "before", 7)
+	for range 2 {
+		d = begin()
+		if n := len(d.Routes(second)) + len(d.Tenants([]distribution.Entry{entry(distribution.Tenant, "dairy", 2, minus)})); n != 2 {
+			t.Errorf("%d rejections", n)
+		}
+		check(d, "after a restart", 7)
+	}
+	d.Routes(first[1:])
+	d.Tenants(nil)
+	if _, err := os.Stat(filepath.Join(dir, lastGoodFile)); !os.IsNotExist(err) {
+		t.Errorf("it is still kept: %v", err)
+	}
+	d = begin()
+	d.Routes(second)
+	check(d, "after its end", 0)
+	if err := os.WriteFile(filepath.Join(dir, lastGoodFile), []byte("garbled"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, good, err := openLastGood(dir); err == nil || len(good) > 0 {
+		t.Errorf("garbled: %v, %v", good, err)
+	}
+}
+
 // A node knows one teller of servers.
 func TestDistributionGoesAlone(t *testing.T) {
 	for name, c := range map[string]Config{"registry": {Registry: &registry.Config{}}, "planners": {Planners: &plancfg.Forwarder{}}, "snapshot": {Snapshot: &snapshot.Config{}}} {
--- /dev/null
+++ b/internal/serve/lastgood.go
@@ -0,0 +1,70 @@
+package serve
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"fernvane/internal/distribution"
+)
+
+const lastGoodFile = "last-good.cbor" // in the folder of the distribution
+
+// lastGood keeps on disk the entries that hold in place of newer ones which cannot be used, so that they hold after a
+// restart too. There are few, and the file is written when they change.
+type lastGood struct {
+	path string
+
+	mu    sync.Mutex // held over the disk
+	wrote []byte
+}
+
+// openLastGood reads what was kept. A file of no use is told, and counts as empty.
+func openLastGood(directory string) (*lastGood, []distribution.Entry, error) {
+	g := &lastGood{path: filepath.Join(directory, lastGoodFile)}
+	text, err := os.ReadFile(g.path)
+	if os.IsNotExist(err) {
+		return g, nil, nil
+	}
+	if err != nil {
+		return g, nil, err
+	}
+	var entries []distribution.Entry
+	if err := cbor.Unmarshal(text, &entries); err != nil {
+		return g, nil, fmt.Errorf("%s cannot be read: %v", g.path, err)
+	}
+	entries = slices.DeleteFunc(entries, func(e distribution.Entry) bool { return e.Check() != nil || e.Deleted })
+	g.wrote = text
+	return g, entries, nil
+}
+
+// keep replaces what is kept, in one step.
+func (g *lastGood) keep(entries []distribution.Entry) error {
+	slices.SortFunc(entries, func(a, b distribution.Entry) int { return distribution.CompareKeys(a.Key, b.Key) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(entries) == 0 {
+		if g.wrote == nil {
+			return nil
+		}
+		g.wrote = nil
+		return os.Remove(g.path)
+	}
+	text, err := cbor.Marshal(entries)
+	if err != nil || bytes.Equal(text, g.wrote) {
+		return err
+	}
+	if err := os.WriteFile(g.path+".new", text, 0o600); err != nil {
+		return err
+	}
+	if err := os.Rename(g.path+".new", g.path); err != nil {
+		return err
+	}
+	g.wrote = text
+	return nil
+}
