--- a/internal/serve/cgi.go
+++ b/internal/serve/cgi.go
@@ -31,7 +31,7 @@
 			}
 			c.Refused()
 			c.calls.Wait() // what was taken is answered all the same
-			discard(nc)
+			s.discard(nc)
 			return
 		}
 		c.took()
@@ -211,7 +211,7 @@
 	}
 	var err error
 	if c.Request.IsReadiness() {
-		err = s.answer(front, message.Answer{Status: 200})
+		err = s.answer(front, message.Answer{Status: s.readiness()})
 	} else {
 		err = s.operation(front, c.Request, c.Came)
 	}
