--- a/internal/scale/ledger.go
+++ b/internal/scale/ledger.go
@@ -74,6 +74,8 @@
 			l.started[r.Node], l.whole[r.Node] = r.At, 0
 		case wholeTaken:
 			l.whole[r.Node], l.down[r.Node] = r.At, false
+		case wholeLost:
+			l.whole[r.Node] = 0
 		case routesTaken:
 			l.routed[r.Node] = r.At
 		case markerTaken:
