--- a/internal/ends/ends.go
+++ b/internal/ends/ends.go
@@ -33,11 +33,11 @@
 type Effect uint8
 
 const (
-	Nothing Effect = iota
-	Take           // the request goes on
-	Refuse         // it is told that it never ran
-	End            // say that nothing more is written, and read on for a while, so that no reset overtakes an answer
-	Close          // nobody is there to be answered
+	Nothing Effect = iota // goes on as before
+	Take                  // the request goes on
+	Refuse                // it is told that it never ran
+	End                   // say that nothing more is written, and read on for a while, so that no reset overtakes an answer
+	Close                 // nobody is there to be answered
 )
 
 type row struct {
@@ -59,8 +59,9 @@
 
 // Life is a connection's.
 type Life struct {
-	state        State
-	coming, open int // requests that have begun to come, and that were taken and wait for their answer
+	state  State
+	coming int // requests that have begun to come
+	open   int // that were taken and wait for their answer
 }
 
 // State is where it stands.
--- /dev/null
+++ b/policy/scale_test.go
@@ -0,0 +1,295 @@
+package policy
+
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+	"testing"
+	"time"
+
+	"fernvane/internal/activeset"
+)
+
+// visits is how many elements of the module's sets and steps of its rotation were come to.
+func visits(p *Policy) int {
+	sum := p.rotation.Steps() + p.tenants.visits
+	for _, s := range []*activeset.Set{&p.cold, &p.dropped, &p.shared, &p.troubled, &p.judged, &p.busy} {
+		sum += s.Visits()
+	}
+	return sum
+}
+
+// What one change costs does not grow with the fleet: a server replaced by another, one drained, one back, each by
+// elements come to and by memory taken.
+func TestOneChangeCostsWhatItTouches(t *testing.T) {
+	up := Member{Zone: 1, Scale: 1, Started: -time.Hour, HasStart: true}
+	for name, change := range map[string]func(i int) []Member{
+		"replaced": func(i int) []Member {
+			m := up
+			m.Server, m.Rank, m.Other = i, uint32(i)*2654435761, true
+			return []Member{m}
+		},
+		"drained and back": func(i int) []Member {
+			m := up
+			m.Server, m.Condition = i, Draining
+			back := up
+			back.Server = i
+			return []Member{m, back}
+		},
+		"gone and back": func(i int) []Member {
+			m := up
+			m.Server, m.Condition = i, Gone
+			back := up
+			back.Server = i
+			return []Member{m, back}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const changes = 200
+			cost := func(servers int) (elements int, allocs float64) {
+				p := newFleet(3, 0, servers)
+				p.set.OnlyDraining = true
+				var lists [changes][]Member
+				for i := range lists {
+					lists[i] = change(i * 4)
+				}
+				var effects []Effect
+				from, i := visits(p), 0
+				allocs = testing.AllocsPerRun(changes-1, func() {
+					effects = p.Handle(0, &Input{Kind: List, Scope: Changes, Members: lists[i]}, effects[:0])
+					i++
+				})
+				return (visits(p) - from) / changes, allocs
+			}
+			few, fewAllocs := cost(1_000)
+			many, manyAllocs := cost(20_000)
+			if many > 2*few+8 || many > 16*bits.Len(20_000) { // by the logarithm: half as much again
+				t.Errorf("%d elements among 1,000 servers, %d among 20,000", few, many)
+			}
+			if fewAllocs > 0 || manyAllocs > 0 { // a copy of anything would be one, whatever its size
+				t.Errorf("%g allocations among 1,000 servers, %g among 20,000", fewAllocs, manyAllocs)
+			}
+		})
+	}
+}
+
+// A whole list costs n log n at most: told anew, and first told.
+func TestWholeListIsNotASquare(t *testing.T) {
+	cost := func(servers int) (elements int) {
+		p := newFleet(3, 0, servers)
+		p.Handle(0, &Input{Kind: List, Scope: Whole, Members: fleetList(servers)}, nil)
+		return visits(p)
+	}
+	for _, servers := range []int{1_000, 20_000} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			if got, most := cost(servers), 4*servers*bits.Len(uint(servers)); got > most {
+				t.Errorf("%d elements for %d servers, at most %d", got, servers, most)
+			}
+		})
+	}
+}
+
+// The counts and sets that stand for walks over all servers say what a walk would.
+func TestCountsAreAsWalked(t *testing.T) {
+	for _, only := range []bool{false, true} {
+		t.Run(fmt.Sprintf("only draining binds: %v", only), func(t *testing.T) {
+			r := newRig(t, 40, func(s *Settings) { s.OnlyDraining = only }).takeAll()
+			for i := range 4_000 {
+				r.now += 20 * ms
+				scope, list := Changes, []Member{{Server: i * 7 % 40, Rank: uint32(i), Scale: 1, Condition: Condition(i % 3), Other: i%31 == 0,
+					Labels: uint64(i * 5 % 16)}}
+				if i%50 == 49 {
+					scope = Whole
+				}
+				r.at(r.now, Input{Kind: List, Scope: scope, Members: list})
+				r.at(r.now, Input{Kind: Woken})
+				op, _ := r.arriveAt(r.now, i%4, time.Second)
+				if len(r.Policy.ops[op].hops) > 0 {
+					r.end(r.now, op, 0, Outcome(i%8))
+				}
+				walked(t, r)
+			}
+		})
+	}
+}
+
+func walked(t *testing.T, r *rig) {
+	t.Helper()
+	ready, listed, sum := 0, 0, time.Duration(0)
+	var dropped []int
+	var labelled [64]int
+	for s := range r.ready {
+		if r.ready[s] {
+			ready++
+		}
+		if r.listed[s] {
+			listed++
+		}
+		if r.ready[s] && !r.listed[s] {
+			dropped = append(dropped, s)
+		}
+		if (len(r.troubles[s]) > 0 || r.restUntil[s] > r.now) && !r.troubled.Has(s) {
+			t.Fatalf("server %d has troubles that no walk comes to", s)
+		}
+		sum += r.smoothed[s]
+		for bit := range labelled {
+			if r.ready[s] && r.labels[s]&(1<<bit) != 0 {
+				labelled[bit]++
+			}
+		}
+	}
+	if labelled != r.labelled {
+		t.Fatalf("at %v: by label %v, counted %v", r.now, labelled, r.labelled)
+	}
+	if ready != r.readyNow || listed != r.listedNow || sum != r.smoothedSum || !slices.Equal(dropped, slices.Collect(r.dropped.All())) {
+		t.Fatalf("at %v: %d ready, counted %d; %d listed, counted %d; sum %v, kept %v; dropped %v, kept %v", r.now,
+			ready, r.readyNow, listed, r.listedNow, sum, r.smoothedSum, dropped, slices.Collect(r.dropped.All()))
+	}
+}
+
+// A tick costs what is in use: nothing of types, tenants and servers without traffic lately, however many there are, and
+// what had traffic is let go of when it has had none for long.
+func TestTickCostsWhatIsInUse(t *testing.T) {
+	const types, tenants, servers, inUse = 10_000, 390_000, 20_000, 3
+	p := newFleet(types, tenants, servers)
+	now := time.Duration(0)
+	tick := func(times int) (visited int) {
+		from := visits(p)
+		for range times {
+			now += 20 * ms
+			p.Handle(now, &Input{Kind: Woken}, nil)
+		}
+		return visits(p) - from
+	}
+	tick(200) // budgets of retries are full now
+	if got := tick(50); got != 0 {
+		t.Errorf("%d elements come to where nothing has had traffic", got)
+	}
+	for i := range inUse {
+		p.Handle(now, &Input{Kind: Arrival, Op: i, Type: i * 1_000, Tenant: i * 100_000, Budget: time.Second}, nil)
+		p.Handle(now+5*ms, &Input{Kind: HopEnded, Op: i, Outcome: Success, Final: true}, nil)
+	}
+	if got := tick(1); got == 0 || got > 4*inUse { // tenants, servers, types twice
+		t.Errorf("%d elements come to for %d in use", got, inUse)
+	}
+	var effects []Effect
+	if got := testing.AllocsPerRun(20, func() { effects = p.Handle(now, &Input{Kind: Woken}, effects[:0]) }); got > 0 {
+		t.Errorf("%g allocations a tick", got)
+	}
+	const marked, idle = 0.5, 7 // what a tick walks, it fades
+	p.rates[2*idle], p.byType[2*idle].all, p.records[idle].all, p.base[idle+1] = marked, marked, marked, 1
+	tick(1)
+	if p.rates[2*idle] != marked || p.byType[2*idle].all != marked || p.records[idle].all != marked || p.base[idle+1] != 1 {
+		t.Error("a tick comes to a type or a server without traffic")
+	}
+	for range 300 { // a second each: what has had no traffic for five minutes is let go of
+		now += time.Second
+		p.Handle(now, &Input{Kind: Woken}, nil)
+	}
+	if got := tick(10); got != 0 || len(p.tenants.active) != 0 || p.judged.Len() != 0 || len(p.order) != 0 {
+		t.Errorf("%d elements come to long after, %d tenants, %d servers, %d buckets held", got, len(p.tenants.active), p.judged.Len(), len(p.order))
+	}
+}
+
+// A type that has been idle is denied as it would have been, had each tick worked out its share.
+func TestIdleTypeIsDeniedAsOthersAre(t *testing.T) {
+	for name, c := range map[string]struct {
+		revenue float64
+		want    float64
+	}{
+		"the cheapest":       {0.05, shedMost},
+		"dearer than others": {50, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 4, func(s *Settings) { s.Types = append(s.Types, s.Types[0]); s.Types[4].Revenue = c.revenue })
+			r.busy.Remove(4)
+			for b := range r.rates[:8] {
+				r.rates[b] = 10
+			}
+			r.admit, r.blocked, r.now = 0.7, 1, time.Second
+			r.adjustShed(100 * ms)
+			if len(r.order) != 8 {
+				t.Fatalf("order %v", r.order)
+			}
+			r.activate(4)
+			if got := r.denyShare[8]; got != c.want || len(r.order) != 10 {
+				t.Errorf("share %g, want %g; order %v", got, c.want, r.order)
+			}
+		})
+	}
+}
+
+// Allowances change while running: the sum goes with them, more tenants than at the start are known, the settings that
+// the module was given stay as they are, and what a watcher asks goes by those that hold.
+func TestAllowancesChange(t *testing.T) {
+	for name, c := range map[string]struct {
+		changed []Allowance
+		tenant  int
+		beyond  bool // after ten arrivals in a second and a half
+	}{
+		"none":                          {nil, 0, true},
+		"raised":                        {[]Allowance{{0, 100}}, 0, false},
+		"another's raised":              {[]Allowance{{1, 100}}, 0, true},
+		"a new tenant's":                {[]Allowance{{5, 100}}, 5, false},
+		"a new tenant with little":      {[]Allowance{{5, 1}}, 5, true},
+		"a tenant that is not known":    {[]Allowance{{5, 1}}, 9, false},
+		"raised, and lowered in one":    {[]Allowance{{0, 100}, {0, 1}}, 0, true},
+		"a new tenant, then known none": {[]Allowance{{5, 1}}, 4, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			given := []float64{1, 1}
+			r := newRig(t, 2, func(s *Settings) { s.Nodes, s.AllowancePerS = 1, given })
+			r.at(0, Input{Kind: AllowancesChanged, Allowances: c.changed})
+			beyond := false
+			for i := range 10 {
+				now := time.Duration(i) * 150 * ms
+				in := Input{Kind: Arrival, Op: i, Tenant: c.tenant, Budget: time.Second}
+				set := r.set
+				set.AllowancePerS = given
+				asked := r.WhatIf(&set, now, &in, nil)
+				if got := r.at(now, in); len(c.changed) > 0 && !slices.Equal(asked, got) {
+					t.Errorf("a watcher has %v, the module decides %v", asked, got)
+				}
+				beyond = beyond || r.Policy.ops[i].bucket == 1
+			}
+			if beyond != c.beyond {
+				t.Errorf("beyond its share: %v", beyond)
+			}
+			if got := sum(r.set.AllowancePerS); got != r.allowances || !slices.Equal(given, []float64{1, 1}) {
+				t.Errorf("the sum is %g, kept %g; given %v", got, r.allowances, given)
+			}
+		})
+	}
+}
+
+// A request for a pool of which all servers are taken in walks no others in search of one more.
+func TestSmallPoolCostsNoWalkOfAllServers(t *testing.T) {
+	const servers, pooled, label = 20_000, 5, 1 << 9
+	p := New(fleetSettings(1, 0), 7)
+	p.set.Types[0].Pool = label
+	p.Handle(0, &Input{Kind: Woken}, nil)
+	list := fleetList(servers)
+	for i := range pooled {
+		list[i*1_000].Labels = label | 1
+	}
+	p.Handle(0, &Input{Kind: List, Scope: Whole, Members: list}, nil)
+	for op := range 2 * pooled { // the first ones take them in
+		p.Handle(0, &Input{Kind: Arrival, Op: op, Budget: time.Second}, nil)
+	}
+	if len(p.pool) != pooled || p.labelled[9] != pooled {
+		t.Fatalf("%d of %d taken in, counted %d", len(p.pool), pooled, p.labelled[9])
+	}
+	from := p.rotation.Steps()
+	effects := p.Handle(0, &Input{Kind: Arrival, Op: 2 * pooled, Budget: time.Second}, nil)
+	if got := p.rotation.Steps() - from; got != 0 || len(effects) != 1 || effects[0].Kind != SendHop {
+		t.Errorf("%d steps of the rotation; %v", got, effects)
+	}
+	p.Handle(0, &Input{Kind: List, Members: []Member{{Server: 7, Rank: list[7].Rank, Labels: label, Started: -time.Hour, HasStart: true}}}, nil)
+	if p.Handle(0, &Input{Kind: Arrival, Op: 2*pooled + 1, Budget: time.Second}, nil); !p.member[7] {
+		t.Error("one that has come to the pool is not taken in")
+	}
+	p.Handle(0, &Input{Kind: List, Members: []Member{{Server: 7, Condition: Draining, Labels: label}}}, nil)
+	if p.labelled[9] != pooled || !p.allTaken(label) {
+		t.Errorf("counted %d of the pool", p.labelled[9])
+	}
+}
