fernlab distribution: nodes under control processes that end, lose disks and are cut off

The faults of a control machine were seen one at a time in tests; the command plays them one after the other and times each change until it is in force at the last node.

--- /dev/null
+++ b/cmd/fernlab/distribution.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fernvane/internal/lab"
+)
+
+const (
+	distributedWithin = 6 * time.Second // the operators' figure for a change to be in force everywhere
+	distributedMost   = 500             // nodes in one process
+)
+
+func distributionCommand() *cobra.Command {
+	d := lab.Distribution{}
+	c := &cobra.Command{Use: "distribution", Short: "Play nodes under control processes that end, lose disks and are cut off, and time changes until in force",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			if d.Nodes < 1 || d.Nodes > distributedMost || d.Relays < 2 || d.Changes < 1 {
+				return fmt.Errorf("from 1 to %d nodes, 2 relays at least and 1 change", distributedMost)
+			}
+			dir, err := os.MkdirTemp("", "fernlab-distribution-")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			d.Dir = dir
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "fault\tin force at the last node, median\tslowest change\twent back")
+			failed := false
+			err = d.Run(c.Context(), func(r lab.DistributionRow) {
+				fmt.Fprintf(c.ErrOrStderr(), "%s: %s\n", r.Fault, r.Last.Round(time.Millisecond))
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", r.Fault, r.Median.Round(time.Millisecond), r.Last.Round(time.Millisecond), r.Back)
+				failed = failed || r.Last > distributedWithin || r.Back > 0
+			})
+			w.Flush()
+			if err == nil && failed {
+				err = errors.New("a change took more than 6 s, or a node went back")
+			}
+			return err
+		}}
+	c.Flags().IntVar(&d.Nodes, "nodes", 40, "nodes, all in this process")
+	c.Flags().IntVar(&d.Relays, "relays", 3, "relays below two roots")
+	c.Flags().IntVar(&d.Changes, "changes", 3, "changes after each fault")
+	return c
+}
--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -113,7 +113,7 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.AddCommand(runCommand(), listCommand(), checkCommand(), faultsCommand(), scheduleCommand(), compareCommand(), loadCommand(),
+	root.AddCommand(runCommand(), distributionCommand(), listCommand(), checkCommand(), faultsCommand(), scheduleCommand(), compareCommand(), loadCommand(),
 		benchCommand(), proveCommand(), killsCommand(), promisesCommand(), lossesCommand(), stepsCommand(), repairCommand(), scaleCommand(), capacityCommand())
 	err := root.ExecuteContext(ctx)
 	var code exit
