--- /dev/null
+++ b/internal/scale/distribution.go
@@ -0,0 +1,217 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/client"
+	"fernvane/internal/distribution/control"
+	"fernvane/internal/distribution/value"
+	"fernvane/internal/life"
+	"fernvane/internal/serve"
+	"fernvane/internal/tomlfile"
+)
+
+const (
+	startWithin   = 2 * time.Second
+	controlsNamed = 8 // by a node
+	servicesNamed = 1000
+	writesAtOnce  = 1000
+	writeAgain    = 200 * time.Millisecond
+	writeMost     = 15 * time.Second // for a write, over all control processes that are tried
+	listMost      = 2 * time.Minute  // for all servers to be written at the start
+)
+
+// distributionPlane has control processes hold all servers as keyed entries and send each node those of its services. The
+// first control process of each region is its root; roots follow each other, the others follow the root of their region.
+type distributionPlane struct{}
+
+func (distributionPlane) Controls() bool { return true }
+func (distributionPlane) Scoped() bool   { return true }
+
+func (distributionPlane) Check(s *Size) error {
+	switch {
+	case s.Event == DiscoveryAway:
+		return errors.New("--event discovery-away: changes are written at a control process; --event control-killed ends it")
+	case s.Control < s.Regions:
+		return fmt.Errorf("--control %d: each of %d regions wants a root", s.Control, s.Regions)
+	case s.Services > servicesNamed && (s.Serves == 0 || s.Serves > servicesNamed):
+		return fmt.Errorf("--serves %d: a node names %d services at most", s.Serves, servicesNamed)
+	}
+	return nil
+}
+
+func (l *Layout) controlPath(n int) string {
+	return filepath.Join(l.Dir, fmt.Sprintf("control-%d.toml", n))
+}
+
+// upstreams of a control process, the preferred one first.
+func (l *Layout) upstreams(n int) (addresses []string, follow string) {
+	region := l.controlIn(n)
+	if n >= l.Size.Regions {
+		addresses = append(addresses, l.reach(region, region))
+	}
+	for root := range l.Size.Regions {
+		if root != region {
+			addresses = append(addresses, l.reach(region, root))
+		}
+	}
+	if n < l.Size.Regions {
+		return addresses, "all"
+	}
+	return addresses, "one"
+}
+
+func (distributionPlane) Prepare(l *Layout) error {
+	for n := range l.Size.Control {
+		upstreams, follow := l.upstreams(n)
+		quoted := ""
+		for i, u := range upstreams {
+			if i > 0 {
+				quoted += ", "
+			}
+			quoted += fmt.Sprintf("%q", u)
+		}
+		text := fmt.Sprintf("name = \"c%d\"\nregion = \"region-%d\"\nlisten = %q\ndisk = %q\nupstreams = [%s]\nfollow = %q\nplaintext = true\n",
+			n, l.controlIn(n), l.controlAddress(n), filepath.Join(l.Dir, fmt.Sprintf("control-%d.db", n)), quoted, follow)
+		if err := os.WriteFile(l.controlPath(n), []byte(text), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (distributionPlane) Control(ctx context.Context, l *Layout, n int) error {
+	cfg, err := control.Load(l.controlPath(n))
+	if err != nil {
+		return err
+	}
+	return control.Run(ctx, cfg, zerolog.New(os.Stderr).With().Timestamp().Logger())
+}
+
+func (distributionPlane) Configure(l *Layout, node int, cfg *serve.Config) error {
+	dir := filepath.Join(l.Dir, "entries", fmt.Sprint(node))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	cfg.Snapshot = nil // what the node holds of the distribution stands on its disk anyway
+	c := &client.Config{Region: fmt.Sprint("region-", l.regionOf(node)), Zone: zoneName(l, l.zone(l.workerOf(node))), Directory: dir,
+		StartWithin: tomlfile.Span(startWithin), Plaintext: true}
+	for _, s := range l.servicesOf(node) {
+		c.Services = append(c.Services, serviceName(s))
+	}
+	for _, n := range l.preferred(node) {
+		at := l.reach(l.regionOf(node), n)
+		c.Control, c.Addresses = append(c.Control, at), append(c.Addresses, parsed(at))
+	}
+	cfg.Distribution = c
+	return nil
+}
+
+// preferred are the control processes that a node names: the relays of its region, each node another one first, then the
+// root, then others.
+func (l *Layout) preferred(node int) (controls []int) {
+	region := l.regionOf(node)
+	var relays, others []int
+	for n := range l.Size.Control {
+		switch {
+		case l.controlIn(n) == region && n >= l.Size.Regions:
+			relays = append(relays, n)
+		case n != region:
+			others = append(others, n)
+		}
+	}
+	for i := range relays {
+		controls = append(controls, relays[(i+node/l.Size.workers())%len(relays)])
+	}
+	controls = append(append(controls, region), others...)
+	return controls[:min(len(controls), controlsNamed)]
+}
+
+func serviceName(service int) string { return fmt.Sprintf("svc%04d", service) }
+
+// writer changes servers by writes at a control process, at another one when that is lost.
+type writer struct {
+	layout  *Layout
+	config  *client.Config
+	session *client.Session
+}
+
+func (distributionPlane) Source(l *Layout) (Source, error) {
+	w := &writer{layout: l, config: &client.Config{Name: "writer", Plaintext: true}}
+	for n := range min(l.Size.Control, controlsNamed) {
+		at := l.controlAddress(n)
+		w.config.Control, w.config.Addresses = append(w.config.Control, at), append(w.config.Addresses, parsed(at))
+	}
+	by := time.Now().Add(listMost)
+	for first := 0; first < l.Size.Servers; first += writesAtOnce {
+		var changes []distribution.Change
+		for i := first; i < min(first+writesAtOnce, l.Size.Servers); i++ {
+			c, err := w.server(i, life.Up)
+			if err != nil {
+				return nil, err
+			}
+			changes = append(changes, c)
+		}
+		if _, err := w.write(changes, by); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func (w *writer) server(i int, condition life.Condition) (distribution.Change, error) {
+	e := (&standin{layout: w.layout}).entry(i, "")
+	v, err := value.EncodeServer(life.Entry{ID: e.ID, Up: e.UpSince.UnixMilli(), Condition: condition, Address: e.Addresses[0], Zone: e.Site,
+		Flavor: e.Flavor, Cell: e.Cell, Size: 1})
+	key := distribution.Key{Service: serviceName(i % w.layout.Size.Services), Kind: distribution.Server, Name: e.ID}
+	return distribution.Change{Key: key, Value: v}, err
+}
+
+// write tries until a control process has taken the changes; it returns when that try began.
+func (w *writer) write(changes []distribution.Change, by time.Time) (began time.Time, err error) {
+	for {
+		began = time.Now()
+		if w.session == nil {
+			w.session, err = client.Open(context.Background(), w.config)
+		}
+		if w.session != nil {
+			if _, err = w.session.Write(changes); err == nil {
+				return began, nil
+			}
+			w.session.Close()
+			w.session = nil
+		}
+		if time.Now().After(by) {
+			return began, err
+		}
+		time.Sleep(writeAgain)
+	}
+}
+
+func (w *writer) Change(server int, draining bool) (time.Time, error) {
+	condition := life.Up
+	if draining {
+		condition = life.Draining
+	}
+	c, err := w.server(server, condition)
+	if err != nil {
+		return time.Time{}, err
+	}
+	return w.write([]distribution.Change{c}, time.Now().Add(writeMost))
+}
+
+func (w *writer) Away(bool) error { return errors.ErrUnsupported }
+
+func (w *writer) Close() {
+	if w.session != nil {
+		w.session.Close()
+	}
+}
--- a/internal/serve/distribution.go
+++ b/internal/serve/distribution.go
@@ -132,6 +132,9 @@
 			rejected = append(rejected, distribution.Rejection{Key: keys[i], Reason: "more servers than a node takes"})
 		}
 	}
+	if whole { // what earlier pieces have told is of the list too
+		news = d.standing(entries)
+	}
 	if len(news) == 0 && !whole {
 		return rejected
 	}
@@ -145,6 +148,16 @@
 	return rejected
 }
 
+// standing are the lives of some servers as they hold here.
+func (d *distributed) standing(servers []life.Entry) (all []life.Entry) {
+	for _, s := range servers {
+		if e, known := d.lives.Get(s.ID); known {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
 // Routes has the fleet go by the operator's file and all routes and pools that can be used.
 func (d *distributed) Routes(all []distribution.Entry) []distribution.Rejection {
 	defer d.keep()
