Settings bind traffic types to zones and kinds of machine, and give a time to close on drains

Need: three further deployments state where a type may be sent and how soon idle connections to a draining server are closed. Nothing decides by them yet. Measured: the new tests of internal/settings fail without the decoder's part (keys unread); tests of settings, adapter, fleet, policy, node, route pass.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -83,7 +83,7 @@
 		s.members = s.members[:0]
 		for _, l := range e.Entries {
 			s.members = append(s.members, node.Member[uint32]{Server: l.Server, Line: policy.Member{Rank: l.Server, Zone: l.Zone,
-				Cell: l.Cell, Condition: l.Condition, Scale: l.Scale, Started: l.Start, HasStart: l.HasStart}})
+				Kind: l.Kind, Cell: l.Cell, Condition: l.Condition, Scale: l.Scale, Started: l.Start, HasStart: l.HasStart}})
 		}
 		n.List(now, e.Scope, s.members, s.out)
 	case wire.Arrival:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"hash/crc32"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 	tenants   map[string]int
 	reallowed bool // their allowances are not those of the settings any more
 	zones     map[string]int
+	kinds     map[string]int // of machines
 	servers   map[string]*server
 	idlers    map[*server]struct{} // those with idle connections, and perhaps others
 	visits    int                  // servers come to by what is not about one of them, for tests that count
@@ -70,7 +72,7 @@
 	}
 	s.AskWithin = min(s.AskWithin, askPauseShare*askPauseMost)
 	f := &Fleet{set: s, routes: route.NewLive(&s), started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
-		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
+		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones), kinds: index(s.Kinds),
 		servers: map[string]*server{}, idlers: map[*server]struct{}{}, book: roster.NewBook(), room: newRoom(limits)}
 	f.book.OnlyDraining = s.OnlyDraining
 	f.mu.Lock()
@@ -144,7 +146,7 @@
 	u := f.book.Told(now, from, words, scope != policy.Changes)
 	lines := make([]node.Member[string], 0, len(u.Lines))
 	for _, w := range u.Lines {
-		line := policy.Member{Rank: crc32.ChecksumIEEE([]byte(w.ID)), Zone: f.zone(w.Zone), Cell: w.Cell,
+		line := policy.Member{Rank: crc32.ChecksumIEEE([]byte(w.ID)), Zone: number(f.zones, w.Zone), Kind: number(f.kinds, w.Flavor), Cell: w.Cell,
 			Condition: conditions[w.Condition], Scale: w.Size, HasStart: w.Up > 0, Labels: f.labels(w.ID, w.Zone, w.Flavor)}
 		line.Replaced = w.Lost
 		if line.HasStart {
@@ -260,12 +262,16 @@
 	}
 }
 
-// zone numbers the zones of the settings first, then any other by its appearance.
-func (f *Fleet) zone(name string) int {
-	z, ok := f.zones[name]
+// unnamedFrom is the first number of a zone or kind that the settings do not name; they may bind traffic types to numbers
+// below that none of their names has.
+const unnamedFrom = math.MaxInt32 + 1
+
+// number is that of a zone or kind: those that the settings name have their places there, any other comes by its appearance.
+func number(known map[string]int, name string) int {
+	n, ok := known[name]
 	if !ok {
-		z = len(f.zones)
-		f.zones[name] = z
+		n = unnamedFrom + len(known)
+		known[name] = n
 	}
-	return z
+	return n
 }
--- /dev/null
+++ b/internal/settings/placement_test.go
@@ -0,0 +1,117 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"fernvane/policy"
+)
+
+// with is the plain settings with a few names, further keys of the traffic type, and rules.
+func with(kind, rules string) string {
+	text := strings.Replace(plain, `"revenue":2`, `"revenue":2`+kind, 1)
+	return strings.Replace(text, `"groupSize"`, `"dcs":["north","south"],"skus":["small","large"],"rules":{`+rules+`},"groupSize"`, 1)
+}
+
+func TestPlacement(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind  string
+		bit   uint64
+		want  []policy.Placement
+		zones []string
+	}{
+		"absent is free":      {"", 0, nil, []string{"north", "south"}},
+		"zones by place":      {`,"dcsOnly":[1,0,1]`, 1, []policy.Placement{{Zones: []int{0, 1}}}, []string{"north", "south"}},
+		"kinds by place":      {`,"allowedOn":[1]`, 1, []policy.Placement{{Kinds: []int{1}}}, []string{"north", "south"}},
+		"both":                {`,"dcsOnly":[0],"allowedOn":[1]`, 1, []policy.Placement{{Zones: []int{0}, Kinds: []int{1}}}, []string{"north", "south"}},
+		"zones by name":       {`,"dcsOnly":["south"]`, 1, []policy.Placement{{Zones: []int{1}}}, []string{"north", "south"}},
+		"a name of no server": {`,"dcsOnly":["west"]`, 1, []policy.Placement{{Zones: []int{2}}}, []string{"north", "south", "west"}},
+		"a place of no name":  {`,"dcsOnly":[7]`, 1, []policy.Placement{{Zones: []int{7}}}, []string{"north", "south"}},
+		"none at all":         {`,"dcsOnly":[]`, 1, []policy.Placement{{Zones: []int{}}}, []string{"north", "south"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := Decode([]byte(with(c.kind, "")))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s.Types[0].Placement != c.bit || !reflect.DeepEqual(s.Placements, c.want) || !reflect.DeepEqual(s.Zones, c.zones) {
+				t.Errorf("bit %d of %+v, zones %q", s.Types[0].Placement, s.Placements, s.Zones)
+			}
+		})
+	}
+}
+
+// Types that are bound alike share a bit; there are only so many.
+func TestPlacementsAreShared(t *testing.T) {
+	one := `{"name":"a","targetTime":200,"idempotency":"safe","revenue":2,"dcsOnly":[N]}`
+	types := func(numbers string) string {
+		var all []string
+		for _, n := range strings.Fields(numbers) {
+			all = append(all, strings.Replace(one, "N", n, 1))
+		}
+		return `{"limits":{"mostHops":2},"trafficTypes":[` + strings.Join(all, ",") + `]}`
+	}
+	s, err := Decode([]byte(types("4 5 4")))
+	if err != nil || s.Types[0].Placement != 1 || s.Types[1].Placement != 2 || s.Types[2].Placement != 1 || len(s.Placements) != 2 {
+		t.Errorf("%+v, %v", s.Types, err)
+	}
+	many := "0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20 21 22 23 24 25 26 27 28 29 30 31"
+	if s, err = Decode([]byte(types(many))); err != nil || len(s.Placements) != policy.PlacementsMost {
+		t.Errorf("%d placements, %v", len(s.Placements), err)
+	}
+	if _, err = Decode([]byte(types(many + " 32"))); err == nil || !strings.Contains(err.Error(), "32 different ways") {
+		t.Errorf("one more: %v", err)
+	}
+}
+
+func TestDrainClose(t *testing.T) {
+	for name, c := range map[string]struct {
+		rules  string
+		closes bool
+		within time.Duration
+	}{
+		"absent":      {"", false, 0},
+		"given":       {`"drainClose":300.5`, true, 300500 * time.Microsecond},
+		"at once":     {`"drainClose":0`, true, 0},
+		"other rules": {`"stopSendingWithin":100`, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := Decode([]byte(with("", c.rules)))
+			if err != nil || s.CloseOnDrain != c.closes || s.DrainClose != c.within {
+				t.Errorf("%v, %s, %v", s.CloseOnDrain, s.DrainClose, err)
+			}
+		})
+	}
+}
+
+func TestPlacementRefused(t *testing.T) {
+	for name, c := range map[string]struct{ kind, rules, says string }{
+		"zones as a word":       {`,"dcsOnly":"north"`, "", "traffic type 0: dcsOnly"},
+		"zones as a number":     {`,"dcsOnly":1`, "", "traffic type 0: dcsOnly"},
+		"zones as null":         {`,"dcsOnly":null`, "", "traffic type 0: dcsOnly"},
+		"a place below 0":       {`,"dcsOnly":[-1]`, "", "traffic type 0: dcsOnly"},
+		"a place in between":    {`,"dcsOnly":[0.5]`, "", "traffic type 0: dcsOnly"},
+		"a place beyond all":    {`,"dcsOnly":[2147483648]`, "", "traffic type 0: dcsOnly"},
+		"a zone as null":        {`,"dcsOnly":[null]`, "", "traffic type 0: dcsOnly"},
+		"a zone as a list":      {`,"dcsOnly":[[0]]`, "", "traffic type 0: dcsOnly"},
+		"kinds as true":         {`,"allowedOn":true`, "", "traffic type 0: allowedOn"},
+		"kinds as an object":    {`,"allowedOn":{}`, "", "traffic type 0: allowedOn"},
+		"a kind as an object":   {`,"allowedOn":[{}]`, "", "traffic type 0: allowedOn"},
+		"a time below 0":        {"", `"drainClose":-1`, "rules.drainClose is -1"},
+		"a time as a word":      {"", `"drainClose":"300"`, "rules.drainClose is"},
+		"a time as a list":      {"", `"drainClose":[300]`, "rules.drainClose is"},
+		"a time as null":        {"", `"drainClose":null`, "rules.drainClose is \"null\""},
+		"a time as true":        {"", `"drainClose":true`, "rules.drainClose is \"true\""},
+		"a time on two lines":   {"", "\"drainClose\":[\n300]", "rules.drainClose is"},
+		"a time that is beyond": {"", `"drainClose":1e999`, "rules.drainClose is"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Decode([]byte(with(c.kind, c.rules)))
+			if err == nil || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("said %v", err)
+			}
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,7 +18,8 @@
 	policy.Settings
 	TypeNames   []string
 	TenantNames []string
-	Zones       []string
+	Zones       []string      // that servers stand in, by number; then others that traffic types are bound to
+	Kinds       []string      // of machines, likewise
 	ConnIdle    time.Duration // an unused connection is closed after this at the latest
 	DrainGrace  time.Duration // for which a server that is told to leave may still be sent to; below 0: not said
 }
@@ -49,6 +50,7 @@
 	OverageRevenue float64
 	Extra          struct{ WarmKeys bool }
 	Dcs            []string
+	Skus           []string
 	Limits         struct {
 		ConnIdle       float64
 		ConnectTimeout float64
@@ -64,6 +66,7 @@
 		StartCapacity     float64
 		StopSendingWithin *float64
 		OnlyDrainingBinds bool
+		DrainClose        json.RawMessage
 	}
 	Tenants []struct {
 		Name          string
@@ -81,6 +84,8 @@
 	Window       float64
 	Revenue      float64
 	TardyRevenue float64
+	DcsOnly      json.RawMessage
+	AllowedOn    json.RawMessage
 }
 
 // Decode reads the settings and tells what makes them unusable.
@@ -89,11 +94,18 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Settings{}, fmt.Errorf("settings cannot be read: %v", err)
 	}
-	s := Settings{Zones: raw.Dcs, ConnIdle: Span(raw.Limits.ConnIdle), DrainGrace: -1}
+	s := Settings{Zones: raw.Dcs, Kinds: raw.Skus, ConnIdle: Span(raw.Limits.ConnIdle), DrainGrace: -1}
 	if raw.Rules.StopSendingWithin != nil {
 		s.DrainGrace = max(Span(*raw.Rules.StopSendingWithin), 0)
 	}
 	s.Settings = raw.figures()
+	if raw.Rules.DrainClose != nil {
+		within, err := drainClose(raw.Rules.DrainClose)
+		if err != nil {
+			return s, err
+		}
+		s.CloseOnDrain, s.DrainClose = true, within
+	}
 	if raw.Limits.RetryAfter {
 		s.MaxRetryIn = Span(raw.Limits.MaxRetryAfter)
 	}
@@ -112,6 +124,9 @@
 		if err != nil {
 			return s, err
 		}
+		if decoded.Placement, err = s.place(i, &t); err != nil {
+			return s, err
+		}
 		s.TypeNames = append(s.TypeNames, t.Name)
 		s.Types = append(s.Types, decoded)
 	}
--- a/internal/wire/parser.go
+++ b/internal/wire/parser.go
@@ -99,7 +99,7 @@
 
 // entry reads a line of a server list.
 func (p *parser) entry() Entry {
-	e := Entry{Server: p.server(), Zone: p.int("hall", false), Cell: p.int("unitGroup", false),
+	e := Entry{Server: p.server(), Zone: p.int("hall", false), Kind: p.int("classOfHost", false), Cell: p.int("unitGroup", false),
 		Condition: p.condition(), Scale: p.number("scale", 1)}
 	if at, ok := p.find("lastStart"); ok {
 		e.Start = p.parseSpan("lastStart", at)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -31,6 +31,7 @@
 type Entry struct {
 	Server    uint32
 	Zone      int
+	Kind      int // of machine
 	Cell      int
 	Condition policy.Condition
 	Scale     float64
--- a/policy/api.go
+++ b/policy/api.go
@@ -44,6 +44,18 @@
 	CopyShare  float64       // copies for each operation, likewise saved up
 	Pool       uint64        // labels, of which a server needs one
 	ShedMost   float64       // of the type that may be denied by chance
+
+	Placement uint64 // the bit of the placement that it is bound to, by its place in Settings.Placements; 0: free
+}
+
+// PlacementsMost is how many placements settings may hold; twice as many fit the word that tells which ones a server meets,
+// so that an instance can be asked what it would do under other settings.
+const PlacementsMost = 32
+
+// Placement is where a traffic type may be sent, and nowhere else. A nil list leaves its part free, an empty one names none.
+type Placement struct {
+	Zones []int
+	Kinds []int
 }
 
 // KeyOf makes the number of a key, the same at every node; 0 is none.
@@ -67,7 +79,8 @@
 	Zone           int           // where it stands
 	Tick           time.Duration // shortest gap between two calls
 	Types          []TrafficType
-	AllowancePerS  []float64 // by tenant, over all nodes
+	Placements     []Placement // that types are bound to
+	AllowancePerS  []float64   // by tenant, over all nodes
 	OverageRevenue float64
 	OnRequest      bool // the server list must be asked for
 	MostHops       int
@@ -80,6 +93,9 @@
 	ColdStart      float64
 	FallMultiple   float64
 	OnlyDraining   bool // a server that the list drops without a word of draining may still be sent to
+	CloseOnDrain   bool // idle connections to a server that may not be sent to any more must be closed
+	// DrainClose is the time for that, from the notice or, if later, from the last send or outcome there.
+	DrainClose time.Duration
 }
 
 // Scope says how a server list is to be taken.
@@ -107,6 +123,7 @@
 	Other     bool   // not the one that had this index before, of which no hop is out nor an open operation's
 	Rank      uint32 // place in the rotation, the same at every node
 	Zone      int
+	Kind      int // of machine
 	Cell      int
 	Condition Condition
 	Scale     float64
