Bound types go only where they may, and idle connections to draining servers are closed

Change: which placements a server meets is worked out when the list tells of it (place), and barred asks that at every attempt: first ones, repeats, second copies, joins, all levels of care, cold starts, plans' parts, pools of routes. The same counted bits as of labels serve (internal/membership). At most half of the servers open to a bound type rest; an operation with no server open is held and does not keep others from freed room. setReady, where new work is stopped, releases idle connections at once, again at each outcome there, and once more after half of rules.drainClose, for a connect that ended late; it is silent without the key. What-if keeps to the placements of the other settings. Against what else: a list with a wrong zone or kind costs only what that list says; the second release could cost a handshake to a server that is told up again in between, which it is not: that ends it.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,17 +10,17 @@
 	"fernvane/internal/columns"
 )
 
-// labelCount is how many labels there are: the bits of a word.
-const labelCount = 64
+// wordBits is how many labels and placements there are: the bits of a word.
+const wordBits = 64
 
 // Table holds all servers by number. The zero value is an empty table.
 type Table struct {
 	ready, listed []bool
-	labels        []uint64
+	labels        counted
+	placements    counted // that servers meet
 	readyCount    int
 	listedCount   int
-	labelled      [labelCount]int // ready servers by label
-	unlisted      activeset.Set   // ready and not listed
+	unlisted      activeset.Set // ready and not listed
 
 	lists  int    // begun so far
 	before []bool // whether a server was listed before the list numbered in heard
@@ -37,7 +37,7 @@
 	columns.Put(server, false, &t.ready, &t.listed)
 	columns.Put(server, before, &t.before)
 	columns.Put(server, t.lists, &t.heard)
-	columns.Put(server, 0, &t.labels)
+	columns.Put(server, 0, &t.labels.words, &t.placements.words)
 }
 
 // Len is how many servers the table has numbers for.
@@ -50,7 +50,10 @@
 func (t *Table) Listed(server int) bool { return t.listed[server] }
 
 // Labels is a server's labels, one a bit.
-func (t *Table) Labels(server int) uint64 { return t.labels[server] }
+func (t *Table) Labels(server int) uint64 { return t.labels.words[server] }
+
+// Placements is which placements a server meets, one a bit.
+func (t *Table) Placements(server int) uint64 { return t.placements.words[server] }
 
 // ReadyCount is how many servers are ready.
 func (t *Table) ReadyCount() int { return t.readyCount }
@@ -62,21 +65,22 @@
 func (t *Table) Unlisted() *activeset.Set { return &t.unlisted }
 
 // LabelCount is how many of some labels ready servers have: each counts once for each that it has.
-func (t *Table) LabelCount(labels uint64) (count int) {
-	for l := labels; l != 0; l &= l - 1 {
-		count += t.labelled[bits.TrailingZeros64(l)]
-	}
-	return count
-}
+func (t *Table) LabelCount(labels uint64) int { return t.labels.count(labels) }
 
-// SetReady has a server be ready or not.
-func (t *Table) SetReady(server int, ready bool) {
-	if ready != t.ready[server] {
+// PlacementCount is the same of placements.
+func (t *Table) PlacementCount(placements uint64) int { return t.placements.count(placements) }
+
+// SetReady has a server be ready or not, and tells whether it was.
+func (t *Table) SetReady(server int, ready bool) (was bool) {
+	was = t.ready[server]
+	if ready != was {
 		t.readyCount += sign(ready)
-		t.countLabels(server, sign(ready))
+		Count(&t.labels.ready, t.labels.words[server], sign(ready))
+		Count(&t.placements.ready, t.placements.words[server], sign(ready))
 	}
 	t.ready[server] = ready
 	t.unlisted.Put(server, ready && !t.listed[server])
+	return was
 }
 
 // SetListed has a server be listed or not.
@@ -90,20 +94,39 @@
 
 // SetLabels gives a server other labels.
 func (t *Table) SetLabels(server int, labels uint64) {
-	if t.labels[server] == labels {
-		return
-	}
-	if t.ready[server] {
-		t.countLabels(server, -1)
+	t.labels.set(server, labels, t.ready[server])
+}
+
+// SetPlacements has a server meet other placements.
+func (t *Table) SetPlacements(server int, met uint64) {
+	t.placements.set(server, met, t.ready[server])
+}
+
+// counted is a word for each server, with the number of ready servers by bit.
+type counted struct {
+	words []uint64
+	ready [wordBits]int
+}
+
+func (c *counted) set(server int, word uint64, ready bool) {
+	if ready {
+		Count(&c.ready, c.words[server], -1)
+		Count(&c.ready, word, 1)
 	}
-	if t.labels[server] = labels; t.ready[server] {
-		t.countLabels(server, 1)
+	c.words[server] = word
+}
+
+func (c *counted) count(word uint64) (count int) {
+	for ; word != 0; word &= word - 1 {
+		count += c.ready[bits.TrailingZeros64(word)]
 	}
+	return count
 }
 
-func (t *Table) countLabels(server, by int) {
-	for l := t.labels[server]; l != 0; l &= l - 1 {
-		t.labelled[bits.TrailingZeros64(l)] += by
+// Count changes the counts of a word's bits.
+func Count(counts *[wordBits]int, word uint64, change int) {
+	for ; word != 0; word &= word - 1 {
+		counts[bits.TrailingZeros64(word)] += change
 	}
 }
 
@@ -141,7 +164,7 @@
 func (t *Table) Clone() Table {
 	c := *t
 	columns.Clone(&c.ready, &c.listed, &c.before)
-	c.labels = slices.Clone(t.labels)
+	c.labels.words, c.placements.words = slices.Clone(t.labels.words), slices.Clone(t.placements.words)
 	c.heard = slices.Clone(t.heard)
 	c.unlisted = t.unlisted.Clone()
 	return c
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -12,15 +12,16 @@
 type server struct {
 	ready, listed bool
 	labels        uint64
+	met           uint64
 }
 
 func compare(t *rapid.T, table *Table, model []server) {
 	ready, listed := 0, 0
-	labelled := [labelCount]int{}
+	var labelled, open [wordBits]int
 	var unlisted []int
 	for s, m := range model {
-		if table.Ready(s) != m.ready || table.Listed(s) != m.listed || table.Labels(s) != m.labels {
-			t.Fatalf("server %d: ready %v, listed %v, labels %x, want %v", s, table.Ready(s), table.Listed(s), table.Labels(s), m)
+		if table.Ready(s) != m.ready || table.Listed(s) != m.listed || table.Labels(s) != m.labels || table.Placements(s) != m.met {
+			t.Fatalf("server %d: ready %v, listed %v, labels %x, meets %x, want %v", s, table.Ready(s), table.Listed(s), table.Labels(s), table.Placements(s), m)
 		}
 		if m.listed {
 			listed++
@@ -35,10 +36,14 @@
 		for l := m.labels; l != 0; l &= l - 1 {
 			labelled[bits.TrailingZeros64(l)]++
 		}
+		for met := m.met; met != 0; met &= met - 1 {
+			open[bits.TrailingZeros64(met)]++
+		}
 	}
-	if table.Len() != len(model) || table.ReadyCount() != ready || table.ListedCount() != listed || table.labelled != labelled {
-		t.Fatalf("%d servers, %d ready, %d listed, labels %v; want %d, %d, %d, %v", table.Len(), table.ReadyCount(),
-			table.ListedCount(), table.labelled, len(model), ready, listed, labelled)
+	if table.Len() != len(model) || table.ReadyCount() != ready || table.ListedCount() != listed || table.labels.ready != labelled ||
+		table.placements.ready != open {
+		t.Fatalf("%d servers, %d ready, %d listed, labels %v, open %v; want %d, %d, %d, %v, %v", table.Len(), table.ReadyCount(),
+			table.ListedCount(), table.labels.ready, table.placements.ready, len(model), ready, listed, labelled, open)
 	}
 	if got := slices.Collect(table.Unlisted().All()); !slices.Equal(got, unlisted) {
 		t.Fatalf("ready and not listed: %v, want %v", got, unlisted)
@@ -53,7 +58,7 @@
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			s := rapid.IntRange(0, len(model)).Draw(t, "server")
 			copied, before := table.Clone(), slices.Clone(model)
-			change := rapid.IntRange(0, 4).Draw(t, "change")
+			change := rapid.IntRange(0, 5).Draw(t, "change")
 			switch {
 			case s == len(model):
 				table.Add(s)
@@ -62,14 +67,20 @@
 				table.Add(s)
 				model[s] = server{}
 			case change == 1:
+				was := model[s].ready
 				model[s].ready = rapid.Bool().Draw(t, "ready")
-				table.SetReady(s, model[s].ready)
+				if got := table.SetReady(s, model[s].ready); got != was {
+					t.Fatalf("server %d: was ready %v, want %v", s, got, was)
+				}
 			case change == 2:
 				model[s].listed = rapid.Bool().Draw(t, "listed")
 				table.SetListed(s, model[s].listed)
 			case change == 3:
 				model[s].labels = rapid.SampledFrom([]uint64{0, 1, 1<<63 | 6, 4}).Draw(t, "labels")
 				table.SetLabels(s, model[s].labels)
+			case change == 4:
+				model[s].met = rapid.SampledFrom([]uint64{0, 1, 1<<63 | 6, 4}).Draw(t, "placements")
+				table.SetPlacements(s, model[s].met)
 			default:
 				table.BeginList()
 				table.UnlistAll()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,6 +17,7 @@
 	"fernvane/internal/decay"
 	"fernvane/internal/failures"
 	"fernvane/internal/leastsquares"
+	"fernvane/internal/membership"
 	"fernvane/internal/tenants"
 )
 
@@ -510,6 +511,7 @@
 	if !h.late {
 		p.flying--
 	}
+	p.closeIdle(h.server)
 	ran := in.Outcome != Overloaded && in.Outcome != Unreachable && in.Outcome != Void
 	p.learn(h.server, o, h.sent, in.Outcome)
 	if !ran {
@@ -644,10 +646,12 @@
 
 // pump gives freed room to the operations that wait here, the dearest first.
 func (p *Policy) pump() {
+	stuck := uint64(0) // placements of which no server can be found now
 	for p.pumps++; !p.full(); {
 		best := -1
 		for _, op := range p.open.Items() {
 			if o := &p.ops[op]; o.state == waiting && o.pumped != p.pumps && p.hasRoom(o) &&
+				p.set.Types[o.kind].Placement&stuck == 0 &&
 				(best < 0 || p.worth(o.bucket) > p.worth(p.ops[best].bucket)) {
 				best = op
 			}
@@ -657,8 +661,11 @@
 		}
 		p.ops[best].pumped = p.pumps
 		p.step(best, swept)
-		if o := &p.ops[best]; o.state == waiting && p.set.Types[o.kind].Pool == 0 {
-			return // nor would the others find a server
+		o := &p.ops[best]
+		if t := &p.set.Types[o.kind]; o.state == waiting && t.Pool == 0 {
+			if stuck |= t.Placement; t.Placement == 0 {
+				return // nor would the others find a server
+			}
 		}
 	}
 }
@@ -698,16 +705,25 @@
 	}
 }
 
-// rest sets the end of a rest that doubles, unless too large a share of the ready servers would be resting.
+// rest sets the end of a rest that doubles, unless too large a share of the ready servers would be resting,
+// or of those open to a type that the rest bears on.
 func (p *Policy) rest(s, kind, doubled int, share float64) {
-	n := 1.0
+	n, bound, among := 1.0, p.members.Placements(s), [2 * PlacementsMost]int{}
+	if kind != failures.AllTypes {
+		bound = p.set.Types[kind].Placement
+	}
 	for other := range p.failures.Active().All() {
 		if p.members.Ready(other) && p.members.Listed(other) && p.now < p.failures.Until(other, kind) {
 			n++
+			membership.Count(&among, bound&p.members.Placements(other), 1)
 		}
 		p.forgetFailures(other)
 	}
-	if n <= share*float64(p.readyCount) || !p.members.Listed(s) { // for those dropped the list bears it out
+	few := n <= share*float64(p.readyCount) || kind != failures.AllTypes && bound != 0
+	for i, rest := range among {
+		few = few && (bound>>i&1 == 0 || float64(rest+1) <= share*float64(p.members.PlacementCount(1<<i)))
+	}
+	if few || !p.members.Listed(s) { // for those dropped the list bears it out
 		wait := min(restFirst<<min(doubled, 3), restMost)
 		p.failures.SetUntil(s, kind, p.now+time.Duration(float64(wait)*(0.75+0.5*p.chance())))
 	}
@@ -785,10 +801,10 @@
 
 // barred: the rules or the cold budget forbid this server for this operation.
 func (p *Policy) barred(s int, o *operation) bool {
-	if !p.members.Ready(s) || p.cold.Has(s) && p.coldPace[s] < 1 {
+	t := &p.set.Types[o.kind]
+	if !p.members.Ready(s) || t.Placement&^p.members.Placements(s) != 0 || p.cold.Has(s) && p.coldPace[s] < 1 {
 		return true
 	}
-	t := &p.set.Types[o.kind]
 	kept := o.mayRun && t.Repeat == Fingerprinted // to its group
 	return t.Pool != 0 && t.Pool&p.members.Labels(s) == 0 || kept && (t.Group == GroupZone &&
 		p.zone[s] != p.zone[o.group] || t.Group == GroupCell && p.cell[s] != p.cell[o.group])
@@ -865,7 +881,7 @@
 		}
 	}
 	home := p.chance() > p.strain
-	if pool := p.set.Types[o.kind].Pool; best == 0 && pool != 0 && p.allTaken(pool) {
+	if t := &p.set.Types[o.kind]; best == 0 && t.Pool|t.Placement != 0 && p.allTaken(t) {
 		return false
 	}
 	for _, anywhere := range []bool{!home, true} {
@@ -885,13 +901,14 @@
 	return best > 0
 }
 
-// allTaken: every ready server with one of some labels is taken in, so that a walk for another finds none.
-func (p *Policy) allTaken(labels uint64) bool {
-	others := p.members.LabelCount(labels)
+// allTaken: every ready server of a type's pool or placement is taken in, so a walk for another finds none.
+func (p *Policy) allTaken(t *TrafficType) bool {
+	pooled, open := p.members.LabelCount(t.Pool), p.members.PlacementCount(t.Placement)
 	for _, s := range p.pool {
-		others -= bits.OnesCount64(p.members.Labels(s) & labels)
+		pooled -= bits.OnesCount64(p.members.Labels(s) & t.Pool)
+		open -= bits.OnesCount64(p.members.Placements(s) & t.Placement)
 	}
-	return others == 0
+	return t.Pool != 0 && pooled == 0 || t.Placement != 0 && open == 0
 }
 
 func (p *Policy) take(s int) {
@@ -954,9 +971,10 @@
 		if !p.rotation.Has(s) {
 			p.rotate(s, int(m.Rank))
 		}
-		p.zone[s], p.cell[s], p.scale[s] = m.Zone, m.Cell, cmp.Or(max(m.Scale, 0), 1)
+		p.zone[s], p.machine[s], p.cell[s], p.scale[s] = m.Zone, m.Kind, m.Cell, cmp.Or(max(m.Scale, 0), 1)
+		p.place(s)
 		p.members.SetLabels(s, m.Labels)
-		p.members.SetReady(s, m.Condition == Up || m.Condition == Gone && p.members.Ready(s) && !m.Replaced)
+		p.setReady(s, m.Condition == Up || m.Condition == Gone && p.members.Ready(s) && !m.Replaced)
 		if m.Condition == Up && !wasListed && known && !p.member[s] &&
 			p.chance()*float64(p.readyCount+1) < float64(len(p.pool)) {
 			p.admitServer(s) // as often as it has any other: not left out, and not taken in by all at once
@@ -989,11 +1007,41 @@
 	p.pump()
 }
 
+// place works out which placements a server meets, when the list tells of it and not at each send.
+func (p *Policy) place(s int) {
+	met, zone, kind := uint64(0), p.zone[s], p.machine[s]
+	for i, to := range p.set.Placements {
+		free := to.Zones == nil || slices.Contains(to.Zones, zone)
+		if free && (to.Kinds == nil || slices.Contains(to.Kinds, kind)) {
+			met |= 1 << i
+		}
+	}
+	p.members.SetPlacements(s, met)
+}
+
+// setReady has a server get new work, or none from now on.
+func (p *Policy) setReady(s int, ready bool) {
+	was := p.members.SetReady(s, ready)
+	if p.leaving.Put(s, p.leaving.Has(s) && !ready); was && !ready {
+		p.closeIdle(s)
+	}
+}
+
+// closeIdle has idle connections to a server that gets nothing new closed, once more after half the time: a
+// connect that was under way has ended by then. It costs nothing where all are closed.
+func (p *Policy) closeIdle(s int) {
+	if p.set.CloseOnDrain && !p.members.Ready(s) {
+		p.emit(Effect{Kind: Release, Server: s})
+		p.leaving.Add(s)
+		p.usedAt[s] = p.now
+	}
+}
+
 // unlist answers that the list dropped a server without a word of draining. Where only draining binds that
 // proves nothing: its turns go down by a step, and from then on by what its hops find. This guards against
 // lists that are wrong, old or cut short; where all that vanish are dead, each costs a few failed connects.
 func (p *Policy) unlist(s int, now bool) {
-	if p.members.SetReady(s, p.set.OnlyDraining); !p.members.Ready(s) {
+	if p.setReady(s, p.set.OnlyDraining); !p.members.Ready(s) {
 		return
 	}
 	if now {
@@ -1012,7 +1060,7 @@
 		}
 	}
 	if kept > 0 && (kept > p.listedMost || p.now-p.droppedAt[oldest] > dropKept) && p.inFlight[oldest] == 0 {
-		p.members.SetReady(oldest, false)
+		p.setReady(oldest, false)
 		if i := slices.Index(p.pool, oldest); i >= 0 {
 			p.drop(i)
 		}
@@ -1048,17 +1096,18 @@
 		p.next--
 	}
 	p.cold.Remove(s)
+	p.leaving.Remove(s)
 	p.shared.Remove(s)
 	p.members.Add(s)
 	p.failures.Add(s)
 	columns.Put(s, false, &p.member, &p.lost)
 	p.records.Reset(s)
-	columns.Put(s, 0, &p.rank, &p.zone, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses, &p.soft,
-		&p.doubt, &p.refused)
+	columns.Put(s, 0, &p.rank, &p.zone, &p.machine, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses,
+		&p.soft, &p.doubt, &p.refused)
 	columns.Put(s, 0.0, &p.due, &p.coldPace, &p.ghosts, &p.part, &p.pace)
 	columns.Put(s, 1.0, &p.scale, &p.weight, &p.slowness)
 	columns.Put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.forecast,
-		&p.interval, &p.droppedAt)
+		&p.interval, &p.droppedAt, &p.usedAt)
 	p.smoothed.Set(s, mean)
 	columns.Put(s, p.now, &p.answered)
 	columns.Put(s, [forecastWindow]float64{}, &p.onsets)
@@ -1113,6 +1162,12 @@
 	for _, s := range p.pool {
 		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed.At(s), 1))))
 	}
+	for s := range p.leaving.All() {
+		if p.now-p.usedAt[s] >= p.set.DrainClose/2 {
+			p.leaving.Remove(s)
+			p.emit(Effect{Kind: Release, Server: s})
+		}
+	}
 	p.letGo(passed)
 	p.giveUpDropped()
 	p.adjustShed(passed)
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -293,7 +293,7 @@
 		t.Error("one that has come to the pool is not taken in")
 	}
 	p.Handle(0, &Input{Kind: List, Members: []Member{{Server: 7, Condition: Draining, Labels: label}}}, nil)
-	if p.members.LabelCount(label) != pooled || !p.allTaken(label) {
+	if p.members.LabelCount(label) != pooled || !p.allTaken(&TrafficType{Pool: label}) {
 		t.Errorf("counted %d of the pool", p.members.LabelCount(label))
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -57,7 +57,7 @@
 	members                       membership.Table // which may be sent to, which are listed
 	failures                      failures.Table   // by type; servers rest for one, or for all
 	member, lost                  []bool           // member: taken in; lost: a connect failed
-	rank, zone, cell              []int
+	rank, zone, machine, cell     []int            // machine: its kind
 	inFlight, streak, pauses      []int
 	strikes, soft, refused        []int     // failures in a row; what softRun counts; refusals in a row
 	doubt                         []int     // steps down since the list dropped it
@@ -71,6 +71,7 @@
 	ghostSent                     []time.Duration // the last ghost
 	answered                      []time.Duration // last sign of life while hops were out
 	droppedAt                     []time.Duration // or its last answer since
+	usedAt                        []time.Duration // notice, last send or outcome of one that is leaving
 	onsets                        [][forecastWindow]float64
 	records                       decay.Table    // how often hops to it failed
 	byType, byKey                 []decay.Record // the same of a sort
@@ -79,6 +80,7 @@
 
 	// What a walk over all servers would find.
 	cold, shared activeset.Set // shared: a plan names them
+	leaving      activeset.Set // connections to them are to be closed once more
 	rotation     ordered.Index // all, in the order that all nodes share
 
 	pool                          []int   // the servers taken in
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -18,10 +18,15 @@
 		c.set.AllowancePerS, c.allowances = p.set.AllowancePerS, p.allowances
 	}
 	c.set.OnRequest, c.set.Types = p.set.OnRequest, slices.Clone(p.set.Types)
+	c.set.Placements = append(slices.Clone(p.set.Placements), s.Placements...) // types of routes keep to the own ones
 	for k := range min(len(s.Types), len(c.set.Types)) {
 		pool := c.set.Types[k].Pool
 		c.set.Types[k] = s.Types[k]
 		c.set.Types[k].Pool = pool
+		c.set.Types[k].Placement <<= len(p.set.Placements)
+	}
+	for server := range c.members.Len() {
+		c.place(server)
 	}
 	return c.Handle(now, in, effects)
 }
@@ -42,12 +47,12 @@
 	c := *p
 	c.effects = nil
 	columns.Clone(&c.member, &c.lost)
-	columns.Clone(&c.doubt, &c.refused, &c.rank, &c.zone, &c.cell, &c.inFlight, &c.streak, &c.pauses,
+	columns.Clone(&c.doubt, &c.refused, &c.rank, &c.zone, &c.machine, &c.cell, &c.inFlight, &c.streak, &c.pauses,
 		&c.strikes, &c.soft, &c.pool, &c.order, &c.rooms, &c.roomMost)
 	columns.Clone(&c.scale, &c.weight, &c.due, &c.coldPace, &c.ghosts, &c.slowness, &c.part, &c.pace, &c.samples,
 		&c.denyShare, &c.rates, &c.retries, &c.copies, &c.within)
 	columns.Clone(&c.ghostSent, &c.runStart, &c.lastSpike, &c.answered, &c.forecast,
-		&c.coldSince, &c.interval, &c.usual, &c.base, &c.droppedAt)
+		&c.coldSince, &c.interval, &c.usual, &c.base, &c.droppedAt, &c.usedAt)
 	columns.Clone(&c.breaks, &c.byType, &c.byKey)
 	columns.Clone(&c.shed)
 	c.members, c.failures, c.tenants = p.members.Clone(), p.failures.Clone(), p.tenants.Clone()
@@ -56,7 +61,7 @@
 	columns.Clone(&c.ops)
 	c.rotation = p.rotation.Clone()
 	c.records, c.busy = p.records.Clone(), p.busy.Clone()
-	c.cold, c.shared = p.cold.Clone(), p.shared.Clone()
+	c.cold, c.shared, c.leaving = p.cold.Clone(), p.shared.Clone(), p.leaving.Clone()
 	c.open = p.open.Clone()
 	for _, open := range c.open.Items() {
 		columns.Clone(&c.ops[open].hops)
--- a/policy/whatif_test.go
+++ b/policy/whatif_test.go
@@ -65,6 +65,7 @@
 	r := newRig(t, 3, func(s *Settings) { s.AllowancePerS = []float64{1} }).takeAll()
 	r.within = []float64{1}
 	r.members.SetLabels(0, 1)
+	r.members.SetPlacements(0, 1)
 	op, _ := r.arriveAt(0, 0, time.Second)
 	c := r.copied(op)
 	var look func(name string, a, b reflect.Value)
