--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -18,11 +18,25 @@
 	arrive = "arrival\tjob=00000000000000aa\tservice=0\ttimeBudget=900\tnew=1\n"
 )
 
+// placed are servers in two zones and of two kinds, and drain tells that one of them drains.
+const (
+	placed = "manifest\tlist=0\tentries=3\nentry\tserver=9\thall=0\tclassOfHost=1\tcondition=up\n" +
+		"entry\tserver=8\thall=1\tclassOfHost=1\tcondition=up\nentry\tserver=7\thall=0\tclassOfHost=2\tcondition=up\n"
+	drain = "manifest\tlist=1\tentries=1\nentry\tserver=8\thall=1\tclassOfHost=1\tcondition=draining\n" +
+		"discovery\tscope=INCREMENTAL\tindex=2\tlist=1\n"
+)
+
+// bound starts an instance whose settings have further keys in the traffic type and in the rules.
+func bound(kind, rules string) string {
+	text := strings.Replace(start("3"), `"idempotency"`, kind+`,"idempotency"`, 1)
+	return strings.Replace(text, `"cold":5000`, rules+`"cold":5000`, 1)
+}
+
 func batch(lines string) string { return "batch\tnow=1000.5\n" + lines + "eof_batch\n\n" }
 
 func TestRun(t *testing.T) {
 	for name, c := range map[string]struct {
-		in, want, wantErr, fails string
+		in, want, never, wantErr, fails string
 	}{
 		"an empty batch":          {in: batch(""), want: "eor\n"},
 		"a list number reused":    {in: batch(start("3") + list + saved + arrive), want: "forward\tjob=00000000000000aa\tserver=8\tallowFor="},
@@ -34,13 +48,20 @@
 		"an instance not started": {in: batch("target_instance\twho=6\n" + arrive), want: "eor\n", wantErr: "does not run"},
 		"a stream begins and ends": {in: batch(start("3")+list+saved+arrive+"begun\tjob=00000000000000aa\tn=0\tserver=8\tspent=1\n") +
 			batch("target_instance\twho=3\nverdict\tjob=00000000000000aa\tn=0\tserver=8\tverdict=broken\tfinal=1\n"), want: "eor\nfrom\twho=3\neor\n"},
-		"left and unknown":       {in: batch(start("3") + "left\tjob=00000000000000ab\n"), want: "eor\n"},
-		"an unknown type":        {in: batch(start("3") + list + saved + "arrival\tjob=00000000000000aa\tservice=7\ttimeBudget=900\n"), want: "turn_away\tjob=00000000000000aa"},
-		"settings of no use":     {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\n"), want: "broken\tmessage=settings cannot be read"},
-		"settings without types": {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\"limits\":{\"mostHops\":1}}\n"), want: "broken\tmessage=settings name no traffic types"},
-		"end in mid-batch":       {in: "batch\tnow=1\ntarget_instance\twho=3\n", fails: "middle of a batch"},
-		"end in mid-line":        {in: "batch\tno", fails: "middle of a batch"},
-		"megabytes":              {in: batch(start("3") + list + saved + strings.Repeat("left\tjob=00000000000000ab\tpad="+strings.Repeat("x", 1000)+"\n", 3000)), want: "eor\n"},
+		"left and unknown":         {in: batch(start("3") + "left\tjob=00000000000000ab\n"), want: "eor\n"},
+		"an unknown type":          {in: batch(start("3") + list + saved + "arrival\tjob=00000000000000aa\tservice=7\ttimeBudget=900\n"), want: "turn_away\tjob=00000000000000aa"},
+		"settings of no use":       {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\n"), want: "broken\tmessage=settings cannot be read"},
+		"settings without types":   {in: batch("target_instance\twho=3\npower_on\tentropy=5\tenv={\"limits\":{\"mostHops\":1}}\n"), want: "broken\tmessage=settings name no traffic types"},
+		"end in mid-batch":         {in: "batch\tnow=1\ntarget_instance\twho=3\n", fails: "middle of a batch"},
+		"end in mid-line":          {in: "batch\tno", fails: "middle of a batch"},
+		"a type bound to a zone":   {in: batch(bound(`"dcsOnly":[1]`, "") + placed + saved + arrive), want: "forward\tjob=00000000000000aa\tserver=8\t"},
+		"a type bound to a kind":   {in: batch(bound(`"allowedOn":[2]`, "") + placed + saved + arrive), want: "forward\tjob=00000000000000aa\tserver=7\t"},
+		"bound to a zone of none":  {in: batch(bound(`"dcsOnly":[5]`, "") + placed + saved + arrive), want: "eor\n", never: "forward"},
+		"a zone that is no number": {in: batch(bound(`"dcsOnly":[{}]`, "")), want: "broken\tmessage=traffic type 0: dcsOnly"},
+		"a drain":                  {in: batch(bound(`"dcsOnly":[1]`, `"drainClose":300,`) + placed + saved + arrive + drain), want: "release\tserver=8"},
+		"a drain without a time":   {in: batch(bound(`"dcsOnly":[1]`, "") + placed + saved + drain), want: "eor\n", never: "release"},
+		"a time below 0":           {in: batch(bound(`"dcsOnly":[1]`, `"drainClose":-1,`)), want: "broken\tmessage=rules.drainClose is -1"},
+		"megabytes":                {in: batch(start("3") + list + saved + strings.Repeat("left\tjob=00000000000000ab\tpad="+strings.Repeat("x", 1000)+"\n", 3000)), want: "eor\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var out, errs strings.Builder
@@ -57,6 +78,9 @@
 			if !strings.Contains(out.String(), c.want) || !strings.HasSuffix(out.String(), "eor\n") {
 				t.Errorf("replied %q, want %q in it", out.String(), c.want)
 			}
+			if c.never != "" && strings.Contains(out.String(), c.never) {
+				t.Errorf("replied %q, with %q in it", out.String(), c.never)
+			}
 			if c.wantErr == "" && errs.Len() > 0 || !strings.Contains(errs.String(), c.wantErr) {
 				t.Errorf("complained %q, want %q", errs.String(), c.wantErr)
 			}
