--- a/internal/serve/distribution_test.go
+++ b/internal/serve/distribution_test.go
@@ -1,15 +1,22 @@
 package serve
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/client"
+	"fernvane/internal/distribution/control"
 	"fernvane/internal/distribution/value"
 	"fernvane/internal/fleet"
 	"fernvane/internal/http1"
@@ -20,6 +27,7 @@
 	"fernvane/internal/roster"
 	"fernvane/internal/route"
 	"fernvane/internal/snapshot"
+	"fernvane/internal/tomlfile"
 )
 
 // distributedTo is the part of a node that takes entries, before any socket.
@@ -166,8 +174,8 @@
 			t.Errorf("%s: routes in force: %q, not %q", c.what, routes, c.want)
 		}
 	}
-	if d.allowances[distribution.Key{Service: "hire", Kind: distribution.Tenant, Name: "dairy"}] != 10 || len(d.allowances) != 1 {
-		t.Errorf("allowances in force: %v", d.allowances)
+	if d.sums["dairy"] != 10 || len(d.sums) != 1 {
+		t.Errorf("allowances in force: %v", d.sums)
 	}
 }
 
@@ -207,6 +215,67 @@
 	}
 }
 
+// What holds in place of a newer version that cannot be used holds after a restart too, and is forgotten with it.
+func TestLastGoodOutlivesARestart(t *testing.T) {
+	dir := t.TempDir()
+	begin := func() *distributed {
+		d := distributedTo(t)
+		var good []distribution.Entry
+		var err error
+		if d.kept, good, err = openLastGood(dir); err != nil {
+			t.Fatal(err)
+		}
+		d.tenants = map[distribution.Key]distribution.Entry{}
+		d.restore(good)
+		return d
+	}
+	entry := func(kind distribution.Kind, name string, clock uint64, v string) distribution.Entry {
+		return entryOf(kind, name, clock, []byte(v))
+	}
+	const ten, minus = "\x81\xf9\x49\x00", "\x81\xf9\xc9\x00" // [10.0], [-10.0]
+	first := []distribution.Entry{entry(distribution.Route, "a", 1, "type = \"check\"\nbody_bytes = 7"), entry(distribution.Route, "b", 2, "type = \"book\"")}
+	second := []distribution.Entry{first[1], entry(distribution.Route, "a", 3, "type = \"dance\"")}
+	check := func(d *distributed, what string, want int) {
+		t.Helper()
+		set, most := d.fleet.Routes(), 0
+		for i, r := range set.Routes {
+			if r.Name == "hire/a" {
+				most = set.BodyMost(i, 0, 99)
+			}
+		}
+		if most != want || want > 0 && d.sums["dairy"] != 10 {
+			t.Errorf("%s: a body of %d bytes, not %d; allowances %v", what, most, want, d.sums)
+		}
+	}
+	d := begin()
+	d.Routes(first)
+	d.Tenants([]distribution.Entry{entry(distribution.Tenant, "dairy", 1, ten)})
+	d.Routes(second)
+	d.Tenants([]distribution.Entry{entry(distribution.Tenant, "dairy", 2, minus)})
+	check(d, "before", 7)
+	for range 2 {
+		d = begin()
+		if n := len(d.Routes(second)) + len(d.Tenants([]distribution.Entry{entry(distribution.Tenant, "dairy", 2, minus)})); n != 2 {
+			t.Errorf("%d rejections", n)
+		}
+		check(d, "after a restart", 7)
+	}
+	d.Routes(first[1:])
+	d.Tenants(nil)
+	if _, err := os.Stat(filepath.Join(dir, lastGoodFile)); !os.IsNotExist(err) {
+		t.Errorf("it is still kept: %v", err)
+	}
+	d = begin()
+	d.Routes(second)
+	check(d, "after its end", 0)
+	if err := os.WriteFile(filepath.Join(dir, lastGoodFile), []byte("garbled"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, good, err := openLastGood(dir); err == nil || len(good) > 0 {
+		t.Errorf("garbled: %v, %v", good, err)
+	}
+}
+
 // A node knows one teller of servers.
 func TestDistributionGoesAlone(t *testing.T) {
 	for name, c := range map[string]Config{"registry": {Registry: &registry.Config{}}, "planners": {Planners: &plancfg.Forwarder{}}, "snapshot": {Snapshot: &snapshot.Config{}}} {
@@ -260,3 +329,73 @@
 		}
 	}
 }
+
+// A new node that reaches no control process asks discovery, and goes by control processes alone once there are some.
+func TestDiscoveryStandsIn(t *testing.T) {
+	t.Parallel()
+	hosts, used := servers(t, 1, whole)
+	others, taken := servers(t, 1, whole)
+	cfg := config()
+	calls := make(chan struct{}, 999)
+	cfg.Discovery = standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		var r http1.Request
+		for c := http1.NewConn(nc); c.ReadRequest(&r) == nil; time.Sleep(10 * time.Millisecond) {
+			calls <- struct{}{}
+			body := fmt.Sprintf(`{"revision":7,"complete":true,"members":[{"id":"of-discovery","host_port":"%s","phase":"SERVING","size":1}]}`, others[0].Address)
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := held.Addr().(*net.TCPAddr).AddrPort()
+	held.Close()
+	cfg.Distribution = &client.Config{Control: []string{at.String()}, Addresses: []netip.AddrPort{at}, Services: []string{"hire"}, Directory: t.TempDir()}
+	node, _ := startNode(t, cfg)
+	<-calls
+	await(t, "request at the server that discovery names", func() bool { ask1(t, dial(t, node), "/check/1"); return taken.Load() > 0 })
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- control.Run(ctx, &control.Config{Name: "c", ListenAt: at, Disk: filepath.Join(t.TempDir(), "c.db"), Follow: "one", OutBytes: 1 << 20,
+			NodeBytes: 1 << 20, PeerBytes: 1 << 20, Connections: 9, KeepDeleted: tomlfile.Span(time.Hour)}, zerolog.Nop())
+	}()
+	defer func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}()
+	entry := serverEntry(t, 1, life.Entry{ID: hosts[0].ID, Address: hosts[0].Address.String(), Size: 1})
+	for by := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		s, err := client.Open(ctx, cfg.Distribution)
+		if err == nil {
+			_, err = s.Write([]distribution.Change{{Key: entry.Key, Value: entry.Value}})
+			s.Close()
+		}
+		if err == nil {
+			break
+		}
+		if time.Now().After(by) {
+			t.Fatal(err)
+		}
+	}
+	for by := time.Now().Add(20 * time.Second); used.Load() == 0; time.Sleep(20 * time.Millisecond) {
+		ask1(t, dial(t, node), "/check/1")
+		if time.Now().After(by) {
+			t.Fatal("the server of the distribution is never used")
+		}
+	}
+	before := taken.Load()
+	for range 20 {
+		if r := ask1(t, dial(t, node), "/check/1"); r.Status != 200 {
+			t.Errorf("answered %d", r.Status)
+		}
+	}
+	if n := taken.Load() - before; n > 0 {
+		t.Errorf("%d requests to the server that only discovery names", n)
+	}
+}
