--- a/internal/scale/size.go
+++ b/internal/scale/size.go
@@ -39,7 +39,7 @@
 	serversTop      = 400_000
 	nodesPerProcess = 40
 	memoryShare     = 0.5 // of the machine's
-	processBytes    = 24 << 20
+	processBytes    = 12 << 20
 	nodeBytes       = 350 << 10
 	serverBytes     = 1_500 // of a server at a node or a control process, collector's slack included
 	routeBytes      = 3_000
@@ -102,14 +102,22 @@
 // Memory estimates what a size takes, in bytes.
 func (s *Size) Memory() float64 {
 	n := float64(s.Nodes)
-	held := float64(s.Servers)*serverBytes + float64(s.Routes)*routeBytes + float64(s.Tenants)*tenantBytes
+	servers := float64(s.Servers) // that a node holds
+	if s.Serves > 0 && planes[s.Plane].Scoped() {
+		servers *= float64(s.Serves) / float64(s.Services)
+	}
+	held := servers*serverBytes + float64(s.Routes)*routeBytes + float64(s.Tenants)*tenantBytes
 	sum := float64(s.Processes())*processBytes + n*(nodeBytes+held)
 	if s.Membership {
 		sum += n*tierBytes + n*n*memberBytes
 	}
 	if s.controls() {
-		sum += n * (followBytes + float64(s.Servers)*serverBytes)
-		sum += float64(s.Control) * (n*linkBytes + n*float64(s.Servers) + float64(s.Servers)*serverBytes)
+		sum += n * (followBytes + servers*serverBytes)
+		links := n * float64(s.Control)
+		if planes[s.Plane].Scoped() {
+			links = n // each node follows one control process
+		}
+		sum += links*linkBytes + float64(s.Control)*(n+serverBytes)*float64(s.Servers)
 	}
 	return sum
 }
