--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -67,6 +67,7 @@
 	cfg.Module = maker
 	_, cfg.Unguarded = baseline.Broken[getenv(policyVar)]
 	cfg.Deaf = baseline.Broken[getenv(policyVar)] == "leavers"
+	cfg.Hoards = baseline.Broken[getenv(policyVar)] == "closing"
 	cfg.Disk = lab.Disk(getenv)
 	if path := getenv(profileVar); path != "" {
 		f, err := os.Create(path)
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -29,6 +29,14 @@
 	extra   bool
 	known   bool // a client has told of it
 	hops    []hop
+	idle    []idle
+}
+
+// idle is how long a connection stood unused after a request on it.
+type idle struct {
+	box  int
+	from time.Duration
+	to   time.Duration
 }
 
 type told struct {
@@ -57,6 +65,7 @@
 	invented []string
 	owed     []string
 	unkept   []string
+	active   map[[2]int][]time.Duration // by node and box: sends and outcomes, in order; nil: not worked out
 }
 
 // New gathers from nothing.
@@ -100,6 +109,12 @@
 	r.hops = append(r.hops, hop{box: box, first: first, last: last, over: -1, ran: -1})
 }
 
+// Idle tells that a connection to a box on which a request was the last stood unused, until it ended or the next one came.
+func (a *Audit) Idle(id uint64, box int, from, to time.Duration) {
+	r := a.request(id)
+	r.idle = append(r.idle, idle{box: box, from: from, to: to})
+}
+
 // Invented tells that a box was sent what no client has sent.
 func (a *Audit) Invented(box int, what string) {
 	a.invented = append(a.invented, fmt.Sprintf("%q at %s", what, a.boxes[box].Name))
@@ -213,6 +228,7 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
+	a.active = nil
 	var out []Rule
 	for _, r := range rules {
 		v := Rule{Name: r.name, About: r.about}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -10,9 +10,11 @@
 
 // Each case is a day on which one thing happened; it breaks the one rule that is named, or none.
 func TestVerdict(t *testing.T) {
-	const check, book, fingerprinted, zoned = 0, 1, 2, 3
+	const check, book, fingerprinted, zoned, bound, nowhere = 0, 1, 2, 3, 4, 5
 	figures := Figures{DrainGrace: 500 * ms, Slack: 50 * ms, MostHops: 2, Types: []Type{
-		{"check", Retriable, All, 0}, {"book", Binding, All, 0}, {"print", Fingerprinted, All, time.Second}, {"zoned", Fingerprinted, Zone, time.Second}}}
+		{Name: "check"}, {Name: "book", Repeat: Binding}, {Name: "print", Repeat: Fingerprinted, Window: time.Second},
+		{Name: "zoned", Repeat: Fingerprinted, Group: Zone, Window: time.Second}, {Name: "bound", Sites: []int{0}, Kinds: []string{"large", "huge"}},
+		{Name: "nowhere", Sites: []int{}}}, Closes: true, DrainClose: 300 * ms}
 	// hop has a box take a request, run it and answer.
 	hop := func(a *Audit, box int, at time.Duration) {
 		a.Hop(1, box, at, at)
@@ -141,6 +143,43 @@
 			a.NodeDown(0, 950*ms)
 			a.NodeUp(0, 999*ms)
 		}, "drains"},
+		"to an open box":              {func(a *Audit) { ask(a, bound); hop(a, 2, 0) }, ""},
+		"to another site":             {func(a *Audit) { ask(a, bound); hop(a, 1, 0) }, "placement"},
+		"to another kind":             {func(a *Audit) { ask(a, bound); hop(a, 0, 0) }, "placement"},
+		"turned away at another kind": {func(a *Audit) { ask(a, bound); away(a, 0, 0); hop(a, 2, 20*ms) }, "placement"},
+		"a second attempt to another": {func(a *Audit) { ask(a, bound); away(a, 2, 0); hop(a, 1, 20*ms) }, "placement"},
+		"a type that may go nowhere":  {func(a *Audit) { ask(a, nowhere); hop(a, 2, 0) }, "placement"},
+		"closed within the time":      {func(a *Audit) { ask(a, check); hop(a, 1, 0); a.Told(0, 1, Draining, 0, 0); a.Idle(1, 1, 10*ms, 350*ms) }, ""},
+		"closed too late":             {func(a *Audit) { ask(a, check); hop(a, 1, 0); a.Told(0, 1, Draining, 0, 0); a.Idle(1, 1, 10*ms, 370*ms) }, "closing"},
+		"idle before the notice already": {func(a *Audit) {
+			ask(a, check)
+			hop(a, 1, 0)
+			a.Told(0, 1, Draining, 0, time.Second)
+			a.Idle(1, 1, 10*ms, 1340*ms)
+		}, ""},
+		"and for too long after it": {func(a *Audit) {
+			ask(a, check)
+			hop(a, 1, 0)
+			a.Told(0, 1, Draining, 0, time.Second)
+			a.Idle(1, 1, 10*ms, 1360*ms)
+		}, "closing"},
+		"a later outcome there": {func(a *Audit) {
+			ask(a, check)
+			hop(a, 1, 0)
+			a.Hop(1, 1, 20*ms, 20*ms)
+			a.Over(1, 1, 200*ms, false)
+			a.Told(0, 1, Draining, 0, 0)
+			a.Idle(1, 1, 10*ms, 540*ms)
+		}, ""},
+		"gone without a word of draining": {func(a *Audit) { ask(a, check); hop(a, 1, 0); a.Told(0, 1, Gone, 0, 0); a.Idle(1, 1, 10*ms, 900*ms) }, ""},
+		"up again before that": {func(a *Audit) {
+			ask(a, check)
+			hop(a, 1, 0)
+			a.Told(0, 1, Draining, 0, 0)
+			a.Told(0, 1, Serving, 7, 100*ms)
+			a.Idle(1, 1, 10*ms, 900*ms)
+		}, ""},
+		"another node's connection":  {func(a *Audit) { ask(a, check); hop(a, 1, 0); a.Told(1, 1, Draining, 0, 0); a.Idle(1, 1, 10*ms, 900*ms) }, ""},
 		"a cold box fell":            {func(a *Audit) { a.Fell(0, 0) }, "cold"},
 		"a node died":                {func(a *Audit) { a.Crashed(0, "exit 2") }, "lives"},
 		"an id that nobody has sent": {func(a *Audit) { a.Invented(0, "x") }, "known"},
@@ -148,7 +187,7 @@
 		t.Run(name, func(t *testing.T) {
 			a := New(figures)
 			for i, site := range []int{0, 1, 0} {
-				a.Box(Box{Name: string(rune('a' + i)), Site: site})
+				a.Box(Box{Name: string(rune('a' + i)), Site: site, Kind: [...]string{"small", "large", "large"}[i]})
 			}
 			c.day(a)
 			var broken []string
--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -25,6 +25,8 @@
 	{"hops", "no more hops than are allowed", (*Audit).tooMany},
 	{"one-at-a-time", "no second copy while the first is out", (*Audit).copied},
 	{"drains", "nothing new to a server that this node knows to drain or be gone", (*Audit).undrained},
+	{"placement", "a type goes only to servers where its settings let it", (*Audit).misplaced},
+	{"closing", "idle connections to a draining server are closed in time", (*Audit).unclosed},
 }
 
 // exempt: the node was ended on purpose while it held the request, or its client's time was over while it stood still.
@@ -174,20 +176,7 @@
 // serves undoes a drain only if it is said of a later start: an old word of it may come from a planner that was away.
 func (a *Audit) undrained(r *request) string {
 	for _, h := range r.hops {
-		since, up := time.Duration(-1), int64(0)
-		for _, t := range a.told[[2]int{r.node, h.box}] {
-			switch {
-			case t.at > h.first:
-			case t.anew:
-				since, up = -1, 0
-			case t.up > up:
-				if since, up = -1, t.up; t.cond != Serving {
-					since = t.at
-				}
-			case t.cond != Serving && since < 0 && (t.up == up || t.up == 0):
-				since = t.at
-			}
-		}
+		since, _ := a.parting(r.node, h.box, h.first)
 		if since >= 0 && h.first > since+a.f.DrainGrace+a.f.Slack {
 			return fmt.Sprintf("sent to %s %s after node %d was told that it drains or is gone", a.boxes[h.box].Name,
 				(h.first - since).Round(time.Millisecond), r.node)
@@ -195,3 +184,73 @@
 	}
 	return ""
 }
+
+// parting is since when a node knew at some time that a box drains or is gone, -1 if it did not, and which of them it was
+// told first.
+func (a *Audit) parting(node, box int, at time.Duration) (since time.Duration, first Condition) {
+	since, up := time.Duration(-1), int64(0)
+	for _, t := range a.told[[2]int{node, box}] {
+		switch {
+		case t.at > at:
+		case t.anew:
+			since, up = -1, 0
+		case t.up > up:
+			if since, up = -1, t.up; t.cond != Serving {
+				since, first = t.at, t.cond
+			}
+		case t.cond != Serving && since < 0 && (t.up == up || t.up == 0):
+			since, first = t.at, t.cond
+		}
+	}
+	return since, first
+}
+
+func (a *Audit) misplaced(r *request) string {
+	t := &a.f.Types[r.kind]
+	for _, h := range r.hops {
+		b := &a.boxes[h.box]
+		if t.Sites != nil && !slices.Contains(t.Sites, b.Site) || t.Kinds != nil && !slices.Contains(t.Kinds, b.Kind) {
+			return fmt.Sprintf("sent to %s, of kind %q at site %d, which is not open to its type", b.Name, b.Kind, b.Site)
+		}
+	}
+	return ""
+}
+
+// unclosed looks at the time that connections stood unused. The limit counts from the notice or, if later, from the last
+// send or outcome of the node there.
+func (a *Audit) unclosed(r *request) string {
+	if !a.f.Closes {
+		return ""
+	}
+	for _, c := range r.idle {
+		since, first := a.parting(r.node, c.box, c.to)
+		if since < 0 || first != Draining {
+			continue
+		}
+		last := max(since, c.from)
+		for _, at := range a.activity(r.node, c.box) {
+			if at <= c.to {
+				last = max(last, at)
+			}
+		}
+		if c.to > last+a.f.DrainClose+a.f.Slack {
+			return fmt.Sprintf("a connection of node %d to %s stood idle for %s after the last that counts of its drain",
+				r.node, a.boxes[c.box].Name, (c.to - last).Round(time.Millisecond))
+		}
+	}
+	return ""
+}
+
+// activity is when a node sent to a box and got outcomes from it.
+func (a *Audit) activity(node, box int) []time.Duration {
+	if a.active == nil {
+		a.active = map[[2]int][]time.Duration{}
+		for _, r := range a.requests {
+			for _, h := range r.hops {
+				k := [2]int{r.node, h.box}
+				a.active[k] = append(a.active[k], h.first, h.over)
+			}
+		}
+	}
+	return a.active[[2]int{node, box}]
+}
--- a/internal/audit/types.go
+++ b/internal/audit/types.go
@@ -26,6 +26,8 @@
 	Repeat Repeat
 	Group  Group
 	Window time.Duration
+	Sites  []int    // where it may be sent, nil for anywhere
+	Kinds  []string // of boxes, likewise
 }
 
 // Box is where a box stands.
@@ -33,6 +35,7 @@
 	Name string
 	Site int
 	Cell int
+	Kind string
 }
 
 // Figures of the rules.
@@ -42,6 +45,8 @@
 	Slack      time.Duration // added to each limit, for what the machine is late
 	MostHops   int
 	Copies     bool // a second copy may be out while the first is
+	Closes     bool // idle connections to a draining box are closed within DrainClose
+	DrainClose time.Duration
 }
 
 // End is how a client's try ended.
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -35,6 +35,8 @@
 	"floods-cold":      "cold",
 	"too-many-hops":    "hops",
 	"deaf":             "leavers",
+	"misplaces":        "placement",
+	"hoards":           "closing",
 }
 
 // Find returns the maker of a baseline, a broken one, or the project's own; ok is false for another name.
@@ -76,6 +78,7 @@
 	ready    []bool
 	zone     []int
 	cell     []int
+	machine  []int // its kind
 	started  []time.Duration
 	inFlight []int
 	turn     int
@@ -151,7 +154,7 @@
 	o := &m.ops[op]
 	fits := make([]int, 0, len(m.ready))
 	for s, ready := range m.ready {
-		if ready && !slices.Contains(o.hops, s) && m.inGroup(o, s) {
+		if ready && !slices.Contains(o.hops, s) && m.inGroup(o, s) && m.open(o, s) {
 			fits = append(fits, s)
 		}
 	}
@@ -166,6 +169,17 @@
 	return true
 }
 
+// open tells whether an operation's type may be sent to a server.
+func (m *module) open(o *operation, s int) bool {
+	for i, to := range m.set.Placements {
+		bound := m.set.Types[o.kind].Placement&(1<<i) != 0 && !m.is("misplaces")
+		if bound && (to.Zones != nil && !slices.Contains(to.Zones, m.zone[s]) || to.Kinds != nil && !slices.Contains(to.Kinds, m.machine[s])) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *module) inGroup(o *operation, s int) bool {
 	if o.mayRun < 0 || m.set.Types[o.kind].Repeat != policy.Fingerprinted || m.is("wrong-group") {
 		return true
@@ -253,10 +267,10 @@
 	for _, l := range in.Members {
 		for l.Server >= len(m.ready) {
 			m.ready, m.inFlight = append(m.ready, false), append(m.inFlight, 0)
-			m.zone, m.cell = append(m.zone, 0), append(m.cell, 0)
+			m.zone, m.cell, m.machine = append(m.zone, 0), append(m.cell, 0), append(m.machine, 0)
 			m.started = append(m.started, 0)
 		}
-		m.zone[l.Server], m.cell[l.Server] = l.Zone, l.Cell
+		m.zone[l.Server], m.cell[l.Server], m.machine[l.Server] = l.Zone, l.Cell, l.Kind
 		if l.HasStart {
 			m.started[l.Server] = l.Started
 		} else {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,6 +56,14 @@
 	evidence  []chan roster.Evidence // of those who ask for it
 	wary      bool                   // what must not run twice goes to servers that are proved only
 	proved    map[string]bool
+	hoards    bool // idle connections to servers that leave are kept
+}
+
+// Hoard has idle connections to servers that leave be kept, for modules that are broken on purpose.
+func (f *Fleet) Hoard() {
+	f.mu.Lock()
+	defer f.unlock()
+	f.hoards = true
 }
 
 type server struct {
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -312,7 +312,7 @@
 func (f *Fleet) Keep(id string, cgi bool, c Line) {
 	f.mu.Lock()
 	defer f.unlock()
-	if l, _ := f.book.Line(id); l.Used && f.servers[id].cgi == cgi {
+	if l, _ := f.book.Line(id); (l.Used || f.hoards && f.servers[id] != nil) && f.servers[id].cgi == cgi {
 		s := f.servers[id]
 		s.idle = append(s.idle, idleConn{c, f.now()})
 		f.idlers[s] = struct{}{}
@@ -332,7 +332,7 @@
 }
 
 func (f *Fleet) release(s *server) {
-	if s == nil {
+	if s == nil || f.hoards {
 		return
 	}
 	for _, c := range s.idle {
--- a/internal/lab/build.go
+++ b/internal/lab/build.go
@@ -145,7 +145,7 @@
 	w.boxes = append(w.boxes, m)
 	w.observer.record(func(a *audit.Audit, _ time.Duration) {
 		w.observer.boxes[name] = n
-		a.Box(audit.Box{Name: name, Site: site, Cell: cell})
+		a.Box(audit.Box{Name: name, Site: site, Cell: cell, Kind: k.Kind})
 	})
 	return m, nil
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -41,6 +41,7 @@
 		cfg.Module, _ = baseline.Find(os.Getenv(policyVar))
 		_, cfg.Unguarded = baseline.Broken[os.Getenv(policyVar)]
 		cfg.Deaf = baseline.Broken[os.Getenv(policyVar)] == "leavers"
+		cfg.Hoards = baseline.Broken[os.Getenv(policyVar)] == "closing"
 		os.Exit(serve.Process(cfg, os.Stderr, zerolog.InfoLevel))
 	}
 	goleak.VerifyTestMain(m)
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -187,9 +187,16 @@
 func settings(s *scenario.Scenario, me int) object {
 	var types, tenants []object
 	for _, t := range s.Types {
-		types = append(types, object{"name": t.Name, "targetTime": ms(t.Target), "abandonTime": ms(t.Abandon),
+		kind := object{"name": t.Name, "targetTime": ms(t.Target), "abandonTime": ms(t.Abandon),
 			"window": ms(t.Window), "revenue": t.Revenue, "keyScope": t.Group,
-			"idempotency": map[string]string{"retriable": "safe", "fingerprinted": "keyed", "binding": "unsafe"}[t.Repeat]})
+			"idempotency": map[string]string{"retriable": "safe", "fingerprinted": "keyed", "binding": "unsafe"}[t.Repeat]}
+		if t.OnlySites != nil {
+			kind["dcsOnly"] = t.OnlySites
+		}
+		if t.OnlyKinds != nil {
+			kind["allowedOn"] = t.OnlyKinds
+		}
+		types = append(types, kind)
 	}
 	for _, t := range s.Tenants {
 		tenants = append(tenants, object{"name": t.Name, "allowancePerS": t.Allowance})
@@ -198,12 +205,16 @@
 	for _, b := range s.Boxes {
 		coldest, coldFor = min(coldest, b.ColdShare), max(coldFor, b.ColdFor)
 	}
+	rules := object{"askWithin": ms(s.Rules.AskWithin), "stopSendingWithin": ms(s.Rules.DrainGrace), "cold": ms(coldFor),
+		"fallMultiple": s.Rules.FallMultiple, "startCapacity": coldest}
+	if s.Rules.DrainClose > 0 {
+		rules["drainClose"] = ms(s.Rules.DrainClose)
+	}
 	return object{"groupSize": s.Nodes.Count, "me": me, "granularity": 2, "discovery": "on_request",
 		"overageRevenue": s.Load.Over, "dcs": s.Sites, "trafficTypes": types, "tenants": tenants,
 		"limits": object{"connIdle": 5000, "connectTimeout": 100, "maxRetryAfter": 0, "mostHops": s.Rules.MostHops, "retryAfter": false,
 			"secondCopies": s.Rules.Copies},
-		"rules": object{"askWithin": ms(s.Rules.AskWithin), "stopSendingWithin": ms(s.Rules.DrainGrace), "cold": ms(coldFor), "fallMultiple": s.Rules.FallMultiple,
-			"startCapacity": coldest}}
+		"rules": rules}
 }
 
 // configure writes the node's configuration whole, so that it is never read half.
--- a/internal/lab/observer.go
+++ b/internal/lab/observer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,9 +33,14 @@
 const never = time.Duration(1<<62 - 1)
 
 func newObserver(s *scenario.Scenario, ops []load.Operation, start time.Time) *observer {
-	f := audit.Figures{DrainGrace: s.Rules.DrainGrace.D(), Slack: s.Rules.Slack.D(), MostHops: s.Rules.MostHops, Copies: s.Rules.Copies}
+	f := audit.Figures{DrainGrace: s.Rules.DrainGrace.D(), Slack: s.Rules.Slack.D(), MostHops: s.Rules.MostHops, Copies: s.Rules.Copies,
+		Closes: s.Rules.DrainClose > 0, DrainClose: s.Rules.DrainClose.D()}
 	for _, t := range s.Types {
-		f.Types = append(f.Types, audit.Type{Name: t.Name, Window: t.Window.D(),
+		var sites []int
+		for _, site := range t.OnlySites {
+			sites = append(sites, slices.Index(s.Sites, site))
+		}
+		f.Types = append(f.Types, audit.Type{Name: t.Name, Window: t.Window.D(), Sites: sites, Kinds: t.OnlyKinds,
 			Repeat: map[string]audit.Repeat{"fingerprinted": audit.Fingerprinted, "binding": audit.Binding}[t.Repeat],
 			Group:  map[string]audit.Group{"zone": audit.Zone, "cell": audit.Cell}[t.Group]})
 	}
@@ -136,6 +142,10 @@
 	o.record(func(a *audit.Audit, _ time.Duration) { a.Fell(b, at) })
 }
 
+func (o *observer) Idle(id uint64, b int, from, to time.Duration) {
+	o.record(func(a *audit.Audit, _ time.Duration) { a.Idle(id, b, from, to) })
+}
+
 var conditions = map[string]audit.Condition{discovery.Serving: audit.Serving, discovery.Draining: audit.Draining, discovery.Deleted: audit.Gone}
 
 // Told tells what discovery has told a node. What it tells a planner reaches nodes by that planner only.
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -89,6 +89,7 @@
 	c.within("clients.leaves", s.Clients.Leaves, 0, 1)
 	c.within("clients.leaves_at", s.Clients.LeavesAt, 0.001, 1)
 	c.within("clients.retries", float64(s.Clients.Retries), 0, 10)
+	c.within("rules.drain_close", s.Rules.DrainClose.D().Seconds(), 0, mostLength.Seconds())
 	c.within("rules.most_hops", float64(s.Rules.MostHops), 1, 16)
 }
 
@@ -109,6 +110,14 @@
 		c.oneOf(key+".dist", t.Dist, "constant", "exp", "lognormal")
 		c.oneOf(key+".repeat", t.Repeat, "retriable", "fingerprinted", "binding")
 		c.oneOf(key+".group", t.Group, "all", "zone", "cell")
+		for _, site := range t.OnlySites {
+			c.oneOf(key+".only_sites", site, s.Sites...)
+		}
+		for _, kind := range t.OnlyKinds {
+			if !slices.ContainsFunc(s.Boxes, func(b Boxes) bool { return b.Kind == kind }) {
+				c.Wrong(key+".only_kinds", "no boxes are of the kind %q", kind)
+			}
+		}
 		if slices.ContainsFunc(s.Types[:i], func(o Type) bool { return o.Name == t.Name }) {
 			c.Wrong(key+".name", "a second type %q", t.Name)
 		}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -124,6 +124,9 @@
 	Repeat  string  `toml:"repeat"` // retriable, fingerprinted or binding
 	Group   string  `toml:"group"`  // of a fingerprinted type: all, zone or cell
 	Window  Span    `toml:"window"` // in which repeats are dropped there
+	// Where it may be sent, and nowhere else; left out, anywhere.
+	OnlySites []string `toml:"only_sites"`
+	OnlyKinds []string `toml:"only_kinds"`
 }
 
 // Tenant is a member group.
@@ -179,6 +182,7 @@
 // Rules are the figures of the four rules.
 type Rules struct {
 	DrainGrace   Span    `toml:"drain_grace"`
+	DrainClose   Span    `toml:"drain_close"` // in which idle connections to a draining box are closed; 0: not asked for
 	FallMultiple float64 `toml:"fall_multiple"`
 	FallWindow   Span    `toml:"fall_window"`
 	MostHops     int     `toml:"most_hops"`
--- a/internal/serve/config.go
+++ b/internal/serve/config.go
@@ -46,6 +46,7 @@
 	Module    node.Maker         // nil: the project's own
 	Unguarded bool               // what the module decides is sent as it is: for modules that are broken on purpose
 	Deaf      bool               // clients' leaving is not looked at: likewise
+	Hoards    bool               // idle connections to servers that leave are kept: likewise
 	Planners  *plancfg.Forwarder // nil: the node decides by itself
 	Bindings  *bindlog.Config    // nil: no journal of bindings is kept
 	Registry  *registry.Config   // nil: discovery tells of servers
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -37,6 +37,8 @@
 	// by the word that it never ran.
 	Over(id uint64, box int, at time.Duration, unbegun bool)
 	Fell(box int, at time.Duration)
+	// Idle tells that a connection on which a request was the last stood unused, until it ended or the next one came.
+	Idle(id uint64, box int, from, to time.Duration)
 }
 
 // Identity of a box, the same over its restarts.
@@ -230,7 +232,12 @@
 	var req http1.Request
 	for fresh := true; ; fresh = false {
 		c.SetReadDeadline(time.Now().Add(idleMost))
-		if c.Await() != nil {
+		idle := b.now()
+		err := c.Await()
+		if !fresh {
+			b.idle(&req, idle)
+		}
+		if err != nil {
 			return
 		}
 		first := nc.Came().Sub(b.start) // what a silence holds back was sent before it
@@ -246,6 +253,14 @@
 	}
 }
 
+// idle tells for how long a connection has stood unused since a request was answered on it.
+func (b *Box) idle(last *message.Request, from time.Duration) {
+	id, err := strconv.ParseUint(string(last.Get(http1.RequestID)), 16, 64)
+	if _, known := b.watch.Asked(id); err == nil && known {
+		b.watch.Idle(id, b.Number, from, b.now())
+	}
+}
+
 // request is the life of one request; it tells whether its connection can be used again.
 func (b *Box) request(p peer, req *message.Request, first, last, way time.Duration, fresh, full bool) bool {
 	text := string(req.Get(http1.RequestID))
--- a/internal/standin/box/server_test.go
+++ b/internal/standin/box/server_test.go
@@ -36,11 +36,12 @@
 	return strings.Join(n.all, " ")
 }
 
-func (n *notes) Asked(id uint64) (Asked, bool)                 { return Asked{Work: 20 * ms}, id != 0xbad }
-func (n *notes) Hop(id uint64, _ int, _, _ time.Duration)      { n.note("hop") }
-func (n *notes) Ran(uint64, int, time.Duration)                { n.note("ran") }
-func (n *notes) Over(_ uint64, _ int, _ time.Duration, u bool) { n.note("over:%v", u) }
-func (n *notes) Fell(int, time.Duration)                       { n.note("fell") }
+func (n *notes) Asked(id uint64) (Asked, bool)                  { return Asked{Work: 20 * ms}, id != 0xbad }
+func (n *notes) Hop(id uint64, _ int, _, _ time.Duration)       { n.note("hop") }
+func (n *notes) Ran(uint64, int, time.Duration)                 { n.note("ran") }
+func (n *notes) Over(_ uint64, _ int, _ time.Duration, u bool)  { n.note("over:%v", u) }
+func (n *notes) Idle(uint64, int, time.Duration, time.Duration) {}
+func (n *notes) Fell(int, time.Duration)                        { n.note("fell") }
 
 func start(t *testing.T, f Figures) (*Box, *notes) {
 	n := &notes{}
