Under live weights a cold server's pace is at most an even share of the answers

A cold server's pace is its part of the weights, so nine nodes gave it about five times its part: 21 attempts in 1.3 s. Ruled out: handshakes alone (few connects were refused there) and nodes that were not told (all sends came after the list). Change: where settings say weights are live, the part is at most one over the servers taken in. Why it can't come back: no node's pace exceeds its even share, whatever is listed. What else: any listing that favours idle servers. Harm: a large cold server among small ones warms slower.

--- a/internal/settings/placement_test.go
+++ b/internal/settings/placement_test.go
@@ -115,3 +115,14 @@
 		})
 	}
 }
+
+func TestLiveWeights(t *testing.T) {
+	for weights, live := range map[string]bool{"live": true, "nominal": false, "rough": false, "none": false} {
+		t.Run(weights, func(t *testing.T) {
+			s, err := Decode([]byte(strings.Replace(plain, `"groupSize"`, `"weights":"`+weights+`","groupSize"`, 1)))
+			if err != nil || s.LiveWeights != live {
+				t.Errorf("%v, %v", s.LiveWeights, err)
+			}
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,7 @@
 	Zone           int
 	Granularity    float64
 	Discovery      string
+	Weights        string
 	OverageRevenue float64
 	Extra          struct{ WarmKeys bool }
 	Dcs            []string
@@ -139,6 +140,7 @@
 		Nodes: max(raw.GroupSize, 1), Me: max(raw.Me, 0), Zone: raw.Zone, Tick: Span(raw.Granularity),
 		OverageRevenue: raw.OverageRevenue,
 		OnRequest:      raw.Discovery == "on_request",
+		LiveWeights:    raw.Weights == "live",
 		MostHops:       raw.Limits.MostHops,
 		Copies:         raw.Limits.SecondCopies,
 		WarmKeys:       raw.Extra.WarmKeys,
--- a/policy/api.go
+++ b/policy/api.go
@@ -83,6 +83,7 @@
 	AllowancePerS  []float64   // by tenant, over all nodes
 	OverageRevenue float64
 	OnRequest      bool // the server list must be asked for
+	LiveWeights    bool // scales go down with what servers hold
 	MostHops       int
 	WarmKeys       bool          // servers that met a key lately do less work for it
 	Copies         bool          // two hops of one operation may be out together
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -614,9 +614,8 @@
 	return all[:]
 }
 
-// blamed books an end and tells if a failure is the operation's own: what it shares with others fails more
-// often, over all servers, than this server does over all that it is sent. This guards against operations
-// that fail, drag or do harm wherever they go, which would have all servers rest and the window shut.
+// blamed books an end and tells if a failure is the operation's own: its sorts fail more often than this
+// server does. This guards against operations that do harm anywhere, which would have all servers rest.
 func (p *Policy) blamed(s int, o *operation, how Outcome) bool {
 	failed, worst := 1.0, 0.0
 	if how == Success {
@@ -661,8 +660,7 @@
 		}
 		p.ops[best].pumped = p.pumps
 		p.step(best, swept)
-		o := &p.ops[best]
-		if t := &p.set.Types[o.kind]; o.state == waiting && t.Pool == 0 {
+		if o, t := &p.ops[best], &p.set.Types[p.ops[best].kind]; o.state == waiting && t.Pool == 0 {
 			if stuck |= t.Placement; t.Placement == 0 {
 				return // nor would the others find a server
 			}
@@ -705,8 +703,7 @@
 	}
 }
 
-// rest sets the end of a rest that doubles, unless too large a share of the ready servers would be resting,
-// or of those open to a type that the rest bears on.
+// rest sets the end of a rest that doubles, unless too many ready servers, or of those open, would rest.
 func (p *Policy) rest(s, kind, doubled int, share float64) {
 	n, bound, among := 1.0, p.members.Placements(s), [2 * PlacementsMost]int{}
 	if kind != failures.AllTypes {
@@ -1037,9 +1034,8 @@
 	}
 }
 
-// unlist answers that the list dropped a server without a word of draining. Where only draining binds that
-// proves nothing: its turns go down by a step, and from then on by what its hops find. This guards against
-// lists that are wrong, old or cut short; where all that vanish are dead, each costs a few failed connects.
+// unlist answers that the list dropped a server. Where only draining binds, its turns go down by a step, then
+// by what its hops find, against lists that are wrong, old or cut short; the dead cost a few connects.
 func (p *Policy) unlist(s int, now bool) {
 	if p.setReady(s, p.set.OnlyDraining); !p.members.Ready(s) {
 		return
@@ -1207,7 +1203,11 @@
 	}
 	floor := coldFloor * p.set.FallMultiple / max(slices.Max(p.usual), 1).Seconds() / float64(p.set.Nodes)
 	for s := range p.cold.All() {
-		own := coldShare * p.set.FallMultiple * p.successes * p.scale[s] / max(p.scales, 1e-9)
+		part := p.scale[s] / max(p.scales, 1e-9)
+		if p.set.LiveWeights { // which list a server that holds nothing yet for several that hold much
+			part = min(part, 1/max(float64(len(p.pool)), 1))
+		}
+		own := coldShare * p.set.FallMultiple * p.successes * part
 		pace := cmp.Or(p.pace[s], max(own, floor)) * p.capacity(s)
 		if p.chance() < pace*passed.Seconds() {
 			p.coldPace[s] = min(p.coldPace[s]+1, coldBurst)
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -177,3 +177,43 @@
 		})
 	}
 }
+
+// Weights that go down with what servers hold make a cold one look several times as large as those at work. Its pace is
+// then an even share of the answers at most.
+func TestPaceOfColdServersUnderLiveWeights(t *testing.T) {
+	const seconds, step = 40, 20 * ms
+	for name, c := range map[string]struct {
+		live        bool
+		cold        float64 // its scale; the nine others have 0.1
+		least, most float64 // tokens a second
+	}{
+		"live, holds nothing yet":         {true, 1, 0.3, 1.6},
+		"live, holds much itself":         {true, 0.1, 0.3, 1.6},
+		"nominal, ten times the size":     {false, 1, 4, 12},
+		"nominal, as small as the others": {false, 0.1, 0.3, 1.6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 10, func(s *Settings) { s.LiveWeights, s.ColdStart, s.ColdFor = c.live, 0.1, time.Hour }).takeAll()
+			for s := range r.scale {
+				r.scale[s] = 0.1
+			}
+			r.scale[0] = c.cold
+			r.chill(0, 0)
+			for k := range r.usual { // so that the least pace does not count
+				r.usual[k] = time.Hour
+			}
+			r.successes = 50
+			r.weigh()
+			granted := 0.0
+			for range seconds * int(time.Second/step) {
+				was := r.coldPace[0]
+				r.paceCold(step)
+				granted += max(r.coldPace[0]-was, 0)
+				r.coldPace[0] = 0
+			}
+			if rate := granted / seconds; rate < c.least || rate > c.most {
+				t.Errorf("%.2f tokens a second", rate)
+			}
+		})
+	}
+}
