--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,7 +24,8 @@
 	DrainGrace  time.Duration // for which a server that is told to leave may still be sent to; below 0: not said
 }
 
-// Fits tells why settings cannot be watched beside these: they must name the same traffic types and tenants.
+// Fits tells why settings cannot be watched beside these: they must name the same traffic types and tenants, and where
+// they bind types also the same zones and kinds of machine, for servers have these by their numbers here.
 func (s *Settings) Fits(other *Settings) error {
 	if !slices.Equal(s.TypeNames, other.TypeNames) {
 		return fmt.Errorf("settings name the traffic types %q, the node's own %q: both must name the same", other.TypeNames, s.TypeNames)
@@ -32,6 +33,10 @@
 	if !slices.Equal(s.TenantNames, other.TenantNames) {
 		return fmt.Errorf("settings name the tenants %q, the node's own %q: both must name the same", other.TenantNames, s.TenantNames)
 	}
+	if len(other.Placements) > 0 && !(slices.Equal(s.Zones, other.Zones) && slices.Equal(s.Kinds, other.Kinds)) {
+		return fmt.Errorf("settings bind traffic types and name the zones %q and kinds %q, the node's own %q and %q: both must name the same",
+			other.Zones, other.Kinds, s.Zones, s.Kinds)
+	}
 	return nil
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -69,3 +69,32 @@
 		})
 	}
 }
+
+// Zones and kinds must be the same where types are bound to them.
+func TestFitsPlacements(t *testing.T) {
+	own, err := Decode([]byte(with("", "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		text string
+		fits bool
+	}{
+		"bound to a zone of both": {with(`,"dcsOnly":["south"]`, ""), true},
+		"bound by a place":        {with(`,"allowedOn":[1]`, ""), true},
+		"bound to another zone":   {with(`,"dcsOnly":["west"]`, ""), false},
+		"bound to another kind":   {with(`,"allowedOn":["huge"]`, ""), false},
+		"zones in another order":  {strings.Replace(with(`,"dcsOnly":[0]`, ""), `"north","south"`, `"south","north"`, 1), false},
+		"the same, but not bound": {strings.Replace(with("", ""), `"north","south"`, `"south","north"`, 1), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			other, err := Decode([]byte(c.text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := own.Fits(&other); (err == nil) != c.fits || err != nil && strings.Contains(err.Error(), "\n") {
+				t.Errorf("said %v", err)
+			}
+		})
+	}
+}
