--- a/internal/standin/box/server_test.go
+++ b/internal/standin/box/server_test.go
@@ -191,3 +191,43 @@
 		t.Errorf("afterwards: %v", err)
 	}
 }
+
+// watched tells on a channel of connections that stood unused.
+type watched struct {
+	*notes
+	idle chan string
+}
+
+func (w *watched) Idle(id uint64, box int, from, to time.Duration) {
+	w.idle <- fmt.Sprintf("%x at %d, %v", id, box, from >= 0 && to >= from)
+}
+
+// A connection on which a request came last is told of as it ends, or as the next one comes.
+func TestIdle(t *testing.T) {
+	w := &watched{&notes{}, make(chan string, 8)}
+	b, err := NewBox(Identity{Name: "b", Number: 7}, Figures{Cores: 1, Speed: 1, Queue: 9}, time.Now(), []string{"127.0.0.1:0"},
+		func(int) time.Duration { return 0 }, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	unused := dial(t, b.Address(0)) // never asked on: nothing is known of whose it is
+	unused.Close()
+	conn := dial(t, b.Address(0))
+	for _, id := range []string{good, "0000000000000200"} {
+		send(conn, id)
+		var r http1.Response
+		if err := conn.ReadResponse(&r, 1<<20); err != nil || r.Status != 200 {
+			t.Fatalf("%d, %v", r.Status, err)
+		}
+	}
+	conn.Close()
+	for _, want := range []string{"100 at 7, true", "200 at 7, true"} {
+		if got := <-w.idle; got != want {
+			t.Errorf("told %q, want %q", got, want)
+		}
+	}
+	if len(w.idle) > 0 {
+		t.Errorf("told %q beside", <-w.idle)
+	}
+}
