Stand-in boxes keep whose request a connection carried last by its id

Cause: the request's fields lie in the connection's buffer, which the next request overwrites, so the time before it was told under the wrong id. Change: the id is read when the request comes, for both protocols.

--- a/internal/standin/box/peer.go
+++ b/internal/standin/box/peer.go
@@ -103,13 +103,11 @@
 func (b *Box) leadCGI(nc *link.Conn, way time.Duration, full bool) {
 	f := fastcgi.NewFront(nc, nil)
 	defer f.Hangup()
-	var last *message.Request
+	last := uint64(0) // request on it
 	for fresh := true; ; fresh = false {
 		idle := b.now()
 		call, err := f.Next(cgiKeeper{nc})
-		if last != nil {
-			b.idle(last, idle)
-		}
+		b.idle(last, idle)
 		if err != nil {
 			return
 		}
@@ -118,7 +116,7 @@
 			p.answer(message.Answer{Status: call.Bad.Status})
 			return
 		}
-		last = call.Request
+		last = idOf(call.Request)
 		came := nc.Came().Sub(b.start)
 		if !b.request(p, call.Request, came, came, way, fresh, full) || full {
 			return
--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -230,13 +230,12 @@
 	}
 	c := http1.NewConn(nc)
 	var req http1.Request
+	last := uint64(0) // request on it
 	for fresh := true; ; fresh = false {
 		c.SetReadDeadline(time.Now().Add(idleMost))
 		idle := b.now()
 		err := c.Await()
-		if !fresh {
-			b.idle(&req, idle)
-		}
+		b.idle(last, idle)
 		if err != nil {
 			return
 		}
@@ -247,17 +246,26 @@
 			}
 			return
 		}
+		last = idOf(&req)
 		if !b.request(httpPeer{nc, c}, &req, first, nc.Came().Sub(b.start), way, fresh, full) || full {
 			return
 		}
 	}
 }
 
-// idle tells for how long a connection has stood unused since a request was answered on it.
-func (b *Box) idle(last *message.Request, from time.Duration) {
-	id, err := strconv.ParseUint(string(last.Get(http1.RequestID)), 16, 64)
-	if _, known := b.watch.Asked(id); err == nil && known {
-		b.watch.Idle(id, b.Number, from, b.now())
+// idOf is the id of a request, 0 for one without.
+func idOf(r *message.Request) uint64 {
+	id, err := strconv.ParseUint(string(r.Get(http1.RequestID)), 16, 64)
+	if err != nil {
+		return 0
+	}
+	return id
+}
+
+// idle tells for how long a connection has stood unused since its last request was answered, if it had one.
+func (b *Box) idle(last uint64, from time.Duration) {
+	if _, known := b.watch.Asked(last); known && last != 0 {
+		b.watch.Idle(last, b.Number, from, b.now())
 	}
 }
 
