Reports to planners name tenants with traffic, plans cost a node what they name

Need: each report named every tenant with an allowance: at 390,000 tenants 19 bytes each, twice a second to each planner, and over 8,192 the planner refuses the frame. Each look at a plan, four a second, made a slice of all tenants. Change: a report names those with traffic since the last one, the 4,096 busiest at most, and the sum of all allowances, without which a planner would take those without traffic for none and give the others their room. The planner forgets a tenant whose rate has faded. The plan's shares are a slice that is kept, of which the last plan's names are set back. Frames have version 2.

--- a/internal/failures/failures_test.go
+++ b/internal/failures/failures_test.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// A moment for all types alone has walks come to the server.
+func TestUntilForAllTypesIsActive(t *testing.T) {
+	table := newTable(2)
+	if table.SetUntil(1, AllTypes, time.Second); !table.Active().Has(1) || table.Active().Len() != 1 || table.Len(1) != 0 {
+		t.Errorf("active %v", slices.Collect(table.Active().All()))
+	}
+}
+
 // To look at a server leaves nothing behind.
 func TestGetMakesNoEntry(t *testing.T) {
 	table := newTable(2)
--- a/internal/fleet/allowances.go
+++ b/internal/fleet/allowances.go
@@ -28,6 +28,7 @@
 			f.set.TenantNames, f.set.AllowancePerS = append(f.set.TenantNames, name), append(f.set.AllowancePerS, 0)
 		}
 		if !known || f.set.AllowancePerS[tenant] != allowance {
+			f.allowances += allowance - f.set.AllowancePerS[tenant]
 			f.set.AllowancePerS[tenant] = allowance
 			changed = append(changed, policy.Allowance{Tenant: tenant, PerS: allowance})
 		}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -5,18 +5,24 @@
 	"slices"
 	"time"
 
+	"fernvane/internal/activeset"
+	"fernvane/internal/columns"
 	"fernvane/internal/node"
 	"fernvane/internal/plan"
 	"fernvane/policy"
 )
 
+// reportedTenants is how many tenants a report names at most, as many as a planner keeps: the busiest.
+const reportedTenants = 4096
+
 // digests are what a report to planners tells, gathered while there are planners.
 type digests struct {
 	on      bool
 	since   time.Duration
 	asked   []int // by type
 	denied  []int
-	tenants []int
+	tenants []int         // arrivals by tenant
+	active  activeset.Set // tenants with arrivals
 	servers map[string]*digest
 }
 
@@ -31,19 +37,24 @@
 func (f *Fleet) Digest() {
 	f.mu.Lock()
 	defer f.unlock()
-	f.digests.reset(f.now(), len(f.set.TypeNames), len(f.set.TenantNames))
+	f.digests.reset(f.now(), len(f.set.TypeNames))
 	f.digests.on = true
+	f.digests.grow(len(f.set.TenantNames))
 }
 
-func (d *digests) reset(now time.Duration, types, tenants int) {
+func (d *digests) reset(now time.Duration, types int) {
 	d.since, d.servers = now, map[string]*digest{}
-	d.asked, d.denied, d.tenants = make([]int, types), make([]int, types), make([]int, tenants)
+	d.asked, d.denied = make([]int, types), make([]int, types)
+	for tenant := range d.active.All() {
+		d.tenants[tenant] = 0
+		d.active.Remove(tenant)
+	}
 }
 
 // grow makes room for tenants that have come to be known.
 func (d *digests) grow(tenants int) {
-	if missing := tenants - len(d.tenants); d.on && missing > 0 {
-		d.tenants = append(d.tenants, make([]int, missing)...)
+	if d.on {
+		columns.Extend(tenants, &d.tenants)
 	}
 }
 
@@ -56,6 +67,7 @@
 	}
 	if tenant < len(d.tenants) {
 		d.tenants[tenant]++
+		d.active.Add(tenant)
 	}
 }
 
@@ -92,18 +104,14 @@
 	defer f.unlock()
 	now, d := f.now(), &f.digests
 	r := plan.Report{Sent: now, Span: now - d.since, Figures: plan.Figures{Nodes: f.set.Nodes, ColdFor: f.set.ColdFor,
-		ColdStart: f.set.ColdStart, FallMultiple: f.set.FallMultiple}}
+		ColdStart: f.set.ColdStart, FallMultiple: f.set.FallMultiple, Allowances: f.allowances}}
 	for _, o := range f.ops {
 		r.Flying += len(o.outs)
 	}
 	for k, name := range f.set.TypeNames {
 		r.Types = append(r.Types, plan.Type{Name: name, Target: f.set.Types[k].TargetTime, Asked: d.asked[k], Denied: d.denied[k]})
 	}
-	for t, name := range f.set.TenantNames {
-		if f.set.AllowancePerS[t] > 0 {
-			r.Tenants = append(r.Tenants, plan.Tenant{Name: name, Allowance: f.set.AllowancePerS[t], Asked: d.tenants[t]})
-		}
-	}
+	r.Tenants = f.reportTenants()
 	for id, s := range d.servers {
 		told := plan.Server{ID: id, TimedOut: s.timedOut, Failed: s.failed}
 		for k, n := range s.answered {
@@ -114,27 +122,61 @@
 		r.Servers = append(r.Servers, told)
 	}
 	slices.SortFunc(r.Servers, func(a, b plan.Server) int { return cmp.Compare(a.ID, b.ID) })
-	d.reset(now, len(f.set.TypeNames), len(f.set.TenantNames))
+	d.reset(now, len(f.set.TypeNames))
 	return r
 }
 
+// reportTenants tells of those tenants only that have an allowance and had traffic since the last report.
+func (f *Fleet) reportTenants() (told []plan.Tenant) {
+	d := &f.digests
+	for t := range d.active.All() {
+		if allowance := f.set.AllowancePerS[t]; allowance > 0 {
+			told = append(told, plan.Tenant{Name: f.set.TenantNames[t], Allowance: allowance, Asked: d.tenants[t]})
+		}
+	}
+	if len(told) <= reportedTenants {
+		return told
+	}
+	slices.SortStableFunc(told, func(a, b plan.Tenant) int { return cmp.Compare(b.Asked, a.Asked) })
+	return told[:reportedTenants]
+}
+
 // Now is the fleet's clock, which Report tells.
 func (f *Fleet) Now() time.Duration { return f.now() }
 
+// tenantShares are the shares of operations within the allowance, by tenant, that the last plan tells. The module holds
+// the slice, which changes only under the fleet's lock and before it is told of a plan.
+type tenantShares struct {
+	shares []float64
+	named  []int // tenants that the last plan names
+}
+
+// follow takes over what a plan names, and costs no more than that: all other tenants are within their allowance.
+// Tenants without an allowance have no share, as in the module.
+func (t *tenantShares) follow(plan map[string]float64, tenants map[string]int, allowances []float64) []float64 {
+	for _, tenant := range t.named {
+		t.shares[tenant] = 1
+	}
+	t.named = t.named[:0]
+	for len(t.shares) < len(allowances) {
+		t.shares = append(t.shares, 1)
+	}
+	for name, share := range plan {
+		if tenant, known := tenants[name]; known && allowances[tenant] > 0 {
+			t.shares[tenant] = share
+			t.named = append(t.named, tenant)
+		}
+	}
+	return t.shares
+}
+
 // Planned has the module follow what a plan says. within is by tenant name; nil leaves tenants to the module.
 func (f *Fleet) Planned(nodes int, admit float64, within map[string]float64, servers []plan.Share) {
 	f.mu.Lock()
 	defer f.unlock()
 	in := policy.Input{Nodes: max(nodes, 1), Admit: admit}
 	if within != nil {
-		in.Within = make([]float64, len(f.set.TenantNames))
-		for t, name := range f.set.TenantNames {
-			if in.Within[t] = 1; f.set.AllowancePerS[t] <= 0 {
-				in.Within[t] = 0 // has no share, as in the module
-			} else if w, ok := within[name]; ok {
-				in.Within[t] = w
-			}
-		}
+		in.Within = f.within.follow(within, f.tenants, f.set.AllowancePerS)
 	}
 	most := 0.0
 	for _, s := range servers {
--- /dev/null
+++ b/internal/fleet/digest_test.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"fernvane/internal/node"
+	"fernvane/internal/plan"
+	"fernvane/internal/planline"
+	"fernvane/internal/settings"
+	"fernvane/policy"
+)
+
+// withTenants is a fleet with so many tenants of one request a second each, but for the first, which has no allowance.
+func withTenants(t *testing.T, tenants int) (f *Fleet, seen *within) {
+	s := settings.Settings{ConnIdle: time.Hour, TypeNames: []string{"check"},
+		Settings: policy.Settings{Nodes: 1, MostHops: 1, Types: []policy.TrafficType{{TargetTime: time.Minute, AbandonTime: time.Hour, Revenue: 1}}}}
+	for tenant := range tenants {
+		s.TenantNames = append(s.TenantNames, fmt.Sprint("t", tenant))
+		s.AllowancePerS = append(s.AllowancePerS, min(float64(tenant), 1))
+	}
+	seen = &within{}
+	f = New(s, 1, limits, func(s policy.Settings, seed uint32) node.Module {
+		seen.Module = policy.New(s, seed)
+		return seen
+	})
+	t.Cleanup(f.Stop)
+	f.Digest()
+	return f, seen
+}
+
+// within notes what a plan tells the module of tenants.
+type within struct {
+	node.Module
+	shares []float64
+}
+
+func (m *within) Handle(now time.Duration, in *policy.Input, effects []policy.Effect) []policy.Effect {
+	if in.Kind == policy.Planned {
+		m.shares = slices.Clone(in.Within)
+	}
+	return m.Module.Handle(now, in, effects)
+}
+
+// A report names the tenants with traffic since the last one, however many others there are.
+func TestReportNamesTenantsWithTraffic(t *testing.T) {
+	const tenants, most = 50_000, 200 // bytes of a report of three tenants
+	f, _ := withTenants(t, tenants)
+	for i, tenant := range []int{7, 40_000, 7, 0, 12, tenants} { // the first has no allowance, the last is not known
+		f.Arrive(Arrival{ID: fmt.Append(nil, "r", i), Tenant: fmt.Append(nil, "t", tenant), Route: -1, Budget: time.Hour})
+	}
+	r := f.Report()
+	told := map[string]int{}
+	for _, tenant := range r.Tenants {
+		told[tenant.Name] = tenant.Asked
+	}
+	if !maps.Equal(told, map[string]int{"t7": 2, "t12": 1, "t40000": 1}) {
+		t.Errorf("%d tenants are named", len(r.Tenants))
+	}
+	if r.Figures.Allowances != tenants-1 {
+		t.Errorf("the allowances of all are %g", r.Figures.Allowances)
+	}
+	if frame, err := planline.Append(nil, planline.ReportKind, r); err != nil || len(frame) > most {
+		t.Errorf("%d bytes, %v", len(frame), err)
+	}
+	if r := f.Report(); len(r.Tenants) != 0 {
+		t.Errorf("%d tenants are named without traffic", len(r.Tenants))
+	}
+	f.SetAllowances(map[string]float64{"t7": 3, "another": 5})
+	if got := f.Report().Figures.Allowances; got != tenants-1+2+5 {
+		t.Errorf("the allowances of all are %g after a change", got)
+	}
+}
+
+// A report that more tenants had traffic for than a planner keeps names the busiest, and can be read.
+func TestReportNamesTheBusiest(t *testing.T) {
+	const tenants = 3 * reportedTenants
+	f, _ := withTenants(t, tenants)
+	for tenant := range tenants {
+		f.digests.arrived(0, tenant)
+	}
+	f.digests.arrived(0, tenants-1)
+	r := f.Report()
+	if len(r.Tenants) != reportedTenants || r.Tenants[0].Name != fmt.Sprint("t", tenants-1) {
+		t.Errorf("%d tenants, the first is %v", len(r.Tenants), r.Tenants[0])
+	}
+	frame, err := planline.Append(nil, planline.ReportKind, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, body, err := planline.Read(bytes.NewReader(frame), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back plan.Report
+	if err := planline.Decode(body, &back); err != nil || len(back.Tenants) != len(r.Tenants) {
+		t.Errorf("read as %d tenants, %v", len(back.Tenants), err)
+	}
+}
+
+// What a plan names is followed, until the next one does not name it; that costs no copy of all tenants.
+func TestPlannedCostsWhatThePlanNames(t *testing.T) {
+	const tenants = 50_000
+	f, seen := withTenants(t, tenants)
+	for _, named := range []map[string]float64{{"t7": 0.5, "t0": 0.5, "unknown": 0.5}, {"t9": 0.25}, {}} {
+		f.Planned(1, 0, named, nil)
+		want := slices.Repeat([]float64{1}, tenants)
+		for name, share := range named {
+			if tenant, known := f.tenants[name]; known && tenant > 0 {
+				want[tenant] = share
+			}
+		}
+		if !slices.Equal(seen.shares, want) {
+			t.Errorf("%v is followed otherwise", named)
+		}
+	}
+	if f.Planned(1, 0, nil, nil); seen.shares != nil {
+		t.Error("tenants are judged by a plan that says nothing of them")
+	}
+	before := &f.within.shares[0]
+	if f.Planned(1, 0, map[string]float64{"t7": 0.5}, nil); before != &f.within.shares[0] {
+		t.Error("all tenants are copied for a plan")
+	}
+	f.SetAllowances(map[string]float64{"new": 1})
+	if f.Planned(1, 0, map[string]float64{"new": 0.5}, nil); len(seen.shares) != tenants+1 || seen.shares[tenants] != 0.5 || seen.shares[7] != 1 {
+		t.Errorf("one that has come to be known: %d, %v", len(seen.shares), seen.shares[len(seen.shares)-1])
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"fernvane/internal/columns"
 	"fernvane/internal/http1"
 	"fernvane/internal/life"
 	"fernvane/internal/node"
@@ -36,24 +37,26 @@
 	wake    *time.Timer
 	asked   chan struct{}
 
-	ops       map[uint64]*Operation
-	open      map[string]bool // the clients' ids of those that are not settled
-	lastOp    uint64
-	types     map[string]int
-	tenants   map[string]int
-	reallowed bool // their allowances are not those of the settings any more
-	zones     map[string]int
-	servers   map[string]*server
-	idlers    map[*server]struct{} // those with idle connections, and perhaps others
-	visits    int                  // servers come to by what is not about one of them, for tests that count
-	book      *roster.Book         // what is known of them
-	closing   []io.Closer          // to be closed when the lock is given back
-	room      room
-	counts    Counts
-	digests   digests
-	evidence  []chan roster.Evidence // of those who ask for it
-	wary      bool                   // what must not run twice goes to servers that are proved only
-	proved    map[string]bool
+	ops        map[uint64]*Operation
+	open       map[string]bool // the clients' ids of those that are not settled
+	lastOp     uint64
+	types      map[string]int
+	tenants    map[string]int
+	reallowed  bool    // their allowances are not those of the settings any more
+	allowances float64 // the sum of them
+	within     tenantShares
+	zones      map[string]int
+	servers    map[string]*server
+	idlers     map[*server]struct{} // those with idle connections, and perhaps others
+	visits     int                  // servers come to by what is not about one of them, for tests that count
+	book       *roster.Book         // what is known of them
+	closing    []io.Closer          // to be closed when the lock is given back
+	room       room
+	counts     Counts
+	digests    digests
+	evidence   []chan roster.Evidence // of those who ask for it
+	wary       bool                   // what must not run twice goes to servers that are proved only
+	proved     map[string]bool
 }
 
 type server struct {
@@ -70,7 +73,8 @@
 	}
 	s.AskWithin = min(s.AskWithin, askPauseShare*askPauseMost)
 	f := &Fleet{set: s, routes: route.NewLive(&s), started: time.Now(), asked: make(chan struct{}, 1), ops: map[uint64]*Operation{}, open: map[string]bool{},
-		types: index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
+		allowances: columns.Sum(s.AllowancePerS),
+		types:      index(s.TypeNames), tenants: index(s.TenantNames), zones: index(s.Zones),
 		servers: map[string]*server{}, idlers: map[*server]struct{}{}, book: roster.NewBook(), room: newRoom(limits)}
 	f.book.OnlyDraining = s.OnlyDraining
 	f.mu.Lock()
--- a/internal/plan/api.go
+++ b/internal/plan/api.go
@@ -19,7 +19,7 @@
 	Figures Figures
 	Flying  int // hops out now
 	Types   []Type
-	Tenants []Tenant
+	Tenants []Tenant // those with traffic; one that is not named had none
 	Servers []Server
 	Held    []Held       // the shares that it follows now
 	Above   []life.Entry // lives of which it knows more than this planner has told
@@ -33,6 +33,7 @@
 	ColdFor      time.Duration
 	ColdStart    float64
 	FallMultiple float64
+	Allowances   float64 // of all tenants together, a second over all nodes
 }
 
 // Type is a traffic type at one forwarder.
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -415,3 +415,48 @@
 	b.ReportMetric(2*float64(changes)/float64(max(steps-1, 1)), "changed-B/s")
 	b.ReportMetric(2*float64(wholes)/float64(steps), "whole-B/s")
 }
+
+// A tenant that reports do not name had no traffic. It is judged, and counts for the others, as if it were named with none.
+func TestAbsentTenantHasNoTraffic(t *testing.T) {
+	const idle, allowance = 50, 100.0
+	share := func(named bool, now *time.Duration, p *Planner, asked int) (busy float64, told bool) {
+		for range 60 {
+			*now += 500 * ms
+			r := Report{Span: 500 * ms, Figures: Figures{Allowances: (idle + 2) * allowance}}
+			if asked > 0 || named {
+				r.Tenants = append(r.Tenants, Tenant{Name: "busy", Allowance: allowance, Asked: asked})
+			}
+			r.Tenants = append(r.Tenants, Tenant{Name: "other", Allowance: allowance, Asked: 70}) // beyond its allowance too
+			for i := range idle {
+				if named {
+					r.Tenants = append(r.Tenants, Tenant{Name: fmt.Sprint("idle", i), Allowance: allowance})
+				}
+			}
+			p.Reported(*now, "f", &r)
+			p.Plan(*now)
+		}
+		for _, w := range p.within() {
+			if w.Tenant == "busy" {
+				return w.Share, true
+			}
+		}
+		return 1, false
+	}
+	shares := map[bool]float64{}
+	for _, named := range []bool{true, false} {
+		p, now := New(0), time.Duration(0)
+		shares[named], _ = share(named, &now, p, 100)
+		for range 3 {
+			share(named, &now, p, 0)
+		}
+		if got, told := share(named, &now, p, 0); got != 1 || told && !named {
+			t.Errorf("named %v: without traffic its share is %g, told %v", named, got, told)
+		}
+		if got, _ := share(named, &now, p, 100); math.Abs(got-shares[named]) > 1e-6 {
+			t.Errorf("named %v: %g, and %g after a pause", named, shares[named], got)
+		}
+	}
+	if got, want := shares[false], shares[true]; math.Abs(got-want) > 1e-6 || want > 0.6 || want < 0.4 {
+		t.Errorf("%.3f where idle tenants are not named, %.3f where they are", got, want)
+	}
+}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -13,6 +13,7 @@
 	forwarderTop = 4096                   // forwarders that a planner keeps
 	serversTop   = 4096                   // servers that it judges
 	rateSpan     = 3 * time.Second        // over which rates are taken
+	tenantLeast  = 1e-9                   // a second, beneath which a tenant is forgotten: it is within its allowance
 	judgeSpan    = 1 * time.Second        // over which answers tell how slow a server is now
 	judgePrior   = 3.0                    // answers of its usual speed that count beside, so that a few do not judge
 	speedSpan    = 8 * time.Second        // over which they tell how fast it is as a rule; noise of a second moves too much load
@@ -237,8 +238,10 @@
 		}
 		k.base += (1 - fade(baseSpan)) * (k.usual - k.base)
 	}
-	for _, t := range p.tenants {
-		t.rate *= fade(rateSpan)
+	for name, t := range p.tenants {
+		if t.rate *= fade(rateSpan); t.rate < tenantLeast {
+			delete(p.tenants, name)
+		}
 	}
 	p.admission(passed)
 	keep := fade(judgeSpan)
--- a/internal/plan/whole.go
+++ b/internal/plan/whole.go
@@ -100,12 +100,16 @@
 }
 
 // within is each tenant's share within its allowance. As in the module, it goes with the others' traffic where that is
-// above their allowances: a surplus of all is nobody's.
+// above their allowances, also of those that have no traffic: a surplus of all is nobody's.
 func (p *Planner) within() (all []Within) {
 	allowances, rates := 0.0, 0.0
-	for _, t := range p.tenants {
+	for _, name := range ids(p.tenants) { // in their order, so that plans come out alike
+		t := p.tenants[name]
 		allowances, rates = allowances+t.allowance, rates+t.rate
 	}
+	for _, f := range p.forwarders {
+		allowances = max(allowances, f.figures.Allowances)
+	}
 	for _, name := range ids(p.tenants) {
 		t := p.tenants[name]
 		if t.allowance <= 0 {
--- a/internal/planline/line.go
+++ b/internal/planline/line.go
@@ -9,7 +9,7 @@
 )
 
 // Version of the frames. A peer of another is refused.
-const Version = 1
+const Version = 2
 
 const frameMost = 1 << 20 // bytes of a body: 4,000 lives of 200 bytes, and slack
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -172,8 +172,8 @@
 	Within     []float64     // of a plan, by tenant: its share within its allowance; none: by own figures
 }
 
-// Allowance is a tenant's, a second over all nodes. A tenant beyond those known so far is known from then on, as are all
-// before it, with none until theirs are told.
+// Allowance is a tenant's, a second over all nodes. A tenant beyond those known so far is known from then on, as
+// are all before it, with none until theirs are told.
 type Allowance struct {
 	Tenant int
 	PerS   float64
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -177,3 +177,24 @@
 		})
 	}
 }
+
+// While a hop is out, when the last failure came is kept: what was sent before it tells nothing new.
+func TestLastFailureIsKeptForHopsOut(t *testing.T) {
+	const kind = 2
+	for name, c := range map[string]struct{ inFlight, entries int }{
+		"none out": {0, 0},
+		"one out":  {1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 4, nil)
+			r.failures.Of(0, kind).Last, r.inFlight[0], r.now = time.Second, c.inFlight, 2*time.Second
+			if r.forgetFailures(0); r.failures.Len(0) != c.entries || r.failures.Active().Has(0) != (c.entries > 0) {
+				t.Fatalf("%d entries, want %d", r.failures.Len(0), c.entries)
+			}
+			r.fault(0, kind, 500*ms)
+			if got := r.failures.Get(0, kind).Count; got != 1-c.entries {
+				t.Errorf("%d failures counted", got)
+			}
+		})
+	}
+}
