--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -13,7 +13,7 @@
 // keep their figures.
 func (p *Policy) WhatIf(s *Settings, now time.Duration, in *Input, effects []Effect) []Effect {
 	c := p.copied(in.Op)
-	c.set, c.reallowed = *s, false // allowances are cloned ahead of a change
+	c.set, c.reallowed = *s, false                                // allowances are cloned ahead of a change
 	if c.allowances = columns.Sum(s.AllowancePerS); p.reallowed { // changed since the start: no setting
 		c.set.AllowancePerS, c.allowances = p.set.AllowancePerS, p.allowances
 	}
