--- a/internal/distribution/control/command_test.go
+++ b/internal/distribution/control/command_test.go
@@ -117,3 +117,23 @@
 		}
 	}
 }
+
+// digests asks a process for the digests of all services it holds.
+func digests(at string) (map[string]uint64, error) {
+	conn, err := greeted(at, "digests", nil)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	if err := wire.Send(conn, &wire.Want{Digests: true}); err != nil {
+		return nil, err
+	}
+	m, err := next(conn, 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	if d, ok := m.(*wire.Digests); ok {
+		return d.Digests.Services, nil
+	}
+	return nil, fmt.Errorf("answered by %T", m)
+}
--- a/internal/distribution/control/control_test.go
+++ b/internal/distribution/control/control_test.go
@@ -256,7 +256,11 @@
 	if r.state() == a.state() {
 		t.Fatal("no difference")
 	}
+	n := node("n", "s")
+	n.subscribe(t, r.at)
+	wait(t, "a node that is told as little", func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.complete })
 	agree(t, a, b, r)
+	wait(t, "the node is told the rest", func() bool { return n.holds(route("s", "route-0")) && n.holds(route("s", "route-49")) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n := r.Entries - received; n != 50 && received > 0 && n > 50 {
--- a/internal/distribution/control/peers_test.go
+++ b/internal/distribution/control/peers_test.go
@@ -12,6 +12,7 @@
 	"fernvane/internal/distribution/wire"
 	"fernvane/internal/frames"
 	"fernvane/internal/mtls"
+	"fernvane/internal/standin/cable"
 	"fernvane/internal/standin/keys"
 )
 
@@ -235,3 +236,29 @@
 		t.Fatal("never cut off")
 	}
 }
+
+// What a relay has from its root does not go back to it.
+func TestNothingGoesBackUp(t *testing.T) {
+	t.Parallel()
+	disk, at := disks(t), address(t)
+	a := start(t, settings(t, "a", at, disk("a")))
+	wires, err := cable.Listen(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer wires.Close()
+	r := start(t, settings(t, "r", address(t), disk("r"), wires.Address()))
+	wait(t, "current", func() bool { return a.isCurrent() && r.isCurrent() })
+	for n := range 30 {
+		c := route("s", fmt.Sprint("large-", n))
+		c.Value = []byte(strings.Repeat("v", 10_000))
+		write(t, a.at, c)
+		agree(t, a, r)
+	}
+	write(t, r.at, route("s", "from below"))
+	agree(t, a, r)
+	if up, down := wires.Bytes(cable.Up), wires.Bytes(cable.Down); down < 300_000 || up > 30_000 {
+		t.Errorf("%d bytes went up, %d down", up, down)
+	}
+	r.stop(t)
+}
--- a/internal/distribution/control/process_test.go
+++ b/internal/distribution/control/process_test.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"fernvane/internal/distribution"
-	"fernvane/internal/distribution/wire"
 	"fernvane/internal/standin/cable"
 )
 
@@ -223,26 +222,6 @@
 	f.running.Wait()
 }
 
-// digests asks a process for the digests of all services it holds.
-func digests(at string) (map[string]uint64, error) {
-	conn, err := greeted(at, "digests", nil)
-	if err != nil {
-		return nil, err
-	}
-	defer conn.Close()
-	if err := wire.Send(conn, &wire.Want{Digests: true}); err != nil {
-		return nil, err
-	}
-	m, err := next(conn, 2*time.Second)
-	if err != nil {
-		return nil, err
-	}
-	if d, ok := m.(*wire.Digests); ok {
-		return d.Digests.Services, nil
-	}
-	return nil, fmt.Errorf("answered by %T", m)
-}
-
 // settle waits until all processes are current and hold the same, and tells how long it took.
 func (f *fleet) settle(t *testing.T, what string) {
 	t.Helper()
