--- a/internal/distribution/tree/tree.go
+++ b/internal/distribution/tree/tree.go
@@ -117,26 +117,19 @@
 	if err := f.Err(); err != nil {
 		return err
 	}
+	return t.entries(f, text, service, &file)
+}
+
+// entries takes in what a file of a service holds.
+func (t *Tree) entries(f *tomlfile.File, text []byte, service string, file *File) error {
 	var raw struct {
 		Pools, Routes []map[string]any
 	}
 	if err := toml.Unmarshal(text, &raw); err != nil {
-		return tomlfile.Faults{{File: path, Why: err.Error()}}
+		return tomlfile.Faults{{File: f.Name, Why: err.Error()}}
 	}
 	put := func(at string, kind distribution.Kind, name string, value []byte, err error) {
-		key := distribution.Key{Service: service, Kind: kind, Name: name}
-		_, twice := t.Values[key]
-		change := distribution.Change{Key: key, Value: value}
-		switch {
-		case err != nil:
-			f.Wrong(at, "%v", err)
-		case twice:
-			f.Wrong(at, "a second %s %q", kind, name)
-		case change.Check() != nil:
-			f.Wrong(at, "%v", change.Check())
-		default:
-			t.Values[key] = value
-		}
+		t.put(f, at, distribution.Change{Key: distribution.Key{Service: service, Kind: kind, Name: name}, Value: value}, err)
 	}
 	for i, s := range file.Servers {
 		at := "servers." + strconv.Itoa(i)
@@ -164,6 +157,21 @@
 	return f.Err()
 }
 
+// put takes in one entry that was read from a place of a file.
+func (t *Tree) put(f *tomlfile.File, at string, change distribution.Change, err error) {
+	_, twice := t.Values[change.Key]
+	switch {
+	case err != nil:
+		f.Wrong(at, "%v", err)
+	case twice:
+		f.Wrong(at, "a second %s %q", change.Key.Kind, change.Key.Name)
+	case change.Check() != nil:
+		f.Wrong(at, "%v", change.Check())
+	default:
+		t.Values[change.Key] = change.Value
+	}
+}
+
 // encode is the server's value.
 func (s Server) encode(sized bool) ([]byte, error) {
 	e := life.Entry{ID: s.ID, Address: s.Address, Zone: s.Zone, Flavor: s.Flavor, Cell: s.Cell, Size: s.Size}
