--- a/internal/audit/types.go
+++ b/internal/audit/types.go
@@ -40,13 +40,13 @@
 
 // Figures of the rules.
 type Figures struct {
-	Types      []Type
-	DrainGrace time.Duration
-	Slack      time.Duration // added to each limit, for what the machine is late
-	MostHops   int
-	Copies     bool // a second copy may be out while the first is
-	Closes     bool // idle connections to a draining box are closed within DrainClose
-	DrainClose time.Duration
+	Types        []Type
+	DrainGrace   time.Duration
+	Slack        time.Duration // added to each limit, for what the machine is late
+	MostAttempts int
+	Copies       bool // a second copy may be out while the first is
+	Closes       bool // idle connections to a draining box are closed within DrainClose
+	DrainClose   time.Duration
 }
 
 // End is how a client's try ended.
--- /dev/null
+++ b/internal/serve/distribution_pieces_test.go
@@ -0,0 +1,50 @@
+package serve
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"fernvane/internal/distribution"
+	"fernvane/internal/distribution/value"
+	"fernvane/internal/fleet"
+	"fernvane/internal/life"
+	"fernvane/internal/node"
+)
+
+// A first catch-up comes in pieces, and what they have brought is handed over whole in the end: none of it is lost by that,
+// and what drains stays so.
+func TestServersInPieces(t *testing.T) {
+	cfg := config()
+	f := fleet.New(cfg.Settings, 1, cfg.Limits, node.Policy)
+	defer f.Stop()
+	d := &distributed{fleet: f, settings: &cfg.Settings, log: zerolog.Nop(), lives: life.NewTable(), parts: map[distribution.Key]parts{}}
+	entry := func(id string, clock uint64, condition life.Condition) distribution.Entry {
+		v, err := value.EncodeServer(life.Entry{ID: id, Address: fmt.Sprint("127.0.0.1:", clock), Size: 1, Condition: condition})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return distribution.Entry{Key: distribution.Key{Service: "s", Kind: distribution.Server, Name: id}, Clock: clock, Origin: "o", Sequence: clock, Value: v}
+	}
+	a, b, drained := entry("a", 1, life.Up), entry("b", 2, life.Up), entry("c", 3, life.Draining)
+	for _, piece := range []struct {
+		entries []distribution.Entry
+		whole   bool
+	}{{[]distribution.Entry{a}, false}, {[]distribution.Entry{drained}, false}, {[]distribution.Entry{a, b, drained}, true}} {
+		if rejected := d.Servers(piece.entries, piece.whole); len(rejected) > 0 {
+			t.Fatal(rejected)
+		}
+	}
+	var used []string
+	lines, _, _, _ := f.Lines()
+	for _, l := range lines {
+		if l.Used {
+			used = append(used, l.ID)
+		}
+	}
+	if !slices.Equal(used, []string{"a", "b"}) {
+		t.Errorf("used: %q of %d", used, len(lines))
+	}
+}
