--- a/internal/standin/box/server.go
+++ b/internal/standin/box/server.go
@@ -37,6 +37,8 @@
 	// by the word that it never ran.
 	Over(id uint64, box int, at time.Duration, unbegun bool)
 	Fell(box int, at time.Duration)
+	// Idle tells that a connection on which a request was the last stood unused, until it ended or the next one came.
+	Idle(id uint64, box int, from, to time.Duration)
 }
 
 // Identity of a box, the same over its restarts.
@@ -228,9 +230,13 @@
 	}
 	c := http1.NewConn(nc)
 	var req http1.Request
+	last := uint64(0) // request on it
 	for fresh := true; ; fresh = false {
 		c.SetReadDeadline(time.Now().Add(idleMost))
-		if c.Await() != nil {
+		idle := b.now()
+		err := c.Await()
+		b.idle(last, idle)
+		if err != nil {
 			return
 		}
 		first := nc.Came().Sub(b.start) // what a silence holds back was sent before it
@@ -240,12 +246,29 @@
 			}
 			return
 		}
+		last = idOf(&req)
 		if !b.request(httpPeer{nc, c}, &req, first, nc.Came().Sub(b.start), way, fresh, full) || full {
 			return
 		}
 	}
 }
 
+// idOf is the id of a request, 0 for one without.
+func idOf(r *message.Request) uint64 {
+	id, err := strconv.ParseUint(string(r.Get(http1.RequestID)), 16, 64)
+	if err != nil {
+		return 0
+	}
+	return id
+}
+
+// idle tells for how long a connection has stood unused since its last request was answered, if it had one.
+func (b *Box) idle(last uint64, from time.Duration) {
+	if _, known := b.watch.Asked(last); known && last != 0 {
+		b.watch.Idle(last, b.Number, from, b.now())
+	}
+}
+
 // request is the life of one request; it tells whether its connection can be used again.
 func (b *Box) request(p peer, req *message.Request, first, last, way time.Duration, fresh, full bool) bool {
 	text := string(req.Get(http1.RequestID))
--- a/policy/api.go
+++ b/policy/api.go
@@ -83,6 +83,7 @@
 	AllowancePerS  []float64   // by tenant, over all nodes
 	OverageRevenue float64
 	OnRequest      bool // the server list must be asked for
+	LiveWeights    bool // scales go down with what servers hold
 	MostHops       int
 	WarmKeys       bool          // servers that met a key lately do less work for it
 	Copies         bool          // two hops of one operation may be out together
@@ -189,8 +190,8 @@
 	Within     []float64     // of a plan, by tenant: its share within its allowance; none: by own figures
 }
 
-// Allowance is a tenant's, a second over all nodes. A tenant beyond those known so far is known from then on, as are all
-// before it, with none until theirs are told.
+// Allowance is a tenant's, a second over all nodes. A tenant beyond those known so far is known from then on, as
+// are all before it, with none until theirs are told.
 type Allowance struct {
 	Tenant int
 	PerS   float64
