--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -11,7 +11,11 @@
 	"time"
 )
 
-const fillFor = 30 * time.Millisecond // in which a connection to a listener that is not full comes up
+const (
+	fillFor     = 30 * time.Millisecond // in which a connection to a listener that is not full comes up
+	fullAfter   = 3                     // connections in a row that do not: one may be late on a busy machine
+	fillersMost = 8
+)
 
 // Listener leads its connections while it is there.
 type Listener struct {
@@ -137,11 +141,13 @@
 	l.silent = make(chan struct{})
 	l.ln.SetDeadline(time.Unix(1, 0))
 	l.backlog(0)
-	for range 4 {
+	for refused := 0; refused < fullAfter && len(l.fillers) < fillersMost; {
 		c, err := net.DialTimeout("tcp", l.address, fillFor)
 		if err != nil {
-			break
+			refused++
+			continue
 		}
+		refused = 0
 		l.fillers = append(l.fillers, c)
 	}
 }
