Planners and control processes follow discovery by one loop, watch.Follow

Cause: internal/distribution/control/source.go wrote again what internal/planner/planner.go had: calls, back-off, revisions that count anew. Change: the loop is watch.Follow; each tells what it does with a list. Measured: tests of planner, distribution/control and watch pass.

--- a/internal/distribution/control/source.go
+++ b/internal/distribution/control/source.go
@@ -2,22 +2,20 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"fernvane/internal/distribution"
+	"fernvane/internal/http1"
 	"fernvane/internal/life"
 	"fernvane/internal/registry"
 	"fernvane/internal/watch"
 )
 
 const (
-	askFirst    = 250 * time.Millisecond
-	askMost     = 4 * time.Second // between two tries to reach discovery
-	sourceAgain = time.Second     // after changes that could not be written
-	sourceMost  = 1024            // changes in one write of a source's
+	sourceAgain = time.Second // after changes that could not be written
+	sourceMost  = 1024        // changes in one write of a source's
 )
 
 // source writes what discovery or a registry tells of servers. Only one control process does so for a source.
@@ -45,32 +43,15 @@
 
 // watchDiscovery follows discovery's list, whole at first.
 func (s *Server) watchDiscovery(ctx context.Context, told *sourced) {
-	w := watch.Watcher{Place: watch.NewPlace(s.config.DiscoveryAt), Whole: true}
-	defer w.Close()
-	for wait := askFirst; ctx.Err() == nil; {
-		began := time.Now()
-		list, err := w.Call(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			s.log.Warn().Err(err).Msg("discovery failed")
-			pause(ctx, time.Duration((0.5+rand.Float64())*float64(wait)))
-			wait = min(2*wait, askMost)
-			continue
-		}
-		wait = askFirst
-		if !list.Complete && list.Revision < w.Revision { // it counts from elsewhere now
-			w.Whole = true
-			continue
-		}
-		w.Whole, w.Revision = false, list.Revision
-		for _, err := range list.Skipped {
-			s.log.Warn().Err(err).Msg("list entry skipped")
-		}
-		told.listed(watch.Entries(list), list.Complete)
-		pause(ctx, watch.Pace-time.Since(began))
-	}
+	watch.Follow(ctx, watch.NewPlace(s.config.DiscoveryAt), watch.Listener{
+		Failed: func(err error) { s.log.Warn().Err(err).Msg("discovery failed") },
+		Told: func(list http1.List) {
+			for _, err := range list.Skipped {
+				s.log.Warn().Err(err).Msg("list entry skipped")
+			}
+			told.listed(watch.Entries(list), list.Complete)
+		},
+	})
 }
 
 // sourced is what a source has told, on its way into the store.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"fernvane/internal/http1"
 	"fernvane/internal/life"
 	"fernvane/internal/plan"
 	"fernvane/internal/plancfg"
@@ -26,8 +26,6 @@
 	silentMost  = 5 * time.Second // without a report, after which its connection is ended
 	connsMost   = 4096            // forwarders at a time, those that are not greeted yet included
 	serversMost = 4096            // in a report
-	askFirst    = 250 * time.Millisecond
-	askMost     = 4 * time.Second // between two tries to reach discovery
 	countsEvery = 10 * time.Second
 )
 
@@ -111,45 +109,31 @@
 
 // follow watches discovery, whole at first.
 func (s *Server) follow(ctx context.Context) error {
-	w := watch.Watcher{Place: watch.NewPlace(s.cfg.DiscoveryAt), Whole: true}
-	defer w.Close()
-	for wait := askFirst; ctx.Err() == nil; {
-		began := time.Now()
-		list, err := w.Call(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			s.log.Warn().Err(err).Msg("discovery failed")
-			pause(ctx, time.Duration((0.5+rand.Float64())*float64(wait)))
-			wait = min(2*wait, askMost)
-			continue
-		}
-		wait = askFirst
-		if !list.Complete && list.Revision < w.Revision { // it counts from elsewhere now
-			w.Whole = true
-			continue
-		}
-		w.Whole, w.Revision = false, list.Revision
-		for _, err := range list.Skipped {
-			s.log.Warn().Err(err).Msg("list entry skipped")
-		}
-		s.mu.Lock()
-		entries := watch.Entries(list)
-		if list.Complete {
-			clear(s.said)
-		}
-		for _, e := range entries {
-			s.said[e.ID] = e
-		}
-		s.plan.Listed(s.now(), entries, list.Complete)
-		s.ready = s.ready || list.Complete
-		s.mu.Unlock()
-		pause(ctx, watch.Pace-time.Since(began))
-	}
+	watch.Follow(ctx, watch.NewPlace(s.cfg.DiscoveryAt), watch.Listener{
+		Failed: func(err error) { s.log.Warn().Err(err).Msg("discovery failed") },
+		Told:   s.listed,
+	})
 	return nil
 }
 
+// listed takes in what discovery tells.
+func (s *Server) listed(list http1.List) {
+	for _, err := range list.Skipped {
+		s.log.Warn().Err(err).Msg("list entry skipped")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries := watch.Entries(list)
+	if list.Complete {
+		clear(s.said)
+	}
+	for _, e := range entries {
+		s.said[e.ID] = e
+	}
+	s.plan.Listed(s.now(), entries, list.Complete)
+	s.ready = s.ready || list.Complete
+}
+
 // registered follows a registry in place of discovery. Planners send no hops: what forwarders find out about a server
 // comes by their reports.
 func (s *Server) registered(ctx context.Context) error {
@@ -171,15 +155,6 @@
 	})
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(max(d, 0))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // make works out a plan again and again, and leaves each forwarder's with its connection.
 func (s *Server) make(ctx context.Context) error {
 	tick := time.NewTicker(s.cfg.Every.D())
--- /dev/null
+++ b/internal/watch/follow.go
@@ -0,0 +1,57 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"fernvane/internal/http1"
+)
+
+const (
+	askFirst = 250 * time.Millisecond // after the first call that failed; doubles, for discovery has little capacity
+	askMost  = 4 * time.Second        // between two tries to reach it
+)
+
+// Listener is told what following discovery brings. Its functions are called one after another.
+type Listener struct {
+	Told   func(http1.List) // a whole list at first, then changes, or a whole list where discovery counts anew
+	Failed func(error)      // a call failed and is made again
+}
+
+// Follow watches discovery's list for processes that ask it by themselves, as control processes and planners do, until the
+// context ends. Nodes have their decision module say when to ask.
+func Follow(ctx context.Context, place *Place, tell Listener) {
+	w := Watcher{Place: place, Whole: true}
+	defer w.Close()
+	for wait := askFirst; ctx.Err() == nil; {
+		began := time.Now()
+		list, err := w.Call(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			tell.Failed(err)
+			pause(ctx, time.Duration((0.5+rand.Float64())*float64(wait)))
+			wait = min(2*wait, askMost)
+			continue
+		}
+		wait = askFirst
+		if !list.Complete && list.Revision < w.Revision { // it counts from elsewhere now
+			w.Whole = true
+			continue
+		}
+		w.Whole, w.Revision = false, list.Revision
+		tell.Told(list)
+		pause(ctx, Pace-time.Since(began))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(max(d, 0))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
