--- a/internal/distribution/scale_test.go
+++ b/internal/distribution/scale_test.go
@@ -271,7 +271,7 @@
 // and a burst. Each change must be in force at the last node in time.
 func TestFleetInVirtualTime(t *testing.T) {
 	size := fleetSize{nodes: 5800, services: 6000, perService: 33, ofNode: 8}
-	if testing.Short() || raceEnabled {
+	if raceEnabled { // a tenth: it takes minutes there
 		size = fleetSize{nodes: 580, services: 600, perService: 33, ofNode: 8}
 	}
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -28,9 +28,6 @@
 
 // Each plane and event, played by real processes: in the end every node that is up has every change, and knows all servers.
 func TestRuns(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
