Planners confirm a kept list: a killed node knows all of its servers again

Ruled out: the copy on disk (it held all), the trial pace (it ends with belief). Now only servers that had left are taken from a suspect list, and the first word of planners hands over all that is known. Reports also told planners of kept servers that nobody had confirmed; they do not any more.

--- a/cmd/fernvane/distribution_test.go
+++ b/cmd/fernvane/distribution_test.go
@@ -50,7 +50,7 @@
 	case <-p.log.found:
 	case err := <-p.done:
 		p.done <- err
-		p.t.Fatalf("%q ended: %v", p.args, err)
+		p.t.Fatalf("%q ended: %v\n%s", p.args, err, p.log.text.String())
 	case <-time.After(fleetPatience):
 		p.t.Fatalf("%q never says %s", p.args, word)
 	}
--- a/internal/serve/planners.go
+++ b/internal/serve/planners.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,7 @@
 	needs   chan struct{} // closed while discovery is to be asked
 	open    bool          // needs is closed
 	planned bool          // the fleet has been told a plan
+	suspect bool          // the list before the start is a kept one that nobody has confirmed yet
 	from    int           // the planner followed last
 }
 
@@ -253,12 +255,19 @@
 		s.told[e.ID] = e
 	}
 	s.held = plan.Apply(s.held, change)
-	p.join(p.lives.Join(now, change.Lives))
+	if changed := p.lives.Join(now, change.Lives); len(change.Lives) > 0 {
+		p.join(changed)
+	}
 	p.follow.Told(now, i, s.held)
 }
 
 // join hands to the fleet what has changed in the lives. It is done under the lock, so that what is newer comes later.
+// What comes first after a kept list ends its suspicion: then all that is known is handed over, for of a server that had
+// left before the start the fleet has heard nothing yet.
 func (p *planners) join(changed []life.Entry) {
+	if p.suspect {
+		p.suspect, changed = false, p.lives.All()
+	}
 	if len(changed) == 0 {
 		return
 	}
@@ -279,10 +288,15 @@
 	p.join(p.lives.Told(p.fleet.Now(), watch.Entries(l), l.Complete))
 }
 
-// saved takes in the list that the node last had, which the fleet has been given as such.
-func (p *planners) saved(l http1.List) {
+// saved takes in the list that the node last had. Of a suspect one, kept on disk, only servers that had left are taken in: what
+// planners tell of the others is a change then, which confirms it, and no report tells planners of servers that nobody has
+// confirmed.
+func (p *planners) saved(l http1.List, suspect bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.suspect = suspect; suspect {
+		l.Hosts = slices.DeleteFunc(slices.Clone(l.Hosts), func(h http1.Host) bool { return h.Phase == http1.Serving })
+	}
 	p.lives.Told(p.fleet.Now(), watch.Entries(l), false)
 }
 
--- a/internal/serve/planners_test.go
+++ b/internal/serve/planners_test.go
@@ -9,11 +9,13 @@
 	"testing"
 	"time"
 
+	"fernvane/internal/bindlog"
 	"fernvane/internal/http1"
 	"fernvane/internal/life"
 	"fernvane/internal/plan"
 	"fernvane/internal/plancfg"
 	"fernvane/internal/planline"
+	"fernvane/internal/snapshot"
 )
 
 // upper is a planner by hand: it sends what it is told to, and can be gone.
@@ -192,3 +194,55 @@
 		t.Errorf("%d hops to a server that drains", n)
 	}
 }
+
+// A node that was killed starts on the list of its disk. Planners that tell the same list confirm all of it, though nothing in it
+// has changed, and a server that drains later takes no other with it.
+func TestPlannersConfirmTheKeptList(t *testing.T) {
+	t.Parallel()
+	const fleet = 12
+	stand := make([]*asked, fleet)
+	var listed []snapshot.Server
+	var told []life.Entry
+	for i := range stand {
+		stand[i] = counting(t, "")
+		id := fmt.Sprint("s", i)
+		listed = append(listed, stand[i].server(id, life.Up))
+		told = append(told, serving(id, stand[i].at))
+	}
+	const left = fleet - 1 // drains since before the node's start
+	listed[left].Condition, told[left].Condition = uint8(life.Draining), life.Draining
+	u := newUpper(t)
+	cfg := config()
+	cfg.Planners = &plancfg.Forwarder{Addresses: []netip.AddrPort{u.at()}}
+	cfg.Snapshot = keptIn(t, func(s *snapshot.Snapshot) { s.Confirmed -= (10 * time.Minute).Milliseconds() }, listed...)
+	at, _ := startNode(t, cfg)
+	<-u.met
+	if above := (<-u.reports).Above; len(above) > 1 || len(above) == 1 && above[0].Condition == life.Up {
+		t.Errorf("the planner is told of %d servers that nobody has confirmed", len(above))
+	}
+	u.say(plan.Change{Lives: told})
+	store, err := snapshot.Open(cfg.Snapshot.Dir, 3, bindlog.OS{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, "confirmed list on disk", func() bool {
+		kept, _, err := store.Newest()
+		return err == nil && time.Since(time.UnixMilli(kept.Confirmed)) < time.Minute
+	})
+	drained := told[0]
+	drained.Condition, drained.Revision = life.Draining, 9
+	u.say(plan.Change{Lives: []life.Entry{drained}})
+	await(t, "list on disk with two servers that drain and all others in use", func() bool {
+		kept, _, err := store.Newest()
+		conditions := map[uint8]int{}
+		if err == nil {
+			for _, server := range kept.Servers {
+				conditions[server.Condition]++
+			}
+		}
+		return conditions[uint8(life.Up)] == fleet-2 && conditions[uint8(life.Draining)] == 2
+	})
+	if r := ask1(t, dial(t, at), "/check/1"); r.Status != 200 {
+		t.Errorf("answered %d", r.Status)
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -219,7 +219,7 @@
 	}
 	s.skipped(s.cfg.Known)
 	if s.planners != nil {
-		s.planners.saved(s.cfg.Known)
+		s.planners.saved(s.cfg.Known, suspect)
 	}
 	if !suspect {
 		s.fleet.Listed(s.cfg.Known, roster.Saved)
