Nodes and relays go back to the control process that their file prefers

A subscriber stayed at the upstream it had fled to until that one was lost (subscriber.go Lost, Passed): after a rolling restart of control processes their nodes stood at others for good, and budgets are per control process. Now preferred.go has it probe those earlier in its order, beside the connection in hand, and leave that one only for one that has just answered; spread over time, and ever less often where a return does not last. return_after in both files, 1 min, 0s for never; off without a file, as all of the distribution.

--- a/internal/distribution/client/bad_test.go
+++ b/internal/distribution/client/bad_test.go
@@ -126,6 +126,7 @@
 		"a service twice":      {strings.Replace(base, "\"hire\"", "\"hire\", \"hire\"", 1), ":2: service \"hire\" is named twice", ""},
 		"a service of nothing": {strings.Replace(base, "\"hire\"", "\"\"", 1), ":2: service \"\"", ""},
 		"too long a start":     {base + "start_within = \"2m\"\n", ":5: start_within 2m0s", ""},
+		"too long a return":    {base + "return_after = \"25h\"\n", ":5: return_after 25h0m0s", ""},
 		"an unknown key":       {base + "zones = 2\n", ":5: unknown key \"zones\"", ":5: unknown key"},
 		"no keys":              {strings.Replace(base, "plaintext = true\n", "", 1), "tls_name", "tls_name"},
 	} {
--- a/internal/distribution/client/client.go
+++ b/internal/distribution/client/client.go
@@ -100,7 +100,8 @@
 	if within == 0 {
 		within = time.Nanosecond
 	}
-	c.subscriber = distribution.NewSubscriber(c.now(), distribution.Following{Upstreams: len(config.Addresses), StartWithin: within, Seed: config.Name})
+	c.subscriber = distribution.NewSubscriber(c.now(), distribution.Following{Upstreams: len(config.Addresses), StartWithin: within, Seed: config.Name,
+		ReturnAfter: config.ReturnAfter.D()})
 	return c, nil
 }
 
@@ -163,9 +164,16 @@
 	do, again := c.subscriber.Passed(now)
 	state, serves := c.subscriber.State(), c.subscriber.Serves()
 	c.mu.Unlock()
-	if do.Drop {
+	switch {
+	case do.Returns:
+		c.log.Info().Str("control", c.config.Control[do.Upstream]).Msg("distribution: a preferred control process answers again")
+		c.drop()
+	case do.Drop:
 		c.lost(errors.New("it does not answer"), false)
 	}
+	if do.Probe {
+		c.probe(ctx, do.Preferred)
+	}
 	if do.Dial {
 		c.dial(ctx, do.Upstream)
 	}
@@ -239,6 +247,12 @@
 
 // handle takes in what happened on the connection in hand; what is of an earlier one is over.
 func (c *Client) handle(e event) {
+	if e.probed {
+		c.mu.Lock()
+		c.subscriber.Probed(c.now(), e.upstream, e.err == nil)
+		c.mu.Unlock()
+		return
+	}
 	if c.link == nil || e.link != c.link.number {
 		return
 	}
--- a/internal/distribution/client/config.go
+++ b/internal/distribution/client/config.go
@@ -21,6 +21,8 @@
 	servicesMost    = 1000
 	startWithinBase = 2 * time.Second
 	startWithinMost = time.Minute
+	returnAfterBase = time.Minute
+	returnAfterMost = 24 * time.Hour
 )
 
 // Config is an operator's file of the distribution, of a node or of a command.
@@ -31,6 +33,7 @@
 	Zone        string        `toml:"zone"`         // likewise
 	Directory   string        `toml:"directory"`    // a folder that is there, for what the node holds
 	StartWithin tomlfile.Span `toml:"start_within"` // how long a start waits to be current
+	ReturnAfter tomlfile.Span `toml:"return_after"` // until a control process that is preferred to the one followed is tried; 0: never
 	TLSName     string        `toml:"tls_name"`     // that the control processes' certificates are for
 	Cert        string        `toml:"cert"`
 	Key         string        `toml:"key"`
@@ -65,6 +68,9 @@
 	if d := c.StartWithin.D(); d < 0 || d > startWithinMost {
 		f.Wrong("start_within", "start_within %s: from 0s to %s", d, startWithinMost)
 	}
+	if d := c.ReturnAfter.D(); d < 0 || d > returnAfterMost {
+		f.Wrong("return_after", "return_after %s: from 0s to %s", d, returnAfterMost)
+	}
 	return c, f.Err()
 }
 
@@ -82,7 +88,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c := &Config{StartWithin: tomlfile.Span(startWithinBase)}
+	c := &Config{StartWithin: tomlfile.Span(startWithinBase), ReturnAfter: tomlfile.Span(returnAfterBase)}
 	f, err := tomlfile.Parse(path, text, c)
 	if err != nil {
 		return nil, nil, err
--- a/internal/distribution/client/link.go
+++ b/internal/distribution/client/link.go
@@ -43,6 +43,8 @@
 	message   wire.Message
 	at        time.Time
 	err       error
+	probed    bool // a probe of an upstream has ended, of no link
+	upstream  int  // of a probe
 }
 
 // link is one attempt at an upstream and the connection that comes of it.
@@ -82,6 +84,20 @@
 	})
 }
 
+// probe sees whether a control process answers, beside the connection in hand.
+func (c *Client) probe(running context.Context, upstream int) {
+	c.running.Go(func() {
+		conn, err := Dial(running, c.config, c.config.Addresses[upstream], c.config.Name)
+		if errors.Is(err, errKeys) {
+			err = nil
+		}
+		if conn != nil {
+			conn.Close()
+		}
+		tell(running, c.events, event{probed: true, upstream: upstream, err: err})
+	})
+}
+
 // tell hands an event over, unless what it is for is over.
 func tell(ctx context.Context, events chan<- event, e event) bool {
 	select {
--- a/internal/distribution/control/config.go
+++ b/internal/distribution/control/config.go
@@ -25,6 +25,7 @@
 	leastDisk       = 256 << 10 // bytes
 	connectionsMost = 65536
 	leastDeleted    = time.Minute
+	mostReturn      = 24 * time.Hour
 )
 
 // Config is a control process's file.
@@ -42,10 +43,11 @@
 	PeerBytes   int           `toml:"control_bytes"`
 	Connections int           `toml:"connections"`
 	KeepDeleted tomlfile.Span `toml:"keep_deleted"`
-	Discovery   string        `toml:"discovery"` // servers come from here
-	Registry    string        `toml:"registry"`  // or from the registry that this file names
-	Service     string        `toml:"service"`   // and are of this service
-	TLSName     string        `toml:"tls_name"`  // that the upstreams' certificates are for
+	ReturnAfter tomlfile.Span `toml:"return_after"` // until an upstream preferred to the one followed is tried; 0: never
+	Discovery   string        `toml:"discovery"`    // servers come from here
+	Registry    string        `toml:"registry"`     // or from the registry that this file names
+	Service     string        `toml:"service"`      // and are of this service
+	TLSName     string        `toml:"tls_name"`     // that the upstreams' certificates are for
 	Cert        string        `toml:"cert"`
 	Key         string        `toml:"key"`
 	CA          string        `toml:"ca"`
@@ -73,7 +75,7 @@
 		return nil, err
 	}
 	c := &Config{Follow: followOne, OutBytes: 8 << 20, NodeBytes: 16 << 10, PeerBytes: 4 << 20, Connections: 8192,
-		KeepDeleted: tomlfile.Span(24 * time.Hour)}
+		KeepDeleted: tomlfile.Span(24 * time.Hour), ReturnAfter: tomlfile.Span(time.Minute)}
 	f, err := tomlfile.Parse(path, text, c)
 	if err != nil {
 		return nil, err
@@ -134,6 +136,9 @@
 	if c.DiskBytes != 0 && c.DiskBytes < leastDisk {
 		f.Wrong("disk_bytes", "disk_bytes %d: %d at least, or 0 for any size", c.DiskBytes, leastDisk)
 	}
+	if d := c.ReturnAfter.D(); d < 0 || d > mostReturn {
+		f.Wrong("return_after", "return_after %s: from 0s to %s", d, mostReturn)
+	}
 	if c.KeepDeleted.D() < leastDeleted {
 		f.Wrong("keep_deleted", "keep_deleted %s: %s at least, longer than any process is away", c.KeepDeleted.D(), leastDeleted)
 	}
--- a/internal/distribution/control/config_test.go
+++ b/internal/distribution/control/config_test.go
@@ -33,6 +33,7 @@
 		"no connections":      {good + "connections = 0\n", ":5: connections"},
 		"a small disk":        {good + "disk_bytes = 10\n", ":5: disk_bytes"},
 		"short deletions":     {good + "keep_deleted = \"1s\"\n", ":5: keep_deleted"},
+		"long return":         {good + "return_after = \"25h\"\n", ":5: return_after"},
 		"a region's name":     {good + "region = \"no rth\"\n", ":5: region"},
 		"two sources":         {good + "discovery = \"127.0.0.1:1\"\nregistry = \"x\"\nservice = \"s\"\n", ":6: either"},
 		"a source of nothing": {good + "discovery = \"127.0.0.1:1\"\n", "service"},
--- a/internal/distribution/control/follow.go
+++ b/internal/distribution/control/follow.go
@@ -39,7 +39,8 @@
 // follow makes the followers that the file asks for.
 func (s *Server) follow() []*follower {
 	add := func(upstreams []netip.AddrPort) {
-		following := distribution.Following{Upstreams: len(upstreams), Seed: s.config.Name, BackOffMost: backOffMost}
+		following := distribution.Following{Upstreams: len(upstreams), Seed: s.config.Name, BackOffMost: backOffMost,
+			ReturnAfter: s.config.ReturnAfter.D()}
 		s.followers = append(s.followers, &follower{server: s, upstreams: upstreams, subscriber: distribution.NewSubscriber(s.now(), following)})
 	}
 	switch {
@@ -58,6 +59,7 @@
 func (f *follower) run(ctx context.Context) {
 	none := &attempt{cancel: func() {}}
 	a := none
+	probes := make(chan probe, 1) // the subscriber asks for one at a time
 	for {
 		do, wait := f.passed(a)
 		if do.Drop && a != none {
@@ -67,6 +69,9 @@
 		if do.Dial {
 			a = f.dial(ctx, f.upstreams[do.Upstream])
 		}
+		if do.Probe {
+			go func() { probes <- f.probe(ctx, do.Preferred) }()
+		}
 		t := time.NewTimer(min(wait, followLook))
 		select {
 		case <-ctx.Done():
@@ -81,6 +86,10 @@
 			f.server.mu.Unlock()
 			f.ended(a, err)
 			a = none
+		case p := <-probes:
+			f.server.mu.Lock()
+			f.subscriber.Probed(f.server.now(), p.upstream, p.answered)
+			f.server.mu.Unlock()
 		case <-t.C:
 			f.ping()
 		}
@@ -131,9 +140,7 @@
 // connect leads a connection with an upstream until it ends.
 func (f *follower) connect(ctx context.Context, upstream netip.AddrPort) error {
 	s := f.server
-	by := time.Now().Add(dialMost)
-	d := net.Dialer{Deadline: by, KeepAliveConfig: keepAlive}
-	nc, err := d.DialContext(ctx, "tcp", upstream.String())
+	nc, by, err := dialUpstream(ctx, upstream)
 	if err != nil {
 		return err
 	}
@@ -150,6 +157,32 @@
 	return s.lives(ctx, l)
 }
 
+// dialUpstream connects to an upstream; until by the other side is to have greeted.
+func dialUpstream(ctx context.Context, upstream netip.AddrPort) (nc net.Conn, by time.Time, err error) {
+	by = time.Now().Add(dialMost)
+	d := net.Dialer{Deadline: by, KeepAliveConfig: keepAlive}
+	nc, err = d.DialContext(ctx, "tcp", upstream.String())
+	return nc, by, err
+}
+
+// probe is how a look at an upstream has ended.
+type probe struct {
+	upstream int
+	answered bool
+}
+
+// probe sees whether an upstream answers, beside the connection in hand.
+func (f *follower) probe(ctx context.Context, upstream int) probe {
+	nc, by, err := dialUpstream(ctx, f.upstreams[upstream])
+	if err != nil {
+		return probe{upstream, false}
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	_, _, err = f.greet(ctx, nc, by)
+	return probe{upstream, err == nil}
+}
+
 func (f *follower) greet(ctx context.Context, nc net.Conn, by time.Time) (*frames.Conn, string, error) {
 	config := f.server.config
 	if config.Keys != nil {
--- /dev/null
+++ b/internal/distribution/control/preferred_test.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"fernvane/internal/tomlfile"
+)
+
+// A relay goes back to the root that its file names first once that one answers again.
+func TestRelayReturnsToPreferredUpstream(t *testing.T) {
+	dir := t.TempDir()
+	first := settings(t, "first", address(t), filepath.Join(dir, "first.db"))
+	second := start(t, settings(t, "second", address(t), filepath.Join(dir, "second.db")))
+	config := settings(t, "relay", address(t), filepath.Join(dir, "relay.db"), first.ListenAt.String(), second.at)
+	config.ReturnAfter = tomlfile.Span(50 * time.Millisecond)
+	root := start(t, first)
+	start(t, config)
+	follows := func(upstream *member) {
+		t.Helper()
+		wait(t, "the upstream is followed", func() bool {
+			upstream.mu.Lock()
+			defer upstream.mu.Unlock()
+			return upstream.subscribers["relay"] != nil
+		})
+	}
+	follows(root)
+	for range 2 { // and once more
+		root.stop(t)
+		follows(second)
+		root = start(t, first)
+		follows(root)
+	}
+}
--- /dev/null
+++ b/internal/distribution/preferred_test.go
@@ -0,0 +1,140 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// away is a subscriber that has lost its preferred upstreams and is current at the last one.
+func away(t *testing.T, upstreams int, seed string) *Subscriber {
+	t.Helper()
+	s := NewSubscriber(0, Following{Upstreams: upstreams, Seed: seed, ReturnAfter: time.Minute})
+	for want := range upstreams {
+		if do, _ := s.Passed(0); !do.Dial || do.Upstream != want {
+			t.Fatalf("%+v, want upstream %d dialled", do, want)
+		}
+		if want < upstreams-1 {
+			s.Lost(0)
+		}
+	}
+	s.Connected(0)
+	s.Received(0, true)
+	return s
+}
+
+// probeDue passes time until a probe is due, and looks that nothing else is done meanwhile.
+func probeDue(t *testing.T, s *Subscriber, from time.Duration) (at time.Duration, upstream int) {
+	t.Helper()
+	for at = from; at < from+time.Hour; at += time.Second {
+		s.Received(at, true) // digests come
+		do, again := s.Passed(at)
+		if do.Drop || do.Dial || again > at+lookEvery {
+			t.Fatalf("at %v: %+v, again at %v", at, do, again)
+		}
+		if do.Probe {
+			return at, do.Preferred
+		}
+	}
+	t.Fatal("no probe within an hour")
+	return 0, 0
+}
+
+// Preferred upstreams are probed in turn beside the connection in hand, which is left only for one that has answered. Before, a
+// subscriber stayed where it had fled to until that one was lost.
+func TestReturnsToPreferredUpstream(t *testing.T) {
+	s := away(t, 3, "n")
+	at, upstream := probeDue(t, s, 0)
+	if upstream != 0 || at < 30*time.Second || at > 91*time.Second {
+		t.Fatalf("upstream %d is probed at %v", upstream, at)
+	}
+	if do, _ := s.Passed(at + time.Second); do.Probe {
+		t.Error("two probes at a time")
+	}
+	s.Probed(at, 0, false)
+	at, upstream = probeDue(t, s, at)
+	if upstream != 1 {
+		t.Fatalf("then %d is probed", upstream)
+	}
+	s.Probed(at, 1, true)
+	do, _ := s.Passed(at)
+	if !do.Drop || !do.Returns || !do.Dial || do.Upstream != 1 || s.State() != Behind || !s.Serves() {
+		t.Fatalf("%+v, %v", do, s.State())
+	}
+	s.Connected(at)
+	s.Received(at, true)
+	if at, upstream = probeDue(t, s, at); upstream != 0 {
+		t.Fatalf("from 1, %d is probed", upstream)
+	}
+	s.Probed(at, 0, true)
+	if do, _ := s.Passed(at); !do.Returns || do.Upstream != 0 {
+		t.Fatalf("%+v", do)
+	}
+	s.Connected(at)
+	s.Received(at, true)
+	for end := at + time.Hour; at < end; at += time.Second {
+		s.Received(at, true)
+		if do, _ := s.Passed(at); do != (Attempt{}) {
+			t.Fatalf("at the first of all: %+v", do)
+		}
+	}
+}
+
+// What ends the wish to return, or puts it off.
+func TestReturnPutOff(t *testing.T) {
+	t.Run("lost as the probe is under way", func(t *testing.T) {
+		s := away(t, 2, "n")
+		at, _ := probeDue(t, s, 0)
+		s.Lost(at)
+		s.Probed(at, 0, true)
+		if do, _ := s.Passed(at); do.Returns || !do.Dial || do.Upstream != 0 {
+			t.Errorf("%+v", do)
+		}
+	})
+	t.Run("never", func(t *testing.T) {
+		s := away(t, 2, "n")
+		s.following.ReturnAfter = 0
+		for at := time.Duration(0); at < 10*time.Minute; at += time.Second {
+			s.Received(at, true)
+			if do, _ := s.Passed(at); do != (Attempt{}) {
+				t.Fatalf("%+v", do)
+			}
+		}
+	})
+	t.Run("one that answers and ends at once is returned to ever less often", func(t *testing.T) {
+		s := away(t, 2, "n")
+		at, returns := time.Duration(0), 0
+		for at < 2*time.Hour {
+			at, _ = probeDue(t, s, at)
+			s.Probed(at, 0, true)
+			if do, _ := s.Passed(at); !do.Returns {
+				t.Fatalf("%+v", do)
+			}
+			returns++
+			s.Connected(at)
+			s.Lost(at)
+			if do, _ := s.Passed(at); !do.Dial || do.Upstream != 1 {
+				t.Fatalf("%+v", do)
+			}
+			s.Connected(at)
+			s.Received(at, true)
+		}
+		if returns < 6 || returns > 20 {
+			t.Errorf("%d returns in two hours", returns)
+		}
+	})
+}
+
+// Subscribers that lost their control process at one moment do not all return to it in the same seconds.
+func TestReturnsAreSpread(t *testing.T) {
+	const subscribers = 160 // of one of 36 control processes at 5,800 nodes
+	bySecond, most := map[time.Duration]int{}, 0
+	for i := range subscribers {
+		at, _ := probeDue(t, away(t, 2, fmt.Sprint("node-", i)), 0)
+		bySecond[at]++
+		most = max(most, bySecond[at])
+	}
+	if most > 12 {
+		t.Errorf("%d of %d in one second", most, subscribers)
+	}
+}
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -67,13 +67,17 @@
 	StartWithin time.Duration
 	Seed        string // of the spread of back-offs: the subscriber's name
 	BackOffMost time.Duration
+	ReturnAfter time.Duration // until a preferred upstream, one earlier in the order, is probed; 0: never
 }
 
 // Attempt is what the caller is to do about connections.
 type Attempt struct {
-	Dial     bool // connect to Upstream now; its end is told by Connected or Lost
-	Drop     bool // the connection or the attempt in hand is to be ended first; that is not told again
-	Upstream int  // index of the one to connect to
+	Dial      bool // connect to Upstream now; its end is told by Connected or Lost
+	Drop      bool // the connection or the attempt in hand is to be ended first; that is not told again
+	Upstream  int  // index of the one to connect to
+	Returns   bool // it is preferred to the one that is dropped, which was good
+	Probe     bool // see whether Preferred answers, beside the connection in hand; the end is told by Probed
+	Preferred int  // index of the one to probe
 }
 
 // Subscriber decides which upstream is followed, and when to serve.
@@ -94,6 +98,7 @@
 	failures  int           // attempts since a connection that lasted
 	retryAt   time.Duration
 	counter   int
+	preferred preferred
 }
 
 // NewSubscriber begins at a moment.
@@ -125,6 +130,7 @@
 func (s *Subscriber) Connected(now time.Duration) {
 	s.dialing, s.connected = false, true
 	s.heard, s.begun = now, now
+	s.settled(now)
 	s.step(connected)
 }
 
@@ -156,6 +162,7 @@
 			s.failures = 0
 		}
 	}
+	s.left(now)
 	s.dialing, s.connected, s.open = false, false, false
 	s.upstream = (s.upstream + 1) % s.following.Upstreams // not back to the one that was just lost
 	s.failures++
@@ -169,9 +176,13 @@
 // backOff after so many rounds of all upstreams, spread by chance over its upper half.
 func (s *Subscriber) backOff(rounds int) time.Duration {
 	most := min(backOffFirst<<min(rounds, backOffGrowth), s.following.BackOffMost)
+	return most/2 + time.Duration(s.chance()*float64(most/2))
+}
+
+// chance draws a number from 0 to 1.
+func (s *Subscriber) chance() float64 {
 	s.counter++
-	chance := float64(crc32.ChecksumIEEE([]byte(s.following.Seed+" "+strconv.Itoa(s.counter)))) / spreadOf
-	return most/2 + time.Duration(chance*float64(most/2))
+	return float64(crc32.ChecksumIEEE([]byte(s.following.Seed+" "+strconv.Itoa(s.counter)))) / spreadOf
 }
 
 // Passed looks at what time changes and says what is to be done, and when to look again at the latest.
@@ -183,6 +194,8 @@
 	case s.dialing && now-s.begun >= answerWithin, s.connected && now-s.heard >= silentAfter:
 		do.Drop = true
 		s.Lost(now)
+	case s.leave(now):
+		do.Drop, do.Returns = true, true
 	}
 	if s.open && now-s.opened >= behindAfter {
 		s.step(fellBehind)
@@ -194,6 +207,7 @@
 		do.Dial, do.Upstream = true, s.upstream
 		s.dialing, s.begun = true, now
 	}
+	do.Preferred, do.Probe = s.probe(now)
 	return do, s.next(now)
 }
 
