Regions that scale runs set apart are apart: copying passed by the silence between them

Cause: scale/cut.go passes connections on by io.Copy, which takes ReadFrom and WriteTo of the connection below link.Conn in place of its Read and Write, and those know of no silence (standin/link/link.go). Now link.Conn has both itself. New connections were held up before as well, open ones were not. The figure counts from when regions reach each other again for what comes to a node only after that (ledger.since). TestSilenceHoldsWhatIsCopied fails without it in both ways.

--- a/internal/scale/events.go
+++ b/internal/scale/events.go
@@ -23,7 +23,7 @@
 	{RestartTenth, "a tenth of the nodes' processes, one at least, are killed and started again"},
 	{Rack, "one process of nodes is killed, and back after half of the phase"},
 	{Zone, "all processes of a zone are killed, and back after half of the phase"},
-	{RegionsApart, "nodes and control processes of different regions do not reach each other for half of the phase"},
+	{RegionsApart, "nodes and control processes of different regions do not reach each other for half of the phase; what comes to a node only after that counts from then"},
 	{ControlKilled, "the first control process is killed, and back after half of the phase"},
 	{DiscoveryAway, "discovery cannot be reached for half of the phase; changes made meanwhile count from its return"},
 	{StartAll, "all nodes are killed and started at once"},
--- a/internal/scale/ledger.go
+++ b/internal/scale/ledger.go
@@ -13,6 +13,7 @@
 	mu      sync.Mutex
 	changes []*change
 	byMark  map[int][]*change
+	reached int64   // when regions that were apart reached each other again; 0: they were not apart
 	started []int64 // by node, of its present life
 	whole   []int64 // likewise; 0: it does not know all servers yet
 	down    []bool
@@ -169,7 +170,7 @@
 			case c.down[n]: // whenever it had it then: that says how long it was down
 				down++
 			case at > 0:
-				took = append(took, time.Duration(max(at-c.at, 0)))
+				took = append(took, time.Duration(max(at-l.since(c, at), 0)))
 			case c.next == 0:
 				missing++
 			}
@@ -178,6 +179,22 @@
 	return newInForce(len(l.changes)-from, missing, down, took)
 }
 
+// since is from when on a change counts at a node that took it at a moment: what was made while regions were apart, and
+// came to a node only after that, counts from when they reached each other again.
+func (l *ledger) since(c *change, taken int64) int64 {
+	if taken > l.reached {
+		return max(c.at, l.reached)
+	}
+	return c.at
+}
+
+// together notes that regions reach each other again.
+func (l *ledger) together(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reached = now.UnixNano()
+}
+
 func (l *ledger) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/scale/ledger_test.go
+++ b/internal/scale/ledger_test.go
@@ -67,6 +67,20 @@
 				take(l, n, 0, false, 60)
 			}
 		}, InForce{Changes: 2, Taken: 4, P50: 10, P99: 10, Last: 10}},
+		"regions apart: from when the node could hear of it": {func(l *ledger) {
+			l.changed(0, true, began)
+			take(l, 0, 0, true, 10)
+			l.together(began.Add(500 * time.Millisecond))
+			take(l, 1, 0, true, 520)
+			take(l, 2, 0, true, 530)
+		}, InForce{Changes: 1, Taken: 3, P50: 20, P99: 30, Last: 30}},
+		"made after regions were apart": {func(l *ledger) {
+			l.together(began.Add(-time.Second))
+			l.changed(0, true, began)
+			for n := range 3 {
+				take(l, n, 0, true, 10)
+			}
+		}, InForce{Changes: 1, Taken: 3, P50: 10, P99: 10, Last: 10}},
 		"counted from a later moment": {func(l *ledger) {
 			l.counts(l.changed(0, true, began), at(100))
 			for n := range 3 {
--- a/internal/scale/phases.go
+++ b/internal/scale/phases.go
@@ -251,6 +251,7 @@
 		}
 		pause(ctx, half)
 		c.say("regions reach each other again")
+		c.ledger.together(time.Now())
 		return c.ways.tell(order{Do: doCut})
 	case ControlKilled:
 		c.controls[0].kill()
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -223,6 +224,14 @@
 	return c.TCPConn.Write(b)
 }
 
+// WriteTo and ReadFrom are what io.Copy uses in place of Read and Write. Those of the connection below know of no silence.
+
+// WriteTo passes on what comes, as Read does.
+func (c *Conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, struct{ io.Reader }{c}) }
+
+// ReadFrom sends what a reader has, as Write does.
+func (c *Conn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(struct{ io.Writer }{c}, r) }
+
 // Close ends the connection, in a silence only after it: the other side hears nothing before.
 func (c *Conn) Close() error {
 	c.pass()
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"fernvane/internal/standin/pair"
 )
 
 func echo(c *Conn) { io.Copy(c, struct{ io.Reader }{c}) }
@@ -100,3 +102,50 @@
 		t.Error(err)
 	}
 }
+
+// Bytes that are copied on from a connection, or into it, stand still in a silence like those that are read and written. The old code
+// let io.Copy pass by it, and regions that the scale runs had cut off heard of each other all the time.
+func TestSilenceHoldsWhatIsCopied(t *testing.T) {
+	for name, copying := range map[string]func(c *Conn, other net.Conn){
+		"from it": func(c *Conn, other net.Conn) { io.Copy(other, c) },
+		"into it": func(c *Conn, other net.Conn) { io.Copy(c, other) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := pair.TCP(t)
+			l, err := Listen("127.0.0.1:0", func(c *Conn) { copying(c, near) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			client, err := net.Dial("tcp", l.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			from, to := client, net.Conn(far)
+			if name == "into it" {
+				from, to = far, client
+			}
+			passes := func(within time.Duration) error {
+				to.SetReadDeadline(time.Now().Add(within))
+				_, err := io.ReadFull(to, make([]byte, 1))
+				return err
+			}
+			const patience = 10 * time.Second
+			from.Write([]byte("a"))
+			if err := passes(patience); err != nil {
+				t.Fatal(err)
+			}
+			l.Hush()
+			from.Write([]byte("b"))
+			if err := passes(100 * time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("in a silence: %v", err)
+			}
+			l.Speak()
+			if err := passes(patience); err != nil {
+				t.Errorf("after it: %v", err)
+			}
+			near.Close() // ends the copying
+		})
+	}
+}
