--- a/policy/policy.go
+++ b/policy/policy.go
@@ -523,7 +523,7 @@
 	default:
 		p.step(in.Op, lost)
 	}
-	p.pump()
+	p.dispatch()
 }
 
 // learn keeps the figures about a server from the end of one hop.
@@ -532,7 +532,7 @@
 	p.turned.Add(0, 2*causeMemory)
 	p.unconnected.Add(0, 2*causeMemory)
 	if how == TimedOut { // the server may still work on it, and looks idle if that is not counted
-		p.ghosts[s], p.ghostSent[s] = p.ghosts[s]+1, max(p.ghostSent[s], sent)
+		p.abandoned[s], p.abandonedSent[s] = p.abandoned[s]+1, max(p.abandonedSent[s], sent)
 	}
 	if how == Success || how == Failure || how == TimedOut || how == Broken {
 		short := how == TimedOut && o.target-sent < 2*p.base[o.kind] // tells of the client only
@@ -555,8 +555,8 @@
 		p.alive(s)
 		p.refused[s] = 0
 		p.failures.Succeed(s, o.kind)
-		if sent >= p.ghostSent[s] {
-			p.ghosts[s] = 0 // servers work in turn: what was sent before this hop is done
+		if sent >= p.abandonedSent[s] {
+			p.abandoned[s] = 0 // servers work in turn: what was sent before this hop is done
 		}
 	case TimedOut:
 		p.spike(s, sent, true)
@@ -638,13 +638,13 @@
 	return failed > 0 && worst > max(p.records.At(s).Rate(causeLeast)+causeServer, p.overall.Rate(causeLeast))
 }
 
-// pump gives freed room to the operations that wait here, the dearest first.
-func (p *Policy) pump() {
+// dispatch gives freed room to the operations that wait here, the dearest first.
+func (p *Policy) dispatch() {
 	stuck := uint64(0) // placements of which no server can be found now
-	for p.pumps++; !p.full(); {
+	for p.dispatches++; !p.full(); {
 		best := -1
 		for _, op := range p.open.Items() {
-			if o := &p.ops[op]; o.state == waiting && o.pumped != p.pumps && p.hasRoom(o) &&
+			if o := &p.ops[op]; o.state == waiting && o.dispatched != p.dispatches && p.hasRoom(o) &&
 				p.set.Types[o.kind].Placement&stuck == 0 &&
 				(best < 0 || p.worth(o.bucket) > p.worth(p.ops[best].bucket)) {
 				best = op
@@ -653,7 +653,7 @@
 		if best < 0 {
 			return
 		}
-		p.ops[best].pumped = p.pumps
+		p.ops[best].dispatched = p.dispatches
 		p.step(best, swept)
 		if o, t := &p.ops[best], &p.set.Types[p.ops[best].kind]; o.state == waiting && t.Pool == 0 {
 			if stuck |= t.Placement; t.Placement == 0 {
@@ -667,7 +667,7 @@
 // list tells: it is held for cold, so that it is not pushed over.
 func (p *Policy) alive(s int) {
 	if p.lost[s] && p.now-p.answered[s] > silentDeath {
-		p.chill(s, p.now)
+		p.markCold(s, p.now)
 	}
 	p.answered[s], p.strikes[s], p.soft[s], p.lost[s] = p.now, 0, 0, false
 	p.failures.ClearUntil(s)
@@ -782,7 +782,7 @@
 
 // crowded: more in flight than the mean for a server of this scale.
 func (p *Policy) crowded(s int) bool {
-	return float64(p.inFlight[s])+p.ghosts[s] > crowdFactor*p.flying*p.weight[s]/max(p.weights, 1e-9)
+	return float64(p.inFlight[s])+p.abandoned[s] > crowdFactor*p.flying*p.weight[s]/max(p.weights, 1e-9)
 }
 
 // unwell: resting, be it for this type, or on trial with a hop out; binding operations go to none on trial.
@@ -791,8 +791,8 @@
 	return trial || p.now < max(p.failures.Until(s, failures.AllTypes), p.failures.Get(s, o.kind).Until)
 }
 
-// barred: the rules or the cold budget forbid this server for this operation.
-func (p *Policy) barred(s int, o *operation) bool {
+// excluded: the rules or the cold budget forbid this server for this operation.
+func (p *Policy) excluded(s int, o *operation) bool {
 	t := &p.set.Types[o.kind]
 	if !p.members.Ready(s) || t.Placement&^p.members.Placements(s) != 0 || p.cold.Has(s) && p.coldPace[s] < 1 {
 		return true
@@ -804,7 +804,7 @@
 
 // routed walks the servers taken in, idle ones first; when all are busy or skipped the next of the rotation
 // joins, a plan's part first. When none is left, skipping goes in steps: all skips of design and health, none
-// but health, only those barred. Where few connections are to be had, an idle server is waited for.
+// but health, only those excluded. Where few connections are to be had, an idle server is waited for.
 func (p *Policy) routed(op int) bool {
 	o := &p.ops[op]
 	if o.state != out && (p.full() || !p.hasRoom(o)) {
@@ -832,7 +832,7 @@
 	for i := range n {
 		s := p.pool[(p.turn+i)%n]
 		switch {
-		case p.barred(s, o):
+		case p.excluded(s, o):
 		case care > 0 && (tried(o, s) || p.unwell(s, o)):
 		case care > 1 && (p.nearPause(s) || p.crowded(s) || p.part[s] < 0):
 		case care > 2 && p.inFlight[s] > 0:
@@ -865,7 +865,7 @@
 		p.next, p.started = int((part-math.Floor(part))*float64(n)), true
 	}
 	free := func(s int) bool {
-		return !p.member[s] && !p.barred(s, o) && !tried(o, s) && !p.unwell(s, o) && !p.nearPause(s)
+		return !p.member[s] && !p.excluded(s, o) && !tried(o, s) && !p.unwell(s, o) && !p.nearPause(s)
 	}
 	best := 0.0
 	for s := range p.shared.All() {
@@ -909,7 +909,7 @@
 
 func (p *Policy) admitServer(s int) {
 	p.pool, p.member[s] = append(p.pool, s), true
-	p.slowness[s], p.ghosts[s], p.due[s] = 1, 0, 0
+	p.slowness[s], p.abandoned[s], p.due[s] = 1, 0, 0
 }
 
 // letGo drops the slowest server when more are taken in than were needed lately and than can be judged:
@@ -975,11 +975,11 @@
 		switch {
 		case m.HasStart && p.now-m.Started < p.set.ColdFor:
 			if !p.cold.Has(s) || m.Started > p.coldSince[s] {
-				p.chill(s, m.Started)
+				p.markCold(s, m.Started)
 			}
 		case !m.HasStart && known && !wasListed && in.Scope != Saved && p.members.Ready(s) &&
 			(isNew || !p.set.OnlyDraining):
-			p.chill(s, p.now) // no start time told, but it was not there before
+			p.markCold(s, p.now) // no start time told, but it was not there before
 		}
 	}
 	for s := range p.members.Unlisted().All() {
@@ -995,7 +995,7 @@
 	if len(p.samples) > 0 && !p.answers {
 		p.grown = windowStart * float64(p.readyCount) / float64(p.set.Nodes)
 	}
-	p.pump()
+	p.dispatch()
 }
 
 // place works out which placements a server meets, when the list tells of it and not at each send.
@@ -1058,8 +1058,8 @@
 	}
 }
 
-// chill takes a server for cold since a moment.
-func (p *Policy) chill(s int, since time.Duration) {
+// markCold takes a server for cold since a moment.
+func (p *Policy) markCold(s int, since time.Duration) {
 	p.cold.Add(s)
 	p.coldSince[s], p.coldPace[s] = since, 0
 	p.strikes[s], p.lost[s], p.soft[s] = 0, false, 0
@@ -1094,9 +1094,9 @@
 	p.records.Reset(s)
 	columns.Put(s, 0, &p.rank, &p.zone, &p.machine, &p.cell, &p.inFlight, &p.streak, &p.strikes, &p.pauses,
 		&p.soft, &p.doubt, &p.refused)
-	columns.Put(s, 0.0, &p.due, &p.coldPace, &p.ghosts, &p.part, &p.pace)
+	columns.Put(s, 0.0, &p.due, &p.coldPace, &p.abandoned, &p.part, &p.pace)
 	columns.Put(s, 1.0, &p.scale, &p.weight, &p.slowness)
-	columns.Put(s, 0, &p.coldSince, &p.ghostSent, &p.runStart, &p.lastSpike, &p.forecast,
+	columns.Put(s, 0, &p.coldSince, &p.abandonedSent, &p.runStart, &p.lastSpike, &p.forecast,
 		&p.interval, &p.droppedAt, &p.usedAt)
 	p.smoothed.Set(s, mean)
 	columns.Put(s, p.now, &p.answered)
@@ -1151,7 +1151,7 @@
 	p.weigh()
 	p.paceCold(passed)
 	for _, s := range p.pool {
-		p.ghosts[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed.At(s), 1))))
+		p.abandoned[s] *= math.Exp(-float64(passed) / (spikeFactor * float64(max(p.smoothed.At(s), 1))))
 	}
 	for s := range p.leaving.All() {
 		if p.now-p.usedAt[s] >= p.set.DrainClose/2 {
@@ -1162,7 +1162,7 @@
 	p.letGo(passed)
 	p.giveUpDropped()
 	p.adjustShed(passed)
-	p.pump()
+	p.dispatch()
 	for i := p.open.Len() - 1; i >= 0; i-- {
 		if i < p.open.Len() {
 			p.step(p.open.Items()[i], swept)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -508,7 +508,7 @@
 	}
 	r.Policy.ops[op].state = closed
 	r.learn(s, &r.Policy.ops[op], 395*ms, Success)
-	if r.ghosts[s] != 0 {
+	if r.abandoned[s] != 0 {
 		t.Error("a later hop was answered, and the given-up one still counts")
 	}
 }
@@ -640,7 +640,7 @@
 		r.now += 100 * ms
 		r.learn(1, &operation{kind: 2}, r.now-90*ms, how)
 	}
-	r.chill(1, r.now)
+	r.markCold(1, r.now)
 	r.at(time.Second, Input{Kind: List, Members: []Member{{Server: 1, Rank: 1, Condition: Gone}}})
 	r.at(time.Second, Input{Kind: List, Members: []Member{{Server: 1, Other: true, Rank: 9, Cell: 5, Scale: 1, Started: -time.Minute, HasStart: true}}})
 	for kind := range r.set.Types {
--- a/policy/state.go
+++ b/policy/state.go
@@ -51,7 +51,7 @@
 	group              int           // server whose group must be kept, once mayRun
 	firstRun           time.Duration // send of the first hop that may have run
 	ended              Outcome       // of its last hop
-	pumped             int           // the last pump that looked at it
+	dispatched         int           // the last dispatch that looked at it
 }
 
 // shed is what was left to be denied when a bucket's turn came.
@@ -83,11 +83,11 @@
 	scale, weight, due            []float64 // weight: scale, less while cold or slow; due: turns earned
 	slowness                      []float64 // latency over what is usual for the type
 	coldPace, part, pace          []float64 // hops a cold server may have; by a plan, see Share
-	ghosts                        []float64 // hops given up that the server may still work on
+	abandoned                     []float64 // hops given up that the server may still work on
 	smoothed                      columns.Durations
 	runStart, lastSpike           []time.Duration
 	coldSince, interval, forecast []time.Duration // forecast: 0 if none
-	ghostSent                     []time.Duration // the last ghost
+	abandonedSent                 []time.Duration // of the last of them
 	answered                      []time.Duration // last sign of life while hops were out
 	droppedAt                     []time.Duration // or its last answer since
 	usedAt                        []time.Duration // notice, last send or outcome of one that is leaving
@@ -102,14 +102,14 @@
 	leaving      activeset.Set // connections to them are to be closed once more
 	rotation     ordered.Index // all, in the order that all nodes share
 
-	pool                          []int   // the servers taken in
-	next, listedMost              int     // place in rotation where the next joins; servers listed at a time
-	need, dearest                 float64 // most hops out lately; revenue of the dearest type
-	turn, pick, readyCount, pumps int
-	weights, scales, flying       float64         // of the pool; scales: cut to capacity only; flying: hops out
-	usual, base                   []time.Duration // latency by type; the least of it lately: unloaded
-	samples                       []float64       // answers by type, since the start
-	answers                       bool            // to any type
+	pool                               []int   // the servers taken in
+	next, listedMost                   int     // place in rotation where the next joins; servers listed at a time
+	need, dearest                      float64 // most hops out lately; revenue of the dearest type
+	turn, pick, readyCount, dispatches int
+	weights, scales, flying            float64         // of the pool; scales: cut to capacity only; flying: hops out
+	usual, base                        []time.Duration // latency by type; the least of it lately: unloaded
+	samples                            []float64       // answers by type, since the start
+	answers                            bool            // to any type
 
 	finished, grown           float64       // hops that would finish in time; answers made room for
 	strain, blocked           float64       // time of hops over what they may take; share of time full
--- a/policy/trouble_test.go
+++ b/policy/trouble_test.go
@@ -34,7 +34,7 @@
 				}
 				r.at(time.Second, Input{Kind: List, Scope: Whole, Members: list})
 			}
-			if r.members.Ready(0) != c.ready || r.barred(0, &operation{group: -1}) == c.ready || r.cold.Has(0) && c.only {
+			if r.members.Ready(0) != c.ready || r.excluded(0, &operation{group: -1}) == c.ready || r.cold.Has(0) && c.only {
 				t.Errorf("may be sent to: %v, cold %v", r.members.Ready(0), r.cold.Has(0))
 			}
 		})
@@ -160,7 +160,7 @@
 				for i := range 17 * refusals {
 					r.learn(1+i%17, &operation{}, r.now, Overloaded)
 				}
-				r.chill(0, r.now)
+				r.markCold(0, r.now)
 				for range 700 {
 					r.now, r.successes = r.now+20*ms, 3
 					r.weigh()
@@ -199,7 +199,7 @@
 				r.scale[s] = 0.1
 			}
 			r.scale[0] = c.cold
-			r.chill(0, 0)
+			r.markCold(0, 0)
 			for k := range r.usual { // so that the least pace does not count
 				r.usual[k] = time.Hour
 			}
--- a/policy/whatif.go
+++ b/policy/whatif.go
@@ -49,9 +49,9 @@
 	columns.Clone(&c.member, &c.lost)
 	columns.Clone(&c.doubt, &c.refused, &c.rank, &c.zone, &c.machine, &c.cell, &c.inFlight, &c.streak, &c.pauses,
 		&c.strikes, &c.soft, &c.pool, &c.order, &c.rooms, &c.roomMost)
-	columns.Clone(&c.scale, &c.weight, &c.due, &c.coldPace, &c.ghosts, &c.slowness, &c.part, &c.pace, &c.samples,
+	columns.Clone(&c.scale, &c.weight, &c.due, &c.coldPace, &c.abandoned, &c.slowness, &c.part, &c.pace, &c.samples,
 		&c.denyShare, &c.rates, &c.retries, &c.copies, &c.within)
-	columns.Clone(&c.ghostSent, &c.runStart, &c.lastSpike, &c.answered, &c.forecast,
+	columns.Clone(&c.abandonedSent, &c.runStart, &c.lastSpike, &c.answered, &c.forecast,
 		&c.coldSince, &c.interval, &c.usual, &c.base, &c.droppedAt, &c.usedAt)
 	columns.Clone(&c.breaks, &c.byType, &c.byKey)
 	columns.Clone(&c.shed)
