Tests: no address is given twice, so no control process follows itself

Two addresses were taken one after the other, each let go before the next; the system deals out the same port again in 19 of 100,000 such pairs (measured here by a scratch program), and a file that names the process itself as its upstream is refused with exit 2 (distribution/control/config.go).

--- a/cmd/fernvane/crowded_test.go
+++ b/cmd/fernvane/crowded_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fernvane/internal/standin/address"
 )
 
 // crowd keeps so many idle connections to an address, of each kind in turn: nothing asked, asked once, half a request. One
@@ -78,7 +80,7 @@
 			}
 			defer server.Close()
 			go http.Serve(server, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
-			at, discovery := free(t), free(t)
+			at, discovery := address.Free(t), address.Free(t)
 			path := filepath.Join(t.TempDir(), "config.json")
 			text := fmt.Sprintf(`{"listen":%q,"discovery":%q,"limits":{"sockets":%d,"memory_mb":64},"settings":{"granularity":1,"discovery":"on_request",
 				"limits":{"mostHops":2,"connectTimeout":2000,"connIdle":20000},"rules":{"askWithin":10000},
--- a/cmd/fernvane/distribution_test.go
+++ b/cmd/fernvane/distribution_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fernvane/internal/standin/address"
 )
 
 const fleetPatience = 30 * time.Second
@@ -77,7 +79,7 @@
 
 func newControlled(t *testing.T, nodes int) *controlled {
 	t.Helper()
-	c := &controlled{t: t, dir: t.TempDir(), at: []string{free(t), free(t)}}
+	c := &controlled{t: t, dir: t.TempDir(), at: []string{address.Free(t), address.Free(t)}}
 	for i := range c.at {
 		file := c.file(fmt.Sprintf("control-%d.toml", i), fmt.Sprintf("name = \"c%d\"\nlisten = %q\ndisk = %q\nupstreams = [%q]\nfollow = \"all\"\nplaintext = true\n",
 			i, c.at[i], filepath.Join(c.dir, fmt.Sprintf("control-%d.db", i)), c.at[1-i]))
@@ -85,7 +87,7 @@
 		c.file(fmt.Sprintf("ask-%d.toml", i), fmt.Sprintf("control = [%q]\nplaintext = true\n", c.at[i]))
 	}
 	for i := range nodes {
-		at := free(t)
+		at := address.Free(t)
 		held := filepath.Join(c.dir, fmt.Sprintf("held-%d", i))
 		if err := os.Mkdir(held, 0o700); err != nil {
 			t.Fatal(err)
--- a/cmd/fernvane/main_test.go
+++ b/cmd/fernvane/main_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"fernvane/internal/standin/address"
 )
 
 // TestMain lets a test start this very program as a process of its own.
@@ -52,7 +54,7 @@
 // begin starts a node as a process of its own, with a list that it knows, and returns when it is up.
 func begin(t *testing.T, log io.Writer, known string, env ...string) (at string, cmd *exec.Cmd, ended chan error) {
 	t.Helper()
-	at = free(t)
+	at = address.Free(t)
 	path := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"listen":%q,"discovery":"127.0.0.1:1","known":%s,"settings":{"granularity":1,
 		"limits":{"mostHops":1,"connectTimeout":2000,"connIdle":20000},
--- a/cmd/fernvane/pages_test.go
+++ b/cmd/fernvane/pages_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,23 +17,12 @@
 	"fernvane/internal/bindlog"
 	"fernvane/internal/peers"
 	"fernvane/internal/snapshot"
+	"fernvane/internal/standin/address"
 )
 
 // written finds commands in pages: a line of a block of code, a comment of an example file, or a span of code.
 var written = regexp.MustCompile("(?m)(?:^ {4}|^# +(?:Try it: +)?|`)((?:PROXY_CONFIG=config\\.json )?(?:bin/)?fernvane [^`#\n]+)")
 
-// free is an address on which nothing listens, of the loopback range where no other process looks for one: between its
-// choice and its use a port of 127.0.0.1 may be dealt out to anybody's connection.
-func free(t *testing.T) string {
-	pid := os.Getpid()
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.253.%d.%d:0", pid/250%250, pid%250+1))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // Each command that a page for operators or an example file shows does what it says, on the built program. Names of
 // files stand for files that are there.
 func TestCommandsOfPages(t *testing.T) {
@@ -66,7 +54,7 @@
 	}
 	dockets := put("dockets.jsonl", "")
 	config := func() string { // a listener of its own for each node
-		return put(fmt.Sprintf("config-%d.json", time.Now().UnixNano()), fmt.Sprintf(`{"name":"n","listen":%q,"discovery":"127.0.0.1:1","settings":%s}`, free(t), example))
+		return put(fmt.Sprintf("config-%d.json", time.Now().UnixNano()), fmt.Sprintf(`{"name":"n","listen":%q,"discovery":"127.0.0.1:1","settings":%s}`, address.Free(t), example))
 	}
 	stands := map[string]string{
 		"config.json": "", "FILE": operator, "operator.toml": operator, "deploy/operator.example.toml": operator, "DIR": journal, "ID": "id-1", "COMMAND": "check",
@@ -75,7 +63,7 @@
 		"registry.toml": put("registry.toml", "servers = [\"127.0.0.1:1\"]\npath = \"/s\"\nsession = \"6s\"\n"),
 		"snapshot.toml": put("snapshot.toml", fmt.Sprintf("dir = %q\ndeployment = \"d\"\n", lists)), "LISTS": lists,
 		"planners.toml": put("planners.toml", "planners = [\"127.0.0.1:1\"]\nplaintext = true\n"),
-		"planner.toml":  put("planner.toml", fmt.Sprintf("name = \"p\"\nlisten = %q\ndiscovery = \"127.0.0.1:1\"\nplaintext = true\n", free(t))),
+		"planner.toml":  put("planner.toml", fmt.Sprintf("name = \"p\"\nlisten = %q\ndiscovery = \"127.0.0.1:1\"\nplaintext = true\n", address.Free(t))),
 	}
 	distributed := newControlled(t, 1)
 	distributed.must(0, "apply", distributed.tree("127.0.0.1:1", 10))
@@ -87,7 +75,7 @@
 	if err := os.WriteFile(filepath.Join(stands["services"], "hire.toml"), []byte("[[routes]]\nname = \"checks\"\ntype = \"hire-check\"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	stands["control.toml"] = put("control.toml", fmt.Sprintf("name = \"c\"\nlisten = %q\ndisk = %q\nplaintext = true\n", free(t), filepath.Join(dir, "control.db")))
+	stands["control.toml"] = put("control.toml", fmt.Sprintf("name = \"c\"\nlisten = %q\ndisk = %q\nplaintext = true\n", address.Free(t), filepath.Join(dir, "control.db")))
 	first, _ := node(t, "n0")
 	tier, err := peers.Load(first)
 	if err != nil {
@@ -133,7 +121,7 @@
 					args[2] = stands["planners.toml"]
 				}
 				if i := slices.Index(args, stands["peers.toml"]); i >= 0 && args[0] == "serve" { // its address is taken
-					args[i] = put("own.toml", fmt.Sprintf("listen = %q\ndeployment = \"own\"\nheld = %q\nplaintext = true\n", free(t), t.TempDir()))
+					args[i] = put("own.toml", fmt.Sprintf("listen = %q\ndeployment = \"own\"\nheld = %q\nplaintext = true\n", address.Free(t), t.TempDir()))
 				}
 				if i := slices.Index(args, stands["distribution.toml"]); i >= 0 && args[0] == "serve" { // or it would count as a node that is gone
 					args[i] = put("nobody.toml", distribution("127.0.0.1:1"))
--- a/cmd/fernvane/replicas_test.go
+++ b/cmd/fernvane/replicas_test.go
@@ -18,6 +18,7 @@
 	"fernvane/internal/bindings"
 	"fernvane/internal/bindlog"
 	"fernvane/internal/peers"
+	"fernvane/internal/standin/address"
 )
 
 // node runs a node's part in a tier and keeps one booking; its file comes back.
@@ -30,7 +31,7 @@
 		}
 	}
 	file = filepath.Join(dir, "peers.toml")
-	at := free(t)
+	at := address.Free(t)
 	text := fmt.Sprintf("listen = %q\npeers = [%s]\ndeployment = \"d\"\nmachine = %q\nreplicas = 1\nheld = %q\nplaintext = true\n", at, strings.Join(seeds, ", "), name, filepath.Join(dir, "held"))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -149,7 +150,7 @@
 		file, config := filepath.Join(dir, "peers.toml"), filepath.Join(dir, "config.json")
 		text := fmt.Sprintf("listen = %q\npeers = [%s]\ndeployment = \"d\"\nmachine = %q\nheld = %q\nplaintext = true\n", listen, seeds, dir, dir)
 		os.WriteFile(file, []byte(text), 0o600)
-		os.WriteFile(config, fmt.Appendf(nil, `{"name":"twin","listen":%q,"discovery":"127.0.0.1:1","settings":%s}`, free(t), example), 0o600)
+		os.WriteFile(config, fmt.Appendf(nil, `{"name":"twin","listen":%q,"discovery":"127.0.0.1:1","settings":%s}`, address.Free(t), example), 0o600)
 		cmd := exec.Command(built, "serve", "--config", config, "--peers", file)
 		errs := &watched{word: `"serving"`, found: make(chan struct{})}
 		cmd.Stderr = errs
@@ -160,9 +161,9 @@
 		<-errs.found
 		return cmd, errs
 	}
-	at := free(t)
+	at := address.Free(t)
 	first, _ := begin(at, "")
-	second, _ := begin(free(t), fmt.Sprintf("%q", at))
+	second, _ := begin(address.Free(t), fmt.Sprintf("%q", at))
 	if err := first.Wait(); err == nil || first.ProcessState.ExitCode() != 1 {
 		t.Errorf("the earlier one ended with %v", err)
 	}
--- a/internal/distribution/client/faults_test.go
+++ b/internal/distribution/client/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -14,6 +13,7 @@
 
 	"fernvane/internal/distribution"
 	process "fernvane/internal/distribution/control"
+	"fernvane/internal/standin/address"
 	"fernvane/internal/standin/cable"
 )
 
@@ -25,17 +25,6 @@
 	stop func()
 }
 
-// freeAt is an address on which nothing listens.
-func freeAt(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 func startControl(t *testing.T, name, at, dir string, upstreams ...string) *running {
 	t.Helper()
 	r := &running{t: t, at: at, file: filepath.Join(t.TempDir(), name+".toml")}
@@ -94,7 +83,7 @@
 // pair is two control processes that follow each other.
 func pair(t *testing.T) (a, b *running) {
 	t.Helper()
-	dir, at := t.TempDir(), []string{freeAt(t), freeAt(t)}
+	dir, at := t.TempDir(), []string{address.Free(t), address.Free(t)}
 	return startControl(t, "a", at[0], dir, at[1]), startControl(t, "b", at[1], dir, at[0])
 }
 
@@ -146,7 +135,7 @@
 
 // A node that is ahead of all control processes, which have lost their disks, gives them back what it holds.
 func TestControlProcessesLoseTheirDisks(t *testing.T) {
-	dir, at := t.TempDir(), freeAt(t)
+	dir, at := t.TempDir(), address.Free(t)
 	a := startControl(t, "a", at, dir)
 	a.write(put("hire", distribution.Server, "s", "v1"), put("", distribution.Tenant, "dairy", "5"))
 	n := startNode(t, config(t, "n", []string{"hire"}, at))
@@ -210,7 +199,7 @@
 
 // Entries of a session are those of the services asked for, many more than one batch takes.
 func TestSessionReads(t *testing.T) {
-	a := startControl(t, "a", freeAt(t), t.TempDir())
+	a := startControl(t, "a", address.Free(t), t.TempDir())
 	var changes []distribution.Change
 	for i := range 5000 {
 		changes = append(changes, put("hire", distribution.Route, fmt.Sprint("r", i), fmt.Sprintf("%0100d", i)))
--- a/internal/distribution/control/control_test.go
+++ b/internal/distribution/control/control_test.go
@@ -11,6 +11,7 @@
 
 	"fernvane/internal/distribution"
 	"fernvane/internal/frames"
+	"fernvane/internal/standin/address"
 	"fernvane/internal/standin/cable"
 )
 
@@ -18,7 +19,7 @@
 func tree(t *testing.T) (a, b, r *member) {
 	t.Helper()
 	disk := disks(t)
-	at := map[string]string{"a": address(t), "b": address(t), "r": address(t)}
+	at := map[string]string{"a": address.Free(t), "b": address.Free(t), "r": address.Free(t)}
 	first, second := settings(t, "a", at["a"], disk("a"), at["b"]), settings(t, "b", at["b"], disk("b"), at["a"])
 	first.Follow, second.Follow = followAll, followAll
 	a, b = start(t, first), start(t, second)
@@ -80,7 +81,7 @@
 // A process whose upstreams are not to be had takes no write and serves nobody as current until it has waited for them.
 func TestNotCurrentAtFirst(t *testing.T) {
 	t.Parallel()
-	m := startAlone(t, settings(t, "r", address(t), disks(t)("r"), address(t)), zerolog.Nop(), aloneMost)
+	m := startAlone(t, settings(t, "r", address.Free(t), disks(t)("r"), address.Free(t)), zerolog.Nop(), aloneMost)
 	n := node("n", "s")
 	n.subscribe(t, m.at)
 	if _, err := tryWrite(m.at, route("s", "x")); err == nil || err.Error() != errNotCurrent.Error() {
@@ -112,7 +113,7 @@
 // Without upstreams and after an end in good order nothing is waited for.
 func TestCurrentAtOnce(t *testing.T) {
 	t.Parallel()
-	disk, at := disks(t), address(t)
+	disk, at := disks(t), address.Free(t)
 	m := start(t, settings(t, "a", at, disk("a")))
 	wait(t, "current", m.isCurrent)
 	origin := write(t, m.at, route("s", "x")).Origin
@@ -129,7 +130,7 @@
 // What a control process with a new disk lacks comes back from the nodes that hold it.
 func TestLostDiskComesBackFromNodes(t *testing.T) {
 	t.Parallel()
-	disk, at := disks(t), address(t)
+	disk, at := disks(t), address.Free(t)
 	m := start(t, settings(t, "a", at, disk("a")))
 	n := node("n", "", "s")
 	n.subscribe(t, m.at)
@@ -158,7 +159,7 @@
 	for name, clean := range map[string]bool{"copied while in use": false, "copied at rest": true} {
 		t.Run(name, func(t *testing.T) {
 			disk := disks(t)
-			at, bt := address(t), address(t)
+			at, bt := address.Free(t), address.Free(t)
 			first, second := settings(t, "a", at, disk("a"), bt), settings(t, "b", bt, disk("b"), at)
 			a, b := start(t, first), start(t, second)
 			wait(t, "current", func() bool { return a.isCurrent() && b.isCurrent() })
@@ -198,7 +199,7 @@
 func TestFullDisk(t *testing.T) {
 	t.Parallel()
 	disk := disks(t)
-	at, bt := address(t), address(t)
+	at, bt := address.Free(t), address.Free(t)
 	first := settings(t, "a", at, disk("a"), bt)
 	first.DiskBytes = 256 << 10
 	a, b := start(t, first), start(t, settings(t, "b", bt, disk("b"), at))
@@ -272,7 +273,7 @@
 func TestSilentUpstreamIsLeft(t *testing.T) {
 	t.Parallel()
 	disk := disks(t)
-	at, bt := address(t), address(t)
+	at, bt := address.Free(t), address.Free(t)
 	first, second := settings(t, "a", at, disk("a"), bt), settings(t, "b", bt, disk("b"), at)
 	a, b := start(t, first), start(t, second)
 	wait(t, "current", func() bool { return a.isCurrent() && b.isCurrent() })
@@ -281,7 +282,7 @@
 		t.Fatal(err)
 	}
 	defer wires.Close()
-	r := start(t, settings(t, "r", address(t), disk("r"), wires.Address(), bt))
+	r := start(t, settings(t, "r", address.Free(t), disk("r"), wires.Address(), bt))
 	wait(t, "it follows", r.isCurrent)
 	wires.Cut(cable.Down, true)
 	write(t, a.at, route("s", "x"))
@@ -294,7 +295,7 @@
 func TestTwoRegionsApart(t *testing.T) {
 	t.Parallel()
 	disk := disks(t)
-	at, bt := address(t), address(t)
+	at, bt := address.Free(t), address.Free(t)
 	var wires [2]*cable.Cable
 	for i, to := range []string{bt, at} {
 		var err error
@@ -340,9 +341,9 @@
 // A relay that is ahead of its upstream after that one lost its disk gives it back what it lacks.
 func TestRelayAheadOfItsRoot(t *testing.T) {
 	t.Parallel()
-	disk, at := disks(t), address(t)
+	disk, at := disks(t), address.Free(t)
 	a := start(t, settings(t, "a", at, disk("a")))
-	r := start(t, settings(t, "r", address(t), disk("r"), at))
+	r := start(t, settings(t, "r", address.Free(t), disk("r"), at))
 	wait(t, "current", func() bool { return a.isCurrent() && r.isCurrent() })
 	write(t, a.at, routes("s", 0, 300)...)
 	agree(t, a, r)
@@ -364,7 +365,7 @@
 // A process ends at once, with everything on its disk.
 func TestEnd(t *testing.T) {
 	t.Parallel()
-	disk, at := disks(t), address(t)
+	disk, at := disks(t), address.Free(t)
 	m := start(t, settings(t, "a", at, disk("a")))
 	wait(t, "current", m.isCurrent)
 	conns := []*frames.Conn{command(t, at, nil), command(t, at, nil)}
--- a/internal/distribution/control/helpers_test.go
+++ b/internal/distribution/control/helpers_test.go
@@ -45,16 +45,6 @@
 	}
 }
 
-func address(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // member is a control process within this one.
 type member struct {
 	*Server
--- a/internal/distribution/control/peers_test.go
+++ b/internal/distribution/control/peers_test.go
@@ -12,6 +12,7 @@
 	"fernvane/internal/distribution/wire"
 	"fernvane/internal/frames"
 	"fernvane/internal/mtls"
+	"fernvane/internal/standin/address"
 	"fernvane/internal/standin/cable"
 	"fernvane/internal/standin/keys"
 )
@@ -19,7 +20,7 @@
 // Who takes nothing is cut off, and others are served meanwhile.
 func TestSlowSubscriberIsCutOff(t *testing.T) {
 	t.Parallel()
-	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	m := start(t, settings(t, "a", address.Free(t), disks(t)("a")))
 	wait(t, "current", m.isCurrent)
 	conn := command(t, m.at, nil)
 	wire.Send(conn, &wire.Subscribe{Subscription: distribution.Subscription{Name: "operator", Role: distribution.Node, Services: []string{"s"}}})
@@ -48,7 +49,7 @@
 // What no peer may say ends its connection with one line, and nobody else's.
 func TestRefusals(t *testing.T) {
 	t.Parallel()
-	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	m := start(t, settings(t, "a", address.Free(t), disks(t)("a")))
 	wait(t, "current", m.isCurrent)
 	n := node("n", "s")
 	n.subscribe(t, m.at)
@@ -117,7 +118,7 @@
 // More connections than the file allows are refused, and those that are there go on.
 func TestConnectionsAreBounded(t *testing.T) {
 	t.Parallel()
-	config := settings(t, "a", address(t), disks(t)("a"))
+	config := settings(t, "a", address.Free(t), disks(t)("a"))
 	config.Connections = 2
 	m := start(t, config)
 	wait(t, "current", m.isCurrent)
@@ -142,7 +143,7 @@
 // Commands and those that never subscribe leave room for subscribers.
 func TestIdleCommandsAreBounded(t *testing.T) {
 	t.Parallel()
-	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	m := start(t, settings(t, "a", address.Free(t), disks(t)("a")))
 	for range commandsMost {
 		command(t, m.at, nil)
 	}
@@ -156,7 +157,7 @@
 // A node that comes again under its name ends its older connection.
 func TestComesAgain(t *testing.T) {
 	t.Parallel()
-	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	m := start(t, settings(t, "a", address.Free(t), disks(t)("a")))
 	wait(t, "current", m.isCurrent)
 	first, second := node("n", "s"), node("n", "s")
 	first.subscribe(t, m.at)
@@ -189,11 +190,11 @@
 		}
 		return k
 	}
-	disk, at := disks(t), address(t)
+	disk, at := disks(t), address.Free(t)
 	first := settings(t, "a", at, disk("a"))
 	first.Keys = load(ours, "control")
 	a := start(t, first)
-	second := settings(t, "b", address(t), disk("b"), at)
+	second := settings(t, "b", address.Free(t), disk("b"), at)
 	second.Keys, second.TLSName = load(ours, "control"), "control"
 	b := start(t, second)
 	wait(t, "current", func() bool { return a.isCurrent() && b.isCurrent() })
@@ -211,7 +212,7 @@
 // Who asks again and again and takes no answer is cut off before much waits for it.
 func TestAnswersAreBounded(t *testing.T) {
 	t.Parallel()
-	m := start(t, settings(t, "a", address(t), disks(t)("a")))
+	m := start(t, settings(t, "a", address.Free(t), disks(t)("a")))
 	wait(t, "current", m.isCurrent)
 	m.mu.Lock()
 	for n := range 2000 {
@@ -240,14 +241,14 @@
 // What a relay has from its root does not go back to it.
 func TestNothingGoesBackUp(t *testing.T) {
 	t.Parallel()
-	disk, at := disks(t), address(t)
+	disk, at := disks(t), address.Free(t)
 	a := start(t, settings(t, "a", at, disk("a")))
 	wires, err := cable.Listen(at)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer wires.Close()
-	r := start(t, settings(t, "r", address(t), disk("r"), wires.Address()))
+	r := start(t, settings(t, "r", address.Free(t), disk("r"), wires.Address()))
 	wait(t, "current", func() bool { return a.isCurrent() && r.isCurrent() })
 	for n := range 30 {
 		c := route("s", fmt.Sprint("large-", n))
--- a/internal/distribution/control/preferred_test.go
+++ b/internal/distribution/control/preferred_test.go
@@ -5,15 +5,16 @@
 	"testing"
 	"time"
 
+	"fernvane/internal/standin/address"
 	"fernvane/internal/tomlfile"
 )
 
 // A relay goes back to the root that its file names first once that one answers again.
 func TestRelayReturnsToPreferredUpstream(t *testing.T) {
 	dir := t.TempDir()
-	first := settings(t, "first", address(t), filepath.Join(dir, "first.db"))
-	second := start(t, settings(t, "second", address(t), filepath.Join(dir, "second.db")))
-	config := settings(t, "relay", address(t), filepath.Join(dir, "relay.db"), first.ListenAt.String(), second.at)
+	first := settings(t, "first", address.Free(t), filepath.Join(dir, "first.db"))
+	second := start(t, settings(t, "second", address.Free(t), filepath.Join(dir, "second.db")))
+	config := settings(t, "relay", address.Free(t), filepath.Join(dir, "relay.db"), first.ListenAt.String(), second.at)
 	config.ReturnAfter = tomlfile.Span(50 * time.Millisecond)
 	root := start(t, first)
 	start(t, config)
--- a/internal/distribution/control/process_test.go
+++ b/internal/distribution/control/process_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"fernvane/internal/distribution"
+	"fernvane/internal/standin/address"
 	"fernvane/internal/standin/cable"
 )
 
@@ -143,7 +144,7 @@
 	dir := t.TempDir()
 	processes := map[string]*process{}
 	for _, name := range []string{"a", "b", "r"} {
-		processes[name] = &process{name: name, at: address(t), disk: filepath.Join(dir, name+".db"), file: filepath.Join(dir, name+".toml"), log: &output{}}
+		processes[name] = &process{name: name, at: address.Free(t), disk: filepath.Join(dir, name+".db"), file: filepath.Join(dir, name+".toml"), log: &output{}}
 	}
 	f.a, f.b, f.r = processes["a"], processes["b"], processes["r"]
 	for _, ends := range []string{"ab", "ba", "ra", "rb", "nr", "mb"} {
--- a/internal/distribution/control/source_test.go
+++ b/internal/distribution/control/source_test.go
@@ -9,6 +9,7 @@
 
 	"fernvane/internal/distribution"
 	"fernvane/internal/life"
+	"fernvane/internal/standin/address"
 	"fernvane/internal/standin/discovery"
 )
 
@@ -21,14 +22,14 @@
 	t.Helper()
 	list := discovery.New(discovery.Figures{LinesPerS: 1e6, Timeout: time.Second}, 1, deaf{})
 	t.Cleanup(list.Close)
-	at := address(t)
+	at := address.Free(t)
 	if err := list.Serve(0, 0, at); err != nil {
 		t.Fatal(err)
 	}
 	for _, id := range []string{"s1", "s2"} {
 		list.Set(discovery.Entry{ID: id, Phase: discovery.Serving, Addresses: []string{"127.0.0.1:1"}})
 	}
-	config := settings(t, "a", address(t), disks(t)("a"))
+	config := settings(t, "a", address.Free(t), disks(t)("a"))
 	config.DiscoveryAt, config.Discovery, config.Service = netip.MustParseAddrPort(at), at, "hire"
 	return list, start(t, config)
 }
@@ -95,7 +96,7 @@
 	m.stop(t)
 	rest := discovery.New(discovery.Figures{LinesPerS: 1e6, Timeout: time.Second}, 1, deaf{})
 	defer rest.Close()
-	at := address(t)
+	at := address.Free(t)
 	if err := rest.Serve(0, 0, at); err != nil {
 		t.Fatal(err)
 	}
