--- a/cmd/fernlab/scale.go
+++ b/cmd/fernlab/scale.go
@@ -49,6 +49,7 @@
 	f.IntVar(&size.Zones, "zones", 6, "zones, in all regions together")
 	f.IntVar(&size.Control, "control", 3, "control processes, where the plane has any")
 	f.Float64Var(&size.Churn, "churn", 2, "changed servers a second")
+	f.Float64Var(&size.Restarts, "restarts", 0, "processes of nodes killed and started again a second, in a phase of their own")
 	f.StringVar(&size.Plane, "plane", "planners", strings.Join(scale.Planes(), " or "))
 	f.StringVar(&size.Event, "event", "", "what befalls in the end, see above")
 	f.DurationVar(&size.For, "for", 5*time.Second, "how long each phase takes")
--- a/internal/capacity/results.go
+++ b/internal/capacity/results.go
@@ -152,7 +152,7 @@
 // dimensions of a run, by the flag's name.
 func dimension(s *scale.Size, name string) (float64, bool) {
 	v, ok := map[string]float64{"nodes": float64(s.Nodes), "servers": float64(s.Servers), "services": float64(s.Services),
-		"routes": float64(s.Routes), "tenants": float64(s.Tenants), "churn": s.Churn, "control": float64(s.Control)}[name]
+		"routes": float64(s.Routes), "tenants": float64(s.Tenants), "churn": s.Churn, "restarts": s.Restarts, "control": float64(s.Control)}[name]
 	return v, ok
 }
 
--- a/internal/scale/ledger.go
+++ b/internal/scale/ledger.go
@@ -156,6 +156,22 @@
 	return newInForce(1, missing, 0, took)
 }
 
+// restarted is how long nodes took, each from its own last start on, until they knew all servers.
+func (l *ledger) restarted(nodes []int) *InForce {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var took []time.Duration
+	missing := 0
+	for _, n := range nodes {
+		if l.whole[n] == 0 {
+			missing++
+		} else {
+			took = append(took, time.Duration(l.whole[n]-l.started[n]))
+		}
+	}
+	return newInForce(1, missing, 0, took)
+}
+
 // inForce is how long the changes since the n-th took. One that was overtaken by another of the same server counts only
 // where it was taken.
 func (l *ledger) inForce(from int) *InForce {
--- a/internal/scale/phases.go
+++ b/internal/scale/phases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 		{"start", true, c.startAll},
 		{"rest", true, c.rest},
 		{"changes", c.Size.Churn > 0, c.changes},
+		{"restarts", c.Size.Restarts > 0, c.restarts},
 		{"reload", c.Size.Routes > 0, c.reload},
 		{c.Size.Event, c.Size.Event != NoEvent, c.event},
 	} {
@@ -163,6 +165,30 @@
 	return nil
 }
 
+// restarts kills the processes of nodes in turn and starts them again at once, at a steady rate and without changes, so that
+// what the phase costs beside rest is the restarts' own.
+func (c *conductor) restarts(ctx context.Context) (*InForce, error) {
+	c.say("%g processes of nodes a second start again for %s", c.Size.Restarts, c.Size.For)
+	gap := time.Duration(float64(time.Second) / c.Size.Restarts)
+	began, nodes := time.Now(), map[int]bool{}
+	for n := 0; ctx.Err() == nil && time.Since(began) < c.Size.For; n++ {
+		due := began.Add(time.Duration(n) * gap)
+		pause(ctx, time.Until(due))
+		victim := []*process{c.workers[n%len(c.workers)]}
+		c.killNodes(victim)
+		if err := c.startNodes(victim); err != nil {
+			return nil, err
+		}
+		for _, node := range c.nodesOf(victim) {
+			nodes[node] = true
+		}
+	}
+	c.untilWhole(ctx)
+	in := c.ledger.restarted(slices.Sorted(maps.Keys(nodes)))
+	c.say("%d nodes have started again: they know all servers after %.0f ms (p50), %.0f (last); %d do not", len(nodes), in.P50, in.Last, in.Missing)
+	return in, nil
+}
+
 // change has the next server drain, or serve again where all have drained.
 func (c *conductor) change() (*change, error) {
 	n, markers := c.ledger.count(), c.layout.markers()
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -26,6 +26,11 @@
 	return s
 }
 
+func restarting(s Size) Size {
+	s.Restarts = 1
+	return s
+}
+
 // Each plane and event, played by real processes: in the end every node that is up has every change, and knows all servers.
 func TestRuns(t *testing.T) {
 	self, err := os.Executable()
@@ -40,6 +45,8 @@
 		{"planners, a rack", small("planners", Rack), []string{"start", "rest", "changes", "reload", Rack}},
 		{"planners, regions apart", small("planners", RegionsApart), []string{"start", "rest", "changes", "reload", RegionsApart}},
 		{"planners, one killed", small("planners", ControlKilled), []string{"start", "rest", "changes", "reload", ControlKilled}},
+		{"planners, restarts", restarting(small("planners", NoEvent)), []string{"start", "rest", "changes", "restarts", "reload"}},
+		{"distribution, restarts", restarting(scoped(NoEvent)), []string{"start", "rest", "changes", "restarts", "reload"}},
 		{"distribution, regions apart", scoped(RegionsApart), []string{"start", "rest", "changes", "reload", RegionsApart}},
 		{"distribution, one killed", scoped(ControlKilled), []string{"start", "rest", "changes", "reload", ControlKilled}},
 		{"discovery, away", small("discovery", DiscoveryAway), []string{"start", "rest", "changes", "reload", DiscoveryAway}},
--- a/internal/scale/size.go
+++ b/internal/scale/size.go
@@ -21,9 +21,10 @@
 	Routes     int           `json:"routes"`
 	Tenants    int           `json:"tenants"`
 	Regions    int           `json:"regions"`
-	Zones      int           `json:"zones"`   // in all regions together
-	Control    int           `json:"control"` // control processes
-	Churn      float64       `json:"churn"`   // changed servers a second
+	Zones      int           `json:"zones"`              // in all regions together
+	Control    int           `json:"control"`            // control processes
+	Churn      float64       `json:"churn"`              // changed servers a second
+	Restarts   float64       `json:"restarts,omitempty"` // processes of nodes killed and started again, a second
 	Plane      string        `json:"plane"`
 	Event      string        `json:"event"`
 	For        time.Duration `json:"for_ns"` // each phase
@@ -38,6 +39,7 @@
 	nodesTop        = 60_000 // addresses that a net has for them
 	serversTop      = 400_000
 	nodesPerProcess = 40
+	restartsMost    = 10  // a second: one takes some tenths of a second, and the next waits for it
 	memoryShare     = 0.5 // of the machine's
 	processBytes    = 12 << 20
 	nodeBytes       = 350 << 10
@@ -67,6 +69,9 @@
 	if s.Churn < 0 || s.Churn > 1000 {
 		return fmt.Errorf("--churn %g: from 0 to 1000 a second", s.Churn)
 	}
+	if s.Restarts < 0 || s.Restarts > restartsMost {
+		return fmt.Errorf("--restarts %g: from 0 to %d processes a second", s.Restarts, restartsMost)
+	}
 	if s.For < time.Second || s.For > time.Hour {
 		return fmt.Errorf("--for %s: from 1s to 1h", s.For)
 	}
--- /dev/null
+++ b/internal/serve/connections_test.go
@@ -0,0 +1,78 @@
+package serve
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"fernvane/internal/http1"
+)
+
+// A server that takes one connection and refuses others: a request that finds it in use waits for it, as long as it may. The old code
+// tried to connect until no attempt was left, and rejected the request within milliseconds.
+func TestWaitsForTheOneConnection(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked, release := make(chan struct{}), make(chan struct{})
+	go func() {
+		nc, err := ln.Accept()
+		ln.Close()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		var r http1.Request
+		for c := http1.NewConn(nc); c.ReadRequest(&r) == nil; {
+			if strings.HasSuffix(string(r.Target), "/first") {
+				close(asked)
+				<-release
+			}
+			io.WriteString(nc, whole)
+		}
+	}()
+	cfg := config(http1.Host{ID: "s", Address: ln.Addr().(*net.TCPAddr).AddrPort(), Size: 1})
+	for i := range cfg.Settings.Types {
+		cfg.Settings.Types[i].TargetTime, cfg.Settings.Types[i].AbandonTime = time.Minute, time.Hour
+	}
+	cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle = time.Minute, time.Hour
+	at, _ := startNode(t, cfg)
+	request := func(name string) *http1.Conn {
+		c := dial(t, at)
+		fmt.Fprintf(c, "GET /check/%s HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n", name, ids.Add(1))
+		return c
+	}
+	first := request("first")
+	<-asked
+	const others = 3
+	answers := make(chan int, others)
+	for range others {
+		c := request("other")
+		go func() {
+			var r http1.Response
+			if err := c.ReadResponse(&r, http1.MaxAnswer); err != nil {
+				t.Error(err)
+			}
+			answers <- r.Status
+		}()
+	}
+	select {
+	case status := <-answers:
+		t.Errorf("answered %d while the connection is in use", status)
+	case <-time.After(300 * time.Millisecond):
+	}
+	close(release)
+	if r := reply(t, first); r.Status != 200 {
+		t.Errorf("the first is answered %d", r.Status)
+	}
+	for range others {
+		if status := <-answers; status != 200 {
+			t.Errorf("another is answered %d", status)
+		}
+	}
+}
