--- a/internal/serve/connections_test.go
+++ b/internal/serve/connections_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 		t.Fatal(err)
 	}
 	asked, release := make(chan struct{}), make(chan struct{})
+	let := sync.OnceFunc(func() { close(release) })
+	defer let()
 	go func() {
 		nc, err := ln.Accept()
 		ln.Close()
@@ -63,10 +66,10 @@
 	}
 	select {
 	case status := <-answers:
-		t.Errorf("answered %d while the connection is in use", status)
+		t.Fatalf("answered %d while the connection is in use", status)
 	case <-time.After(300 * time.Millisecond):
 	}
-	close(release)
+	let()
 	if r := reply(t, first); r.Status != 200 {
 		t.Errorf("the first is answered %d", r.Status)
 	}
