--- a/internal/fleet/copy_test.go
+++ b/internal/fleet/copy_test.go
@@ -213,6 +213,9 @@
 					to(op.next)
 				}
 			}
+			for range 10 { // those that wait get their turn
+				f.woken()
+			}
 			for _, op := range waiting {
 				to(op.next)
 			}
--- a/internal/scale/ledger.go
+++ b/internal/scale/ledger.go
@@ -142,22 +142,16 @@
 
 // start is how long nodes took, from a moment on, until they knew all servers.
 func (l *ledger) start(since time.Time, nodes []int) *InForce {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var took []time.Duration
-	missing := 0
-	for _, n := range nodes {
-		if l.whole[n] == 0 {
-			missing++
-		} else if l.whole[n] >= since.UnixNano() {
-			took = append(took, time.Duration(l.whole[n]-since.UnixNano()))
-		}
-	}
-	return newInForce(1, missing, 0, took)
+	return l.knew(nodes, func(int) int64 { return since.UnixNano() })
 }
 
-// restarted is how long nodes took, each from its own last start on, until they knew all servers.
+// restarted is the same for each node from its own last start on.
 func (l *ledger) restarted(nodes []int) *InForce {
+	return l.knew(nodes, func(node int) int64 { return l.started[node] })
+}
+
+// knew is how long nodes took until they knew all servers, each from a moment of its own on.
+func (l *ledger) knew(nodes []int, since func(node int) int64) *InForce {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var took []time.Duration
@@ -165,8 +159,8 @@
 	for _, n := range nodes {
 		if l.whole[n] == 0 {
 			missing++
-		} else {
-			took = append(took, time.Duration(l.whole[n]-l.started[n]))
+		} else if from := since(n); l.whole[n] >= from {
+			took = append(took, time.Duration(l.whole[n]-from))
 		}
 	}
 	return newInForce(1, missing, 0, took)
