A close is decided once, with the answer: no connection ends unannounced at a stop

Callers saw EOF on a reused connection as a node stopped, though the last answer on it had not said Connection: close: a request sent right behind that answer was lost.

Cause: serveHTTPConn looked at isDraining again after the answer was sent; composeResponse and sendAnswer had looked before. A stop that began in between closed a connection that had been promised to stay. The same line closed on Overflowed, which no answer announced.

SendAnswer now decides as it sends, announces, and leaves the decision in request.Close, which alone closes: there is no second look that could differ.

--- a/internal/protocol/http1/write.go
+++ b/internal/protocol/http1/write.go
@@ -1,6 +1,8 @@
 package http1
 
 import (
+	"bytes"
+	"slices"
 	"strconv"
 	"time"
 
@@ -50,6 +52,15 @@
 	return append(append(b, "\r\n"...), r.Body...)
 }
 
+// closeField announces that a connection closes after the message.
+const closeField = "Connection: close\r\n"
+
+// AnnounceClose adds to an answer of AppendAnswer that the connection closes after it. The answer's memory is reused where it has room.
+func AnnounceClose(answer []byte) []byte {
+	statusLineEnd := bytes.IndexByte(answer, '\n') + 1
+	return slices.Insert(answer, statusLineEnd, []byte(closeField)...)
+}
+
 // AppendAnswer appends an answer to a client.
 func AppendAnswer(b []byte, a Answer) []byte {
 	b = append(b, "HTTP/1.1 "...)
@@ -71,7 +82,7 @@
 	}
 	b = appendField(b, "Content-Length", strconv.Itoa(len(a.Body)))
 	if a.Close {
-		b = appendField(b, "Connection", "close")
+		b = append(b, closeField...)
 	}
 	return append(append(b, "\r\n"...), a.Body...)
 }
--- a/internal/protocol/message/message.go
+++ b/internal/protocol/message/message.go
@@ -124,7 +124,7 @@
 	Target []byte
 	Fields []Field
 	Body   []byte
-	Close  bool // the client wants the connection closed after the response
+	Close  bool // the connection closes after the answer
 }
 
 // Path is the target without its query.
@@ -229,7 +229,7 @@
 	Fields     []Field // of the server's response, forwarded
 	Body       []byte
 	RetryAfter time.Duration // 0: none
-	Close      bool
+	Close      bool          // announce that the connection closes after it
 }
 
 // IsTarget reports whether b is a valid request target in origin form.
--- /dev/null
+++ b/internal/proxy/announceclose_test.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fernvane/internal/protocol/http1"
+)
+
+const smallBufferBytes = 4 << 10 // of the sockets of smallBufferConn
+
+// smallBufferConn returns both ends of a connection that takes in few bytes before a write waits for the reader.
+func smallBufferConn(t *testing.T) (near *net.TCPConn, client *http1.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBufferBytes)
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, smallBufferBytes)
+		})
+	}}
+	far, err := dialer.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { far.Close() })
+	accepted, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	near = accepted.(*net.TCPConn)
+	near.SetWriteBuffer(smallBufferBytes)
+	return near, http1.NewConn(far)
+}
+
+// Guards against a stop that begins after an answer was composed closing its connection, though the answer announced no close.
+func TestStopDuringAnswerKeepsConnection(t *testing.T) {
+	t.Parallel()
+	body := strings.Repeat("x", 60<<10)
+	at := standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	cfg := config(http1.Endpoint{ID: "s", Address: at, Size: 1})
+	for i := range cfg.Settings.TrafficTypes {
+		cfg.Settings.TrafficTypes[i].LatencyObjective, cfg.Settings.TrafficTypes[i].ClientTimeout = time.Minute, time.Minute
+	}
+	s := newTestServer(t, cfg)
+	s.answerBy = time.Now().Add(time.Minute)
+	near, client := smallBufferConn(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.serveHTTPConn(near)
+	}()
+	fmt.Fprintf(client, "GET /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n", ids.Add(1))
+	if err := client.AwaitMessage(); err != nil { // the answer is being written, and waits for its reader
+		t.Fatal(err)
+	}
+	s.isDraining.Store(true)
+	if r := readReply(t, client); r.Close || len(r.Body) != len(body) {
+		t.Fatalf("%d bytes, close %v", len(r.Body), r.Close)
+	}
+	if r := get(t, client, "/up"); r.Status != 200 || !r.Close {
+		t.Errorf("the next request is answered %d, close %v", r.Status, r.Close)
+	}
+	<-done
+}
+
+// Guards against a close behind an answer that did not announce it, after a client that sent more behind its request than is buffered.
+func TestOverflowAnnouncesClose(t *testing.T) {
+	t.Parallel()
+	const behindBytes = 512 << 10 // more than the sockets and the node hold together
+	h, begun, release := heldServer(t)
+	cfg := config(h)
+	for i := range cfg.Settings.TrafficTypes {
+		cfg.Settings.TrafficTypes[i].LatencyObjective, cfg.Settings.TrafficTypes[i].ClientTimeout = time.Minute, time.Minute
+	}
+	s := newTestServer(t, cfg)
+	near, client := smallBufferConn(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.serveHTTPConn(near)
+	}()
+	fmt.Fprintf(client, "GET /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\n\r\n", ids.Add(1))
+	<-begun
+	if _, err := client.Write(make([]byte, behindBytes)); err != nil { // the node has read most of it when this returns
+		t.Fatal(err)
+	}
+	release()
+	if r := readReply(t, client); r.Status != 200 || !r.Close {
+		t.Errorf("answered %d, close %v", r.Status, r.Close)
+	}
+	io.Copy(io.Discard, client)
+	<-done
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -47,7 +47,7 @@
 	if id := message.Find(resp.Fields, message.ServerID); s.endpointCache != nil && len(id) > 0 && string(id) != d.Server {
 		s.dispatcher.WrongServer(d.Server)
 	}
-	answer := s.composeResponse(f, result, &resp)
+	answer := composeResponse(f, result, &resp)
 	isComplete := hasCompleteResponse(result)
 	mayReuse := isComplete && conn.IsReusable(&resp)
 	conn.ReleaseBuffers()
@@ -141,9 +141,9 @@
 
 // composeResponse composes the client's answer of a response that is passed on; nil for any other. It copies the response, so that the
 // server's connection is free for another request.
-func (s *Server) composeResponse(f *forwarding, result dispatch.AttemptResult, resp *message.Response) []byte {
+func composeResponse(f *forwarding, result dispatch.AttemptResult, resp *message.Response) []byte {
 	if result != dispatch.Succeeded && result != dispatch.RequestFault {
 		return nil
 	}
-	return f.composeAnswer(message.Answer{Status: resp.Status, Fields: resp.Fields, Body: resp.Body, Close: f.message.Close || s.isDraining.Load()})
+	return f.composeAnswer(message.Answer{Status: resp.Status, Fields: resp.Fields, Body: resp.Body})
 }
--- a/internal/proxy/clientconn.go
+++ b/internal/proxy/clientconn.go
@@ -40,8 +40,7 @@
 	return conn
 }
 
-// sendAnswer composes an answer and sends it. While the node stops it ends the connection.
-func (s *Server) sendAnswer(conn clientConn, a message.Answer) error {
-	a.Close = a.Close || s.isDraining.Load()
+// sendAnswer composes an answer and sends it.
+func sendAnswer(conn clientConn, a message.Answer) error {
 	return conn.SendAnswer(conn.AppendAnswer(conn.AnswerBuffer(), a))
 }
--- a/internal/proxy/fastcgirequest.go
+++ b/internal/proxy/fastcgirequest.go
@@ -15,7 +15,7 @@
 	defer func() {
 		if p := recover(); p != nil { // a fault of this program must not end the connection's other requests too
 			s.logger.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("panic while serving a request")
-			s.sendAnswer(conn, message.Answer{Status: 500})
+			sendAnswer(conn, message.Answer{Status: 500})
 		}
 	}()
 	if r.Malformed != nil {
@@ -24,7 +24,7 @@
 	}
 	var err error
 	if r.Request.IsReadiness() {
-		err = s.sendAnswer(conn, message.Answer{Status: s.readiness()})
+		err = sendAnswer(conn, message.Answer{Status: s.readiness()})
 	} else {
 		err = s.serveRequest(conn, r.Request, r.StartedAt)
 	}
@@ -39,7 +39,7 @@
 
 func (s *Server) rejectFastCGI(conn fastcgiRequestConn, bad *message.RequestError) {
 	s.logger.Warn().Str("client", conn.ClientAddress()).Int("status", bad.Status).Str("why", bad.Why).Msg("request rejected")
-	s.sendAnswer(conn, message.Answer{Status: bad.Status, Body: []byte(bad.Why + "\n")})
+	sendAnswer(conn, message.Answer{Status: bad.Status, Body: []byte(bad.Why + "\n")})
 }
 
 // fastcgiRequestConn is one request on a client's connection that speaks FastCGI.
--- a/internal/proxy/httpclient.go
+++ b/internal/proxy/httpclient.go
@@ -30,7 +30,8 @@
 // reads for that.
 func (s *Server) serveHTTPConn(tcp *net.TCPConn) {
 	c := http1.NewPooled(tcp, s.dispatcher.MessageBudget())
-	conn := &httpClientConn{s, c}
+	var req message.Request
+	conn := &httpRequestConn{&httpClientConn{s, c}, &req}
 	defer c.ReleaseBuffers()
 	client := s.dispatcher.AddClient(c)
 	c.ObserveReads(client)
@@ -39,12 +40,12 @@
 	defer func() {
 		if p := recover(); p != nil { // a fault of this program must not end the other clients' connections too
 			s.logger.Error().Interface("panic", p).Bytes("stack", debug.Stack()).Msg("panic on a client connection")
-			s.sendAnswer(conn, message.Answer{Status: 500, Close: true})
+			req.Close = true
+			sendAnswer(conn, message.Answer{Status: 500})
 		}
 	}()
 	readTimeout := min(s.longestAbandonTime(), requestTimeout) // a request that takes longer would find its client gone
 	firstRequestBy := time.Now().Add(requestTimeout)           // zero: the first has been received
-	var req message.Request
 	for {
 		if err := awaitHTTPRequest(c, firstRequestBy, readTimeout); err != nil {
 			return
@@ -62,12 +63,12 @@
 		}
 		client.RequestStarted()
 		c.SetReadDeadline(time.Time{})
-		if err := s.serveHTTPRequest(conn, &req, receivedAt); err != nil {
+		if err := s.serveHTTPRequest(conn, receivedAt); err != nil {
 			s.rejectHTTP(conn, err)
 			return
 		}
 		client.RequestFinished()
-		if req.Close || s.isDraining.Load() || c.Overflowed() {
+		if req.Close {
 			if c.HasMore() { // the client sent it before it could read that this is the last answer
 				s.discardUnread(tcp)
 			}
@@ -92,10 +93,11 @@
 }
 
 // serveHTTPRequest serves one request of a connection. Where too many clients' connections are idle, its answer ends this one.
-func (s *Server) serveHTTPRequest(conn *httpClientConn, req *message.Request, receivedAt time.Time) error {
+func (s *Server) serveHTTPRequest(conn *httpRequestConn, receivedAt time.Time) error {
+	req := conn.request
 	req.Close = req.Close || s.dispatcher.HasTooManyIdleClients() && !conn.conn.HasMore()
 	if req.IsReadiness() {
-		return s.sendAnswer(conn, message.Answer{Status: s.readiness(), Close: req.Close})
+		return sendAnswer(conn, message.Answer{Status: s.readiness()})
 	}
 	if s.disconnectWatcher(conn).IsDisconnectedBehindUnread() { // while the request waited to be read, or its connection to be accepted
 		return errClientDisconnected
@@ -105,7 +107,7 @@
 
 // rejectHTTP answers a request that could not be read or is malformed, where its client can still be told, and waits for the client to
 // read the answer before the connection is closed.
-func (s *Server) rejectHTTP(conn *httpClientConn, err error) {
+func (s *Server) rejectHTTP(conn *httpRequestConn, err error) {
 	var bad *message.RequestError
 	if errors.Is(err, http1.ErrTimeout) && !errors.Is(err, errAnswerUnsent) {
 		bad = &message.RequestError{Status: 408, Why: "the request did not come to its end"}
@@ -114,7 +116,8 @@
 		return
 	}
 	s.logger.Warn().Str("client", conn.conn.RemoteAddr().String()).Int("status", bad.Status).Str("why", bad.Why).Msg("request rejected")
-	s.sendAnswer(conn, message.Answer{Status: bad.Status, Body: []byte(bad.Why + "\n"), Close: true})
+	conn.request.Close = true
+	sendAnswer(conn, message.Answer{Status: bad.Status, Body: []byte(bad.Why + "\n")})
 	s.discardUnread(conn.conn.Conn)
 }
 
--- a/internal/proxy/httpconn.go
+++ b/internal/proxy/httpconn.go
@@ -9,6 +9,24 @@
 	"fernvane/internal/protocol/message"
 )
 
+// httpRequestConn is the present request on a client's connection that speaks HTTP.
+type httpRequestConn struct {
+	*httpClientConn
+	request *message.Request
+}
+
+// SendAnswer announces with the answer whether the connection closes after it, and leaves that in request.Close. The client may send its
+// next request on a connection whose close was not announced, so nothing that happens later closes it before it is idle.
+func (c *httpRequestConn) SendAnswer(answer []byte) error {
+	if c.server.isDraining.Load() || c.conn.Overflowed() {
+		c.request.Close = true
+	}
+	if c.request.Close {
+		answer = http1.AnnounceClose(answer)
+	}
+	return c.httpClientConn.SendAnswer(answer)
+}
+
 // httpClientConn is a client's connection that speaks HTTP, with one request at a time.
 type httpClientConn struct {
 	server *Server
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -50,12 +50,12 @@
 func (s *Server) answerUnsubmitted(conn clientConn, req *message.Request, err error) error {
 	switch {
 	case errors.Is(err, errUnknownType):
-		return s.sendAnswer(conn, message.Answer{Status: 404, Body: []byte("no such traffic type\n"), Close: req.Close})
+		return sendAnswer(conn, message.Answer{Status: 404, Body: []byte("no such traffic type\n")})
 	case errors.Is(err, dispatch.ErrNoCapacity):
 		req.Close = true // frees a descriptor for the next client
-		return s.sendAnswer(conn, message.Answer{Status: 503, Close: true})
+		return sendAnswer(conn, message.Answer{Status: 503})
 	case errors.Is(err, errJournalUnavailable), errors.Is(err, dispatch.ErrRouteLimit):
-		return s.sendAnswer(conn, message.Answer{Status: 503, Close: req.Close})
+		return sendAnswer(conn, message.Answer{Status: 503})
 	case errors.Is(err, dispatch.ErrDuplicateID):
 		return &message.RequestError{Status: 409, Why: err.Error()}
 	}
@@ -71,13 +71,13 @@
 		err = conn.SendAnswer(d.Answer)
 	case dispatch.Reject:
 		outcome = outcomeRejected
-		err = s.sendAnswer(conn, message.Answer{Status: 503, RetryAfter: d.Duration, Close: f.message.Close})
+		err = sendAnswer(conn, message.Answer{Status: 503, RetryAfter: d.Duration})
 	case dispatch.Fail:
 		outcome = outcomeFailed
 		if d.Answer != nil { // a server's own words about a fault of the request
 			err = conn.SendAnswer(d.Answer)
 		} else {
-			err = s.sendAnswer(conn, message.Answer{Status: failureStatus(last), Close: f.message.Close})
+			err = sendAnswer(conn, message.Answer{Status: failureStatus(last)})
 		}
 	case dispatch.Drop:
 		outcome = outcomeDisconnected
