A connection that just had an answer is not closed for new ones that say nothing

Callers saw their connections closed 3 to 40 us after an answer that announced no close, whenever a burst of new connections ran the node out of descriptors: the next request crossed the close.

Cause: evictIdleClient spared new connections for 0.1 s and those that had just been used for no time, so that as long as a crowd was new only working clients could be closed for it.

A used connection now has the same 0.1 s. It is the time that accepting waited already for a new one, so nobody waits for longer than before.

--- a/internal/proxy/dispatch/clients.go
+++ b/internal/proxy/dispatch/clients.go
@@ -11,6 +11,8 @@
 	firstRequestGrace = 100 * time.Millisecond
 	// firstRequestGraceAtStop is the same while the node stops, when no other connection waits for the descriptor.
 	firstRequestGraceAtStop = time.Second
+	// nextRequestGrace is for how long a connection is not closed after an answer, while the client's next request may be on its way.
+	nextRequestGrace = firstRequestGrace
 	// idleClientDivisor limits the connections that clients may leave idle after a request, to one in so many of all.
 	idleClientDivisor = 8
 )
@@ -129,13 +131,17 @@
 }
 
 // evictIdleClient closes the client's connection that has been idle for longest, and reports whether there was one. It
-// passes over new connections whose first request may be on its way for up to grace, and those with unread input, since
-// the client may not send that again.
-func (d *Dispatcher) evictIdleClient(grace time.Duration) bool {
+// passes over new connections whose first request may be on its way for up to newConnGrace, those that had an answer within
+// nextRequestGrace, and those with unread input, since the client may not send that again.
+func (d *Dispatcher) evictIdleClient(newConnGrace time.Duration) bool {
 	for e := d.budget.idleClients.Front(); e != nil; {
 		c := e.Value.(*Client)
 		e = e.Next()
-		if !c.hasSentRequest && d.now()-c.idleSince <= grace {
+		grace := newConnGrace
+		if c.hasSentRequest {
+			grace = nextRequestGrace
+		}
+		if d.now()-c.idleSince <= grace {
 			continue
 		}
 		// A connection with unread input leaves the list too: its reader is about to call ReadReady, and each look at it
--- a/internal/proxy/dispatch/clients_test.go
+++ b/internal/proxy/dispatch/clients_test.go
@@ -273,3 +273,23 @@
 		t.Errorf("%d idle after a request", d.budget.idleAfterRequest)
 	}
 }
+
+// Guards against a burst of new connections closing those of working clients right behind an answer, while the next request is on its way.
+func TestNoEvictionRightAfterAnswer(t *testing.T) {
+	d := newTestDispatcher(t, policy.Idempotent, limits)
+	closed := make(chan string, 1)
+	p := d.AddClient(http1.NewConn(&closer{closed: closed}))
+	p.ReadBlocked(false)
+	p.ReadReady()
+	p.RequestStarted()
+	p.RequestFinished()
+	p.ReadBlocked(false)
+	p.idleSince = d.now()
+	if d.EvictIdle(); len(closed) > 0 {
+		t.Error("closed right after its answer")
+	}
+	p.idleSince -= 2 * nextRequestGrace
+	if d.EvictIdle(); len(closed) != 1 {
+		t.Error("never closed")
+	}
+}
