testbed: networks of the loopback range are reserved in a package of their own

The reservation and the addresses' form stood in package testbed alone, in nine places, and the soak of stops needs them too. standin/loopback has both; addresses are as before.

--- a/internal/testbed/bench.go
+++ b/internal/testbed/bench.go
@@ -20,6 +20,7 @@
 	"fernvane/internal/testbed/load"
 	"fernvane/internal/testbed/scenario"
 	"fernvane/internal/testbed/standin/connbalancer"
+	"fernvane/internal/testbed/standin/loopback"
 )
 
 const benchServers = 8
@@ -63,10 +64,10 @@
 	}
 	env := &environment{Options: Options{Scenario: s}, processes: newProcessManager()}
 	defer close(env.processes.commands)
-	if err := env.reserveNetwork(); err != nil {
+	if env.network, err = loopback.Reserve(); err != nil {
 		return nil, err
 	}
-	defer env.networkLock.Close()
+	defer env.network.Release()
 	members, addresses, closeAll, err := startInstantServers(benchServers)
 	defer closeAll()
 	if err != nil {
--- a/internal/testbed/build.go
+++ b/internal/testbed/build.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"strings"
 	"time"
@@ -16,12 +15,14 @@
 	"fernvane/internal/testbed/scenario"
 	"fernvane/internal/testbed/standin/connbalancer"
 	"fernvane/internal/testbed/standin/discovery"
+	"fernvane/internal/testbed/standin/loopback"
 	"fernvane/internal/testbed/standin/server"
 )
 
 // build starts servers, discovery and nodes and returns when the connection balancer knows all nodes.
 func (env *environment) build(ctx context.Context) error {
-	if err := env.reserveNetwork(); err != nil {
+	var err error
+	if env.network, err = loopback.Reserve(); err != nil {
 		return err
 	}
 	s := env.Scenario
@@ -81,32 +82,19 @@
 	return g.Wait()
 }
 
-// reserve finds a net of the loopback range that no other lab uses.
-func (env *environment) reserveNetwork() (err error) {
-	from := os.Getpid()
-	for i := range lastNetwork - firstNetwork {
-		r := firstNetwork + (from+i)%(lastNetwork-firstNetwork)
-		if env.networkLock, err = net.Listen("tcp", fmt.Sprintf("127.%d.254.254:%d", r, serverPort-1)); err == nil {
-			env.network = fmt.Sprintf("127.%d", r)
-			return nil
-		}
-	}
-	return fmt.Errorf("no loopback network is free: %w", err)
-}
-
 // nodeAddress returns where a node listens for HTTP.
 func (env *environment) nodeAddress(n int) string {
-	return fmt.Sprintf("%s.%d.%d:%d", env.network, n/250, n%250+1, nodePort)
+	return env.network.Address(n/250, n%250+1, nodePort)
 }
 
 // fastCGIAddress returns where a node listens for FastCGI.
 func (env *environment) fastCGIAddress(n int) string {
-	return fmt.Sprintf("%s.%d.%d:%d", env.network, n/250, n%250+1, fastCGIPort)
+	return env.network.Address(n/250, n%250+1, fastCGIPort)
 }
 
 // discoveryAddress returns where discovery listens for a node or planner after a number of moves.
 func (env *environment) discoveryAddress(n, moves int) string {
-	return fmt.Sprintf("%s.%d.1:%d", env.network, 200+moves, discoveryPort+n)
+	return env.network.Address(200+moves, 1, discoveryPort+n)
 }
 
 // serveDiscovery has discovery listen at its present addresses, one for each node and planner.
@@ -129,7 +117,7 @@
 	}
 	addresses := make([]string, len(s.Sites))
 	for i := range addresses {
-		addresses[i] = fmt.Sprintf("%s.%d.%d:%d", env.network, 100+n/250, n%250+1, serverPort+i)
+		addresses[i] = env.network.Address(100+n/250, n%250+1, serverPort+i)
 	}
 	latency := func(from int) time.Duration {
 		if from == site {
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -52,12 +52,12 @@
 
 // peerListen returns where a node listens for other nodes, behind their links.
 func (env *environment) peerListen(n int) string {
-	return fmt.Sprintf("%s.%d.%d:%d", env.network, n/250, n%250+1, peerPort)
+	return env.network.Address(n/250, n%250+1, peerPort)
 }
 
 // peerAddress returns where other nodes reach a node, through the links between them.
 func (env *environment) peerAddress(n int) string {
-	return fmt.Sprintf("%s.%d.%d:%d", env.network, 230+n/250, n%250+1, peerPort)
+	return env.network.Address(230+n/250, n%250+1, peerPort)
 }
 
 // setUpPeers configures the nodes to know each other through links that can fail, if the scenario has replicas.
--- a/internal/testbed/environment.go
+++ b/internal/testbed/environment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"slices"
 	"sync"
@@ -16,18 +15,13 @@
 	"fernvane/internal/testbed/scenario"
 	"fernvane/internal/testbed/standin/connbalancer"
 	"fernvane/internal/testbed/standin/discovery"
+	"fernvane/internal/testbed/standin/loopback"
 	"fernvane/internal/testbed/standin/mesh"
 	"fernvane/internal/testbed/standin/plannerproxy"
 	"fernvane/internal/testbed/standin/server"
 	"fernvane/internal/testbed/standin/zookeeper"
 )
 
-// Each run uses one network 127.x.0.0/16 of the loopback range.
-const (
-	firstNetwork = 16 // x of the first network that runs use
-	lastNetwork  = 250
-)
-
 // Ports of a run. Those of nodes are below the range of ephemeral ports, so that a restarted node finds its port free.
 const (
 	nodePort      = 8443
@@ -77,11 +71,10 @@
 // environment is all that runs for one run.
 type environment struct {
 	Options
-	network     string       // "127.x"
-	networkLock net.Listener // reserves the network
-	start       time.Time
-	stopped     chan struct{} // closed when the run is over
-	wg          sync.WaitGroup
+	network *loopback.Network // nil: none is reserved yet
+	start   time.Time
+	stopped chan struct{} // closed when the run is over
+	wg      sync.WaitGroup
 
 	observer  *observer
 	balancer  *connbalancer.Balancer
@@ -286,7 +279,7 @@
 		g.Go(func() error { m.Close(); return nil })
 	}
 	g.Wait()
-	if env.networkLock != nil {
-		env.networkLock.Close()
+	if env.network != nil {
+		env.network.Release()
 	}
 }
--- a/internal/testbed/planner.go
+++ b/internal/testbed/planner.go
@@ -16,12 +16,12 @@
 
 // plannerAddress returns where a planner listens.
 func (env *environment) plannerAddress(n int) string {
-	return fmt.Sprintf("%s.220.%d:%d", env.network, n+1, plannerPort)
+	return env.network.Address(220, n+1, plannerPort)
 }
 
 // plannerProxyAddress returns where a half of the nodes reaches a planner.
 func (env *environment) plannerProxyAddress(n, half int) string {
-	return fmt.Sprintf("%s.221.%d:%d", env.network, n+1, plannerPort+half)
+	return env.network.Address(221, n+1, plannerPort+half)
 }
 
 // startPlanners starts the planners, each behind a proxy for either half of the nodes, and configures the nodes to use
--- a/internal/testbed/registry.go
+++ b/internal/testbed/registry.go
@@ -26,7 +26,7 @@
 
 // registryAddress returns an address of the ensemble for a node.
 func (env *environment) registryAddress(n, which int) string {
-	return fmt.Sprintf("%s.222.%d:%d", env.network, which+1, registryPort+n)
+	return env.network.Address(222, which+1, registryPort+n)
 }
 
 // registryPath returns the path under which nodes of a site find servers, whose addresses differ by site.
