testbed soak: seeded stops of a node under use, each checked against eight rules

A run stops a real node by signals while clients use it to the last moment that the protocol allows; a seed draws clients, faults and signals.

Nodes made to break a rule are found, each by its rule, and a sound one by none. Two faults of the soak itself were found by traces on the way: it began before the FastCGI listener stood, and took a second pipelined answer for an announced close.

--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -52,6 +52,10 @@
 	if len(os.Args) == 2 && os.Args[1] == scale.WorkerCommand {
 		os.Exit(scale.Worker(os.Stdin, os.Stdout, os.Stderr))
 	}
+	if len(os.Args) == 2 && os.Args[1] == busyCommand {
+		busy(os.Stdin)
+		os.Exit(0)
+	}
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
@@ -111,7 +115,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.AddCommand(runCommand(), distributionCommand(), listCommand(), checkCommand(), faultsCommand(), scheduleCommand(), compareCommand(), loadCommand(),
-		benchCommand(), proveCommand(), killsCommand(), promisesCommand(), lossesCommand(), stepsCommand(), repairCommand(), scaleCommand(), capacityCommand())
+		benchCommand(), proveCommand(), killsCommand(), promisesCommand(), lossesCommand(), stepsCommand(), repairCommand(), scaleCommand(), capacityCommand(), soakCommand())
 	err := root.ExecuteContext(ctx)
 	var code exit
 	switch {
--- /dev/null
+++ b/internal/testbed/soak/node.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"fernvane/internal/testbed/standin/discovery"
+)
+
+const (
+	maxStartTime = 20 * time.Second
+	pollInterval = 5 * time.Millisecond
+)
+
+// node is the node process of a run, with its files in one directory.
+type node struct {
+	dir     string
+	command []string
+	cmd     *exec.Cmd
+	exited  chan struct{} // closed when the process has exited
+}
+
+// object is a JSON object.
+type object = map[string]any
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// settings returns the node's settings under the names of the platform.
+func settings(p *Plan) object {
+	trafficType := func(name, idempotency string) object {
+		return object{"name": name, "idempotency": idempotency, "targetTime": milliseconds(p.Deadline / 4), "abandonTime": milliseconds(p.Deadline),
+			"window": 0, "revenue": 1, "keyScope": "all"}
+	}
+	return object{"groupSize": 1, "me": 0, "granularity": 2, "discovery": "on_request", "dcs": []string{"a"}, "tenants": []object{},
+		"trafficTypes": []object{trafficType("check", "safe"), trafficType("book", "unsafe")},
+		"limits":       object{"connIdle": 5000, "connectTimeout": 100, "maxRetryAfter": 0, "mostHops": 4, "retryAfter": false, "secondCopies": false},
+		"rules":        object{"askWithin": 3000, "stopSendingWithin": 500, "cold": 0, "fallMultiple": 0, "startCapacity": 1}}
+}
+
+// configure writes the node's files.
+func (n *node) configure(p *Plan, listen, fastCGI, discoveryAddress string, list json.RawMessage) error {
+	config, err := json.Marshal(object{"name": "n0", "listen": listen, "discovery": discoveryAddress, "seed": fmt.Sprint(p.Seed),
+		"limits": object{"cores": 1, "memory_mb": 128, "sockets": p.Sockets()}, "known": list, "settings": settings(p)})
+	if err != nil {
+		return err
+	}
+	files := map[string]string{"node.json": string(config), "operator.toml": fmt.Sprintf("[fastcgi]\nlisten = %q\nflavors = [\"cgi\"]\n", fastCGI)}
+	if p.HasJournal {
+		if err := os.MkdirAll(n.journalDir(), 0o755); err != nil {
+			return err
+		}
+		files["journal.toml"] = fmt.Sprintf("dir = %q\npromise = \"machine\"\nwhen_failing = \"deny\"\nwait_most = \"500ms\"\n", n.journalDir())
+	}
+	for name, text := range files {
+		if err := os.WriteFile(n.path(name)+".new", []byte(text), 0o644); err != nil {
+			return err
+		}
+		if err := os.Rename(n.path(name)+".new", n.path(name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *node) path(name string) string { return filepath.Join(n.dir, name) }
+func (n *node) journalDir() string      { return n.path("journal") }
+
+// start starts the process and returns once it accepts connections at all addresses.
+func (n *node) start(p *Plan, addresses ...string) error {
+	log, err := os.Create(n.path("node.log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	n.cmd = exec.Command(n.command[0], n.command[1:]...)
+	n.cmd.Env = append(os.Environ(), "PROXY_CONFIG="+n.path("node.json"), "PROXY_OPERATOR="+n.path("operator.toml"))
+	if p.HasJournal {
+		n.cmd.Env = append(n.cmd.Env, "PROXY_BINDINGS="+n.path("journal.toml"))
+	}
+	n.cmd.Stdout, n.cmd.Stderr = log, log
+	if err := n.cmd.Start(); err != nil {
+		return err
+	}
+	n.exited = make(chan struct{})
+	go func() {
+		n.cmd.Wait()
+		close(n.exited)
+	}()
+	for by := time.Now().Add(maxStartTime); time.Now().Before(by) && !n.hasExited(); time.Sleep(pollInterval) {
+		if len(addresses) > 0 && accepts(addresses[0]) {
+			addresses = addresses[1:]
+		}
+		if len(addresses) == 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("the node does not start: %s", n.log())
+}
+
+// accepts reports whether connections are accepted at an address.
+func accepts(address string) bool {
+	c, err := net.Dial("tcp", address)
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
+
+func (n *node) hasExited() bool {
+	select {
+	case <-n.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// signal sends a signal to the process.
+func (n *node) signal(s syscall.Signal) { n.cmd.Process.Signal(s) }
+
+// kill kills the process if it still runs, and waits until it has exited.
+func (n *node) kill() {
+	if n.cmd == nil || n.cmd.Process == nil {
+		return
+	}
+	n.cmd.Process.Kill()
+	<-n.exited
+}
+
+// log returns what the process has logged.
+func (n *node) log() []byte {
+	text, _ := os.ReadFile(n.path("node.log"))
+	return text
+}
+
+// hasPanicked reports whether the log tells of a panic.
+func (n *node) hasPanicked() bool { return bytes.Contains(n.log(), []byte("panic")) }
+
+// unwatched ignores what discovery notified the node of.
+type unwatched struct{}
+
+// Announced implements discovery.Watcher.
+func (unwatched) Announced(int, string, string, int64, time.Time) {}
+
+// newDiscovery returns discovery with entries for the servers.
+func newDiscovery(p *Plan, addresses []string) *discovery.Service {
+	d := discovery.New(discovery.Settings{LinesPerS: 1e5, CallLines: 1, Timeout: time.Second}, p.Seed, unwatched{})
+	for i, address := range addresses {
+		d.Set(discovery.Entry{ID: serverName(i), Site: "a", MachineKind: "m", Phase: discovery.Serving, Addresses: []string{address}})
+	}
+	return d
+}
+
+func serverName(i int) string { return fmt.Sprint("s-", i) }
--- /dev/null
+++ b/internal/testbed/soak/soak_test.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"fernvane/internal/proxy"
+)
+
+// brokenVar names the fault of a brokenNode, which this program is then.
+const brokenVar = "SOAK_BROKEN_NODE"
+
+// TestMain lets this very program run as a node.
+func TestMain(m *testing.M) {
+	path := os.Getenv("PROXY_CONFIG")
+	switch {
+	case os.Getenv(brokenVar) != "":
+		os.Exit(runBrokenNode(path, brokenFault(os.Getenv(brokenVar))))
+	case path != "":
+		proxy.CatchSignals() // as the node's own command does
+		cfg, err := proxy.LoadConfig(path, os.Getenv)
+		if err != nil {
+			os.Exit(2)
+		}
+		os.Exit(proxy.RunProcess(cfg, os.Stderr, zerolog.InfoLevel))
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// Guards against stops that lose requests: the rules hold for the node on a fixed set of seeds.
+func TestStops(t *testing.T) {
+	const seeds, atOnce = 64, 6
+	var g errgroup.Group
+	g.SetLimit(atOnce)
+	for seed := uint64(1); seed <= seeds; seed++ {
+		g.Go(func() error {
+			result, err := Run(context.Background(), NewPlan(seed), Options{Command: []string{os.Args[0]}})
+			if err != nil {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+			if result.IsBroken() {
+				t.Errorf("seed %d, ended %s after the stop: %s\n%v", seed, result.Took, result.Plan.String(), result.Details)
+			}
+			return nil
+		})
+	}
+	g.Wait()
+}
+
+// calmPlan is a plan without any fault or crowd.
+func calmPlan() Plan {
+	return Plan{Seed: 1, Deadline: time.Second, Clients: 8, MaxPause: 5 * time.Millisecond, Servers: 2, MaxWork: time.Millisecond,
+		Signals: []timedSignal{{0, syscall.SIGTERM}}}
+}
+
+// Each rule is found broken by a node that breaks it, and by a sound one none is.
+func TestBrokenNodesAreFound(t *testing.T) {
+	for fault, rule := range brokenRules {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			plan := calmPlan()
+			plan.HasJournal = rule == JournalIsFull
+			if rule == LastIsWhole {
+				plan.PipelineRate = 0.5
+			}
+			command := []string{"/usr/bin/env", brokenVar + "=" + string(fault), os.Args[0]}
+			result, err := Run(context.Background(), plan, Options{Command: command})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rule == "" && result.IsBroken() || rule != "" && result.Broken[rule] == 0 {
+				t.Errorf("broken %v, not %q: %v", result.Broken, rule, result.Details)
+			}
+			if result.Answers == 0 && fault != isSilent && fault != cutsAnswers {
+				t.Error("nothing was answered")
+			}
+		})
+	}
+}
+
+// A plan follows from its seed alone, and every kind of run is drawn.
+func TestPlans(t *testing.T) {
+	kinds := map[string]int{}
+	for seed := uint64(1); seed <= 200; seed++ {
+		p, again := NewPlan(seed), NewPlan(seed)
+		if p.String() != again.String() {
+			t.Fatalf("seed %d: %s, and %s", seed, p.String(), again.String())
+		}
+		for kind, is := range map[string]bool{"crowd": p.HasCrowd, "journal": p.HasJournal, "FastCGI": p.FastCGIShare > 0, "pipelined": p.PipelineRate > 0,
+			"hanging": p.HangRate > 0, "drain": p.DrainServer, "discovery": p.DiscoveryOut, "moves": p.MovesList, "signals": len(p.Signals) > 3} {
+			if is {
+				kinds[kind]++
+			}
+		}
+	}
+	for kind, n := range kinds {
+		if n < 20 {
+			t.Errorf("%s in %d of 200 plans", kind, n)
+		}
+	}
+	if len(kinds) != 9 {
+		t.Errorf("drawn %v", kinds)
+	}
+}
