Execution records that break off decide nothing; records of one server add up

A request that a server had run could be reconciled as never run, and be run again: a list that broke off was used as far as it came, with the whole time that it claims, and a second record of a server replaced its first.

Cause: execution.Read added a record at its first line and left it there after an error, and assigned it over an earlier one. A text is now added whole or not at all, and records of a server stand beside each other: "never ran" needs one that covers the time, and none that lists the request.

--- a/internal/cluster/peer/reconcile.go
+++ b/internal/cluster/peer/reconcile.go
@@ -93,7 +93,7 @@
 }
 
 // executionLoader reads the execution records once, when the first entry needs them. A source that cannot be read to its
-// end is logged, and what was read of it before is used.
+// end is logged and not used.
 type executionLoader struct {
 	node    *Node
 	records intent.ExecutionRecords
--- a/internal/journal/execution/execution.go
+++ b/internal/journal/execution/execution.go
@@ -33,33 +33,34 @@
 	ID     string     `json:"id"`
 }
 
-// Read reads a text and adds its records by their servers' names. A server's record is added as soon as its first line is
-// read, in place of an earlier one of that server: after an error records holds it with the requests up to the error,
-// which its from and to do not show. An error names the line, and the text as name.
+// Read reads a text and adds its records beside earlier ones of the same servers. An error names the line, and the text as
+// name. After an error nothing is added: a record that lacks requests would say of them that they never ran.
 func Read(name string, r io.Reader, records intent.ExecutionRecords) error {
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLineBytes)
-	var current *intent.ExecutionRecord
+	var read []*intent.ExecutionRecord
 	number := 0
 	for s.Scan() {
 		number++
 		if strings.TrimSpace(s.Text()) == "" {
 			continue
 		}
-		next, err := addLine(s.Text(), current, records)
-		if err != nil {
+		var err error
+		if read, err = appendLine(read, s.Text()); err != nil {
 			return fmt.Errorf("%s:%d: %v", name, number, err)
 		}
-		current = next
 	}
 	if err := s.Err(); err != nil {
 		return fmt.Errorf("%s:%d: %v", name, number+1, err)
 	}
+	for _, x := range read {
+		records.Add(x)
+	}
 	return nil
 }
 
-// addLine takes in one line and returns the record to which the following lines belong.
-func addLine(text string, current *intent.ExecutionRecord, records intent.ExecutionRecords) (*intent.ExecutionRecord, error) {
+// appendLine takes in one line: the head of a further record, or a request of the last one.
+func appendLine(read []*intent.ExecutionRecord, text string) ([]*intent.ExecutionRecord, error) {
 	var l line
 	d := json.NewDecoder(strings.NewReader(text))
 	d.DisallowUnknownFields()
@@ -70,25 +71,23 @@
 	case l.Server != "" && (l.From == nil || l.To == nil):
 		return nil, fmt.Errorf("server %q: a server needs from and to", l.Server)
 	case l.Server != "":
-		current = &intent.ExecutionRecord{
+		read = append(read, &intent.ExecutionRecord{
 			Server:       l.Server,
 			FromUnixNano: l.From.UnixNano(),
 			ToUnixNano:   l.To.UnixNano(),
 			RequestIDs:   map[string]bool{},
-		}
-		records[l.Server] = current
+		})
 	case l.ID == "":
 		return nil, errors.New("neither a server nor an id")
-	case current == nil:
+	case len(read) == 0:
 		return nil, errors.New("an id before any server")
 	default:
-		current.RequestIDs[l.ID] = true
+		read[len(read)-1].RequestIDs[l.ID] = true
 	}
-	return current, nil
+	return read, nil
 }
 
-// Load reads a file, or what an http or https URL answers, and adds its records as Read does: after an error records may
-// hold incomplete ones.
+// Load reads a file, or what an http or https URL answers, and adds its records as Read does.
 func Load(source string, records intent.ExecutionRecords) error {
 	if strings.HasPrefix(source, "http://") || strings.HasPrefix(source, "https://") {
 		return fetch(source, records)
--- /dev/null
+++ b/internal/journal/execution/execution_test.go
@@ -0,0 +1,88 @@
+package execution
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"fernvane/internal/journal/intent"
+)
+
+// head begins a server's record of an hour. The entries of the tests are of its middle.
+const head = `{"server":"s","from":"2026-01-31T%02d:00:00Z","to":"2026-01-31T%02d:00:00Z"}` + "\n"
+
+const halfPastEight = 1769848200 * int64(1e9)
+
+// decided returns what records decide of a request that was sent to server s at half past eight.
+func decided(t *testing.T, id string, records intent.ExecutionRecords) intent.Proof {
+	t.Helper()
+	assembler := intent.NewAssembler()
+	assembler.Add(&intent.Record{Kind: intent.Intent, RequestNumber: 1, AtUnixNano: halfPastEight, RequestID: id, Server: "s"})
+	for _, r := range intent.Reconcile(assembler.Incomplete()[0], records, 0, halfPastEight) {
+		return r.Proof
+	}
+	return intent.PossiblyRan
+}
+
+// Guards against an execution record that breaks off deciding that requests behind the break never ran, so that they are run again.
+func TestBrokenRecordDecidesNothing(t *testing.T) {
+	text := fmt.Sprintf(head, 8, 9) + `{"id":"first"}` + "\n"
+	broken := errors.New("broken")
+	for name, r := range map[string]io.Reader{
+		"the reader fails":     io.MultiReader(strings.NewReader(text), iotest.ErrReader(broken)),
+		"within a line":        strings.NewReader(text + `{"id":"sec`),
+		"a line that is wrong": strings.NewReader(text + "{}\n" + `{"id":"second"}` + "\n"),
+		"a line too long":      strings.NewReader(text + `{"id":"` + strings.Repeat("x", maxLineBytes) + `"}` + "\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			records := intent.ExecutionRecords{}
+			if err := Read("text", r, records); err == nil {
+				t.Error("no error")
+			}
+			if proof := decided(t, "second", records); proof != intent.PossiblyRan {
+				t.Errorf("decided %d", proof)
+			}
+		})
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(text)+100))
+		io.WriteString(w, text)
+	}))
+	defer server.Close()
+	records := intent.ExecutionRecords{}
+	if err := Load(server.URL, records); err == nil {
+		t.Error("no error for a response that breaks off")
+	}
+	if proof := decided(t, "second", records); proof != intent.PossiblyRan {
+		t.Errorf("decided %d by a response that breaks off", proof)
+	}
+}
+
+// Guards against a server's second execution record replacing its first: what only the first lists would count as never run.
+func TestRecordsOfOneServerAddUp(t *testing.T) {
+	for name, second := range map[string]string{
+		"the same time":  fmt.Sprintf(head, 8, 9),
+		"a later time":   fmt.Sprintf(head, 9, 10),
+		"a longer time":  fmt.Sprintf(head, 7, 10),
+		"an earlier one": fmt.Sprintf(head, 7, 8),
+	} {
+		t.Run(name, func(t *testing.T) {
+			records := intent.ExecutionRecords{}
+			for _, text := range []string{fmt.Sprintf(head, 8, 9) + `{"id":"first"}`, second + `{"id":"second"}`} {
+				if err := Read("text", strings.NewReader(text), records); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for id, want := range map[string]intent.Proof{"first": intent.Ran, "second": intent.Ran, "third": intent.NeverRan} {
+				if proof := decided(t, id, records); proof != want {
+					t.Errorf("%s: decided %d, not %d", id, proof, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/journal/intent/reconcile.go
+++ b/internal/journal/intent/reconcile.go
@@ -6,17 +6,39 @@
 	FromUnixNano int64
 	ToUnixNano   int64
 	RequestIDs   map[string]bool
+	Next         *ExecutionRecord // another record of the same server; nil: there is none
 }
 
-// covers reports whether the record has all attempts that began at a moment. One that began within slackNanos of the
-// record's end may still be running.
+// lists reports whether any record of the server has a request.
+func (x *ExecutionRecord) lists(id string) bool {
+	for ; x != nil; x = x.Next {
+		if x.RequestIDs[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// covers reports whether one record of the server has all attempts that began at a moment. One that began within slackNanos
+// of the record's end may still be running.
 func (x *ExecutionRecord) covers(atUnixNano, slackNanos int64) bool {
-	return atUnixNano >= x.FromUnixNano && atUnixNano+slackNanos <= x.ToUnixNano
+	for ; x != nil; x = x.Next {
+		if atUnixNano >= x.FromUnixNano && atUnixNano+slackNanos <= x.ToUnixNano {
+			return true
+		}
+	}
+	return false
 }
 
 // ExecutionRecords are the execution records of servers, by server name.
 type ExecutionRecords map[string]*ExecutionRecord
 
+// Add adds a record beside those that the server has already.
+func (e ExecutionRecords) Add(x *ExecutionRecord) {
+	x.Next = e[x.Server]
+	e[x.Server] = x
+}
+
 // Reconcile decides attempts of an entry that may have run, by the execution records of their servers.
 // It changes nothing: it returns Reconciled records for the caller to store. An attempt whose time an execution record
 // does not cover is decided only if the request is in it.
@@ -35,7 +57,7 @@
 			Server:        a.Server,
 		}
 		switch {
-		case executed.RequestIDs[e.RequestID]:
+		case executed.lists(e.RequestID):
 			r.Proof = Ran
 		case executed.covers(a.AtUnixNano, slackNanos):
 			r.Proof = NeverRan
