--- a/internal/journal/wal/frame.go
+++ b/internal/journal/wal/frame.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"hash/crc32"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -16,14 +17,46 @@
 	frameMarker      = 0xB1D7 // by which the next frame is found after bytes that cannot be read
 	frameHeaderBytes = 10
 	maxRecordBytes   = 4 << 10
+	maxNumberBytes   = 256 // more than all of a record but the bytes of its strings takes
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// AppendFrame appends a record to b as it is stored in a segment. It checks neither the record's length nor its text: one
-// longer than maxRecordBytes, or with a string that is not valid UTF-8, is stored and cannot be read back.
-func AppendFrame(b []byte, r *intent.Record) ([]byte, error) {
+// ErrUnreadable says that a record could not be read back once it was stored: it is longer than maxRecordBytes, or one of
+// its strings is not valid UTF-8.
+var ErrUnreadable = errors.New("the record is too long or its text is not valid UTF-8")
+
+// CheckRecord returns ErrUnreadable for a record that could not be read back.
+func CheckRecord(r *intent.Record) error {
+	textBytes := 0
+	for _, s := range []string{r.RequestID, r.Tenant, r.Type, r.Server, r.RepeatOf, r.Outcome} {
+		if !utf8.ValidString(s) {
+			return ErrUnreadable
+		}
+		textBytes += len(s)
+	}
+	if textBytes <= maxRecordBytes-maxNumberBytes {
+		return nil
+	}
+	_, err := encodeRecord(r)
+	return err
+}
+
+// encodeRecord returns a record as CBOR. Its strings must be valid UTF-8.
+func encodeRecord(r *intent.Record) ([]byte, error) {
 	body, err := cbor.Marshal(r)
+	if err == nil && len(body) > maxRecordBytes {
+		return nil, ErrUnreadable
+	}
+	return body, err
+}
+
+// AppendFrame appends a record to b as it is stored in a segment. A record that could not be read back is ErrUnreadable.
+func AppendFrame(b []byte, r *intent.Record) ([]byte, error) {
+	if err := CheckRecord(r); err != nil {
+		return b, err
+	}
+	body, err := encodeRecord(r)
 	if err != nil {
 		return b, err
 	}
--- a/internal/journal/wal/log.go
+++ b/internal/journal/wal/log.go
@@ -106,11 +106,12 @@
 }
 
 // Append queues records, in order. With wait it returns a Commit for the last of them; without, they may be lost
-// with the process. The error is ErrQueueFull, ErrDiskFailing or ErrClosed; then none of the records is stored.
+// with the process. The error is ErrUnreadable, ErrQueueFull, ErrDiskFailing or ErrClosed; then none of the records is
+// stored.
 func (l *Log) Append(wait bool, records ...intent.Record) (*Commit, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err := l.refusal(len(records)); err != nil {
+	if err := l.refusal(records); err != nil {
 		l.countLost(len(records))
 		return nil, err
 	}
@@ -132,14 +133,19 @@
 	return commit, nil
 }
 
-// refusal is why so many records cannot be queued now, nil if they can. mu is held.
-func (l *Log) refusal(records int) error {
+// refusal is why records cannot be queued now, nil if they can. mu is held.
+func (l *Log) refusal(records []intent.Record) error {
+	for i := range records {
+		if err := CheckRecord(&records[i]); err != nil {
+			return err
+		}
+	}
 	switch {
 	case l.isClosed:
 		return ErrClosed
 	case l.failure != nil:
 		return fmt.Errorf("%w: %w", ErrDiskFailing, l.failure)
-	case len(l.queue)+records > maxQueuedRecords:
+	case len(l.queue)+len(records) > maxQueuedRecords:
 		return ErrQueueFull
 	}
 	return nil
--- a/internal/proxy/intentjournalentry.go
+++ b/internal/proxy/intentjournalentry.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	"fernvane/internal/journal/intent"
+	"fernvane/internal/journal/wal"
 	"fernvane/internal/protocol/message"
 	"fernvane/internal/proxy/dispatch"
 	"fernvane/policy"
 )
 
+// longestServerName stands for the name of the server that a request will be sent to, which is not known as it is accepted.
+var longestServerName = strings.Repeat("s", 256)
+
 // answerOutcome names in the journal what the client of a request was answered. The texts are stored.
 type answerOutcome string
 
@@ -47,6 +52,19 @@
 	return e
 }
 
+// check returns a *message.RequestError where the client's own words could not be read back from the journal.
+func (e *journalEntry) check() error {
+	if e == nil {
+		return nil
+	}
+	r := e.newRecord(intent.Intent, 0)
+	r.Server = longestServerName
+	if wal.CheckRecord(&r) != nil {
+		return message.NewRequestError(400, "the journal cannot hold the request's id, tenant or repeated id: it is too long or not UTF-8")
+	}
+	return nil
+}
+
 func (e *journalEntry) newRecord(kind intent.Kind, attempt int) intent.Record {
 	r := e.record
 	r.Kind, r.Attempt, r.AtUnixNano = kind, attempt, time.Now().UnixNano()
--- a/internal/proxy/submit.go
+++ b/internal/proxy/submit.go
@@ -29,6 +29,9 @@
 			return nil, nil, errJournalUnavailable
 		}
 		entry := s.journal.begin(a.TrafficType, info, req)
+		if err := entry.check(); err != nil {
+			return nil, nil, err
+		}
 		if a.RouteIndex >= 0 {
 			if len(req.Body) > a.Routes.MaxBodyBytes(a.RouteIndex, a.TrafficType, message.MaxBody) {
 				return nil, nil, &message.RequestError{Status: 413, Why: "the body is larger than its route takes"}
--- /dev/null
+++ b/internal/proxy/unrecordable_test.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"fernvane/internal/config/tomlfile"
+	"fernvane/internal/journal/wal"
+	"fernvane/internal/protocol/message"
+	"fernvane/internal/testbed/standin/address"
+	"fernvane/internal/testbed/standin/memdisk"
+)
+
+// Guards against a request being sent whose journal entry cannot be read back: it is rejected with 400 before any attempt, in both
+// protocols, and the journal goes on taking others.
+func TestUnrecordableRequestIsRejected(t *testing.T) {
+	t.Parallel()
+	for name, fields := range map[string]string{
+		"an id that is not UTF-8":          "Request-Id: \xff%d\r\n",
+		"an id that is too long":           "Request-Id: %d" + strings.Repeat("x", 5<<10) + "\r\n",
+		"a tenant that is not UTF-8":       "Request-Id: %d\r\nTenant: \xc3\r\n",
+		"a repeated id that is not UTF-8":  "Request-Id: %d\r\nRepeats: \xc3(\r\n",
+		"texts that are too long together": "Request-Id: %d\r\nTenant: " + strings.Repeat("t", 2<<10) + "\r\nRepeats: " + strings.Repeat("r", 2<<10) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hosts, taken := servers(t, 1, okResponse)
+			d := memdisk.New()
+			cfg := config(hosts...)
+			cfg.Filesystem, cfg.Journal = d, &wal.Config{Dir: "j", Promise: "machine", WhenFailing: "deny", MaxWait: tomlfile.Duration(time.Second), SegmentBytes: 1 << 20, RepeatOfField: "Repeats"}
+			at, stop := startNode(t, cfg)
+			c := dial(t, at)
+			fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: h\r\n"+fields+"Content-Length: 0\r\n\r\n", ids.Add(1))
+			if r := readReply(t, c); r.Status != 400 || !r.Close {
+				t.Errorf("answered %d, close %v", r.Status, r.Close)
+			}
+			if n := taken.Load(); n > 0 {
+				t.Errorf("%d attempts were sent", n)
+			}
+			if status := book(t, at, ""); status != 200 {
+				t.Errorf("the next request is answered %d", status)
+			}
+			if err := stop(); err != nil {
+				t.Fatal(err)
+			}
+			if all, gaps := entries(t, d); len(all) != 1 || gaps > 0 {
+				t.Errorf("%d entries, %d gaps", len(all), gaps)
+			}
+		})
+	}
+}
+
+// The same as TestUnrecordableRequestIsRejected for a client that speaks FastCGI.
+func TestUnrecordableFastCGIRequestIsRejected(t *testing.T) {
+	t.Parallel()
+	hosts, taken := servers(t, 1, okResponse)
+	cfg := config(hosts...)
+	cfg.Filesystem, cfg.Journal = memdisk.New(), &wal.Config{Dir: "j", Promise: "machine", WhenFailing: "deny", MaxWait: tomlfile.Duration(time.Second), SegmentBytes: 1 << 20}
+	cgi := address.Free(t)
+	cfg.Routes = routes(t, &cfg, fmt.Sprintf("[fastcgi]\nlisten = %q\nflavors = [\"cgi\"]", cgi))
+	at, _ := startNode(t, cfg)
+	get(t, dial(t, at), "/up") // it listens on both
+	nc := dialFastCGI(t, cgi)
+	nc.Write(encodeRequest(1, &message.Request{Method: []byte("POST"), Target: []byte("/book/1"), Fields: []message.Field{
+		{Name: []byte("Request-Id"), Value: fmt.Appendf(nil, "\xff%d", ids.Add(1))}}}))
+	if _, r, err := nc.Next(); err != nil || r.Status != 400 {
+		t.Errorf("answered %d, %v", r.Status, err)
+	}
+	if n := taken.Load(); n > 0 {
+		t.Errorf("%d attempts were sent", n)
+	}
+}
