An announced close always lingers, so that later bytes do not break the answer off

An answer with Connection: close that a slow client was still reading broke off when the client sent more: serveHTTPConn lingered only if something had arrived at the moment of its look, and bytes that come to a closed socket are answered with a reset, which drops what was not delivered.

The node now shuts its side and reads on until the client closes, 0.3 s at most; the connection counts as idle meanwhile, so it still gives way where descriptors are short.

--- a/internal/proxy/announceclose_test.go
+++ b/internal/proxy/announceclose_test.go
@@ -106,3 +106,40 @@
 	io.Copy(io.Discard, client)
 	<-done
 }
+
+// Guards against a close right behind an announced end becoming a reset, by bytes that arrive after it, while the answer is still on its way
+// to a slow reader.
+func TestAnnouncedCloseLingers(t *testing.T) {
+	t.Parallel()
+	body := strings.Repeat("x", 60<<10)
+	at := standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	cfg := config(http1.Endpoint{ID: "s", Address: at, Size: 1})
+	cfg.shutdownDelays = shutdownDelays{extraLinger: time.Minute}
+	s := newTestServer(t, cfg)
+	near, client := smallBufferConn(t)
+	near.SetWriteBuffer(4 * len(body)) // the whole answer is written before the client reads any of it
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.serveHTTPConn(near)
+	}()
+	fmt.Fprintf(client, "GET /check/1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRequest-Id: %d\r\n\r\n", ids.Add(1))
+	await(t, "answer", func() bool { return s.dispatcher.Counts().Responded > 0 })
+	select {
+	case <-done: // closed
+	case <-time.After(100 * time.Millisecond): // only a fault closes it before the client has read its answer
+	}
+	for range 3 {
+		client.Write(make([]byte, 100))
+	}
+	if r := readReply(t, client); len(r.Body) != len(body) || !r.Close {
+		t.Errorf("%d bytes of %d, close %v", len(r.Body), len(body), r.Close)
+	}
+	client.Close()
+	<-done
+}
--- a/internal/proxy/httpclient.go
+++ b/internal/proxy/httpclient.go
@@ -69,9 +69,9 @@
 		}
 		client.RequestFinished()
 		if req.Close {
-			if c.HasMore() { // the client sent it before it could read that this is the last answer
-				s.discardUnread(tcp)
-			}
+			client.ReadBlocked(false) // may be closed for want of descriptors
+			s.discardUnread(tcp)      // the client may send more before it has read that this is the last answer
+			client.ReadReady()
 			return
 		}
 	}
