A part that fails is logged and ends alone: the node serves on and SIGTERM works

A node whose part had failed (a registry whose client cannot be built) logged nothing and ignored SIGTERM until it was killed over its requests. No accepted configuration reaches this today: only followRegistry returns errors, for an empty or unresolvable list, which the file's check refuses.

Cause: one errgroup for all parts, so that the first error ended awaitStop while connections were accepted on. runPart now logs the error ("part failed") and ends that part alone.

TestNodeStopsAfterPartFailed failed before: no log line within 5 s, and without that check no end within 10 s of the stop. It passes twice under -race, as do the tests of stops.

--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -137,32 +137,44 @@
 	return err
 }
 
-// serve runs all parts until the node is told to stop. The error is the first of a part; one that fails ends the parts that follow a
-// source, while connections are accepted until the listeners are closed.
+// runPart runs a part of the node until the node ends. A part that fails is logged, and the node serves on with what it knows.
+func (s *Server) runPart(ctx context.Context, name string, run func(context.Context) error) {
+	if err := run(ctx); err != nil {
+		s.logger.Error().Err(err).Str("part", name).Msg("part failed")
+	}
+}
+
+// serve runs all parts until the node is told to stop. The error is why it could not accept connections, or peer.ErrReplaced.
 func (s *Server) serve(signals Signals, replaced <-chan struct{}, ln, fastcgiListener *net.TCPListener) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
+	startPart := func(name string, run func(context.Context) error) {
+		g.Go(func() error {
+			s.runPart(ctx, name, run)
+			return nil
+		})
+	}
 	if s.cfg.Registry != nil {
-		g.Go(func() error { return s.followRegistry(ctx) })
+		startPart("registry", s.followRegistry)
 	} else {
-		g.Go(func() error { return s.followDiscovery(ctx) })
+		startPart("discovery", s.followDiscovery)
 	}
 	if s.planners != nil {
-		g.Go(func() error { return s.planners.run(ctx) })
+		startPart("planners", s.planners.run)
 	}
 	if s.distribution != nil {
-		g.Go(func() error { return s.distribution.client.Run(ctx) })
+		startPart("distribution", s.distribution.client.Run)
 		s.distribution.awaitStart(ctx, signals.Stop)
 	}
 	if s.endpointCache != nil {
-		g.Go(func() error { return s.endpointCache.evaluate(ctx) })
-		g.Go(func() error { return s.endpointCache.writePeriodically(ctx) })
+		startPart("endpoint cache evaluation", s.endpointCache.evaluate)
+		startPart("endpoint cache writer", s.endpointCache.writePeriodically)
 	}
 	s.logger.Info().Str("node", s.cfg.Name).Stringer("listen", s.cfg.Listen).Int("connections", s.cfg.Limits.MaxConnections()).
 		Int("servers", len(s.cfg.SavedList.Hosts)).Msg("serving")
-	g.Go(func() error { return s.logCounts(ctx) })
-	g.Go(func() error { return s.reloadOnSignal(ctx, signals.Reload) })
+	startPart("counts", s.logCounts)
+	startPart("reload", func(ctx context.Context) error { return s.reloadOnSignal(ctx, signals.Reload) })
 	g.Go(func() error {
 		defer cancel()
 		return s.acceptUntilDrained(ln, fastcgiListener)
