Messages between control processes and nodes keep their bounds at the sender, in bytes

A rejected write with a long name of multi-byte letters was answered with something that its writer could not read, and a control process with over 64 rejected entries, or long names in them, lost the connection to the peer that had sent them.

Cause: the error was cut to 256 runes where a message takes 300 bytes, and rejections were sent as many and as long as they were; only the receiver knew the bounds. Package wire now cuts beside its check, for control processes and nodes alike.

--- a/internal/controlplane/distribution/client/rejections.go
+++ b/internal/controlplane/distribution/client/rejections.go
@@ -6,12 +6,10 @@
 	"slices"
 
 	"fernvane/internal/controlplane/distribution"
+	"fernvane/internal/controlplane/distribution/wire"
 )
 
-const (
-	maxRejections  = 64  // in one message, and in a status
-	maxReasonBytes = 250 // of a reason that is sent whole; a longer one is cut to at most 253
-)
+const maxRejections = 64 // in one message, and in a status
 
 // rejections are the entries that cannot be used, by key.
 type rejections map[distribution.Key]rejection
@@ -35,7 +33,7 @@
 // addRejections records entries that could not be held or applied. c.mu is held.
 func (c *Client) addRejections(rejected []distribution.Rejection) {
 	for _, r := range rejected {
-		next := rejection{reason: truncateReason(r.Reason)}
+		next := rejection{reason: wire.TruncateText(r.Reason)}
 		if held, ok := c.store.Entry(r.Key); ok {
 			held.Value = nil
 			next.version = held
@@ -89,18 +87,5 @@
 			l.reportedRejections[r.Key] = r.Reason
 		}
 	}
-	return unreported
-}
-
-// truncateReason cuts a reason at a rune's start, so that it fits into a message.
-func truncateReason(reason string) string {
-	if len(reason) <= maxReasonBytes {
-		return reason
-	}
-	for i := range reason {
-		if i > maxReasonBytes-4 {
-			return reason[:i] + "..."
-		}
-	}
-	return reason
+	return wire.TruncateRejections(unreported)
 }
--- a/internal/controlplane/distribution/control/receive.go
+++ b/internal/controlplane/distribution/control/receive.go
@@ -11,7 +11,7 @@
 var errUnrequestedBatch = errors.New("a batch that was not asked for")
 
 // receiveBatch takes in a batch of an upstream, or of a subscriber that was asked, passes on what is new and acknowledges it
-// with all rejections.
+// with as many rejections as a message takes.
 func (s *Server) receiveBatch(l *link, b distribution.Batch) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -26,7 +26,7 @@
 	}
 	s.passOn(result)
 	s.logRejected(l, result.Rejected)
-	acknowledgement := distribution.Acknowledgement{BatchNumber: b.Number, Rejected: result.Rejected}
+	acknowledgement := distribution.Acknowledgement{BatchNumber: b.Number, Rejected: wire.TruncateRejections(result.Rejected)}
 	if result.IsComplete {
 		acknowledgement.Applied = s.store.Vector().Clone()
 	}
--- a/internal/controlplane/distribution/control/write.go
+++ b/internal/controlplane/distribution/control/write.go
@@ -9,9 +9,6 @@
 	"fernvane/internal/controlplane/distribution/wire"
 )
 
-// maxErrorRunes bounds the error that a writer is sent.
-const maxErrorRunes = 256
-
 // errNotCurrent rejects writes while this process does not know what others hold.
 var errNotCurrent = errors.New("this control process is not current yet: ask another, or again in a few seconds")
 
@@ -25,7 +22,7 @@
 	}
 	from := describePeer(l.peer, l.from)
 	if err != nil {
-		result.Error = fmt.Sprintf("%.*s", maxErrorRunes, err.Error())
+		result.Error = wire.TruncateText(err.Error())
 		s.log.Warn().Str("from", from).Err(err).Int("changes", len(m.Changes)).Msg("write rejected")
 	} else {
 		s.log.Info().Str("from", from).Int("changes", len(m.Changes)).Uint64("sequence", result.Sequence).
--- /dev/null
+++ b/internal/controlplane/distribution/wire/truncate.go
@@ -0,0 +1,33 @@
+package wire
+
+import (
+	"strings"
+	"unicode/utf8"
+
+	"fernvane/internal/controlplane/distribution"
+)
+
+const ellipsis = "..."
+
+// TruncateText returns a text as a message takes it: valid UTF-8, and one that is too long cut between two runes.
+func TruncateText(text string) string {
+	text = strings.ToValidUTF8(text, string(utf8.RuneError))
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	end := maxTextBytes - len(ellipsis)
+	for !utf8.RuneStart(text[end]) {
+		end--
+	}
+	return text[:end] + ellipsis
+}
+
+// TruncateRejections returns as many rejections as a message takes, with texts that it takes.
+func TruncateRejections(rejected []distribution.Rejection) []distribution.Rejection {
+	bounded := make([]distribution.Rejection, 0, min(len(rejected), maxRejections))
+	for _, r := range rejected[:cap(bounded)] {
+		r.Key.Service, r.Key.Name, r.Reason = TruncateText(r.Key.Service), TruncateText(r.Key.Name), TruncateText(r.Reason)
+		bounded = append(bounded, r)
+	}
+	return bounded
+}
