testbed: a close that crosses a request is no loss because its client has no time left

TestRulesHold failed at times beside other work: "connection closed with no answer after 0s", and nobody knew whose fault it was.

Cause: the testbed's client. A request on a connection that the node closed unread is sent again, but if the client's time was over by then, the try counted as dropped by the node.

Such a try is now unsent, as it is for the node and the protocol.

--- a/internal/testbed/load/client.go
+++ b/internal/testbed/load/client.go
@@ -144,9 +144,13 @@
 		}
 		c.conn.Close()
 		t.Ended = time.Since(g.start)
-		if mayResend(c, wasIdle, isResent, sentAt, err) && g.watcher.HasRunSince(t.Endpoint, t.Started) && time.Now().Before(deadline) {
+		if mayResend(c, wasIdle, isResent, sentAt, err) && g.watcher.HasRunSince(t.Endpoint, t.Started) {
 			g.watcher.Unread(t)
-			continue
+			if time.Now().Before(deadline) {
+				continue
+			}
+			t.End = Unsent
+			return
 		}
 		t.End = endWithoutAnswer(isComplete, err, r.disconnectAfter > 0)
 		return
--- a/internal/testbed/load/load_test.go
+++ b/internal/testbed/load/load_test.go
@@ -282,6 +282,25 @@
 	}
 }
 
+// Guards against a request counting as dropped by the node whose connection was closed unread, only because its client had no time left to
+// send it again.
+func TestCloseOfIdleConnectionAfterDeadline(t *testing.T) {
+	s := parseScenario(t, "length=\"1s\"")
+	s.Clients.Retries, s.Rules.Slack = 0, scenario.Span(10*time.Second)
+	at := startServer(t, func(c net.Conn, r *http1.Request, n int) bool {
+		writeResponse(c, 200, string(r.Get(http1.RequestID)))
+		c.Read(make([]byte, 1))
+		time.Sleep(s.Types[0].Abandon.Std() + 50*time.Millisecond) // the client's time is over
+		return false
+	})
+	tries := &tryRecorder{}
+	g := &Generator{Scenario: s, Requests: []Request{{}, {At: 50 * time.Millisecond}}, ChecksIDs: true}
+	g.Run(context.Background(), time.Now(), at, tries)
+	if last := tries.all[len(tries.all)-1]; len(tries.all) != 2 || last.End != Unsent {
+		t.Errorf("%d tries, the last ended as %+v", len(tries.all), last)
+	}
+}
+
 // A generator that stalls for 300 ms reports it, and its latencies include the stall.
 func TestStallIsReported(t *testing.T) {
 	s := parseScenario(t, "length=\"1s\"\n[load]\nrate=500\nshape=\"constant\"")
--- a/internal/testbed/load/watcher.go
+++ b/internal/testbed/load/watcher.go
@@ -8,7 +8,7 @@
 	Sending(t *Try)
 	// Sent reports that the last byte was written.
 	Sent(t *Try)
-	// Unread reports that the connection was closed before the node read the request, which is sent again.
+	// Unread reports that the connection was closed before the node read the request, which is sent again if there is time.
 	Unread(t *Try)
 	// Ended reports that the try ended as its End says.
 	Ended(t *Try)
