A store that is full is not current: it is logged, reported and counted at nodes and control processes

An operator saw an entry in force at a node, or a relay current, that had no room for it; nothing was logged at the node, and requests went by the old entry.

Cause: digests counted as a complete message also where a full store could not be compared; a node reports rejections with a complete batch only, which a full store never has; and a control process's own status did not know of them. Digests of such a connection now complete nothing, nodes log and report at once, and a control process names what it cannot hold in its status and counts.

--- a/cmd/fernvane/config_status.go
+++ b/cmd/fernvane/config_status.go
@@ -46,6 +46,7 @@
 	Control  string     `json:"control"`
 	Revision uint64     `json:"revision"`
 	Current  bool       `json:"current"`
+	Rejected []string   `json:"rejected,omitempty"` // entries that the control process cannot hold
 	Nodes    []nodeView `json:"nodes"`
 }
 
@@ -131,7 +132,7 @@
 // newStatusView derives the state of each node. A control process is current if it holds the revision of the queried one,
 // a node if it has applied all that its control process has for it.
 func newStatusView(control string, self distribution.NodeStatus, nodes []distribution.NodeStatus, options statusOptions) *statusView {
-	v := &statusView{Control: control, Revision: self.Revision, Current: !self.IsCatchingUp}
+	v := &statusView{Control: control, Revision: self.Revision, Current: !self.IsCatchingUp, Rejected: rejectionTexts(self.Rejected)}
 	count := 0
 	for _, s := range nodes {
 		if s.Name == self.Name {
@@ -139,9 +140,7 @@
 		}
 		n := nodeView{Name: s.Name, Role: s.Role.String(), Region: s.Region, Zone: s.Zone, Via: s.Via, State: stateOf(self, s), Revision: s.Revision,
 			LagSeconds: s.Lag.Round(time.Millisecond).Seconds(), Pending: s.PendingKeys}
-		for _, r := range s.Rejected {
-			n.Rejected = append(n.Rejected, r.Key.String()+": "+r.Reason)
-		}
+		n.Rejected = rejectionTexts(s.Rejected)
 		if !s.IsConnected && s.DisconnectedMs > 0 {
 			n.Unreachable = time.UnixMilli(s.DisconnectedMs).UTC().Format(time.RFC3339)
 		}
@@ -158,6 +157,13 @@
 	return v
 }
 
+func rejectionTexts(rejected []distribution.Rejection) (texts []string) {
+	for _, r := range rejected {
+		texts = append(texts, r.Key.String()+": "+r.Reason)
+	}
+	return texts
+}
+
 func stateOf(self, s distribution.NodeStatus) string {
 	switch {
 	case !s.IsConnected:
@@ -172,6 +178,9 @@
 
 func (v *statusView) print(out io.Writer) {
 	fmt.Fprintf(out, "%s holds revision %d\n", v.Control, v.Revision)
+	for _, r := range v.Rejected {
+		fmt.Fprintf(out, "%s cannot hold %s\n", v.Control, r)
+	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if len(v.Nodes) > 0 {
 		fmt.Fprintln(w, "name\trole\tregion\tzone\tvia\tstate\trevision\tlag\twaiting")
--- a/internal/controlplane/distribution/client/apply.go
+++ b/internal/controlplane/distribution/client/apply.go
@@ -133,11 +133,11 @@
 }
 
 // compareDigests compares what is held with what the control process holds. If nothing is to be asked for, also because nothing
-// could be compared, the digests count as a complete message.
+// could be compared, the digests count as a complete message, unless the store is full.
 func (c *Client) compareDigests(d distribution.Digests) {
 	c.mu.Lock()
 	services, _, hasAdvanced := c.link.receiver.CompareDigests(d)
-	c.subscriber.MessageReceived(c.now(), len(services) == 0)
+	c.subscriber.MessageReceived(c.now(), len(services) == 0 && !c.link.receiver.IsStoreFull())
 	vector := c.store.Vector().Clone()
 	c.mu.Unlock()
 	if hasAdvanced {
@@ -193,10 +193,11 @@
 }
 
 // acknowledge tells the control process what was received and, if isApplied and everything up to a vector is here, what is
-// applied. Until a batch is complete, rejections are neither logged nor sent.
+// applied. Until a batch is complete, rejections are neither logged nor sent, unless the store is full: then none will be.
 func (c *Client) acknowledge(isApplied bool) {
 	isApplied = isApplied && !c.pending.isIncomplete
-	if isApplied {
+	isStoreFull := c.link != nil && c.link.receiver != nil && c.link.receiver.IsStoreFull()
+	if isApplied || isStoreFull {
 		c.logRejections()
 	}
 	hasNews := c.pending.batchNumber != 0 || c.pending.advancedByDigests
@@ -211,13 +212,17 @@
 	if isApplied {
 		c.mu.Lock()
 		m.Acknowledgement.Applied = c.store.Vector().AheadOf(c.link.reported)
-		m.Acknowledgement.Rejected = c.link.unreportedRejections(c.rejections)
 		c.mu.Unlock()
 		c.link.reported.Join(m.Acknowledgement.Applied)
 		if !c.pending.batchAt.IsZero() {
 			m.ApplyLagMs = time.Since(c.pending.batchAt).Milliseconds()
 		}
 	}
+	if isApplied || isStoreFull {
+		c.mu.Lock()
+		m.Acknowledgement.Rejected = c.link.unreportedRejections(c.rejections)
+		c.mu.Unlock()
+	}
 	c.link.send(m)
 	c.pending.batchNumber, c.pending.advancedByDigests = 0, false
 }
--- a/internal/controlplane/distribution/client/client.go
+++ b/internal/controlplane/distribution/client/client.go
@@ -66,7 +66,7 @@
 		startedAt:  time.Now(),
 		canServe:   make(chan struct{}),
 		events:     make(chan event),
-		store:      distribution.NewStore("", distribution.Limits{}),
+		store:      distribution.NewStore("", config.StoreLimits),
 		rejections: rejections{},
 	}
 	opened, loaded, err := disk.Open(filepath.Join(config.Directory, entriesFile), disk.Options{
--- a/internal/controlplane/distribution/client/config.go
+++ b/internal/controlplane/distribution/client/config.go
@@ -38,9 +38,10 @@
 	CA            string            `toml:"ca"`
 	Plaintext     bool              `toml:"plaintext"` // without TLS, on loopback only
 
-	Name      string           `toml:"-"` // of the node
-	Addresses []netip.AddrPort `toml:"-"`
-	Keys      *mtls.Keys       `toml:"-"` // nil: plaintext
+	Name        string              `toml:"-"` // of the node
+	Addresses   []netip.AddrPort    `toml:"-"`
+	Keys        *mtls.Keys          `toml:"-"` // nil: plaintext
+	StoreLimits distribution.Limits `toml:"-"` // zero: the defaults
 }
 
 // Load reads the file of a node. The error names each fault by file and line.
--- a/internal/controlplane/distribution/control/config.go
+++ b/internal/controlplane/distribution/control/config.go
@@ -60,11 +60,12 @@
 	CA                    string            `toml:"ca"`
 	Plaintext             bool              `toml:"plaintext"` // without TLS, on loopback only
 
-	ListenAddress     netip.AddrPort    `toml:"-"`
-	UpstreamAddresses []netip.AddrPort  `toml:"-"`
-	DiscoveryAddress  netip.AddrPort    `toml:"-"`
-	Ensemble          *zookeeper.Config `toml:"-"`
-	Keys              *mtls.Keys        `toml:"-"` // nil: plaintext
+	ListenAddress     netip.AddrPort      `toml:"-"`
+	UpstreamAddresses []netip.AddrPort    `toml:"-"`
+	DiscoveryAddress  netip.AddrPort      `toml:"-"`
+	Ensemble          *zookeeper.Config   `toml:"-"`
+	Keys              *mtls.Keys          `toml:"-"` // nil: plaintext
+	StoreLimits       distribution.Limits `toml:"-"` // zero: the defaults
 }
 
 // The two ways to follow several upstreams, in the file's words.
--- a/internal/controlplane/distribution/control/counts.go
+++ b/internal/controlplane/distribution/control/counts.go
@@ -13,6 +13,7 @@
 	writes          int
 	changes         int // of writes
 	pulls           int // sent
+	rejectedEntries int // received and not held
 	rejectedPeers   int
 	disconnected    int // slow peers
 }
@@ -34,5 +35,5 @@
 	s.log.Info().Bool("current", isCurrent).Uint64("revision", revision).Int("entries", entries).Int("entry_bytes", bytes).
 		Int("subscribers", subscribers).Int("upstreams", connected).Int("batches", c.sentBatches).Int("bytes", c.sentBytes).
 		Int("received", c.receivedBatches).Int("merged", c.mergedEntries).Int("writes", c.writes).Int("changes", c.changes).Int("pulls", c.pulls).
-		Int("rejected_peers", c.rejectedPeers).Int("slow_disconnected", c.disconnected).Int("disk_pending", s.disk.PendingCount()).Msg("counts")
+		Int("rejected_entries", c.rejectedEntries).Int("rejected_peers", c.rejectedPeers).Int("slow_disconnected", c.disconnected).Int("disk_pending", s.disk.PendingCount()).Msg("counts")
 }
--- a/internal/controlplane/distribution/control/nodes.go
+++ b/internal/controlplane/distribution/control/nodes.go
@@ -165,8 +165,9 @@
 		Revision:          s.store.Vector().Total(),
 		AcknowledgedClock: s.store.Clock(),
 		HasAcknowledged:   s.isCurrent,
-		IsCatchingUp:      !s.isCurrent,
+		IsCatchingUp:      !s.isCurrent || len(s.unheld) > 0,
 		IsConnected:       true,
+		Rejected:          s.unheld,
 	}
 }
 
--- a/internal/controlplane/distribution/control/receive.go
+++ b/internal/controlplane/distribution/control/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"fernvane/internal/controlplane/distribution"
 	"fernvane/internal/controlplane/distribution/wire"
@@ -25,7 +26,7 @@
 		s.publisher.VectorLearned(l.sending, b.Through)
 	}
 	s.passOn(result)
-	s.logRejected(l, result.Rejected)
+	s.recordRejected(l, result.Rejected)
 	acknowledgement := distribution.Acknowledgement{BatchNumber: b.Number, Rejected: wire.TruncateRejections(result.Rejected)}
 	if result.IsComplete {
 		acknowledgement.Applied = s.store.Vector().Clone()
@@ -67,6 +68,7 @@
 	if !isComplete {
 		return
 	}
+	s.unheld = nil
 	l.hasCaughtUp = true
 	s.becomeCurrent(l.peer)
 	if l.deferredPull != nil {
@@ -74,8 +76,16 @@
 	}
 }
 
-// logRejected logs why entries of a batch were rejected, unless the last log of it gave the same reason. s.mu is held.
-func (s *Server) logRejected(l *link, rejected []distribution.Rejection) {
+// recordRejected counts the entries of a batch that were rejected, keeps for the status those for which the store has no room, and logs
+// why the first was rejected, unless the last log gave the same reason. s.mu is held.
+func (s *Server) recordRejected(l *link, rejected []distribution.Rejection) {
+	s.counts.rejectedEntries += len(rejected)
+	for _, r := range rejected {
+		isKnown := slices.ContainsFunc(s.unheld, func(other distribution.Rejection) bool { return other.Key == r.Key })
+		if r.IsStoreFull && !isKnown {
+			s.unheld = wire.TruncateRejections(append(s.unheld, r))
+		}
+	}
 	if len(rejected) == 0 || s.lastRejection == rejected[0].Reason {
 		return
 	}
@@ -97,7 +107,7 @@
 }
 
 // compareDigests compares what is held here with what the peer holds, and asks for what differs. Digests of an upstream count as
-// a complete message, whether or not they were equal or could be compared.
+// a complete message, whether or not they were equal or could be compared, unless the store is full.
 func (s *Server) compareDigests(l *link, m *wire.Digests) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,7 +119,7 @@
 		s.disk.Save(nil, nil, s.store.Vector())
 	}
 	if l.follower != nil {
-		l.follower.subscriber.MessageReceived(s.now(), true)
+		l.follower.subscriber.MessageReceived(s.now(), !l.receiver.IsStoreFull())
 	}
 	if needsServiceDigests || len(services) > 0 {
 		s.counts.pulls++
--- a/internal/controlplane/distribution/control/server.go
+++ b/internal/controlplane/distribution/control/server.go
@@ -38,7 +38,8 @@
 	followers     []*follower
 	links         linkTable
 	nodes         nodeTable
-	lastRejection string // last reason for which entries were rejected, so that it is logged once
+	unheld        []distribution.Rejection // for which the store has no room, since the last complete batch
+	lastRejection string                   // last reason for which entries were rejected, so that it is logged once
 	counts        counts
 }
 
@@ -96,7 +97,7 @@
 func (s *Server) restore(loaded disk.Loaded) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store = distribution.NewStore(s.newOrigin(), distribution.Limits{})
+	s.store = distribution.NewStore(s.newOrigin(), s.config.StoreLimits)
 	s.store.Restore(loaded.Entries, loaded.Vector, loaded.Pruned)
 	s.disk.SetOrigin(s.store.Origin())
 	s.publisher = distribution.NewPublisher(s.store, s.config.budget())
--- /dev/null
+++ b/internal/controlplane/distribution/control/storefull_test.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"testing"
+
+	"fernvane/internal/controlplane/distribution"
+	"fernvane/internal/controlplane/distribution/wire"
+	"fernvane/internal/testbed/standin/address"
+)
+
+// Guards against a control process whose store is full claiming to be current once it has compared digests.
+func TestFullRelayIsNotCurrent(t *testing.T) {
+	t.Parallel()
+	disk, at := disks(t), address.Free(t)
+	a := start(t, settings(t, "a", at, disk("a")))
+	small := settings(t, "r", address.Free(t), disk("r"), at)
+	small.StoreLimits = distribution.Limits{MaxEntries: 2}
+	r := start(t, small)
+	wait(t, "a root", a.isCurrent)
+	write(t, a.at, route("s", "1"), route("s", "2"))
+	agree(t, a, r)
+	ownStatus := func() distribution.NodeStatus {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.ownStatus()
+	}
+	wait(t, "current", func() bool { return r.isCurrent() && !ownStatus().IsCatchingUp })
+	write(t, a.at, route("s", "3"))
+	wait(t, "a status that names the entry", func() bool {
+		s := ownStatus()
+		return s.IsCatchingUp && len(s.Rejected) == 1 && s.Rejected[0].Key == route("s", "3").Key
+	})
+	state := func() distribution.State {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.followers[0].subscriber.State()
+	}
+	wait(t, "behind", func() bool { return state() == distribution.StateBehind })
+	a.mu.Lock()
+	a.links.subscribers["r"].enqueue(&wire.Digests{Digests: distribution.Digests{Total: a.store.TotalDigest(), Through: a.store.Vector().Clone()}})
+	a.mu.Unlock()
+	changed := route("s", "1")
+	changed.Value = []byte("changed")
+	write(t, a.at, changed)
+	wait(t, "the change behind the digests", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		e, _ := r.store.Entry(changed.Key)
+		return string(e.Value) == "changed"
+	})
+	if got := state(); got != distribution.StateBehind {
+		t.Errorf("it is %s with a full store", got)
+	}
+	if s := ownStatus(); !s.IsCatchingUp || len(s.Rejected) != 1 {
+		t.Errorf("its status is %+v", s)
+	}
+}
--- a/internal/controlplane/distribution/receiver.go
+++ b/internal/controlplane/distribution/receiver.go
@@ -78,6 +78,10 @@
 	return result
 }
 
+// IsStoreFull reports whether an entry that came on this connection was rejected for want of room. Then what the sender has is
+// not all held here, whatever comes later.
+func (r *Receiver) IsStoreFull() bool { return r.isStoreFull }
+
 // recordTransfer notes what a batch says of services in full sync.
 func (r *Receiver) recordTransfer(b Batch) {
 	t := &r.transfer
