--- a/internal/journal/wal/recovery.go
+++ b/internal/journal/wal/recovery.go
@@ -3,15 +3,17 @@
 import (
 	"cmp"
 	"time"
+
+	"fernvane/internal/journal/intent"
 )
 
 // recoverFrom is called by the writer when a batch could not be written. It has Append refuse records, and returns when a
 // new segment takes them again or the Log is closed. Each try leaves a segment, empty where only the write failed; in a
 // Log with OnChunk each also numbers and hands on a Gap record.
-func (l *Log) recoverFrom(reason error, lostRecords int) {
+func (l *Log) recoverFrom(reason error, lost []queuedRecord) {
 	l.mu.Lock()
 	l.failure = reason
-	l.countLost(lostRecords)
+	l.countLostBatch(lost)
 	l.mu.Unlock()
 	l.reportHealth(reason)
 	for {
@@ -21,12 +23,16 @@
 		if isClosed {
 			return
 		}
-		if l.createSegment() != nil || l.writeGap() != nil {
+		if l.createSegment() != nil {
+			continue
+		}
+		counted, err := l.writeGap()
+		if err != nil {
 			continue
 		}
 		l.mu.Lock()
 		l.failure = nil
-		l.gap.records = 0
+		l.gap.records -= counted // others may have been lost since
 		l.mu.Unlock()
 		l.reportHealth(nil)
 		return
@@ -45,16 +51,30 @@
 	return isClosed
 }
 
-// writeGap counts the lost records in the new segment, which also shows that the disk takes records. With OmitGaps it
-// writes nothing: only the next batch shows whether the disk takes records.
-func (l *Log) writeGap() error {
+// countLostBatch counts a batch that was not written, and for a Gap record in it those that it counted. mu is held.
+func (l *Log) countLostBatch(batch []queuedRecord) {
+	for i := range batch {
+		r := &batch[i].record
+		if r.Kind != intent.Gap {
+			l.countLost(1)
+			continue
+		}
+		l.countLost(r.Count)
+		l.gap.since = time.Unix(0, r.From)
+	}
+}
+
+// writeGap writes how many records were lost into the new segment, and returns that number. It also shows that the disk takes
+// records. With OmitGaps it writes nothing: only the next batch shows whether the disk takes records.
+func (l *Log) writeGap() (counted int, err error) {
 	if l.options.OmitGaps {
-		return nil
+		return 0, nil
 	}
 	l.mu.Lock()
 	record := l.gapRecord()
 	l.mu.Unlock()
-	return l.writeBatch([]queuedRecord{{record: record, commit: &Commit{}}}) // with a commit, so that it is synced
+	err = l.writeBatch([]queuedRecord{{record: record, commit: &Commit{}}}) // with a commit, so that it is synced
+	return record.Count, err
 }
 
 func (l *Log) reportHealth(failure error) {
--- a/internal/journal/wal/writer.go
+++ b/internal/journal/wal/writer.go
@@ -44,12 +44,12 @@
 	l.mu.Unlock()
 	finish(batch, err)
 	if err != nil {
-		l.recoverFrom(err, len(batch))
+		l.recoverFrom(err, batch)
 	}
 }
 
-// takeBatch takes the queue, after a Gap record where records were lost before it. The count begins again at 0 before the
-// Gap record is written: if that fails, the Gap record counts as one lost record, and those that it counted are forgotten.
+// takeBatch takes the queue, after a Gap record where records were lost before it. The count begins again at 0: if the batch
+// is not written, countLostBatch adds what the Gap record counted.
 func (l *Log) takeBatch() []queuedRecord {
 	l.mu.Lock()
 	defer l.mu.Unlock()
