The cached endpoint list is loaded under its lock

A peer that asked a node for its endpoint list in the node's first moments read what load was writing, without a lock, and could have got a list that nobody has confirmed.

Cause: startSources hands encode to the peers before applyInitialList calls load, which set revision, endpoints and evaluator without mu. load now holds it.

--- a/internal/proxy/endpointcacheload.go
+++ b/internal/proxy/endpointcacheload.go
@@ -36,6 +36,8 @@
 		c.logger.Warn().Err(err).Msg("cached endpoint list not used")
 		return configured, false
 	}
+	c.mu.Lock() // peers may already ask for the list
+	defer c.mu.Unlock()
 	c.lastRevision = snap.Revision
 	l, servers := c.restore(snap)
 	c.evaluator = staleness.New(staleness.CachedList{Age: age, IsCleanShutdown: snap.IsCleanShutdown && isOwn}, c.nodeName, servers)
@@ -60,7 +62,7 @@
 	return nil
 }
 
-// restore takes over the servers of a list, but for those that cannot be used.
+// restore takes over the servers of a list, but for those that cannot be used. mu is held.
 func (c *endpointCache) restore(snap *snapshot.Snapshot) (l http1.EndpointList, servers []staleness.Server) {
 	c.endpoints = map[string]endpoints.Endpoint{}
 	l.Revision = snap.Revision
