--- a/internal/testbed/soak/audit.go
+++ b/internal/testbed/soak/audit.go
@@ -59,7 +59,7 @@
 	broken    map[Rule]int
 	details   []string
 	answers   int
-	crossings []time.Duration // idle times of connections that the node closed as a request was sent
+	crossings []time.Duration // idle times of HTTP connections that the node closed as a request was sent
 	fastCGI   int             // such connections that speak FastCGI, which cannot announce a close
 }
 
@@ -112,16 +112,16 @@
 	a.requests[id].isDropped = true
 }
 
-// Crossed reports a connection that the node closed after it was idle, before or as a request was sent on it.
-func (a *Audit) Crossed(isFastCGI bool, idle time.Duration, what string) {
+// Closed reports a connection that the node closed between two requests. isCrossed says that a request was sent on it then.
+func (a *Audit) Closed(isFastCGI, isCrossed bool, idle time.Duration, when string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case isFastCGI:
+	case !isFastCGI && idle < a.minIdle:
+		a.breakRule(CloseIsKnown, fmt.Sprintf("%s: closed after %s, and the last answer announced no close", when, idle.Round(time.Microsecond)))
+	case isCrossed && isFastCGI:
 		a.fastCGI++
-	case idle < a.minIdle:
-		a.breakRule(CloseIsKnown, fmt.Sprintf("%s: closed after %s, and the last answer announced no close", what, idle.Round(time.Microsecond)))
-	default:
+	case isCrossed:
 		a.crossings = append(a.crossings, idle)
 	}
 }
--- a/internal/testbed/soak/client.go
+++ b/internal/testbed/soak/client.go
@@ -62,7 +62,7 @@
 	defer c.close()
 	for ctx.Err() == nil {
 		if c.conn != nil && !c.conn.IsIdle() {
-			c.crossed("before a request")
+			c.closedBetween(false)
 		}
 		if c.conn == nil && !c.open(ctx) {
 			return
@@ -113,10 +113,11 @@
 	}
 }
 
-// crossed reports that the node has closed the connection between two requests, and gives it up.
-func (c *client) crossed(when string) {
-	what := fmt.Sprintf("client %d, %s, %s after the stop", c.number, when, c.run.sinceStop().Round(time.Millisecond))
-	c.run.audit.Crossed(c.isFastCGI, time.Since(c.answeredAt), what)
+// closedBetween reports that the node has closed the connection between two requests, and gives it up. isCrossed says that a request was
+// sent on it.
+func (c *client) closedBetween(isCrossed bool) {
+	when := fmt.Sprintf("client %d, request sent %v, %s after the stop", c.number, isCrossed, c.run.sinceStop().Round(time.Millisecond))
+	c.run.audit.Closed(c.isFastCGI, isCrossed, time.Since(c.answeredAt), when)
 	c.close()
 }
 
@@ -186,7 +187,7 @@
 		c.run.audit.Broken(rule, "the answer to %s broke off %s after the stop: %v", ids[0], since, err)
 	case isReused:
 		c.run.addUnread(ids)
-		c.crossed("as a request was sent")
+		c.closedBetween(true)
 	default:
 		c.run.addUnread(ids)
 		if !c.run.plan.HasCrowd { // for want of descriptors a new connection may be closed unread
