--- a/internal/proxy/announceclose_test.go
+++ b/internal/proxy/announceclose_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"strings"
 	"syscall"
 	"testing"
@@ -12,7 +13,21 @@
 	"fernvane/internal/protocol/http1"
 )
 
-const smallBufferBytes = 4 << 10 // of the sockets of smallBufferConn
+const (
+	smallBufferBytes = 4 << 10  // of the sockets of smallBufferConn
+	largeBodyBytes   = 60 << 10 // of an answer that those do not hold
+)
+
+// largeBodyServer is a stand-in server that answers each request with a large body.
+func largeBodyServer(t *testing.T) netip.AddrPort {
+	body := strings.Repeat("x", largeBodyBytes)
+	return standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+}
 
 // smallBufferConn returns both ends of a connection that takes in few bytes before a write waits for the reader.
 func smallBufferConn(t *testing.T) (near *net.TCPConn, client *http1.Conn) {
@@ -45,14 +60,7 @@
 // Guards against a stop that begins after an answer was composed closing its connection, though the answer announced no close.
 func TestStopDuringAnswerKeepsConnection(t *testing.T) {
 	t.Parallel()
-	body := strings.Repeat("x", 60<<10)
-	at := standIn(t, func(nc net.Conn) {
-		defer nc.Close()
-		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
-			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		}
-	})
-	cfg := config(http1.Endpoint{ID: "s", Address: at, Size: 1})
+	cfg := config(http1.Endpoint{ID: "s", Address: largeBodyServer(t), Size: 1})
 	for i := range cfg.Settings.TrafficTypes {
 		cfg.Settings.TrafficTypes[i].LatencyObjective, cfg.Settings.TrafficTypes[i].ClientTimeout = time.Minute, time.Minute
 	}
@@ -69,7 +77,7 @@
 		t.Fatal(err)
 	}
 	s.isDraining.Store(true)
-	if r := readReply(t, client); r.Close || len(r.Body) != len(body) {
+	if r := readReply(t, client); r.Close || len(r.Body) != largeBodyBytes {
 		t.Fatalf("%d bytes, close %v", len(r.Body), r.Close)
 	}
 	if r := get(t, client, "/up"); r.Status != 200 || !r.Close {
@@ -111,18 +119,11 @@
 // to a slow reader.
 func TestAnnouncedCloseLingers(t *testing.T) {
 	t.Parallel()
-	body := strings.Repeat("x", 60<<10)
-	at := standIn(t, func(nc net.Conn) {
-		defer nc.Close()
-		for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
-			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		}
-	})
-	cfg := config(http1.Endpoint{ID: "s", Address: at, Size: 1})
+	cfg := config(http1.Endpoint{ID: "s", Address: largeBodyServer(t), Size: 1})
 	cfg.shutdownDelays = shutdownDelays{extraLinger: time.Minute}
 	s := newTestServer(t, cfg)
 	near, client := smallBufferConn(t)
-	near.SetWriteBuffer(4 * len(body)) // the whole answer is written before the client reads any of it
+	near.SetWriteBuffer(4 * largeBodyBytes) // the whole answer is written before the client reads any of it
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -137,8 +138,8 @@
 	for range 3 {
 		client.Write(make([]byte, 100))
 	}
-	if r := readReply(t, client); len(r.Body) != len(body) || !r.Close {
-		t.Errorf("%d bytes of %d, close %v", len(r.Body), len(body), r.Close)
+	if r := readReply(t, client); len(r.Body) != largeBodyBytes || !r.Close {
+		t.Errorf("%d bytes of %d, close %v", len(r.Body), largeBodyBytes, r.Close)
 	}
 	client.Close()
 	<-done
