--- a/review/harness/box.go
+++ b/review/harness/box.go
@@ -18,18 +18,19 @@
 	ran    bool
 }
 
-// box is a stand-in server: one core, first come, first served. While it drains it finishes what it has and turns new work away, as the
-// protocol says.
+// box is a stand-in server: one core, first come, first served. It still answers while it drains, until it is taken away.
 type box struct {
 	id    string
 	speed float64
+	site  int
 	views []string // its address as each node sees it
 	core  sync.Mutex
 
-	mu         sync.Mutex
-	attempts   []attempt
-	isDraining bool
-	resets     int // one booking in so many is reset after it has run; 0: none
+	servers []*http.Server
+
+	mu       sync.Mutex
+	attempts []attempt
+	resets   int // one booking in so many is reset after it has run; 0: none
 }
 
 // newBox starts a box that listens at an address of its own for each node.
@@ -42,6 +43,7 @@
 		}
 		b.views = append(b.views, ln.Addr().String())
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serve(l, view, w, r) }), IdleTimeout: 15 * time.Second}
+		b.servers = append(b.servers, server)
 		go server.Serve(ln)
 	}
 	return b, nil
@@ -57,22 +59,13 @@
 		return
 	}
 	b.mu.Lock()
-	a.ran = !b.isDraining
+	number := len(b.attempts)
 	b.attempts = append(b.attempts, a)
 	b.mu.Unlock()
-	if !a.ran {
-		l.log("%s turns away %s of node %d: it drains", b.id, a.id, view)
-		w.Header().Set("Not-Started", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	work := 26 * time.Millisecond
-	if a.isBook {
-		work = 66 * time.Millisecond
-	}
-	b.core.Lock()
-	time.Sleep(time.Duration(float64(work) / b.speed))
-	b.core.Unlock()
+	b.work(a.isBook)
+	b.mu.Lock()
+	b.attempts[number].ran = true
+	b.mu.Unlock()
 	l.log("%s ran %s of node %d", b.id, a.id, view)
 	if a.isBook && b.isReset() {
 		l.log("%s resets the connection of %s", b.id, a.id)
@@ -98,10 +91,11 @@
 	return b.resets > 0 && rand.IntN(b.resets) == 0
 }
 
-func (b *box) drain() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.isDraining = true
+// takeAway ends the box's process: its connections are reset, and new ones are refused.
+func (b *box) takeAway() {
+	for _, s := range b.servers {
+		s.Close()
+	}
 }
 
 // received returns the attempts so far.
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -10,11 +10,14 @@
 	"time"
 )
 
+// sites are those of hire-northeast. The boxes of a case stand in the first one unless it says otherwise.
+var sites = []string{"scottsdale", "st-helens", "st-marys", "campbell-town"}
+
 // settings returns the settings of a node, with the figures of the site hire-northeast.
 func settings(nodes, me int) map[string]any {
 	return map[string]any{
-		"groupSize": nodes, "me": me, "zone": 0, "granularity": 4, "discovery": "on_request", "weights": "none", "overageRevenue": 0.2,
-		"extra": map[string]any{"warmKeys": true}, "dcs": []string{"scottsdale", "st-helens", "st-marys", "campbell-town"}, "skus": []string{"fast-box", "slow-box"},
+		"groupSize": nodes, "me": me, "zone": me % len(sites), "granularity": 4, "discovery": "on_request", "weights": "none", "overageRevenue": 0.2,
+		"extra": map[string]any{"warmKeys": true}, "dcs": sites, "skus": []string{"fast-box", "slow-box"},
 		"limits": map[string]any{"connIdle": 15000, "connectTimeout": 100, "maxRetryAfter": 0, "mostHops": 4, "retryAfter": false, "secondCopies": false},
 		"rules":  map[string]any{"askWithin": 10000, "cold": 8900, "fallMultiple": 2.5, "startCapacity": 0.3, "stopSendingWithin": 500},
 		"trafficTypes": []map[string]any{
@@ -34,6 +37,7 @@
 
 	mu       sync.Mutex
 	statuses map[string]int
+	foreign  int // answers with status 200 and the body of another request
 	running  sync.WaitGroup
 }
 
@@ -59,8 +63,9 @@
 	r.Header.Set("Affinity-Key", fmt.Sprintf("%08x", rand.IntN(1500)))
 	r.Header.Set("Request-Timeout", fmt.Sprint(timeout))
 	resp, err := c.http.Do(r)
+	var text []byte
 	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
+		text, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
 		status = resp.StatusCode
 	}
@@ -71,6 +76,10 @@
 		c.lab.log("node %d, %s %s: %d", c.node, path, id, status)
 	}
 	c.mu.Lock()
+	if status == http.StatusOK && !strings.HasSuffix(string(text), id) {
+		c.foreign++
+		c.lab.log("node %d, %s: the answer is that of another request: %s", c.node, id, text)
+	}
 	c.statuses[fmt.Sprintf("%s %d", path[1:strings.LastIndex(path, "/")], status)]++
 	c.mu.Unlock()
 	return id, status
@@ -109,3 +118,10 @@
 	defer c.mu.Unlock()
 	return fmt.Sprint(c.statuses)
 }
+
+// foreignAnswers returns how many answers with status 200 had the body of another request.
+func (c *client) foreignAnswers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.foreign
+}
--- a/review/harness/discovery.go
+++ b/review/harness/discovery.go
@@ -120,7 +120,7 @@
 		if m.phase != "SERVING" {
 			left = append(left, m.box.id)
 		}
-		members = append(members, map[string]any{"id": m.box.id, "host_port": m.box.views[node], "locality": "scottsdale", "flavor": "fast-box", "cell": 0,
+		members = append(members, map[string]any{"id": m.box.id, "host_port": m.box.views[node], "locality": sites[m.box.site], "flavor": "fast-box", "cell": 0,
 			"phase": m.phase, "size": 1.0, "up_since_ms": 0})
 	}
 	return map[string]any{"revision": d.revision, "complete": isWhole, "members": members}, left
--- a/review/harness/wholelist.go
+++ b/review/harness/wholelist.go
@@ -19,6 +19,7 @@
 	shrinkBegins    = 9 * time.Second
 	shrinkFor       = 10 * time.Second
 	listOutOfReach  = 22 * time.Second
+	boxesEndAfter   = 4 * time.Second // after the list: the grace, the abandon time, and 1.4 s more
 	observedAfterIt = 15 * time.Second
 )
 
@@ -94,7 +95,6 @@
 		if i > 0 {
 			time.Sleep(shrinkFor / time.Duration(wholeListBoxes-boxesThatStay-1))
 		}
-		b.drain()
 		d.set(b, "DRAINING")
 		l.log("%s begins to drain", b.id)
 		percent.Store(int64(100 * (wholeListBoxes - i - 1) / wholeListBoxes))
@@ -105,7 +105,12 @@
 			return false, err
 		}
 	}
-	time.Sleep(observedAfterIt)
+	time.Sleep(boxesEndAfter) // nothing sent in time is open any more
+	for _, b := range boxes[boxesThatStay:] {
+		b.takeAway()
+		l.log("%s is taken away", b.id)
+	}
+	time.Sleep(observedAfterIt - boxesEndAfter)
 	close(stop)
 	for range clients {
 		<-stopped
