Review case 3: a drain that begins while all planners are away is missed

Cause: a planner that starts anew takes a box from the forwarders' reports that the newer whole list of discovery leaves out.

--- a/review/harness/discovery.go
+++ b/review/harness/discovery.go
@@ -20,7 +20,8 @@
 // is the whole list. A whole list leaves out the boxes that drain.
 type discovery struct {
 	lab       *lab
-	addresses []string // by node
+	addresses []string // by caller: nodes, and planners behind them
+	isOneView bool     // all callers see the boxes at the same addresses
 
 	mu       sync.Mutex
 	members  []*member
@@ -120,7 +121,11 @@
 		if m.phase != "SERVING" {
 			left = append(left, m.box.id)
 		}
-		members = append(members, map[string]any{"id": m.box.id, "host_port": m.box.views[node], "locality": sites[m.box.site], "flavor": "fast-box", "cell": 0,
+		view := node
+		if d.isOneView {
+			view = 0
+		}
+		members = append(members, map[string]any{"id": m.box.id, "host_port": m.box.views[view], "locality": sites[m.box.site], "flavor": "fast-box", "cell": 0,
 			"phase": m.phase, "size": 1.0, "up_since_ms": 0})
 	}
 	return map[string]any{"revision": d.revision, "complete": isWhole, "members": members}, left
--- a/review/harness/lab.go
+++ b/review/harness/lab.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -127,6 +128,7 @@
 	dir    string // disk of the node's machine
 	listen string
 	env    []string
+	run    string // "": the command of a node in the deploy file
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -164,7 +166,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command("/bin/sh", "-c", n.lab.run)
+	cmd := exec.Command("/bin/sh", "-c", cmp.Or(n.run, n.lab.run))
 	cmd.Dir, cmd.Env, cmd.Stdout, cmd.Stderr = n.lab.root, n.env, log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,7 +24,7 @@
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		os.Exit(exitNoCase)
 	}
-	cases := map[string]func(*lab) (bool, error){"returned-holder": returnedHolder, "late-copy": lateCopy, "whole-list": wholeList, "weaker-class": weakerClass}
+	cases := map[string]func(*lab) (bool, error){"returned-holder": returnedHolder, "late-copy": lateCopy, "lost-planners": lostPlanners, "whole-list": wholeList, "weaker-class": weakerClass}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
