--- a/review/harness/lab.go
+++ b/review/harness/lab.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,8 @@
 	dir     string // temporary
 	trouble string // "1": with the disruption
 	started time.Time
+	spawner sync.Once
+	starts  chan func() // run by the spawner's thread
 
 	mu     sync.Mutex
 	record *bufio.Writer
@@ -121,6 +124,22 @@
 	return ln.Addr().String(), nil
 }
 
+// spawn starts a process from a thread that lives as long as the harness, so that the process ends with it.
+func (l *lab) spawn(cmd *exec.Cmd) error {
+	l.spawner.Do(func() {
+		l.starts = make(chan func())
+		go func() {
+			runtime.LockOSThread()
+			for start := range l.starts {
+				start()
+			}
+		}()
+	})
+	result := make(chan error, 1)
+	l.starts <- func() { result <- cmd.Start() }
+	return <-result
+}
+
 // node is a process of the project with its files, which stay the same over restarts.
 type node struct {
 	lab    *lab
@@ -168,7 +187,8 @@
 	defer log.Close()
 	cmd := exec.Command("/bin/sh", "-c", cmp.Or(n.run, n.lab.run))
 	cmd.Dir, cmd.Env, cmd.Stdout, cmd.Stderr = n.lab.root, n.env, log, log
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := n.lab.spawn(cmd); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
