Skip late second copies of server responses instead of passing them on

Cause: an HTTP response does not name its request. TakeIdle preferred connections whose last response was over 5 ms old but handed out a younger one where there was no other, and IsIdle sees only bytes that have arrived. A second copy that was still on its way was read as the response to the next request, and the response proper as that to the one after it.

Change: a response that equals the previous one on its connection is skipped as a copy once the last 16 responses of the servers differ from each other. Until then, after any other status and where servers give equal answers, a connection is not reused for 25 ms; where a server accepts no further connection, the attempt waits for one that rests. FastCGI requests on a connection have successive IDs, and records of the previous request are skipped: the same fault, found by looking at the other protocol. Discovery's answers (revisions) and the framed protocols (sessions) were read and are not affected.

Why it works: the copy is equal to the response before it by definition, and is told by content whenever it comes; where content cannot tell, it has arrived by the time that the connection is used, and IsIdle closes the connection.

Reuse tests of the dispatcher and the proxy wait until connections are settled, or they would have tested nothing; TestTakeIdlePrefersSettledConnections is replaced by TestTakeIdleSettledConnections: its cases hold for connections that identify responses, and are stricter for others.

--- a/internal/protocol/fastcgi/fastcgi_test.go
+++ b/internal/protocol/fastcgi/fastcgi_test.go
@@ -321,3 +321,42 @@
 		}
 	}
 }
+
+// TestSecondCopyOfPreviousResponse guards against a late copy of a response that is read as the response to the next request on
+// the connection.
+func TestSecondCopyOfPreviousResponse(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	responses := make(chan error, 1)
+	go func() {
+		responder := NewClientConn(far, nil)
+		defer responder.AbandonRequests()
+		var previous []byte
+		for range 3 {
+			request, err := responder.NextRequest(nil)
+			if err != nil {
+				responses <- err
+				return
+			}
+			far.Write(previous)
+			previous = request.Append(nil, message.Answer{Status: 200, Body: request.Request.Target})
+			responder.Answer(request, previous)
+		}
+		responses <- nil
+	}()
+	conn := NewServerConn(near, nil, nil)
+	for _, target := range []string{"/check/1", "/check/2", "/check/3"} {
+		request := &message.Request{Method: []byte("GET"), Target: []byte(target)}
+		if isWritten, err := conn.SendRequest(request, time.Minute, "127.0.0.1"); !isWritten {
+			t.Fatal(err)
+		}
+		var r message.Response
+		if err := conn.ReceiveResponse(&r); err != nil || string(r.Body) != target {
+			t.Fatalf("got body %q, error %v, want %q", r.Body, err, target)
+		}
+	}
+	if err := <-responses; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/protocol/fastcgi/serverconn.go
+++ b/internal/protocol/fastcgi/serverconn.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	requestID           = 1                    // ID of the only request that is open on a connection
 	retainedBufferBytes = 8 << 10              // retained between requests; output beyond it is reserved from the budget
 	abortTimeout        = 5 * time.Millisecond // for writing an ABORT_REQUEST record of eight bytes
 	maxStderrBytes      = 64 << 10             // for one request; more is a malformed response
@@ -22,6 +21,8 @@
 type ServerConn struct {
 	net.Conn
 	records       reader
+	requestID     uint16 // of the request that is open, or of the next one
+	previousID    uint16 // of the request before it, 0 if there was none
 	out           []byte
 	reusable      bool
 	budget        *message.BufferBudget
@@ -32,7 +33,7 @@
 // NewServerConn returns a ServerConn for a connection from which nothing has been read. If stderr is not nil, it is called
 // with the text that the responder writes to STDERR, which is valid only during the call.
 func NewServerConn(c net.Conn, budget *message.BufferBudget, stderr func(text []byte)) *ServerConn {
-	return &ServerConn{Conn: c, records: newReader(c), budget: budget, stderr: stderr}
+	return &ServerConn{Conn: c, records: newReader(c), requestID: 1, budget: budget, stderr: stderr}
 }
 
 // IsIdle reports whether the connection is open and has no unread bytes.
@@ -44,6 +45,9 @@
 // HasMore reports whether bytes have arrived behind the response that was read last.
 func (c *ServerConn) HasMore() bool { return c.records.in.Buffered() > 0 || c.HasUnread() }
 
+// IdentifiesResponses reports that records contain the ID of their request.
+func (c *ServerConn) IdentifiesResponses() bool { return true }
+
 // IsReusable reports whether another request may be sent. This requires a complete END_REQUEST of the last request.
 func (c *ServerConn) IsReusable(*message.Response) bool { return c.reusable }
 
@@ -63,18 +67,29 @@
 func (c *ServerConn) SendRequest(r *message.Request, timeLeft time.Duration, clientAddress string) (complete bool, err error) {
 	c.reusable = false
 	seconds := strconv.FormatFloat(float64(max(timeLeft.Milliseconds(), 1))/1000, 'f', 3, 64)
-	buf := appendBegin(c.out[:0], requestID, flagKeep)
-	buf = appendStream(buf, typeParams, requestID, appendParams(nil, r, seconds, clientAddress))
-	buf = appendStream(buf, typeStdin, requestID, r.Body)
+	buf := appendBegin(c.out[:0], c.requestID, flagKeep)
+	buf = appendStream(buf, typeParams, c.requestID, appendParams(nil, r, seconds, clientAddress))
+	buf = appendStream(buf, typeStdin, c.requestID, r.Body)
 	written, err := c.Write(buf)
 	c.out = buf[:0]
 	return written == len(buf), err
 }
 
+// allowReuse selects another ID for the next request, so that a late copy of the previous response is not read as its response.
+// 0 is the ID of management records.
+func (c *ServerConn) allowReuse() {
+	c.reusable = true
+	c.previousID = c.requestID
+	c.requestID++
+	if c.requestID == 0 {
+		c.requestID = 1
+	}
+}
+
 // Abort requests that the responder abort the request. It does not wait for a response.
 func (c *ServerConn) Abort() {
 	c.SetWriteDeadline(time.Now().Add(abortTimeout))
-	c.Write(appendRecord(nil, typeAbort, requestID, nil))
+	c.Write(appendRecord(nil, typeAbort, c.requestID, nil))
 }
 
 // ReceiveResponse reads the complete response. If END_REQUEST states that the responder did not accept the request, the
@@ -94,7 +109,9 @@
 			return err
 		case rec.kind == typeValues, rec.kind == typeUnknown:
 			continue // management record; the deadline of the attempt bounds their number
-		case rec.id != requestID:
+		case rec.id == c.previousID && rec.id != 0:
+			continue // a second copy of the previous response
+		case rec.id != c.requestID:
 			return message.ErrMalformedResponse
 		}
 		switch rec.kind {
@@ -142,7 +159,7 @@
 		if err := response(c.out, r); err != nil {
 			return err
 		}
-		if c.reusable = true; appStatus != 0 && r.Status == 200 {
+		if c.allowReuse(); appStatus != 0 && r.Status == 200 {
 			r.Status = 500 // the responder failed after writing a response
 		}
 		return nil
@@ -150,7 +167,7 @@
 		if len(c.out) > 0 { // the responder has started the request despite the status
 			return message.ErrMalformedResponse
 		}
-		c.reusable = true
+		c.allowReuse()
 		*r = message.Response{Status: 503, Fields: append(r.Fields[:0], message.Field{Name: []byte(message.NotStarted), Value: []byte("1")})}
 		return nil
 	}
--- a/internal/protocol/http1/response.go
+++ b/internal/protocol/http1/response.go
@@ -70,5 +70,8 @@
 // ReceiveResponse reads the response to a request. See ReadResponse for the error.
 func (c *Conn) ReceiveResponse(r *Response) error { return c.ReadResponse(r, MaxResponseBody) }
 
+// IdentifiesResponses reports that a response does not identify its request.
+func (c *Conn) IdentifiesResponses() bool { return false }
+
 // IsReusable reports whether another request may be sent after this response.
 func (c *Conn) IsReusable(r *Response) bool { return !r.Close }
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -148,6 +148,7 @@
 	reused.Conn.(*net.TCPConn).CloseWrite()
 	s.dispatcher.AcquireServerDescriptor()
 	s.dispatcher.PutIdle(serverEndpoints[0].ID, false, reused)
+	settle()
 	req := &http1.Request{Method: []byte("GET"), Target: []byte("/book/1")}
 	request := submitNonIdempotent(s.dispatcher)
 	defer request.Close()
--- a/internal/proxy/dispatch/endpoints_test.go
+++ b/internal/proxy/dispatch/endpoints_test.go
@@ -49,7 +49,7 @@
 				}
 			}
 			d.ApplyList(l, endpoints.SourceDiscovery)
-			if d.TakeIdle("a") != nil {
+			if takeSettled(d, "a") != nil {
 				t.Error("TakeIdle returned an idle connection to the server")
 			}
 			checkNotSent := func(decision Decision) {
@@ -192,7 +192,7 @@
 		d.AcquireServerDescriptor()
 		d.PutIdle(previous, false, http1.NewConn(&closer{name: previous, closed: closed}))
 		d.ApplyList(http1.EndpointList{Endpoints: []http1.Endpoint{loopbackEndpoint(id, 1)}}, endpoints.SourceDiscovery)
-		if got := <-closed; got != previous || d.TakeIdle(previous) != nil {
+		if got := <-closed; got != previous || takeSettled(d, previous) != nil {
 			t.Fatalf("got idle connection to %s closed, want %s", got, previous)
 		}
 		request := submit(d)
--- a/internal/proxy/dispatch/helpers_test.go
+++ b/internal/proxy/dispatch/helpers_test.go
@@ -37,6 +37,17 @@
 	return d
 }
 
+// takeSettled is TakeIdle once the idle connections to a server have been idle for SettleDuration.
+func takeSettled(d *Dispatcher, id string) ServerConn {
+	if s := d.servers.byID[id]; s != nil {
+		for i := range s.idle {
+			s.idle[i].since -= SettleDuration
+			s.idle[i].settledAt -= SettleDuration
+		}
+	}
+	return d.TakeIdle(id)
+}
+
 var lastRequestID int
 
 // submit submits a request with a unique ID. It returns nil if the request is not accepted.
--- a/internal/proxy/dispatch/idle_test.go
+++ b/internal/proxy/dispatch/idle_test.go
@@ -41,7 +41,7 @@
 			conn := &closer{closed: make(chan string, 1)}
 			d.PutIdle("a", false, http1.NewConn(conn))
 			c.do(d)
-			got := d.TakeIdle("a")
+			got := takeSettled(d, "a")
 			if d.DiscoveryFailed(); (got != nil) != c.wantReuse || (len(conn.closed) == 0) != c.wantReuse || (d.budget.free == free) == c.wantReuse {
 				t.Errorf("got connection taken %v, closed %d times, %d of %d descriptors free", got != nil, len(conn.closed), d.budget.free, free)
 			}
@@ -49,27 +49,51 @@
 	}
 }
 
-// TestTakeIdlePrefersSettledConnections checks that TakeIdle prefers connections outside recentUseWindow, since a server may
-// close a connection directly after its response.
-func TestTakeIdlePrefersSettledConnections(t *testing.T) {
+// identifyingConn is a connection whose responses identify their requests.
+type identifyingConn struct{ *http1.Conn }
+
+func (identifyingConn) IdentifiesResponses() bool { return true }
+
+// TestTakeIdleSettledConnections checks that a connection is not reused within SettleDuration of a response, even if there is no
+// other, because a late second copy of that response would be read as the response to the next request. Connections that
+// identify responses are reused at any time; those outside recentUseWindow are preferred, since a server may close a
+// connection directly after its response.
+func TestTakeIdleSettledConnections(t *testing.T) {
+	const unsettled = SettleDuration - 10*time.Millisecond
 	for name, c := range map[string]struct {
-		ages []time.Duration // least recently used first
-		want string
+		ages       []time.Duration // least recently used first
+		identifies bool
+		want       int // -1: none
 	}{
-		"all outside the window":      {[]time.Duration{2 * time.Second, time.Second}, "1"},
-		"one inside the window":       {[]time.Duration{2 * time.Second, time.Second, 0}, "1"},
-		"all inside the window":       {[]time.Duration{time.Millisecond, 0}, "0"},
-		"only one, inside the window": {[]time.Duration{0}, "0"},
+		"all settled":           {[]time.Duration{2 * time.Second, time.Second}, false, 1},
+		"one not settled":       {[]time.Duration{2 * time.Second, time.Second, 0}, false, 1},
+		"none settled":          {[]time.Duration{unsettled, 0}, false, -1},
+		"only one, not settled": {[]time.Duration{0}, false, -1},
+		"identifying responses, all outside the window": {[]time.Duration{2 * time.Second, unsettled}, true, 1},
+		"identifying responses, one inside the window":  {[]time.Duration{2 * time.Second, unsettled, 0}, true, 1},
+		"identifying responses, all inside the window":  {[]time.Duration{time.Millisecond, 0}, true, 0},
+		"identifying responses, only one, inside":       {[]time.Duration{0}, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newTestDispatcher(t, policy.Idempotent, limits, loopbackEndpoint("a", 1))
-			for i, age := range c.ages {
+			s := d.servers.byID["a"]
+			for i := range c.ages {
 				d.AcquireServerDescriptor()
-				d.PutIdle("a", false, http1.NewConn(&closer{name: fmt.Sprint(i)}))
-				d.servers.byID["a"].idle[i].since -= age
+				conn := http1.NewConn(&closer{name: fmt.Sprint(i)})
+				if c.identifies {
+					d.PutIdle("a", false, identifyingConn{conn})
+				} else {
+					d.PutIdle("a", false, conn)
+				}
+			}
+			now := s.idle[len(s.idle)-1].since
+			for i, age := range c.ages {
+				idle := &s.idle[i]
+				idle.settledAt -= idle.since - (now - age)
+				idle.since = now - age
 			}
-			if got := d.TakeIdle("a").(*http1.Conn).Conn.(*closer).name; got != c.want {
-				t.Errorf("got connection %s", got)
+			if got := s.reusableIdle(now); got != c.want {
+				t.Errorf("got connection %d, want %d", got, c.want)
 			}
 		})
 	}
@@ -88,7 +112,7 @@
 		"idle when it drains": {func(d *Dispatcher, c ServerConn) { d.PutIdle("a", false, c); drain(d) }, true},
 		"used until after it drains": {func(d *Dispatcher, c ServerConn) {
 			d.PutIdle("a", false, c)
-			d.TakeIdle("a")
+			takeSettled(d, "a")
 			drain(d)
 			d.PutIdle("a", false, c)
 		}, true},
@@ -98,7 +122,7 @@
 			d.PutIdle("a", false, c)
 			d.ApplyList(fullList(loopbackEndpoint("b", 2)), endpoints.SourceDiscovery)
 		}, true},
-		"in use while it drains, not yet idle": {func(d *Dispatcher, c ServerConn) { d.PutIdle("a", false, c); d.TakeIdle("a"); drain(d) }, false},
+		"in use while it drains, not yet idle": {func(d *Dispatcher, c ServerConn) { d.PutIdle("a", false, c); takeSettled(d, "a"); drain(d) }, false},
 		"another server drains": {func(d *Dispatcher, c ServerConn) {
 			d.PutIdle("a", false, c)
 			d.ApplyList(http1.EndpointList{Endpoints: []http1.Endpoint{{ID: "b", Condition: http1.Draining}}}, endpoints.SourceDiscovery)
--- a/internal/proxy/dispatch/retention_test.go
+++ b/internal/proxy/dispatch/retention_test.go
@@ -42,7 +42,7 @@
 			put("idle before")
 			d.ApplyList(http1.EndpointList{Endpoints: []http1.Endpoint{{ID: "a", Condition: http1.Draining}}}, endpoints.SourceDiscovery)
 			put("idle after")
-			if isKept := d.TakeIdle("a") != nil; isKept != c.isKept || (len(closed) == 0) != c.isKept {
+			if isKept := takeSettled(d, "a") != nil; isKept != c.isKept || (len(closed) == 0) != c.isKept {
 				t.Errorf("got connection kept %v and %d connections closed", isKept, len(closed))
 			}
 		})
--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -145,6 +145,9 @@
 	return http1.Endpoint{ID: "s", Address: at, Weight: 1}, begun, func() { close(released) }
 }
 
+// settle waits until idle connections to servers may be reused.
+func settle() { time.Sleep(2 * dispatch.SettleDuration) }
+
 func await(t *testing.T, what string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
--- a/internal/proxy/listener_test.go
+++ b/internal/proxy/listener_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"fernvane/internal/protocol/http1"
 	"fernvane/internal/proxy/dispatch"
 	"fernvane/internal/proxy/engine"
 )
@@ -83,7 +82,7 @@
 	defer request.Close()
 	d := request.NextDecision(func() {})
 	conn, _, end := node.connect(t.Context(), d, time.Now().Add(time.Minute))
-	if end != dispatch.Succeeded || !isNoDelay(t, conn.(*http1.Conn).Conn.(*net.TCPConn)) {
+	if end != dispatch.Succeeded || !isNoDelay(t, conn.(*httpUpstream).Conn.Conn.(*net.TCPConn)) {
 		t.Errorf("connect result %s, want Succeeded with TCP_NODELAY set on the server connection", end)
 	}
 	conn.Close()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -36,6 +36,7 @@
 	peers           *peer.Node
 	distribution    *distributionApplier
 	dialer          net.Dialer
+	responses       responseHistory // of servers that speak HTTP
 	startedAt       time.Time
 	clientTasks     errgroup.Group // one per HTTP connection, per FastCGI connection, per FastCGI request, and per hedged request
 
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"syscall"
 	"time"
 
@@ -20,7 +19,7 @@
 
 // upstreamConn is a connection to a server, in the protocol of the server. One attempt at a time uses it.
 type upstreamConn interface {
-	io.Closer
+	dispatch.ServerConn
 	SetDeadline(time.Time) error
 	// IsIdle reports whether the connection is open and has no received bytes.
 	IsIdle() bool
@@ -35,21 +34,37 @@
 	IsReusable(r *message.Response) bool
 }
 
-// connect takes an idle connection to a server or opens a new one. It closes idle connections that the server has closed or has sent
-// unsolicited bytes on. If conn is nil, result is the result of the attempt.
+// connect takes an idle connection to a server or opens a new one. If the server accepts no further connection, it waits for the idle
+// ones that have not settled yet. If conn is nil, result is the result of the attempt.
 func (s *Server) connect(ctx context.Context, d dispatch.Decision, deadline time.Time) (conn upstreamConn, isReused bool, result dispatch.AttemptResult) {
-	for idle := s.dispatcher.TakeIdle(d.Server); idle != nil; idle = s.dispatcher.TakeIdle(d.Server) {
+	if conn := s.reuse(func() dispatch.ServerConn { return s.dispatcher.TakeIdle(d.Server) }); conn != nil {
+		return conn, true, dispatch.Succeeded
+	}
+	if !s.dispatcher.AcquireServerDescriptor() {
+		return nil, false, dispatch.NoDescriptor
+	}
+	if conn, result = s.dial(ctx, d, deadline); result != dispatch.ConnectRefused {
+		return conn, false, result
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if conn := s.reuse(func() dispatch.ServerConn { return s.dispatcher.AwaitIdle(ctx, d.Server) }); conn != nil {
+		return conn, true, dispatch.Succeeded
+	}
+	return nil, false, result
+}
+
+// reuse returns the first connection from take that is idle, or nil once take returns nil. It closes connections that the server has closed
+// or has sent unsolicited bytes on.
+func (s *Server) reuse(take func() dispatch.ServerConn) upstreamConn {
+	for idle := take(); idle != nil; idle = take() {
 		if conn := idle.(upstreamConn); conn.IsIdle() {
-			return conn, true, dispatch.Succeeded
+			return conn
 		}
 		idle.Close()
 		s.dispatcher.ReleaseServerDescriptor()
 	}
-	if !s.dispatcher.AcquireServerDescriptor() {
-		return nil, false, dispatch.NoDescriptor
-	}
-	conn, result = s.dial(ctx, d, deadline)
-	return conn, false, result
+	return nil
 }
 
 // dial opens a connection to a server. The caller has acquired a descriptor for it, which dial releases if it fails.
@@ -66,7 +81,7 @@
 		return nil, connectResult(err, dialDeadline.Equal(deadline))
 	}
 	if !d.IsFastCGI {
-		return http1.NewConnWithBudget(nc, s.dispatcher.MessageBudget()), dispatch.Succeeded
+		return &httpUpstream{Conn: http1.NewConnWithBudget(nc, s.dispatcher.MessageBudget()), history: &s.responses}, dispatch.Succeeded
 	}
 	return fastcgi.NewServerConn(nc, s.dispatcher.MessageBudget(), func(text []byte) {
 		s.logger.Warn().Str("server", d.Server).Bytes("stderr", text[:min(len(text), maxLoggedTextBytes)]).Msg("FastCGI server wrote to standard error")
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -68,6 +68,7 @@
 			t.Errorf("got status %d, want 200", r.Status)
 		}
 		<-closed
+		settle()
 	}
 }
 
@@ -112,6 +113,7 @@
 			}
 			close(passed)
 			<-sent
+			settle()
 			if r := get(t, client, "/book/1"); r.Status != 200 || string(r.Body) != "on" || received.Load() != 2 {
 				t.Errorf("next request: got status %d, body %q after %d requests, want 200 \"on\" after 2", r.Status, r.Body, received.Load())
 			}
--- a/internal/testbed/faultservers.go
+++ b/internal/testbed/faultservers.go
@@ -37,12 +37,14 @@
 		m.Crash()
 		env.serverCrashed(m, f.For.Std())
 	}),
-	"cut-before": requestShare(func(faults *server.Faults, share float64) { faults.CutBefore = share }),
-	"cut-within": requestShare(func(faults *server.Faults, share float64) { faults.CutWithin = share }),
-	"cut-after":  requestShare(func(faults *server.Faults, share float64) { faults.CutAfter = share }),
-	"refuse":     requestShare(func(faults *server.Faults, share float64) { faults.Reject = share }),
-	"error":      requestShare(func(faults *server.Faults, share float64) { faults.ErrorResponse = share }),
-	"spoil":      requestShare(func(faults *server.Faults, share float64) { faults.GarbleResponse = share }),
+	"cut-before":    requestShare(func(faults *server.Faults, share float64) { faults.CutBefore = share }),
+	"cut-within":    requestShare(func(faults *server.Faults, share float64) { faults.CutWithin = share }),
+	"cut-after":     requestShare(func(faults *server.Faults, share float64) { faults.CutAfter = share }),
+	"refuse":        requestShare(func(faults *server.Faults, share float64) { faults.Reject = share }),
+	"error":         requestShare(func(faults *server.Faults, share float64) { faults.ErrorResponse = share }),
+	"spoil":         requestShare(func(faults *server.Faults, share float64) { faults.GarbleResponse = share }),
+	"late-copies":   copyFault(func(faults *server.Faults, share float64) { faults.CopyResponse = share }),
+	"late-refusals": copyFault(func(faults *server.Faults, share float64) { faults.CopyRejection = share }),
 	"cut-site": func(env *environment, _ context.Context, f *scenario.Fault, _ *rand.Rand) {
 		cut := slices.Index(env.Scenario.Sites, f.Site)
 		servers := slices.Clone(env.servers)
@@ -112,6 +114,18 @@
 	}
 }
 
+// copyFault returns a fault like requestShare that also sets the delay of second copies to the size of the fault, in milliseconds.
+func copyFault(set func(*server.Faults, float64)) faultFunc {
+	setShare := requestShare(set)
+	return func(env *environment, ctx context.Context, f *scenario.Fault, rng *rand.Rand) {
+		delay := time.Duration(f.Size * float64(time.Millisecond))
+		for _, m := range env.servers {
+			m.ChangeFaults(func(faults *server.Faults) { faults.CopyDelay = delay })
+		}
+		setShare(env, ctx, f, rng)
+	}
+}
+
 // chosenServers returns the servers that a fault names, or a random share of all.
 func (env *environment) chosenServers(f *scenario.Fault, rng *rand.Rand) (chosen []*standinServer) {
 	if len(f.Servers) == 0 {
--- a/internal/testbed/scenario/faults.go
+++ b/internal/testbed/scenario/faults.go
@@ -43,6 +43,8 @@
 	{"refuse", "boxes reject requests before executing them", servers, true, "", "of requests"},
 	{"error", "boxes answer with status 500 after processing", servers, true, "", "of requests"},
 	{"spoil", "answers are random bytes, or have endless headers or wrong lengths", servers, true, "", "of requests"},
+	{"late-copies", "boxes send answers a second time Size milliseconds later, unless the next request has arrived", servers, true, "milliseconds", "of requests"},
+	{"late-refusals", "boxes send rejections a second time Size milliseconds later, unless the next request has arrived", servers, true, "milliseconds", "of requests"},
 	{"cut-site", "links between a site and all others are cut", site, true, "", ""},
 	{"lose-site", "a site's boxes crash without notification and restart cold", site, true, "", ""},
 	{"shrink", "traffic falls to Size of its rate, and boxes drain until the same share of them remains", noTarget, true, "share", ""},
--- a/internal/testbed/standin/server/peer.go
+++ b/internal/testbed/standin/server/peer.go
@@ -23,11 +23,13 @@
 	disconnected() bool
 	setReadDeadline(until time.Time)
 	reset()
+	state() *connState
 }
 
 type httpPeer struct {
-	nc *link.Conn
-	c  *http1.Conn
+	nc   *link.Conn
+	c    *http1.Conn
+	conn *connState
 }
 
 func (p httpPeer) encode(a message.Answer) []byte  { return http1.AppendAnswer(nil, a) }
@@ -35,6 +37,7 @@
 func (p httpPeer) setReadDeadline(until time.Time) { p.c.SetReadDeadline(until) }
 func (p httpPeer) disconnected() bool              { return p.c.WaitDisconnected() }
 func (p httpPeer) reset()                          { p.nc.Reset() }
+func (p httpPeer) state() *connState               { return p.conn }
 
 func (p httpPeer) answer(a message.Answer) bool {
 	isComplete, _ := p.c.Send(p.encode(a))
@@ -54,15 +57,17 @@
 }
 
 type fastCGIPeer struct {
-	nc *link.Conn
-	f  *fastcgi.ClientConn
-	c  *fastcgi.Request
+	nc   *link.Conn
+	f    *fastcgi.ClientConn
+	c    *fastcgi.Request
+	conn *connState
 }
 
 func (p fastCGIPeer) encode(a message.Answer) []byte  { return p.c.Append(nil, a) }
 func (p fastCGIPeer) writeRaw(b []byte)               { p.nc.Write(b) }
 func (p fastCGIPeer) setReadDeadline(until time.Time) { p.nc.SetReadDeadline(until) }
 func (p fastCGIPeer) reset()                          { p.nc.Reset() }
+func (p fastCGIPeer) state() *connState               { return p.conn }
 func (p fastCGIPeer) answer(a message.Answer) bool    { return p.f.Answer(p.c, p.encode(a)) == nil }
 
 // disconnected treats any further input as the end of the request: an abort or a close.
@@ -103,6 +108,8 @@
 func (s *Server) serveFastCGI(nc *link.Conn, latency time.Duration, full bool) {
 	f := fastcgi.NewClientConn(nc, nil)
 	defer f.AbandonRequests()
+	conn := &connState{}
+	defer conn.copies.Wait()
 	last := uint64(0) // ID of the last request on the connection
 	for fresh := true; ; fresh = false {
 		idle := s.now()
@@ -111,7 +118,7 @@
 		if err != nil {
 			return
 		}
-		p := fastCGIPeer{nc, f, call}
+		p := fastCGIPeer{nc, f, call, conn}
 		if call.RequestError != nil {
 			p.answer(message.Answer{Status: call.RequestError.Status})
 			return
--- a/internal/testbed/standin/server/request.go
+++ b/internal/testbed/standin/server/request.go
@@ -29,6 +29,8 @@
 		return
 	}
 	c := http1.NewConn(nc)
+	conn := &connState{}
+	defer conn.copies.Wait()
 	var req http1.Request
 	last := uint64(0) // ID of the last request on the connection
 	for fresh := true; ; fresh = false {
@@ -47,7 +49,7 @@
 			return
 		}
 		last = idOf(&req)
-		if !s.serveRequest(httpPeer{nc, c}, &req, first, nc.Received().Sub(s.start), latency, fresh, full) || full {
+		if !s.serveRequest(httpPeer{nc, c, conn}, &req, first, nc.Received().Sub(s.start), latency, fresh, full) || full {
 			return
 		}
 	}
@@ -84,6 +86,7 @@
 		return p.answer(message.Answer{Status: 400, Body: []byte("nobody has sent this request")})
 	}
 	wait(latency)
+	p.state().requestArrived()
 	s.mu.Lock()
 	faults, draining := s.faults, s.draining
 	s.mu.Unlock()
@@ -93,7 +96,7 @@
 		return false
 	}
 	if full || draining || isHit(id, "refuse", faults.Reject) {
-		return s.reject(p, id, 503)
+		return s.reject(p, id, 503, latency, faults)
 	}
 	timeout, err := strconv.ParseFloat(string(req.Get(http1.RequestTimeout)), 64)
 	if err != nil {
@@ -106,7 +109,7 @@
 	current := &attempt{id: id, ended: make(chan Step, 1)}
 	switch s.offer(current, Work{Work: work, Key: info.Key, Deadline: last + time.Duration(timeout*float64(time.Second))}) {
 	case Full:
-		return s.reject(p, id, 503)
+		return s.reject(p, id, 503, latency, faults)
 	case Down:
 		p.reset()
 		return false
@@ -114,7 +117,7 @@
 	step, isReported := s.work(p, current)
 	switch step {
 	case Expired:
-		return s.reject(p, id, 504)
+		return s.reject(p, id, 504, latency, faults)
 	case Lost:
 		if !isReported {
 			s.watcher.AttemptEnded(id, s.Number, s.now(), false)
@@ -126,7 +129,7 @@
 	if !isReported {
 		s.watcher.AttemptEnded(id, s.Number, s.now(), false)
 	}
-	return s.reply(p, id, text, faults)
+	return s.reply(p, id, text, latency, faults)
 }
 
 // offer offers an attempt to the model. If the process does not run, it reports the end of the attempt; if the attempt overloads
@@ -188,15 +191,16 @@
 }
 
 // reject responds that the request was not executed.
-func (s *Server) reject(p peer, id uint64, status int) bool {
+func (s *Server) reject(p peer, id uint64, status int, latency time.Duration, f Faults) bool {
 	s.watcher.AttemptEnded(id, s.Number, s.now(), true)
-	return p.answer(message.Answer{Status: status, Fields: []message.Field{{Name: []byte(message.NotStarted), Value: []byte("1")}}})
+	a := message.Answer{Status: status, Fields: []message.Field{{Name: []byte(message.NotStarted), Value: []byte("1")}}}
+	return s.answerTwice(p, id, a, latency, f.CopyRejection, f.CopyDelay)
 }
 
 var filler = bytes.Repeat([]byte{'.'}, fillerBytes)
 
 // reply responds to an executed request. The body begins with the request ID.
-func (s *Server) reply(p peer, id uint64, text string, f Faults) bool {
+func (s *Server) reply(p peer, id uint64, text string, latency time.Duration, f Faults) bool {
 	if isHit(id, "error", f.ErrorResponse) {
 		return p.answer(message.Answer{Status: 500, Body: []byte("it failed")})
 	}
@@ -212,5 +216,5 @@
 		p.disconnected()
 		return false
 	}
-	return p.answer(a) && !isHit(id, "cut-after", f.CutAfter)
+	return s.answerTwice(p, id, a, latency, f.CopyResponse, f.CopyDelay) && !isHit(id, "cut-after", f.CutAfter)
 }
--- a/internal/testbed/standin/server/server.go
+++ b/internal/testbed/standin/server/server.go
@@ -45,7 +45,7 @@
 	Cell   int
 }
 
-// Faults are the shares of requests that faults hit. The request ID decides which ones.
+// Faults are the shares of requests that faults hit. The request ID decides which ones. Second copies are those of sendCopy.
 type Faults struct {
 	CutBefore      float64 // connection reset before execution
 	CutWithin      float64 // connection closed in the middle of the response
@@ -53,6 +53,9 @@
 	Reject         float64 // status 503 before execution
 	ErrorResponse  float64 // status 500 after execution
 	GarbleResponse float64 // malformed response
+	CopyResponse   float64 // a second copy of the response, CopyDelay after the first
+	CopyRejection  float64 // a second copy of a rejection, likewise
+	CopyDelay      time.Duration
 }
 
 // Server responds to requests by its Model. It has a listener for each site of callers, so that sites can be cut off. Its
--- a/internal/testbed/standin/server/server_test.go
+++ b/internal/testbed/standin/server/server_test.go
@@ -237,3 +237,37 @@
 		t.Errorf("got further idle report %q", <-w.idle)
 	}
 }
+
+// TestSecondCopies checks that a response or rejection that a fault hits arrives twice while nothing else waits on the connection.
+// A busy machine may delay a copy beyond maxCopyOverdue, so the request is repeated until a copy arrives.
+func TestSecondCopies(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults Faults
+		status int
+	}{
+		"of a response":  {Faults{CopyResponse: 1, CopyDelay: ms}, 200},
+		"of a rejection": {Faults{Reject: 1, CopyRejection: 1, CopyDelay: ms}, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := start(t, Settings{Cores: 1, Speed: 1, Queue: 9})
+			s.ChangeFaults(func(f *Faults) { *f = c.faults })
+			for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); {
+				conn := dial(t, s.Address(0))
+				send(conn, knownID)
+				var first, second http1.Response
+				if err := conn.ReadResponse(&first, 1<<20); err != nil || first.Status != c.status {
+					t.Fatalf("got status %d, error %v, want status %d", first.Status, err, c.status)
+				}
+				body := string(first.Body)
+				conn.SetReadDeadline(time.Now().Add(200 * ms))
+				if conn.ReadResponse(&second, 1<<20) == nil {
+					if second.Status != c.status || string(second.Body) != body {
+						t.Errorf("second copy: got status %d, body %q, want %d %q", second.Status, second.Body, c.status, body)
+					}
+					return
+				}
+			}
+			t.Error("got no second copy within 10 s")
+		})
+	}
+}
