Offer records anew to a replica holder that returns before its connections end

Cause: an origin knew holders by name. The holder stayed in sync with the ranges that its former incarnation had acknowledged.

Change: the origin records the incarnation of each holder and offers its records again when it changes. Connections to an earlier process are closed when a later one connects (logged), and Inventories and Acks that still arrive on them are dropped. A node whose clock was set back reports its later incarnation after the handshake; the connection takes it over from that report.

Related paths: ReplicaTable compares incarnations already, but took late replies of an earlier process (dropped now), and so did copies (their Acks). The distribution and planners keep state by connection and subscription: read, not affected.

--- a/internal/cluster/peer/connection.go
+++ b/internal/cluster/peer/connection.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fernvane/internal/cluster/framing"
+	"fernvane/internal/cluster/membership"
 )
 
 const (
@@ -16,6 +17,7 @@
 type connection struct {
 	conn        *framing.Conn
 	name        string        // of the other node
+	incarnation int64         // of the other node's process, as it last reported it; guarded by the Node's lock
 	isDialed    bool          // opened by this node
 	lastWanted  time.Duration // of a dialed connection; guarded by the Node's lock
 	pendingAcks chan pendingAck
@@ -28,10 +30,11 @@
 	isClosed    bool
 }
 
-func newConnection(conn *framing.Conn, name string, isDialed bool) *connection {
+func newConnection(conn *framing.Conn, remote membership.Member, isDialed bool) *connection {
 	return &connection{
 		conn:        conn,
-		name:        name,
+		name:        remote.Name,
+		incarnation: remote.Incarnation,
 		isDialed:    isDialed,
 		pendingAcks: make(chan pendingAck, maxPendingAcks),
 		wake:        make(chan struct{}, 1),
--- a/internal/cluster/peer/connections.go
+++ b/internal/cluster/peer/connections.go
@@ -84,10 +84,40 @@
 	c.lastWanted = now
 	n.table.Connected(now, c.name)
 	n.connections.add(c)
+	n.closeSuperseded(c)
 	n.table.MergeMembers(now, c.name, []membership.Member{remote})
 	n.applyChanges(now)
 }
 
+// updateIncarnation records the incarnation that the other node reports of itself: a node whose clock was set back starts a
+// later one after the handshake. mu must be held.
+func (n *Node) updateIncarnation(c *connection, members []membership.Member) {
+	for _, m := range members {
+		if m.Name == c.name && m.Incarnation > c.incarnation {
+			c.incarnation = m.Incarnation
+			n.closeSuperseded(c)
+		}
+	}
+}
+
+// closeSuperseded closes the connections to earlier processes of a connection's node. Such a process is gone, but its
+// connections stay open and silent if its machine has vanished. mu must be held.
+func (n *Node) closeSuperseded(by *connection) {
+	for _, c := range n.connections.open[by.name] {
+		if c.incarnation < by.incarnation {
+			n.log.Info().Str("peer", by.name).Int64("incarnation", by.incarnation).Msg("node restarted, closing connection to its earlier process")
+			go c.close()
+		}
+	}
+}
+
+// isSuperseded reports whether a later process of a connection's node is known. What the earlier process has stored may be
+// lost, so its replies are outdated. mu must be held.
+func (n *Node) isSuperseded(c *connection) bool {
+	m, ok := n.table.Get(c.name)
+	return ok && c.incarnation < m.Incarnation
+}
+
 // handleDuplicateName notifies another process that uses this node's name. The connection is not used otherwise. It
 // locks mu.
 func (n *Node) handleDuplicateName(c *connection, remote membership.Member) {
--- a/internal/cluster/peer/handshake.go
+++ b/internal/cluster/peer/handshake.go
@@ -86,7 +86,7 @@
 	if err := conn.Send(introKind, intro{Deployment: n.cfg.Deployment, Member: n.self()}); err != nil {
 		return err
 	}
-	return n.serveNode(newConnection(conn, caller.Member.Name, false), caller.Member)
+	return n.serveNode(newConnection(conn, caller.Member, false), caller.Member)
 }
 
 // isAtConnectionLimit reports whether too many nodes are connected to accept one that is not connected yet. It locks
@@ -102,7 +102,7 @@
 	conn, remote, err := dial(ctx, n.cfg, n.cfg.ListenAddress.Addr(), address, n.name, n.self())
 	if err == nil {
 		defer context.AfterFunc(ctx, func() { conn.Close() })()
-		err = n.serveNode(newConnection(conn, remote.Member.Name, true), remote.Member)
+		err = n.serveNode(newConnection(conn, remote.Member, true), remote.Member)
 	}
 	if ctx.Err() == nil {
 		n.log.Debug().Err(err).Str("address", address).Msg("dialed connection ended")
--- a/internal/cluster/peer/helpers_test.go
+++ b/internal/cluster/peer/helpers_test.go
@@ -57,6 +57,16 @@
 
 // startWith starts a node that reconciles journals of lost machines from a file of execution records.
 func startWith(t *testing.T, name, dir, file string, seeds ...string) *testNode {
+	t.Helper()
+	return startConfigured(t, name, dir, func(cfg *Config) {
+		if file != "" {
+			cfg.ExecutionRecords = []string{file}
+		}
+	}, seeds...)
+}
+
+// startConfigured starts a node whose configuration configure has changed.
+func startConfigured(t *testing.T, name, dir string, configure func(*Config), seeds ...string) *testNode {
 	t.Helper()
 	if dir == "" {
 		dir = t.TempDir()
@@ -81,9 +91,7 @@
 		RetentionAge:         tomlfile.Duration(time.Hour),
 		Plaintext:            true,
 	}
-	if file != "" {
-		cfg.ExecutionRecords = []string{file}
-	}
+	configure(cfg)
 	n, err := New(cfg, name, nil, zerolog.New(io.Discard))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/cluster/peer/message_test.go
+++ b/internal/cluster/peer/message_test.go
@@ -42,7 +42,7 @@
 		table, replicas := membership.New(membership.Member{Name: "n", Incarnation: 1}), replication.NewReplicaTable(replication.Candidate{Name: "n"}, 2, 1<<20, 0)
 		origin := replication.NewOrigin(0, replication.Stream{Name: "n", Incarnation: 1}, replication.Candidate{Name: "n"}, 1, time.Millisecond)
 		origin.SetCandidates(0, []replication.Candidate{{Name: "a", Machine: "a", IsHealthy: true}})
-		origin.Connected(0, "a")
+		origin.Connected(0, "a", 1)
 		table.Connected(time.Second, "a")
 		switch m := message.(type) {
 		case *replication.Offer:
--- a/internal/cluster/peer/session.go
+++ b/internal/cluster/peer/session.go
@@ -84,10 +84,13 @@
 			n.earlyOffers = append(n.earlyOffers, earlyOffer{from: c.name, offer: m})
 		}
 	case *replication.Inventory:
-		n.handleReplicationReply(now, c.name, m)
+		n.handleReplicationReply(now, c, m)
 	case *replication.Ack:
-		n.handleReplicationReply(now, c.name, m)
+		n.handleReplicationReply(now, c, m)
 		n.acknowledgeCopiedBatch(c.name, m)
+	case *membership.Update:
+		n.updateIncarnation(c, m.Members)
+		n.send(now, n.table.HandleMessage(now, c.name, m))
 	default:
 		n.send(now, n.table.HandleMessage(now, c.name, m))
 	}
@@ -97,11 +100,15 @@
 	}
 }
 
-func (n *Node) handleReplicationReply(now time.Duration, from string, message any) {
+// handleReplicationReply passes an Inventory or an Ack to replication, unless it is outdated. mu must be held.
+func (n *Node) handleReplicationReply(now time.Duration, c *connection, message any) {
+	if n.isSuperseded(c) {
+		return
+	}
 	if n.origin != nil {
-		n.send(now, n.origin.HandleMessage(now, from, message))
+		n.send(now, n.origin.HandleMessage(now, c.name, message))
 	}
-	n.replicas.HandleMessage(now, from, message)
+	n.replicas.HandleMessage(now, c.name, message)
 }
 
 // signalFirstUpdate unblocks Join. mu must be held.
--- a/internal/cluster/peer/tick.go
+++ b/internal/cluster/peer/tick.go
@@ -78,7 +78,8 @@
 	}
 	for _, name := range n.origin.WantedConnections() {
 		if n.connections.isOpen(name) {
-			n.send(now, n.origin.Connected(now, name))
+			member, _ := n.table.Get(name)
+			n.send(now, n.origin.Connected(now, name, member.Incarnation))
 		} else {
 			n.connections.want(name, now+connectionReviewInterval)
 		}
--- a/internal/cluster/replication/holder.go
+++ b/internal/cluster/replication/holder.go
@@ -109,6 +109,7 @@
 	state        holderState
 	stateSince   time.Duration
 	isConnected  bool
+	incarnation  int64 // of the node when it was last connected; 0 before that
 	offeredAt    time.Duration
 	rejectReason string
 
--- a/internal/cluster/replication/origin_test.go
+++ b/internal/cluster/replication/origin_test.go
@@ -18,6 +18,7 @@
 	replicas    map[string]*ReplicaTable
 	connected   map[string]bool
 	alive       map[string]bool
+	incarnation map[string]int64
 	partitioned map[string]bool
 	inFlight    []Outgoing // from the origin to holders
 	replies     []reply    // from holders to the origin
@@ -39,6 +40,7 @@
 		replicas:    map[string]*ReplicaTable{},
 		connected:   map[string]bool{},
 		alive:       map[string]bool{},
+		incarnation: map[string]int64{},
 		partitioned: map[string]bool{},
 	}
 	s.origin = NewOrigin(0, Stream{Name: "n0", Incarnation: 1}, all[0], required, 50*time.Millisecond)
@@ -51,6 +53,7 @@
 
 func (s *simulation) start(c Candidate) {
 	s.alive[c.Name] = true
+	s.incarnation[c.Name]++
 	table := NewReplicaTable(c, s.origin.required, 1<<40, 0)
 	for _, r := range s.disk[c.Name] {
 		table.RecordsStored(s.origin.stream, r.From, r.To, 0, 0)
@@ -79,13 +82,21 @@
 	}
 }
 
+// restartUnnoticed restarts a node whose connection with the origin stays open, as when its machine vanishes and returns before
+// the silence is noticed. Messages in flight are lost.
+func (s *simulation) restartUnnoticed(c Candidate) {
+	s.inFlight = slices.DeleteFunc(s.inFlight, func(o Outgoing) bool { return o.To == c.Name })
+	s.replies = slices.DeleteFunc(s.replies, func(a reply) bool { return a.from == c.Name })
+	s.start(c)
+}
+
 // step advances the time, opens wanted connections and, with deliver, delivers the messages in flight.
 func (s *simulation) step(d time.Duration, deliver bool) {
 	s.now += d
 	for _, name := range s.origin.WantedConnections() {
 		if s.alive[name] && !s.partitioned[name] {
 			s.connected[name] = true
-			s.send(s.origin.Connected(s.now, name))
+			s.send(s.origin.Connected(s.now, name, s.incarnation[name]))
 		}
 	}
 	s.send(s.origin.Tick(s.now))
@@ -168,7 +179,7 @@
 		}
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
 			name := rapid.SampledFrom(s.candidates[1:]).Draw(t, "node").Name
-			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			switch rapid.IntRange(0, 10).Draw(t, "what") {
 			case 0, 1, 2:
 				n := rapid.IntRange(1, 5).Draw(t, "n")
 				first, out := s.origin.Append(s.now, n, []byte{1}, rapid.Bool().Draw(t, "awaited"))
@@ -201,6 +212,12 @@
 					s.disconnect(name)
 				}
 				s.updateCandidates()
+			case 10: // the machine is lost with its disk and returns before its connections end
+				if s.alive[name] && s.connected[name] {
+					delete(s.disk, name)
+					s.restartUnnoticed(s.candidates[slices.IndexFunc(s.candidates, func(c Candidate) bool { return c.Name == name })])
+					before = s.origin.Committed()
+				}
 			}
 			check()
 		}
@@ -250,3 +267,30 @@
 		t.Errorf("StalledFor: got %v, want 0", stalled)
 	}
 }
+
+// TestHolderReturnsBeforeItsConnectionEnds guards against a holder that counts as in sync with the records of its former
+// incarnation, whose disk is lost.
+func TestHolderReturnsBeforeItsConnectionEnds(t *testing.T) {
+	s := newSimulation(3, 1)
+	for range 20 {
+		s.step(10*time.Millisecond, true)
+	}
+	first, out := s.origin.Append(s.now, 10, []byte{1}, true)
+	s.send(out)
+	s.origin.RecordsStored(first, first+10)
+	s.step(10*time.Millisecond, true)
+	name := s.origin.WantedConnections()[0]
+	if n := s.holders(first); n != 1 {
+		t.Fatalf("got %d holders of the records, want 1", n)
+	}
+	delete(s.disk, name)
+	s.restartUnnoticed(s.candidates[slices.IndexFunc(s.candidates, func(c Candidate) bool { return c.Name == name })])
+	for range 20 {
+		s.step(10*time.Millisecond, true)
+	}
+	for n := first; n < first+10; n++ {
+		if s.holders(n) != 1 {
+			t.Errorf("record %d after the holder has returned with an empty disk: got %d holders, want 1: %+v", n, s.holders(n), s.origin.Holders())
+		}
+	}
+}
--- a/internal/cluster/replication/selection.go
+++ b/internal/cluster/replication/selection.go
@@ -16,13 +16,20 @@
 // WantedConnections returns the nodes to which the caller should maintain a connection.
 func (o *Origin) WantedConnections() []string { return slices.Sorted(maps.Keys(o.holders)) }
 
-// Connected records that a connection to a node is established. Further calls while it is open have no effect.
-func (o *Origin) Connected(now time.Duration, name string) []Outgoing {
-	if h := o.holders[name]; h != nil && !h.isConnected {
-		h.isConnected = true
-		return o.advance(now, h, holderConnected, nil)
+// Connected records that a connection to an incarnation of a node is established. Further calls while it is open have no
+// effect, unless they report another incarnation: the node was restarted and may have lost its disk, so it is offered the
+// records again, even if connections to the earlier process are still open.
+func (o *Origin) Connected(now time.Duration, name string, incarnation int64) []Outgoing {
+	h := o.holders[name]
+	if h == nil || h.isConnected && h.incarnation == incarnation {
+		return nil
 	}
-	return nil
+	if h.incarnation != incarnation {
+		h.incarnation = incarnation
+		h.stored = nil
+	}
+	h.isConnected = true
+	return o.advance(now, h, holderConnected, nil)
 }
 
 // Disconnected records that the last connection to a node is closed.
