TestCommittedIsStored: the new process connects as part of an unnoticed restart

Cause, by rapid's trace: a machine returns with an empty disk and is partitioned before its new process has connected. The origin cannot know of the loss, and commits a record on the acknowledgement of the lost disk and that of another holder. The restart now includes the connection of the new process, and partitions may follow it as before; the condition on partitioned nodes stays, for the same reason.

--- a/internal/cluster/replication/origin_test.go
+++ b/internal/cluster/replication/origin_test.go
@@ -83,11 +83,12 @@
 }
 
 // restartUnnoticed restarts a node whose connection with the origin stays open, as when its machine vanishes and returns before
-// the silence is noticed. Messages in flight are lost.
+// the silence is noticed. The new process connects beside it. Messages in flight are lost.
 func (s *simulation) restartUnnoticed(c Candidate) {
 	s.inFlight = slices.DeleteFunc(s.inFlight, func(o Outgoing) bool { return o.To == c.Name })
 	s.replies = slices.DeleteFunc(s.replies, func(a reply) bool { return a.from == c.Name })
 	s.start(c)
+	s.send(s.origin.Connected(s.now, c.Name, s.incarnation[c.Name]))
 }
 
 // step advances the time, opens wanted connections and, with deliver, delivers the messages in flight.
@@ -212,7 +213,7 @@
 					s.disconnect(name)
 				}
 				s.updateCandidates()
-			case 10: // the machine is lost with its disk and returns before its connections end, and the origin can learn of it
+			case 10: // the machine is lost with its disk and returns before its connections end
 				if s.alive[name] && s.connected[name] && !s.partitioned[name] {
 					delete(s.disk, name)
 					s.restartUnnoticed(s.candidates[slices.IndexFunc(s.candidates, func(c Candidate) bool { return c.Name == name })])
