Close an HTTP connection behind a refusal, so that no copy of it is read as a proof

Cause: a refusal (503 or 504 with Not-Started: 1) proves that a request never ran, but names no request, and refusals equal each other. A second copy that was still on its way was read as the refusal of the next request on the connection. That request was sent to another server while it ran, and its answer was read as that to the request after it.

Change: a refusal makes an HTTP connection not reusable. Every refusal is then the first on its connection and no copy, however late copies are: no pause is relied on. Related paths: other statuses prove nothing of a request; connections rest behind them. 503 without Not-Started counts as may have run.

TestLateSecondCopy now names its requests itself: its counter of IDs is shared with tests that run beside it.

--- a/internal/proxy/httpupstream.go
+++ b/internal/proxy/httpupstream.go
@@ -41,6 +41,12 @@
 	}
 }
 
+// IsReusable implements upstreamConn. After a response that proves that a request never ran, the connection is not reused: refusals equal
+// each other, so a second copy, however late, would be read as the proof that the next request never ran.
+func (c *httpUpstream) IsReusable(r *message.Response) bool {
+	return c.Conn.IsReusable(r) && !r.NotStarted()
+}
+
 // IdentifiesResponses implements dispatch.ServerConn.
 func (c *httpUpstream) IdentifiesResponses() bool { return c.previous != 0 }
 
--- a/internal/proxy/latecopy_test.go
+++ b/internal/proxy/latecopy_test.go
@@ -37,8 +37,9 @@
 	for _, path := range []string{"/check/1", "/book/1"} {
 		client := dial(t, node)
 		for range 3 * distinctResponses {
-			r := get(t, client, path)
-			if want := fmt.Sprint(ids.Load()); r.Status != 200 || string(r.Body) != want {
+			want := fmt.Sprint(ids.Add(1))
+			fmt.Fprintf(client, "GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\n", path, want)
+			if r := readReply(t, client); r.Status != 200 || string(r.Body) != want {
 				t.Fatalf("%s: got status %d, body %q, want 200 %q", path, r.Status, r.Body, want)
 			}
 		}
