--- a/internal/proxy/dispatch/idle_test.go
+++ b/internal/proxy/dispatch/idle_test.go
@@ -99,6 +99,27 @@
 	}
 }
 
+// TestTakeIdleSkipsUnsettled checks that TakeIdle removes and returns settled connections, most recently used first, and leaves one
+// that has not settled.
+func TestTakeIdleSkipsUnsettled(t *testing.T) {
+	d := newTestDispatcher(t, policy.Idempotent, limits, loopbackEndpoint("a", 1))
+	s := d.servers.byID["a"]
+	for i, settlesIn := range []time.Duration{-2 * time.Second, -time.Second, time.Hour} {
+		d.AcquireServerDescriptor()
+		d.PutIdle("a", false, http1.NewConn(&closer{name: fmt.Sprint(i)}))
+		s.idle[i].since += min(settlesIn, 0)
+		s.idle[i].settledAt = s.idle[i].since + max(settlesIn, 0)
+	}
+	for _, want := range []string{"1", "0"} {
+		if got := d.TakeIdle("a").(*http1.Conn).Conn.(*closer).name; got != want {
+			t.Errorf("got connection %s, want %s", got, want)
+		}
+	}
+	if got := d.TakeIdle("a"); got != nil || len(s.idle) != 1 {
+		t.Errorf("got connection %v, %d left, want none taken and 1 left", got, len(s.idle))
+	}
+}
+
 // TestIdleConnectionsCloseOnDrain checks at the server's end of the socket that an idle connection to a draining server is
 // closed, and that one in use is closed when it becomes idle.
 func TestIdleConnectionsCloseOnDrain(t *testing.T) {
