Review case 9: a tier says of a booking that ran that there is no entry

Cause: nodes that were stopped in good order are neither asked nor counted as missing by the queries of a tier. Change: the case with its script.

--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -20,6 +20,7 @@
 	"routeclass": routeClass,
 	"planner":    plannerRestart,
 	"control":    controlRestart,
+	"tier":       tierStop,
 }
 
 func main() {
