Review case 10: a fingerprinted request runs at two sites

Cause: servers whose registry entries name no zone count as one group, so a repeat goes where its mark is not known.

--- a/review/cases2/case_control.go
+++ b/review/cases2/case_control.go
@@ -11,7 +11,7 @@
 // work goes to that server later than the rule on drains allows.
 func controlRestart(r *rig) (broken []string) {
 	f := r.newFleet(5, 30*time.Millisecond)
-	g := r.startRegistry(f)
+	g := r.startRegistry(f, startedEntry)
 	address := r.freeAddress()
 	control := r.file("control.toml", fmt.Sprintf("name = \"root-1\"\nregion = \"north\"\nzone = \"north-a\"\nlisten = %q\ndisk = %q\nregistry = %q\nservice = \"hire\"\nplaintext = true\n",
 		address, filepath.Join(r.directory("control"), "control.db"), g.file()))
--- a/review/cases2/case_routeclass.go
+++ b/review/cases2/case_routeclass.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -34,15 +33,10 @@
 	time.Sleep(settle)
 	if r.hasTrouble {
 		r.logf("the connection of one booking in five is reset after the booking has run, for %s", trouble)
-		var count atomic.Int32
-		for _, s := range f.servers {
-			s.cut(func(path string) bool { return strings.HasPrefix(path, "/hire-book/") && count.Add(1)%5 == 0 })
-		}
+		f.cutEvery(5, "/hire-book/")
 	}
 	time.Sleep(trouble)
-	for _, s := range f.servers {
-		s.cut(nil)
-	}
+	f.cutEvery(0, "")
 	time.Sleep(time.Second)
 	answers := l.end()
 	runs := f.runs()
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -21,6 +21,7 @@
 	"planner":    plannerRestart,
 	"control":    controlRestart,
 	"tier":       tierStop,
+	"zone":       unknownZone,
 }
 
 func main() {
--- a/review/cases2/registry.go
+++ b/review/cases2/registry.go
@@ -15,6 +15,7 @@
 	registry *zookeeper.Registry
 	address  string
 	sessions map[string]*zookeeper.OwnedSession
+	entry    func(s *server) string // data of a server's entry
 }
 
 // Announced records a list that a reader received.
@@ -32,8 +33,8 @@
 }
 
 // startRegistry starts a registry with a session for each server of a fleet.
-func (r *rig) startRegistry(f *fleet) *registry {
-	g := &registry{rig: r, sessions: map[string]*zookeeper.OwnedSession{}}
+func (r *rig) startRegistry(f *fleet, entry func(s *server) string) *registry {
+	g := &registry{rig: r, entry: entry, sessions: map[string]*zookeeper.OwnedSession{}}
 	g.registry = zookeeper.New(g)
 	s, err := g.registry.Listen("127.0.0.1:0", 0)
 	if err != nil {
@@ -48,9 +49,18 @@
 
 // register opens the session of a server.
 func (g *registry) register(s *server) {
-	data := fmt.Sprintf(`{"serviceEndpoint":{"host":"127.0.0.1","port":%s},"status":"ALIVE","zone":"scottsdale","started_ms":%d}`,
-		s.address[len("127.0.0.1:"):], g.rig.startedAt.Add(-time.Hour).UnixMilli())
-	g.sessions[s.id] = g.registry.OpenSession(6*time.Second, map[string][]byte{registryPath + "/" + s.id: []byte(data)})
+	g.sessions[s.id] = g.registry.OpenSession(6*time.Second, map[string][]byte{registryPath + "/" + s.id: []byte(g.entry(s))})
+}
+
+// startedEntry returns a server set entry with the zone and the start of the process.
+func startedEntry(s *server) string {
+	return fmt.Sprintf(`{"serviceEndpoint":{"host":"127.0.0.1","port":%s},"additionalEndpoints":{},"status":"ALIVE","zone":"scottsdale","started_ms":%d}`,
+		s.address[len("127.0.0.1:"):], s.fleet.rig.startedAt.Add(-time.Hour).UnixMilli())
+}
+
+// plainEntry returns a server set entry in its published format, which names no zone.
+func plainEntry(s *server) string {
+	return fmt.Sprintf(`{"serviceEndpoint":{"host":"127.0.0.1","port":%s},"additionalEndpoints":{},"status":"ALIVE"}`, s.address[len("127.0.0.1:"):])
 }
 
 // file writes the registry's configuration file and returns its path.
--- a/review/cases2/rig.go
+++ b/review/cases2/rig.go
@@ -34,6 +34,7 @@
 	folder     string
 	command    string // the line `run` of the deploy file
 	startedAt  time.Time
+	settings   func(index, count int) object // of the nodes
 
 	mu        sync.Mutex
 	record    *os.File
@@ -58,7 +59,7 @@
 	if run == nil {
 		return nil, errors.New("deploy/balancer.toml has no line run")
 	}
-	r := &rig{hasTrouble: hasTrouble, command: string(run[1]), startedAt: time.Now()}
+	r := &rig{hasTrouble: hasTrouble, command: string(run[1]), startedAt: time.Now(), settings: hireSettings}
 	if r.record, err = os.Create(filepath.Join(caseFolder, "record.txt")); err != nil {
 		return nil, err
 	}
@@ -189,14 +190,14 @@
 	address string
 }
 
-// startNode starts a node with the settings of hire-northeast at a small size. Further environment variables select its
-// optional parts.
+// startNode starts a node with the settings of the case at a small size. Further environment variables select its optional
+// parts.
 func (r *rig) startNode(index, count int, discovery string, known any, environment ...string) *node {
 	n := &node{name: fmt.Sprint("n", index), address: r.freeAddress()}
 	text, _ := json.MarshalIndent(object{
 		"name": n.name, "listen": n.address, "discovery": discovery, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
 		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known":  known, "settings": hireSettings(index, count),
+		"known":  known, "settings": r.settings(index, count),
 	}, "", " ")
 	config := r.file(n.name+".json", string(text))
 	n.process = r.start(n.name, r.command, append(environment, "PROXY_CONFIG="+config, "PROXY_NAME="+n.name, "PROXY_LISTEN="+n.address,
@@ -242,6 +243,22 @@
 	}
 }
 
+// warrantySettings returns the settings of a node of warranty-northwest, as the simulator's first message has them.
+func warrantySettings(index, count int) object {
+	return object{
+		"groupSize": count, "me": index, "granularity": 5, "discovery": "pushed", "overageRevenue": 0.1,
+		"dcs": []string{"wynyard", "smithton", "ulverstone", "penguin"}, "skus": []string{"standard", "older"},
+		"trafficTypes": []object{
+			{"name": "claim-lookup", "targetTime": 500, "abandonTime": 2000, "revenue": 2, "idempotency": "safe", "keyScope": "all", "window": 5000},
+			{"name": "claim-update", "targetTime": 250, "abandonTime": 1000, "revenue": 5, "idempotency": "keyed", "keyScope": "zone", "window": 5000},
+			{"name": "claim-lodge", "targetTime": 600, "abandonTime": 1500, "revenue": 10, "idempotency": "unsafe", "keyScope": "all", "window": 5000},
+		},
+		"tenants": []object{{"name": "circular-head-ag", "allowancePerS": 100}, {"name": "leven-workshops", "allowancePerS": 100}},
+		"limits":  object{"connIdle": 5000, "connectTimeout": 100, "mostHops": 5, "secondCopies": true, "retryAfter": false, "maxRetryAfter": 0},
+		"rules":   object{"askWithin": 6000, "cold": 6600, "fall": 2000, "fallMultiple": 2.5, "startCapacity": 0.31, "stopSendingWithin": 500},
+	}
+}
+
 // sleepUntil waits until a time since the start of the case.
 func (r *rig) sleepUntil(at time.Duration) { time.Sleep(at - r.now()) }
 
--- a/review/cases2/servers.go
+++ b/review/cases2/servers.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -176,3 +178,16 @@
 	}
 	return best
 }
+
+// cutEvery has the connection of every n-th request whose path begins with a prefix reset after the request has run; 0: of
+// none.
+func (f *fleet) cutEvery(n int32, prefix string) {
+	var count atomic.Int32
+	for _, s := range f.servers {
+		if n == 0 {
+			s.cut(nil)
+		} else {
+			s.cut(func(path string) bool { return strings.HasPrefix(path, prefix) && count.Add(1)%n == 0 })
+		}
+	}
+}
