--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -22,6 +22,7 @@
 	"control":    controlRestart,
 	"tier":       tierStop,
 	"zone":       unknownZone,
+	"reconcile":  lateRun,
 }
 
 func main() {
--- a/review/cases2/servers.go
+++ b/review/cases2/servers.go
@@ -43,6 +43,7 @@
 	mu     sync.Mutex
 	isCut  func(path string) bool // whether the connection is reset after the request has run; nil: never
 	isGone bool                   // the machine was switched off
+	wait   time.Duration          // in the waiting room
 }
 
 // newFleet starts servers s1 to sN.
@@ -79,7 +80,7 @@
 	}
 	f := s.fleet
 	s.mu.Lock()
-	isGone := s.isGone
+	isGone, wait := s.isGone, s.wait
 	s.mu.Unlock()
 	if isGone {
 		f.rig.logf("lost     %s was sent to %s, which is switched off", id, s.id)
@@ -89,6 +90,10 @@
 		<-req.Context().Done() // open connections stay open and silent
 		return
 	}
+	if wait > 0 {
+		f.rig.logf("wait     %s at %s", id, s.id)
+		time.Sleep(wait) // neither a cancel nor a time-out drops waiting work
+	}
 	a := arrival{s.id, id, req.URL.Path, f.rig.now()}
 	f.mu.Lock()
 	f.arrivals = append(f.arrivals, a)
@@ -191,3 +196,10 @@
 		}
 	}
 }
+
+// setWait sets how long a request that comes from now on waits before it is begun.
+func (s *server) setWait(wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wait = wait
+}
