Add the code of the review case on second copies of a fallback route

Cause: a request that a route's limit hands to a fallback with copy_after has no function to start the copy, and the node ends.

--- a/review/cases2/clients.go
+++ b/review/cases2/clients.go
@@ -22,6 +22,7 @@
 type load struct {
 	rig    *rig
 	client *http.Client
+	header [2]string // one more field of each request; empty: none
 	stop   chan struct{}
 	wg     sync.WaitGroup
 
@@ -29,9 +30,11 @@
 	sent []sent
 }
 
-// startLoad starts the clients. paths returns method, path and client timeout of the i-th request.
-func (r *rig) startLoad(nodes []*node, interval time.Duration, request func(i int) (method, path string, timeout time.Duration)) *load {
+// startLoad starts the clients. request returns method, path and client timeout of the i-th request; header is the name and the
+// value of one more field.
+func (r *rig) startLoad(nodes []*node, interval time.Duration, request func(i int) (method, path string, timeout time.Duration), header ...string) *load {
 	l := &load{rig: r, stop: make(chan struct{}), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Second}}}
+	copy(l.header[:], header)
 	l.wg.Go(func() {
 		tick := time.NewTicker(interval)
 		defer tick.Stop()
@@ -64,6 +67,9 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Tenant", "dorset-dairy")
 	req.Header.Set("Request-Timeout", fmt.Sprintf("%.3f", timeout.Seconds()))
+	if l.header[0] != "" {
+		req.Header.Set(l.header[0], l.header[1])
+	}
 	s := sent{id: id, path: path, at: l.rig.now()}
 	l.rig.logf("send     %s to %s, %s %s", id, n.name, method, path)
 	resp, err := l.client.Do(req)
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -23,6 +23,7 @@
 	"tier":       tierStop,
 	"zone":       unknownZone,
 	"reconcile":  lateRun,
+	"hedge":      fallbackCopies,
 }
 
 func main() {
--- a/review/cases2/rig.go
+++ b/review/cases2/rig.go
@@ -243,6 +243,20 @@
 	}
 }
 
+// partsSettings returns the settings of a node of parts-south, as the simulator's first message has them.
+func partsSettings(index, count int) object {
+	return object{
+		"groupSize": count, "me": index, "granularity": 5, "discovery": "on_request",
+		"dcs": []string{"hobart", "launceston", "devonport", "burnie", "kingston"}, "skus": []string{"fast", "middle", "slow"},
+		"trafficTypes": []object{
+			{"name": "part-lookup", "targetTime": 800, "abandonTime": 2500, "revenue": 3, "idempotency": "safe", "keyScope": "all", "window": 5000},
+			{"name": "order-place", "targetTime": 800, "abandonTime": 3000, "revenue": 8, "idempotency": "keyed", "keyScope": "cell", "window": 6000},
+		},
+		"limits": object{"connIdle": 5000, "connectTimeout": 250, "mostHops": 4, "secondCopies": true, "retryAfter": false, "maxRetryAfter": 0},
+		"rules":  object{"askWithin": 10000, "cold": 8900, "fall": 2000, "fallMultiple": 4, "startCapacity": 0.3, "stopSendingWithin": 400},
+	}
+}
+
 // warrantySettings returns the settings of a node of warranty-northwest, as the simulator's first message has them.
 func warrantySettings(index, count int) object {
 	return object{
--- a/review/cases2/servers.go
+++ b/review/cases2/servers.go
@@ -44,6 +44,7 @@
 	isCut  func(path string) bool // whether the connection is reset after the request has run; nil: never
 	isGone bool                   // the machine was switched off
 	wait   time.Duration          // in the waiting room
+	still  time.Time              // until then the server stands still
 }
 
 // newFleet starts servers s1 to sN.
@@ -101,6 +102,10 @@
 	f.rig.logf("run      %s at %s, %s", id, s.id, req.URL.Path)
 	time.Sleep(s.work)
 	s.mu.Lock()
+	still := s.still
+	s.mu.Unlock()
+	time.Sleep(time.Until(still))
+	s.mu.Lock()
 	isCut := s.isCut != nil && s.isCut(req.URL.Path)
 	s.mu.Unlock()
 	if isCut {
@@ -203,3 +208,10 @@
 	defer s.mu.Unlock()
 	s.wait = wait
 }
+
+// standStill lets the server stand still for a time: what it has and what comes is answered after that.
+func (s *server) standStill(length time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.still = time.Now().Add(length)
+}
