Review case 6: a fallback that allows second copies ends the node

Cause: a request that a route's limit hands to a fallback with copy_after has no function that starts a copy; the call is nil. The planners' case is taken out with its code.

--- a/review/cases2/case_control.go
+++ b/review/cases2/case_control.go
@@ -7,6 +7,12 @@
 	"time"
 )
 
+const (
+	toldWithin = 6 * time.Second        // a change counts as told at the latest so long after discovery had it and could be reached
+	grace      = 500 * time.Millisecond // rules.stopSendingWithin
+	slack      = 50 * time.Millisecond  // of each time limit on sockets
+)
+
 // controlRestart restarts the control process that follows a registry while a server leaves the registry, and checks that no new
 // work goes to that server later than the rule on drains allows.
 func controlRestart(r *rig) (broken []string) {
@@ -46,3 +52,24 @@
 	}
 	return r.judgeDrain(l, f, leaving)
 }
+
+// judgeDrain goes on for some seconds, switches off the server that has drained or left, and returns how the rule on drains was
+// broken since now.
+func (r *rig) judgeDrain(l *load, f *fleet, s *server) (broken []string) {
+	limit := r.now() + toldWithin + grace + slack
+	r.logf("%s gets nothing new after %.3f", s.id, limit.Seconds())
+	r.sleepUntil(limit + 4*time.Second)
+	s.switchOff()
+	time.Sleep(3 * time.Second)
+	answers := l.end()
+	late := f.since(s.id, limit)
+	r.logf("%d requests, %d begun by %s after the limit, %d sent to it after its end and lost", len(answers), len(late), s.id, f.lostCount())
+	if len(late) > 0 {
+		broken = append(broken, fmt.Sprintf("%s got %d new requests after %.3f; the first is %s at %.3f", s.id, len(late), limit.Seconds(), late[0].id,
+			late[0].at.Seconds()))
+	}
+	if n := f.lostCount(); n > 0 {
+		broken = append(broken, fmt.Sprintf("%d requests were sent to %s after its end and lost", n, s.id))
+	}
+	return broken
+}
--- a/review/cases2/case_hedge.go
+++ b/review/cases2/case_hedge.go
@@ -10,7 +10,7 @@
 )
 
 // fallbackCopies limits one route, whose fallback allows second copies, and checks that no node ends and every request is answered
-// while half of the servers stand still for a moment every few seconds.
+// while two of five servers stand still for a moment every few seconds.
 func fallbackCopies(r *rig) (broken []string) {
 	const (
 		operator = `[[routes]]
@@ -33,7 +33,7 @@
 	)
 	r.settings = partsSettings
 	file := r.file("operator.toml", operator)
-	f := r.newFleet(4, 60*time.Millisecond)
+	f := r.newFleet(5, 60*time.Millisecond)
 	d := r.startDiscovery(f)
 	var nodes []*node
 	for i := range 2 {
@@ -58,7 +58,7 @@
 	answers := l.end()
 	unanswered := 0
 	for _, s := range answers {
-		if s.status == 0 {
+		if s.isTaken && !s.isWhole {
 			unanswered++
 		}
 	}
@@ -75,9 +75,9 @@
 			broken = append(broken, fmt.Sprintf("%s has ended by itself: %s", n.name, cause))
 		}
 	}
-	r.logf("%d requests, %d without an answer", len(answers), unanswered)
+	r.logf("%d requests, %d taken and without an answer", len(answers), unanswered)
 	if unanswered > 0 {
-		broken = append(broken, fmt.Sprintf("%d of %d requests got no answer", unanswered, len(answers)))
+		broken = append(broken, fmt.Sprintf("%d of %d requests were taken and got no answer", unanswered, len(answers)))
 	}
 	return broken
 }
--- a/review/cases2/clients.go
+++ b/review/cases2/clients.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -14,6 +16,7 @@
 	id, path string
 	status   int // 0: no answer
 	isWhole  bool
+	isTaken  bool // the node's machine accepted the connection
 	at       time.Duration
 	took     time.Duration
 }
@@ -79,7 +82,7 @@
 		body, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
 	}
-	s.took, s.isWhole = l.rig.now()-s.at, err == nil
+	s.took, s.isWhole, s.isTaken = l.rig.now()-s.at, err == nil, !errors.Is(err, syscall.ECONNREFUSED)
 	l.rig.logf("answer   %s: %d %s (%v)", id, s.status, strings.TrimSpace(string(body)), err)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/cases2/discovery.go
+++ b/review/cases2/discovery.go
@@ -50,21 +50,6 @@
 	return d
 }
 
-// set changes the phase of a server.
-func (d *discovery) set(id, phase string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, m := range d.members {
-		if m.ID == id {
-			d.revision++
-			m.Phase, m.revision = phase, d.revision
-		}
-	}
-	close(d.changed)
-	d.changed = make(chan struct{})
-	d.rig.logf("discovery: %s is %s, revision %d", id, phase, d.revision)
-}
-
 // list returns the whole list, or the changes after a revision.
 func (d *discovery) list(isWhole bool, after uint64) (answer []byte, count int) {
 	members := []*member{}
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -18,8 +18,7 @@
 // cases lists the cases by name. A case returns how the rule was broken, or nothing if it held.
 var cases = map[string]func(*rig) []string{
 	"routeclass": routeClass,
-	"planner":    plannerRestart,
-	"control":    controlRestart,
+	"control":    controlRestart, // beyond the five cases, see REPORT-2.md
 	"tier":       tierStop,
 	"zone":       unknownZone,
 	"reconcile":  lateRun,
