--- a/review/cases2/case_tier.go
+++ b/review/cases2/case_tier.go
@@ -13,7 +13,7 @@
 // tierStop stops two nodes of a tier in good order, a node that has sent a booking and the one that holds its journal, and
 // checks what the tier then answers about that booking: an entry, or that too few nodes answered, and not that there is none.
 func tierStop(r *rig) (broken []string) {
-	const count, booked = 6, "00000000000b00ed"
+	const count = 6
 	f := r.newFleet(3, 60*time.Millisecond)
 	d := r.startDiscovery(f)
 	addresses, held := make([]string, count), make([]string, count)
@@ -38,32 +38,30 @@
 	}
 	time.Sleep(4 * time.Second)
 	l := r.startLoad(nodes[:1], time.Hour, hireMix)
-	l.send(nodes[0], http.MethodPost, "/hire-book/baler-1", booked, 2*time.Second)
-	if ran := f.runs()[booked]; len(ran) != 1 {
-		r.fail(fmt.Errorf("the booking ran %d times before the disruption", len(ran)))
-	}
-	time.Sleep(time.Second)
-	holder := -1
-	for i, folder := range held {
-		if replicas, _ := filepath.Glob(filepath.Join(folder, "n0@*")); len(replicas) > 0 {
-			r.logf("n%d holds the journal of n0", i)
-			holder = i
+	for i, n := range nodes[:count-2] {
+		l.send(n, http.MethodPost, "/hire-book/baler-1", fmt.Sprint("booking-at-", n.name), 2*time.Second)
+		if ran := f.runs()[fmt.Sprint("booking-at-n", i)]; len(ran) != 1 {
+			r.fail(fmt.Errorf("the booking at n%d ran %d times before the disruption", i, len(ran)))
 		}
 	}
-	if holder < 0 || holder >= count-2 {
-		r.logf("the holder is a seed or not found: %d", holder)
+	time.Sleep(time.Second)
+	origin, holder := holderOf(held)
+	if origin < 0 {
+		r.fail(fmt.Errorf("no node holds a journal"))
 	}
+	booked := fmt.Sprint("booking-at-n", origin)
+	r.logf("n%d holds the journal of n%d", holder, origin)
 	asked := count - 1
 	if holder == asked {
 		asked--
 	}
 	peers = filepath.Join(r.folder, fmt.Sprintf("peers-%d.toml", asked))
 	if r.hasTrouble {
-		r.logf("n0 and n%d get SIGTERM", holder)
-		nodes[0].signal(syscall.SIGTERM)
+		r.logf("n%d and n%d get SIGTERM", origin, holder)
+		nodes[origin].signal(syscall.SIGTERM)
 		time.Sleep(300 * time.Millisecond)
 		nodes[holder].signal(syscall.SIGTERM)
-		<-nodes[0].done
+		<-nodes[origin].done
 		<-nodes[holder].done
 		r.logf("both have ended")
 	}
@@ -82,3 +80,21 @@
 	}
 	return broken
 }
+
+// holderOf returns a node that took a booking and the node that holds its journal, both no seeds if there is such a pair: the last
+// two nodes are the seeds. origin is -1 if no journal is held.
+func holderOf(held []string) (origin, holder int) {
+	origin, holder = -1, -1
+	for i := range len(held) - 2 {
+		for j, folder := range held {
+			if replicas, _ := filepath.Glob(filepath.Join(folder, fmt.Sprintf("n%d@*", i))); len(replicas) == 0 {
+				continue
+			}
+			if j < len(held)-2 {
+				return i, j
+			}
+			origin, holder = i, j
+		}
+	}
+	return origin, holder
+}
