--- a/review/cases2/registry.go
+++ b/review/cases2/registry.go
@@ -15,6 +15,7 @@
 	registry *zookeeper.Registry
 	address  string
 	sessions map[string]*zookeeper.OwnedSession
+	servers  []*zookeeper.Server
 	entry    func(s *server) string // data of a server's entry
 }
 
@@ -41,6 +42,7 @@
 		r.fail(err)
 	}
 	g.address = s.Address()
+	g.servers = append(g.servers, s)
 	for _, s := range f.servers {
 		g.register(s)
 	}
@@ -73,3 +75,13 @@
 	g.rig.logf("%s closes its session", id)
 	g.sessions[id].End()
 }
+
+// setReachable sets whether connections to the registry can be made. Those that are open are closed.
+func (g *registry) setReachable(isReachable bool) {
+	g.registry.SetRefusing(!isReachable)
+	if !isReachable {
+		for _, s := range g.servers {
+			s.CloseConnections()
+		}
+	}
+}
