Prepare hedging for requests that a fallback admits

Cause: submit asked the route that the request matches whether requests may be hedged; Router.Admit then gave the request the limits of a fallback, under which the policy decided a hedged attempt without a function to start it. Change: Table.AllowsHedging asks the route and all of its fallbacks.

--- a/internal/proxy/route_test.go
+++ b/internal/proxy/route_test.go
@@ -72,6 +72,19 @@
 // notifies its server.
 func TestHedgedRequest(t *testing.T) {
 	t.Parallel()
+	testHedgedRequest(t, checks+"copy_after = \"60ms\"\ncopy_share = 1.0", 1)
+}
+
+// The route of a request has no hedging, but the fallback that admits the request does: the node ended with a nil dereference.
+func TestHedgedRequestOfFallback(t *testing.T) {
+	t.Parallel()
+	testHedgedRequest(t, checks+"rate = 0.001\nburst = 1\nfallback = \"rest\"\n"+
+		"[[routes]]\nname = \"rest\"\npath = \"/check/rest/**\"\ncopy_after = \"60ms\"\ncopy_share = 1.0", 2)
+}
+
+// testHedgedRequest sends requests under the routes of an operator's file until the one of the given number, counted from 1, which the
+// server that receives it first does not answer.
+func testHedgedRequest(t *testing.T, file string, unanswered int32) {
 	var received atomic.Int32
 	disconnected := make(chan bool, 1)
 	serve := func(nc net.Conn) {
@@ -79,7 +92,7 @@
 		c := http1.NewConn(nc)
 		var r http1.Request
 		for c.ReadRequest(&r) == nil {
-			if received.Add(1) == 1 {
+			if received.Add(1) == unanswered {
 				disconnected <- c.WaitDisconnected()
 				return
 			}
@@ -89,9 +102,14 @@
 	cfg := config(http1.Endpoint{ID: "a", Address: standIn(t, serve), Weight: 1}, http1.Endpoint{ID: "b", Address: standIn(t, serve), Weight: 1})
 	cfg.Settings.HedgingAllowed = true
 	cfg.Settings.TrafficTypes[0].LatencyObjective, cfg.Settings.TrafficTypes[0].ClientTimeout = 20*time.Second, 30*time.Second
-	cfg.Routes = routes(t, &cfg, checks+"copy_after = \"60ms\"\ncopy_share = 1.0")
+	cfg.Routes = routes(t, &cfg, file)
 	at, _ := startNode(t, cfg)
 	conn := dial(t, at)
+	for range unanswered - 1 {
+		if r := get(t, conn, "/check/0"); r.Status != 200 {
+			t.Fatalf("request before: got status %d, want 200", r.Status)
+		}
+	}
 	fmt.Fprintf(conn, "PUT /check/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: %d\r\nContent-Length: 4\r\n\r\nbody", ids.Add(1))
 	if r := readReply(t, conn); r.Status != 200 || string(r.Body) != "/check/1body" {
 		t.Errorf("got status %d, body %q, want 200 with path and body of the request", r.Status, r.Body)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -92,9 +92,15 @@
 	return min(*t.Routes[route].limitsByType[trafficType].MaxBodyBytes, limit)
 }
 
-// AllowsHedging reports whether requests of a route may be hedged.
+// AllowsHedging reports whether requests of a route may be hedged, by the limits of the route itself or of one of its fallbacks, which
+// decide once they admit a request.
 func (t *Table) AllowsHedging(route, trafficType int) bool {
-	return route >= 0 && t.Routes[route].limitsByType[trafficType].HedgeAfter != nil
+	for ; route >= 0; route = t.Routes[route].fallback {
+		if t.Routes[route].limitsByType[trafficType].HedgeAfter != nil {
+			return true
+		}
+	}
+	return false
 }
 
 // matches reports whether a server matches a selection. An empty list matches all servers.
