Refuse routes whose class makes requests repeatable that must not run twice

Cause: with class the checker looked at the assigned type alone, and Table.Match gave it to requests whose path names a stricter type. Change: checkClass compares the assigned type with each type that the path can match: idempotency, scope and retention of keys. A route for all requests of the stricter type takes them out of a catch-all. Related paths, read: fallbacks and type, which cannot change a request's type.

--- a/internal/route/check.go
+++ b/internal/route/check.go
@@ -203,6 +203,7 @@
 	last := &table.Routes[i]
 	if r.Class != "" && len(trafficTypes) == 1 {
 		last.classType = trafficTypes[0]
+		c.checkClass(i, trafficTypes[0], path)
 	}
 	if ok {
 		if clash := table.tree.add(path, r, i); clash >= 0 {
--- a/internal/route/file.go
+++ b/internal/route/file.go
@@ -46,7 +46,7 @@
 	Methods []string          `toml:"methods" unit:"list" doc:"methods of the requests; not set: all"`
 	Tenants []string          `toml:"tenants" unit:"list" doc:"tenants of the requests; not set: all"`
 	Headers map[string]string `toml:"headers" unit:"table" doc:"header fields that requests must have, with their values"`
-	Class   string            `toml:"class" unit:"name" doc:"traffic type that is assigned to the requests, whatever their path"`
+	Class   string            `toml:"class" unit:"name" doc:"traffic type that is assigned to the requests, whatever their path; refused where the path names a type that may be repeated less"`
 	Limits
 }
 
