Bound what unidentified callers take of nodes, planners and control processes

Cause: framing allocated the announced length, up to 1 MiB, before any hello; connections kept their longest buffers; nothing bounded the connections in their handshake. Change: buffers grow with what arrives; frames of the handshake have 4 KiB at most, and 32 or 64 connections may be in it; longer frames wait for memory of a budget.

--- a/internal/cluster/framing/conn.go
+++ b/internal/cluster/framing/conn.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	maxNameBytes = 200             // of a peer's name
-	sendTimeout  = 2 * time.Second // to write a frame
+	maxNameBytes      = 200             // of a peer's name
+	maxHandshakeBytes = 4 << 10         // of a frame before the end of the handshake
+	retainedBytes     = 16 << 10        // of each buffer between frames; a longer received frame needs memory of the budget
+	sendTimeout       = 2 * time.Second // to write a frame
+	largeFrameTimeout = 5 * time.Second // to receive the rest of a frame that needs memory of the budget
 )
 
 // Hello is the first frame of each side. It is sent as a CBOR array, so the order of the fields must not change.
@@ -35,6 +38,8 @@
 	reader   *bufio.Reader
 	received []byte // buffer of Receive
 	sent     []byte // buffer of Send
+	budget   *MemoryBudget
+	reserved int // bytes from the budget
 
 	// SentBytes and SentFrames count the bytes and frames that Send has written; a frame whose write failed counts too.
 	// Only the sending goroutine may access them.
@@ -57,13 +62,55 @@
 	n, err := c.Write(c.sent)
 	c.SentBytes += n
 	c.SentFrames++
+	if cap(c.sent) > retainedBytes {
+		c.sent = nil
+	}
 	return err
 }
 
+// UseBudget makes Receive reserve the memory of long frames from a budget. The receiving goroutine must call ReleaseBuffers after its last
+// Receive.
+func (c *Conn) UseBudget(b *MemoryBudget) { c.budget = b }
+
+// ReleaseBuffers frees the memory of a long received frame. The last received body is invalid afterwards.
+func (c *Conn) ReleaseBuffers() {
+	c.budget.release(c.reserved)
+	c.reserved = 0
+	if cap(c.received) > retainedBytes {
+		c.received = nil
+	}
+}
+
 // Receive reads a frame, or fails at the deadline. The body is valid until the next call.
 func (c *Conn) Receive(deadline time.Time) (k Kind, body []byte, err error) {
+	return c.receive(deadline, c.protocol.MaxBodyBytes+checksumBytes)
+}
+
+// ReceiveHandshake is Receive for a frame of the handshake, which is short. The error is ErrFrameTooLong for other frames.
+func (c *Conn) ReceiveHandshake(deadline time.Time) (k Kind, body []byte, err error) {
+	return c.receive(deadline, maxHandshakeBytes)
+}
+
+func (c *Conn) receive(deadline time.Time, maxLength int) (k Kind, body []byte, err error) {
+	c.ReleaseBuffers()
 	c.SetReadDeadline(deadline)
-	k, body, err = c.protocol.Read(c.reader, c.received)
+	k, length, err := c.protocol.readHeader(c.reader)
+	switch {
+	case err != nil:
+		return 0, nil, err
+	case length > maxLength:
+		return 0, nil, ErrFrameTooLong
+	case length > retainedBytes && c.budget != nil:
+		if last := time.Now().Add(largeFrameTimeout); last.Before(deadline) {
+			deadline = last
+			c.SetReadDeadline(deadline)
+		}
+		if err := c.budget.reserve(length, deadline); err != nil {
+			return 0, nil, err
+		}
+		c.reserved = length
+	}
+	k, body, err = c.protocol.readBody(c.reader, k, length, c.received)
 	c.received = body
 	return k, body, err
 }
@@ -79,7 +126,7 @@
 // ReceiveHello reads the peer's Hello and returns the name in it. A peer with another version or an invalid Hello is
 // rejected, and the returned error is sent to it as the reason.
 func (c *Conn) ReceiveHello(deadline time.Time) (peer string, err error) {
-	k, body, err := c.Receive(deadline)
+	k, body, err := c.ReceiveHandshake(deadline)
 	if err != nil {
 		return "", err
 	}
--- a/internal/cluster/framing/frame.go
+++ b/internal/cluster/framing/frame.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/crc32"
 	"io"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -14,6 +15,8 @@
 	maxDepth      = 8    // of nested arrays and maps
 	headerBytes   = 5
 	checksumBytes = 4
+
+	initialBodyBytes = 4 << 10 // first buffer of a body
 )
 
 // Kind is the message type of a frame. Each protocol numbers its own kinds from FirstProtocolKind.
@@ -95,28 +98,53 @@
 // Read reads a frame into buffer, which it grows if necessary. The returned body is valid until the next frame is read
 // into the same buffer.
 func (p *Protocol) Read(r io.Reader, buffer []byte) (k Kind, body []byte, err error) {
+	k, length, err := p.readHeader(r)
+	if err != nil {
+		return 0, buffer, err
+	}
+	return p.readBody(r, k, length, buffer)
+}
+
+// readHeader reads the header of a frame. length includes the checksum.
+func (p *Protocol) readHeader(r io.Reader) (k Kind, length int, err error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return 0, buffer, err
+		return 0, 0, err
 	}
 	n, k := binary.BigEndian.Uint32(header[:4]), Kind(header[4])
-	if err := p.check(n, k); err != nil {
-		return 0, buffer, err
-	}
-	if buffer = buffer[:0]; cap(buffer) < int(n) {
-		buffer = make([]byte, 0, n)
-	}
-	buffer = buffer[:n]
-	if _, err := io.ReadFull(r, buffer); err != nil || !p.HasChecksums {
+	return k, int(n), p.check(n, k)
+}
+
+// readBody reads the rest of a frame into buffer and verifies its checksum.
+func (p *Protocol) readBody(r io.Reader, k Kind, length int, buffer []byte) (Kind, []byte, error) {
+	buffer, err := readGrowing(r, buffer[:0], length)
+	if err != nil || !p.HasChecksums {
 		return k, buffer, err
 	}
-	body = buffer[:n-checksumBytes]
+	body := buffer[:length-checksumBytes]
 	if binary.BigEndian.Uint32(buffer[len(body):]) != checksum(k, body) {
 		return 0, buffer, ErrChecksum
 	}
 	return k, body, nil
 }
 
+// readGrowing reads length bytes and appends them to buffer. The buffer grows as bytes arrive, because a peer may announce a length that it
+// never sends.
+func readGrowing(r io.Reader, buffer []byte, length int) ([]byte, error) {
+	for len(buffer) < length {
+		filled := len(buffer)
+		step := min(length, max(cap(buffer), 2*filled, initialBodyBytes)) - filled
+		buffer = slices.Grow(buffer, step)[:filled+step]
+		if n, err := io.ReadFull(r, buffer[filled:]); err != nil {
+			if err == io.EOF && filled > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return buffer[:filled+n], err
+		}
+	}
+	return buffer, nil
+}
+
 // check validates the length and kind in a frame's header.
 func (p *Protocol) check(length uint32, k Kind) error {
 	maxLength := uint32(p.MaxBodyBytes)
--- a/internal/cluster/peer/handshake.go
+++ b/internal/cluster/peer/handshake.go
@@ -17,6 +17,9 @@
 	handshakeTimeout = 2 * time.Second
 	dialTimeout      = time.Second
 	acceptRetryWait  = 100 * time.Millisecond
+
+	maxPendingHandshakes = 32      // accepted connections that have not identified themselves
+	frameMemoryBytes     = 4 << 20 // of long frames that are received
 )
 
 var (
@@ -42,10 +45,15 @@
 			}
 			continue
 		}
+		handshake := n.handshakes.Begin(ctx, nc)
+		if handshake == nil {
+			return nil
+		}
 		serving.Go(func() {
 			defer nc.Close()
+			defer handshake.End()
 			defer context.AfterFunc(ctx, func() { nc.Close() })()
-			if err := n.serveAccepted(ctx, nc); err != nil && ctx.Err() == nil {
+			if err := n.serveAccepted(ctx, nc, handshake); err != nil && ctx.Err() == nil {
 				n.log.Debug().Err(err).Stringer("from", nc.RemoteAddr()).Msg("accepted connection ended")
 			}
 		})
@@ -53,7 +61,7 @@
 }
 
 // serveAccepted performs the handshake of an accepted connection and serves the caller as a command or a node.
-func (n *Node) serveAccepted(ctx context.Context, nc net.Conn) error {
+func (n *Node) serveAccepted(ctx context.Context, nc net.Conn, handshake *framing.Handshake) error {
 	deadline := time.Now().Add(handshakeTimeout)
 	nc.SetDeadline(deadline)
 	if n.cfg.Keys != nil {
@@ -66,7 +74,7 @@
 	if err := conn.Send(framing.HelloKind, framing.Hello{Version: version, Name: n.name}); err != nil {
 		return err
 	}
-	kind, body, err := conn.Receive(deadline)
+	kind, body, err := conn.ReceiveHandshake(deadline)
 	if err != nil {
 		return err
 	}
@@ -77,6 +85,9 @@
 	if caller.Deployment != n.cfg.Deployment {
 		return conn.Reject(fmt.Errorf("deployment mismatch: expected %q", n.cfg.Deployment))
 	}
+	handshake.End()
+	conn.UseBudget(n.frameMemory)
+	defer conn.ReleaseBuffers()
 	if caller.Member.Incarnation == 0 {
 		return n.serveCommand(ctx, conn)
 	}
@@ -102,6 +113,8 @@
 	conn, remote, err := dial(ctx, n.cfg, n.cfg.ListenAddress.Addr(), address, n.name, n.self())
 	if err == nil {
 		defer context.AfterFunc(ctx, func() { conn.Close() })()
+		conn.UseBudget(n.frameMemory)
+		defer conn.ReleaseBuffers()
 		err = n.serveNode(newConnection(conn, remote.Member, true), remote.Member)
 	}
 	if ctx.Err() == nil {
@@ -149,7 +162,7 @@
 }
 
 func receiveIntro(conn *framing.Conn, deadline time.Time) (remote intro, err error) {
-	kind, body, err := conn.Receive(deadline)
+	kind, body, err := conn.ReceiveHandshake(deadline)
 	switch {
 	case err != nil:
 	case kind == framing.RejectionKind:
--- a/internal/cluster/peer/node.go
+++ b/internal/cluster/peer/node.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"fernvane/internal/cluster/framing"
 	"fernvane/internal/cluster/membership"
 	"fernvane/internal/cluster/replicastore"
 	"fernvane/internal/cluster/replication"
@@ -38,6 +39,9 @@
 	store     *replicastore.Store
 	copyLimit *rate.Limiter
 
+	handshakes  *framing.Handshakes
+	frameMemory *framing.MemoryBudget
+
 	replaced          chan struct{} // closed when a later incarnation of this node's name is known
 	firstUpdate       chan struct{} // closed when the first membership update is received
 	journalConfigured chan struct{} // closed by StartJournal
@@ -103,6 +107,8 @@
 		listener:          listener,
 		store:             replicastore.Open(cfg.ReplicaDir, files, replicaSegmentBytes),
 		copyLimit:         rate.NewLimiter(rate.Limit(cfg.RepairBytesPerSecond), maxBodyBytes),
+		handshakes:        framing.NewHandshakes(maxPendingHandshakes),
+		frameMemory:       framing.NewMemoryBudget(frameMemoryBytes),
 		replaced:          make(chan struct{}),
 		firstUpdate:       make(chan struct{}),
 		journalConfigured: make(chan struct{}),
--- a/internal/controlplane/distribution/control/accept.go
+++ b/internal/controlplane/distribution/control/accept.go
@@ -21,6 +21,9 @@
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
+
+	maxPendingHandshakes = 64      // accepted connections that have not identified themselves
+	frameMemoryBytes     = 4 << 20 // of long frames that are received
 )
 
 // keepAlive makes the operating system detect the loss of a peer's machine within about ten seconds.
@@ -47,12 +50,19 @@
 			continue
 		}
 		nc.SetKeepAliveConfig(keepAlive)
-		connections.Go(func() { s.serveAccepted(ctx, nc) })
+		handshake := s.handshakes.Begin(ctx, nc)
+		if handshake == nil {
+			return
+		}
+		connections.Go(func() {
+			defer handshake.End()
+			s.serveAccepted(ctx, nc, handshake)
+		})
 	}
 }
 
 // serveAccepted serves an accepted connection until it ends.
-func (s *Server) serveAccepted(ctx context.Context, nc net.Conn) {
+func (s *Server) serveAccepted(ctx context.Context, nc net.Conn, handshake *framing.Handshake) {
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	from := nc.RemoteAddr().String()
@@ -78,6 +88,7 @@
 		}
 		return
 	}
+	handshake.End()
 	s.serveLink(ctx, newLink(s, conn, peer, nil))
 }
 
--- a/internal/controlplane/distribution/control/links.go
+++ b/internal/controlplane/distribution/control/links.go
@@ -36,6 +36,8 @@
 		defer close(writerDone)
 		l.runWriter(ctx)
 	}()
+	l.conn.UseBudget(s.frameMemory)
+	defer l.conn.ReleaseBuffers()
 	var err error
 	if s.addLink(l) {
 		err = l.read()
--- a/internal/controlplane/distribution/control/server.go
+++ b/internal/controlplane/distribution/control/server.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"fernvane/internal/cluster/framing"
 	"fernvane/internal/controlplane/distribution"
 	"fernvane/internal/controlplane/distribution/disk"
 )
@@ -29,6 +30,8 @@
 	startTimeout time.Duration // defaultStartTimeout, except in tests
 	disk         *disk.Disk
 	wakePublish  chan struct{} // wakes the publishing goroutine
+	handshakes   *framing.Handshakes
+	frameMemory  *framing.MemoryBudget
 
 	mu            sync.Mutex // not held during I/O on sockets or the disk
 	store         *distribution.Store
@@ -66,6 +69,8 @@
 		startedAt:    time.Now(),
 		startTimeout: defaultStartTimeout,
 		wakePublish:  make(chan struct{}, 1),
+		handshakes:   framing.NewHandshakes(maxPendingHandshakes),
+		frameMemory:  framing.NewMemoryBudget(frameMemoryBytes),
 		links:        newLinkTable(),
 		nodes:        nodeTable{},
 	}
--- a/internal/controlplane/planner/connection.go
+++ b/internal/controlplane/planner/connection.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"fernvane/internal/cluster/framing"
 	"fernvane/internal/controlplane/plan"
 	"fernvane/internal/controlplane/planwire"
 	"fernvane/internal/discovery/incarnation"
@@ -43,7 +44,7 @@
 }
 
 // serveConnection serves a forwarder's connection until it is closed.
-func (s *Server) serveConnection(ctx context.Context, nc net.Conn) {
+func (s *Server) serveConnection(ctx context.Context, nc net.Conn, handshake *framing.Handshake) {
 	defer nc.Close()
 	stopClosing := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stopClosing()
@@ -58,7 +59,10 @@
 		s.peerRejected(from, err)
 		return
 	}
+	handshake.End()
 	stopClosing()
+	conn.UseBudget(s.frameMemory)
+	defer conn.ReleaseBuffers()
 	defer context.AfterFunc(ctx, func() { conn.Close() })() // a close over TLS notifies the forwarder
 	f := &forwarderConn{name: name, conn: conn, pending: make(chan plan.Plan, 1)}
 	s.addForwarder(f)
--- a/internal/controlplane/planner/server.go
+++ b/internal/controlplane/planner/server.go
@@ -9,13 +9,19 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"fernvane/internal/cluster/framing"
 	"fernvane/internal/controlplane/plan"
 	"fernvane/internal/controlplane/planconfig"
 	"fernvane/internal/discovery/incarnation"
 )
 
 // acceptRetryDelay is the delay after a failed accept, which is usually caused by a temporary shortage of resources.
-const acceptRetryDelay = 10 * time.Millisecond
+const (
+	acceptRetryDelay = 10 * time.Millisecond
+
+	maxPendingHandshakes = 64      // accepted connections that have not identified themselves
+	frameMemoryBytes     = 4 << 20 // of long frames that are received
+)
 
 // Server is a running planner. It contains the network connections and the state machine of package plan.
 type Server struct {
@@ -23,6 +29,9 @@
 	log       zerolog.Logger
 	startedAt time.Time
 
+	handshakes  *framing.Handshakes
+	frameMemory *framing.MemoryBudget
+
 	mu          sync.Mutex // not held during network I/O
 	planner     *plan.Planner
 	discovered  map[string]incarnation.Entry // latest entries from discovery or the registry, by server ID
@@ -45,9 +54,13 @@
 func run(ctx context.Context, config *planconfig.Planner, log zerolog.Logger, listener *net.TCPListener) error {
 	now := time.Now()
 	s := &Server{
-		config:     config,
-		log:        log,
-		startedAt:  now,
+		config:    config,
+		log:       log,
+		startedAt: now,
+
+		handshakes:  framing.NewHandshakes(maxPendingHandshakes),
+		frameMemory: framing.NewMemoryBudget(frameMemoryBytes),
+
 		planner:    plan.NewPlanner(now.UnixMilli()),
 		discovered: map[string]incarnation.Entry{},
 		forwarders: map[string]*forwarderConn{},
@@ -83,7 +96,14 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		connections.Go(func() { s.serveConnection(ctx, nc) })
+		handshake := s.handshakes.Begin(ctx, nc)
+		if handshake == nil {
+			return
+		}
+		connections.Go(func() {
+			defer handshake.End()
+			s.serveConnection(ctx, nc, handshake)
+		})
 	}
 }
 
