Parse FastCGI params in place and read long records in parts

Cause: all pairs were collected, 24 times their length, outside of the memory budget. Change: pairs are parsed one at a time. Related paths: records are read in parts of at most 4 KiB instead of a buffer of the announced length, and the budget counts the buffer of a stream instead of its bytes.

--- a/internal/protocol/fastcgi/clientconn.go
+++ b/internal/protocol/fastcgi/clientconn.go
@@ -41,11 +41,9 @@
 // goroutine may write.
 type ClientConn struct {
 	net.Conn
-	records     reader
-	budget      *message.BufferBudget
-	handler     Handler
-	bytesRead   int // bytes read from the connection
-	bytesParsed int // bytes of complete records
+	records reader
+	budget  *message.BufferBudget
+	handler Handler
 
 	mu   sync.Mutex
 	open map[uint16]*Request // by ID; guarded by mu
@@ -88,13 +86,11 @@
 
 func (s source) Read(b []byte) (n int, err error) {
 	if s.c.handler != nil {
-		if err := s.c.handler.AwaitReadable(s.c.bytesRead > s.c.bytesParsed); err != nil {
+		if err := s.c.handler.AwaitReadable(s.c.records.isPartial()); err != nil {
 			return 0, err
 		}
 	}
-	n, err = s.c.Conn.Read(b)
-	s.c.bytesRead += n
-	return n, err
+	return s.c.Conn.Read(b)
 }
 
 // HasUnread reports whether the socket has unread bytes.
@@ -138,7 +134,6 @@
 			}
 			return nil, err
 		}
-		c.bytesParsed = c.bytesRead - c.records.in.Buffered()
 		r, err := c.handleRecord(rec)
 		if r != nil || err != nil {
 			return r, err
@@ -146,8 +141,11 @@
 	}
 }
 
-// handleRecord processes a record and returns the request that it completes, if any.
+// handleRecord processes a record, or a part of one, and returns the request that it completes, if any.
 func (c *ClientConn) handleRecord(rec record) (complete *Request, err error) {
+	if rec.isContinuation && !rec.isStream() {
+		return nil, nil
+	}
 	if rec.id == 0 {
 		return nil, c.handleManagement(rec)
 	}
@@ -237,21 +235,32 @@
 // appendBounded appends to a stream of a request, up to maxBytes and within the budget. On an error, which is sent to the client
 // when the request is complete, it drops both streams.
 func (c *ClientConn) appendBounded(r *Request, to *[]byte, content []byte, maxBytes, status int, reason string) *message.RequestError {
+	length := len(*to) + len(content)
 	switch {
 	case r.readError != nil:
 		return r.readError
-	case len(*to)+len(content) > maxBytes:
+	case length > maxBytes:
 		c.releaseBuffers(r)
 		return message.NewRequestError(status, reason)
-	case !c.budget.Reserve(len(content)):
+	case length > cap(*to) && !c.grow(r, to, min(max(length, 2*cap(*to)), maxBytes)):
 		c.releaseBuffers(r)
 		return message.NewRequestError(503, "no memory for so large a message now")
 	}
-	r.reservedBytes += len(content)
 	*to = append(*to, content...)
 	return nil
 }
 
+// grow gives a stream of a request a buffer of capacity bytes, and returns false if the budget does not allow it.
+func (c *ClientConn) grow(r *Request, stream *[]byte, capacity int) bool {
+	more := capacity - cap(*stream)
+	if !c.budget.Reserve(more) {
+		return false
+	}
+	r.reservedBytes += more
+	*stream = append(make([]byte, 0, capacity), *stream...)
+	return true
+}
+
 // releaseBuffers drops the streams of a request and returns their memory to the budget.
 func (c *ClientConn) releaseBuffers(r *Request) {
 	c.budget.Release(r.reservedBytes)
@@ -266,12 +275,13 @@
 	if len(rec.content) > maxValuesBytes {
 		return ErrProtocol
 	}
-	pairs, err := parsePairs(rec.content, nil)
-	if err != nil {
-		return ErrProtocol
-	}
 	var values []byte
-	for _, p := range pairs {
+	for rest := rec.content; len(rest) > 0; {
+		var p pair
+		var err error
+		if p, rest, err = cutPair(rest); err != nil {
+			return ErrProtocol
+		}
 		switch string(p.name) {
 		case "FCGI_MAX_CONNS", "FCGI_MAX_REQS":
 			values = appendPair(values, string(p.name), strconv.Itoa(maxRequests))
--- a/internal/protocol/fastcgi/fastcgi_test.go
+++ b/internal/protocol/fastcgi/fastcgi_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/fcgi"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -48,9 +49,16 @@
 			}
 			got = append(got, rec.content...)
 		}
-		pairs, err := parsePairs(got, nil)
-		if err != nil || len(pairs) != len(names) {
-			t.Fatalf("got %d pairs, want %d, error %v", len(pairs), len(names), err)
+		var pairs []pair
+		for rest := got; len(rest) > 0; {
+			first, after, err := cutPair(rest)
+			if err != nil {
+				t.Fatalf("after %d pairs: %v", len(pairs), err)
+			}
+			pairs, rest = append(pairs, first), after
+		}
+		if len(pairs) != len(names) {
+			t.Fatalf("got %d pairs, want %d", len(pairs), len(names))
 		}
 		for i, p := range pairs {
 			if string(p.name) != names[i] || len(p.value) != len(names[i])%200 {
@@ -84,6 +92,86 @@
 	})
 }
 
+// TestLongRecords checks that a record of any length and padding is read whole in parts, and that the reader knows when it is not complete.
+func TestLongRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var wire []byte
+		var contents []string
+		for range rapid.IntRange(1, 4).Draw(t, "records") {
+			content := strings.Repeat("x", rapid.SampledFrom([]int{0, 1, 8, maxPartBytes - 1, maxPartBytes, maxPartBytes + 1, readBufferBytes, 3*maxPartBytes + 7, maxContentBytes}).Draw(t, "length"))
+			padding := rapid.IntRange(0, maxPaddingBytes).Draw(t, "padding")
+			contents = append(contents, content)
+			wire = append(wire, version, typeStdin, 0, 7, byte(len(content)>>8), byte(len(content)), byte(padding), 0)
+			wire = append(append(wire, content...), make([]byte, padding)...)
+		}
+		r := newReader(bytes.NewReader(wire))
+		for i, want := range contents {
+			got := ""
+			for isFirst := true; isFirst || len(got) < len(want); isFirst = false {
+				rec, err := r.next()
+				if err != nil || rec.kind != typeStdin || rec.id != 7 || rec.isContinuation == isFirst {
+					t.Fatalf("record %d: got %+v, error %v", i, rec, err)
+				}
+				got += string(rec.content)
+				isIncomplete := len(got) < len(want)
+				isAtEnd := i == len(contents)-1 && !isIncomplete
+				if isIncomplete && !r.isPartial() || isAtEnd && r.isPartial() {
+					t.Fatalf("record %d: got partial %v after %d of %d bytes", i, r.isPartial(), len(got), len(want))
+				}
+			}
+			if got != want {
+				t.Fatalf("record %d: got %d bytes, want %d", i, len(got), len(want))
+			}
+		}
+		if _, err := r.next(); err != io.EOF {
+			t.Fatalf("got error %v after the last record, want %v", err, io.EOF)
+		}
+	})
+}
+
+// TestLongRecordTakesNoMemory guards against clients that announce long records, each of which took the whole length.
+func TestLongRecordTakesNoMemory(t *testing.T) {
+	header := []byte{version, typeParams, 0, 1, 0xff, 0xff, maxPaddingBytes, 0}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	const connections = 64
+	for range connections {
+		budget := message.NewBufferBudget(message.MaxHead)
+		c := NewClientConn(&script{in: bytes.NewReader(append(appendBegin(nil, 1, flagKeep), header...))}, budget)
+		if _, err := c.NextRequest(nil); err != io.ErrUnexpectedEOF {
+			t.Fatalf("got error %v, want %v", err, io.ErrUnexpectedEOF)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if taken := (after.TotalAlloc - before.TotalAlloc) / connections; taken > 3*readBufferBytes {
+		t.Errorf("got %d bytes for a connection, want at most %d", taken, 3*readBufferBytes)
+	}
+}
+
+// TestManyPairsTakeNoMemory guards against params of very many pairs, which took over twenty times their length to parse.
+func TestManyPairsTakeNoMemory(t *testing.T) {
+	params := make([]byte, message.MaxHead) // empty pairs
+	taken := testing.AllocsPerRun(10, func() { request(params, nil) })
+	if taken > 10 {
+		t.Errorf("got %.0f allocations, want a few", taken)
+	}
+}
+
+// TestStreamMemoryIsReserved checks that the budget covers the buffers of a stream that comes in small records, not just their bytes.
+func TestStreamMemoryIsReserved(t *testing.T) {
+	const budgetBytes = 1 << 20
+	budget := message.NewBufferBudget(budgetBytes)
+	in := appendBegin(nil, 1, flagKeep)
+	for range 5000 {
+		in = appendRecord(in, typeParams, 1, []byte{0, 0})
+	}
+	c := NewClientConn(&script{in: bytes.NewReader(in)}, budget)
+	c.NextRequest(nil)
+	if r := c.open[1]; budget.Available() > int64(budgetBytes-cap(r.params)) {
+		t.Errorf("got %d bytes reserved for a buffer of %d", budgetBytes-budget.Available(), cap(r.params))
+	}
+}
+
 // script is a connection that delivers a given input and records the output.
 type script struct {
 	net.Conn
--- a/internal/protocol/fastcgi/params.go
+++ b/internal/protocol/fastcgi/params.go
@@ -78,13 +78,14 @@
 
 // request builds a request from its params and its body. The error is a *message.RequestError.
 func request(params []byte, body []byte) (*message.Request, error) {
-	pairs, err := parsePairs(params, nil)
-	if err != nil {
-		return nil, message.NewRequestError(400, "the params cannot be read")
-	}
 	r := &message.Request{Method: []byte("GET"), Body: body}
 	p := paramReader{request: r, length: -1}
-	for _, entry := range pairs {
+	for rest := params; len(rest) > 0; {
+		var entry pair
+		var err error
+		if entry, rest, err = cutPair(rest); err != nil {
+			return nil, message.NewRequestError(400, "the params cannot be read")
+		}
 		if !message.IsText(entry.value) {
 			return nil, message.NewRequestError(400, "a param cannot be read")
 		}
--- a/internal/protocol/fastcgi/record.go
+++ b/internal/protocol/fastcgi/record.go
@@ -46,44 +46,86 @@
 
 var errRecord = errors.New("malformed FastCGI record")
 
-// record is one record. Its content is valid until the next record is read.
+// record is one record, or a part of a long one. Its content is valid until the next record is read.
 type record struct {
-	kind    byte
-	id      uint16
-	content []byte
+	kind           byte
+	id             uint16
+	content        []byte
+	isContinuation bool // an earlier part of the record has been returned
 }
 
-const readBufferBytes = 4 << 10 // enough for most records
+// isStream reports whether the record belongs to a stream that a client sends.
+func (r record) isStream() bool {
+	return r.kind == typeParams || r.kind == typeStdin || r.kind == typeData
+}
+
+const (
+	readBufferBytes = 4 << 10 // enough for most records
+	maxPaddingBytes = 255
+	maxPartBytes    = readBufferBytes - maxPaddingBytes // of a long record, so that its last part and the padding fit into the buffer
+)
 
-// reader reads records from a stream. All records share one buffer.
+// reader reads records from a stream. It holds at most readBufferBytes of them, whatever length they announce.
 type reader struct {
-	in      *bufio.Reader
-	header  [headerLen]byte
-	content []byte
+	in        *bufio.Reader
+	current   record // its content is that of the part returned last
+	returned  int    // bytes of that part, and of the padding behind it, which are still in the buffer
+	remaining int    // bytes of the current record's content that were not returned
+	padding   int    // bytes of the current record's padding that were not returned
 }
 
 func newReader(r io.Reader) reader { return reader{in: bufio.NewReaderSize(r, readBufferBytes)} }
 
-// next reads a record and its padding. The error is io.EOF only if the stream ends between records.
+// hasMore reports whether bytes behind the part returned last are in the buffer.
+func (r *reader) hasMore() bool { return r.in.Buffered() > r.returned }
+
+// isPartial reports whether a part of a record has been read and the rest has not.
+func (r *reader) isPartial() bool { return r.remaining+r.padding > 0 || r.hasMore() }
+
+// next reads a record with its padding, or the next part of one that is longer than the buffer. The error is io.EOF only if the stream ends
+// between records.
 func (r *reader) next() (record, error) {
-	if _, err := io.ReadFull(r.in, r.header[:]); err != nil {
-		return record{}, err
+	r.in.Discard(r.returned)
+	r.returned = 0
+	r.current.isContinuation = r.remaining > 0
+	if !r.current.isContinuation {
+		if err := r.readHeader(); err != nil {
+			return record{}, err
+		}
 	}
-	if r.header[0] != version {
-		return record{}, errRecord
+	contentBytes, paddingBytes := min(r.remaining, maxPartBytes), 0
+	if contentBytes == r.remaining {
+		paddingBytes = r.padding
 	}
-	length, padding := int(binary.BigEndian.Uint16(r.header[4:])), int(r.header[6])
-	if cap(r.content) < length+padding {
-		r.content = make([]byte, 0, max(length+padding, 1024))
+	part, err := r.in.Peek(contentBytes + paddingBytes)
+	if err == io.EOF {
+		return record{}, io.ErrUnexpectedEOF
 	}
-	contentAndPadding := r.content[:length+padding]
-	if _, err := io.ReadFull(r.in, contentAndPadding); err != nil {
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
+	if err != nil {
 		return record{}, err
 	}
-	return record{kind: r.header[1], id: binary.BigEndian.Uint16(r.header[2:]), content: contentAndPadding[:length]}, nil
+	r.returned = len(part)
+	r.remaining -= contentBytes
+	r.padding -= paddingBytes
+	r.current.content = part[:contentBytes]
+	return r.current, nil
+}
+
+// readHeader reads the header of a record.
+func (r *reader) readHeader() error {
+	header, err := r.in.Peek(headerLen)
+	switch {
+	case err == io.EOF && len(header) > 0:
+		return io.ErrUnexpectedEOF
+	case err != nil:
+		return err
+	case header[0] != version:
+		return errRecord
+	}
+	r.current = record{kind: header[1], id: binary.BigEndian.Uint16(header[2:])}
+	r.remaining, r.padding = int(binary.BigEndian.Uint16(header[4:])), int(header[6])
+	r.in.Discard(headerLen)
+	return nil
 }
 
 // appendRecord appends one record, padded to a multiple of eight bytes as the specification recommends.
@@ -133,21 +175,18 @@
 	return int(binary.BigEndian.Uint32(b) &^ longLengthFlag), b[4:], true
 }
 
-// parsePairs parses a complete stream of pairs.
-func parsePairs(b []byte, into []pair) ([]pair, error) {
-	for len(b) > 0 {
-		nameLength, rest, ok := length(b)
-		if !ok {
-			return into, errRecord
-		}
-		valueLength, rest, ok := length(rest)
-		if !ok || nameLength > len(rest) || valueLength > len(rest)-nameLength {
-			return into, errRecord
-		}
-		into = append(into, pair{rest[:nameLength], rest[nameLength : nameLength+valueLength]})
-		b = rest[nameLength+valueLength:]
+// cutPair returns the first pair of a complete stream of pairs, and the rest of the stream.
+func cutPair(b []byte) (first pair, rest []byte, err error) {
+	nameLength, rest, ok := length(b)
+	if !ok {
+		return pair{}, nil, errRecord
+	}
+	valueLength, rest, ok := length(rest)
+	if !ok || nameLength > len(rest) || valueLength > len(rest)-nameLength {
+		return pair{}, nil, errRecord
 	}
-	return into, nil
+	end := nameLength + valueLength
+	return pair{rest[:nameLength], rest[nameLength:end]}, rest[end:], nil
 }
 
 // appendEnd appends the END_REQUEST record of a request.
--- a/internal/protocol/fastcgi/serverconn.go
+++ b/internal/protocol/fastcgi/serverconn.go
@@ -37,13 +37,13 @@
 }
 
 // IsIdle reports whether the connection is open and has no unread bytes.
-func (c *ServerConn) IsIdle() bool { return c.records.in.Buffered() == 0 && sockpeek.IsIdle(c.Conn) }
+func (c *ServerConn) IsIdle() bool { return !c.records.isPartial() && sockpeek.IsIdle(c.Conn) }
 
 // HasUnread reports whether the socket has unread bytes.
 func (c *ServerConn) HasUnread() bool { return sockpeek.HasUnread(c.Conn) }
 
 // HasMore reports whether bytes have arrived behind the response that was read last.
-func (c *ServerConn) HasMore() bool { return c.records.in.Buffered() > 0 || c.HasUnread() }
+func (c *ServerConn) HasMore() bool { return c.records.hasMore() || c.HasUnread() }
 
 // IdentifiesResponses reports that records contain the ID of their request.
 func (c *ServerConn) IdentifiesResponses() bool { return true }
@@ -56,9 +56,6 @@
 	if cap(c.out) > retainedBufferBytes {
 		c.out = nil
 	}
-	if cap(c.records.content) > retainedBufferBytes {
-		c.records.content = nil
-	}
 	c.budget.Release(c.reservedBytes)
 	c.reservedBytes = 0
 }
@@ -123,7 +120,7 @@
 			if stderrBytes += len(rec.content); stderrBytes > maxStderrBytes {
 				return message.ErrMalformedResponse
 			}
-			if c.stderr != nil && len(rec.content) > 0 {
+			if c.stderr != nil && len(rec.content) > 0 && !rec.isContinuation {
 				c.stderr(rec.content)
 			}
 		case typeEnd:
--- a/internal/testbed/hostile/memory_test.go
+++ b/internal/testbed/hostile/memory_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -119,6 +120,16 @@
 	}
 }
 
+// emptyPairs sends requests whose params are very many empty pairs.
+func emptyPairs(c net.Conn, _ *rand.Rand) {
+	for id := uint16(1); id <= 20; id++ {
+		io.WriteString(c, fcgiBeginRecord(id)+fcgiRecord(fcgiParams, id, strings.Repeat("\x00\x00", maxHead/2)))
+	}
+	for id := uint16(1); id <= 20; id++ {
+		io.WriteString(c, fcgiRecord(fcgiParams, id, "")+fcgiRecord(fcgiStdin, id, ""))
+	}
+}
+
 const maxFrameBytes = 1 << 20 // of a frame between processes
 
 // announcedFrame sends only the header of the largest frame.
@@ -169,6 +180,7 @@
 		{"FastCGI, half a record", (*node).fastCGIAddress, halfRecord},
 		{"FastCGI, half a body", (*node).fastCGIAddress, halfStdin},
 		{"FastCGI, many begun requests", (*node).fastCGIAddress, manyBegun},
+		{"FastCGI, empty pairs", (*node).fastCGIAddress, emptyPairs},
 		{"peers, an announced frame", (*node).peersAddress, announcedFrame},
 		{"peers, half a frame", (*node).peersAddress, halfFrame},
 		{"peers, half a frame after the hello", (*node).peersAddress, afterHello(peerProtocol, halfFrame)},
@@ -188,6 +200,26 @@
 	}
 }
 
+// Guards against a node that stays within its memory limit on each listener alone, but not on all together.
+func TestMemoryOfAllListeners(t *testing.T) {
+	n := startNode(t, smallestMemoryMB)
+	regular := runBesideRegular(t, n.http, func() {
+		var all sync.WaitGroup
+		for _, c := range []struct {
+			at   string
+			send opening
+		}{{n.http, almostWholeBody}, {n.http, shortFields}, {n.fastCGI, halfStdin}, {n.fastCGI, halfRecord}, {n.fastCGI, manyBegun}, {n.peers, halfFrame}} {
+			all.Go(func() { runClients(c.at, clientSeed, clientCount/6, memoryTestTime, c.send) })
+		}
+		all.Wait()
+	})
+	peak := n.peakMB()
+	t.Logf("peak %.1f MiB, %s", peak, regular)
+	if peak > smallestMemoryMB || regular.unanswered > 0 {
+		t.Errorf("got a peak of %.1f MiB, %s, want at most %d MiB and an answer to each", peak, regular, smallestMemoryMB)
+	}
+}
+
 func (n *node) httpAddress() string    { return n.http }
 func (n *node) fastCGIAddress() string { return n.fastCGI }
 func (n *node) peersAddress() string   { return n.peers }
