Notice a client's close behind bytes that are not read

Cause: after an invalid record nothing read the connection, so nothing noticed the close while accepted requests waited. Change: the node reads on and discards until they are answered or the client has closed. Related path: the last check before a write, of both protocols, asks the kernel whether the peer has closed, also behind unread bytes.

--- a/internal/protocol/fastcgi/clientconn.go
+++ b/internal/protocol/fastcgi/clientconn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -17,6 +18,8 @@
 const (
 	maxRequests    = 100     // open on one connection; further requests are rejected as overload
 	maxValuesBytes = 1 << 10 // of one GET_VALUES record
+
+	maxDiscardedBytes = 1 << 20 // after an invalid record
 )
 
 // ErrProtocol is the error of a client that violates the protocol. Its connection cannot be read any further.
@@ -312,6 +315,15 @@
 	}
 }
 
+// AwaitClose reads and discards what follows an invalid record, until the client closes the connection or the read deadline passes, and
+// abandons all open requests if the client has closed it. A client that sends more than maxDiscardedBytes is treated as disconnected.
+func (c *ClientConn) AwaitClose() {
+	discarded, err := io.CopyN(io.Discard, c.Conn, maxDiscardedBytes)
+	if discarded == maxDiscardedBytes || !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.AbandonRequests()
+	}
+}
+
 // openRequests returns the open requests other than those for which except returns true. A nil except excludes none.
 func (c *ClientConn) openRequests(except func(*Request) bool) []*Request {
 	c.mu.Lock()
--- a/internal/protocol/http1/disconnect.go
+++ b/internal/protocol/http1/disconnect.go
@@ -30,11 +30,12 @@
 // Disconnected is like WaitDisconnected but does not wait. The two must not be called concurrently.
 func (c *Conn) Disconnected() bool { return c.disconnected(false) }
 
-// PeekDisconnected reports whether a disconnect is detected without reading. It may be called concurrently with
-// WaitDisconnected. It does not detect a disconnect behind unread bytes.
+// PeekDisconnected reports whether the peer has closed the connection or it is broken, without reading. It may be called concurrently with
+// WaitDisconnected. On a TCP connection it detects a disconnect behind unread bytes too.
 func (c *Conn) PeekDisconnected() bool {
 	n, err := sockpeek.Peek(c.Conn, false)
-	return err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.ENOTSUP
+	isAtEnd := err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.ENOTSUP
+	return isAtEnd || sockpeek.IsClosedByPeer(c.Conn)
 }
 
 func (c *Conn) disconnected(wait bool) bool {
--- a/internal/protocol/http1/http1_test.go
+++ b/internal/protocol/http1/http1_test.go
@@ -351,3 +351,19 @@
 		t.Errorf("after release: got error %v", err)
 	}
 }
+
+// TestPeekDisconnectedBehindUnread guards against an attempt for a client that has closed its connection behind bytes that nothing has read.
+func TestPeekDisconnectedBehindUnread(t *testing.T) {
+	near, far := connpair.TCP(t)
+	conn := NewConn(near)
+	io.WriteString(far, "GET / HTTP/1.1\r\n")
+	if conn.PeekDisconnected() {
+		t.Error("before the close: got a disconnect")
+	}
+	far.Close()
+	for deadline := time.Now().Add(10 * time.Second); !conn.PeekDisconnected(); time.Sleep(time.Millisecond) { // the kernel may deliver the close later
+		if time.Now().After(deadline) {
+			t.Fatal("after the close: got no disconnect within 10 s")
+		}
+	}
+}
--- a/internal/protocol/sockpeek/read_test.go
+++ b/internal/protocol/sockpeek/read_test.go
@@ -64,3 +64,35 @@
 		})
 	}
 }
+
+// TestIsClosedByPeer checks that a close is seen at once, whatever the peer sent before it.
+func TestIsClosedByPeer(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(far *net.TCPConn)
+		want bool
+	}{
+		"open":                       {func(*net.TCPConn) {}, false},
+		"open, with unread bytes":    {func(far *net.TCPConn) { far.Write([]byte("x")) }, false},
+		"closed":                     {func(far *net.TCPConn) { far.Close() }, true},
+		"closed behind unread bytes": {func(far *net.TCPConn) { far.Write(make([]byte, 64<<10)); far.Close() }, true},
+		"side of the peer is closed": {func(far *net.TCPConn) { far.Write([]byte("x")); far.CloseWrite() }, true},
+		"reset":                      {func(far *net.TCPConn) { far.SetLinger(0); far.Close() }, true},
+		"reset behind unread bytes":  {func(far *net.TCPConn) { far.Write([]byte("x")); far.SetLinger(0); far.Close() }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := connpair.TCP(t)
+			c.do(far)
+			deadline := time.Now().Add(10 * time.Second)
+			for c.want && !IsClosedByPeer(near) && time.Now().Before(deadline) { // the kernel may deliver the close later
+				time.Sleep(time.Millisecond)
+			}
+			if got := IsClosedByPeer(near); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+	pipe, _ := net.Pipe()
+	if IsClosedByPeer(pipe) {
+		t.Error("got true for a connection without a socket")
+	}
+}
--- a/internal/proxy/fastcgiclient.go
+++ b/internal/proxy/fastcgiclient.go
@@ -42,7 +42,7 @@
 				return
 			}
 			c.RequestsRejected()
-			c.requests.Wait() // accepted requests are still answered
+			c.awaitAnswers()
 			s.discardUnread(tcp)
 			return
 		}
@@ -56,6 +56,19 @@
 	}
 }
 
+// awaitAnswers waits until all accepted requests are answered after the client has sent an invalid record. Nothing reads the connection any
+// more, so it watches for the client's close meanwhile.
+func (c *fastcgiClientConn) awaitAnswers() {
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		c.conn.AwaitClose()
+	}()
+	c.requests.Wait()
+	c.tcp.SetReadDeadline(pastDeadline)
+	<-watched
+}
+
 // handle passes an input to the lifecycle and executes its effect on the connection.
 func (c *fastcgiClientConn) handle(in connclose.Input) connclose.Effect {
 	c.mu.Lock()
--- a/internal/proxy/fastcgirequest.go
+++ b/internal/proxy/fastcgirequest.go
@@ -7,6 +7,7 @@
 
 	"fernvane/internal/protocol/fastcgi"
 	"fernvane/internal/protocol/message"
+	"fernvane/internal/protocol/sockpeek"
 )
 
 // serveFastCGIRequest serves one request of a FastCGI connection, on the request's own goroutine.
@@ -61,16 +62,17 @@
 	return host
 }
 
+// IsDisconnected looks at the connection itself too, because the goroutine that reads it may be behind, or has ended after an invalid record.
 func (c fastcgiRequestConn) IsDisconnected() bool {
 	select {
 	case <-c.request.Disconnected():
 		return true
 	default:
-		return false
+		return sockpeek.IsClosedByPeer(c.conn.Conn)
 	}
 }
 
-// IsDisconnectedBehindUnread is the same as IsDisconnected: the connection is read continuously, also while requests are open.
+// IsDisconnectedBehindUnread is the same as IsDisconnected, which sees a close behind unread bytes.
 func (c fastcgiRequestConn) IsDisconnectedBehindUnread() bool { return c.IsDisconnected() }
 
 func (c fastcgiRequestConn) WatchDisconnect(onDisconnect func()) (stop func()) {
--- a/internal/testbed/hostile/deployment_test.go
+++ b/internal/testbed/hostile/deployment_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,13 +28,22 @@
 type node struct {
 	*process
 	http, fastCGI, peers string       // listen addresses
-	served               atomic.Int64 // requests that its server has begun
+	work                 atomic.Int64 // of the server for one request, in nanoseconds
+	served, ended        atomic.Int64 // requests that its server has begun and ended
+	begunByID            sync.Map     // *atomic.Int64 by request ID
+}
+
+// begun returns how often the server has begun a request.
+func (n *node) begun(id string) int64 {
+	count, _ := n.begunByID.LoadOrStore(id, &atomic.Int64{})
+	return count.(*atomic.Int64).Load()
 }
 
 // startNode starts a node with a memory limit in MiB.
 func startNode(t *testing.T, memoryMB int) *node {
 	t.Helper()
 	n := &node{http: address.Free(t), fastCGI: address.Free(t), peers: address.Free(t)}
+	n.work.Store(int64(workTime))
 	server := n.startServer(t)
 	dir := t.TempDir()
 	held := filepath.Join(dir, "held")
@@ -62,10 +72,14 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.served.Add(1)
+		id := r.Header.Get("Request-Id")
 		io.Copy(io.Discard, r.Body)
-		time.Sleep(workTime)
-		fmt.Fprintf(w, "answer to %s", r.Header.Get("Request-Id"))
+		n.served.Add(1)
+		count, _ := n.begunByID.LoadOrStore(id, &atomic.Int64{})
+		count.(*atomic.Int64).Add(1)
+		time.Sleep(time.Duration(n.work.Load()))
+		fmt.Fprintf(w, "answer to %s", id)
+		n.ended.Add(1)
 	})}
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
--- a/internal/testbed/hostile/http_test.go
+++ b/internal/testbed/hostile/http_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -16,14 +19,11 @@
 	reader *bufio.Reader
 }
 
-// get sends a request and returns the status of the answer. On a connection that the node has closed between requests it connects once
-// more, like the clients of the platform.
+// get sends a request and returns the status of the answer. If the node closes the connection without an answer, which may cross the
+// request, it connects once more, like the clients of the platform.
 func (c *httpClient) get(path, id string) (status int, err error) {
-	for range 2 {
-		isKept := c.conn != nil
-		if status, err = c.getOnce(path, id); err == nil || !isKept {
-			return status, err
-		}
+	if status, err = c.getOnce(path, id); errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return c.getOnce(path, id)
 	}
 	return status, err
 }
--- a/internal/testbed/hostile/memory_test.go
+++ b/internal/testbed/hostile/memory_test.go
@@ -87,6 +87,15 @@
 	return fcgiRecord(fcgiBegin, id, "\x00\x01\x01\x00\x00\x00\x00\x00")
 }
 
+// fcgiStream returns the STDIN of a request.
+func fcgiStream(id uint16, body string) string {
+	stream := ""
+	if body != "" {
+		stream = fcgiRecord(fcgiStdin, id, body)
+	}
+	return stream + fcgiRecord(fcgiStdin, id, "")
+}
+
 func fcgiPair(name, value string) string {
 	return string([]byte{byte(len(name)), byte(len(value))}) + name + value
 }
