Refuse an id that comes again after its request may have run

Cause: an id was refused until its request was settled only, and a client that leaves settles it at once while the attempt goes on.

--- a/internal/proxy/dispatch/attemptresult.go
+++ b/internal/proxy/dispatch/attemptresult.go
@@ -52,5 +52,14 @@
 // Outcome returns the outcome that the decision module receives for the result.
 func (r AttemptResult) Outcome() policy.Outcome { return attemptResults[r].outcome }
 
+// ProvesNotRun reports whether the result proves that the server has not executed and will not execute the attempt.
+func (r AttemptResult) ProvesNotRun() bool {
+	switch r.Outcome() {
+	case policy.Overloaded, policy.Unreachable, policy.NotStarted:
+		return true
+	}
+	return false
+}
+
 // String returns the name of the result that journals and the log contain.
 func (r AttemptResult) String() string { return attemptResults[r].name }
--- a/internal/proxy/dispatch/counts.go
+++ b/internal/proxy/dispatch/counts.go
@@ -11,7 +11,7 @@
 	Failed       int // outcome unknown, or a server's report of a fault of the request was forwarded to the client
 	Disconnected int // settled by a client's disconnect, or by Request.Close after a panic
 
-	// Requests that were not accepted. Those with ErrDuplicateID or ErrRoutesChanged are not counted.
+	// Requests that were not accepted. Those with ErrDuplicateID, ErrUsedID or ErrRoutesChanged are not counted.
 	NoCapacity   int // too many requests in flight
 	RouteLimited int // a limit of the route was reached
 
--- a/internal/proxy/dispatch/request.go
+++ b/internal/proxy/dispatch/request.go
@@ -50,6 +50,7 @@
 	pending      Decision      // next result of NextDecision
 	ready        chan struct{} // signaled when pending is set
 	attemptCount int
+	possibleRuns int // attempts whose write has begun and whose result does not prove that they have not run
 	inFlight     []attempt
 	isSettled    bool // the final response is decided, or the client has disconnected
 }
@@ -133,6 +134,7 @@
 	for i := range r.inFlight {
 		if r.inFlight[i].index == attempt && !r.isSettled {
 			r.inFlight[i].writeBegun = true
+			r.possibleRuns++
 		}
 	}
 	return !r.isSettled
@@ -154,6 +156,9 @@
 	d, ended := r.dispatcher, r.inFlight[i]
 	r.inFlight = slices.Delete(r.inFlight, i, i+1)
 	d.counts.AttemptResults[result]++
+	if ended.writeBegun && result.ProvesNotRun() {
+		r.possibleRuns--
+	}
 	switch {
 	case r.isSettled:
 	case result == Succeeded:
@@ -223,6 +228,7 @@
 	d := r.dispatcher
 	r.isSettled = true
 	delete(d.requests.openClientIDs, r.clientID)
+	r.rememberID()
 	d.routes.Release(r.admission)
 	d.counts.recordFinal(decision.Action)
 	if decision.Action == Reject {
--- a/internal/proxy/dispatch/submit.go
+++ b/internal/proxy/dispatch/submit.go
@@ -14,6 +14,8 @@
 	ErrNoCapacity = errors.New("node limit of requests in flight reached")
 	// ErrDuplicateID is returned if a request with the same client ID is not settled.
 	ErrDuplicateID = errors.New("an operation of this id is open") // clients receive this text as the body of a 409 response
+	// ErrUsedID is returned if an earlier request with the same client ID may have run and must not run again.
+	ErrUsedID = errors.New("an earlier request with this id may have run")
 	// ErrRouteLimit is returned if a limit of the request's route is reached.
 	ErrRouteLimit = errors.New("route limit reached")
 	// ErrRoutesChanged is returned if the request was matched with a route table that has since been replaced. The caller
@@ -40,11 +42,12 @@
 type requestTable struct {
 	byID          map[uint64]*Request
 	openClientIDs map[string]bool // client IDs of the requests that are not settled
+	usedIDs       usedIDs
 	lastID        uint64
 }
 
 func newRequestTable() requestTable {
-	return requestTable{byID: map[uint64]*Request{}, openClientIDs: map[string]bool{}}
+	return requestTable{byID: map[uint64]*Request{}, openClientIDs: map[string]bool{}, usedIDs: newUsedIDs()}
 }
 
 // TrafficType returns the index of the traffic type with the given name. ok is false if there is none.
@@ -67,6 +70,9 @@
 	if d.requests.openClientIDs[string(a.ID)] {
 		return nil, ErrDuplicateID
 	}
+	if d.requests.usedIDs.contains(a.ID) {
+		return nil, ErrUsedID
+	}
 	if a.Routes != d.routes.Table() {
 		return nil, ErrRoutesChanged
 	}
--- a/internal/proxy/intentjournalentry.go
+++ b/internal/proxy/intentjournalentry.go
@@ -10,7 +10,6 @@
 	"fernvane/internal/journal/wal"
 	"fernvane/internal/protocol/message"
 	"fernvane/internal/proxy/dispatch"
-	"fernvane/policy"
 )
 
 // longestServerName is a placeholder of maximum length for the server of an attempt, which is unknown when the request is accepted.
@@ -122,10 +121,10 @@
 
 // executionProof returns what the result of an attempt proves about its execution.
 func executionProof(result dispatch.AttemptResult) intent.Proof {
-	switch result.Outcome() {
-	case policy.Success:
+	switch {
+	case result == dispatch.Succeeded:
 		return intent.Ran
-	case policy.Overloaded, policy.Unreachable, policy.NotStarted:
+	case result.ProvesNotRun():
 		return intent.NeverRan
 	}
 	return intent.PossiblyRan
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -57,7 +57,7 @@
 		return sendAnswer(conn, message.Answer{Status: 503})
 	case errors.Is(err, errJournalUnavailable), errors.Is(err, dispatch.ErrRouteLimit):
 		return sendAnswer(conn, message.Answer{Status: 503})
-	case errors.Is(err, dispatch.ErrDuplicateID):
+	case errors.Is(err, dispatch.ErrDuplicateID), errors.Is(err, dispatch.ErrUsedID):
 		return &message.RequestError{Status: 409, Reason: err.Error()}
 	}
 	return err
