Bound the logs of planners and control processes like a node's

Cause: a line for each rejected peer, written straight to standard error, which also lets a stopped reader of the log stop the process. Change: the node's logger moves to internal/logging, and all three use it. Related paths: TestFlood plays 16 floods against a node.

--- a/internal/controlplane/distribution/control/process.go
+++ b/internal/controlplane/distribution/control/process.go
@@ -7,11 +7,14 @@
 	"syscall"
 
 	"github.com/rs/zerolog"
+
+	"fernvane/internal/logging"
 )
 
 // Process runs a control process until SIGTERM or SIGINT, writes its log to errs and returns the exit code.
 func Process(config *Config, errs io.Writer) int {
-	log := zerolog.New(errs).With().Timestamp().Logger()
+	log, flush := logging.New(errs, zerolog.InfoLevel)
+	defer flush()
 	signal.Ignore(syscall.SIGPIPE) // the process must not terminate when the reader of its log does
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/proxy/signals.go
+++ b/internal/proxy/signals.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"github.com/rs/zerolog"
+
+	"fernvane/internal/logging"
 )
 
 // Signals are the external requests to a node: a value on Reload makes it reload its configuration, and closing Stop shuts it down.
@@ -35,7 +37,7 @@
 // RunProcess runs a node until SIGTERM or SIGINT stops it, and returns the exit code of the process. SIGHUP reloads the configuration. The
 // log is written to errs.
 func RunProcess(cfg Config, errs io.Writer, level zerolog.Level) int {
-	log, flush := NewLogger(errs, level)
+	log, flush := logging.New(errs, level)
 	defer flush()
 	if err := Run(CatchSignals(), cfg, log); err != nil {
 		log.Error().Err(err).Msg("cannot serve")
--- a/internal/testbed/hostile/memory_test.go
+++ b/internal/testbed/hostile/memory_test.go
@@ -72,9 +72,11 @@
 
 // FastCGI record types.
 const (
-	fcgiBegin  = 1
-	fcgiParams = 4
-	fcgiStdin  = 5
+	fcgiBegin     = 1
+	fcgiAbort     = 2
+	fcgiParams    = 4
+	fcgiStdin     = 5
+	fcgiGetValues = 9
 )
 
 const maxFastCGIContent = 65535 // bytes of one record
