Ignore what peers and forwarders report under long names

Cause: tables bound the number of their entries and not the length of their texts; a forwarder's shares had no bound. Change: reported texts over 300 bytes are ignored like entries beyond a full table, and shares beyond 4,096. Related paths: members, servers, tenants, traffic types, shares, incarnations; the distribution bounds its texts already (read).

--- a/internal/cluster/membership/input.go
+++ b/internal/cluster/membership/input.go
@@ -58,11 +58,11 @@
 }
 
 // MergeMembers merges reports of members that were received from a node; from is "" for reports of another source.
-// Reports older than the stored state are ignored. When maxMembers members are stored, including dead ones and those
+// Reports older than the stored state and those with texts over maxTextBytes are ignored. When maxMembers members are stored, including dead ones and those
 // that left, reports of unknown members are ignored too.
 func (t *Table) MergeMembers(now time.Duration, from string, members []Member) {
 	for _, m := range members {
-		if m.Condition >= conditions || m.Name == "" {
+		if !m.isValid() {
 			continue
 		}
 		if m.Name == t.self.Name {
--- a/internal/cluster/membership/member.go
+++ b/internal/cluster/membership/member.go
@@ -47,6 +47,11 @@
 	Machine     string // failure domain: nodes on one machine fail together
 }
 
+// isValid reports whether a received report can be stored.
+func (m *Member) isValid() bool {
+	return m.Condition < conditions && m.Name != "" && max(len(m.Name), len(m.Address), len(m.Site), len(m.Machine)) <= maxTextBytes
+}
+
 // Compare orders two reports of one member; the greater one supersedes the other.
 func Compare(a, b Member) int {
 	return cmp.Or(
--- a/internal/cluster/membership/table.go
+++ b/internal/cluster/membership/table.go
@@ -24,7 +24,8 @@
 	tombstoneRetention = 10 * time.Minute       // of members that are dead or have left
 
 	maxQueriedWatchers = 3
-	maxMembers         = 8192 // bounds memory, whatever peers report
+	maxMembers         = 8192 // bounds memory, whatever peers report, with maxTextBytes
+	maxTextBytes       = 300  // of each text of a member
 	maxUpdateMembers   = 512  // in one Update, about 60 kB
 )
 
--- a/internal/cluster/membership/table_test.go
+++ b/internal/cluster/membership/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,6 +121,31 @@
 	})
 }
 
+// TestLongTextsAreIgnored guards against reports that take memory without bound by the length of their texts.
+func TestLongTextsAreIgnored(t *testing.T) {
+	long, longest := strings.Repeat("x", maxTextBytes+1), strings.Repeat("x", maxTextBytes)
+	for name, c := range map[string]struct {
+		member Member
+		want   bool
+	}{
+		"short":        {Member{Name: "b", Address: "127.0.0.1:1", Site: "s", Machine: "m"}, true},
+		"longest":      {Member{Name: longest, Address: longest, Site: longest, Machine: longest}, true},
+		"long name":    {Member{Name: long}, false},
+		"long address": {Member{Name: "b", Address: long}, false},
+		"long site":    {Member{Name: "b", Site: long}, false},
+		"long machine": {Member{Name: "b", Machine: long}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New(Member{Name: "a", Incarnation: 1})
+			c.member.Incarnation = 1
+			table.MergeMembers(time.Second, "", []Member{c.member})
+			if _, got := table.Get(c.member.Name); got != c.want {
+				t.Errorf("got stored %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 var large = flag.Bool("large", false, "also simulate 3,000 nodes, which takes minutes")
 
 // The traffic of an idle node and the time to detect a dead node stay within bounds at each cluster size. -v prints the
--- a/internal/controlplane/plan/forwarder.go
+++ b/internal/controlplane/plan/forwarder.go
@@ -22,14 +22,15 @@
 	shares       map[string]float64 // shares in effect by server ID
 }
 
-// beginReport stores a report's settings and shares. It discards shares outside 0 to 1.
+// beginReport stores a report's settings and shares. It discards shares outside 0 to 1, those of servers with long IDs, and those beyond
+// maxEntriesPerTable.
 func (f *forwarder) beginReport(now time.Duration, r *Report) {
 	f.lastReport = now
 	f.reportSentAt = r.SentAt
 	f.settings = r.Settings
 	f.shares = make(map[string]float64, len(r.CurrentShares))
 	for _, s := range r.CurrentShares {
-		if s.Share > 0 && s.Share <= 1 {
+		if s.Share > 0 && s.Share <= 1 && len(s.ID) <= maxTextBytes && len(f.shares) < maxEntriesPerTable {
 			f.shares[s.ID] = s.Share
 		}
 	}
--- a/internal/controlplane/plan/planner.go
+++ b/internal/controlplane/plan/planner.go
@@ -12,6 +12,7 @@
 const (
 	maxForwarders      = 4096
 	maxEntriesPerTable = 4096 // applies to servers, tenants and traffic types separately
+	maxTextBytes       = 300  // of each text of a report that is stored
 )
 
 // Planner stores the state of all forwarders, servers, traffic types and tenants, and computes the plans.
@@ -47,7 +48,8 @@
 	p.incarnations.ApplyDiscovery(now, list, isComplete)
 }
 
-// ReportReceived applies a forwarder's report. It ignores reports of new forwarders once maxForwarders are registered.
+// ReportReceived applies a forwarder's report. It ignores reports of new forwarders once maxForwarders are registered, and what a report
+// says under names longer than maxTextBytes.
 func (p *Planner) ReportReceived(now time.Duration, name string, r *Report) {
 	f := p.forwarders[name]
 	if f == nil {
@@ -57,7 +59,7 @@
 		f = &forwarder{}
 		p.forwarders[name] = f
 	}
-	p.incarnations.Join(now, r.NewerIncarnations)
+	p.incarnations.Join(now, slices.DeleteFunc(slices.Clone(r.NewerIncarnations), hasLongText))
 	attempts := 0
 	f.beginReport(now, r)
 	for _, s := range r.Servers {
@@ -69,6 +71,11 @@
 	}
 }
 
+// hasLongText reports whether a text of an entry exceeds maxTextBytes.
+func hasLongText(e incarnation.Entry) bool {
+	return max(len(e.ID), len(e.Address), len(e.Zone), len(e.MachineKind)) > maxTextBytes
+}
+
 // ComputePlans advances the state to now and computes the plans of all forwarders.
 func (p *Planner) ComputePlans(now time.Duration) *FleetPlan {
 	p.advance(now)
--- a/internal/controlplane/plan/planner_test.go
+++ b/internal/controlplane/plan/planner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -467,3 +468,32 @@
 		t.Errorf("share of busy tenant: %.3f without idle tenants in reports, %.3f with them", got, want)
 	}
 }
+
+// TestReportsTakeBoundedMemory guards against reports that take memory without bound by the number or the length of their names.
+func TestReportsTakeBoundedMemory(t *testing.T) {
+	long, longest := strings.Repeat("x", maxTextBytes+1), strings.Repeat("x", maxTextBytes)
+	report := Report{Interval: time.Second}
+	for _, name := range []string{long, longest} {
+		report.Types = append(report.Types, TypeReport{Name: name, TargetTime: 200 * ms})
+		report.Servers = append(report.Servers, ServerReport{ID: name, Completions: []Completions{{TypeIndex: len(report.Types) - 1, Count: 1, TotalLatency: ms}}})
+		report.Tenants = append(report.Tenants, TenantReport{Name: name, Requests: 1000})
+		report.CurrentShares = append(report.CurrentShares, CurrentShare{ID: name, Share: 0.5})
+		report.NewerIncarnations = append(report.NewerIncarnations, incarnation.Entry{ID: name, Address: "127.0.0.1:1"}, incarnation.Entry{ID: "zone of " + name[:9], Zone: name})
+	}
+	for i := range 2 * maxEntriesPerTable {
+		report.CurrentShares = append(report.CurrentShares, CurrentShare{ID: fmt.Sprint(i), Share: 0.5})
+	}
+	p := NewPlanner(0)
+	p.ReportReceived(time.Second, "f", &report)
+	for name, got := range map[string]int{"types": len(p.types), "servers": len(p.servers), "tenants": len(p.tenants)} {
+		if got != 1 {
+			t.Errorf("got %d %s, want that of the short name", got, name)
+		}
+	}
+	if got := p.incarnations.Len(); got != 2 {
+		t.Errorf("got %d incarnations, want the two with short texts", got)
+	}
+	if shares := p.forwarders["f"].shares; len(shares) != maxEntriesPerTable || shares[long] != 0 || shares[longest] != 0.5 {
+		t.Errorf("got %d shares, want %d without that of the long name", len(shares), maxEntriesPerTable)
+	}
+}
--- a/internal/controlplane/plan/server.go
+++ b/internal/controlplane/plan/server.go
@@ -85,7 +85,7 @@
 func (p *Planner) serverReported(now time.Duration, forwarder string, r *Report, reported *ServerReport) (attempts int) {
 	s := p.servers[reported.ID]
 	if s == nil {
-		if len(p.servers) >= maxEntriesPerTable {
+		if len(p.servers) >= maxEntriesPerTable || len(reported.ID) > maxTextBytes {
 			return 0
 		}
 		s = newServer()
--- a/internal/controlplane/plan/tenants.go
+++ b/internal/controlplane/plan/tenants.go
@@ -10,11 +10,11 @@
 	rate      float64 // decays with rateTimeConstant
 }
 
-// tenantReported adds one forwarder's traffic of a tenant. It ignores new tenants once maxEntriesPerTable are stored.
+// tenantReported adds one forwarder's traffic of a tenant. It ignores new tenants once maxEntriesPerTable are stored, and long names.
 func (p *Planner) tenantReported(reported TenantReport) {
 	t := p.tenants[reported.Name]
 	if t == nil {
-		if len(p.tenants) >= maxEntriesPerTable {
+		if len(p.tenants) >= maxEntriesPerTable || len(reported.Name) > maxTextBytes {
 			return
 		}
 		t = &tenant{}
--- a/internal/controlplane/plan/traffictype.go
+++ b/internal/controlplane/plan/traffictype.go
@@ -26,7 +26,7 @@
 	if t == nil {
 		initial := max(reported.TargetTime, minTargetTime).Seconds() / initialLatencyDivisor
 		t = &trafficType{usualSeconds: initial, baselineSeconds: initial}
-		if len(p.types) < maxEntriesPerTable {
+		if len(p.types) < maxEntriesPerTable && len(reported.Name) <= maxTextBytes {
 			p.types[reported.Name] = t
 		}
 	}
--- a/internal/testbed/hostile/flood_test.go
+++ b/internal/testbed/hostile/flood_test.go
@@ -125,6 +125,7 @@
 			return frame(peerProtocol, framing.HelloKind, framing.Hello{Version: peerProtocol.Version, Name: fmt.Sprint("f", n)})
 		})},
 		{"peers, updates of new members", (*node).peersAddress, helloOfNode(), updatesOfNewMembers(1)},
+		{"peers, updates of members with long names", (*node).peersAddress, helloOfNode(), updatesOfNewMembers(longNameBytes)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := startNode(t, floodMemoryMB)
@@ -161,6 +162,7 @@
 	}{
 		{"planner, unknown frames", startPlanner, "", repeat(func(int) string { return "\x00\x00\x00\x04\x63xxxx" })},
 		{"planner, reports of new servers", startPlanner, helloOf(plannerProtocol), reportsOfNewServers(1)},
+		{"planner, reports of servers with long names", startPlanner, helloOf(plannerProtocol), reportsOfNewServers(longNameBytes)},
 		{"control, unknown frames", startControl, "", repeat(func(int) string { return "\x00\x00\x00\x04\x63xxxx" })},
 		{"control, unknown frames after the hello", startControl, helloOf(controlProtocol), repeat(func(int) string { return "\x00\x00\x00\x04\x63xxxx" })},
 	} {
@@ -172,6 +174,8 @@
 	}
 }
 
+const longNameBytes = 2 << 10 // with four names in each of 100 elements of a message, less than its largest length
+
 // longName returns a name that differs by its number, of a least length.
 func longName(number, length int) string {
 	return fmt.Sprintf("f%d-%s", number, strings.Repeat("x", length))
