Bound what offers of new streams leave, and count queued replies in full

Change: at most 8,192 names of 300 bytes from offers; queued messages are counted from above, and a queue has 8 MiB at most instead of 16. Related paths: all kinds of queued messages; the queues together stay unbounded (docs/known-issues.md).

--- a/internal/cluster/peer/connection.go
+++ b/internal/cluster/peer/connection.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	maxQueuedBytes = 16 << 20 // of queued messages per connection
-	maxPendingAcks = 256      // batches per connection that wait for the disk
+	maxQueuedBytes = 8 << 20 // of queued messages per connection
+	maxPendingAcks = 256     // batches per connection that wait for the disk
 )
 
 // connection is an established connection with another node.
--- a/internal/cluster/peer/message.go
+++ b/internal/cluster/peer/message.go
@@ -170,14 +170,18 @@
 	return message, framing.Decode(body, message)
 }
 
-// queuedBytes estimates the memory of a queued message.
+// queuedBytes estimates the memory of a queued message, from above.
 func queuedBytes(message any) int {
-	const overhead, perMember = 64, 128
+	const overhead, perMember, perRange = 256, 256, 16
 	switch m := message.(type) {
 	case *replication.Batch:
 		return len(m.Frames) + overhead
+	case *replication.Inventory:
+		return perRange*len(m.Ranges) + len(m.Name) + len(m.RejectReason) + overhead
+	case *replication.Offer:
+		return perRange*len(m.Ranges) + len(m.Name) + overhead
 	case *membership.Update:
-		return perMember * len(m.Members)
+		return perMember*len(m.Members) + overhead
 	case *endpointList:
 		return len(m.Text) + overhead
 	}
--- a/internal/cluster/peer/message_test.go
+++ b/internal/cluster/peer/message_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"fernvane/internal/cluster/framing"
 	"fernvane/internal/cluster/membership"
@@ -61,3 +62,25 @@
 		origin.Append(2*time.Second, 1, []byte{1}, true)
 	})
 }
+
+// TestQueuedBytes checks that the estimate of a queued message covers its memory: replies to a node that reads slowly are bounded by it.
+func TestQueuedBytes(t *testing.T) {
+	ranges := make(replication.Ranges, 1000)
+	name := strings.Repeat("x", 1000)
+	for what, c := range map[string]struct {
+		message any
+		least   int
+	}{
+		"batch":                {&replication.Batch{Frames: make([]byte, 1000)}, 1000 + int(unsafe.Sizeof(replication.Batch{}))},
+		"inventory":            {&replication.Inventory{Stream: replication.Stream{Name: name}, Ranges: ranges}, len(name) + len(ranges)*int(unsafe.Sizeof(ranges[0])) + int(unsafe.Sizeof(replication.Inventory{}))},
+		"offer":                {&replication.Offer{Stream: replication.Stream{Name: name}, Ranges: ranges}, len(name) + len(ranges)*int(unsafe.Sizeof(ranges[0])) + int(unsafe.Sizeof(replication.Offer{}))},
+		"update":               {&membership.Update{Members: make([]membership.Member, 100)}, 100 * int(unsafe.Sizeof(membership.Member{}))},
+		"endpoint list":        {&endpointList{Text: make([]byte, 1000)}, 1000},
+		"acknowledgement":      {&replication.Ack{}, int(unsafe.Sizeof(replication.Ack{}))},
+		"heartbeat and others": {&membership.Heartbeat{}, int(unsafe.Sizeof(membership.Heartbeat{}))},
+	} {
+		if got := queuedBytes(c.message); got < c.least {
+			t.Errorf("%s: got %d bytes, want at least %d", what, got, c.least)
+		}
+	}
+}
--- a/internal/cluster/replication/admission.go
+++ b/internal/cluster/replication/admission.go
@@ -9,7 +9,7 @@
 		return nil
 	}
 	if o.FromOrigin {
-		t.highestIncarnation[o.Name] = max(t.highestIncarnation[o.Name], o.Incarnation)
+		t.learnIncarnation(o.Name, o.Incarnation)
 	}
 	stored := t.streams[o.Stream]
 	if stored != nil && !o.FromOrigin {
@@ -25,6 +25,16 @@
 	return []Outgoing{{from, inventory}}
 }
 
+// learnIncarnation records an incarnation that a node reports of itself in an offer. Names of which nothing is known are ignored beyond
+// maxReportedNames and if they are long, so that offers take bounded memory.
+func (t *ReplicaTable) learnIncarnation(name string, incarnation int64) {
+	highest, isKnown := t.highestIncarnation[name]
+	if !isKnown && (len(t.highestIncarnation) >= maxReportedNames || len(name) > maxNameBytes) {
+		return
+	}
+	t.highestIncarnation[name] = max(highest, incarnation)
+}
+
 // applyOriginRanges drops the records before the origin's first one, which the origin removed after the retention or
 // lost to damage at the start of its journal. Records between its first and last that the origin lacks are recorded as
 // lost.
--- a/internal/cluster/replication/replicatable.go
+++ b/internal/cluster/replication/replicatable.go
@@ -15,6 +15,8 @@
 	completeOfferInterval   = 10 * time.Minute // between offers to a node that has all records
 	rejectRetention         = 10 * time.Second // until a stream may be offered again to a node that rejected it
 	maxStreams              = 4096
+	maxReportedNames        = 2 * maxStreams // with an incarnation that only an offer has reported
+	maxNameBytes            = 300            // of such a name
 )
 
 // notOrphaned is the value of storedStream.orphanedSince while the incarnation is live.
--- a/internal/cluster/replication/replicatable_test.go
+++ b/internal/cluster/replication/replicatable_test.go
@@ -1,6 +1,8 @@
 package replication
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -112,3 +114,22 @@
 		t.Errorf("copies by two holders: got starts at %v and %v (0: none), want both, at least 0.5 s apart", a, b)
 	}
 }
+
+// TestOffersTakeBoundedMemory guards against offers under ever new names, each of which left an entry for good.
+func TestOffersTakeBoundedMemory(t *testing.T) {
+	table := NewReplicaTable(Candidate{Name: "n"}, 2, 1000, time.Minute)
+	offer := func(name string, incarnation int64) {
+		table.HandleOffer(0, "f", &Offer{Stream: Stream{Name: name, Incarnation: incarnation}, FromOrigin: true})
+	}
+	offer(strings.Repeat("x", maxNameBytes+1), 1)
+	offer("first", 1)
+	for i := range 2 * maxReportedNames {
+		offer(fmt.Sprint(i), 1)
+	}
+	if n := len(table.highestIncarnation); n != maxReportedNames {
+		t.Errorf("got %d names, want %d", n, maxReportedNames)
+	}
+	if offer("first", 2); table.highestIncarnation["first"] != 2 {
+		t.Error("later incarnation of a known name ignored")
+	}
+}
--- a/internal/testbed/hostile/flood_test.go
+++ b/internal/testbed/hostile/flood_test.go
@@ -10,6 +10,7 @@
 
 	"fernvane/internal/cluster/framing"
 	"fernvane/internal/cluster/membership"
+	"fernvane/internal/cluster/replication"
 	"fernvane/internal/controlplane/plan"
 	"fernvane/internal/controlplane/planwire"
 	"fernvane/internal/discovery/incarnation"
@@ -126,6 +127,7 @@
 		})},
 		{"peers, updates of new members", (*node).peersAddress, helloOfNode(), updatesOfNewMembers(1)},
 		{"peers, updates of members with long names", (*node).peersAddress, helloOfNode(), updatesOfNewMembers(longNameBytes)},
+		{"peers, offers of new streams", (*node).peersAddress, helloOfNode(), offersOfNewStreams},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := startNode(t, floodMemoryMB)
@@ -200,6 +202,7 @@
 const (
 	introKind  = framing.FirstProtocolKind
 	updateKind = introKind + 2
+	offerKind  = introKind + 5
 )
 
 type intro struct {
@@ -226,3 +229,13 @@
 		return frame(peerProtocol, updateKind, update)
 	}
 }
+
+// offersOfNewStreams are offers of streams that no offer named before.
+func offersOfNewStreams(first int) string {
+	var offers strings.Builder
+	for i := range floodBatch {
+		stream := replication.Stream{Name: longName(first+i, 1), Incarnation: 1}
+		offers.WriteString(frame(peerProtocol, offerKind, replication.Offer{Stream: stream, FromOrigin: true}))
+	}
+	return offers.String()
+}
