Tell a lost node from the new node at its address in the tier's commands

Cause: errors were kept by address, and an address that responds has none; the name in the other side's hello was dropped. Change: a member without a response under its own name did not respond; records come only from the node named. Result: TestNewNodeAtAddressOfLostNode failed on both counts and passes.

--- a/internal/cluster/peer/client.go
+++ b/internal/cluster/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +23,9 @@
 	commandName          = "command" // name in the Hello of a command
 )
 
+// errAddressTaken is the error of a node at whose address another node responds.
+var errAddressTaken = errors.New("another node responds at its address")
+
 // Client collects the responses of a cluster's nodes to a command. It must be used by one goroutine only.
 type Client struct {
 	cfg *Config
@@ -92,14 +96,18 @@
 	}
 }
 
-// keyQueryErrorsByName replaces the addresses in QueryErrors by node names where these are known.
+// keyQueryErrorsByName replaces the addresses in QueryErrors by node names where these are known. A node at whose address another node
+// responds did not respond.
 func (c *Client) keyQueryErrorsByName() {
 	errorsByName := map[string]error{}
 	for _, m := range c.Members {
-		if err := c.QueryErrors[m.Address]; err != nil && c.Responses[m.Name] == nil && m.Condition != membership.Left {
-			errorsByName[m.Name] = err
-			delete(c.QueryErrors, m.Address)
+		if c.Responses[m.Name] != nil || m.Condition == membership.Left {
+			continue
 		}
+		errorsByName[m.Name] = cmp.Or(c.QueryErrors[m.Address], errAddressTaken)
+	}
+	for name := range errorsByName {
+		delete(c.QueryErrors, c.Members[name].Address)
 	}
 	for address, err := range c.QueryErrors {
 		errorsByName[address] = err
@@ -108,7 +116,7 @@
 }
 
 func queryStatus(ctx context.Context, cfg *Config, address string, verify bool) (*Status, error) {
-	conn, err := dialAsCommand(ctx, cfg, address)
+	conn, _, err := dialAsCommand(ctx, cfg, address)
 	if err != nil {
 		return nil, err
 	}
@@ -133,9 +141,10 @@
 	return s, framing.Decode(body, s)
 }
 
-func dialAsCommand(ctx context.Context, cfg *Config, address string) (*framing.Conn, error) {
-	conn, _, err := dial(ctx, cfg, netip.Addr{}, address, commandName, membership.Member{})
-	return conn, err
+// dialAsCommand connects to the node at an address and returns the connection with the name of that node.
+func dialAsCommand(ctx context.Context, cfg *Config, address string) (conn *framing.Conn, name string, err error) {
+	conn, remote, err := dial(ctx, cfg, netip.Addr{}, address, commandName, membership.Member{})
+	return conn, remote.name, err
 }
 
 // Records requests all records, or those of one request ID, from each node in Responses, and calls each for every record
@@ -145,7 +154,7 @@
 func (c *Client) Records(ctx context.Context, since time.Time, id string, each func(*intent.Record) error) (corrupt int, err error) {
 	for name := range c.Responses {
 		query := recordsQuery{SinceUnixNano: since.UnixNano(), RequestID: id}
-		n, err := c.recordsOf(ctx, c.Members[name].Address, query, each)
+		n, err := c.recordsOf(ctx, c.Members[name], query, each)
 		corrupt += n
 		var callerErr callerError
 		if errors.As(err, &callerErr) {
@@ -164,12 +173,15 @@
 // callerError wraps an error that the caller's function returned, as opposed to an error of a node.
 type callerError struct{ error }
 
-func (c *Client) recordsOf(ctx context.Context, address string, query recordsQuery, each func(*intent.Record) error) (corrupt int, err error) {
-	conn, err := dialAsCommand(ctx, c.cfg, address)
+func (c *Client) recordsOf(ctx context.Context, m membership.Member, query recordsQuery, each func(*intent.Record) error) (corrupt int, err error) {
+	conn, name, err := dialAsCommand(ctx, c.cfg, m.Address)
 	if err != nil {
 		return 0, err
 	}
 	defer conn.Close()
+	if name != m.Name { // since the node responded to Query
+		return 0, errAddressTaken
+	}
 	if err := conn.Send(recordsQueryKind, query); err != nil {
 		return 0, err
 	}
--- a/internal/cluster/peer/handshake.go
+++ b/internal/cluster/peer/handshake.go
@@ -115,7 +115,7 @@
 		defer context.AfterFunc(ctx, func() { conn.Close() })()
 		conn.UseBudget(n.frameMemory)
 		defer conn.ReleaseBuffers()
-		err = n.serveNode(newConnection(conn, remote.Member, true), remote.Member)
+		err = n.serveNode(newConnection(conn, remote.intro.Member, true), remote.intro.Member)
 	}
 	if ctx.Err() == nil {
 		n.log.Debug().Err(err).Str("address", address).Msg("dialed connection ended")
@@ -125,7 +125,7 @@
 // dial opens a connection to an address, sends this side's intro and returns the remote's. If self has no incarnation
 // the caller is a command, which receives no intro in return. from is the local address unless it is invalid or
 // unspecified.
-func dial(ctx context.Context, cfg *Config, from netip.Addr, address, name string, self membership.Member) (conn *framing.Conn, remote intro, err error) {
+func dial(ctx context.Context, cfg *Config, from netip.Addr, address, name string, self membership.Member) (conn *framing.Conn, remote remoteNode, err error) {
 	d := net.Dialer{Deadline: time.Now().Add(dialTimeout)}
 	if from.IsValid() && !from.IsUnspecified() { // connect from the address that other nodes know
 		d.LocalAddr = &net.TCPAddr{IP: from.AsSlice()}
@@ -148,7 +148,7 @@
 		wrapped = cfg.Keys.ClientConn(nc, cfg.TLSName)
 	}
 	conn = protocol.NewConn(wrapped)
-	if _, err = conn.Handshake(name, deadline); err != nil {
+	if remote.name, err = conn.Handshake(name, deadline); err != nil {
 		return nil, remote, err
 	}
 	if err = conn.Send(introKind, intro{Deployment: cfg.Deployment, Member: self}); err != nil {
@@ -157,10 +157,16 @@
 	if self.Incarnation == 0 {
 		return conn, remote, nil
 	}
-	remote, err = receiveIntro(conn, deadline)
+	remote.intro, err = receiveIntro(conn, deadline)
 	return conn, remote, err
 }
 
+// remoteNode is the node at the other end of a dialed connection.
+type remoteNode struct {
+	name  string // in its hello
+	intro intro  // not set if the caller is a command
+}
+
 func receiveIntro(conn *framing.Conn, deadline time.Time) (remote intro, err error) {
 	kind, body, err := conn.ReceiveHandshake(deadline)
 	switch {
--- a/internal/cluster/peer/node_test.go
+++ b/internal/cluster/peer/node_test.go
@@ -17,6 +17,7 @@
 	"fernvane/internal/cluster/framing"
 	"fernvane/internal/cluster/membership"
 	"fernvane/internal/cluster/replication"
+	"fernvane/internal/journal/intent"
 	"fernvane/internal/testbed/standin/certauthority"
 )
 
@@ -201,3 +202,30 @@
 		t.Error("node of another authority: became a member, want it rejected")
 	}
 }
+
+// Guards against commands that take a new node at the address of a lost one for the lost one, and so name no node that did not respond.
+func TestNewNodeAtAddressOfLostNode(t *testing.T) {
+	t.Parallel()
+	first := start(t, "a", "")
+	lost := start(t, "b", "", first.seed())
+	eventually(t, "both nodes", func() bool { return len(Query(context.Background(), first.cfg, false).Responses) == 2 })
+	lost.crash()
+	successor := startConfigured(t, "c", "", func(cfg *Config) { cfg.Listen, cfg.Advertise = lost.cfg.Listen, lost.cfg.Listen }, first.seed())
+	var client *Client
+	eventually(t, "response of the new node", func() bool {
+		client = Query(context.Background(), first.cfg, false)
+		return client.Responses["c"] != nil
+	})
+	if err := client.QueryErrors["b"]; err != errAddressTaken {
+		t.Errorf("lost node: got error %v, want %v", err, errAddressTaken)
+	}
+	// The new node is lost too, and its address is taken, after it has responded.
+	successor.crash()
+	startConfigured(t, "d", "", func(cfg *Config) { cfg.Listen, cfg.Advertise = lost.cfg.Listen, lost.cfg.Listen }, first.seed())
+	if _, err := client.Records(context.Background(), time.Time{}, "", func(*intent.Record) error { return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.QueryErrors["c"]; err != errAddressTaken || client.Responses["c"] != nil {
+		t.Errorf("records of a node whose address is taken: got error %v, want %v", err, errAddressTaken)
+	}
+}
