Take a plan's report of an earlier process for none

Cause: the age of a plan is counted from the time of the forwarder's report in it, which was by the earlier process's clock. Change: a report later than now counts as none. Result: TestPlanOfEarlierProcess failed and passes. Not played with real processes.

--- a/internal/controlplane/planfollower/follower.go
+++ b/internal/controlplane/planfollower/follower.go
@@ -58,8 +58,12 @@
 	}
 }
 
-// PlanReceived stores a complete plan of the planner with an index.
+// PlanReceived stores a complete plan of the planner with an index. A report that the plan includes was sent by an earlier process of this
+// forwarder if it has a later time than now, and then counts as none.
 func (f *Follower) PlanReceived(now time.Duration, planner int, p plan.Plan) {
+	if p.ReportSentAt > now {
+		p.ReportSentAt = 0
+	}
 	f.sources[planner] = source{plan: p, hasPlan: true, receivedAt: now}
 }
 
--- a/internal/controlplane/planfollower/follower_test.go
+++ b/internal/controlplane/planfollower/follower_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// TestPlanOfEarlierProcess guards against a forwarder that follows a plan for as long as its earlier process had run: the planner had
+// included a report of that process, whose clock was ahead.
+func TestPlanOfEarlierProcess(t *testing.T) {
+	const earlierUptime = time.Hour
+	f := New(Options{PlannerCount: 1, ConfiguredNodes: 9})
+	f.PlanReceived(250*ms, 0, planOf(earlierUptime, 20, 0.5, 0.5))
+	for now := 250 * ms; now < 2*earlierUptime; now += time.Second {
+		if d := f.Advance(now, allUp); d.HasPlan || now > pollDelay+pollDelaySpread && !d.ShouldPollDiscovery {
+			t.Fatalf("%s after the start: got plan %v, polls of discovery %v, want no plan and polls", now, d.HasPlan, d.ShouldPollDiscovery)
+		}
+	}
+	f.PlanReceived(2*earlierUptime, 0, planOf(2*earlierUptime-time.Second, 20, 0.5, 0.5))
+	if d := f.Advance(2*earlierUptime, allUp); !d.HasPlan || d.Planner != 0 {
+		t.Errorf("plan with a report of this process: got %+v, want it followed", d)
+	}
+}
+
 // TestSharesMoveGradually checks that at most maxMovePerSecond of the requests moves between servers, except away from unusable
 // servers, and that the shares add up to 1.
 func TestSharesMoveGradually(t *testing.T) {
