Write no attempt to an address that its server has lost

Cause: the last check before a write granted a replaced server the time of a drain, and did not look at the address at all. Change: a server at whose address another one is announced has left at once, also while it drains, and an attempt is written only to the address at which its server is announced then.

--- a/internal/discovery/endpoints/endpoint.go
+++ b/internal/discovery/endpoints/endpoint.go
@@ -52,8 +52,11 @@
 	IsUsable      bool          // may receive new requests: announced as up, and not removed or replaced since
 	UnusableSince time.Duration // when the server became unusable; valid only if IsUsable is false
 	IsReplaced    bool          // the server was usable until another server was announced at its address, so it has terminated
-	ExecutedAt    time.Duration // time of its last response to a request that it had executed
-	HasExecuted   bool          // whether ExecutedAt is set; see Observation.HasExecuted
+	// IsAddressTaken reports that another server was announced at its address since it was last announced as up. Unlike IsReplaced it is set
+	// for a draining server too.
+	IsAddressTaken bool
+	ExecutedAt     time.Duration // time of its last response to a request that it had executed
+	HasExecuted    bool          // whether ExecutedAt is set; see Observation.HasExecuted
 }
 
 // Update lists the changes caused by an announcement.
--- a/internal/discovery/endpoints/view.go
+++ b/internal/discovery/endpoints/view.go
@@ -98,7 +98,7 @@
 	record.Endpoint, record.Source, record.AnnouncedAt = endpoint, source, now
 	switch {
 	case endpoint.Condition == incarnation.Up:
-		record.IsUsable, record.IsReplaced = true, false
+		record.IsUsable, record.IsReplaced, record.IsAddressTaken = true, false, false
 	case endpoint.Condition == incarnation.Draining || !v.IgnoreRemovals:
 		record.markUnusable(now)
 	}
@@ -106,7 +106,7 @@
 }
 
 // replaceAt marks the usable servers at an address as replaced, because a new server was announced there, and appends their
-// records, with the condition Gone, to changed. Servers that were already unusable, such as draining ones, do not change. All
+// records, with the condition Gone, to changed. Servers that were already unusable, such as draining ones, only lose their address. All
 // of them are removed from the address index until they are announced at the address again.
 func (v *View) replaceAt(now time.Duration, address netip.AddrPort, changed []Record, touched map[string]addressChange) []Record {
 	ids := v.byAddress[address]
@@ -118,6 +118,7 @@
 			touched[id] = addressUnchanged
 		}
 		record := v.records[id]
+		record.IsAddressTaken = true
 		if !record.IsUsable {
 			continue
 		}
@@ -136,10 +137,17 @@
 	}
 }
 
-// HasLeft reports whether a server has been unusable for longer than grace, or is unknown.
+// HasLeft reports whether a server has been unusable for longer than grace, is unknown, or has lost its address to another server, which
+// would receive what is sent there.
 func (v *View) HasLeft(now time.Duration, id string, grace time.Duration) bool {
 	record := v.records[id]
-	return record == nil || !record.IsUsable && now-record.UnusableSince > grace
+	return record == nil || record.IsAddressTaken || !record.IsUsable && now-record.UnusableSince > grace
+}
+
+// IsAt reports whether a server is announced at an address.
+func (v *View) IsAt(id string, address netip.AddrPort) bool {
+	record := v.records[id]
+	return record != nil && record.Address == address
 }
 
 // Get returns the record of a server; ok is false if the server is unknown.
--- a/internal/discovery/endpoints/view_test.go
+++ b/internal/discovery/endpoints/view_test.go
@@ -76,6 +76,36 @@
 	}
 }
 
+// TestAddressTaken guards against attempts that are written to an address which belongs to another server by now: the server that had it has
+// left at once, without the grace of a drain.
+func TestAddressTaken(t *testing.T) {
+	const grace = time.Second
+	up := func(id string, port uint16) Endpoint { return announced(id, port, incarnation.Up) }
+	draining := announced("a", 1, incarnation.Draining)
+	for name, c := range map[string]struct {
+		lists []Endpoint // each applied as a change
+		want  bool
+	}{
+		"up":                                {[]Endpoint{up("a", 1)}, false},
+		"drains":                            {[]Endpoint{up("a", 1), draining}, false},
+		"another server at its address":     {[]Endpoint{up("a", 1), up("b", 1)}, true},
+		"drains, then another server there": {[]Endpoint{up("a", 1), draining, up("b", 1)}, true},
+		"drains after another server came":  {[]Endpoint{up("a", 1), up("b", 1), draining}, true},
+		"is up at another address":          {[]Endpoint{up("a", 1), up("b", 1), up("a", 2)}, false},
+		"another server elsewhere":          {[]Endpoint{up("a", 1), draining, up("b", 2)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := NewView()
+			for i, endpoint := range c.lists {
+				v.Apply(time.Duration(i), SourceDiscovery, []Endpoint{endpoint}, false)
+			}
+			if got := v.HasLeft(time.Duration(len(c.lists)), "a", grace); got != c.want {
+				t.Errorf("got left %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // TestViewAllSequences applies all sequences of four announcements of three servers at two addresses. A server is usable if
 // its last announcement was up, and since then no full list omitted it and no new server was announced at its address.
 func TestViewAllSequences(t *testing.T) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -80,12 +80,12 @@
 }
 
 // beginWrite is the last check before the first byte of an attempt. It returns false if the client has disconnected or the server has left
-// while the attempt waited. It checks the client's connection directly, because the goroutine that watches it may not have run yet.
+// or moved while the attempt waited. It checks the client's connection directly, because the goroutine that watches it may not have run yet.
 func (s *Server) beginWrite(d dispatch.Decision, f *forwarding) bool {
 	if f.isDisconnected != nil && f.isDisconnected() {
 		f.request.ClientDisconnected()
 	}
-	return !s.isTooLateToWrite(d.Server) && f.request.BeginWrite(d.Attempt)
+	return !s.isTooLateToWrite(d.Server) && s.dispatcher.IsAt(d.Server, d.Address) && f.request.BeginWrite(d.Attempt)
 }
 
 // DrainGuard reports whether a server has been draining or gone for so long that no attempt may be written to it any more.
--- a/internal/proxy/dispatch/endpoints.go
+++ b/internal/proxy/dispatch/endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"hash/crc32"
 	"math"
+	"net/netip"
 	"time"
 
 	"fernvane/internal/discovery/endpoints"
@@ -183,6 +184,13 @@
 	return d.view.HasLeft(d.now(), server, d.maxWriteDelay())
 }
 
+// IsAt reports whether a server is still announced at the address of a decision. Otherwise the address may belong to another server.
+func (d *Dispatcher) IsAt(server string, address netip.AddrPort) bool {
+	d.mu.Lock()
+	defer d.unlock()
+	return d.view.IsAt(server, address)
+}
+
 // maxWriteDelay returns how long an attempt may be written to a server after the server started draining or was removed.
 func (d *Dispatcher) maxWriteDelay() time.Duration {
 	if d.settings.DrainGrace < 0 { // not set
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -10,7 +10,9 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
+	"fernvane/internal/discovery/endpoints"
 	"fernvane/internal/protocol/http1"
 	"fernvane/internal/proxy/dispatch"
 )
@@ -120,3 +122,58 @@
 		})
 	}
 }
+
+// Guards against work that goes to the wrong server: an attempt that waited for its connection is not written to an address that its server
+// has lost meanwhile, to another server or by moving.
+func TestNoWriteToLostAddress(t *testing.T) {
+	t.Parallel()
+	for name, announce := range map[string]func(address, other netip.AddrPort) []http1.Endpoint{
+		"server has moved": func(_, other netip.AddrPort) []http1.Endpoint {
+			return []http1.Endpoint{{ID: "a", Address: other, Weight: 1}}
+		},
+		"another server there": func(address, other netip.AddrPort) []http1.Endpoint {
+			return []http1.Endpoint{{ID: "c", Address: address, Weight: 1, Condition: http1.Serving}, {ID: "c", Condition: http1.Draining}, {ID: "d", Address: other, Weight: 1}}
+		},
+		"another server there, after a drain": func(address, other netip.AddrPort) []http1.Endpoint {
+			return []http1.Endpoint{{ID: "a", Condition: http1.Draining}, {ID: "c", Address: address, Weight: 1}, {ID: "c", Condition: http1.Draining}, {ID: "d", Address: other, Weight: 1}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var old, current atomic.Int32 // requests received at each address
+			standInOf := func(received *atomic.Int32) netip.AddrPort {
+				return standIn(t, func(nc net.Conn) {
+					defer nc.Close()
+					for c := http1.NewConn(nc); c.ReadRequest(&http1.Request{}) == nil; {
+						received.Add(1)
+						io.WriteString(nc, okResponse)
+					}
+				})
+			}
+			address, other := standInOf(&old), standInOf(&current)
+			cfg := config(http1.Endpoint{ID: "a", Address: address, Weight: 1})
+			for i := range cfg.Settings.TrafficTypes {
+				cfg.Settings.TrafficTypes[i].LatencyObjective, cfg.Settings.TrafficTypes[i].ClientTimeout = time.Minute, time.Minute
+			}
+			cfg.Settings.ConnectTimeout, cfg.Settings.DrainGrace = time.Minute, time.Minute
+			node := newTestServer(t, cfg)
+			reached, release := node.holdDial(1)
+			node.serveClient(t, "/check/1")
+			<-reached
+			for _, endpoint := range announce(address, other) {
+				node.dispatcher.ApplyList(http1.EndpointList{Endpoints: []http1.Endpoint{endpoint}}, endpoints.SourceDiscovery)
+			}
+			close(release)
+			await(t, "end of the attempt", func() bool {
+				ended := 0
+				for _, count := range node.dispatcher.Counts().AttemptResults {
+					ended += count
+				}
+				return ended > 0
+			})
+			if n := old.Load(); n != 0 {
+				t.Errorf("got %d requests at the lost address, want none", n)
+			}
+		})
+	}
+}
