Hold bodies to the limit of the fallback that takes them

Cause: the body was compared with the limit of the matched route alone, before Router.Admit goes along the fallbacks. Change: Admit passes over a fallback whose limit the body exceeds. Related paths: the other limits come from the admitting route (read). Result: TestFallbackBodyLimit failed for the larger body and passes.

--- a/internal/proxy/dispatch/submit.go
+++ b/internal/proxy/dispatch/submit.go
@@ -32,6 +32,7 @@
 	Routes      *route.Table // the table that the request was matched with
 	RouteIndex  int          // -1 if no route matched
 	TrafficType int          // index in the settings
+	BodyBytes   int
 	Timeout     time.Duration
 	// StartHedge starts a hedged attempt beside the first attempt. It is called with the lock held and must not block.
 	StartHedge func(*Request, Decision)
@@ -86,7 +87,7 @@
 		tenant = len(d.names.tenants)
 	}
 	now := d.now()
-	admission, outcome := d.routes.Admit(now, a.RouteIndex, a.TrafficType, tenant)
+	admission, outcome := d.routes.Admit(now, a.RouteIndex, a.TrafficType, tenant, a.BodyBytes)
 	if outcome != route.Admitted {
 		d.counts.RouteLimited++
 		return nil, ErrRouteLimit
--- a/internal/proxy/submit.go
+++ b/internal/proxy/submit.go
@@ -59,7 +59,8 @@
 
 // newArrival describes a request to the dispatcher, under the current routes. TrafficType is -1 if the request has no known traffic type.
 func (s *Server) newArrival(req *message.Request, info *message.RequestInfo) dispatch.Arrival {
-	a := dispatch.Arrival{ID: info.ID, Tenant: info.Tenant, Key: req.Get(affinityKeyField), Routes: s.dispatcher.Routes(), RouteIndex: -1, TrafficType: -1}
+	a := dispatch.Arrival{ID: info.ID, Tenant: info.Tenant, Key: req.Get(affinityKeyField), Routes: s.dispatcher.Routes(), RouteIndex: -1, TrafficType: -1,
+		BodyBytes: len(req.Body)}
 	a.IsRetry = len(req.Get(clientRetryField)) > 0
 	if t, isKnown := s.dispatcher.TrafficType(info.Type); isKnown {
 		a.TrafficType = t
--- a/internal/route/limiter.go
+++ b/internal/route/limiter.go
@@ -158,9 +158,10 @@
 	return old
 }
 
-// Admit decides whether a route, or else one of its fallbacks in order, admits a request. A request without a route, which
-// a negative route stands for, is always admitted. The returned reason is that of the first route that rejects the request.
-func (r *Router) Admit(now time.Duration, route, trafficType, tenant int) (Admission, Rejection) {
+// Admit decides whether a route, or else one of its fallbacks in order, admits a request. It skips fallbacks whose limit the body exceeds;
+// the caller checks the body against the limit of the route itself. A request without a route, which a negative route stands for, is always
+// admitted. The returned reason is that of the first route that rejects the request.
+func (r *Router) Admit(now time.Duration, route, trafficType, tenant, bodyBytes int) (Admission, Rejection) {
 	tenantIndex := tenant
 	if tenantIndex < 0 || tenantIndex > r.tenantCount {
 		tenantIndex = r.tenantCount
@@ -169,12 +170,15 @@
 		r.types[trafficType].admitted++
 		return Admission{Type: trafficType, tenant: tenantIndex}, Admitted
 	}
-	reason := Admitted
+	reason, matched := Admitted, route
 	for ; route >= 0; route = r.table.Routes[route].fallback {
 		compiled := &r.table.Routes[route]
 		if compiled.profileByType[trafficType] < 0 {
 			break
 		}
+		if route != matched && bodyBytes > r.table.MaxBodyBytes(route, trafficType, bodyBytes) {
+			continue
+		}
 		limiter := &r.limiters[r.limiterByRoute[route][trafficType]]
 		rejection := limiter.admit(now, tenantIndex)
 		if rejection == Admitted {
--- a/internal/route/router_test.go
+++ b/internal/route/router_test.go
@@ -20,7 +20,7 @@
 func admit(r *Router, now time.Duration, path string, tenant, count int) (admissions []Admission) {
 	for range count {
 		route, trafficType := r.Table().Match(&Request{Path: []byte(path)})
-		if admission, rejection := r.Admit(now, route, trafficType, tenant); rejection == Admitted {
+		if admission, rejection := r.Admit(now, route, trafficType, tenant, 0); rejection == Admitted {
 			admissions = append(admissions, admission)
 		}
 	}
@@ -67,6 +67,31 @@
 	}
 }
 
+// TestFallbackBodyLimit guards against a body that a fallback takes although it exceeds the limit of the fallback.
+func TestFallbackBodyLimit(t *testing.T) {
+	const limited = threeLines + "rate = 0.001\nburst = 1\nfallback = \"small\"\n" +
+		"[[routes]]\nname = \"small\"\npath = \"/check/small/**\"\nbody_bytes = 10\nhops = 2\n"
+	for name, c := range map[string]struct {
+		file      string
+		bodyBytes int
+		want      Rejection
+	}{
+		"within the limit":            {limited, 10, Admitted},
+		"beyond the limit":            {limited, 11, RateExceeded},
+		"beyond it, another fallback": {limited + "fallback = \"rest\"\n[[routes]]\nname = \"rest\"\npath = \"/check/rest/**\"\n", 11, Admitted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := NewRouter(testSettings())
+			r.Replace(0, parse(t, c.file))
+			admit(r, 0, "/check/x", 0, 1) // uses the rate of the route
+			route, trafficType := r.Table().Match(&Request{Path: []byte("/check/x")})
+			if _, got := r.Admit(0, route, trafficType, 0, c.bodyBytes); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
 // TestReplaceWhileRequestsAreOpen replaces the table while admitted requests have not been released.
 func TestReplaceWhileRequestsAreOpen(t *testing.T) {
 	fileText := func(more string) string { return threeLines + more }
