Compare the first list of a registry with the servers that a control process holds

Cause: the endpoint set of a new process was empty, so the first list removed nothing, and runSource compared only the servers that it names with the store. The record of the case shows the list at the returned process within 10 ms, without the server: it was neither late nor withheld. Discovery's first list, which is compared with the whole store, deleted the server in the same run.

TestAllInterleavings and the random histories have restarts now.

--- a/internal/discovery/endpoints/set.go
+++ b/internal/discovery/endpoints/set.go
@@ -1,7 +1,6 @@
 package endpoints
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -53,6 +52,7 @@
 type server struct {
 	state               State
 	stateSince          time.Duration
+	isRestored          bool // added by Restore and not listed since
 	listed              RegistryEntry
 	announced           incarnation.Entry // last announced entry
 	lastResponseAt      time.Duration
@@ -72,7 +72,8 @@
 // to announce as a result.
 type Set struct {
 	servers     map[string]*server
-	revision    uint64 // revision of the last announced entry
+	isListed    map[string]bool // IDs of the last list; nil before the first one
+	revision    uint64          // revision of the last announced entry
 	massRemoval MassRemoval
 
 	// State of the method call in progress.
@@ -86,18 +87,26 @@
 // ApplyList applies the complete list of the registry.
 func (s *Set) ApplyList(now time.Duration, all []RegistryEntry) []incarnation.Entry {
 	s.begin(now)
-	isListed := make(map[string]bool, len(all))
+	s.isListed = make(map[string]bool, len(all))
 	for _, entry := range all {
-		isListed[entry.ID] = true
+		s.isListed[entry.ID] = true
 		s.applyEntry(entry)
 	}
+	s.removeUnlisted()
+	return s.changed
+}
+
+// removeUnlisted removes the servers that the last list lacks. Whether restored servers are removed or retained is decided once
+// the mass removal has been evaluated, so that retained ones are not announced as draining first.
+func (s *Set) removeUnlisted() {
 	for _, id := range s.sortedIDs() {
-		if srv := s.servers[id]; !isListed[id] && srv.state != StateRetained {
+		srv := s.servers[id]
+		isDecidedLater := srv.state == StateRetained || srv.state == StatePresent && srv.isRestored
+		if !s.isListed[id] && !isDecidedLater {
 			s.step(srv, entryRemoved)
 		}
 	}
-	s.detectMassRemoval(isListed)
-	return s.changed
+	s.detectMassRemoval()
 }
 
 func (s *Set) applyEntry(entry RegistryEntry) {
@@ -106,23 +115,29 @@
 		srv = &server{}
 		s.servers[entry.ID] = srv
 	}
-	before := srv.listed
-	srv.listed = entry
+	before, wasRestored, announcedCount := srv.listed, srv.isRestored, len(s.changed)
+	isNew := srv.state != StateAbsent && s.isNewIncarnation(srv, before, entry)
+	srv.listed, srv.isRestored = entry, false
 	switch {
 	case entry.IsDraining:
 		s.step(srv, drainListed)
-	case srv.state != StateAbsent && s.isNewIncarnation(srv, before, entry):
+	case isNew:
 		s.step(srv, newIncarnationListed)
 	default:
 		s.step(srv, entryListed)
 	}
-	if srv.announced.Address != entry.Address && srv.state == StatePresent { // the address of an incarnation is constant
+	switch {
+	case srv.state != StatePresent:
+	case srv.announced.Address != entry.Address: // the address of an incarnation is constant
 		s.announce(srv, announceNewIncarnation)
+	case wasRestored && len(s.changed) == announcedCount: // the rest of the entry may have changed since it was stored
+		s.announce(srv, announceReinstated)
 	}
 }
 
 // isNewIncarnation reports whether a listed entry belongs to another incarnation of the server than the previous entry:
 //
+//   - A restored server has another incarnation if it started later than the restored one.
 //   - If both entries contain the start time of the process, the start times are compared.
 //   - An entry created by the same session and transaction belongs to the same incarnation.
 //   - A recreated entry belongs to the same incarnation if the server was alive throughout. If the entry was removed from the
@@ -130,6 +145,9 @@
 //     removal, without a connection failure since the removal. If the entry is in every list, the server must have responded
 //     within the last maxAliveAge, without a connection failure since that response.
 func (s *Set) isNewIncarnation(srv *server, before, listed RegistryEntry) bool {
+	if srv.isRestored {
+		return startOf(&listed) > srv.announced.StartedUnixMS
+	}
 	if listed.StartedUnixMS != 0 && before.StartedUnixMS != 0 {
 		return listed.StartedUnixMS != before.StartedUnixMS
 	}
@@ -148,36 +166,47 @@
 // failure since their removal. Once the registry is no longer suspected, it removes the retained servers that are not listed.
 // The suspicion ends when most servers are listed again, or when too few servers are still retained because connections to
 // the others failed.
-func (s *Set) detectMassRemoval(isListed map[string]bool) {
-	removed, total := 0, 0
-	for _, srv := range s.servers {
-		switch srv.state {
-		case StateMissing:
-			if s.now-srv.stateSince <= massRemovalWindow {
-				removed++
-			}
-			total++
-		case StateRetained:
-			removed++
-			total++
-		case StatePresent:
-			total++
-		}
-	}
-	isSuspected := removed >= minMassRemoval && float64(removed) > massRemovalShare*float64(total)
-	s.massRemoval = MassRemoval{isSuspected, removed, total}
+func (s *Set) detectMassRemoval() {
+	s.massRemoval = s.countRemoved()
+	isSuspected := s.massRemoval.IsSuspected
 	for _, id := range s.sortedIDs() {
 		srv := s.servers[id]
 		switch {
 		case isSuspected && srv.state == StateMissing &&
 			s.now-srv.stateSince <= massRemovalWindow && srv.lastFailureAt < srv.stateSince:
 			s.step(srv, massRemoved)
-		case !isSuspected && srv.state == StateRetained && !isListed[id]:
+		case isSuspected && srv.state == StatePresent && !s.isListed[id]:
+			s.step(srv, massRemoved)
+		case !isSuspected && (srv.state == StateRetained || srv.state == StatePresent) && !s.isListed[id]:
 			s.step(srv, entryRemoved)
 		}
 	}
 }
 
+// countRemoved counts the servers that were removed within massRemovalWindow and are still not listed, and evaluates whether
+// they are too many. Restored servers that the list lacks count as removed now, and need no minimum count.
+func (s *Set) countRemoved() MassRemoval {
+	removed, total, minimum := 0, 0, minMassRemoval
+	for id, srv := range s.servers {
+		isInUse := srv.state == StateRetained || srv.state == StatePresent
+		isMissing := srv.state == StateMissing
+		if isInUse || isMissing {
+			total++
+		}
+		switch {
+		case isMissing && s.now-srv.stateSince <= massRemovalWindow:
+			removed++
+		case isInUse && !s.isListed[id]:
+			removed++
+			if srv.isRestored {
+				minimum = 1
+			}
+		}
+	}
+	isSuspected := removed >= minimum && float64(removed) > massRemovalShare*float64(total)
+	return MassRemoval{isSuspected, removed, total}
+}
+
 // MassRemoval returns whether the last applied list indicates a mass removal. While a mass removal is suspected, the removed
 // servers are retained.
 func (s *Set) MassRemoval() MassRemoval { return s.massRemoval }
@@ -275,7 +304,7 @@
 	}
 	switch e {
 	case announceNewIncarnation:
-		next.StartedUnixMS, next.Generation = max(cmp.Or(listed.StartedUnixMS, listed.CreatedUnixMS), last.StartedUnixMS), 0
+		next.StartedUnixMS, next.Generation = max(startOf(listed), last.StartedUnixMS), 0
 		if last.ID != "" && next.StartedUnixMS == last.StartedUnixMS { // two starts within one millisecond, or clocks that differ
 			next.StartedUnixMS++
 		}
--- a/internal/discovery/endpoints/set_test.go
+++ b/internal/discovery/endpoints/set_test.go
@@ -118,7 +118,10 @@
 	}
 }
 
-// TestAllInterleavings applies all sequences of six kinds of events of three servers: an unlisted server is usable only while
+// eventKinds are the events of playEvents. A restart replaces the Set by one that restores the entries of the node's table.
+var eventKinds = []string{"removed", "back", "drain", "failures", "response", "wait", "restart"}
+
+// TestAllInterleavings applies all sequences of seven kinds of events of three servers: an unlisted server is usable only while
 // a mass removal is suspected, no drain is undone without a new entry, and entries never regress. CI runs sequences of four
 // events; ROSTER_DEPTH=6 runs sequences of six.
 func TestAllInterleavings(t *testing.T) {
@@ -128,11 +131,11 @@
 	}
 	var events [][2]string
 	for _, id := range []string{"a", "b", "c"} {
-		for _, e := range []string{"removed", "back", "drain", "failures", "response", "wait"} {
+		for _, e := range eventKinds {
 			events = append(events, [2]string{id, e})
 		}
 	}
-	for first := range events[:6] { // first events of server a; sequences that begin with another server differ only in names
+	for first := range eventKinds { // first events of server a; sequences that begin with another server differ only in names
 		t.Run(events[first][0]+" "+events[first][1], func(t *testing.T) {
 			t.Parallel()
 			indices := make([]int, depth)
@@ -156,7 +159,7 @@
 		n := rapid.IntRange(5, 60).Draw(t, "length")
 		playEvents(t, func(i int) ([2]string, bool) {
 			return [2]string{rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"),
-				rapid.SampledFrom([]string{"removed", "back", "drain", "failures", "response", "wait"}).Draw(t, "event")}, i < n
+				rapid.SampledFrom(eventKinds).Draw(t, "event")}, i < n
 		})
 	})
 }
@@ -212,8 +215,11 @@
 		case "wait":
 			now += 6 * time.Second
 			node.join(set.Tick(now))
+		case "restart":
+			set = NewSet()
+			set.Restore(now, node.table.All())
 		}
-		if event[1] == "removed" || event[1] == "back" || event[1] == "drain" {
+		if event[1] == "removed" || event[1] == "back" || event[1] == "drain" || event[1] == "restart" {
 			node.join(set.ApplyList(now, list()))
 		}
 		checkNode(t, set, node, isListed, draining, history)
--- a/internal/discovery/zookeeper/follow.go
+++ b/internal/discovery/zookeeper/follow.go
@@ -17,8 +17,11 @@
 type Listener struct {
 	Now          func() time.Duration
 	Observations <-chan endpoints.Observation // results of attempts; nil if there are none
+	// Known contains the servers that are in use when Follow begins, such as those that an earlier process stored. Those that the
+	// first list lacks are removed like servers that leave the registry later; see endpoints.Set.Restore.
+	Known []incarnation.Entry
 
-	// OnChange receives the changed entries; if isFirst is set, they are the complete list.
+	// OnChange receives the changed entries; if isFirst is set, they include the complete list.
 	OnChange func(changed []incarnation.Entry, isFirst bool)
 	// OnError receives errors of reading the registry or of parsing its entries.
 	OnError func(error)
@@ -53,6 +56,7 @@
 // followSet applies lists, observations and timer ticks to an endpoint set and reports its changes to the listener.
 func (l *Listener) followSet(ctx context.Context, lists <-chan []endpoints.RegistryEntry) {
 	set := endpoints.NewSet()
+	set.Restore(l.Now(), l.Known)
 	isSuspected, isFirst := false, true
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
