Follow the source of servers only once the control process is current

Callers: after a kill, or on an empty disk, a control process kept servers in use that had left discovery or the registry while it was away: TestServersThatLeftBeforeReturn, killed and empty disk, real processes.

Cause: the source was followed from the start, and its first list compared with a store that lacked what the upstreams sent some milliseconds later; nothing compared that.

Change: runSource waits until the process is current. It could not write before that.

--- a/internal/controlplane/distribution/control/server.go
+++ b/internal/controlplane/distribution/control/server.go
@@ -24,14 +24,15 @@
 
 // Server is a running control process.
 type Server struct {
-	config       *Config
-	log          zerolog.Logger
-	startedAt    time.Time
-	startTimeout time.Duration // defaultStartTimeout, except in tests
-	disk         *disk.Disk
-	wakePublish  chan struct{} // wakes the publishing goroutine
-	handshakes   *framing.Handshakes
-	frameMemory  *framing.MemoryBudget
+	config        *Config
+	log           zerolog.Logger
+	startedAt     time.Time
+	startTimeout  time.Duration // defaultStartTimeout, except in tests
+	disk          *disk.Disk
+	wakePublish   chan struct{} // wakes the publishing goroutine
+	becameCurrent chan struct{} // closed when isCurrent is set
+	handshakes    *framing.Handshakes
+	frameMemory   *framing.MemoryBudget
 
 	mu            sync.Mutex // not held during I/O on sockets or the disk
 	store         *distribution.Store
@@ -64,15 +65,16 @@
 // newServer opens the disk and returns a server with the entries stored there.
 func newServer(config *Config, log zerolog.Logger) (*Server, error) {
 	s := &Server{
-		config:       config,
-		log:          log,
-		startedAt:    time.Now(),
-		startTimeout: defaultStartTimeout,
-		wakePublish:  make(chan struct{}, 1),
-		handshakes:   framing.NewHandshakes(maxPendingHandshakes),
-		frameMemory:  framing.NewMemoryBudget(frameMemoryBytes),
-		links:        newLinkTable(),
-		nodes:        nodeTable{},
+		config:        config,
+		log:           log,
+		startedAt:     time.Now(),
+		startTimeout:  defaultStartTimeout,
+		wakePublish:   make(chan struct{}, 1),
+		becameCurrent: make(chan struct{}),
+		handshakes:    framing.NewHandshakes(maxPendingHandshakes),
+		frameMemory:   framing.NewMemoryBudget(frameMemoryBytes),
+		links:         newLinkTable(),
+		nodes:         nodeTable{},
 	}
 	opened, loaded, err := disk.Open(config.Disk, disk.Options{
 		MaxBytes: config.DiskBytes,
@@ -109,7 +111,10 @@
 	s.store.Restore(loaded.Entries, loaded.Vector, loaded.Pruned)
 	s.disk.SetOrigin(s.store.Origin())
 	s.publisher = distribution.NewPublisher(s.store, s.config.budget())
-	s.isCurrent = loaded.IsClean && len(s.config.UpstreamAddresses) == 0
+	if loaded.IsClean && len(s.config.UpstreamAddresses) == 0 {
+		s.isCurrent = true
+		close(s.becameCurrent)
+	}
 	s.log.Info().Str("control", s.config.Name).Stringer("listen", s.config.ListenAddress).Bool("tls", s.config.Keys != nil).
 		Str("origin", string(s.store.Origin())).Int("entries", len(loaded.Entries)).Bool("clean", loaded.IsClean).
 		Bool("current", s.isCurrent).Msg("control process started")
@@ -211,6 +216,7 @@
 		return
 	}
 	s.isCurrent = true
+	close(s.becameCurrent)
 	entries, _ := s.store.Size()
 	s.log.Info().Str("by", by).Int("entries", entries).Uint64("revision", s.store.Vector().Total()).Dur("after", s.now()).Msg("became current")
 	for l := range s.links.waiting {
--- a/internal/controlplane/distribution/control/source.go
+++ b/internal/controlplane/distribution/control/source.go
@@ -17,8 +17,14 @@
 )
 
 // runSource writes the servers that discovery or a registry lists. Only one control process may do so for each source. The first
-// list is compared with all servers in the store, because servers may have left the source while no process followed it.
+// list is compared with all servers in the store, because servers may have left the source while no process followed it. The
+// source is therefore not followed before this process is current and its store contains what the upstreams have.
 func (s *Server) runSource(ctx context.Context) error {
+	select {
+	case <-s.becameCurrent:
+	case <-ctx.Done():
+		return nil
+	}
 	servers := s.newSourcedServers()
 	done := make(chan struct{})
 	go func() {
--- a/internal/controlplane/distribution/control/sourcereturn_test.go
+++ b/internal/controlplane/distribution/control/sourcereturn_test.go
@@ -251,6 +251,11 @@
 				f.source.remove("s5")
 				f.a.start(t)
 			},
+			"killed": func(t *testing.T, f *sourcedFleet) {
+				f.a.kill()
+				f.source.remove("s5")
+				f.a.start(t)
+			},
 			"source out of reach at first": func(t *testing.T, f *sourcedFleet) {
 				f.a.end(t)
 				f.source.remove("s5")
@@ -263,6 +268,24 @@
 				}
 				f.source.setReachable(true)
 			},
+			"source moved to the other process": func(t *testing.T, f *sourcedFleet) {
+				f.a.end(t)
+				f.source.remove("s5")
+				f.configure(t, f.a, f.b, "")
+				f.configure(t, f.b, f.a, f.source.settings())
+				f.a.start(t)
+				f.b.end(t)
+				f.b.start(t)
+				f.waitCurrent(t, f.b)
+			},
+			"source moved to a process with an empty disk": func(t *testing.T, f *sourcedFleet) {
+				f.a.end(t)
+				f.source.remove("s5")
+				if err := os.Remove(f.a.disk); err != nil {
+					t.Fatal(err)
+				}
+				f.a.start(t)
+			},
 		} {
 			t.Run(sourceName+" "+name, func(t *testing.T) {
 				t.Parallel()
@@ -293,12 +316,12 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newSourcedFleet(t, newRegistrySource)
-			f.a.end(t)
+			f.a.kill()
 			f.source.remove(c.removed...)
 			f.a.start(t)
 			f.waitCurrent(t, f.a)
 			f.checkUpFor(t, maxToldDelay+maxDrainDelay)
-			f.a.end(t) // a second start must not take what the first one retained for listed
+			f.a.kill() // a second start must not take what the first one retained for listed
 			f.a.start(t)
 			f.waitCurrent(t, f.a)
 			f.checkUpFor(t, 2*time.Second)
