Compare servers that other processes give back with the source of servers

Callers: a server that had left discovery or a registry was in use again for good once a node, or another control process, that still held it gave it back to a control process that had lost its disk or was killed beside the others.

Cause: the store was compared with the source's list once. What was received later stayed as it came.

Change: received servers are compared with the list. Those that it lacks or has as draining are out of use again after 1 s; of a registry they pass through the endpoint set, which has 2 s for the list to name them and protects against mass removals. Before the first list received servers go before stored ones. Drains and deletions by command stay as they were.

--- a/internal/controlplane/distribution/control/receive.go
+++ b/internal/controlplane/distribution/control/receive.go
@@ -44,6 +44,9 @@
 func (s *Server) propagate(result distribution.BatchResult) {
 	now := s.now()
 	s.publisher.EntriesChanged(now, result.Changed)
+	if s.sourced != nil {
+		s.sourced.entriesReceived(result.Changed)
+	}
 	var removed []distribution.Key
 	for _, e := range result.Removed {
 		removed = append(removed, e.Key)
--- a/internal/controlplane/distribution/control/server.go
+++ b/internal/controlplane/distribution/control/server.go
@@ -37,8 +37,9 @@
 	mu            sync.Mutex // not held during I/O on sockets or the disk
 	store         *distribution.Store
 	publisher     *distribution.Publisher
-	isCurrent     bool          // subscribers are served, and writes accepted
-	lastBatch     time.Duration // time of the last batch of an upstream; 0 for none since the start
+	isCurrent     bool            // subscribers are served, and writes accepted
+	sourced       *sourcedServers // nil until the source is followed
+	lastBatch     time.Duration   // time of the last batch of an upstream; 0 for none since the start
 	followers     []*follower
 	links         linkTable
 	nodes         nodeTable
--- a/internal/controlplane/distribution/control/source.go
+++ b/internal/controlplane/distribution/control/source.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	sourceRetry      = time.Second // after a rejected write
+	sourceRetry      = time.Second // after a rejected write, and before servers of other processes are compared
 	maxSourceChanges = 1024        // in one write
 )
 
@@ -55,8 +55,9 @@
 // followRegistry follows the registry, beginning with the servers in the store.
 func (s *Server) followRegistry(ctx context.Context, servers *sourcedServers) error {
 	return zookeeper.Follow(ctx, s.config.Ensemble, zookeeper.Listener{
-		Now:   s.now,
-		Known: servers.known,
+		Now:      s.now,
+		Known:    servers.known,
+		Reported: servers.reported,
 		OnChange: func(changed []incarnation.Entry, isFirst bool) {
 			if isFirst {
 				s.log.Info().Int("known", len(servers.known)).Int("changed", len(changed)).Msg("first list of the registry received")
--- a/internal/controlplane/distribution/control/sourcedservers.go
+++ b/internal/controlplane/distribution/control/sourcedservers.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"fernvane/internal/controlplane/distribution"
 	"fernvane/internal/discovery/incarnation"
+	"fernvane/internal/discovery/zookeeper"
 )
 
 // sourcedServers synchronizes the servers that a source lists with the store.
@@ -14,28 +16,32 @@
 	server *Server
 	wake   chan struct{}
 
-	known []incarnation.Entry // servers in the store when this process began to follow a registry
+	known    []incarnation.Entry // servers in the store when this process began to follow a registry
+	reported zookeeper.Reports   // of a registry: servers that other processes have sent since; Server.mu is held to add them
 
 	// Guarded by Server.mu.
-	listed      map[string]incarnation.Entry // of a registry: including servers that it has not listed yet, as they are stored
-	isComplete  bool                         // discovery has sent a complete list: unlisted servers are deleted. Never set for a registry
-	changed     map[string]bool              // names of servers to compare with the store
-	comparesAll bool                         // the next comparison includes all servers
+	listed          map[string]incarnation.Entry // of a registry: including servers that it has not listed yet, as they are stored
+	hasList         bool                         // the source has sent its first list; that of discovery was complete
+	changed         map[string]bool              // names of servers to compare with the store
+	isWakeScheduled bool                         // the writer will be woken to compare received servers
+	comparesAll     bool                         // the next comparison includes all servers
 }
 
 // newSourcedServers begins the synchronization with the servers that are stored now.
 func (s *Server) newSourcedServers() *sourcedServers {
 	t := &sourcedServers{
-		server:  s,
-		wake:    make(chan struct{}, 1),
-		listed:  map[string]incarnation.Entry{},
-		changed: map[string]bool{},
+		server:   s,
+		wake:     make(chan struct{}, 1),
+		reported: zookeeper.NewReports(),
+		listed:   map[string]incarnation.Entry{},
+		changed:  map[string]bool{},
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.config.Ensemble != nil {
 		t.addStored()
 	}
+	s.sourced = t
 	return t
 }
 
@@ -67,8 +73,9 @@
 	defer s.mu.Unlock()
 	if isComplete {
 		clear(t.listed)
-		t.isComplete, t.comparesAll = true, true
+		t.comparesAll = true
 	}
+	t.hasList = t.hasList || isComplete || s.config.Ensemble != nil
 	for _, e := range entries {
 		t.listed[e.ID] = e
 		t.changed[e.ID] = true
@@ -83,6 +90,42 @@
 	}
 }
 
+// entriesReceived compares the servers among entries that other processes have sent with the source. Another process may have been away while
+// the list changed, and may still have a server in use that has left or is draining; such a server is taken out of use again. Other
+// differences, such as a drain or a deletion by an operator, stay in effect until the source changes the server. Before the first list of a
+// registry, received servers replace those that were stored. The comparison is delayed, which limits how often two processes that both follow
+// a source overwrite each other's changes. Server.mu is held.
+func (t *sourcedServers) entriesReceived(entries []distribution.Entry) {
+	var reported []incarnation.Entry
+	for _, e := range entries {
+		if e.Key.Service != t.server.config.Service || e.Key.Kind != distribution.KindServer || e.Deleted {
+			continue
+		}
+		received := storedServer(e)
+		listed, isListed := t.listed[received.ID]
+		isInUse := received.Condition == incarnation.Up
+		switch {
+		case t.server.config.Ensemble != nil && (!isListed || !t.hasList):
+			t.listed[received.ID] = received
+			reported = append(reported, received)
+		case t.hasList && (!isListed || isInUse && listed.Condition != incarnation.Up):
+			t.changed[received.ID] = true
+		}
+	}
+	t.reported.Add(reported)
+	if len(t.changed) > 0 && !t.isWakeScheduled {
+		t.isWakeScheduled = true
+		time.AfterFunc(sourceRetry, t.wakeScheduled)
+	}
+}
+
+func (t *sourcedServers) wakeScheduled() {
+	t.server.mu.Lock()
+	defer t.server.mu.Unlock()
+	t.isWakeScheduled = false
+	t.signal()
+}
+
 // runWriter writes changed servers to the store until the context ends, and retries rejected writes after sourceRetry.
 func (t *sourcedServers) runWriter(ctx context.Context) {
 	for {
@@ -129,7 +172,7 @@
 	return changes
 }
 
-// compareAll marks all listed servers as changed, and after a complete list of discovery also all servers in the store.
+// compareAll marks all listed servers and all servers in the store as changed, after a complete list of discovery.
 func (t *sourcedServers) compareAll() {
 	s := t.server
 	t.comparesAll = false
@@ -138,7 +181,7 @@
 		t.changed[name] = true
 	}
 	for _, e := range s.store.LiveEntries(s.config.Service) {
-		if e.Key.Kind == distribution.KindServer && t.isComplete {
+		if e.Key.Kind == distribution.KindServer {
 			t.changed[e.Key.Name] = true
 		}
 	}
--- a/internal/controlplane/distribution/control/sourcereturn_test.go
+++ b/internal/controlplane/distribution/control/sourcereturn_test.go
@@ -256,6 +256,34 @@
 				f.source.remove("s5")
 				f.a.start(t)
 			},
+			"killed again before it is current": func(t *testing.T, f *sourcedFleet) {
+				f.b.kill() // without an upstream that responds, a is current only after its start timeout
+				f.a.kill()
+				f.source.remove("s5")
+				f.a.start(t)
+				time.Sleep(time.Second)
+				f.a.kill()
+				f.a.start(t)
+				f.b.start(t)
+			},
+			"all killed": func(t *testing.T, f *sourcedFleet) {
+				f.a.kill()
+				f.b.kill()
+				f.source.remove("s5")
+				f.a.start(t)
+				f.b.start(t)
+			},
+			"all disks lost": func(t *testing.T, f *sourcedFleet) { // the node alone still has s5
+				f.a.kill()
+				f.b.kill()
+				f.source.remove("s5")
+				for _, p := range []*process{f.a, f.b} {
+					if err := os.Remove(p.disk); err != nil {
+						t.Fatal(err)
+					}
+					p.start(t)
+				}
+			},
 			"source out of reach at first": func(t *testing.T, f *sourcedFleet) {
 				f.a.end(t)
 				f.source.remove("s5")
@@ -298,6 +326,36 @@
 	}
 }
 
+// Guards against a control process that overwrites what others have written while its registry was out of reach by what it had stored
+// before. The first list of the registry decides.
+func TestWritesBeforeFirstList(t *testing.T) {
+	t.Parallel()
+	f := newSourcedFleet(t, newRegistrySource)
+	f.a.end(t)
+	drained, ok := f.server("s4")
+	if !ok {
+		t.Fatal("s4 is missing at the node")
+	}
+	drained.Condition = incarnation.Draining
+	value, err := cbor.Marshal(drained)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.source.setReachable(false)
+	f.a.start(t)
+	f.waitCurrent(t, f.a)
+	write(t, f.b.at, distribution.Change{Key: distribution.Key{Service: "hire", Kind: distribution.KindServer, Name: "s4"}, Value: value})
+	wait(t, "the drain at the node", func() bool { return !f.isUp("s4") })
+	for by := time.Now().Add(3 * sourceRetry); time.Now().Before(by); time.Sleep(20 * time.Millisecond) {
+		if f.isUp("s4") {
+			t.Fatal("control process has undone a drain without a list")
+		}
+	}
+	f.source.remove("s5")
+	f.source.setReachable(true)
+	wait(t, "the registry's list at the node", func() bool { return f.isUp("s4") && !f.isUp("s5") })
+}
+
 // Guards the protection against mass removals: a registry that lists nothing, or less than half of the servers, when a control
 // process comes back removes none of them. A server that was draining before is removed.
 func TestMassRemovalBeforeReturn(t *testing.T) {
--- a/internal/discovery/endpoints/restore_test.go
+++ b/internal/discovery/endpoints/restore_test.go
@@ -104,3 +104,39 @@
 		})
 	}
 }
+
+// TestRestoreAfterList guards against servers that other processes still have in use after they left the registry, and against the
+// removal of servers that other processes read from the registry earlier.
+func TestRestoreAfterList(t *testing.T) {
+	reported := []incarnation.Entry{{ID: "a", StartedUnixMS: 1, Address: "127.0.0.1:9"}, {ID: "b", StartedUnixMS: 9, Address: "127.0.0.1:9"}}
+	for name, c := range map[string]struct {
+		listedLater string
+		want        string // condition of a
+	}{
+		"left":         {"bc", "draining"},
+		"listed later": {"abc", "up"},
+		"all left":     {"", "up"}, // a mass removal is suspected
+	} {
+		t.Run(name, func(t *testing.T) {
+			set, node := NewSet(), nodeTable{incarnation.NewTable()}
+			list := func(ids string) (all []RegistryEntry) {
+				for _, id := range ids {
+					all = append(all, registryEntry(string(id), int64(id)))
+				}
+				return all
+			}
+			node.join(set.ApplyList(0, list("bcd")))
+			set.Restore(10*ms, reported)
+			node.join(reported[:1])
+			node.join(set.Tick(maxListLag))
+			if node.condition("a") != "up" {
+				t.Error("reported server was removed within maxListLag")
+			}
+			node.join(set.ApplyList(maxListLag, list(c.listedLater)))
+			node.join(set.Tick(maxListLag + 50*ms))
+			if got := node.condition("a"); got != c.want {
+				t.Errorf("got a %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/discovery/endpoints/set.go
+++ b/internal/discovery/endpoints/set.go
@@ -52,7 +52,8 @@
 type server struct {
 	state               State
 	stateSince          time.Duration
-	isRestored          bool // added by Restore and not listed since
+	isRestored          bool          // added by Restore and not listed since
+	listedBy            time.Duration // if isRestored: when the registry should list the server
 	listed              RegistryEntry
 	announced           incarnation.Entry // last announced entry
 	lastResponseAt      time.Duration
@@ -175,9 +176,9 @@
 		case isSuspected && srv.state == StateMissing &&
 			s.now-srv.stateSince <= massRemovalWindow && srv.lastFailureAt < srv.stateSince:
 			s.step(srv, massRemoved)
-		case isSuspected && srv.state == StatePresent && !s.isListed[id]:
+		case s.isOverdue(srv, id) && isSuspected:
 			s.step(srv, massRemoved)
-		case !isSuspected && (srv.state == StateRetained || srv.state == StatePresent) && !s.isListed[id]:
+		case s.isOverdue(srv, id):
 			s.step(srv, entryRemoved)
 		}
 	}
@@ -196,7 +197,7 @@
 		switch {
 		case isMissing && s.now-srv.stateSince <= massRemovalWindow:
 			removed++
-		case isInUse && !s.isListed[id]:
+		case s.isOverdue(srv, id):
 			removed++
 			if srv.isRestored {
 				minimum = 1
@@ -248,8 +249,10 @@
 // Tick applies expired timeouts and discards absent servers. It is called every few tens of milliseconds.
 func (s *Set) Tick(now time.Duration) []incarnation.Entry {
 	s.begin(now)
+	hasOverdue := false
 	for _, id := range s.sortedIDs() {
 		srv := s.servers[id]
+		hasOverdue = hasOverdue || srv.state == StatePresent && s.isOverdue(srv, id)
 		if timeout, ok := srv.timeout(); ok && now-srv.stateSince >= timeout {
 			s.step(srv, timerExpired)
 		}
@@ -257,6 +260,9 @@
 			delete(s.servers, id)
 		}
 	}
+	if hasOverdue {
+		s.removeUnlisted()
+	}
 	return s.changed
 }
 
--- a/internal/discovery/zookeeper/follow.go
+++ b/internal/discovery/zookeeper/follow.go
@@ -20,6 +20,8 @@
 	// Known contains the servers that are in use when Follow begins, such as those that an earlier process stored. Those that the
 	// first list lacks are removed like servers that leave the registry later; see endpoints.Set.Restore.
 	Known []incarnation.Entry
+	// Reported contains further servers that other processes have in use.
+	Reported Reports
 
 	// OnChange receives the changed entries; if isFirst is set, they include the complete list.
 	OnChange func(changed []incarnation.Entry, isFirst bool)
@@ -67,6 +69,8 @@
 			return
 		case all := <-lists:
 			changed = set.ApplyList(l.Now(), all)
+		case reported := <-l.Reported.pending:
+			set.Restore(l.Now(), reported)
 		case observation := <-l.Observations:
 			if observation.HasResponded { // a response of another server (IsOtherServer) counts as a connection failure
 				changed = set.ResponseReceived(l.Now(), observation.Server)
