Remove reported servers that the planner's list does not name

Cause: a planner begins without servers and took those that forwarders reported from earlier plans for current, though its list was newer and did not name them. A complete list removed only what had been reported before it.

--- a/internal/controlplane/plan/planner.go
+++ b/internal/controlplane/plan/planner.go
@@ -48,6 +48,22 @@
 	p.incarnations.ApplyDiscovery(now, list, isComplete)
 }
 
+// ServersUnlisted removes servers that forwarders have reported and that discovery does not list. revision is that of the latest list:
+// a server that a forwarder has heard of in a later list stays.
+func (p *Planner) ServersUnlisted(now time.Duration, ids []string, revision uint64) {
+	p.incarnations.RemoveUnlisted(now, ids, revision)
+}
+
+// Incarnations returns the stored entries of servers. Servers without an entry are omitted.
+func (p *Planner) Incarnations(ids []string) (entries []incarnation.Entry) {
+	for _, id := range ids {
+		if entry, ok := p.incarnations.Get(id); ok {
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
 // ReportReceived applies a forwarder's report. It ignores reports of new forwarders once maxForwarders are registered, and what a report
 // says under names longer than maxTextBytes.
 func (p *Planner) ReportReceived(now time.Duration, name string, r *Report) {
--- a/internal/controlplane/planner/connection.go
+++ b/internal/controlplane/planner/connection.go
@@ -190,21 +190,25 @@
 }
 
 // reportReceived applies a report. Discovery may already have listed newer states of the servers in NewerIncarnations, so the
-// discovered entries of these servers are applied again after the report.
+// discovered entries of these servers are applied again after the report, and servers that are not listed are removed.
 func (s *Server) reportReceived(name string, r *plan.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	s.planner.ReportReceived(now, name, r)
 	var listed []incarnation.Entry
+	var unlisted []string
 	for _, e := range r.NewerIncarnations {
 		if entry, ok := s.discovered[e.ID]; ok {
 			listed = append(listed, entry)
+		} else if e.Condition != incarnation.Gone {
+			unlisted = append(unlisted, e.ID)
 		}
 	}
 	if len(listed) > 0 {
 		s.planner.EndpointsUpdated(now, listed, false)
 	}
+	s.unlistedReported(now, unlisted)
 	s.counts.reports++
 }
 
--- a/internal/controlplane/planner/discovery.go
+++ b/internal/controlplane/planner/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"fernvane/internal/discovery/endpoints"
 	"fernvane/internal/discovery/incarnation"
@@ -22,6 +23,7 @@
 	}
 	return zookeeper.Follow(ctx, s.config.Ensemble, zookeeper.Listener{
 		Now:      s.now,
+		Reported: s.reported,
 		OnChange: func(changed []incarnation.Entry, _ bool) { s.registryChanged(changed) },
 		OnError:  func(err error) { s.log.Warn().Err(err).Msg("registry error") },
 		OnMassRemoval: func(removal endpoints.MassRemoval) {
@@ -45,6 +47,7 @@
 	for _, e := range entries {
 		s.discovered[e.ID] = e
 	}
+	s.listRevision = list.Revision
 	s.planner.EndpointsUpdated(s.now(), entries, list.IsComplete)
 	s.hasServers = s.hasServers || list.IsComplete
 }
@@ -59,3 +62,15 @@
 	s.planner.EndpointsUpdated(s.now(), changed, false)
 	s.hasServers = true
 }
+
+// unlistedReported removes servers that a forwarder has reported and that discovery or the registry does not list: they left while this
+// planner was away, and the forwarder has them from an earlier plan. A registry may list them a little later than another planner has
+// read them there. Server.mu is held.
+func (s *Server) unlistedReported(now time.Duration, ids []string) {
+	switch {
+	case s.config.Ensemble != nil:
+		s.reported.Add(s.planner.Incarnations(ids))
+	case s.hasServers:
+		s.planner.ServersUnlisted(now, ids, s.listRevision)
+	}
+}
--- a/internal/controlplane/planner/server.go
+++ b/internal/controlplane/planner/server.go
@@ -13,6 +13,7 @@
 	"fernvane/internal/controlplane/plan"
 	"fernvane/internal/controlplane/planconfig"
 	"fernvane/internal/discovery/incarnation"
+	"fernvane/internal/discovery/zookeeper"
 )
 
 // acceptRetryDelay is the delay after a failed accept, which is usually caused by a temporary shortage of resources.
@@ -32,13 +33,15 @@
 	handshakes  *framing.Handshakes
 	frameMemory *framing.MemoryBudget
 
-	mu          sync.Mutex // not held during network I/O
-	planner     *plan.Planner
-	discovered  map[string]incarnation.Entry // latest entries from discovery or the registry, by server ID
-	hasServers  bool                         // set after the first complete list from discovery or change from the registry; required to compute plans
-	forwarders  map[string]*forwarderConn    // by forwarder name
-	connections int                          // open connections, including those before the handshake
-	counts      counts
+	mu           sync.Mutex // not held during network I/O
+	planner      *plan.Planner
+	discovered   map[string]incarnation.Entry // latest entries from discovery or the registry, by server ID
+	listRevision uint64                       // of the latest list from discovery
+	reported     zookeeper.Reports            // of a registry: servers that forwarders have and that it has not listed; mu is held to add them
+	hasServers   bool                         // set after the first complete list from discovery or change from the registry; required to compute plans
+	forwarders   map[string]*forwarderConn    // by forwarder name
+	connections  int                          // open connections, including those before the handshake
+	counts       counts
 }
 
 // Run runs a planner until the context is canceled. It returns an error if listening on the configured address or following the
@@ -63,6 +66,7 @@
 
 		planner:    plan.NewPlanner(now.UnixMilli()),
 		discovered: map[string]incarnation.Entry{},
+		reported:   zookeeper.NewReports(),
 		forwarders: map[string]*forwarderConn{},
 	}
 	log.Info().Str("planner", config.Name).Stringer("listen", config.ListenAddress).Bool("tls", config.Keys != nil).Msg("planner started")
--- a/internal/controlplane/planner/server_test.go
+++ b/internal/controlplane/planner/server_test.go
@@ -158,16 +158,16 @@
 	})
 }
 
-// TestRegistryAsSource checks that a planner with a registry sends forwarders the servers that register, drain and disappear.
-func TestRegistryAsSource(t *testing.T) {
-	t.Parallel()
+// startRegistryPlanner starts a planner with its own stand-in registry, in which servers a and b have sessions.
+func startRegistryPlanner(t *testing.T) (address string, a, b *standin.OwnedSession) {
+	t.Helper()
 	registry := standin.New(nil)
 	server, err := registry.Listen("127.0.0.1:0", 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	session := registry.OpenSession(time.Hour, map[string][]byte{"/hire/a": []byte("127.0.0.1:1")})
-	registry.OpenSession(time.Hour, map[string][]byte{"/hire/b": []byte("127.0.0.1:2")})
+	a = registry.OpenSession(time.Hour, map[string][]byte{"/hire/a": []byte("127.0.0.1:1")})
+	b = registry.OpenSession(time.Hour, map[string][]byte{"/hire/b": []byte("127.0.0.1:2")})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -182,7 +182,14 @@
 		<-done
 		registry.Close()
 	})
-	f := connect(t, ln.Addr().String(), "f")
+	return ln.Addr().String(), a, b
+}
+
+// TestRegistryAsSource checks that a planner with a registry sends forwarders the servers that register, drain and disappear.
+func TestRegistryAsSource(t *testing.T) {
+	t.Parallel()
+	address, session, _ := startRegistryPlanner(t)
+	f := connect(t, address, "f")
 	f.waitUntil("servers a and b", func() bool { return f.condition("a") == incarnation.Up && f.condition("b") == incarnation.Up })
 	session.Set("/hire/a", []byte(`{"address":"127.0.0.1","port":1,"status":"DRAINING"}`))
 	f.waitUntil("drain of a", func() bool { return f.condition("a") == incarnation.Draining })
@@ -190,6 +197,45 @@
 	f.waitUntil("removal of a", func() bool { return f.condition("a") == incarnation.Gone })
 }
 
+// TestServersThatLeftWhilePlannersWereAway guards against planners that lost their memory and bring back servers that left meanwhile: the
+// forwarders still have them from earlier plans and report them.
+func TestServersThatLeftWhilePlannersWereAway(t *testing.T) {
+	t.Parallel()
+	left := incarnation.Entry{ID: "left", StartedUnixMS: 5, Revision: 2, Address: "127.0.0.1:9", Zone: "z", Weight: 1}
+	t.Run("discovery", func(t *testing.T) {
+		t.Parallel()
+		address, list := startPlanner(t, nil)
+		for i := range 4 {
+			list.Set(entry(fmt.Sprint("s", i), discovery.Serving))
+		}
+		f := connect(t, address, "f")
+		f.waitUntil("all listed servers", func() bool { return f.condition("s3") == incarnation.Up })
+		later := left
+		later.ID, later.Revision = "later", 100
+		f.report(plan.Report{Interval: 500 * time.Millisecond, NewerIncarnations: []incarnation.Entry{left, later}})
+		f.waitUntil("removal of the server that left", func() bool { return f.condition("left") == incarnation.Gone })
+		f.waitUntil("the server of a later list", func() bool { return f.condition("later") == incarnation.Up })
+		f.report(plan.Report{Interval: 500 * time.Millisecond, NewerIncarnations: []incarnation.Entry{left}})
+		list.Set(entry("s4", discovery.Serving))
+		f.waitUntil("a new server", func() bool { return f.condition("s4") == incarnation.Up })
+		for _, s := range f.plan.Servers {
+			if s.ID == "left" {
+				t.Error("server that left is in the plan")
+			}
+		}
+	})
+	t.Run("registry", func(t *testing.T) {
+		t.Parallel()
+		address, _, _ := startRegistryPlanner(t)
+		f := connect(t, address, "f")
+		f.waitUntil("servers a and b", func() bool { return f.condition("a") == incarnation.Up && f.condition("b") == incarnation.Up })
+		f.report(plan.Report{Interval: 500 * time.Millisecond, NewerIncarnations: []incarnation.Entry{left}})
+		f.waitUntil("removal of the server that left", func() bool {
+			return f.condition("left") == incarnation.Draining || f.condition("left") == incarnation.Gone
+		})
+	})
+}
+
 // TestProtocolViolationsAreRejected checks that a protocol violation closes only the connection of the sender, with a reason.
 func TestProtocolViolationsAreRejected(t *testing.T) {
 	t.Parallel()
--- a/internal/discovery/incarnation/table.go
+++ b/internal/discovery/incarnation/table.go
@@ -75,6 +75,27 @@
 	return t.Join(now, announced)
 }
 
+// RemoveUnlisted marks servers as Gone that a full list and the changes up to the given revision of discovery do not contain, and
+// returns those that it has marked. A server whose entry is from a later revision is left as it is.
+func (t *Table) RemoveUnlisted(now time.Duration, ids []string, revision uint64) (changed []Entry) {
+	var gone []Entry
+	for _, id := range ids {
+		if entry, ok := t.entries[id]; ok {
+			gone = appendGone(gone, entry, revision)
+		}
+	}
+	return t.Join(now, gone)
+}
+
+// appendGone appends the entry of a server as Gone, unless the server is gone already or its entry is from a later revision.
+func appendGone(gone []Entry, entry Entry, revision uint64) []Entry {
+	if entry.Condition == Gone || entry.Revision > revision {
+		return gone
+	}
+	entry.Condition, entry.Revision = Gone, revision
+	return append(gone, entry)
+}
+
 // assignIncarnation assigns an announced entry to an incarnation. If its start is not later than that of the table's entry,
 // the announcement concerns the same incarnation or reinstates the server in a new generation. ok is false if the
 // announcement is too old to reinstate the server.
@@ -96,10 +117,8 @@
 // appendOmitted appends a Gone entry for each server that a full list of the given revision omits.
 func (t *Table) appendOmitted(announced []Entry, isListed map[string]bool, revision uint64) []Entry {
 	for _, id := range t.sortedIDs() {
-		entry := t.entries[id]
-		if !isListed[id] && entry.Condition != Gone && entry.Revision <= revision {
-			entry.Condition, entry.Revision = Gone, revision
-			announced = append(announced, entry)
+		if !isListed[id] {
+			announced = appendGone(announced, t.entries[id], revision)
 		}
 	}
 	return announced
