Apply the registry's first list when the endpoint cache confirms it

Cause: the first list was applied though the cache, which missed most proven servers in it, did not confirm it; the cache stayed in play and put its own list into effect again when a server's status changed.

Change: the list is applied once the cache confirms it, which for a registry is after 3 s at most, and then the cache is out of play. A registry that lists nothing changes nothing, as before.

--- a/internal/proxy/endpointcacheconfirm.go
+++ b/internal/proxy/endpointcacheconfirm.go
@@ -9,9 +9,13 @@
 )
 
 const (
-	incompleteListDuration = 30 * time.Second // how long a list that lacks most proven servers is not applied
-	maxMissingShare        = 0.5              // of the proven servers
-	minMissing             = 2                // a list that lacks fewer proven servers is applied
+	// incompleteListDuration is how long a list that lacks most proven servers is not applied. For a registry it is shorter than the 6 s after
+	// which a change there counts as announced.
+	incompleteListDuration         = 30 * time.Second
+	incompleteRegistryListDuration = 3 * time.Second
+
+	maxMissingShare = 0.5 // of the proven servers
+	minMissing      = 2   // a list that lacks fewer proven servers is applied
 )
 
 // confirm ends the suspicion of the cached list when a source announces a list, and returns the list to apply. Without a suspect list it
@@ -24,7 +28,7 @@
 	if c.evaluator == nil {
 		return l, true
 	}
-	if l.IsComplete && c.lacksProvenServers(l) {
+	if l.IsComplete && c.lacksProvenServers(l, source) {
 		return l, false
 	}
 	if !l.IsComplete && source == endpoints.SourceDiscovery {
@@ -42,7 +46,7 @@
 
 // lacksProvenServers reports whether a complete list must not be applied because it lacks most of the servers that have proven since the
 // start that they serve: a source that has restarted may announce no servers at first. After incompleteListDuration such a list is applied.
-func (c *endpointCache) lacksProvenServers(l http1.EndpointList) bool {
+func (c *endpointCache) lacksProvenServers(l http1.EndpointList, source endpoints.Source) bool {
 	isListed := map[string]bool{} // also those that are draining
 	for _, e := range l.Endpoints {
 		isListed[e.ID] = true
@@ -63,5 +67,9 @@
 		c.incompleteSince = now
 		c.logger.Error().Int("missing", missing).Int("serving", proven).Msg("endpoint list lacks most serving servers")
 	}
-	return now.Sub(c.incompleteSince) < incompleteListDuration
+	limit := incompleteListDuration
+	if source == endpoints.SourceRegistry {
+		limit = incompleteRegistryListDuration
+	}
+	return now.Sub(c.incompleteSince) < limit
 }
