Treat unknown zones and cells as different when keyed requests are retried

Cause: a missing zone had an index and a missing cell was 0, and the check of the key scope compared numbers.

Change: unknown is a value of its own, and zones and cells are of a type that == does not compare; shareKeys decides for the check. A request that may have run goes to the same server again at most.

--- a/internal/controlplane/distribution/tree/fileentries.go
+++ b/internal/controlplane/distribution/tree/fileentries.go
@@ -69,7 +69,10 @@
 
 // encode returns the server's value. Without hasWeight, the weight is 1.
 func (s Server) encode(hasWeight bool) ([]byte, error) {
-	e := incarnation.Entry{ID: s.ID, Address: s.Address, Zone: s.Zone, MachineKind: s.MachineKind, Cell: s.Cell, Weight: s.Weight}
+	e := incarnation.Entry{ID: s.ID, Address: s.Address, Zone: s.Zone, MachineKind: s.MachineKind, Cell: incarnation.UnknownCell, Weight: s.Weight}
+	if s.Cell != nil {
+		e.Cell = *s.Cell
+	}
 	if !hasWeight {
 		e.Weight = 1
 	}
--- a/internal/controlplane/distribution/tree/lines.go
+++ b/internal/controlplane/distribution/tree/lines.go
@@ -8,6 +8,7 @@
 
 	"fernvane/internal/controlplane/distribution"
 	"fernvane/internal/controlplane/distribution/value"
+	"fernvane/internal/discovery/incarnation"
 )
 
 // conditionNames are the displayed names of the conditions, by value.
@@ -45,7 +46,7 @@
 			lines = append(lines, fmt.Sprintf("%s = %q", name, text))
 		}
 	}
-	if s.Cell != 0 {
+	if s.Cell != incarnation.UnknownCell {
 		lines = append(lines, fmt.Sprintf("cell = %d", s.Cell))
 	}
 	if s.StartedUnixMS > 0 {
--- a/internal/controlplane/distribution/tree/tree.go
+++ b/internal/controlplane/distribution/tree/tree.go
@@ -23,7 +23,7 @@
 	Address     string    `toml:"address"`
 	Zone        string    `toml:"zone"`
 	MachineKind string    `toml:"flavor"`
-	Cell        int       `toml:"cell"`
+	Cell        *int      `toml:"cell"`     // nil: unknown
 	Weight      float64   `toml:"size"`     // relative capacity; 1 by default
 	StartedAt   time.Time `toml:"started"`  // start of the server's process
 	Draining    bool      `toml:"draining"` // receives no new requests
--- a/internal/discovery/incarnation/entry.go
+++ b/internal/discovery/incarnation/entry.go
@@ -23,6 +23,9 @@
 	Gone                      // has terminated
 )
 
+// UnknownCell is the cell of a server whose entry names none. Entries stored or sent by earlier versions have 0 instead.
+const UnknownCell = -1
+
 // Entry is the state of one server. It is stored and sent as a CBOR array, so the order of its fields must not change.
 // Entries are compared by the fields from StartedUnixMS to Revision, then by the remaining fields.
 type Entry struct {
@@ -36,7 +39,7 @@
 	Address       string    // host:port
 	Zone          string
 	MachineKind   string
-	Cell          int // failure domain inside the zone
+	Cell          int // failure domain inside the zone, or UnknownCell
 	Weight        float64
 }
 
--- a/internal/discovery/zookeeper/format_test.go
+++ b/internal/discovery/zookeeper/format_test.go
@@ -17,6 +17,7 @@
 
 	"fernvane/internal/config/tomlfile"
 	"fernvane/internal/discovery/endpoints"
+	"fernvane/internal/discovery/incarnation"
 	standin "fernvane/internal/testbed/standin/zookeeper"
 )
 
@@ -33,6 +34,11 @@
 		{"server set with the keys in the entry itself", `{"serviceEndpoint":{"host":"127.0.0.2","port":81},"status":"ALIVE",
 			"zone":"south","flavor":"small","cell":4,"size":0.5,"started_ms":7}`,
 			endpoints.RegistryEntry{ID: "id", Address: "127.0.0.2:81", Zone: "south", MachineKind: "small", Cell: 4, Weight: 0.5, StartedUnixMS: 7}},
+		{"cell 0", `{"address":"127.0.0.1","port":80,"payload":{"zone":"north","cell":0}}`,
+			endpoints.RegistryEntry{ID: "id", Address: "127.0.0.1:80", Zone: "north", Weight: 1}},
+		{"no zone and no cell", `{"serviceEndpoint":{"host":"127.0.0.2","port":81},"status":"ALIVE"}`,
+			endpoints.RegistryEntry{ID: "id", Address: "127.0.0.2:81", Cell: incarnation.UnknownCell, Weight: 1}},
+		{"plain", "127.0.0.2:81", endpoints.RegistryEntry{ID: "id", Address: "127.0.0.2:81", Cell: incarnation.UnknownCell, Weight: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got, err := ParseEntry("id", []byte(c.data))
--- a/internal/discovery/zookeeper/parse.go
+++ b/internal/discovery/zookeeper/parse.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"fernvane/internal/discovery/endpoints"
+	"fernvane/internal/discovery/incarnation"
 )
 
 const maxDataBytes = 16 << 10 // maximum size of the data of an entry
@@ -34,14 +35,14 @@
 type attributes struct {
 	Zone          string  `json:"zone"`
 	MachineKind   string  `json:"flavor"`
-	Cell          int     `json:"cell"`
+	Cell          *int    `json:"cell"`
 	Weight        float64 `json:"size"`
 	StartedUnixMS int64   `json:"started_ms"`
 }
 
 // ParseEntry decodes the data of an entry, which is either JSON or host:port. The error describes the invalid part.
 func ParseEntry(id string, data []byte) (endpoints.RegistryEntry, error) {
-	entry := endpoints.RegistryEntry{ID: id, Weight: 1}
+	entry := endpoints.RegistryEntry{ID: id, Cell: incarnation.UnknownCell, Weight: 1}
 	text := strings.TrimSpace(string(data[:min(len(data), maxDataBytes+1)]))
 	switch {
 	case len(data) > maxDataBytes:
@@ -78,7 +79,10 @@
 	if decoded.Payload != nil {
 		attrs = *decoded.Payload
 	}
-	entry.Zone, entry.MachineKind, entry.Cell, entry.StartedUnixMS = attrs.Zone, attrs.MachineKind, attrs.Cell, attrs.StartedUnixMS
+	entry.Zone, entry.MachineKind, entry.StartedUnixMS = attrs.Zone, attrs.MachineKind, attrs.StartedUnixMS
+	if attrs.Cell != nil {
+		entry.Cell = *attrs.Cell
+	}
 	if attrs.Weight > 0 {
 		entry.Weight = attrs.Weight
 	}
--- a/internal/protocol/http1/endpointlist.go
+++ b/internal/protocol/http1/endpointlist.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"fernvane/internal/discovery/incarnation"
 )
 
 const listPath = "/discovery/hosts"
@@ -27,7 +29,7 @@
 	Address       netip.AddrPort
 	Zone          string
 	MachineKind   string
-	Cell          int // failure domain inside the zone
+	Cell          int // failure domain inside the zone, or UnknownCell
 	Condition     Condition
 	Weight        float64
 	StartedUnixMS int64 // start time as Unix time in ms; 0: not recent
@@ -67,6 +69,9 @@
 	return list, nil
 }
 
+// UnknownCell is the cell of an endpoint whose entry names none.
+const UnknownCell = incarnation.UnknownCell
+
 // parseEndpoint decodes an entry. An address is required only of a serving server, because requests are sent to no other.
 func parseEndpoint(text []byte) (Endpoint, error) {
 	var raw struct {
@@ -74,7 +79,7 @@
 		HostPort  string `json:"host_port"`
 		Locality  string
 		Flavor    string
-		Cell      int
+		Cell      *int
 		Phase     string
 		Size      float64
 		UpSinceMS float64 `json:"up_since_ms"`
@@ -82,10 +87,13 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Endpoint{}, err
 	}
-	endpoint := Endpoint{ID: raw.ID, Zone: raw.Locality, MachineKind: raw.Flavor, Cell: raw.Cell, Weight: raw.Size, StartedUnixMS: int64(raw.UpSinceMS)}
+	endpoint := Endpoint{ID: raw.ID, Zone: raw.Locality, MachineKind: raw.Flavor, Cell: UnknownCell, Weight: raw.Size, StartedUnixMS: int64(raw.UpSinceMS)}
 	if endpoint.ID == "" {
 		return endpoint, errors.New("server without an id")
 	}
+	if raw.Cell != nil {
+		endpoint.Cell = *raw.Cell
+	}
 	switch raw.Phase {
 	case "SERVING":
 	case "DRAINING":
--- a/internal/proxy/dispatch/endpoints.go
+++ b/internal/proxy/dispatch/endpoints.go
@@ -113,9 +113,9 @@
 func (d *Dispatcher) policyEndpoint(record endpoints.Record, now time.Duration, unixMS int64) policy.Endpoint {
 	info := policy.Endpoint{
 		Rank:              crc32.ChecksumIEEE([]byte(record.ID)),
-		Zone:              indexOrAdd(d.names.zones, record.Zone),
+		Zone:              d.zoneIndex(record.Zone),
 		MachineKind:       indexOrAdd(d.names.machineKinds, record.MachineKind),
-		Cell:              record.Cell,
+		Cell:              cellNumber(record.Cell),
 		Condition:         policyConditions[record.Condition],
 		Weight:            record.Weight,
 		HasStartTime:      record.StartedUnixMS > 0,
@@ -199,6 +199,22 @@
 	return min(maxLateWrite, time.Duration(lateWriteShare*float64(d.settings.DrainGrace)))
 }
 
+// zoneIndex returns the index of a zone, or policy.UnknownDomain for a server whose entry names none.
+func (d *Dispatcher) zoneIndex(zone string) int {
+	if zone == "" {
+		return policy.UnknownDomain
+	}
+	return indexOrAdd(d.names.zones, zone)
+}
+
+// cellNumber returns the number of a cell for the decision module.
+func cellNumber(cell int) int {
+	if cell == incarnation.UnknownCell {
+		return policy.UnknownDomain
+	}
+	return cell
+}
+
 // indexOrAdd returns the index of a zone or machine kind. A name that is not in the settings is assigned the next free index
 // when it first appears.
 func indexOrAdd(index map[string]int, name string) int {
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -10,20 +10,48 @@
 // serverTable holds the attributes of each server from the endpoint list.
 type serverTable struct {
 	rank         []int
-	zone         []int
+	zone         []failureDomain
 	machineKind  []int
-	cell         []int
+	cell         []failureDomain
 	listedWeight []float64
 }
 
+// failureDomain is the zone or cell of a server. It cannot be compared with ==, because unknown domains are never the same.
+type failureDomain struct {
+	_      [0]func()
+	number int
+}
+
+// is reports whether the domain is known and has a number.
+func (d failureDomain) is(number int) bool { return d.number != UnknownDomain && d.number == number }
+
+// isSame reports whether both domains are known and the same.
+func (d failureDomain) isSame(other failureDomain) bool { return d.is(other.number) }
+
 func (t *serverTable) addServer(s int) {
-	columns.Put(s, 0, &t.rank, &t.zone, &t.machineKind, &t.cell)
+	columns.Put(s, 0, &t.rank, &t.machineKind)
+	columns.Put(s, failureDomain{number: UnknownDomain}, &t.zone, &t.cell)
 	columns.Put(s, 1.0, &t.listedWeight)
 }
 
+// shareKeys reports whether two servers share the idempotency keys of a scope: whether one of them drops a repeat of what the
+// other has run.
+func (t *serverTable) shareKeys(scope KeyScope, s, other int) bool {
+	switch {
+	case s == other:
+		return true
+	case scope == KeyScopeZone:
+		return t.zone[s].isSame(t.zone[other])
+	case scope == KeyScopeCell:
+		return t.cell[s].isSame(t.cell[other])
+	}
+	return true
+}
+
 func (t *serverTable) clone() serverTable {
 	c := *t
-	columns.Clone(&c.rank, &c.zone, &c.machineKind, &c.cell)
+	columns.Clone(&c.rank, &c.machineKind)
+	columns.Clone(&c.zone, &c.cell)
 	c.listedWeight = slices.Clone(t.listedWeight)
 	return c
 }
@@ -66,7 +94,8 @@
 		p.servers.rank[s] = int(e.Rank)
 		p.subset.insertIntoRotation(s, int(e.Rank))
 	}
-	p.servers.zone[s], p.servers.machineKind[s], p.servers.cell[s] = e.Zone, e.MachineKind, e.Cell
+	p.servers.zone[s], p.servers.cell[s] = failureDomain{number: e.Zone}, failureDomain{number: e.Cell}
+	p.servers.machineKind[s] = e.MachineKind
 	p.servers.listedWeight[s] = cmp.Or(max(e.Weight, 0), 1)
 	p.updatePlacements(s)
 	p.readiness.SetLabels(s, e.Labels)
@@ -119,7 +148,7 @@
 func (p *Policy) updatePlacements(s int) {
 	matches := uint64(0)
 	for i, placement := range p.settings.Placements {
-		isZoneAllowed := placement.Zones == nil || slices.Contains(placement.Zones, p.servers.zone[s])
+		isZoneAllowed := placement.Zones == nil || slices.ContainsFunc(placement.Zones, p.servers.zone[s].is)
 		isKindAllowed := placement.MachineKinds == nil || slices.Contains(placement.MachineKinds, p.servers.machineKind[s])
 		if isZoneAllowed && isKindAllowed {
 			matches |= 1 << i
--- a/policy/endpoints_test.go
+++ b/policy/endpoints_test.go
@@ -50,7 +50,7 @@
 			t.Errorf("traffic type %d: new server is unhealthy", trafficType)
 		}
 	}
-	if h.slowStart.servers.Has(1) || h.latency.slowness[1] != 1 || h.pauses.count[1] != 0 || h.servers.cell[1] != 5 || !h.readiness.Ready(1) || h.outliers.soft[1] != 0 {
+	if h.slowStart.servers.Has(1) || h.latency.slowness[1] != 1 || h.pauses.count[1] != 0 || !h.servers.cell[1].is(5) || !h.readiness.Ready(1) || h.outliers.soft[1] != 0 {
 		t.Error("state of the previous server remains")
 	}
 	if want := []int{0, 2, 1}; !slices.Equal(slices.Collect(h.subset.rotation.From(0)), want) || h.readiness.Len() != untouched.readiness.Len() {
--- a/policy/hedge_test.go
+++ b/policy/hedge_test.go
@@ -43,7 +43,7 @@
 		"hedged with a key in its scope only": {1, hedges, func(h *harness) []Effect {
 			effects := h.at(60*ms, Input{Kind: TimerFired})
 			for _, s := range serversSentTo(effects) {
-				if h.servers.zone[s] != h.servers.zone[h.request(0).attempts[0].server] {
+				if !h.servers.zone[s].isSame(h.servers.zone[h.request(0).attempts[0].server]) {
 					h.t.Error("hedged attempt sent outside the key scope")
 				}
 			}
--- a/policy/input.go
+++ b/policy/input.go
@@ -28,14 +28,17 @@
 	Removed
 )
 
+// UnknownDomain is the Zone or Cell of an Endpoint whose entry names none. Two unknown domains do not count as the same.
+const UnknownDomain = -1
+
 // Endpoint is one entry of an endpoint list.
 type Endpoint struct {
 	Server            int    // dense index; at most one above all earlier ones
 	IndexReused       bool   // the index belonged to another server, which has no attempt in flight
 	Rank              uint32 // sort key of the rotation, identical at every node
-	Zone              int
+	Zone              int    // or UnknownDomain
 	MachineKind       int
-	Cell              int // failure domain inside a zone
+	Cell              int // failure domain inside a zone, or UnknownDomain
 	Condition         Condition
 	Weight            float64       // capacity relative to other servers; 0 counts as 1
 	Labels            uint64        // bit set, see TrafficType.PoolLabels
--- a/policy/lifecycle_test.go
+++ b/policy/lifecycle_test.go
@@ -43,7 +43,7 @@
 				t.Fatalf("end of attempt: got effects %v, want %v", effectKinds(got), c.want)
 			}
 			for _, e := range got {
-				if e.Kind == SendAttempt && c.trafficType == keyInZone && h.servers.zone[e.Server] != h.servers.zone[sent[0].Server] {
+				if e.Kind == SendAttempt && c.trafficType == keyInZone && !h.servers.zone[e.Server].isSame(h.servers.zone[sent[0].Server]) {
 					t.Errorf("retry outside the key scope: server %d after server %d", e.Server, sent[0].Server)
 				}
 			}
@@ -90,13 +90,50 @@
 			if got := effectKinds(third); !reflect.DeepEqual(got, c.want) {
 				t.Fatalf("end of second attempt: got effects %v, want %v", got, c.want)
 			}
-			if c.same && third[0].Kind == SendAttempt && h.servers.zone[third[0].Server] != h.servers.zone[second[0].Server] {
+			if c.same && third[0].Kind == SendAttempt && !h.servers.zone[third[0].Server].isSame(h.servers.zone[second[0].Server]) {
 				t.Error("third attempt sent outside the key scope")
 			}
 		})
 	}
 }
 
+// TestRetryInUnknownDomain guards against a retry with an idempotency key that runs twice: servers whose zone or cell is not known do
+// not share keys, so a request that may have run is sent again to the same server at most.
+func TestRetryInUnknownDomain(t *testing.T) {
+	for name, c := range map[string]struct {
+		scope  KeyScope
+		change func(*Endpoint)
+	}{
+		"zone": {KeyScopeZone, func(e *Endpoint) { e.Zone = UnknownDomain }},
+		"cell": {KeyScopeCell, func(e *Endpoint) { e.Cell = UnknownDomain }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 0, func(s *Settings) { s.TrafficTypes[1].KeyScope = c.scope })
+			var list []Endpoint
+			for i := range 8 {
+				e := Endpoint{Server: i, Rank: uint32(i), Zone: 1, Cell: 1, Weight: 1}
+				c.change(&e)
+				list = append(list, e)
+			}
+			h.at(0, Input{Kind: EndpointsUpdated, Scope: Cached, Endpoints: list})
+			id, sent := h.arriveAt(time.Second, 1, 2*time.Second)
+			for number, outcome := range []Outcome{Unreachable, Failure} { // only the second attempt may have run
+				if len(sent) != 1 || sent[0].Kind != SendAttempt {
+					t.Fatalf("attempt %d: got effects %v, want one SendAttempt", number, sent)
+				}
+				before := sent[0].Server
+				sent = h.end(time.Second+time.Duration(number+1)*50*ms, id, number, outcome)
+				if outcome == Unreachable && before == sent[0].Server {
+					t.Error("attempt that never ran was sent to the same server again although others are idle")
+				}
+				if outcome == Failure && len(sent) > 0 && sent[0].Kind == SendAttempt && sent[0].Server != before {
+					t.Errorf("request that may have run at server %d was sent to server %d, which may not know its key", before, sent[0].Server)
+				}
+			}
+		})
+	}
+}
+
 // TestFinalAnswerBeforeClientTimeout checks that a request gets exactly one final response before its client gives
 // up.
 func TestFinalAnswerBeforeClientTimeout(t *testing.T) {
--- a/policy/picker.go
+++ b/policy/picker.go
@@ -140,8 +140,7 @@
 	if !r.mayHaveRun || t.Idempotency != IdempotentWithKey {
 		return false
 	}
-	return t.KeyScope == KeyScopeZone && p.servers.zone[s] != p.servers.zone[r.firstRunServer] ||
-		t.KeyScope == KeyScopeCell && p.servers.cell[s] != p.servers.cell[r.firstRunServer]
+	return !p.servers.shareKeys(t.KeyScope, s, r.firstRunServer)
 }
 
 // isAboveMeanLoad reports whether a server has more attempts in flight, including abandoned ones, than the mean for its
--- a/policy/subset.go
+++ b/policy/subset.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	if !isFound && isZoneFirst {
-		isFound = p.pickNextOfRotation(func(s int) bool { return canJoin(s) && p.servers.zone[s] == p.settings.Zone })
+		isFound = p.pickNextOfRotation(func(s int) bool { return canJoin(s) && p.servers.zone[s].is(p.settings.Zone) })
 	}
 	if !isFound {
 		isFound = p.pickNextOfRotation(canJoin)
