Count nodes that have shut down as missing when the tier is asked for bookings

Cause: members that had left were neither asked nor counted as missing.

Change: Client.ShutDown names them, HasEnoughResponses counts them, and the commands print them. `replicas status` passes over them as before.

--- a/cmd/fernvane/journalsource.go
+++ b/cmd/fernvane/journalsource.go
@@ -1,13 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -137,6 +136,9 @@
 // errTooFewResponses is returned if so many nodes did not respond that existing entries may not have been found.
 var errTooFewResponses = errors.New("too few nodes responded: entries that were not found may exist, and their state is not known")
 
+// errShutDown is the reason that is printed for a node that shut down gracefully.
+var errShutDown = errors.New("node has shut down")
+
 // tierEntries calls visit for the entries of all nodes of a tier, merged from their journals and replicas. It prints which nodes did
 // not respond. If more nodes are missing than the number of replicas allows, no entry counts as not sent, and it returns
 // errTooFewResponses.
@@ -167,8 +169,8 @@
 	}
 	printGaps(stderr, merger.Gaps)
 	fmt.Fprintf(stderr, "%d nodes responded\n", len(tier.Responses))
-	for _, name := range slices.Sorted(maps.Keys(tier.QueryErrors)) {
-		fmt.Fprintf(stderr, "no response from %s: %v\n", name, tier.QueryErrors[name])
+	for _, name := range tier.Missing() {
+		fmt.Fprintf(stderr, "no response from %s: %v\n", name, cmp.Or(tier.QueryErrors[name], errShutDown))
 	}
 	if !hasEnough {
 		return errTooFewResponses
--- a/internal/cluster/peer/client.go
+++ b/internal/cluster/peer/client.go
@@ -35,6 +35,9 @@
 	Responses map[string]*Status
 	// QueryErrors contains the error of each node that did not respond, by name or, if the name is unknown, by address.
 	QueryErrors map[string]error
+	// ShutDown contains the names of the nodes that have shut down gracefully. Their journals and the replicas that they store may be the only
+	// copies of some records. Nodes forget them after 10 minutes, like nodes that failed.
+	ShutDown []string
 }
 
 // Query discovers the nodes of a cluster from the configured addresses and the members that the nodes report, and
@@ -101,7 +104,11 @@
 func (c *Client) keyQueryErrorsByName() {
 	errorsByName := map[string]error{}
 	for _, m := range c.Members {
-		if c.Responses[m.Name] != nil || m.Condition == membership.Left {
+		if c.Responses[m.Name] != nil {
+			continue
+		}
+		if m.Condition == membership.Left {
+			c.ShutDown = append(c.ShutDown, m.Name)
 			continue
 		}
 		errorsByName[m.Name] = cmp.Or(c.QueryErrors[m.Address], errAddressTaken)
@@ -112,6 +119,7 @@
 	for address, err := range c.QueryErrors {
 		errorsByName[address] = err
 	}
+	slices.Sort(c.ShutDown)
 	c.QueryErrors = errorsByName
 }
 
--- a/internal/cluster/peer/clusterstate.go
+++ b/internal/cluster/peer/clusterstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"fernvane/internal/cluster/replication"
@@ -9,7 +10,7 @@
 
 // HasEnoughResponses reports whether the responding nodes together store every committed record. That is the case if at
 // most as many machines are missing as the largest Replicas among the responses, and all responding nodes have loaded
-// their replicas. It assumes that all nodes are configured with the same number of replicas.
+// their replicas. Nodes that have shut down gracefully are missing too: their disks have what they stored. It assumes that all nodes are configured with the same number of replicas.
 func (c *Client) HasEnoughResponses() bool {
 	if len(c.Responses) == 0 {
 		return false
@@ -22,7 +23,7 @@
 		replicas = max(replicas, s.Replicas)
 	}
 	missing := map[string]bool{} // machines
-	for name := range c.QueryErrors {
+	for _, name := range c.Missing() {
 		machine := name
 		if m, ok := c.Members[name]; ok {
 			machine = m.Machine
@@ -32,6 +33,14 @@
 	return len(missing) <= replicas
 }
 
+// Missing returns the sorted names of the nodes that did not respond or have shut down; a node whose name is unknown is named by its
+// address.
+func (c *Client) Missing() []string {
+	names := slices.AppendSeq(slices.Clone(c.ShutDown), maps.Keys(c.QueryErrors))
+	slices.Sort(names)
+	return names
+}
+
 // completeHolders returns, for each stream, the nodes that store every record of it that any responding node stores.
 // The origin of a running stream counts if it responded.
 func (c *Client) completeHolders() map[replication.Stream][]string {
--- a/internal/cluster/peer/node_test.go
+++ b/internal/cluster/peer/node_test.go
@@ -229,3 +229,32 @@
 		t.Errorf("records of a node whose address is taken: got error %v, want %v", err, errAddressTaken)
 	}
 }
+
+// Guards against "no entry" for a request that ran: nodes that have shut down gracefully are missing like lost ones, because the journal and
+// its only replica may be on their disks.
+func TestNodesThatShutDownAreMissing(t *testing.T) {
+	t.Parallel()
+	one := func(cfg *Config) { cfg.Replicas = 1 }
+	first := startConfigured(t, "a", "", one)
+	nodes := []*testNode{startConfigured(t, "b", "", one, first.seed()), startConfigured(t, "c", "", one, first.seed()), startConfigured(t, "d", "", one, first.seed())}
+	query := func() *Client { return Query(context.Background(), first.cfg, false) }
+	eventually(t, "all nodes", func() bool { return len(query().Responses) == 4 && query().HasEnoughResponses() })
+	for i, c := range []struct {
+		missing   []string
+		hasEnough bool
+	}{
+		{[]string{"b"}, true},
+		{[]string{"b", "c"}, false},
+	} {
+		nodes[i].Leave()
+		nodes[i].crash()
+		var client *Client
+		eventually(t, "shutdown known to the others", func() bool {
+			client = query()
+			return slices.Equal(client.Missing(), c.missing)
+		})
+		if client.HasEnoughResponses() != c.hasEnough || len(client.QueryErrors) > 0 {
+			t.Errorf("without %v: got enough responses %t, errors %v, want %t and no error", c.missing, client.HasEnoughResponses(), client.QueryErrors, c.hasEnough)
+		}
+	}
+}
