Apply discovery's complete list after a start from the cached list at once

Cause: a complete list that lacks most of the servers that had responded was withheld for 30 s.

Change: only a list that names no server is withheld; one of a registry still waits for 3 s.

--- a/internal/proxy/endpointcache_test.go
+++ b/internal/proxy/endpointcache_test.go
@@ -244,6 +244,42 @@
 	}
 }
 
+// Guards against a restarted node that goes on sending requests to servers which the complete list of discovery lacks, because they are most
+// of the servers that have responded since the start.
+func TestCompleteListReplacesCachedList(t *testing.T) {
+	t.Parallel()
+	stays, left, leftToo := newCountingServer(t, ""), newCountingServer(t, ""), newCountingServer(t, "")
+	servers := []*countingServer{stays, left, leftToo}
+	cfg := config()
+	cfg.Snapshot = cachedList(t, nil, stays.server("stays", incarnation.Up), left.server("left", incarnation.Up), leftToo.server("left-too", incarnation.Up))
+	lists := make(chan string, 1)
+	cfg.Discovery = standIn(t, func(nc net.Conn) {
+		defer nc.Close()
+		var r http1.Request
+		for c := http1.NewConn(nc); c.ReadRequest(&r) == nil; {
+			body, ok := awaitList(c, lists)
+			if !ok {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	})
+	t.Cleanup(func() { close(lists) })
+	at, _ := startNode(t, cfg)
+	for !allCounted(servers) || bookStatus(t, at) != 200 {
+		sendConcurrently(t, at)
+	}
+	lists <- fmt.Sprintf(`{"revision":9,"complete":true,"members":[{"id":"stays","host_port":%q,"phase":"SERVING","size":1}]}`, stays.at)
+	time.Sleep(500 * time.Millisecond) // stopSendingWithin
+	before := left.count("check") + leftToo.count("check")
+	for by := time.Now().Add(time.Second); time.Now().Before(by); {
+		sendConcurrently(t, at)
+	}
+	if got := left.count("check") + leftToo.count("check") - before; got > 0 {
+		t.Errorf("got %d requests to servers that the complete list lacks, want none", got)
+	}
+}
+
 // A node whose disk fails serves requests; only the stored list is missing.
 func TestListNotWritten(t *testing.T) {
 	t.Parallel()
--- a/internal/proxy/endpointcacheconfirm.go
+++ b/internal/proxy/endpointcacheconfirm.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// incompleteListDuration is how long a list that lacks most proven servers is not applied. For a registry it is shorter than the 6 s after
-	// which a change there counts as announced.
+	// incompleteListDuration is how long an empty list of discovery is not applied, incompleteRegistryListDuration how long a list of a
+	// registry that lacks most proven servers is not. The latter is shorter than the 6 s after which a change in the registry counts as
+	// announced.
 	incompleteListDuration         = 30 * time.Second
 	incompleteRegistryListDuration = 3 * time.Second
 
@@ -46,7 +47,11 @@
 
 // lacksProvenServers reports whether a complete list must not be applied because it lacks most of the servers that have proven since the
 // start that they serve: a source that has restarted may announce no servers at first. After incompleteListDuration such a list is applied.
+// A list of discovery that names any server is applied, because the servers that it lacks must not receive new requests once it is received.
 func (c *endpointCache) lacksProvenServers(l http1.EndpointList, source endpoints.Source) bool {
+	if source == endpoints.SourceDiscovery && len(l.Endpoints) > 0 {
+		return false
+	}
 	isListed := map[string]bool{} // also those that are draining
 	for _, e := range l.Endpoints {
 		isListed[e.ID] = true
