--- a/internal/journal/wal/scan.go
+++ b/internal/journal/wal/scan.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"time"
 
@@ -48,7 +49,7 @@
 }
 
 // Scan calls each for every record of the segments modified since a time, in order. It reads in blocks, so its memory use
-// does not depend on the size of the journal. progress, if not nil, is called with the bytes read so far and the total
+// does not depend on the size of the journal. A segment that retention removes during the scan is skipped. progress, if not nil, is called with the bytes read so far and the total
 // bytes of the segments. An error from each ends the scan.
 func Scan(files FileSystem, dir string, since time.Time, each func(*intent.Record) error, progress func(read, total int64)) (ScanReport, error) {
 	var report ScanReport
@@ -69,18 +70,21 @@
 		}); err != nil {
 			return report, err
 		}
-		report.Segments++
 	}
 	return report, nil
 }
 
-// scanSegment scans one segment. progress, if not nil, is called with the bytes of the segment decoded so far.
+// scanSegment scans one segment, unless it has been removed. progress, if not nil, is called with the bytes of the segment decoded so far.
 func scanSegment(files FileSystem, s Segment, report *ScanReport, each func(*intent.Record) error, progress func(read int64)) error {
 	f, err := files.Open(s.Path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	defer f.Close()
+	report.Segments++
 	scan := segmentScan{path: s.Path, report: report, each: each, unreadableFrom: -1}
 	for {
 		if err := scan.decode(); err != nil {
--- a/internal/journal/wal/scan_test.go
+++ b/internal/journal/wal/scan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -33,6 +34,44 @@
 	}
 }
 
+// retainingFileSystem removes the first segment after the segments were listed, like the retention of a running node.
+type retainingFileSystem struct {
+	FileSystem
+	dir string
+}
+
+func (f retainingFileSystem) List(dir string) ([]FileInfo, error) {
+	files, err := f.FileSystem.List(dir)
+	if err == nil && len(files) > 0 {
+		err = f.FileSystem.Remove(filepath.Join(f.dir, files[0].Name))
+	}
+	return files, err
+}
+
+// Guards against commands that fail on the journal of a running node because its retention removes a segment that they have listed.
+func TestScanSkipsRemovedSegments(t *testing.T) {
+	dir := t.TempDir()
+	l, err := Open(Options{Dir: dir, FileSystem: OSFileSystem{}, MaxSegmentBytes: 900, Incarnation: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	runScript(l, 24)
+	l.Close()
+	count := func(files FileSystem) ScanReport {
+		t.Helper()
+		report, err := Scan(files, dir, time.Time{}, func(*intent.Record) error { return nil }, nil)
+		if err != nil {
+			t.Fatalf("scan: %v", err)
+		}
+		return report
+	}
+	before := count(OSFileSystem{})
+	after := count(retainingFileSystem{OSFileSystem{}, dir})
+	if before.Segments < 3 || after.Records == 0 || after.Records >= before.Records || len(after.Unreadable) > 0 {
+		t.Errorf("got %+v after the removal of one segment, before %+v", after, before)
+	}
+}
+
 // Measures the recovery of a million entries: reads all segments and assembles the entries.
 func BenchmarkRecover(b *testing.B) {
 	dir := b.TempDir()
