--- a/internal/testbed/journal.go
+++ b/internal/testbed/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -244,20 +245,24 @@
 	return dirs
 }
 
-// readJournal adds one node's entries to all. It adds the node to gaps if its journal reports missing records.
+// readJournal adds one node's entries to all. It adds the node to gaps if its journal reports missing records. The first directory is
+// the node's own journal; the others contain replicas, which running nodes may have removed since they were listed.
 func readJournal(n int, dirs []string, all map[entryKey]*intent.Entry, gaps map[int]bool, sum *Journal) error {
 	merger := intent.NewMerger()
 	add := func(e *intent.Entry) {
 		id, _ := strconv.ParseUint(e.RequestID, 16, 64)
 		all[entryKey{n, id}] = e
 	}
-	for _, dir := range dirs {
+	for i, dir := range dirs {
 		r, err := wal.Scan(wal.OSFileSystem{}, dir, time.Time{}, func(rec *intent.Record) error {
 			if e := merger.Add(rec); e != nil {
 				add(e)
 			}
 			return nil
 		}, nil)
+		if i > 0 && errors.Is(err, os.ErrNotExist) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/testbed/journal_test.go
+++ b/internal/testbed/journal_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"path/filepath"
 	"testing"
+
+	"fernvane/internal/journal/intent"
 )
 
 // Guards against renamed JSON keys: reports of earlier runs use these names.
@@ -14,3 +17,19 @@
 		t.Errorf("got %s, error %v", got, err)
 	}
 }
+
+// Guards against a run that fails because a node has removed a replica since the directories were listed. A node's own journal must exist.
+func TestRemovedReplicaIsSkipped(t *testing.T) {
+	own, removed := t.TempDir(), filepath.Join(t.TempDir(), "n0@1")
+	for name, c := range map[string]struct {
+		dirs  []string
+		fails bool
+	}{
+		"replica removed": {[]string{own, removed}, false},
+		"no own journal":  {[]string{removed}, true},
+	} {
+		if err := readJournal(0, c.dirs, map[entryKey]*intent.Entry{}, map[int]bool{}, &Journal{}); (err != nil) != c.fails {
+			t.Errorf("%s: got error %v", name, err)
+		}
+	}
+}
